--- /dev/null
+++ b/src/base/yaml.c
@@ -0,0 +1,78 @@
+#include "base/yaml.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "pistachiorack/error.h"
+
+/*
+ * libcyaml reports a fault through its log: first the reason, then a backtrace
+ * whose innermost entry has the line. Both are joined to one message.
+ */
+static void collect_log(cyaml_log_t level, void *context, const char *fmt,
+			va_list args)
+{
+	pr_str_t *log = context;
+	char line[256];
+
+	vsnprintf(line, sizeof(line), fmt, args);
+	line[strcspn(line, "\n")] = '\0';
+	if (strstr(line, "Backtrace"))
+		return;
+	if (!strncmp(line, "Load: ", 6))
+		memmove(line, line + 6, strlen(line + 6) + 1);
+	pr_str_appendf(log, "%s%s", log->len ? "; " : "", line);
+}
+
+static cyaml_config_t config_with_log(pr_str_t *log)
+{
+	return (cyaml_config_t){
+		.log_fn = collect_log,
+		.log_ctx = log,
+		.mem_fn = cyaml_mem,
+		.log_level = CYAML_LOG_ERROR,
+		.flags = CYAML_CFG_DEFAULT,
+	};
+}
+
+int pr_yaml_load(void **out, const char *name, pr_slice_t text,
+		 const cyaml_schema_value_t *schema)
+{
+	pr_str_t log = PR_STR_INIT;
+	cyaml_config_t config = config_with_log(&log);
+	cyaml_err_t err;
+	int rc = 0;
+
+	*out = NULL;
+	err = cyaml_load_data((const uint8_t *)text.ptr, text.len, &config,
+			      schema, (cyaml_data_t **)out, NULL);
+	if (err != CYAML_OK)
+		rc = pr_error_set(PR_EPARSE, "%s: %s: %s", name,
+				  cyaml_strerror(err), pr_str_cstr(&log));
+	pr_str_finish(&log);
+	return rc;
+}
+
+void pr_yaml_free(void *value, const cyaml_schema_value_t *schema)
+{
+	cyaml_config_t config = config_with_log(NULL);
+
+	config.log_fn = NULL;
+	if (value)
+		cyaml_free(&config, schema, value, 0);
+}
+
+int pr_file_read(pr_str_t *out, const char *path)
+{
+	FILE *file = fopen(path, "rb");
+	char block[4096];
+	size_t got;
+	int rc = 0;
+
+	if (!file)
+		return pr_error_set(PR_ENOTFOUND, "%s: cannot be read", path);
+	while (!rc && (got = fread(block, 1, sizeof(block), file)) > 0)
+		rc = pr_str_append(out, block, got);
+	fclose(file);
+	return rc;
+}
--- /dev/null
+++ b/src/base/yaml.h
@@ -0,0 +1,25 @@
+/*
+ * Loads YAML by schema with libcyaml and turns its log into one error message
+ * with file, line, field, value and reason.
+ */
+#ifndef PR_BASE_YAML_H
+#define PR_BASE_YAML_H
+
+#include <cyaml/cyaml.h>
+
+#include "pistachiorack/str.h"
+
+/**
+ * Load a document.
+ *
+ * @param out the value described by the schema; free with pr_yaml_free()
+ * @param name file name for messages
+ * @return 0 or PR_EPARSE with the detail in pr_error_last()
+ */
+int pr_yaml_load(void **out, const char *name, pr_slice_t text,
+		 const cyaml_schema_value_t *schema);
+void pr_yaml_free(void *value, const cyaml_schema_value_t *schema);
+/** Read a whole file. @return 0, PR_ENOTFOUND or PR_ENOMEM */
+int pr_file_read(pr_str_t *out, const char *path);
+
+#endif
