--- a/include/pistachiorack/http.h
+++ b/include/pistachiorack/http.h
@@ -151,6 +151,11 @@
 	 */
 	void (*done)(pr_http_call_t *call, pr_attempt_stage_t stage,
 		     const char *error);
+	/**
+	 * A call that was cancelled inside one of its callbacks has ended; its
+	 * memory may be reused. May be NULL.
+	 */
+	void (*released)(pr_http_call_t *call);
 } pr_http_call_ops_t;
 
 /** One call; memory is the caller's, zeroed before pr_http_call_start(). */
@@ -180,8 +185,13 @@
 		       pr_http_target_t *target, const char *method,
 		       pr_slice_t path, const pr_http_header_t *headers,
 		       size_t header_count, pr_slice_t body);
-/** Break the call; done() is not called. Safe inside its callbacks. */
-void pr_http_call_cancel(pr_http_call_t *call);
+/**
+ * Break the call; done() is not called. Safe inside its callbacks.
+ *
+ * @return true when the call has ended; false when it ends after the callback
+ *	   that is running, with released()
+ */
+bool pr_http_call_cancel(pr_http_call_t *call);
 /** Stop or continue reading the answer, for flow control. */
 void pr_http_call_pause(pr_http_call_t *call, bool pause);
 
--- a/include/pistachiorack/str.h
+++ b/include/pistachiorack/str.h
@@ -26,21 +26,21 @@
 		NULL, 0, 0                                                     \
 	}
 /** A slice of a string literal. */
-#define PR_SLICE(literal) ((pr_slice_t){(literal), sizeof(literal) - 1})
+#define PR_SLICE(literal) ((pr_slice_t){ (literal), sizeof(literal) - 1 })
 
 static inline pr_slice_t pr_slice(const char *ptr, size_t len)
 {
-	return (pr_slice_t){ptr, len};
+	return (pr_slice_t){ ptr, len };
 }
 
 static inline pr_slice_t pr_slice_of(const char *text)
 {
-	return (pr_slice_t){text, text ? strlen(text) : 0};
+	return (pr_slice_t){ text, text ? strlen(text) : 0 };
 }
 
 static inline pr_slice_t pr_str_slice(const pr_str_t *str)
 {
-	return (pr_slice_t){str->ptr ? str->ptr : "", str->len};
+	return (pr_slice_t){ str->ptr ? str->ptr : "", str->len };
 }
 
 bool pr_slice_equal(pr_slice_t a, pr_slice_t b);
--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -18,22 +18,22 @@
 };
 
 static const cyaml_strval_t version_states[] = {
-	{"proven", PR_VERSION_PROVEN},
-	{"rolling", PR_VERSION_ROLLING},
-	{"halted", PR_VERSION_HALTED},
-	{"withdrawn", PR_VERSION_WITHDRAWN},
+	{ "proven", PR_VERSION_PROVEN },
+	{ "rolling", PR_VERSION_ROLLING },
+	{ "halted", PR_VERSION_HALTED },
+	{ "withdrawn", PR_VERSION_WITHDRAWN },
 };
 static const cyaml_strval_t upstream_kinds[] = {
-	{"engine", PR_UPSTREAM_ENGINE},
-	{"ledger", PR_UPSTREAM_LEDGER},
+	{ "engine", PR_UPSTREAM_ENGINE },
+	{ "ledger", PR_UPSTREAM_LEDGER },
 };
 static const cyaml_strval_t upstream_states[] = {
-	{"live", PR_UPSTREAM_LIVE},
-	{"leaving", PR_UPSTREAM_LEAVING},
+	{ "live", PR_UPSTREAM_LIVE },
+	{ "leaving", PR_UPSTREAM_LEAVING },
 };
 static const cyaml_strval_t zone_states[] = {
-	{"in", PR_ZONE_IN},
-	{"out", PR_ZONE_OUT},
+	{ "in", PR_ZONE_IN },
+	{ "out", PR_ZONE_OUT },
 };
 
 #define NAME_FIELD(type, member)                                               \
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -85,16 +85,24 @@
 	call->connect_buffer = NULL;
 	if (!call->cancelled)
 		call->ops->done(call, stage, error);
+	else if (call->ops->released && call->in_callback)
+		call->ops->released(call);
 }
 
 /*
  * A callback may cancel the call. http1client must not be freed under its own
  * callback, so cancel only marks the call and the callback ends it.
+ *
+ * @return true when the call was cancelled and has ended
  */
-static bool cancelled_inside(pr_http_call_t *call)
+static bool end_callback(pr_http_call_t *call)
 {
-	call->in_callback = false;
-	return call->cancelled;
+	if (!call->cancelled) {
+		call->in_callback = false;
+		return false;
+	}
+	finish_call(call, NULL);
+	return true;
 }
 
 static int on_body(h2o_http1client_t *client, const char *errstr)
@@ -106,10 +114,8 @@
 		call->in_callback = true;
 		call->ops->body(call, pr_slice(input->bytes, input->size));
 		h2o_buffer_consume(&client->sock->input, input->size);
-		if (cancelled_inside(call)) {
-			finish_call(call, NULL);
+		if (end_callback(call))
 			return -1;
-		}
 	}
 	if (!errstr)
 		return 0;
@@ -152,10 +158,8 @@
 	}
 	call->stage = PR_STAGE_HEAD;
 	give_head(call, status, headers, header_count);
-	if (cancelled_inside(call)) {
-		finish_call(call, NULL);
+	if (end_callback(call))
 		return NULL;
-	}
 	if (errstr) {
 		call->stage = PR_STAGE_DONE;
 		finish_call(call, NULL);
@@ -234,15 +238,16 @@
 	return 0;
 }
 
-void pr_http_call_cancel(pr_http_call_t *call)
+bool pr_http_call_cancel(pr_http_call_t *call)
 {
 	if (!call->client)
-		return;
+		return true;
 	call->cancelled = true;
 	if (call->in_callback)
-		return;
+		return false;
 	h2o_http1client_cancel(call->client);
 	finish_call(call, NULL);
+	return true;
 }
 
 void pr_http_call_pause(pr_http_call_t *call, bool pause)
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -399,7 +399,7 @@
 {
 	h2o_conn_t *conn = request_of(public)->req->conn;
 	h2o_socket_t *sock = conn->callbacks->get_socket(conn);
-	struct pollfd entry = {.events = POLLRDHUP};
+	struct pollfd entry = { .events = POLLRDHUP };
 
 	if (!sock)
 		return true;
--- /dev/null
+++ b/src/router/router.h
@@ -0,0 +1,103 @@
+/*
+ * The router daemon: one libuv loop, tasks that own sockets and state.
+ *
+ *   main.c        settings, signals, start and stop
+ *   router.c      construction, time, graceful shutdown
+ *   caller.c      callers' requests: path, key, limits
+ *   exchange.c    life of one request from arrival to the end of its answer
+ *   chat.c        model requests
+ *   service.c     plain services
+ *   attempt.c     one attempt on one upstream
+ *   upstreams.c   upstream addresses and their connections
+ *   config_task.c the fleet configuration
+ *   admin.c       metrics, health, operators' requests
+ */
+#ifndef PR_ROUTER_ROUTER_H
+#define PR_ROUTER_ROUTER_H
+
+#include "pistachiorack/config.h"
+#include "pistachiorack/http.h"
+#include "pistachiorack/metrics.h"
+#include "pistachiorack/peer.h"
+#include "pistachiorack/platform.h"
+#include "pistachiorack/rand.h"
+#include "pistachiorack/settings.h"
+#include "pistachiorack/timer.h"
+
+#define PR_ID_BYTES 112
+
+/** A version of the fleet configuration, kept alive by its users. */
+typedef struct pr_fleet_ref_t {
+	pr_fleet_t *fleet;
+	uint64_t version;
+	unsigned int users;
+} pr_fleet_ref_t;
+
+/** Connections and counters of one upstream. */
+typedef struct pr_upstream_link_t {
+	struct pr_upstream_link_t *next;
+	char *name;
+	char *address;
+	uint16_t port;
+	pr_http_target_t *target;
+	unsigned int in_flight;
+} pr_upstream_link_t;
+
+typedef struct pr_router_counters_t {
+	pr_metric_t *requests, *refused, *attempts, *retries, *caller_gone;
+	pr_metric_t *broken_streams;
+	pr_histogram_t *first_token_us, *total_us;
+} pr_router_counters_t;
+
+typedef struct pr_router_t {
+	uv_loop_t *loop;
+	pr_settings_t *settings;
+	pr_timers_t timers;
+	uv_timer_t clock;
+	uv_prepare_t prepare;
+	pr_metrics_t metrics;
+	pr_router_counters_t counters;
+	pr_rand_t rand;
+	pr_http_server_t *server;
+	pr_http_server_t *admin;
+	pr_http_client_t *client;
+	pr_platform_t *platform;
+	pr_peers_t *peers;
+	pr_fleet_ref_t *fleet;
+	pr_upstream_link_t *upstreams;
+	struct pr_exchange_t *exchanges;
+	unsigned int exchange_count;
+	/** Random per start, so that request ids never repeat. */
+	char boot[17];
+	uint64_t next_request;
+	pr_timer_t config_poll;
+	bool config_polling;
+	pr_timer_t caller_check;
+	pr_timer_t stop_timer;
+	bool stopping;
+	bool stopped;
+} pr_router_t;
+
+/** Start everything. @return 0 or the first error */
+int pr_router_init(pr_router_t *router, uv_loop_t *loop,
+		   pr_settings_t *settings);
+/** Begin a graceful shutdown; a second call ends at once. */
+void pr_router_stop(pr_router_t *router);
+void pr_router_finish(pr_router_t *router);
+/** Time of the timer service, brought up to date. */
+pr_usec_t pr_router_now(pr_router_t *router);
+bool pr_router_ready(const pr_router_t *router);
+
+void pr_caller_on_request(pr_http_request_t *request, void *data);
+void pr_admin_on_request(pr_http_request_t *request, void *data);
+
+void pr_config_task_start(pr_router_t *router);
+pr_fleet_ref_t *pr_fleet_ref_get(pr_fleet_ref_t *ref);
+void pr_fleet_ref_put(pr_fleet_ref_t *ref);
+
+/** Bring the links in line with a new configuration. */
+int pr_upstreams_update(pr_router_t *router, const pr_fleet_t *fleet);
+pr_upstream_link_t *pr_upstreams_find(pr_router_t *router, const char *name);
+void pr_upstreams_finish(pr_router_t *router);
+
+#endif
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -40,8 +40,8 @@
 static void timers_skip_missed_periods(void **state)
 {
 	pr_timers_t timers;
-	pr_timer_t periodic = {.data = NULL};
-	pr_timer_t once = {.data = &timers};
+	pr_timer_t periodic = { .data = NULL };
+	pr_timer_t once = { .data = &timers };
 
 	pr_timers_init(&timers, 0);
 	expiries = 0;
@@ -75,8 +75,8 @@
 /* Guards against a rendezvous hash that moves keys of nodes that stay. */
 static void rendezvous_moves_only_lost_keys(void **state)
 {
-	static const char *const nodes[] = {"a", "b", "c", "d"};
-	int owned[4] = {0};
+	static const char *const nodes[] = { "a", "b", "c", "d" };
+	int owned[4] = { 0 };
 
 	for (int key = 0; key < 4000; key++) {
 		pr_slice_t name = pr_slice((const char *)&key, sizeof(key));
