--- a/script/lib/fleet.sh
+++ b/script/lib/fleet.sh
@@ -66,7 +66,7 @@
 	local name=$1 address=$2 port=$3 zone=$4 serves=$5 model
 	local -a arguments=()
 	for model in $serves; do
-		arguments+=(--model "$model")
+		arguments+=(--serve "$model")
 	done
 	# shellcheck disable=SC2086
 	fleet_spawn "$name" "$FLEET_BUILD/standin-engine" \
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -14,7 +14,7 @@
 /* Guards against an alert that comes late or stays after the cause is gone. */
 static void alert_starts_and_ends(void **state)
 {
-	pr_usec_t now = 100 * 60 * MINUTE;
+	pr_usec_t now = 6000 * MINUTE;
 	pr_burn_t burn;
 
 	assert_int_equal(pr_burn_init(&burn, 4), 0);
