--- a/src/router/chat.c
+++ b/src/router/chat.c
@@ -70,7 +70,7 @@
 	bool complete = stage == PR_STAGE_DONE;
 
 	if (!complete)
-		pr_metric_add(exchange->router->counters.broken_streams, 1);
+		pr_exchange_broken(exchange, "upstream_broke_stream");
 	exchange->answer_ended = true;
 	if (exchange->request)
 		pr_http_stream_end(exchange->request, complete);
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -5,6 +5,9 @@
 
 #include "pistachiorack/error.h"
 
+/* Statuses from here on are the service's fault, not the caller's. */
+#define SERVER_ERROR 500
+
 void pr_refuse(pr_http_request_t *request, int status, const char *code,
 	       pr_verdict_t verdict, const char *message)
 {
@@ -29,9 +32,45 @@
 	exchange->answer_started = true;
 	exchange->answer_ended = true;
 	pr_metric_add(exchange->router->counters.refused, 1);
+	snprintf(exchange->failure, sizeof(exchange->failure), "%s", code);
+	exchange->counts_against_budget = status >= SERVER_ERROR;
 	pr_refuse(exchange->request, status, code, verdict, message);
 }
 
+void pr_exchange_broken(pr_exchange_t *exchange, const char *code)
+{
+	snprintf(exchange->failure, sizeof(exchange->failure), "%s", code);
+	exchange->counts_against_budget = true;
+	pr_metric_add(exchange->router->counters.broken_streams, 1);
+}
+
+/* Counts the finished request for the service-level report. */
+static void record_objectives(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+	const pr_defaults_t *defaults = &exchange->fleet->fleet->defaults;
+	pr_upstream_link_t *link = exchange->attempt.link;
+	pr_usec_t now = pr_router_now(router);
+	const char *workspace = exchange->workspace->name;
+	char cause[PR_BURN_CAUSE_NAME];
+
+	if (exchange->failure[0] && !exchange->counts_against_budget)
+		return;
+	snprintf(cause, sizeof(cause), "upstream=%.40s,version=%.40s,limit=%s",
+		 link ? link->name : "-", exchange->model_version,
+		 exchange->failure[0] ? exchange->failure : "-");
+	pr_burn_record(&router->burn, now, workspace, PR_OBJECTIVE_AVAILABLE,
+		       exchange->failure[0] ? cause : NULL);
+	if (!exchange->stream || !exchange->first_byte)
+		return;
+	pr_burn_record(&router->burn, now, workspace, PR_OBJECTIVE_FIRST_TOKEN,
+		       exchange->first_byte - exchange->arrived >
+				       defaults->first_token_ms *
+					       PR_USEC_PER_MSEC
+			       ? cause
+			       : NULL);
+}
+
 static void on_end(pr_http_request_t *request, bool complete)
 {
 	pr_exchange_t *exchange = request->user;
@@ -63,6 +102,7 @@
 						    PR_VERDICT_MAY_HAVE_RUN);
 	if (exchange->answer_started && !exchange->answer_ended) {
 		exchange->answer_ended = true;
+		pr_exchange_broken(exchange, "deadline_exceeded");
 		if (exchange->request)
 			pr_http_stream_end(exchange->request, false);
 	} else {
@@ -120,6 +160,7 @@
 
 	if (exchange->request || exchange->attempt.active || exchange->holds)
 		return;
+	record_objectives(exchange);
 	pr_histogram_record(
 		router->counters.total_us,
 		(double)(pr_router_now(router) - exchange->arrived));
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -49,6 +49,11 @@
 	const pr_workspace_t *workspace;
 	char id[PR_ID_BYTES];
 	pr_usec_t arrived;
+	/** 0 until the first byte of the answer went out. */
+	pr_usec_t first_byte;
+	/** Code of the refusal, or of what broke the answer; "" for none. */
+	char failure[32];
+	bool counts_against_budget;
 	pr_timer_t deadline;
 	pr_attempt_t attempt;
 	unsigned int attempts;
@@ -103,6 +108,9 @@
 /** Break the attempt that is under way, if any. */
 void pr_attempt_cancel(pr_exchange_t *exchange);
 
+/** Note why a started answer could not be completed. */
+void pr_exchange_broken(pr_exchange_t *exchange, const char *code);
+
 void pr_chat_begin(pr_exchange_t *exchange);
 void pr_service_begin(pr_exchange_t *exchange, pr_slice_t path);
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -11,9 +11,11 @@
 
 #define SERIES_MAX         4096
 #define CALLER_CHECK_EVERY (250 * PR_USEC_PER_MSEC)
-#define STOP_CHECK_EVERY   (20 * PR_USEC_PER_MSEC)
-#define ADMIN_BODY_MAX     4096
-#define ADMIN_CONNECTIONS  256
+/* Four objectives for each of 250 workspaces. */
+#define BURN_SERIES_MAX   1000
+#define STOP_CHECK_EVERY  (20 * PR_USEC_PER_MSEC)
+#define ADMIN_BODY_MAX    4096
+#define ADMIN_CONNECTIONS 256
 
 static pr_usec_t clock_now(void)
 {
@@ -167,6 +169,8 @@
 	pr_metrics_init(&router->metrics, SERIES_MAX);
 	open_counters(router);
 	rc = open_clock(router);
+	if (!rc)
+		rc = pr_burn_init(&router->burn, BURN_SERIES_MAX);
 	if (!rc)
 		rc = pr_http_client_open(&router->client, loop,
 					 settings->limits.answer_timeout_ms);
@@ -253,6 +257,7 @@
 		pr_peers_close(router->peers);
 	pr_fleet_ref_put(router->fleet);
 	pr_timers_finish(&router->timers);
+	pr_burn_finish(&router->burn);
 	pr_rand_finish(&router->rand);
 	pr_metrics_finish(&router->metrics);
 }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -21,6 +21,7 @@
 #include "pistachiorack/peer.h"
 #include "pistachiorack/platform.h"
 #include "pistachiorack/rand.h"
+#include "pistachiorack/report.h"
 #include "pistachiorack/settings.h"
 #include "pistachiorack/timer.h"
 
@@ -58,6 +59,7 @@
 	pr_metrics_t metrics;
 	pr_router_counters_t counters;
 	pr_rand_t rand;
+	pr_burn_t burn;
 	pr_http_server_t *server;
 	pr_http_server_t *admin;
 	pr_http_client_t *client;
