--- a/include/pistachiorack/http.h
+++ b/include/pistachiorack/http.h
@@ -108,6 +108,11 @@
  *		   the answer for a whole one
  */
 void pr_http_stream_end(pr_http_request_t *request, bool complete);
+/**
+ * Break the connection. When the answer has not started, the caller sees none
+ * of it, not even a status line.
+ */
+void pr_http_request_break(pr_http_request_t *request);
 /** @return bytes that are queued and not yet handed to the socket */
 size_t pr_http_stream_pending(const pr_http_request_t *request);
 /**
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -10,6 +10,7 @@
 #include <openssl/ssl.h>
 #include <poll.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 #include "pistachiorack/error.h"
 
@@ -390,6 +391,21 @@
 	send_pending(request);
 }
 
+void pr_http_request_break(pr_http_request_t *public)
+{
+	request_t *request = request_of(public);
+	h2o_conn_t *conn = request->req->conn;
+	h2o_socket_t *sock = conn->callbacks->get_socket(conn);
+
+	/* h2o has no call for this; with the socket shut down its next write
+	 * fails, and it frees the connection. */
+	if (sock)
+		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+	if (!request->started)
+		pr_http_stream_start(public, 500, NULL);
+	pr_http_stream_end(public, false);
+}
+
 size_t pr_http_stream_pending(const pr_http_request_t *public)
 {
 	return request_of(public)->pending.len;
