--- a/script/lib/fleet.sh
+++ b/script/lib/fleet.sh
@@ -138,9 +138,9 @@
 		[ -e "$file" ] || continue
 		name=$(basename "$file")
 		wait "$(cat "$file")" || {
-			echo "$name ended with $?" >&2
+			status=$?
+			echo "$name ended with $status" >&2
 			tail -n 20 "$FLEET_DIR/logs/$name.log" >&2
-			status=1
 		}
 		rm -f "$file"
 	done
@@ -151,8 +151,8 @@
 	for file in "$FLEET_DIR"/pids/*; do
 		[ -e "$file" ] || continue
 		wait "$(cat "$file")" || {
-			echo "$(basename "$file") ended with $?" >&2
-			status=1
+			status=$?
+			echo "$(basename "$file") ended with $status" >&2
 		}
 		rm -f "$file"
 	done
@@ -163,7 +163,9 @@
 fleet_kill() {
 	local file
 	for file in "$FLEET_DIR"/pids/*; do
-		[ -e "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+		[ -e "$file" ] || continue
+		kill -KILL "$(cat "$file")" 2>/dev/null || true
+		wait "$(cat "$file")" 2>/dev/null || true
 	done
 	[ -n "${FLEET_KEEP:-}" ] || rm -rf "$FLEET_DIR"
 }
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -56,7 +56,7 @@
 
 	if (exchange->failure[0] && !exchange->counts_against_budget)
 		return;
-	snprintf(cause, sizeof(cause), "upstream=%.40s,version=%.40s,limit=%s",
+	snprintf(cause, sizeof(cause), "upstream=%.32s,version=%.32s,limit=%s",
 		 link ? link->name : "-", exchange->model_version,
 		 exchange->failure[0] ? exchange->failure : "-");
 	pr_burn_record(&router->burn, now, workspace, PR_OBJECTIVE_AVAILABLE,
--- a/standins/common/faults.c
+++ b/standins/common/faults.c
@@ -52,7 +52,7 @@
 	int rc;
 
 	if (json_is_true(json_object_get(fields, "clear")))
-		next = (standin_faults_t){0};
+		next = (standin_faults_t){ 0 };
 	for (size_t i = 0; i < FIELDS_KNOWN; i++) {
 		const json_t *value =
 			json_object_get(fields, fields_known[i].name);
--- a/standins/common/record.c
+++ b/standins/common/record.c
@@ -22,7 +22,7 @@
 		json_decref(record->entries[i]);
 	free(record->entries);
 	json_decref(record->counts);
-	*record = (standin_record_t){0};
+	*record = (standin_record_t){ 0 };
 }
 
 void standin_record_add(standin_record_t *record, json_t *entry)
--- a/standins/common/standin.c
+++ b/standins/common/standin.c
@@ -280,7 +280,7 @@
 
 static void start_loop(standin_t *standin)
 {
-	static const int numbers[2] = {SIGTERM, SIGINT};
+	static const int numbers[2] = { SIGTERM, SIGINT };
 
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&standin->loop);
@@ -317,7 +317,7 @@
 		const standin_ops_t *ops, void *data)
 {
 	pr_http_server_options_t http = PR_HTTP_SERVER_OPTIONS_INIT;
-	pr_timer_t lifetime = {.data = standin};
+	pr_timer_t lifetime = { .data = standin };
 	int rc;
 
 	pr_log_init(options->name);
--- a/standins/common/text.c
+++ b/standins/common/text.c
@@ -59,7 +59,7 @@
 void standin_text_token(char out[STANDIN_TOKEN_BYTES + 1], uint64_t seed,
 			uint32_t i)
 {
-	uint8_t bytes[8] = {0};
+	uint8_t bytes[8] = { 0 };
 
 	for (int k = 0; k < 4; k++)
 		bytes[k] = (uint8_t)(i >> (8 * k));
--- a/standins/standin-engine.c
+++ b/standins/standin-engine.c
@@ -220,7 +220,7 @@
 					"cold time after start (default 5000)");
 	struct arg_lit *fencing =
 		arg_lit0(NULL, "fencing", "refuse orders with an old fence");
-	void *extra[] = {serve, slots, blocks, cold, fencing};
+	void *extra[] = { serve, slots, blocks, cold, fencing };
 	int rc;
 
 	set_defaults(engine);
@@ -248,7 +248,7 @@
 int main(int argc, char **argv)
 {
 	static engine_t engine;
-	standin_options_t options = {0};
+	standin_options_t options = { 0 };
 	int rc = set_up(&engine, argc, argv, &options);
 
 	if (rc < 0)
--- a/standins/standin-engine/cache.c
+++ b/standins/standin-engine/cache.c
@@ -11,7 +11,7 @@
 
 int cache_init(cache_t *cache, size_t max, pr_rand_t *rand)
 {
-	*cache = (cache_t){.max = max, .next_event = 1, .rand = rand};
+	*cache = (cache_t){ .max = max, .next_event = 1, .rand = rand };
 	cache->blocks = calloc(max ? max : 1, sizeof(block_t));
 	cache->events = calloc(ENGINE_EVENTS, sizeof(cache_event_t));
 	if (!cache->blocks || !cache->events)
@@ -71,7 +71,7 @@
 				slot = &cache->blocks[i];
 		publish(cache, slot->hash, true, now);
 	}
-	*slot = (block_t){.hash = hash, .used = cache->clock};
+	*slot = (block_t){ .hash = hash, .used = cache->clock };
 	publish(cache, hash, false, now);
 }
 
--- a/standins/standin-engine/state.c
+++ b/standins/standin-engine/state.c
@@ -281,7 +281,7 @@
 static sample_t lagging_sample(engine_t *engine)
 {
 	pr_usec_t now = standin_now(&engine->standin);
-	sample_t best = {.at = now};
+	sample_t best = { .at = now };
 
 	if (!engine->load_lag_ms) {
 		best.running = engine->active.count;
--- a/standins/standin-ledger.c
+++ b/standins/standin-ledger.c
@@ -102,15 +102,15 @@
 		ledger->work_ms = (uint32_t)json_integer_value(value);
 }
 
-static const standin_ops_t ops = {.handle = handle, .control = control};
+static const standin_ops_t ops = { .handle = handle, .control = control };
 
 int main(int argc, char **argv)
 {
 	static ledger_t ledger;
-	standin_options_t options = {0};
+	standin_options_t options = { 0 };
 	struct arg_int *work =
 		arg_int0(NULL, "work-ms", "MS", "time that a run takes");
-	void *extra[] = {work};
+	void *extra[] = { work };
 	int rc;
 
 	work->ival[0] = 0;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -364,7 +364,7 @@
 	struct arg_str *quality =
 		arg_strn(NULL, "quality", "MODEL@VERSION=Q", 0,
 			 REPEATED_ARGS_MAX, "share of good answers");
-	void *extra[] = {writes, reads, weights, count, quality};
+	void *extra[] = { writes, reads, weights, count, quality };
 	int rc;
 
 	writes->ival[0] = WRITES_PER_S;
@@ -392,7 +392,7 @@
 int main(int argc, char **argv)
 {
 	static platform_t platform;
-	standin_options_t options = {0};
+	standin_options_t options = { 0 };
 	int rc = set_up(&platform, argc, argv, &options);
 
 	if (rc < 0)
--- a/standins/standin-platform/objects.c
+++ b/standins/standin-platform/objects.c
@@ -26,7 +26,7 @@
 	if (!list)
 		return NULL;
 	objects->objects = list;
-	list[objects->count] = (object_t){.name = strdup(name)};
+	list[objects->count] = (object_t){ .name = strdup(name) };
 	return &list[objects->count++];
 }
 
--- a/standins/standin-platform/table.c
+++ b/standins/standin-platform/table.c
@@ -85,7 +85,7 @@
 	at = lower_bound(table, key);
 	memmove(&table->rows[at + 1], &table->rows[at],
 		(table->count - at) * sizeof(row_t));
-	table->rows[at] = (row_t){.key = strdup(key)};
+	table->rows[at] = (row_t){ .key = strdup(key) };
 	table->count++;
 	tables->rows++;
 	return &table->rows[at];
--- a/tests/test_standins.c
+++ b/tests/test_standins.c
@@ -59,7 +59,7 @@
  * and against one that hits paths outside `only`. */
 static void faults_are_counted(void **state)
 {
-	standin_faults_t faults = {0};
+	standin_faults_t faults = { 0 };
 	json_t *fields = json_pack("{s:i,s:i,s:s}", "lose_answers", 2, "refuse",
 				   1, "only", "/v1/table");
 	pr_slice_t path = PR_SLICE("/v1/table/commit");
@@ -83,7 +83,7 @@
 /* Guards against a control request that is applied in part. */
 static void bad_control_changes_nothing(void **state)
 {
-	standin_faults_t faults = {.slow_ms = 5};
+	standin_faults_t faults = { .slow_ms = 5 };
 	json_t *fields = json_pack("{s:b,s:i,s:s}", "clear", 1, "slow_ms", 9,
 				   "outage", "yes");
 
