--- a/src/router/admin.c
+++ b/src/router/admin.c
@@ -13,6 +13,7 @@
 		       router->fleet
 			       ? (unsigned long long)router->fleet->version
 			       : 0ULL);
+	pr_tasks_metrics(router, &text);
 	pr_http_answer(request, 200, "text/plain; version=0.0.4",
 		       pr_str_slice(&text));
 	pr_str_finish(&text);
--- a/src/router/config_task.c
+++ b/src/router/config_task.c
@@ -35,8 +35,6 @@
 	if (!ref)
 		return;
 	rc = pr_fleet_parse(&ref->fleet, "config/current", text);
-	if (!rc)
-		rc = pr_upstreams_update(router, ref->fleet);
 	if (rc) {
 		pr_log(PR_LOG_ERR, "configuration %llu refused: %s",
 		       (unsigned long long)version, pr_error_last());
@@ -48,6 +46,7 @@
 	ref->users = 1;
 	pr_fleet_ref_put(router->fleet);
 	router->fleet = ref;
+	pr_tasks_fleet_changed(router);
 	pr_log(PR_LOG_NOTICE, "configuration %llu is in force",
 	       (unsigned long long)version);
 }
@@ -92,9 +91,22 @@
 		POLL_TIMEOUT, on_polled, router);
 }
 
-void pr_config_task_start(pr_router_t *router)
+static int start_polling(pr_router_t *router)
 {
 	router->config_poll.data = router;
 	pr_timers_subscribe(&router->timers, &router->config_poll, 0,
 			    POLL_EVERY, on_poll);
+	return 0;
 }
+
+static void drop_fleet(pr_router_t *router)
+{
+	pr_fleet_ref_put(router->fleet);
+	router->fleet = NULL;
+}
+
+const pr_task_ops_t pr_config_task = {
+	.name = "config",
+	.init = start_polling,
+	.finish = drop_fleet,
+};
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -67,6 +67,8 @@
 	counters->retries = pr_metrics_series(metrics, "pr_retries_total", "");
 	counters->caller_gone =
 		pr_metrics_series(metrics, "pr_caller_gone_total", "");
+	counters->unknown_messages =
+		pr_metrics_series(metrics, "pr_unknown_messages_total", "");
 	counters->broken_streams =
 		pr_metrics_series(metrics, "pr_broken_streams_total", "");
 	counters->first_token_us =
@@ -107,6 +109,10 @@
 static void on_peer_message(void *data, pr_slice_t from, pr_slice_t type,
 			    pr_slice_t payload)
 {
+	pr_router_t *router = data;
+
+	if (!pr_tasks_message(router, from, type, payload))
+		pr_metric_add(router->counters.unknown_messages, 1);
 }
 
 static int open_peers(pr_router_t *router)
@@ -188,8 +194,7 @@
 	pr_timers_subscribe(&router->timers, &router->caller_check,
 			    CALLER_CHECK_EVERY, CALLER_CHECK_EVERY,
 			    on_caller_check);
-	pr_config_task_start(router);
-	return 0;
+	return pr_tasks_init(router);
 }
 
 bool pr_router_ready(const pr_router_t *router)
@@ -199,9 +204,12 @@
 
 static void end_loop(pr_router_t *router)
 {
-	if (router->exchange_count)
-		pr_log(PR_LOG_WARNING, "stopped with %u requests unfinished",
-		       router->exchange_count);
+	const char *busy = pr_tasks_busy(router);
+
+	if (router->exchange_count || busy)
+		pr_log(PR_LOG_WARNING,
+		       "stopped with %u requests unfinished, busy task: %s",
+		       router->exchange_count, busy ? busy : "none");
 	router->stopped = true;
 	uv_stop(router->loop);
 }
@@ -210,7 +218,7 @@
 {
 	pr_router_t *router = timer->data;
 
-	if (!router->exchange_count)
+	if (!router->exchange_count && !pr_tasks_busy(router))
 		end_loop(router);
 }
 
@@ -241,6 +249,7 @@
 	router->stopping = true;
 	pr_log(PR_LOG_NOTICE, "stopping with %u requests in work",
 	       router->exchange_count);
+	pr_tasks_stopping(router);
 	router->stop_timer.data = router;
 	pr_timers_subscribe(&router->timers, &router->stop_timer,
 			    (pr_usec_t)router->settings->shutdown.notice_ms *
@@ -252,10 +261,9 @@
 {
 	if (router->platform)
 		pr_platform_close(router->platform);
-	pr_upstreams_finish(router);
+	pr_tasks_finish(router);
 	if (router->peers)
 		pr_peers_close(router->peers);
-	pr_fleet_ref_put(router->fleet);
 	pr_timers_finish(&router->timers);
 	pr_burn_finish(&router->burn);
 	pr_rand_finish(&router->rand);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -9,6 +9,7 @@
  *   service.c     plain services
  *   attempt.c     one attempt on one upstream
  *   upstreams.c   upstream addresses and their connections
+ *   task.h, tasks.c  duties with their own state, and the events between them
  *   config_task.c the fleet configuration
  *   admin.c       metrics, health, operators' requests
  */
@@ -24,6 +25,7 @@
 #include "pistachiorack/report.h"
 #include "pistachiorack/settings.h"
 #include "pistachiorack/timer.h"
+#include "router/task.h"
 
 #define PR_ID_BYTES 112
 
@@ -46,7 +48,7 @@
 
 typedef struct pr_router_counters_t {
 	pr_metric_t *requests, *refused, *attempts, *retries, *caller_gone;
-	pr_metric_t *broken_streams;
+	pr_metric_t *broken_streams, *unknown_messages;
 	pr_histogram_t *first_token_us, *total_us;
 } pr_router_counters_t;
 
@@ -93,13 +95,9 @@
 void pr_caller_on_request(pr_http_request_t *request, void *data);
 void pr_admin_on_request(pr_http_request_t *request, void *data);
 
-void pr_config_task_start(pr_router_t *router);
 pr_fleet_ref_t *pr_fleet_ref_get(pr_fleet_ref_t *ref);
 void pr_fleet_ref_put(pr_fleet_ref_t *ref);
 
-/** Bring the links in line with a new configuration. */
-int pr_upstreams_update(pr_router_t *router, const pr_fleet_t *fleet);
 pr_upstream_link_t *pr_upstreams_find(pr_router_t *router, const char *name);
-void pr_upstreams_finish(pr_router_t *router);
 
 #endif
--- a/src/router/upstreams.c
+++ b/src/router/upstreams.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "pistachiorack/error.h"
+#include "pistachiorack/log.h"
 #include "router/router.h"
 
 /* Idle connections kept to one upstream. */
@@ -43,11 +44,11 @@
  * since calls may still use its pool; its name is cleared so that it is not
  * found any more.
  */
-int pr_upstreams_update(pr_router_t *router, const pr_fleet_t *fleet)
+static void update_links(pr_router_t *router)
 {
-	int rc = 0;
+	const pr_fleet_t *fleet = router->fleet->fleet;
 
-	for (unsigned int i = 0; i < fleet->upstreams_count && !rc; i++) {
+	for (unsigned int i = 0; i < fleet->upstreams_count; i++) {
 		const pr_upstream_t *upstream = &fleet->upstreams[i];
 		pr_upstream_link_t *link =
 			pr_upstreams_find(router, upstream->name);
@@ -57,13 +58,13 @@
 			link->name[0] = '\0';
 			link = NULL;
 		}
-		if (!link)
-			rc = add_link(router, upstream);
+		if (!link && add_link(router, upstream))
+			pr_log(PR_LOG_ERR, "upstream %s: %s", upstream->name,
+			       pr_error_last());
 	}
-	return rc;
 }
 
-void pr_upstreams_finish(pr_router_t *router)
+static void finish_links(pr_router_t *router)
 {
 	while (router->upstreams) {
 		pr_upstream_link_t *link = router->upstreams;
@@ -75,3 +76,9 @@
 		free(link);
 	}
 }
+
+const pr_task_ops_t pr_upstreams_task = {
+	.name = "upstreams",
+	.fleet_changed = update_links,
+	.finish = finish_links,
+};
