--- a/tests/fake_world.h
+++ b/tests/fake_world.h
@@ -133,9 +133,10 @@
 	*at = event;
 }
 
-static inline fake_event_t *
-fake_event(fake_world_t *world, int host, pr_usec_t delay,
-	   void (*run)(fake_world_t *, fake_event_t *))
+static inline fake_event_t *fake_event(fake_world_t *world, int host,
+				       pr_usec_t delay,
+				       void (*run)(fake_world_t *,
+						   fake_event_t *))
 {
 	fake_event_t *event = calloc(1, sizeof(*event));
 
@@ -219,8 +220,8 @@
 		row = fake_row(world, op->table, op->key);
 		result->version = row ? row->version : 0;
 		if (row && !result->applied)
-			result->value = pr_slice_of(fake_copy(
-				answer, pr_slice_of(row->value)));
+			result->value = pr_slice_of(
+				fake_copy(answer, pr_slice_of(row->value)));
 	}
 	if (!lost && world->lose_answers) {
 		world->lose_answers--;
@@ -240,8 +241,8 @@
 {
 	bool slow = world->now < world->slow_until;
 	fake_event_t *event = fake_event(world, FAKE_NOBODY,
-					 slow ? 400 * PR_USEC_PER_MSEC :
-						fake_jitter(world, 900),
+					 slow ? 400 * PR_USEC_PER_MSEC
+					      : fake_jitter(world, 900),
 					 fake_arrive);
 
 	event->from = host;
@@ -253,15 +254,13 @@
 	*(read ? &world->reads : &world->commits) += 1;
 	for (size_t i = 0; i < count; i++) {
 		event->ops[i] = ops[i];
-		event->ops[i].key =
-			pr_slice_of(fake_copy(event, ops[i].key));
+		event->ops[i].key = pr_slice_of(fake_copy(event, ops[i].key));
 		event->ops[i].value =
 			pr_slice_of(fake_copy(event, ops[i].value));
 	}
 	if (slow) {
-		fake_event_t *answer = fake_event(world, host,
-						  100 * PR_USEC_PER_MSEC,
-						  fake_answer);
+		fake_event_t *answer = fake_event(
+			world, host, 100 * PR_USEC_PER_MSEC, fake_answer);
 
 		answer->number = tag;
 		answer->read = read;
