--- /dev/null
+++ b/src/dispatch/attempt.c
@@ -0,0 +1,233 @@
+/* Attempts of one request: retry, resume, hedge, verdict. */
+#include "pistachiorack/dispatch.h"
+
+#include <string.h>
+
+#include "pistachiorack/error.h"
+
+void pr_retry_budget_init(pr_retry_budget_t *budget)
+{
+	*budget = (pr_retry_budget_t){
+		.share = 0.1,
+		.max = 10,
+		.enabled = true,
+	};
+}
+
+void pr_retry_budget_deposit(pr_retry_budget_t *budget)
+{
+	budget->tokens += budget->share;
+	if (budget->tokens > budget->max)
+		budget->tokens = budget->max;
+}
+
+bool pr_retry_budget_take(pr_retry_budget_t *budget)
+{
+	if (!budget->enabled)
+		return true;
+	/* Ten deposits of 0.1 add up to slightly less than one. */
+	if (budget->tokens < 1 - 1e-9)
+		return false;
+	budget->tokens -= 1;
+	return true;
+}
+
+void pr_dispatch_init(pr_dispatch_t *dispatch,
+		      const pr_dispatch_options_t *options,
+		      pr_retry_budget_t *budget)
+{
+	memset(dispatch, 0, sizeof(*dispatch));
+	dispatch->options = *options;
+	if (dispatch->options.attempts_max > PR_DISPATCH_ATTEMPTS_MAX)
+		dispatch->options.attempts_max = PR_DISPATCH_ATTEMPTS_MAX;
+	dispatch->budget = budget;
+	pr_retry_budget_deposit(budget);
+}
+
+int pr_dispatch_attempt(pr_dispatch_t *dispatch, pr_usec_t now)
+{
+	pr_attempt_t *attempt;
+
+	if (dispatch->ended)
+		return pr_error_set(PR_EINVALID, "the request has ended");
+	if (now >= dispatch->options.deadline)
+		return pr_error_set(PR_ETIMEDOUT, "the deadline has passed");
+	if (dispatch->attempts_count >= dispatch->options.attempts_max)
+		return pr_error_set(PR_EFULL, "all attempts were used");
+	attempt = &dispatch->attempts[dispatch->attempts_count];
+	*attempt = (pr_attempt_t){.open = true, .started = now};
+	return (int)dispatch->attempts_count++;
+}
+
+static pr_attempt_t *get_attempt(pr_dispatch_t *dispatch, int number)
+{
+	if (number < 0 || (unsigned int)number >= dispatch->attempts_count)
+		return NULL;
+	return &dispatch->attempts[number];
+}
+
+void pr_dispatch_stage(pr_dispatch_t *dispatch, int number,
+		       pr_attempt_stage_t stage)
+{
+	pr_attempt_t *attempt = get_attempt(dispatch, number);
+
+	if (attempt && attempt->open && stage > attempt->stage)
+		attempt->stage = stage;
+}
+
+void pr_dispatch_shown(pr_dispatch_t *dispatch, uint64_t tokens)
+{
+	if (tokens > dispatch->shown)
+		dispatch->shown = tokens;
+}
+
+/* Attempts that are still open count with what they may have done so far. */
+static pr_verdict_t joined_verdict(const pr_dispatch_t *dispatch)
+{
+	pr_verdict_t verdict = PR_VERDICT_NOT_RUN;
+
+	for (unsigned int i = 0; i < dispatch->attempts_count; i++) {
+		const pr_attempt_t *attempt = &dispatch->attempts[i];
+		pr_verdict_t one =
+			attempt->open
+				? pr_verdict_of_failure(attempt->stage, false)
+				: attempt->verdict;
+
+		verdict = pr_verdict_join(verdict, one);
+	}
+	return verdict;
+}
+
+static uint32_t open_attempts(const pr_dispatch_t *dispatch)
+{
+	uint32_t mask = 0;
+
+	for (unsigned int i = 0; i < dispatch->attempts_count; i++)
+		if (dispatch->attempts[i].open)
+			mask |= 1u << i;
+	return mask;
+}
+
+/* Exponential back-off with full jitter, so that callers of one failed
+ * upstream do not come back together. */
+static pr_usec_t backoff(const pr_dispatch_t *dispatch, pr_rand_t *rand)
+{
+	unsigned int tries = dispatch->attempts_count + dispatch->empty_choices;
+	pr_usec_t range = dispatch->options.backoff;
+
+	while (tries-- > 1 && range < dispatch->options.backoff_max)
+		range *= 2;
+	if (range > dispatch->options.backoff_max)
+		range = dispatch->options.backoff_max;
+	return (pr_usec_t)((double)range * 2 * pr_rand_unit(rand));
+}
+
+static void give_up(pr_dispatch_t *dispatch, pr_dispatch_decision_t *decision,
+		    int status, const char *code)
+{
+	dispatch->ended = true;
+	decision->action =
+		dispatch->shown ? PR_DISPATCH_BREAK : PR_DISPATCH_REFUSE;
+	decision->status = status;
+	decision->code = code;
+	decision->verdict = joined_verdict(dispatch);
+	decision->cancel = open_attempts(dispatch);
+	/* The whole request failed, so its caller does not have an answer. */
+	if (decision->verdict == PR_VERDICT_RAN)
+		decision->verdict = PR_VERDICT_MAY_HAVE_RUN;
+}
+
+static bool may_repeat(const pr_dispatch_t *dispatch)
+{
+	return dispatch->options.idempotent ||
+	       joined_verdict(dispatch) == PR_VERDICT_NOT_RUN;
+}
+
+void pr_dispatch_failed(pr_dispatch_t *dispatch,
+			pr_dispatch_decision_t *decision, int number,
+			bool refused, pr_rand_t *rand, pr_usec_t now)
+{
+	pr_attempt_t *attempt = get_attempt(dispatch, number);
+
+	memset(decision, 0, sizeof(*decision));
+	if (attempt && !attempt->open)
+		return;
+	if (attempt) {
+		attempt->open = false;
+		/* A refusal after the body began contradicts itself. */
+		attempt->verdict = pr_verdict_of_failure(
+			attempt->stage,
+			refused && attempt->stage <= PR_STAGE_HEAD);
+		if (attempt->verdict == PR_VERDICT_RAN)
+			attempt->verdict = PR_VERDICT_MAY_HAVE_RUN;
+	} else {
+		dispatch->empty_choices++;
+	}
+	if (dispatch->ended || open_attempts(dispatch))
+		return;
+	decision->verdict = joined_verdict(dispatch);
+	decision->position = dispatch->shown;
+	decision->at = now + backoff(dispatch, rand);
+	if (!may_repeat(dispatch))
+		give_up(dispatch, decision, 502, "upstream_failed");
+	else if (decision->at >= dispatch->options.deadline)
+		give_up(dispatch, decision, 504, "deadline_exceeded");
+	else if (dispatch->attempts_count + dispatch->empty_choices >=
+		 dispatch->options.attempts_max)
+		give_up(dispatch, decision, 502, "upstream_failed");
+	else if (attempt && !pr_retry_budget_take(dispatch->budget))
+		give_up(dispatch, decision, 503, "retry_budget_exhausted");
+	else
+		decision->action =
+			dispatch->shown ? PR_DISPATCH_RESUME : PR_DISPATCH_TRY;
+}
+
+void pr_dispatch_done(pr_dispatch_t *dispatch, pr_dispatch_decision_t *decision,
+		      int number)
+{
+	pr_attempt_t *attempt = get_attempt(dispatch, number);
+
+	memset(decision, 0, sizeof(*decision));
+	if (!attempt || !attempt->open)
+		return;
+	attempt->open = false;
+	attempt->stage = PR_STAGE_DONE;
+	attempt->verdict = PR_VERDICT_RAN;
+	if (dispatch->ended)
+		return;
+	dispatch->ended = true;
+	decision->action = PR_DISPATCH_ANSWER;
+	decision->verdict = PR_VERDICT_RAN;
+	decision->cancel = open_attempts(dispatch);
+}
+
+void pr_dispatch_abandon(pr_dispatch_t *dispatch,
+			 pr_dispatch_decision_t *decision, bool timed_out)
+{
+	memset(decision, 0, sizeof(*decision));
+	if (dispatch->ended)
+		return;
+	give_up(dispatch, decision, timed_out ? 504 : 499,
+		timed_out ? "deadline_exceeded" : "caller_left");
+	if (!timed_out)
+		decision->action = PR_DISPATCH_NONE;
+}
+
+pr_usec_t pr_dispatch_hedge_at(const pr_dispatch_t *dispatch)
+{
+	if (!dispatch->options.hedge_after || dispatch->hedged ||
+	    dispatch->ended || !dispatch->options.idempotent ||
+	    dispatch->shown || dispatch->attempts_count != 1 ||
+	    !dispatch->attempts[0].open)
+		return PR_USEC_NEVER;
+	return dispatch->attempts[0].started + dispatch->options.hedge_after;
+}
+
+bool pr_dispatch_hedge(pr_dispatch_t *dispatch, pr_usec_t now)
+{
+	if (now < pr_dispatch_hedge_at(dispatch) ||
+	    now >= dispatch->options.deadline)
+		return false;
+	dispatch->hedged = true;
+	return pr_retry_budget_take(dispatch->budget);
+}
