Add balance: upstream choice, subsets, ejection, ramps

Each host needs to choose among up to 600 upstreams without a connection to each of them, without overloading one that has just started, and without asking anybody. balance keeps a subset per model by rendezvous hashing, estimates first-token times from lagging load reports and its own attempts, ejects upstreams that fail, and ramps cold ones within shares that add up to cold_slots.

Rotating the remainder of the cold shares among hosts was ruled out: hosts' clocks differ, so two of them would use one share at the turn.

--- /dev/null
+++ b/src/balance/choose.c
@@ -0,0 +1,301 @@
+/* The choice: expected first-token time of a few candidates. */
+#include "balance/internal.h"
+
+#include "pistachiorack/error.h"
+#include "pistachiorack/hash.h"
+
+/* Candidates looked at in one pass; a subset is far smaller. */
+#define SCAN_MAX 64
+
+/* Part of the slots that batch work may fill before it counts as queued. */
+#define BATCH_SLOTS 0.8
+
+/* The excess over expectation counts half after this time without answers. */
+#define EXCESS_HALF_LIFE (2 * PR_USEC_PER_SEC)
+
+/* Load makes a batch of an engine slower even below its slots. */
+#define LOAD_SLOPE 0.3
+
+typedef struct scan_t {
+	pr_balance_upstream_t *usable[SCAN_MAX];
+	unsigned int count;
+	/** Some were usable but for their cold ceiling. */
+	bool full;
+} scan_t;
+
+static bool has_report(const pr_balance_t *balance,
+		       const pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	return upstream->reported_at >= 0 &&
+	       now - upstream->reported_at <= balance->options.report_max_age;
+}
+
+/* Requests that the upstream works on, from the last report, corrected by what
+ * this host sent and finished since it was measured. */
+static double load_of(const pr_balance_t *balance,
+		      const pr_balance_pool_t *pool,
+		      const pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	double own = upstream->in_flight;
+	double load;
+	pr_usec_t age = now - upstream->reported_at;
+
+	if (!has_report(balance, upstream, now)) {
+		unsigned int hosts =
+			balance->views ? balance->views[0].count : 1;
+		unsigned int local =
+			pool->region_count ? pool->region_count : pool->count;
+		double sharing = (double)hosts * pool->local / local;
+
+		return sharing > 1 ? own * sharing : own;
+	}
+	load = upstream->reported;
+	if (age / PR_HISTORY_STEP < PR_HISTORY) {
+		int64_t step = upstream->reported_at / PR_HISTORY_STEP;
+		bool changed = step < upstream->history_step;
+
+		load += own -
+			(changed ? upstream->history[(step + 1) % PR_HISTORY]
+				 : own);
+	}
+	return load > own ? load : own;
+}
+
+static double expected_time(const pr_balance_t *balance,
+			    const pr_balance_pool_t *pool,
+			    const pr_balance_upstream_t *upstream,
+			    const pr_balance_query_t *query, unsigned int *hits,
+			    bool *unqueued, pr_usec_t now)
+{
+	double load = load_of(balance, pool, upstream, now);
+	double slots = upstream->slots;
+	double time, queued, age;
+
+	*hits = balance->options.affinity
+			? pr_balance_prefix_hits(upstream, query->blocks,
+						 query->blocks_count)
+			: 0;
+	if (query->priority == PR_BALANCE_BATCH)
+		slots *= BATCH_SLOTS;
+	if (upstream->cold && upstream->cold_slots > 0 &&
+	    slots > upstream->cold_slots)
+		slots = upstream->cold_slots;
+	time = upstream->first_token;
+	if (query->blocks_count)
+		time *= 1 - balance->options.prefix_saving *
+				    upstream->prefix_trust * *hits /
+				    query->blocks_count;
+	time += LOAD_SLOPE * upstream->first_token * load / slots;
+	queued = load + 1 - slots;
+	*unqueued = queued <= 0;
+	if (queued > 0)
+		time += upstream->duration * queued / slots;
+	age = (double)(now - upstream->excess_at) / EXCESS_HALF_LIFE;
+	time += upstream->excess / (1 + age);
+	if (upstream->remote)
+		time += (double)balance->options.region_rtt;
+	else if (upstream->other_zone)
+		time += (double)balance->options.zone_rtt;
+	return time;
+}
+
+static bool was_tried(const pr_balance_query_t *query,
+		      const pr_balance_upstream_t *upstream)
+{
+	for (unsigned int i = 0; i < query->tried_count; i++)
+		if (query->tried[i] == upstream)
+			return true;
+	return false;
+}
+
+/* Hosts that did not notice the start, or whose requests outlast a change of
+ * shares, show up in the load report only. */
+static bool is_cold_full(const pr_balance_t *balance,
+			 const pr_balance_pool_t *pool,
+			 const pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	return upstream->cold && has_report(balance, upstream, now) &&
+	       upstream->reported_at > upstream->ramp_start &&
+	       load_of(balance, pool, upstream, now) >=
+		       pr_balance_level(balance, upstream, now);
+}
+
+static void scan(pr_balance_t *balance, scan_t *found,
+		 const pr_balance_pool_t *pool, unsigned int from,
+		 unsigned int to, const pr_balance_query_t *query,
+		 bool take_tried, pr_usec_t now)
+{
+	found->count = 0;
+	for (unsigned int i = from; i < to && found->count < SCAN_MAX; i++) {
+		pr_balance_upstream_t *upstream = pool->members[i];
+
+		if (!pr_balance_usable(balance, upstream, now) ||
+		    (!take_tried && was_tried(query, upstream)))
+			continue;
+		if (upstream->in_flight >=
+			    pr_balance_ceiling(balance, upstream, now) ||
+		    is_cold_full(balance, pool, upstream, now)) {
+			found->full = true;
+			continue;
+		}
+		found->usable[found->count++] = upstream;
+	}
+}
+
+/* The candidate for the prompt: the one that has most of it, else the one that
+ * the first block's hash points to, so that hosts agree on a home for it. */
+static unsigned int prefix_candidate(const scan_t *found,
+				     const pr_balance_query_t *query)
+{
+	unsigned int best = 0, best_hits = 0;
+	uint64_t best_score = 0;
+
+	for (unsigned int i = 0; i < found->count; i++) {
+		unsigned int hits = pr_balance_prefix_hits(
+			found->usable[i], query->blocks, query->blocks_count);
+		uint64_t score = pr_hash64(&query->blocks[0], sizeof(uint64_t),
+					   found->usable[i]->hash);
+
+		if (hits > best_hits ||
+		    (hits == best_hits && score > best_score)) {
+			best = i;
+			best_hits = hits;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+static void consider(pr_balance_t *balance, pr_balance_choice_t *choice,
+		     const pr_balance_pool_t *pool,
+		     pr_balance_upstream_t *upstream,
+		     const pr_balance_query_t *query, pr_usec_t penalty,
+		     pr_usec_t now)
+{
+	unsigned int hits;
+	bool unqueued;
+	double time = expected_time(balance, pool, upstream, query, &hits,
+				    &unqueued, now);
+
+	if (choice->upstream && time + (double)penalty >= choice->expected)
+		return;
+	choice->upstream = upstream;
+	choice->expected = (pr_usec_t)time;
+	choice->blocks_hit = hits;
+	choice->unqueued = unqueued;
+	choice->remote = upstream->remote;
+}
+
+static void choose_simple(pr_balance_t *balance, pr_balance_choice_t *choice,
+			  const scan_t *found, pr_rand_t *rand)
+{
+	unsigned int a = pr_rand_below(rand, found->count);
+	unsigned int b = pr_rand_below(rand, found->count);
+
+	if (balance->options.policy == PR_BALANCE_ROUND_ROBIN)
+		a = balance->round++ % found->count;
+	else if (balance->options.policy == PR_BALANCE_TWO_RANDOM)
+		a = found->usable[b]->in_flight < found->usable[a]->in_flight
+			    ? b
+			    : a;
+	else
+		for (b = 0; b < found->count; b++)
+			if (found->usable[b]->in_flight <
+			    found->usable[a]->in_flight)
+				a = b;
+	choice->upstream = found->usable[a];
+	choice->remote = found->usable[a]->remote;
+	choice->expected = (pr_usec_t)found->usable[a]->first_token;
+}
+
+/* Compare a few random candidates and the one for the prompt. */
+static void sample(pr_balance_t *balance, pr_balance_choice_t *choice,
+		   const pr_balance_pool_t *pool, scan_t *found,
+		   const pr_balance_query_t *query, pr_rand_t *rand,
+		   pr_usec_t penalty, pr_usec_t now)
+{
+	if (balance->options.affinity && query->blocks_count)
+		consider(balance, choice, pool,
+			 found->usable[prefix_candidate(found, query)], query,
+			 penalty, now);
+	for (unsigned int i = 0;
+	     i < balance->options.candidates && i < found->count; i++) {
+		unsigned int j = i + pr_rand_below(rand, found->count - i);
+		pr_balance_upstream_t *picked = found->usable[j];
+
+		found->usable[j] = found->usable[i];
+		found->usable[i] = picked;
+		consider(balance, choice, pool, picked, query, penalty, now);
+	}
+}
+
+static const pr_balance_pool_t *find_pool(const pr_balance_t *balance,
+					  pr_slice_t what)
+{
+	uint64_t hash = pr_hash64(what.ptr, what.len, 0);
+
+	for (unsigned int i = 0; i < balance->pools_count; i++)
+		if (balance->pools[i].hash == hash)
+			return &balance->pools[i];
+	return NULL;
+}
+
+/* Look in the subset of this region, then beyond it, then in the other region,
+ * and only then at upstreams that were tried before. */
+static void scan_widening(pr_balance_t *balance, scan_t *found,
+			  const pr_balance_pool_t *pool,
+			  const pr_balance_query_t *query, pr_usec_t now)
+{
+	unsigned int rest = pool->subset + pool->region_count - pool->local;
+
+	for (int tried = 0; tried < 2; tried++) {
+		scan(balance, found, pool, 0, pool->local, query, tried, now);
+		if (!found->count)
+			scan(balance, found, pool, pool->subset, rest, query,
+			     tried, now);
+		if (!found->count && query->cross_region)
+			scan(balance, found, pool, pool->local, pool->subset,
+			     query, tried, now);
+		if (!found->count && query->cross_region)
+			scan(balance, found, pool, rest, pool->count, query,
+			     tried, now);
+		if (found->count || !query->tried_count)
+			return;
+	}
+}
+
+int pr_balance_choose(pr_balance_t *balance, pr_balance_choice_t *choice,
+		      const pr_balance_query_t *query, pr_rand_t *rand,
+		      pr_usec_t now)
+{
+	const pr_balance_pool_t *pool = find_pool(balance, query->what);
+	scan_t found = {.count = 0};
+
+	memset(choice, 0, sizeof(*choice));
+	if (!pool)
+		return pr_error_set(PR_ENOTFOUND, "nothing serves %.*s",
+				    (int)query->what.len, query->what.ptr);
+	scan_widening(balance, &found, pool, query, now);
+	if (!found.count)
+		return pr_error_set(found.full ? PR_EFULL : PR_EUNAVAILABLE,
+				    "no usable upstream for %s", pool->what);
+	if (balance->options.policy != PR_BALANCE_EXPECTED) {
+		choose_simple(balance, choice, &found, rand);
+	} else {
+		sample(balance, choice, pool, &found, query, rand, 0, now);
+		/* The promise cannot be kept here: look across the link. */
+		if (query->cross_region && !choice->remote &&
+		    choice->expected > balance->objective) {
+			scan(balance, &found, pool, pool->local, pool->subset,
+			     query, false, now);
+			if (found.count)
+				sample(balance, choice, pool, &found, query,
+				       rand, balance->options.link_price, now);
+		}
+	}
+	choice->blocks_count = query->blocks_count;
+	memcpy(choice->blocks, query->blocks, sizeof(choice->blocks));
+	balance->counters.choices++;
+	balance->counters.choices_remote += choice->remote;
+	return 0;
+}
--- /dev/null
+++ b/src/balance/cold.c
@@ -0,0 +1,213 @@
+/*
+ * Ramps of cold upstreams. The fleet-wide level is cold_slots for a while and
+ * then rises to all slots; each host has a share of it, so that the shares add
+ * up to the level. Hosts agree on shares without messages: an upstream ranks
+ * the hosts by hash, and the first (level mod hosts) get one more.
+ */
+#include "balance/internal.h"
+
+#include <stdlib.h>
+
+#include "pistachiorack/error.h"
+#include "pistachiorack/hash.h"
+
+void pr_balance_begin_ramp(pr_balance_t *balance,
+			   pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	if (!balance->options.ramp)
+		return;
+	upstream->cold = true;
+	upstream->ramp_start = now;
+	upstream->slow = 0;
+	upstream->excess = 0;
+	/* A restart empties the prefix cache. */
+	free(upstream->prefix);
+	upstream->prefix = NULL;
+	balance->counters.ramps++;
+}
+
+int pr_balance_set_hosts(pr_balance_t *balance, const char *const *hosts,
+			 unsigned int count, pr_usec_t now)
+{
+	uint64_t *hashes = calloc(count + 1, sizeof(*hashes));
+
+	if (!balance->views) {
+		balance->views = calloc(PR_VIEWS_MAX, sizeof(*balance->views));
+		/* Before its first view the host had no share. */
+		if (balance->views) {
+			balance->views[0].id = ++balance->next_view;
+			balance->views[0].replaced = PR_USEC_NEVER;
+		}
+	}
+	if (!hashes || !balance->views) {
+		free(hashes);
+		return pr_error_set(PR_ENOMEM, "no memory for a host view");
+	}
+	for (unsigned int i = 0; i < count; i++)
+		hashes[i] = pr_hash64(hosts[i], strlen(hosts[i]), 0);
+	if (balance->views[1].id &&
+	    now - balance->views[1].replaced <
+		    balance->options.settle / (PR_VIEWS_MAX - 2)) {
+		/* A burst of changes must not push older views out of the
+		 * list before they have settled. */
+		free(balance->views[0].hosts);
+	} else {
+		free(balance->views[PR_VIEWS_MAX - 1].hosts);
+		memmove(&balance->views[1], &balance->views[0],
+			(PR_VIEWS_MAX - 1) * sizeof(*balance->views));
+		balance->views[1].replaced = now;
+	}
+	balance->views[0] = (pr_balance_view_t){
+		.id = ++balance->next_view,
+		.replaced = PR_USEC_NEVER,
+		.hosts = hashes,
+		.count = count,
+	};
+	return 0;
+}
+
+/* Rank of this host in a view; kept, because it costs a hash per host. */
+static const pr_rank_t *find_rank(const pr_balance_t *balance,
+				  pr_balance_upstream_t *upstream,
+				  const pr_balance_view_t *view)
+{
+	pr_rank_t *rank = &upstream->ranks[view->id % PR_VIEWS_MAX];
+	uint64_t own = pr_hash64(balance->host, strlen(balance->host), 0);
+	uint64_t score = pr_hash64(&own, sizeof(own), upstream->hash);
+	bool member = false;
+
+	if (rank->view == view->id)
+		return rank;
+	*rank = (pr_rank_t){.view = view->id};
+	for (unsigned int i = 0; i < view->count; i++) {
+		if (view->hosts[i] == own)
+			member = true;
+		else if (pr_hash64(&view->hosts[i], sizeof(uint64_t),
+				   upstream->hash) > score)
+			rank->rank++;
+	}
+	rank->hosts = member ? view->count : 0;
+	return rank;
+}
+
+static uint32_t share_of(const pr_rank_t *rank, uint32_t level)
+{
+	if (!rank->hosts)
+		return 0;
+	return level / rank->hosts + (rank->rank < level % rank->hosts);
+}
+
+/* The smallest share over the views of the last settling time: while hosts
+ * learn of a change at different moments, nobody uses a share that another
+ * host may still be using. */
+static uint32_t default_share(const pr_balance_t *balance,
+			      pr_balance_upstream_t *upstream, uint32_t level,
+			      pr_usec_t now)
+{
+	uint32_t least = UINT32_MAX;
+
+	if (!balance->views)
+		return level;
+	for (unsigned int i = 0; i < PR_VIEWS_MAX; i++) {
+		const pr_balance_view_t *view = &balance->views[i];
+		uint32_t share;
+
+		if (!view->id ||
+		    (i > 0 && view->replaced + balance->options.settle <= now))
+			break;
+		share = share_of(find_rank(balance, upstream, view), level);
+		if (share < least)
+			least = share;
+	}
+	return least;
+}
+
+uint32_t pr_balance_level(const pr_balance_t *balance,
+			  const pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	pr_usec_t age = now - upstream->ramp_start - balance->options.ramp_hold;
+	uint32_t rise = 0;
+
+	if (!upstream->cold)
+		return upstream->slots;
+	if (age > 0 && upstream->slots > upstream->cold_slots)
+		rise = (uint32_t)((double)(upstream->slots -
+					   upstream->cold_slots) *
+				  (double)age /
+				  (double)balance->options.ramp_time);
+	return upstream->cold_slots + rise;
+}
+
+uint32_t pr_balance_ceiling(pr_balance_t *balance,
+			    pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	pr_usec_t age = now - upstream->ramp_start;
+
+	if (!upstream->cold)
+		return UINT32_MAX;
+	if (age >= balance->options.ramp_hold + balance->options.ramp_time) {
+		upstream->cold = false;
+		return UINT32_MAX;
+	}
+	if (now < upstream->granted_until)
+		return upstream->granted;
+	return default_share(balance, upstream,
+			     pr_balance_level(balance, upstream, now), now);
+}
+
+int pr_balance_set_grant(pr_balance_t *balance, const char *name,
+			 uint32_t amount, pr_usec_t until)
+{
+	pr_balance_upstream_t *upstream = pr_balance_find(balance, name);
+
+	if (!upstream)
+		return pr_error_set(PR_ENOTFOUND, "no upstream %s", name);
+	upstream->granted = amount;
+	upstream->granted_until = until;
+	return 0;
+}
+
+int pr_balance_cold(pr_balance_t *balance, const char *name, pr_usec_t now)
+{
+	pr_balance_upstream_t *upstream = pr_balance_find(balance, name);
+
+	if (!upstream)
+		return pr_error_set(PR_ENOTFOUND, "no upstream %s", name);
+	pr_balance_begin_ramp(balance, upstream, now);
+	/* The failures were those of the process before. */
+	upstream->errors = 0;
+	upstream->ejected_until = 0;
+	return 0;
+}
+
+int pr_balance_set_leaving(pr_balance_t *balance, const char *name,
+			   bool leaving, pr_usec_t now)
+{
+	pr_balance_upstream_t *upstream = pr_balance_find(balance, name);
+
+	if (!upstream)
+		return pr_error_set(PR_ENOTFOUND, "no upstream %s", name);
+	if (upstream->event_leaving && !leaving)
+		pr_balance_begin_ramp(balance, upstream, now);
+	upstream->event_leaving = leaving;
+	return 0;
+}
+
+int pr_balance_set_zone(pr_balance_t *balance, const char *name, bool out,
+			pr_usec_t now)
+{
+	for (unsigned int i = 0; i < balance->zones_count; i++) {
+		pr_balance_zone_t *zone = &balance->zones[i];
+
+		if (strcmp(zone->name, name) != 0)
+			continue;
+		for (unsigned int j = 0; j < balance->upstreams_count; j++)
+			if (zone->event_out && !out &&
+			    balance->upstreams[j]->zone_index == i)
+				pr_balance_begin_ramp(
+					balance, balance->upstreams[j], now);
+		zone->event_out = out;
+		return 0;
+	}
+	return pr_error_set(PR_ENOTFOUND, "no zone %s", name);
+}
--- /dev/null
+++ b/src/balance/event.c
@@ -0,0 +1,259 @@
+/* What is learned from attempts, load reports and cache events. */
+#include "balance/internal.h"
+
+#include <stdlib.h>
+
+#include "pistachiorack/error.h"
+
+/* Weight of one observation in moving averages. */
+#define LEARN 0.1
+
+/* Observations before the first-token time counts as known. */
+#define SAMPLES_MIN 10
+
+/* First tokens this many times slower than expected, this often in a row, are
+ * taken for a cold start that nobody announced. */
+#define SLOW_FACTOR 4
+#define SLOW_COUNT  3
+
+/* Errors in a row after which an upstream is taken for one that restarts. */
+#define RAMP_ERRORS 3
+
+/* An ejected upstream that then works this long is forgiven one ejection. */
+#define FORGIVE_TIME (60 * PR_USEC_PER_SEC)
+
+void pr_balance_note_in_flight(pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	int64_t step = now / PR_HISTORY_STEP;
+	int64_t at = upstream->history_step;
+
+	if (step - at >= PR_HISTORY)
+		at = step - PR_HISTORY;
+	while (at < step)
+		upstream->history[++at % PR_HISTORY] = upstream->in_flight;
+	if (step > upstream->history_step)
+		upstream->history_step = step;
+}
+
+void pr_balance_sent(pr_balance_t *balance, pr_balance_choice_t *choice,
+		     pr_usec_t now)
+{
+	pr_balance_upstream_t *upstream = choice->upstream;
+
+	if (choice->open)
+		return;
+	choice->open = true;
+	choice->sent = now;
+	pr_balance_note_in_flight(upstream, now);
+	upstream->in_flight++;
+	if (balance->options.affinity)
+		pr_balance_prefix_store(upstream, choice->blocks,
+					choice->blocks_count);
+}
+
+static bool close_choice(pr_balance_choice_t *choice, pr_usec_t now)
+{
+	if (!choice->open)
+		return false;
+	choice->open = false;
+	pr_balance_note_in_flight(choice->upstream, now);
+	if (choice->upstream->in_flight)
+		choice->upstream->in_flight--;
+	return true;
+}
+
+static void learn(double *mean, double value)
+{
+	*mean += LEARN * (value - *mean);
+}
+
+/* The first observations replace the assumed value. Later ones count at most
+ * twice the mean, so that a cold start does not become the normal time. */
+static void learn_first_token(pr_balance_upstream_t *upstream, double took)
+{
+	if (upstream->samples < SAMPLES_MIN) {
+		upstream->samples++;
+		upstream->first_token +=
+			(took - upstream->first_token) / upstream->samples;
+		return;
+	}
+	if (took > 2 * upstream->first_token)
+		took = 2 * upstream->first_token;
+	learn(&upstream->first_token, took);
+}
+
+void pr_balance_first_token(pr_balance_t *balance, pr_balance_choice_t *choice,
+			    pr_usec_t now)
+{
+	pr_balance_upstream_t *upstream = choice->upstream;
+	double took = (double)(now - choice->sent);
+	double beyond = took - (double)choice->expected;
+
+	if (!choice->open || choice->answered)
+		return;
+	choice->answered = true;
+	upstream->errors = 0;
+	if (upstream->ejections && now - upstream->failed_at > FORGIVE_TIME) {
+		upstream->ejections--;
+		upstream->failed_at = now;
+	}
+	if (choice->unqueued && !choice->blocks_hit)
+		learn_first_token(upstream, took);
+	learn(&upstream->excess, beyond > 0 ? beyond : 0);
+	upstream->excess_at = now;
+	/* While queueing, slow answers are load and not a cold start. */
+	if (choice->unqueued && upstream->samples >= SAMPLES_MIN &&
+	    took > SLOW_FACTOR * upstream->first_token)
+		upstream->slow++;
+	else
+		upstream->slow = 0;
+	if (upstream->slow >= SLOW_COUNT && !upstream->cold)
+		pr_balance_begin_ramp(balance, upstream, now);
+}
+
+void pr_balance_finished(pr_balance_t *balance, pr_balance_choice_t *choice,
+			 pr_usec_t now)
+{
+	if (!close_choice(choice, now))
+		return;
+	choice->upstream->errors = 0;
+	learn(&choice->upstream->duration, (double)(now - choice->sent));
+}
+
+void pr_balance_cancelled(pr_balance_t *balance, pr_balance_choice_t *choice,
+			  pr_usec_t now)
+{
+	close_choice(choice, now);
+}
+
+void pr_balance_bytes(pr_balance_t *balance, const pr_balance_choice_t *choice,
+		      uint64_t bytes)
+{
+	if (choice->remote)
+		balance->counters.link_bytes += bytes;
+}
+
+/* @return false when half of a subset is ejected already */
+static bool may_eject(const pr_balance_t *balance,
+		      const pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	for (unsigned int i = 0; i < balance->pools_count; i++) {
+		const pr_balance_pool_t *pool = &balance->pools[i];
+		unsigned int ejected = 1;
+		bool member = false;
+
+		for (unsigned int j = 0; j < pool->subset; j++) {
+			if (pool->members[j] == upstream)
+				member = true;
+			else if (pool->members[j]->ejected_until > now)
+				ejected++;
+		}
+		if (member && 2 * ejected > pool->subset)
+			return false;
+	}
+	return true;
+}
+
+static void eject(pr_balance_t *balance, pr_balance_upstream_t *upstream,
+		  pr_usec_t now)
+{
+	pr_usec_t time = balance->options.eject_first;
+
+	for (unsigned int i = 0;
+	     i < upstream->ejections && time < balance->options.eject_max; i++)
+		time *= 2;
+	if (time > balance->options.eject_max)
+		time = balance->options.eject_max;
+	upstream->ejections++;
+	upstream->errors = 0;
+	upstream->ejected_until = now + time;
+	balance->counters.ejections++;
+	/* The ramp's hold begins when it returns. */
+	pr_balance_begin_ramp(balance, upstream, upstream->ejected_until);
+}
+
+void pr_balance_failed(pr_balance_t *balance, pr_balance_choice_t *choice,
+		       pr_attempt_stage_t stage, pr_usec_t now)
+{
+	pr_balance_upstream_t *upstream = choice->upstream;
+
+	if (!close_choice(choice, now))
+		return;
+	/* Attempts from before an ejection or a restart end late. */
+	if (upstream->ejected_until > now ||
+	    (upstream->cold && choice->sent < upstream->ramp_start))
+		return;
+	/* A process that does not accept connections is down for certain. */
+	upstream->errors += stage <= PR_STAGE_CONNECTING ? 2 : 1;
+	upstream->failed_at = now;
+	if (upstream->cold || upstream->errors >= RAMP_ERRORS)
+		pr_balance_begin_ramp(balance, upstream, now);
+	if (balance->options.ejection &&
+	    upstream->errors >= balance->options.eject_errors &&
+	    may_eject(balance, upstream, now))
+		eject(balance, upstream, now);
+}
+
+int pr_balance_load_report(pr_balance_t *balance, const char *name,
+			   uint32_t load, pr_usec_t measured)
+{
+	pr_balance_upstream_t *upstream = pr_balance_find(balance, name);
+
+	if (!upstream)
+		return pr_error_set(PR_ENOTFOUND, "no upstream %s", name);
+	if (measured <= upstream->reported_at)
+		return 0;
+	upstream->reported = load;
+	upstream->reported_at = measured;
+	return 0;
+}
+
+unsigned int pr_balance_prefix_hits(const pr_balance_upstream_t *upstream,
+				    const uint64_t *blocks, unsigned int count)
+{
+	unsigned int hits = 0;
+
+	if (!upstream->prefix)
+		return 0;
+	while (hits < count &&
+	       upstream->prefix[blocks[hits] % PR_PREFIX_ENTRIES] ==
+		       blocks[hits])
+		hits++;
+	return hits;
+}
+
+void pr_balance_prefix_store(pr_balance_upstream_t *upstream,
+			     const uint64_t *blocks, unsigned int count)
+{
+	if (count && !upstream->prefix)
+		upstream->prefix = calloc(PR_PREFIX_ENTRIES, sizeof(uint64_t));
+	for (unsigned int i = 0; upstream->prefix && i < count; i++)
+		upstream->prefix[blocks[i] % PR_PREFIX_ENTRIES] = blocks[i];
+}
+
+int pr_balance_cache(pr_balance_t *balance, const char *name, uint64_t block,
+		     bool stored)
+{
+	pr_balance_upstream_t *upstream = pr_balance_find(balance, name);
+
+	if (!upstream)
+		return pr_error_set(PR_ENOTFOUND, "no upstream %s", name);
+	/* Events without a gap restore the trust in this memory. */
+	upstream->prefix_trust += 0.02 * (1 - upstream->prefix_trust);
+	if (stored)
+		pr_balance_prefix_store(upstream, &block, 1);
+	else if (upstream->prefix &&
+		 upstream->prefix[block % PR_PREFIX_ENTRIES] == block)
+		upstream->prefix[block % PR_PREFIX_ENTRIES] = 0;
+	return 0;
+}
+
+int pr_balance_cache_gap(pr_balance_t *balance, const char *name)
+{
+	pr_balance_upstream_t *upstream = pr_balance_find(balance, name);
+
+	if (!upstream)
+		return pr_error_set(PR_ENOTFOUND, "no upstream %s", name);
+	upstream->prefix_trust *= 0.5;
+	return 0;
+}
