Add policy slice: permission check, cascade choice, learning

Requests need a cheap version where evidence shows that it suffices, and never a version that is withdrawn or not permitted.

pr_policy_permitted() is the single check; pr_policy_plan() weighs single versions and confidence cascades against the dearest permitted one, from decayed Beta posteriors with a fleet-wide prior in a fixed table.

A trained router model was ruled out: it needs the prompts, ratings do not.

--- /dev/null
+++ b/src/policy/learn.c
@@ -0,0 +1,280 @@
+/*
+ * Learned quality: Beta posteriors with a shared prior, forgetting and a test
+ * for sudden changes.
+ *
+ * Memory is a fixed table with eight-way probing; when all eight places are
+ * taken the one that was updated longest ago is replaced.
+ */
+#include "pistachiorack/policy.h"
+
+#include <gsl/gsl_cdf.h>
+#include <math.h>
+#include <stdlib.h>
+
+#include "pistachiorack/error.h"
+#include "pistachiorack/hash.h"
+#include "policy/learn.h"
+
+#define PROBES 8
+/* Ratings that the fleet-wide estimate is worth as a workspace's prior. */
+#define PRIOR_WEIGHT 20.0f
+/* Ratings in the short window; 40 tell a drop of 20 points at 4 sigma. */
+#define RECENT_MEMORY 40.0f
+/* A false change costs only relearning, so 4 sigma is enough. */
+#define CHANGE_Z 4.0
+
+int pr_policy_init(pr_policy_t *policy, const pr_policy_options_t *options)
+{
+	const pr_policy_options_t *o = options;
+
+	*policy = (pr_policy_t){.options = *o};
+	if (o->version != PR_POLICY_OPTIONS_VERSION ||
+	    o->posteriors_max < PROBES ||
+	    (o->posteriors_max & (o->posteriors_max - 1)) || !o->pending_max)
+		return pr_error_set(PR_EINVALID, "policy options are invalid");
+	policy->posteriors =
+		calloc(o->posteriors_max, sizeof(*policy->posteriors));
+	policy->calibrations =
+		calloc(PR_POLICY_CALIBRATIONS, sizeof(*policy->calibrations));
+	policy->pending = calloc(o->pending_max, sizeof(*policy->pending));
+	if (policy->posteriors && policy->calibrations && policy->pending)
+		return 0;
+	pr_policy_finish(policy);
+	return pr_error_set(PR_ENOMEM, "no memory for policy state");
+}
+
+void pr_policy_finish(pr_policy_t *policy)
+{
+	free(policy->posteriors);
+	free(policy->calibrations);
+	free(policy->pending);
+	*policy = (pr_policy_t){.posteriors = NULL};
+}
+
+size_t pr_policy_bytes(const pr_policy_t *policy)
+{
+	return sizeof(*policy) +
+	       policy->options.posteriors_max * sizeof(*policy->posteriors) +
+	       PR_POLICY_CALIBRATIONS * sizeof(*policy->calibrations) +
+	       policy->options.pending_max * sizeof(*policy->pending);
+}
+
+uint64_t pr_policy_key(pr_slice_t workspace, pr_slice_t request_class,
+		       pr_slice_t model, pr_slice_t version)
+{
+	uint64_t key = pr_hash64(workspace.ptr, workspace.len, 1);
+
+	key = pr_hash64(request_class.ptr, request_class.len, key);
+	key = pr_hash64(model.ptr, model.len, key);
+	key = pr_hash64(version.ptr, version.len, key);
+	return key ? key : 1;
+}
+
+static const pr_posterior_t *find_posterior(const pr_policy_t *policy,
+					    uint64_t key)
+{
+	uint32_t mask = policy->options.posteriors_max - 1;
+
+	for (uint32_t i = 0; i < PROBES; i++) {
+		const pr_posterior_t *entry =
+			&policy->posteriors[(key + i) & mask];
+
+		if (entry->key == key)
+			return entry;
+	}
+	return NULL;
+}
+
+static pr_posterior_t *take_posterior(pr_policy_t *policy, uint64_t key,
+				      pr_usec_t now)
+{
+	uint32_t mask = policy->options.posteriors_max - 1;
+	pr_posterior_t *oldest = NULL;
+
+	for (uint32_t i = 0; i < PROBES; i++) {
+		pr_posterior_t *entry = &policy->posteriors[(key + i) & mask];
+
+		if (entry->key == key)
+			return entry;
+		if (!oldest ||
+		    (oldest->key &&
+		     (!entry->key || entry->updated < oldest->updated)))
+			oldest = entry;
+	}
+	if (oldest->key)
+		policy->evicted++;
+	*oldest = (pr_posterior_t){.key = key, .updated = now};
+	return oldest;
+}
+
+static double fade(const pr_policy_t *policy, pr_usec_t updated, pr_usec_t now)
+{
+	if (now <= updated)
+		return 1;
+	return exp2(-(double)(now - updated) /
+		    (double)policy->options.half_life);
+}
+
+/* Replaces the estimate by the short window when the two disagree. */
+static bool detect_change(pr_posterior_t *entry)
+{
+	double n = entry->recent_good + entry->recent_bad;
+	double all = entry->good + entry->bad;
+	double p = (entry->good + 1) / (all + 2);
+	double recent;
+
+	if (n < RECENT_MEMORY / 2 || all < 2 * RECENT_MEMORY)
+		return false;
+	recent = entry->recent_good / n;
+	if (fabs(recent - p) < CHANGE_Z * sqrt(p * (1 - p) * (1 / n + 1 / all)))
+		return false;
+	entry->good = entry->recent_good;
+	entry->bad = entry->recent_bad;
+	return true;
+}
+
+static void add_rating(pr_policy_t *policy, uint64_t key, bool good,
+		       pr_usec_t now)
+{
+	pr_posterior_t *entry = take_posterior(policy, key, now);
+	float keep = (float)fade(policy, entry->updated, now);
+	float sum = (entry->good + entry->bad) * keep + 1;
+	float recent = entry->recent_good + entry->recent_bad + 1;
+
+	if (sum > (float)policy->options.memory)
+		keep *= (float)policy->options.memory / sum;
+	entry->good = entry->good * keep + (good ? 1 : 0);
+	entry->bad = entry->bad * keep + (good ? 0 : 1);
+	keep = recent > RECENT_MEMORY ? RECENT_MEMORY / recent : 1;
+	entry->recent_good = entry->recent_good * keep + (good ? 1 : 0);
+	entry->recent_bad = entry->recent_bad * keep + (good ? 0 : 1);
+	if (now > entry->updated)
+		entry->updated = now;
+	if (detect_change(entry))
+		policy->changes++;
+}
+
+const pr_calibration_t *pr_policy_calibration(const pr_policy_t *policy,
+					      uint64_t key)
+{
+	const pr_calibration_t *entry =
+		&policy->calibrations[key % PR_POLICY_CALIBRATIONS];
+
+	return entry->key == key ? entry : NULL;
+}
+
+static unsigned int level_of(double confidence)
+{
+	int level = (int)(confidence * PR_POLICY_LEVELS);
+
+	return level >= PR_POLICY_LEVELS ? PR_POLICY_LEVELS - 1
+					 : (unsigned int)level;
+}
+
+static void calibrate(pr_policy_t *policy, uint64_t key, double confidence,
+		      bool good)
+{
+	pr_calibration_t *entry =
+		&policy->calibrations[key % PR_POLICY_CALIBRATIONS];
+	unsigned int level = level_of(confidence);
+	float sum = 1;
+
+	if (entry->key != key)
+		*entry = (pr_calibration_t){.key = key};
+	for (int i = 0; i < PR_POLICY_LEVELS; i++)
+		sum += entry->good[i] + entry->bad[i];
+	if (sum > (float)policy->options.memory)
+		for (int i = 0; i < PR_POLICY_LEVELS; i++) {
+			entry->good[i] *= (float)policy->options.memory / sum;
+			entry->bad[i] *= (float)policy->options.memory / sum;
+		}
+	if (good)
+		entry->good[level]++;
+	else
+		entry->bad[level]++;
+}
+
+void pr_policy_note(pr_policy_t *policy, const pr_plan_t *plan,
+		    uint64_t request, double confidence)
+{
+	pr_policy_pending_t *pending =
+		&policy->pending[request % policy->options.pending_max];
+
+	if (plan->rate)
+		*pending =
+			(pr_policy_pending_t){.request = request,
+					      .confidence = (float)confidence,
+					      .uniform = plan->uniform};
+}
+
+void pr_policy_rate(pr_policy_t *policy, const pr_rating_t *rating,
+		    pr_usec_t now)
+{
+	pr_policy_pending_t *pending =
+		&policy->pending[rating->request % policy->options.pending_max];
+	uint64_t shared = pr_policy_key(PR_SLICE(""), rating->request_class,
+					rating->model, rating->version);
+
+	policy->ratings++;
+	add_rating(policy,
+		   pr_policy_key(rating->workspace, rating->request_class,
+				 rating->model, rating->version),
+		   rating->good, now);
+	add_rating(policy, shared, rating->good, now);
+	if (pending->request != rating->request || !rating->request)
+		return;
+	if (pending->confidence >= 0)
+		calibrate(policy, shared, pending->confidence, rating->good);
+	if (pending->uniform && rating->good)
+		policy->uniform_good++;
+	else if (pending->uniform)
+		policy->uniform_bad++;
+	pending->request = 0;
+}
+
+void pr_policy_estimate(const pr_policy_t *policy, pr_slice_t workspace,
+			pr_slice_t request_class, pr_slice_t model,
+			pr_slice_t version, pr_usec_t now, double *quality,
+			double *quality_low)
+{
+	const pr_posterior_t *own =
+		find_posterior(policy, pr_policy_key(workspace, request_class,
+						     model, version));
+	const pr_posterior_t *all = find_posterior(
+		policy,
+		pr_policy_key(PR_SLICE(""), request_class, model, version));
+	double a = 1, b = 1, mean;
+
+	if (all) {
+		double keep = fade(policy, all->updated, now);
+		double sum = (all->good + all->bad) * keep;
+		double weight = sum > PRIOR_WEIGHT ? PRIOR_WEIGHT / sum : 1;
+
+		a += all->good * keep * weight;
+		b += all->bad * keep * weight;
+	}
+	if (own) {
+		double keep = fade(policy, own->updated, now);
+
+		a += own->good * keep;
+		b += own->bad * keep;
+	}
+	mean = a / (a + b);
+	*quality = mean;
+	*quality_low = mean - policy->options.bound_z *
+				      sqrt(mean * (1 - mean) / (a + b + 1));
+}
+
+void pr_policy_report(const pr_policy_t *policy, pr_quality_report_t *report)
+{
+	double good = policy->uniform_good, bad = policy->uniform_bad;
+
+	*report = (pr_quality_report_t){.ratings = good + bad, .high = 1};
+	if (good + bad <= 0)
+		return;
+	report->quality = good / (good + bad);
+	if (good > 0)
+		report->low = gsl_cdf_beta_Pinv(0.025, good, bad + 1);
+	if (bad > 0)
+		report->high = gsl_cdf_beta_Pinv(0.975, good + 1, bad);
+}
--- /dev/null
+++ b/src/policy/learn.h
@@ -0,0 +1,14 @@
+/** Parts of the policy slice that its files share. */
+#ifndef PISTACHIORACK_POLICY_LEARN_H
+#define PISTACHIORACK_POLICY_LEARN_H
+
+#include "pistachiorack/policy.h"
+
+/** @return hash of the names, never 0 */
+uint64_t pr_policy_key(pr_slice_t workspace, pr_slice_t request_class,
+		       pr_slice_t model, pr_slice_t version);
+/** @return ratings by confidence level, or NULL */
+const pr_calibration_t *pr_policy_calibration(const pr_policy_t *policy,
+					      uint64_t key);
+
+#endif
--- /dev/null
+++ b/src/policy/plan.c
@@ -0,0 +1,337 @@
+/* Choice of the steps of a cascade. */
+#include "pistachiorack/policy.h"
+
+#include <math.h>
+
+#include "pistachiorack/error.h"
+#include "policy/learn.h"
+
+/* Ratings a confidence level needs before a threshold may rest on it. */
+#define LEVEL_RATINGS_MIN 30.0
+
+typedef struct pr_candidates_t {
+	pr_step_t steps[PR_POLICY_CANDIDATES_MAX];
+	unsigned int count;
+	unsigned int reference;
+} pr_candidates_t;
+
+static double price_of(const pr_query_t *query, const pr_version_t *version)
+{
+	return (query->tokens_in * (double)version->price_in +
+		query->tokens_out * (double)version->price_out) /
+	       1000;
+}
+
+static void fill_step(const pr_policy_t *policy, const pr_query_t *query,
+		      const pr_model_t *model, const pr_version_t *version,
+		      pr_basis_t basis, pr_usec_t now, pr_step_t *step)
+{
+	*step = (pr_step_t){.model = model,
+			    .version = version,
+			    .basis = basis,
+			    .price = price_of(query, version)};
+	pr_policy_estimate(policy, query->workspace, query->request_class,
+			   pr_slice_of(model->name), pr_slice_of(version->name),
+			   now, &step->quality, &step->quality_low);
+}
+
+static void add_model(const pr_policy_t *policy, pr_plan_t *plan,
+		      const pr_query_t *query, const pr_model_t *model,
+		      pr_usec_t now, pr_candidates_t *list)
+{
+	for (unsigned int i = 0; i < model->versions_count; i++) {
+		const pr_version_t *version = &model->versions[i];
+		pr_permission_t permission = pr_policy_permitted(
+			query->fleet, query->workspace,
+			pr_slice_of(model->name), pr_slice_of(version->name),
+			PR_BASIS_NEW, query->confirmed);
+
+		if (permission != PR_PERMITTED) {
+			plan->refused = permission;
+			continue;
+		}
+		if (list->count == PR_POLICY_CANDIDATES_MAX)
+			return;
+		fill_step(policy, query, model, version, PR_BASIS_NEW, now,
+			  &list->steps[list->count]);
+		if (list->steps[list->count].price >=
+		    list->steps[list->reference].price)
+			list->reference = list->count;
+		list->count++;
+	}
+}
+
+static void collect(const pr_policy_t *policy, pr_plan_t *plan,
+		    const pr_query_t *query, pr_usec_t now,
+		    pr_candidates_t *list)
+{
+	const pr_fleet_t *fleet = query->fleet;
+	bool any = pr_slice_equal(query->model, PR_SLICE(PR_POLICY_AUTO));
+
+	list->count = 0;
+	list->reference = 0;
+	plan->refused = any ? PR_FORBIDDEN_MODEL : PR_FORBIDDEN_UNKNOWN;
+	for (unsigned int i = 0; i < fleet->models_count; i++)
+		if (any || pr_slice_equal(query->model,
+					  pr_slice_of(fleet->models[i].name)))
+			add_model(policy, plan, query, &fleet->models[i], now,
+				  list);
+	plan->candidates = list->count;
+}
+
+static double target_of(const pr_policy_t *policy, const pr_query_t *query,
+			const pr_step_t *reference)
+{
+	const pr_exception_t *exception =
+		pr_fleet_exception(query->fleet, query->workspace);
+	double target = query->fleet->defaults.quality_target;
+	double relative = reference->quality * policy->options.keep;
+
+	if (exception && exception->quality_target > 0)
+		target = exception->quality_target;
+	/* The reference is the best there is: more than it cannot be asked. */
+	return target > 0 && target < relative ? target : relative;
+}
+
+/* Accept from `level` up: share accepted, and lower bound of its quality. */
+static bool accept_stats(const pr_policy_t *policy, const pr_query_t *query,
+			 const pr_step_t *step, int level, double *share,
+			 double *low)
+{
+	const pr_calibration_t *calibration = pr_policy_calibration(
+		policy, pr_policy_key(PR_SLICE(""), query->request_class,
+				      pr_slice_of(step->model->name),
+				      pr_slice_of(step->version->name)));
+	double good = 1, bad = 1, all = 0, mean;
+
+	if (!calibration)
+		return false;
+	for (int i = 0; i < PR_POLICY_LEVELS; i++) {
+		all += calibration->good[i] + calibration->bad[i];
+		if (i >= level) {
+			good += calibration->good[i];
+			bad += calibration->bad[i];
+		}
+	}
+	if (good + bad - 2 < LEVEL_RATINGS_MIN)
+		return false;
+	mean = good / (good + bad);
+	*share = (good + bad - 2) / all;
+	*low = mean - policy->options.bound_z *
+			      sqrt(mean * (1 - mean) / (good + bad + 1));
+	return true;
+}
+
+typedef struct pr_choice_t {
+	unsigned int first;
+	/** 0: no escalation. */
+	int level;
+	double cost, price, quality;
+} pr_choice_t;
+
+static void weigh_cascade(const pr_policy_t *policy, const pr_query_t *query,
+			  const pr_candidates_t *list, unsigned int i,
+			  double target, pr_choice_t *best)
+{
+	const pr_step_t *step = &list->steps[i];
+	const pr_step_t *reference = &list->steps[list->reference];
+	double share, low;
+
+	for (int level = 1; level < PR_POLICY_LEVELS; level++) {
+		double price, quality, cost;
+
+		if (!accept_stats(policy, query, step, level, &share, &low))
+			return;
+		price = step->price + (1 - share) * reference->price;
+		quality = share * low + (1 - share) * reference->quality;
+		cost = price + (1 - share) * query->answer_s *
+				       policy->options.delay_price;
+		if (quality >= target && cost < best->cost)
+			*best = (pr_choice_t){i, level, cost, price, quality};
+	}
+}
+
+static pr_choice_t choose(const pr_policy_t *policy, const pr_query_t *query,
+			  const pr_candidates_t *list, double target)
+{
+	const pr_step_t *reference = &list->steps[list->reference];
+	pr_choice_t best = {.first = list->reference,
+			    .cost = reference->price,
+			    .price = reference->price,
+			    .quality = reference->quality};
+	bool may_escalate = !query->stream && !query->opens_session;
+
+	for (unsigned int i = 0; i < list->count; i++) {
+		const pr_step_t *step = &list->steps[i];
+
+		if (i == list->reference || step->price >= best.cost)
+			continue;
+		if (step->quality_low >= target) {
+			best = (pr_choice_t){i, 0, step->price, step->price,
+					     step->quality};
+			continue;
+		}
+		if (may_escalate)
+			weigh_cascade(policy, query, list, i, target, &best);
+	}
+	return best;
+}
+
+/* Puts the roll-out's version in place of the one it replaces. */
+static void apply_draw(const pr_policy_t *policy, const pr_query_t *query,
+		       pr_step_t *step, pr_usec_t now)
+{
+	const pr_model_t *model = step->model;
+	double accept = step->accept_confidence;
+
+	for (unsigned int i = 0; query->draw && i < model->versions_count;
+	     i++) {
+		const pr_version_t *version = &model->versions[i];
+
+		if (version->state != PR_VERSION_ROLLING ||
+		    !version->replaces ||
+		    !pr_slice_equal(pr_slice_of(version->replaces),
+				    pr_slice_of(step->version->name)) ||
+		    pr_policy_permitted(query->fleet, query->workspace,
+					pr_slice_of(model->name),
+					pr_slice_of(version->name),
+					PR_BASIS_DRAW, query->confirmed) ||
+		    !query->draw(query->draw_data, model, version))
+			continue;
+		fill_step(policy, query, model, version, PR_BASIS_DRAW, now,
+			  step);
+		step->accept_confidence = accept;
+		return;
+	}
+}
+
+static int plan_session(const pr_policy_t *policy, pr_plan_t *plan,
+			const pr_query_t *query, pr_usec_t now)
+{
+	const pr_model_t *model;
+
+	plan->refused = pr_policy_permitted(
+		query->fleet, query->workspace, query->session_model,
+		query->session_version, PR_BASIS_SESSION, query->confirmed);
+	if (plan->refused != PR_PERMITTED)
+		return pr_error_set(PR_EDENIED, "session version: %s",
+				    pr_permission_name(plan->refused));
+	model = pr_fleet_model(query->fleet, query->session_model);
+	fill_step(policy, query, model,
+		  pr_model_version(model, query->session_version),
+		  PR_BASIS_SESSION, now, &plan->steps[0]);
+	plan->steps_count = 1;
+	plan->candidates = 1;
+	plan->rule = PR_RULE_SESSION;
+	plan->price = plan->steps[0].price;
+	plan->quality = plan->steps[0].quality;
+	return 0;
+}
+
+static void explore(const pr_candidates_t *list, pr_rand_t *rand,
+		    pr_choice_t *choice)
+{
+	unsigned int best = choice->first;
+	double highest = -1;
+
+	/* A sample of each posterior prefers versions that may be good and
+	 * spares those that are known to be bad (Thompson, 1933). */
+	for (unsigned int i = 0; i < list->count; i++) {
+		const pr_step_t *step = &list->steps[i];
+		double sigma = step->quality - step->quality_low;
+		double sample = step->quality +
+				3 * sigma * (2 * pr_rand_unit(rand) - 1);
+
+		if (i != choice->first && sample > highest) {
+			highest = sample;
+			best = i;
+		}
+	}
+	choice->first = best;
+	choice->level = 0;
+	choice->price = list->steps[best].price;
+	choice->quality = list->steps[best].quality;
+}
+
+int pr_policy_plan(pr_policy_t *policy, pr_plan_t *plan,
+		   const pr_query_t *query, pr_rand_t *rand, pr_usec_t now)
+{
+	pr_candidates_t list;
+	pr_choice_t choice;
+
+	*plan = (pr_plan_t){.steps_count = 0};
+	plan->uniform = pr_rand_unit(rand) < policy->options.rate_share;
+	plan->rate = plan->uniform;
+	if (query->session_version.len)
+		return plan_session(policy, plan, query, now);
+	collect(policy, plan, query, now, &list);
+	if (!list.count)
+		return pr_error_set(PR_EDENIED, "no permitted version: %s",
+				    pr_permission_name(plan->refused));
+	plan->target = target_of(policy, query, &list.steps[list.reference]);
+	choice = choose(policy, query, &list, plan->target);
+	plan->rule = choice.level                     ? PR_RULE_CASCADE
+		     : choice.first == list.reference ? PR_RULE_REFERENCE
+						      : PR_RULE_SINGLE;
+	if (list.count > 1 && pr_rand_unit(rand) < policy->options.explore) {
+		explore(&list, rand, &choice);
+		plan->rule = PR_RULE_EXPLORE;
+		plan->rate = true;
+	}
+	plan->steps[0] = list.steps[choice.first];
+	plan->steps[0].accept_confidence =
+		choice.level / (double)PR_POLICY_LEVELS;
+	plan->steps_count = 1;
+	apply_draw(policy, query, &plan->steps[0], now);
+	if (choice.level) {
+		plan->steps[1] = list.steps[list.reference];
+		plan->steps_count = 2;
+	}
+	plan->price = choice.price;
+	plan->quality = choice.quality;
+	return 0;
+}
+
+bool pr_policy_sufficient(const pr_step_t *step, double confidence)
+{
+	if (step->accept_confidence <= 0)
+		return true;
+	return confidence >= step->accept_confidence;
+}
+
+int pr_plan_explain(const pr_plan_t *plan, pr_str_t *out)
+{
+	static const char *const rules[] = {
+		[PR_RULE_SESSION] = "session",
+		[PR_RULE_SINGLE] = "single",
+		[PR_RULE_CASCADE] = "cascade",
+		[PR_RULE_REFERENCE] = "reference",
+		[PR_RULE_EXPLORE] = "explore",
+	};
+	static const char *const bases[] = {
+		[PR_BASIS_NEW] = "new",
+		[PR_BASIS_DRAW] = "draw",
+		[PR_BASIS_SESSION] = "session",
+	};
+	int err = pr_str_appendf(out,
+				 "{\"rule\":\"%s\",\"target\":%.4f,"
+				 "\"price\":%.1f,\"quality\":%.4f,"
+				 "\"candidates\":%u,\"rate\":%s,\"steps\":[",
+				 rules[plan->rule], plan->target, plan->price,
+				 plan->quality, plan->candidates,
+				 plan->rate ? "true" : "false");
+
+	for (unsigned int i = 0; !err && i < plan->steps_count; i++) {
+		const pr_step_t *s = &plan->steps[i];
+
+		err = pr_str_appendf(
+			out,
+			"%s{\"version\":\"%s@%s\",\"basis\":\"%s\","
+			"\"price\":%.1f,\"quality\":%.4f,"
+			"\"quality_low\":%.4f,\"accept\":%.3f}",
+			i ? "," : "", s->model->name, s->version->name,
+			bases[s->basis], s->price, s->quality, s->quality_low,
+			s->accept_confidence);
+	}
+	return err ? err : pr_str_appendf(out, "]}");
+}
