Add roll-out slice: draw, budget, sequential test, steps

Versions turn bad in subtle ways and for one workspace only; fixed stages expose much traffic before anybody looks.

The slice tests pooled counts with a Beta-mixture test martingale, states wanted changes with ids that are the same on every host, and acts only on a confirmed configuration. Proven versions are watched by CUSUM. Evidence messages are numbered and sent again until acknowledged.

A z-test per stage was ruled out: it may be looked at once only.

--- /dev/null
+++ b/include/pistachiorack/rollout.h
@@ -0,0 +1,273 @@
+/**
+ * Roll-outs: draw, exposure budget, pooled evidence, sequential test, steps.
+ *
+ * The slice never changes a version's state. It states the configuration
+ * change that it wants; the state follows when a configuration that contains
+ * the change is confirmed. Without confirmation there is no further step.
+ *
+ * Test of a version in roll-out: a Beta-mixture likelihood ratio against the
+ * rate of the replaced version, truncated to worse rates, which is a test
+ * martingale; by Ville's inequality it exceeds 1/alpha with probability of at
+ * most alpha, however often it is looked at. Sources: Robbins, 1970; Johari,
+ * Pekelis, Walsh, "Always valid inference", 2015; Waudby-Smith and Ramdas,
+ * "Estimating means of bounded random variables by betting", 2020. Proven
+ * versions are watched by CUSUM (Page, 1954; Lorden, 1971).
+ */
+#ifndef PISTACHIORACK_ROLLOUT_H
+#define PISTACHIORACK_ROLLOUT_H
+
+#include "pistachiorack/config.h"
+#include "pistachiorack/timer.h"
+
+#define PR_ROLLOUT_NAME_MAX      64
+#define PR_ROLLOUT_TRACKS        64
+#define PR_ROLLOUT_WORKSPACES    16
+#define PR_ROLLOUT_STEPS         4
+#define PR_ROLLOUT_ALTERNATIVES  3
+#define PR_ROLLOUT_CHANGE_ID_MAX 224
+
+typedef enum pr_signal_t {
+	PR_SIGNAL_RATING,
+	PR_SIGNAL_ERROR,
+	PR_SIGNAL_SLOW,
+	PR_SIGNAL_REFUSAL,
+	PR_SIGNALS,
+} pr_signal_t;
+
+/** Trials and bad outcomes by signal; additions commute. */
+typedef struct pr_counts_t {
+	uint64_t trials[PR_SIGNALS];
+	uint64_t bad[PR_SIGNALS];
+} pr_counts_t;
+
+void pr_counts_add(pr_counts_t *to, const pr_counts_t *counts);
+
+typedef struct pr_rollout_options_t {
+	unsigned int version;
+	/** False alarms per roll-out of a version as good as the replaced. */
+	double alpha;
+	/** Worsening of a bad rate that is tolerated. */
+	double tolerance;
+	/** Worsening that must be excluded before a step. */
+	double step_margin;
+	/** Ratings of the replaced version before any conclusion. */
+	uint64_t reference_min;
+	/** Mean number of outcomes between false alarms on proven versions. */
+	double monitor_run_length;
+	/** Shares of the steps, 1/10,000; the last is PR_SHARE_FULL. */
+	uint32_t shares[PR_ROLLOUT_STEPS];
+	/** Odds against `step_margin` that allow the next step. */
+	double odds[PR_ROLLOUT_STEPS];
+	/** Time before a change that was not confirmed is stated again. */
+	pr_usec_t retry;
+	/** For tests that show what each mechanism prevents. */
+	bool test, budget;
+} pr_rollout_options_t;
+
+#define PR_ROLLOUT_OPTIONS_VERSION 1
+#define PR_ROLLOUT_OPTIONS_INIT                                                \
+	{                                                                      \
+		.version = PR_ROLLOUT_OPTIONS_VERSION, .alpha = 0.01,          \
+		.tolerance = 0.005, .step_margin = 0.03, .reference_min = 100, \
+		.monitor_run_length = 1e6, .shares = {100, 500, 2500, 10000},  \
+		.odds = {4, 10, 20, 50}, .retry = 5 * PR_USEC_PER_SEC,         \
+		.test = true, .budget = true,                                  \
+	}
+
+/** Watch on a proven version: baseline and CUSUM of log likelihood ratios. */
+typedef struct pr_watch_t {
+	uint64_t base_trials, base_bad;
+	double score[PR_ROLLOUT_ALTERNATIVES];
+} pr_watch_t;
+
+typedef struct pr_workspace_track_t {
+	char workspace[PR_ROLLOUT_NAME_MAX];
+	pr_counts_t counts;
+	pr_watch_t watch;
+} pr_workspace_track_t;
+
+typedef struct pr_track_t {
+	char model[PR_ROLLOUT_NAME_MAX];
+	char version[PR_ROLLOUT_NAME_MAX];
+	pr_counts_t counts;
+	pr_watch_t watch;
+	/** Index of the workspace whose watch gave the alarm, or -1. */
+	int alarm_workspace;
+	bool alarm;
+	pr_workspace_track_t workspaces[PR_ROLLOUT_WORKSPACES];
+	unsigned int workspaces_count;
+	/** Exposure budget: requests that may still be sent. */
+	double tokens, granted_per_s;
+	pr_usec_t tokens_at, granted_until;
+	/** Requests sent to the version while it was not proven. */
+	uint64_t exposed;
+	/** State last seen; new evidence counts start at a new roll-out. */
+	pr_version_state_t state;
+	pr_usec_t stated_at;
+	char stated[PR_ROLLOUT_CHANGE_ID_MAX];
+} pr_track_t;
+
+typedef struct pr_rollout_t {
+	pr_rollout_options_t options;
+	pr_track_t *tracks;
+	unsigned int tracks_count;
+	uint64_t config_version;
+	/** Draws refused by the budget; evidence dropped for lack of room. */
+	uint64_t over_budget, dropped;
+} pr_rollout_t;
+
+/** @return 0, PR_EINVALID or PR_ENOMEM */
+int pr_rollout_init(pr_rollout_t *rollout, const pr_rollout_options_t *options);
+void pr_rollout_finish(pr_rollout_t *rollout);
+size_t pr_rollout_bytes(const pr_rollout_t *rollout);
+
+/**
+ * Take a confirmed configuration. An older one is ignored. Evidence of a
+ * version that is not in the configuration any more is forgotten; a version
+ * that enters roll-out starts without evidence.
+ */
+void pr_rollout_configure(pr_rollout_t *rollout, const pr_fleet_t *fleet,
+			  uint64_t config_version, pr_usec_t now);
+
+/** @return true when the session falls under the share; no state involved */
+bool pr_rollout_assigned(const pr_model_t *model, const pr_version_t *version,
+			 pr_slice_t workspace, pr_slice_t session);
+
+/**
+ * Set the exposure that the owner of resource "exposure/<model>@<version>"
+ * granted to this host. Without a grant the default share applies.
+ */
+void pr_rollout_grant(pr_rollout_t *rollout, pr_slice_t model,
+		      pr_slice_t version, double per_s, pr_usec_t until,
+		      pr_usec_t now);
+/**
+ * Ask for the version in roll-out: the session must fall under the share and
+ * the budget must have a request left, which is then taken. A draw costs
+ * first share / share, so that the budget grows with each step.
+ *
+ * @param hosts live hosts, for the default share exposure_per_s / hosts
+ */
+bool pr_rollout_draw(pr_rollout_t *rollout, const pr_fleet_t *fleet,
+		     const pr_model_t *model, const pr_version_t *version,
+		     pr_slice_t workspace, pr_slice_t session,
+		     unsigned int hosts, pr_usec_t now);
+/** Charge a request of a running session, which is not refused. */
+void pr_rollout_charge(pr_rollout_t *rollout, const pr_model_t *model,
+		       const pr_version_t *version);
+
+/** Add counts of a version in a workspace. */
+void pr_rollout_add(pr_rollout_t *rollout, pr_slice_t model, pr_slice_t version,
+		    pr_slice_t workspace, const pr_counts_t *counts);
+
+typedef enum pr_conclusion_t {
+	PR_CONCLUDE_ADVANCE,
+	PR_CONCLUDE_PROVEN,
+	PR_CONCLUDE_WITHDRAW,
+	/** Bad, but nothing could take over: an operator must decide. */
+	PR_CONCLUDE_WARN,
+} pr_conclusion_t;
+
+/** A wanted change. It holds only while the version is in the from-state. */
+typedef struct pr_change_t {
+	pr_conclusion_t conclusion;
+	char model[PR_ROLLOUT_NAME_MAX];
+	char version[PR_ROLLOUT_NAME_MAX];
+	/** Workspace that gave the alarm, "" for all together. */
+	char workspace[PR_ROLLOUT_NAME_MAX];
+	pr_signal_t signal;
+	/** Natural logarithm of the evidence, for the report. */
+	double log_evidence;
+	pr_version_state_t from_state, to_state;
+	uint32_t from_share, to_share;
+	/** Same on every host that concludes the same step. */
+	char change_id[PR_ROLLOUT_CHANGE_ID_MAX];
+} pr_change_t;
+
+/**
+ * Evaluate the evidence.
+ *
+ * @param config_version version of `fleet`; an older one than was configured
+ *			 gives no step
+ * @param confirmed false while the configuration cannot be confirmed; gives
+ *		    no step
+ * @return number of changes written, at most max
+ */
+unsigned int pr_rollout_conclude(pr_rollout_t *rollout, const pr_fleet_t *fleet,
+				 uint64_t config_version, bool confirmed,
+				 pr_change_t *changes, unsigned int max,
+				 pr_usec_t now);
+/**
+ * Check a change against the configuration that the compare-and-set found.
+ *
+ * @return 0, or PR_ECONFLICT when another change overtook it; drop it then
+ */
+int pr_change_check(const pr_change_t *change, const pr_fleet_t *fleet);
+
+/** Log of the evidence that the bad rate is above p0. */
+double pr_evidence_worse(uint64_t trials, uint64_t bad, double p0);
+/** Log of the evidence that the bad rate is below p1. */
+double pr_evidence_better(uint64_t trials, uint64_t bad, double p1);
+
+/* Message `evidence` */
+
+#define PR_EVIDENCE_ITEMS 64
+#define PR_EVIDENCE_HOSTS 512
+
+typedef struct pr_evidence_item_t {
+	char model[PR_ROLLOUT_NAME_MAX];
+	char version[PR_ROLLOUT_NAME_MAX];
+	char workspace[PR_ROLLOUT_NAME_MAX];
+	pr_counts_t counts;
+} pr_evidence_item_t;
+
+/** Counts since the last message; numbered per host and boot, from 1. */
+typedef struct pr_evidence_t {
+	char host[PR_ROLLOUT_NAME_MAX];
+	uint64_t boot, seq;
+	pr_evidence_item_t items[PR_EVIDENCE_ITEMS];
+	unsigned int items_count;
+} pr_evidence_t;
+
+/** @return 0 or PR_ENOMEM */
+int pr_evidence_encode(pr_str_t *out, const pr_evidence_t *evidence);
+/** @return 0 or PR_EPARSE */
+int pr_evidence_decode(pr_evidence_t *evidence, pr_slice_t message);
+
+/** Sender: one message in flight, sent again until it is acknowledged. */
+typedef struct pr_evidence_outbox_t {
+	pr_evidence_t pending, sent;
+	bool in_flight;
+	uint64_t dropped;
+} pr_evidence_outbox_t;
+
+void pr_evidence_outbox_init(pr_evidence_outbox_t *outbox, pr_slice_t host,
+			     uint64_t boot);
+void pr_evidence_outbox_add(pr_evidence_outbox_t *outbox, pr_slice_t model,
+			    pr_slice_t version, pr_slice_t workspace,
+			    const pr_counts_t *counts);
+/** @return the message to send now, or NULL when there is nothing to send */
+const pr_evidence_t *pr_evidence_outbox_next(pr_evidence_outbox_t *outbox);
+void pr_evidence_outbox_acked(pr_evidence_outbox_t *outbox, uint64_t seq);
+
+/** Receiver: last number taken per host, for its last two boots. */
+typedef struct pr_evidence_seen_t {
+	uint64_t host;
+	uint64_t boot[2], seq[2];
+} pr_evidence_seen_t;
+
+typedef struct pr_evidence_inbox_t {
+	pr_evidence_seen_t seen[PR_EVIDENCE_HOSTS];
+	unsigned int count, next;
+	uint64_t doubled;
+} pr_evidence_inbox_t;
+
+/**
+ * Add a message's counts once. Both fresh and doubled messages are to be
+ * acknowledged with their number.
+ *
+ * @return true when it was fresh
+ */
+bool pr_evidence_take(pr_evidence_inbox_t *inbox, pr_rollout_t *rollout,
+		      const pr_evidence_t *evidence);
+
+#endif
--- a/src/policy/plan.c
+++ b/src/policy/plan.c
@@ -223,6 +223,8 @@
 	plan->steps_count = 1;
 	plan->candidates = 1;
 	plan->rule = PR_RULE_SESSION;
+	/* Evidence on an unproven version is worth every rating. */
+	plan->rate |= plan->steps[0].version->state == PR_VERSION_ROLLING;
 	plan->price = plan->steps[0].price;
 	plan->quality = plan->steps[0].quality;
 	return 0;
@@ -283,6 +285,7 @@
 		choice.level / (double)PR_POLICY_LEVELS;
 	plan->steps_count = 1;
 	apply_draw(policy, query, &plan->steps[0], now);
+	plan->rate |= plan->steps[0].basis == PR_BASIS_DRAW;
 	if (choice.level) {
 		plan->steps[1] = list.steps[list.reference];
 		plan->steps_count = 2;
--- /dev/null
+++ b/src/rollout/conclude.c
@@ -0,0 +1,359 @@
+/* Sequential test and the steps that follow from it. */
+#include "pistachiorack/rollout.h"
+
+#include <gsl/gsl_cdf.h>
+#include <gsl/gsl_sf_gamma.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "pistachiorack/error.h"
+#include "rollout/track.h"
+
+/* Half of alpha goes to all workspaces together, half is divided among single
+ * workspaces; ratings get half of each, the other signals a sixth. */
+#define POOLED_PART     0.5
+#define RATING_PART     0.5
+#define OTHER_PART      (0.5 / (PR_SIGNALS - 1))
+#define REFERENCE_Z     2.0
+#define STRENGTH_NARROW 40.0
+
+static double log_or_none(double p)
+{
+	return p > 0 ? log(p) : -INFINITY;
+}
+
+/* Log likelihood ratio of a Beta(a, b) mixture over rates above (or below)
+ * p0 against p0. */
+static double log_mixture(double bad, double good, double p0, double a,
+			  double b, bool above)
+{
+	double (*part)(double, double, double) =
+		above ? gsl_cdf_beta_Q : gsl_cdf_beta_P;
+
+	return gsl_sf_lnbeta(a + bad, b + good) - gsl_sf_lnbeta(a, b) +
+	       log_or_none(part(p0, a + bad, b + good)) -
+	       log_or_none(part(p0, a, b)) - bad * log(p0) - good * log(1 - p0);
+}
+
+/* Mean of a wide mixture and one close to p0; both are martingales. */
+static double log_evidence(uint64_t trials, uint64_t bad, double p0, bool above)
+{
+	double k = (double)bad, n = (double)trials, wide, narrow, centre, most;
+
+	p0 = fmin(fmax(p0, 1e-4), 1 - 1e-4);
+	centre = fmin(p0 + (above ? 0.05 : 0), 0.95);
+	wide = log_mixture(k, n - k, p0, 1, 1, above);
+	narrow = log_mixture(k, n - k, p0, STRENGTH_NARROW * centre,
+			     STRENGTH_NARROW * (1 - centre), above);
+	most = fmax(wide, narrow);
+	if (most == -INFINITY)
+		return most;
+	return most + log((exp(wide - most) + exp(narrow - most)) / 2);
+}
+
+double pr_evidence_worse(uint64_t trials, uint64_t bad, double p0)
+{
+	return log_evidence(trials, bad, p0, true);
+}
+
+double pr_evidence_better(uint64_t trials, uint64_t bad, double p1)
+{
+	return log_evidence(trials, bad, p1, false);
+}
+
+typedef struct pr_rate_t {
+	double mean, error;
+	uint64_t trials;
+} pr_rate_t;
+
+static pr_rate_t rate_of(const pr_counts_t *counts, pr_signal_t signal)
+{
+	double n = (double)counts->trials[signal];
+	double p = ((double)counts->bad[signal] + 0.5) / (n + 1);
+
+	return (pr_rate_t){p, sqrt(p * (1 - p) / (n + 1)),
+			   counts->trials[signal]};
+}
+
+/* Rate of the replaced version; without one the quality target counts. */
+static pr_rate_t reference_rate(const pr_counts_t *reference,
+				const pr_fleet_t *fleet, pr_signal_t signal)
+{
+	double target = fleet->defaults.quality_target;
+
+	if (reference)
+		return rate_of(reference, signal);
+	if (signal == PR_SIGNAL_RATING && target > 0)
+		return (pr_rate_t){1 - target, 0, UINT64_MAX};
+	return (pr_rate_t){0.05, 0, UINT64_MAX};
+}
+
+static bool test_counts(const pr_rollout_t *rollout, const pr_counts_t *counts,
+			const pr_counts_t *reference, const pr_fleet_t *fleet,
+			double alpha, pr_change_t *change)
+{
+	for (int s = 0; s < PR_SIGNALS; s++) {
+		pr_rate_t rate =
+			reference_rate(reference, fleet, (pr_signal_t)s);
+		double part = s == PR_SIGNAL_RATING ? RATING_PART : OTHER_PART;
+		double evidence;
+
+		if (rate.trials < rollout->options.reference_min)
+			continue;
+		evidence =
+			pr_evidence_worse(counts->trials[s], counts->bad[s],
+					  rate.mean + REFERENCE_Z * rate.error +
+						  rollout->options.tolerance);
+		if (evidence < -log(alpha * part))
+			continue;
+		change->signal = (pr_signal_t)s;
+		change->log_evidence = evidence;
+		return true;
+	}
+	return false;
+}
+
+static const pr_workspace_track_t *same_workspace(const pr_track_t *track,
+						  const char *workspace)
+{
+	for (unsigned int i = 0; track && i < track->workspaces_count; i++)
+		if (!strcmp(track->workspaces[i].workspace, workspace))
+			return &track->workspaces[i];
+	return NULL;
+}
+
+static bool is_bad(const pr_rollout_t *rollout, const pr_track_t *track,
+		   const pr_track_t *reference, const pr_fleet_t *fleet,
+		   pr_change_t *change)
+{
+	double alpha = rollout->options.alpha;
+
+	if (!rollout->options.test)
+		return false;
+	if (test_counts(rollout, &track->counts,
+			reference ? &reference->counts : NULL, fleet,
+			alpha * POOLED_PART, change))
+		return true;
+	for (unsigned int i = 0; i < track->workspaces_count; i++) {
+		const pr_workspace_track_t *entry = &track->workspaces[i];
+		const pr_workspace_track_t *same =
+			same_workspace(reference, entry->workspace);
+
+		if (reference && !same)
+			continue;
+		if (!test_counts(rollout, &entry->counts,
+				 same ? &same->counts : NULL, fleet,
+				 alpha * (1 - POOLED_PART) /
+					 PR_ROLLOUT_WORKSPACES,
+				 change))
+			continue;
+		memcpy(change->workspace, entry->workspace,
+		       sizeof(change->workspace));
+		return true;
+	}
+	return false;
+}
+
+static unsigned int step_of(const pr_rollout_t *rollout, uint32_t share)
+{
+	unsigned int step = 0;
+
+	while (step + 1 < PR_ROLLOUT_STEPS &&
+	       rollout->options.shares[step] < share)
+		step++;
+	return step;
+}
+
+static bool may_advance(const pr_rollout_t *rollout, const pr_track_t *track,
+			const pr_track_t *reference, const pr_fleet_t *fleet,
+			unsigned int step, pr_change_t *change)
+{
+	const pr_counts_t *counts = reference ? &reference->counts : NULL;
+	pr_rate_t rate = reference_rate(counts, fleet, PR_SIGNAL_RATING);
+
+	if (rate.trials < rollout->options.reference_min)
+		return false;
+	change->signal = PR_SIGNAL_RATING;
+	change->log_evidence = pr_evidence_better(
+		track->counts.trials[PR_SIGNAL_RATING],
+		track->counts.bad[PR_SIGNAL_RATING],
+		rate.mean - rate.error + rollout->options.step_margin);
+	if (change->log_evidence < log(rollout->options.odds[step]))
+		return false;
+	for (int s = 1; s < PR_SIGNALS; s++) {
+		pr_rate_t own = rate_of(&track->counts, (pr_signal_t)s);
+
+		rate = reference_rate(counts, fleet, (pr_signal_t)s);
+		if (own.mean - own.error >
+		    rate.mean + rollout->options.step_margin)
+			return false;
+	}
+	return true;
+}
+
+static void set_target(pr_change_t *change, pr_conclusion_t conclusion,
+		       pr_version_state_t state, uint32_t share)
+{
+	static const char *const states[] = {"proven", "rolling", "halted",
+					     "withdrawn"};
+
+	change->conclusion = conclusion;
+	change->to_state = state;
+	change->to_share = share;
+	snprintf(change->change_id, sizeof(change->change_id),
+		 "rollout/%s@%s/%s-%u/%s-%u%s", change->model, change->version,
+		 states[change->from_state], change->from_share, states[state],
+		 share, conclusion == PR_CONCLUDE_WARN ? "/warning" : "");
+}
+
+static bool conclude_rolling(const pr_rollout_t *rollout,
+			     const pr_fleet_t *fleet, const pr_model_t *model,
+			     const pr_version_t *version,
+			     const pr_track_t *track, pr_change_t *change)
+{
+	const pr_track_t *reference = NULL;
+	unsigned int step = step_of(rollout, version->share);
+
+	if (version->replaces)
+		reference = pr_rollout_track(rollout, pr_slice_of(model->name),
+					     pr_slice_of(version->replaces));
+	if (version->replaces && !reference)
+		return false;
+	if (is_bad(rollout, track, reference, fleet, change)) {
+		set_target(change, PR_CONCLUDE_WITHDRAW, PR_VERSION_WITHDRAWN,
+			   0);
+		return true;
+	}
+	/* A halted version may be found bad, but only an operator resumes. */
+	if (version->state != PR_VERSION_ROLLING ||
+	    !may_advance(rollout, track, reference, fleet, step, change))
+		return false;
+	if (step + 1 == PR_ROLLOUT_STEPS ||
+	    rollout->options.shares[step + 1] >= PR_SHARE_FULL)
+		set_target(change, PR_CONCLUDE_PROVEN, PR_VERSION_PROVEN, 0);
+	else
+		set_target(change, PR_CONCLUDE_ADVANCE, PR_VERSION_ROLLING,
+			   rollout->options.shares[step + 1]);
+	return true;
+}
+
+static bool is_alarmed(const pr_rollout_t *rollout, const char *model,
+		       const char *version)
+{
+	const pr_track_t *track = pr_rollout_track(rollout, pr_slice_of(model),
+						   pr_slice_of(version));
+
+	return track && track->alarm;
+}
+
+static unsigned int other_proven(const pr_model_t *model,
+				 const pr_version_t *version,
+				 const pr_rollout_t *rollout)
+{
+	unsigned int others = 0;
+
+	for (unsigned int i = 0; i < model->versions_count; i++) {
+		const pr_version_t *other = &model->versions[i];
+
+		others += other != version &&
+			  other->state == PR_VERSION_PROVEN &&
+			  !(rollout &&
+			    is_alarmed(rollout, model->name, other->name));
+	}
+	return others;
+}
+
+static bool conclude_proven(const pr_rollout_t *rollout,
+			    const pr_model_t *model,
+			    const pr_version_t *version,
+			    const pr_track_t *track, pr_change_t *change)
+{
+	unsigned int others = other_proven(model, version, rollout);
+
+	if (!track->alarm || !rollout->options.test)
+		return false;
+	change->signal = PR_SIGNAL_RATING;
+	change->log_evidence = log(rollout->options.monitor_run_length);
+	if (track->alarm_workspace >= 0)
+		memcpy(change->workspace,
+		       track->workspaces[track->alarm_workspace].workspace,
+		       sizeof(change->workspace));
+	if (others)
+		set_target(change, PR_CONCLUDE_WITHDRAW, PR_VERSION_WITHDRAWN,
+			   0);
+	else
+		set_target(change, PR_CONCLUDE_WARN, version->state,
+			   version->share);
+	return true;
+}
+
+static bool conclude_version(pr_rollout_t *rollout, const pr_fleet_t *fleet,
+			     const pr_model_t *model,
+			     const pr_version_t *version, pr_change_t *change,
+			     pr_usec_t now)
+{
+	pr_track_t *track = pr_rollout_track(rollout, pr_slice_of(model->name),
+					     pr_slice_of(version->name));
+	bool found;
+
+	if (!track || version->state == PR_VERSION_WITHDRAWN)
+		return false;
+	memset(change, 0, sizeof(*change));
+	memcpy(change->model, track->model, sizeof(change->model));
+	memcpy(change->version, track->version, sizeof(change->version));
+	change->from_state = version->state;
+	change->from_share = version->share;
+	if (version->state == PR_VERSION_PROVEN)
+		found = conclude_proven(rollout, model, version, track, change);
+	else
+		found = conclude_rolling(rollout, fleet, model, version, track,
+					 change);
+	if (!found)
+		return false;
+	if (!strcmp(track->stated, change->change_id) &&
+	    now < track->stated_at + rollout->options.retry)
+		return false;
+	memcpy(track->stated, change->change_id, sizeof(track->stated));
+	track->stated_at = now;
+	return true;
+}
+
+unsigned int pr_rollout_conclude(pr_rollout_t *rollout, const pr_fleet_t *fleet,
+				 uint64_t config_version, bool confirmed,
+				 pr_change_t *changes, unsigned int max,
+				 pr_usec_t now)
+{
+	unsigned int count = 0;
+
+	if (!confirmed || config_version != rollout->config_version)
+		return 0;
+	for (unsigned int m = 0; m < fleet->models_count; m++)
+		for (unsigned int v = 0; v < fleet->models[m].versions_count;
+		     v++)
+			if (count < max &&
+			    conclude_version(rollout, fleet, &fleet->models[m],
+					     &fleet->models[m].versions[v],
+					     &changes[count], now))
+				count++;
+	return count;
+}
+
+int pr_change_check(const pr_change_t *change, const pr_fleet_t *fleet)
+{
+	const pr_model_t *model =
+		pr_fleet_model(fleet, pr_slice_of(change->model));
+	const pr_version_t *version =
+		model ? pr_model_version(model, pr_slice_of(change->version))
+		      : NULL;
+
+	if (version && version->state == change->from_state &&
+	    version->share == change->from_share &&
+	    /* The last proven version of a model is not withdrawn. */
+	    !(version->state == PR_VERSION_PROVEN &&
+	      change->to_state == PR_VERSION_WITHDRAWN &&
+	      !other_proven(model, version, NULL)))
+		return 0;
+	return pr_error_set(PR_ECONFLICT, "%s: overtaken by another change",
+			    change->change_id);
+}
