--- a/include/pistachiorack/config.h
+++ b/include/pistachiorack/config.h
@@ -195,4 +195,73 @@
 bool pr_fleet_model_allowed(const pr_fleet_t *fleet, pr_slice_t workspace,
 			    pr_slice_t model);
 
+/** Append the document as YAML, every field written out. */
+int pr_fleet_print(const pr_fleet_t *fleet, pr_str_t *out);
+
+typedef enum pr_finding_level_t {
+	/** The document may be applied; somebody should look at it. */
+	PR_FINDING_WARNING,
+	/** The document is refused. */
+	PR_FINDING_ERROR,
+} pr_finding_level_t;
+
+typedef struct pr_finding_t {
+	pr_finding_level_t level;
+	/** For example "models[0].versions[1].share". */
+	char path[128];
+	/** Line in the text, 1 for the first; 0 when it is not known. */
+	unsigned int line;
+	/** What is wrong and what is allowed. */
+	char text[256];
+} pr_finding_t;
+
+typedef struct pr_findings_t {
+	pr_finding_t *items;
+	unsigned int count;
+	unsigned int errors;
+} pr_findings_t;
+
+void pr_findings_finish(pr_findings_t *findings);
+/**
+ * Check what the schema cannot express: references between parts, ranges,
+ * names used twice, sums of shares.
+ *
+ * @param out all findings, zeroed before; free with pr_findings_finish()
+ * @param text the document's text for line numbers; may be empty
+ * @return 0, PR_EINVALID when there are errors, or PR_ENOMEM
+ */
+int pr_fleet_check(pr_findings_t *out, const pr_fleet_t *fleet,
+		   pr_slice_t text);
+
+/** One changed value. */
+typedef struct pr_change_t {
+	/** Entries of lists are named, for example "upstreams/e1/state". */
+	char *path;
+	/** NULL when the value did not exist before or does not any more. */
+	char *before;
+	char *after;
+} pr_change_t;
+
+/** Changes sorted by path. */
+typedef struct pr_changes_t {
+	pr_change_t *items;
+	unsigned int count;
+} pr_changes_t;
+
+void pr_changes_finish(pr_changes_t *changes);
+/**
+ * @param out the changes, zeroed before; free with pr_changes_finish()
+ * @param before NULL for an empty document
+ * @return 0 or PR_ENOMEM
+ */
+int pr_fleet_diff(pr_changes_t *out, const pr_fleet_t *before,
+		  const pr_fleet_t *after);
+/**
+ * Paths that two sets of changes to one document set to different values.
+ *
+ * @param out as items of mine, with `before` holding the other's new value
+ */
+int pr_changes_clash(pr_changes_t *out, const pr_changes_t *mine,
+		     const pr_changes_t *theirs);
+
 #endif
--- a/src/base/yaml.c
+++ b/src/base/yaml.c
@@ -53,6 +53,28 @@
 	return rc;
 }
 
+int pr_yaml_save(pr_str_t *out, const void *value,
+		 const cyaml_schema_value_t *schema)
+{
+	pr_str_t log = PR_STR_INIT;
+	cyaml_config_t config = config_with_log(&log);
+	char *text = NULL;
+	size_t len = 0;
+	cyaml_err_t err;
+	int rc;
+
+	err = cyaml_save_data(&text, &len, &config, schema, value, 0);
+	if (err != CYAML_OK)
+		rc = pr_error_set(PR_EINVALID, "%s: %s", cyaml_strerror(err),
+				  pr_str_cstr(&log));
+	else
+		rc = pr_str_append(out, text, len);
+	if (text)
+		cyaml_mem(NULL, text, 0);
+	pr_str_finish(&log);
+	return rc;
+}
+
 void pr_yaml_free(void *value, const cyaml_schema_value_t *schema)
 {
 	cyaml_config_t config = config_with_log(NULL);
--- a/src/base/yaml.h
+++ b/src/base/yaml.h
@@ -18,6 +18,9 @@
  */
 int pr_yaml_load(void **out, const char *name, pr_slice_t text,
 		 const cyaml_schema_value_t *schema);
+/** Append a value as YAML. @return 0 or PR_EINVALID */
+int pr_yaml_save(pr_str_t *out, const void *value,
+		 const cyaml_schema_value_t *schema);
 void pr_yaml_free(void *value, const cyaml_schema_value_t *schema);
 /** Read a whole file. @return 0, PR_ENOTFOUND or PR_ENOMEM */
 int pr_file_read(pr_str_t *out, const char *path);
--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -195,3 +195,8 @@
 {
 	pr_yaml_free(fleet, &fleet_schema);
 }
+
+int pr_fleet_print(const pr_fleet_t *fleet, pr_str_t *out)
+{
+	return pr_yaml_save(out, fleet, &fleet_schema);
+}
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -2,6 +2,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <cmocka.h>
@@ -65,11 +66,135 @@
 	assert_non_null(strstr(pr_error_last(), "line"));
 }
 
+static const char faulty[] =
+	"format: 2\n"
+	"defaults: {models: [small, huge], quality_target: 1.5,\n"
+	"  first_token_ms: 990, between_tokens_ms: 35, objective: 0.95}\n"
+	"models:\n"
+	"- name: small\n"
+	"  versions:\n"
+	"  - {name: v1, price_in: 1, price_out: 1}\n"
+	"  - {name: v2, state: rolling, share: 6000, replaces: v9,\n"
+	"     price_in: 1, price_out: 1}\n"
+	"  - {name: v3, state: rolling, share: 6000, replaces: v1,\n"
+	"     price_in: 1, price_out: 1}\n"
+	"  - {name: v1, state: withdrawn, share: 10001}\n"
+	"zones: [{name: prai, region: r}, {name: prai, region: r}]\n"
+	"upstreams:\n"
+	"- {name: e1, address: a, port: 1, zone: ipoh,\n"
+	"   serves: [small@v1, small@v2, small@v7]}\n"
+	"- {name: e2, address: a, port: 1, zone: prai,\n"
+	"   slots: 4, cold_slots: 5}\n"
+	"workspaces:\n"
+	"- {name: w1, keys: [aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa]}\n"
+	"- {name: w2, keys: [aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa]}\n"
+	"exceptions:\n"
+	"- {workspace: w9, reason: ' ', quality_target: 2}\n";
+
+static const struct {
+	const char *path;
+	unsigned int line;
+} expected[] = {
+	{"format", 1},
+	{"defaults.quality_target", 2},
+	{"defaults.models[1]", 2},
+	{"models[0].versions[3].name", 12},
+	{"models[0].versions[1].replaces", 8},
+	{"models[0].versions[2]", 10},
+	{"models[0].versions[3].share", 12},
+	{"models[0].versions", 7},
+	{"zones[1].name", 13},
+	{"upstreams[0].zone", 15},
+	{"upstreams[0].serves[2]", 16},
+	{"upstreams[1].cold_slots", 18},
+	{"upstreams[1].address", 17},
+	{"workspaces[1].keys[0]", 21},
+	{"exceptions[0].workspace", 23},
+	{"exceptions[0].reason", 23},
+	{"exceptions[0].quality_target", 23},
+};
+
+/* Guards against a check that stops at the first fault, misses one, or names
+ * the wrong place. */
+static void check_finds_every_fault(void **state)
+{
+	pr_findings_t findings = {0};
+	pr_fleet_t *fleet;
+
+	assert_int_equal(pr_fleet_parse(&fleet, "f", pr_slice_of(faulty)), 0);
+	assert_int_equal(pr_fleet_check(&findings, fleet, pr_slice_of(faulty)),
+			 PR_EINVALID);
+	for (size_t i = 0; i < sizeof(expected) / sizeof(*expected); i++) {
+		bool found = false;
+
+		for (unsigned int j = 0; j < findings.count; j++)
+			found |= !strcmp(findings.items[j].path,
+					 expected[i].path) &&
+				 findings.items[j].line == expected[i].line;
+		if (!found)
+			fail_msg("no finding at %s, line %u", expected[i].path,
+				 expected[i].line);
+	}
+	assert_int_equal(findings.errors, sizeof(expected) / sizeof(*expected));
+	pr_findings_finish(&findings);
+	pr_fleet_free(fleet);
+}
+
+static pr_fleet_t *edited(const char *from, const char *to)
+{
+	char text[2048];
+	const char *at = strstr(good, from);
+	pr_fleet_t *fleet;
+
+	assert_non_null(at);
+	snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - good), good, to,
+		 at + strlen(from));
+	assert_int_equal(pr_fleet_parse(&fleet, "f", pr_slice_of(text)), 0);
+	return fleet;
+}
+
+/* Guards against a difference that is missed or reported for mere layout, and
+ * against a clash that two operators are not told. */
+static void diff_names_changes_and_clashes(void **state)
+{
+	pr_changes_t mine = {0}, theirs = {0}, clash = {0};
+	pr_fleet_t *base = edited("format: 1", "format:   1");
+	pr_fleet_t *a = edited("share: 100", "share: 500");
+	pr_fleet_t *b = edited("share: 100", "share: 900");
+	pr_fleet_t *c = edited(", state: out", "");
+
+	assert_int_equal(pr_fleet_diff(&mine, base, a), 0);
+	assert_int_equal(mine.count, 1);
+	assert_string_equal(mine.items[0].path,
+			    "models/small/versions/v2/share");
+	assert_string_equal(mine.items[0].before, "100");
+	assert_string_equal(mine.items[0].after, "500");
+	assert_int_equal(pr_fleet_diff(&theirs, base, b), 0);
+	assert_int_equal(pr_changes_clash(&clash, &mine, &theirs), 0);
+	assert_int_equal(clash.count, 1);
+	pr_changes_finish(&clash);
+	pr_changes_finish(&theirs);
+	assert_int_equal(pr_fleet_diff(&theirs, base, c), 0);
+	assert_string_equal(theirs.items[0].path, "zones/kuching/state");
+	assert_int_equal(pr_changes_clash(&clash, &mine, &theirs), 0);
+	assert_int_equal(clash.count, 0);
+	pr_changes_finish(&theirs);
+	pr_changes_finish(&mine);
+	pr_fleet_free(base);
+	pr_fleet_free(a);
+	pr_fleet_free(b);
+	pr_fleet_free(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(lookups_follow_defaults_and_exceptions),
 		cmocka_unit_test(bad_documents_are_refused_with_place),
+		cmocka_unit_test(check_finds_every_fault),
+		cmocka_unit_test(diff_names_changes_and_clashes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
