--- a/include/pistachiorack/rollout.h
+++ b/include/pistachiorack/rollout.h
@@ -168,7 +168,7 @@
 } pr_conclusion_t;
 
 /** A wanted change. It holds only while the version is in the from-state. */
-typedef struct pr_change_t {
+typedef struct pr_rollout_change_t {
 	pr_conclusion_t conclusion;
 	char model[PR_ROLLOUT_NAME_MAX];
 	char version[PR_ROLLOUT_NAME_MAX];
@@ -181,7 +181,7 @@
 	uint32_t from_share, to_share;
 	/** Same on every host that concludes the same step. */
 	char change_id[PR_ROLLOUT_CHANGE_ID_MAX];
-} pr_change_t;
+} pr_rollout_change_t;
 
 /**
  * Evaluate the evidence.
@@ -194,14 +194,14 @@
  */
 unsigned int pr_rollout_conclude(pr_rollout_t *rollout, const pr_fleet_t *fleet,
 				 uint64_t config_version, bool confirmed,
-				 pr_change_t *changes, unsigned int max,
+				 pr_rollout_change_t *changes, unsigned int max,
 				 pr_usec_t now);
 /**
  * Check a change against the configuration that the compare-and-set found.
  *
  * @return 0, or PR_ECONFLICT when another change overtook it; drop it then
  */
-int pr_change_check(const pr_change_t *change, const pr_fleet_t *fleet);
+int pr_rollout_change_check(const pr_rollout_change_t *change, const pr_fleet_t *fleet);
 
 /** Log of the evidence that the bad rate is above p0. */
 double pr_evidence_worse(uint64_t trials, uint64_t bad, double p0);
--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -91,7 +91,7 @@
 
 static bool test_counts(const pr_rollout_t *rollout, const pr_counts_t *counts,
 			const pr_counts_t *reference, const pr_fleet_t *fleet,
-			double alpha, pr_change_t *change)
+			double alpha, pr_rollout_change_t *change)
 {
 	for (int s = 0; s < PR_SIGNALS; s++) {
 		pr_rate_t rate =
@@ -125,7 +125,7 @@
 
 static bool is_bad(const pr_rollout_t *rollout, const pr_track_t *track,
 		   const pr_track_t *reference, const pr_fleet_t *fleet,
-		   pr_change_t *change)
+		   pr_rollout_change_t *change)
 {
 	double alpha = rollout->options.alpha;
 
@@ -167,7 +167,7 @@
 
 static bool may_advance(const pr_rollout_t *rollout, const pr_track_t *track,
 			const pr_track_t *reference, const pr_fleet_t *fleet,
-			unsigned int step, pr_change_t *change)
+			unsigned int step, pr_rollout_change_t *change)
 {
 	const pr_counts_t *counts = reference ? &reference->counts : NULL;
 	pr_rate_t rate = reference_rate(counts, fleet, PR_SIGNAL_RATING);
@@ -192,7 +192,7 @@
 	return true;
 }
 
-static void set_target(pr_change_t *change, pr_conclusion_t conclusion,
+static void set_target(pr_rollout_change_t *change, pr_conclusion_t conclusion,
 		       pr_version_state_t state, uint32_t share)
 {
 	static const char *const states[] = {"proven", "rolling", "halted",
@@ -210,7 +210,7 @@
 static bool conclude_rolling(const pr_rollout_t *rollout,
 			     const pr_fleet_t *fleet, const pr_model_t *model,
 			     const pr_version_t *version,
-			     const pr_track_t *track, pr_change_t *change)
+			     const pr_track_t *track, pr_rollout_change_t *change)
 {
 	const pr_track_t *reference = NULL;
 	unsigned int step = step_of(rollout, version->share);
@@ -267,7 +267,7 @@
 static bool conclude_proven(const pr_rollout_t *rollout,
 			    const pr_model_t *model,
 			    const pr_version_t *version,
-			    const pr_track_t *track, pr_change_t *change)
+			    const pr_track_t *track, pr_rollout_change_t *change)
 {
 	unsigned int others = other_proven(model, version, rollout);
 
@@ -290,7 +290,7 @@
 
 static bool conclude_version(pr_rollout_t *rollout, const pr_fleet_t *fleet,
 			     const pr_model_t *model,
-			     const pr_version_t *version, pr_change_t *change,
+			     const pr_version_t *version, pr_rollout_change_t *change,
 			     pr_usec_t now)
 {
 	pr_track_t *track = pr_rollout_track(rollout, pr_slice_of(model->name),
@@ -321,7 +321,7 @@
 
 unsigned int pr_rollout_conclude(pr_rollout_t *rollout, const pr_fleet_t *fleet,
 				 uint64_t config_version, bool confirmed,
-				 pr_change_t *changes, unsigned int max,
+				 pr_rollout_change_t *changes, unsigned int max,
 				 pr_usec_t now)
 {
 	unsigned int count = 0;
@@ -339,7 +339,7 @@
 	return count;
 }
 
-int pr_change_check(const pr_change_t *change, const pr_fleet_t *fleet)
+int pr_rollout_change_check(const pr_rollout_change_t *change, const pr_fleet_t *fleet)
 {
 	const pr_model_t *model =
 		pr_fleet_model(fleet, pr_slice_of(change->model));
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -1,169 +1,145 @@
-/* One attempt on one upstream. */
+/* Attempts of an exchange: choice of the upstream, retries, give-up. */
 #include "pistachiorack/error.h"
 #include "router/exchange.h"
 
-#define HEADERS_MAX 10
-
-static bool was_tried(const pr_exchange_t *exchange, const char *name)
+static void note_tried(pr_exchange_t *exchange)
 {
-	for (unsigned int i = 0; i < exchange->tried_count; i++)
-		if (!strcmp(exchange->tried[i], name))
-			return true;
-	return false;
-}
+	pr_balance_query_t *query = &exchange->query;
 
-static bool same_zone(const pr_exchange_t *exchange,
-		      const pr_upstream_t *upstream)
-{
-	return !strcmp(upstream->zone, exchange->router->settings->zone);
+	if (query->tried_count < PR_BALANCE_TRIED_MAX)
+		query->tried[query->tried_count++] =
+			exchange->call.choice.upstream;
 }
 
-/* Fewest requests in flight; the host's own zone goes first. */
-static pr_upstream_link_t *choose(pr_exchange_t *exchange, pr_slice_t what)
+static int choose(pr_exchange_t *exchange)
 {
-	const pr_fleet_t *fleet = exchange->router->fleet->fleet;
-	pr_upstream_link_t *best = NULL;
-	bool best_near = false;
-
-	for (unsigned int i = 0; i < fleet->upstreams_count; i++) {
-		const pr_upstream_t *upstream = &fleet->upstreams[i];
-		pr_upstream_link_t *link;
-		bool near = same_zone(exchange, upstream);
-
-		if (!pr_fleet_upstream_usable(fleet, upstream) ||
-		    !pr_upstream_serves(upstream, what) ||
-		    was_tried(exchange, upstream->name))
-			continue;
-		link = pr_upstreams_find(exchange->router, upstream->name);
-		if (!link || (best && best_near && !near))
-			continue;
-		if (best && near == best_near &&
-		    link->in_flight >= best->in_flight)
-			continue;
-		best = link;
-		best_near = near;
-	}
-	return best;
-}
+	pr_router_t *router = exchange->router;
+	int rc;
 
-static void end_attempt(pr_exchange_t *exchange)
-{
-	exchange->attempt.active = false;
-	exchange->attempt.link->in_flight--;
+	exchange->query.what = pr_slice_of(exchange->what);
+	exchange->query.priority = exchange->priority == PR_ADMIT_BATCH
+					   ? PR_BALANCE_BATCH
+					   : PR_BALANCE_INTERACTIVE;
+	exchange->query.cross_region = true;
+	rc = pr_balance_choose(&router->balance, &exchange->call.choice,
+			       &exchange->query, &router->rand,
+			       pr_router_now(router));
+	if (!rc)
+		note_tried(exchange);
+	return rc;
 }
 
-static void on_head(pr_http_call_t *call, int status,
-		    const pr_http_header_t *headers, size_t count)
+/* No upstream could be called: attempt -1 for the state machine. */
+static void fail_without_call(pr_exchange_t *exchange, int number)
 {
-	pr_exchange_t *exchange = call->data;
-	pr_attempt_t *attempt = &exchange->attempt;
-
-	attempt->status = status;
-	for (size_t i = 0; i < count; i++) {
-		if (pr_slice_equal(headers[i].name, PR_SLICE("x-verdict")))
-			attempt->refused = pr_slice_equal(headers[i].value,
-							  PR_SLICE("not_run"));
-		if (pr_slice_equal(headers[i].name, PR_SLICE("x-attempt-id")))
-			attempt->id_matches = pr_slice_equal(
-				headers[i].value, pr_slice_of(attempt->id));
-	}
-	exchange->ops->head(exchange);
+	pr_router_t *router = exchange->router;
+	pr_dispatch_decision_t decision;
+
+	pr_dispatch_failed(&exchange->dispatch, &decision, number, true,
+			   &router->rand, pr_router_now(router));
+	pr_exchange_act(exchange, &decision);
 }
 
-static void on_body(pr_http_call_t *call, pr_slice_t bytes)
+void pr_exchange_try(pr_exchange_t *exchange)
 {
-	pr_exchange_t *exchange = call->data;
+	pr_router_t *router = exchange->router;
+	int number;
 
-	exchange->ops->body(exchange, bytes);
+	if (!exchange->request && !exchange->operation)
+		return;
+	if (choose(exchange)) {
+		fail_without_call(exchange, -1);
+		return;
+	}
+	number =
+		pr_dispatch_attempt(&exchange->dispatch, pr_router_now(router));
+	if (number < 0) {
+		fail_without_call(exchange, -1);
+		return;
+	}
+	exchange->call.number = number;
+	pr_dispatch_stage(&exchange->dispatch, number, PR_STAGE_CONNECTING);
+	if (pr_upstream_call_start(exchange))
+		fail_without_call(exchange, number);
 }
 
-static void on_done(pr_http_call_t *call, pr_attempt_stage_t stage,
-		    const char *error)
+static void on_retry(pr_timer_t *timer, pr_usec_t now)
 {
-	pr_exchange_t *exchange = call->data;
+	pr_exchange_t *exchange = timer->data;
 
-	end_attempt(exchange);
+	exchange->retry_waiting = false;
 	exchange->holds++;
-	if (stage != PR_STAGE_DONE)
-		exchange->verdict = pr_verdict_join(
-			exchange->verdict,
-			pr_verdict_of_failure(stage,
-					      exchange->attempt.refused));
-	exchange->ops->done(exchange, stage, error);
+	exchange->ops->retry(exchange);
 	exchange->holds--;
 	pr_exchange_release(exchange);
 }
 
-static void on_released(pr_http_call_t *call)
+static void retry_at(pr_exchange_t *exchange, pr_usec_t at)
 {
-	pr_exchange_t *exchange = call->data;
-
-	end_attempt(exchange);
-	pr_exchange_release(exchange);
+	pr_router_t *router = exchange->router;
+	pr_usec_t now = pr_router_now(router);
+
+	pr_metric_add(router->counters.retries, 1);
+	exchange->retry_waiting = true;
+	exchange->retry_timer.data = exchange;
+	pr_timers_subscribe(&router->timers, &exchange->retry_timer,
+			    at > now ? at - now : 0, 0, on_retry);
 }
 
-static const pr_http_call_ops_t call_ops = {
-	.head = on_head,
-	.body = on_body,
-	.done = on_done,
-	.released = on_released,
-};
-
-static size_t fill_headers(pr_exchange_t *exchange, pr_http_header_t *headers)
+static void break_answer(pr_exchange_t *exchange,
+			 const pr_dispatch_decision_t *decision)
 {
-	size_t count = 0;
-
-	headers[count++] = (pr_http_header_t){ PR_SLICE("content-type"),
-					       PR_SLICE("application/json") };
-	headers[count++] =
-		(pr_http_header_t){ PR_SLICE("x-attempt-id"),
-				    pr_slice_of(exchange->attempt.id) };
-	headers[count++] =
-		(pr_http_header_t){ PR_SLICE("x-workspace"),
-				    pr_slice_of(exchange->workspace->name) };
-	if (exchange->idempotency_key.len)
-		headers[count++] =
-			(pr_http_header_t){ PR_SLICE("idempotency-key"),
-					    exchange->idempotency_key };
-	return count;
+	pr_str_t event = PR_STR_INIT;
+
+	if (!exchange->request || exchange->answer_ended)
+		return;
+	exchange->answer_ended = true;
+	pr_exchange_broken(exchange, "stream_broken");
+	if (!pr_stream_error_event(&event, "stream_broken",
+				   "the answer could not be completed",
+				   decision->verdict))
+		pr_http_stream_write(exchange->request, pr_str_slice(&event));
+	pr_str_finish(&event);
+	pr_http_stream_end(exchange->request, false);
 }
 
-int pr_attempt_start(pr_exchange_t *exchange, pr_slice_t what,
-		     const char *method, pr_slice_t path, pr_slice_t body)
+void pr_exchange_act(pr_exchange_t *exchange,
+		     const pr_dispatch_decision_t *decision)
 {
-	pr_attempt_t *attempt = &exchange->attempt;
-	pr_http_header_t headers[HEADERS_MAX];
-	size_t count;
-	int rc;
-
-	attempt->link = choose(exchange, what);
-	if (!attempt->link || exchange->tried_count >= PR_TRIED_MAX)
-		return pr_error_set(PR_EUNAVAILABLE, "no usable upstream");
-	exchange->tried[exchange->tried_count++] = attempt->link->name;
-	snprintf(attempt->id, sizeof(attempt->id), "%.96s.%u", exchange->id,
-		 ++exchange->attempts);
-	attempt->refused = false;
-	attempt->id_matches = false;
-	attempt->status = 0;
-	pr_str_clear(&attempt->body);
-	count = fill_headers(exchange, headers);
-	attempt->call.ops = &call_ops;
-	attempt->call.data = exchange;
-	attempt->active = true;
-	attempt->link->in_flight++;
-	pr_metric_add(exchange->router->counters.attempts, 1);
-	rc = pr_http_call_start(&attempt->call, exchange->router->client,
-				attempt->link->target, method, path, headers,
-				count, body);
-	if (rc)
-		end_attempt(exchange);
-	return rc;
+	exchange->verdict =
+		pr_verdict_join(exchange->verdict, decision->verdict);
+	switch (decision->action) {
+	case PR_DISPATCH_TRY:
+		exchange->chat.resume = false;
+		retry_at(exchange, decision->at);
+		break;
+	case PR_DISPATCH_RESUME:
+		exchange->chat.resume = true;
+		retry_at(exchange, decision->at);
+		break;
+	case PR_DISPATCH_REFUSE:
+		pr_exchange_refuse(exchange, decision->status, decision->code,
+				   exchange->verdict,
+				   "no upstream could complete the request");
+		break;
+	case PR_DISPATCH_BREAK:
+		break_answer(exchange, decision);
+		break;
+	default:
+		break;
+	}
 }
 
-void pr_attempt_cancel(pr_exchange_t *exchange)
+void pr_exchange_attempt_failed(pr_exchange_t *exchange, bool refused)
 {
-	if (!exchange->attempt.active)
-		return;
-	if (pr_http_call_cancel(&exchange->attempt.call))
-		end_attempt(exchange);
+	pr_router_t *router = exchange->router;
+	pr_usec_t now = pr_router_now(router);
+	pr_dispatch_decision_t decision;
+	int number = exchange->call.number;
+
+	pr_balance_failed(&router->balance, &exchange->call.choice,
+			  exchange->dispatch.attempts[number].stage, now);
+	pr_dispatch_failed(&exchange->dispatch, &decision, number, refused,
+			   &router->rand, now);
+	pr_exchange_act(exchange, &decision);
 }
--- a/src/router/caller.c
+++ b/src/router/caller.c
@@ -1,36 +1,8 @@
 /* Callers' requests: authentication and paths. */
 #include <stdlib.h>
 
-#include "pistachiorack/hash.h"
 #include "router/exchange.h"
 
-/*
- * All keys are compared, each in constant time, so that the time taken tells
- * nothing about which key came close.
- */
-static const pr_workspace_t *authenticate(const pr_fleet_t *fleet,
-					  const pr_http_request_t *request)
-{
-	pr_slice_t header = pr_http_request_header(request, "authorization");
-	pr_slice_t prefix = PR_SLICE("Bearer ");
-	const pr_workspace_t *found = NULL;
-	char digest[PR_SHA256_HEX_SIZE];
-
-	if (!header.ptr || !pr_slice_starts_with(header, prefix))
-		return NULL;
-	pr_sha256_hex(digest, pr_slice(header.ptr + prefix.len,
-				       header.len - prefix.len));
-	for (unsigned int i = 0; i < fleet->workspaces_count; i++) {
-		const pr_workspace_t *workspace = &fleet->workspaces[i];
-
-		for (unsigned int k = 0; k < workspace->keys_count; k++)
-			if (pr_equal_constant_time(digest, workspace->keys[k],
-						   PR_SHA256_HEX_SIZE - 1))
-				found = workspace;
-	}
-	return found;
-}
-
 static void list_models(pr_exchange_t *exchange)
 {
 	const pr_fleet_t *fleet = exchange->fleet->fleet;
@@ -88,7 +60,7 @@
 			  "this host has no configuration yet");
 		return;
 	}
-	workspace = authenticate(router->fleet->fleet, request);
+	workspace = pr_admission_workspace(router, request);
 	if (!workspace) {
 		pr_refuse(request, 401, "bad_key", PR_VERDICT_NOT_RUN,
 			  "the key is not known");
@@ -98,5 +70,7 @@
 	if (!exchange)
 		return;
 	exchange->workspace = workspace;
+	snprintf(exchange->workspace_name, sizeof(exchange->workspace_name),
+		 "%s", workspace->name);
 	route(exchange);
 }
--- a/src/router/chat.c
+++ b/src/router/chat.c
@@ -1,187 +1,202 @@
-/* Model requests: choice of the version, attempts, answer. */
+/* Model requests: the request's fields and the steps of its plan. */
 #include <stdlib.h>
 
 #include "pistachiorack/error.h"
-#include "router/exchange.h"
+#include "pistachiorack/hash.h"
+#include "router/chat.h"
 
-/* A request that the upstream provably did not run, or that is idempotent,
- * goes to at most this many upstreams. */
-#define ATTEMPTS_MAX 3
+/* Rough number of prompt bytes in a token, for expected prices. */
+#define BYTES_PER_TOKEN    4
+#define TOKENS_OUT_DEFAULT 256
+#define PREFIX_BLOCK_BYTES 64
+#define DEFAULT_CLASS      "chat"
 
-static void start_attempt(pr_exchange_t *exchange);
-
-static const pr_version_t *choose_version(const pr_model_t *model)
+static void copy_header(char *out, size_t size, const pr_exchange_t *exchange,
+			const char *name, const char *fallback)
 {
-	for (unsigned int i = 0; i < model->versions_count; i++)
-		if (model->versions[i].state == PR_VERSION_PROVEN)
-			return &model->versions[i];
-	return NULL;
-}
+	pr_slice_t value = pr_http_request_header(exchange->request, name);
 
-static void add_answer_headers(pr_exchange_t *exchange)
-{
-	pr_http_answer_header(exchange->request, "x-request-id",
-			      pr_slice_of(exchange->id));
-	pr_http_answer_header(exchange->request, "x-model-version",
-			      pr_slice_of(exchange->model_version));
+	if (!value.len || pr_slice_copy(out, size, value))
+		snprintf(out, size, "%s", fallback);
 }
 
-static void on_head(pr_exchange_t *exchange)
+/* Hashes of the leading prompt blocks, each over all blocks before it. */
+static void hash_prefix(pr_balance_query_t *query, const json_t *messages)
 {
-	if (exchange->attempt.status != 200 || !exchange->stream ||
-	    !exchange->attempt.id_matches || !exchange->request)
-		return;
-	pr_histogram_record(
-		exchange->router->counters.first_token_us,
-		(double)(pr_router_now(exchange->router) - exchange->arrived));
-	add_answer_headers(exchange);
-	exchange->answer_started = true;
-	pr_http_stream_start(exchange->request, 200, "text/event-stream");
+	char *text = json_dumps(messages, JSON_COMPACT);
+	size_t len = text ? strlen(text) : 0;
+	uint64_t hash = 0;
+
+	query->blocks_count = 0;
+	for (size_t at = 0; at + PREFIX_BLOCK_BYTES <= len &&
+			    query->blocks_count < PR_BALANCE_BLOCKS_MAX;
+	     at += PREFIX_BLOCK_BYTES) {
+		hash = pr_hash64(text + at, PREFIX_BLOCK_BYTES, hash);
+		query->blocks[query->blocks_count++] = hash;
+	}
+	free(text);
 }
 
-static void on_body(pr_exchange_t *exchange, pr_slice_t bytes)
+static void read_fields(pr_exchange_t *exchange)
 {
-	const pr_limit_settings_t *limits = &exchange->router->settings->limits;
-
-	if (exchange->answer_started && exchange->request) {
-		pr_http_stream_write(exchange->request, bytes);
-		if (pr_http_stream_pending(exchange->request) >
-		    limits->buffer_bytes)
-			pr_http_call_pause(&exchange->attempt.call, true);
-		return;
-	}
-	if (exchange->attempt.body.len + bytes.len <= limits->answer_bytes)
-		pr_str_append(&exchange->attempt.body, bytes.ptr, bytes.len);
+	pr_chat_t *chat = &exchange->chat;
+	json_int_t limit =
+		json_integer_value(json_object_get(chat->body, "max_tokens"));
+	char priority[PR_CLASS_BYTES];
+
+	pr_slice_copy(chat->model, sizeof(chat->model),
+		      pr_slice_of(json_string_value(
+			      json_object_get(chat->body, "model"))));
+	copy_header(chat->request_class, sizeof(chat->request_class), exchange,
+		    "x-request-class", DEFAULT_CLASS);
+	copy_header(priority, sizeof(priority), exchange, "x-priority",
+		    "interactive");
+	chat->interactive = strcmp(priority, "batch") != 0;
+	exchange->priority =
+		chat->interactive ? PR_ADMIT_INTERACTIVE : PR_ADMIT_BATCH;
+	chat->stream = json_is_true(json_object_get(chat->body, "stream"));
+	chat->tokens_in =
+		(uint32_t)(exchange->request->body.len / BYTES_PER_TOKEN);
+	chat->tokens_out = limit > 0 && limit < UINT32_MAX ? (uint32_t)limit
+							   : TOKENS_OUT_DEFAULT;
+	exchange->tokens_expected = chat->tokens_in + chat->tokens_out;
+	hash_prefix(&exchange->query, json_object_get(chat->body, "messages"));
 }
 
-static void retry_or_refuse(pr_exchange_t *exchange, const char *code,
-			    const char *message)
+const pr_step_t *pr_chat_step(const pr_exchange_t *exchange)
 {
-	if (exchange->attempts < ATTEMPTS_MAX) {
-		pr_metric_add(exchange->router->counters.retries, 1);
-		start_attempt(exchange);
-		return;
-	}
-	pr_exchange_refuse(exchange, 502, code, exchange->verdict, message);
+	return &exchange->chat.plan.steps[exchange->chat.step];
 }
 
-static void end_stream(pr_exchange_t *exchange, pr_attempt_stage_t stage)
+/* The body for the upstream names the exact version; a resume also says from
+ * which token on. */
+static int build_body(pr_exchange_t *exchange)
 {
-	bool complete = stage == PR_STAGE_DONE;
+	pr_chat_t *chat = &exchange->chat;
+	char *text;
+	int rc = PR_ENOMEM;
 
-	if (!complete)
-		pr_exchange_broken(exchange, "upstream_broke_stream");
-	exchange->answer_ended = true;
-	if (exchange->request)
-		pr_http_stream_end(exchange->request, complete);
+	pr_str_clear(&exchange->upstream_body);
+	json_object_set_new(chat->body, "model", json_string(exchange->what));
+	if (chat->resume)
+		json_object_set_new(
+			chat->body, "from",
+			json_integer((json_int_t)chat->events.tokens));
+	text = json_dumps(chat->body, JSON_COMPACT);
+	if (text)
+		rc = pr_str_append(&exchange->upstream_body, text,
+				   strlen(text));
+	free(text);
+	snprintf(exchange->upstream_path, sizeof(exchange->upstream_path), "%s",
+		 chat->resume ? "/v1/resume" : "/v1/chat/completions");
+	return rc;
 }
 
-static void on_done(pr_exchange_t *exchange, pr_attempt_stage_t stage,
-		    const char *error)
+/* The configuration may have changed since the plan was made. */
+static bool still_permitted(pr_exchange_t *exchange)
 {
-	if (!exchange->request)
-		return;
-	if (exchange->answer_started) {
-		end_stream(exchange, stage);
-		return;
+	pr_dispatch_decision_t decision = {
+		.action = exchange->answer_started ? PR_DISPATCH_BREAK
+						   : PR_DISPATCH_REFUSE,
+		.status = 503,
+		.code = "version_withdrawn",
+		.verdict = exchange->verdict,
+	};
+
+	if (pr_versions_permitted(exchange))
+		return true;
+	if (!exchange->answer_started && !pr_versions_plan(exchange)) {
+		exchange->chat.step = 0;
+		snprintf(exchange->what, sizeof(exchange->what), "%s@%s",
+			 pr_chat_step(exchange)->model->name,
+			 pr_chat_step(exchange)->version->name);
+		if (pr_versions_permitted(exchange))
+			return true;
 	}
-	if (stage != PR_STAGE_DONE) {
-		retry_or_refuse(exchange, "upstream_failed",
-				"the upstream broke the connection");
+	pr_exchange_act(exchange, &decision);
+	return false;
+}
+
+void pr_chat_attempt(pr_exchange_t *exchange)
+{
+	if (!exchange->request || !still_permitted(exchange))
 		return;
-	}
-	if (exchange->attempt.status != 200 || !exchange->attempt.id_matches) {
-		if (!exchange->attempt.refused)
-			exchange->verdict = pr_verdict_join(
-				exchange->verdict, PR_VERDICT_MAY_HAVE_RUN);
-		retry_or_refuse(exchange, "upstream_error",
-				"the upstream answered with an error");
+	if (build_body(exchange)) {
+		pr_exchange_refuse(exchange, 503, "host_busy",
+				   exchange->verdict, "out of memory");
 		return;
 	}
-	add_answer_headers(exchange);
-	exchange->answer_started = true;
-	exchange->answer_ended = true;
-	pr_http_answer(exchange->request, 200, "application/json",
-		       pr_str_slice(&exchange->attempt.body));
+	pr_exchange_try(exchange);
 }
 
-static const pr_exchange_ops_t chat_ops = { on_head, on_body, on_done };
-
-static void start_attempt(pr_exchange_t *exchange)
+void pr_chat_start_step(pr_exchange_t *exchange, unsigned int step)
 {
-	int rc =
-		pr_attempt_start(exchange, pr_slice_of(exchange->model_version),
-				 "POST", PR_SLICE("/v1/chat/completions"),
-				 pr_str_slice(&exchange->upstream_body));
-
-	if (rc)
-		pr_exchange_refuse(exchange, 503, "no_capacity",
-				   exchange->verdict,
-				   "no upstream can take the request");
+	pr_router_t *router = exchange->router;
+	pr_dispatch_options_t options = PR_DISPATCH_OPTIONS_INIT;
+
+	exchange->chat.step = step;
+	exchange->chat.resume = false;
+	exchange->query.tried_count = 0;
+	snprintf(exchange->what, sizeof(exchange->what), "%s@%s",
+		 pr_chat_step(exchange)->model->name,
+		 pr_chat_step(exchange)->version->name);
+	options.idempotent = true;
+	options.stream = exchange->chat.stream;
+	options.deadline =
+		exchange->arrived +
+		(pr_usec_t)router->settings->limits.answer_timeout_ms *
+			PR_USEC_PER_MSEC;
+	pr_dispatch_init(&exchange->dispatch, &options,
+			 pr_admission_budget(exchange));
+	pr_chat_attempt(exchange);
 }
 
-static int rewrite_body(pr_exchange_t *exchange, json_t *root)
+static bool is_chat_body(const json_t *body)
 {
-	char *text;
-	int rc = PR_ENOMEM;
-
-	if (json_object_set_new(root, "model",
-				json_string(exchange->model_version)))
-		return rc;
-	text = json_dumps(root, JSON_COMPACT);
-	if (text)
-		rc = pr_str_append(&exchange->upstream_body, text,
-				   strlen(text));
-	free(text);
-	return rc;
+	return json_is_object(body) &&
+	       json_is_string(json_object_get(body, "model")) &&
+	       json_is_array(json_object_get(body, "messages"));
 }
 
-/* Fills model, version and body. @return 0 or an error that was answered */
-static int select_version(pr_exchange_t *exchange, json_t *root)
+static void refuse_plan(pr_exchange_t *exchange)
 {
-	const pr_fleet_t *fleet = exchange->fleet->fleet;
-	const char *name = json_string_value(json_object_get(root, "model"));
+	const pr_plan_t *plan = &exchange->chat.plan;
 
-	if (!name || !json_is_array(json_object_get(root, "messages"))) {
-		pr_exchange_refuse(exchange, 400, "bad_request",
-				   PR_VERDICT_NOT_RUN,
-				   "the body needs model and messages");
-		return PR_EINVALID;
-	}
-	if (!pr_fleet_model_allowed(fleet,
-				    pr_slice_of(exchange->workspace->name),
-				    pr_slice_of(name))) {
+	if (plan->refused == PR_FORBIDDEN_MODEL ||
+	    plan->refused == PR_FORBIDDEN_UNKNOWN ||
+	    plan->refused == PR_FORBIDDEN_WORKSPACE)
 		pr_exchange_refuse(exchange, 403, "model_not_allowed",
 				   PR_VERDICT_NOT_RUN,
 				   "the workspace may not use this model");
-		return PR_EDENIED;
-	}
-	exchange->model = pr_fleet_model(fleet, pr_slice_of(name));
-	exchange->version = choose_version(exchange->model);
-	if (!exchange->version) {
+	else
 		pr_exchange_refuse(exchange, 503, "no_version",
 				   PR_VERDICT_NOT_RUN,
 				   "no version of the model is in service");
-		return PR_EUNAVAILABLE;
-	}
-	snprintf(exchange->model_version, sizeof(exchange->model_version),
-		 "%s@%s", exchange->model->name, exchange->version->name);
-	exchange->stream = json_is_true(json_object_get(root, "stream"));
-	return rewrite_body(exchange, root);
 }
 
 void pr_chat_begin(pr_exchange_t *exchange)
 {
+	pr_chat_t *chat = &exchange->chat;
 	pr_slice_t body = exchange->request->body;
-	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
 
-	exchange->ops = &chat_ops;
-	exchange->repeatable = true;
-	if (!json_is_object(root))
-		pr_exchange_refuse(exchange, 400, "bad_json",
+	exchange->ops = &pr_chat_ops;
+	chat->body = json_loadb(body.ptr, body.len, 0, NULL);
+	if (!is_chat_body(chat->body)) {
+		pr_exchange_refuse(exchange, 400,
+				   chat->body ? "bad_request" : "bad_json",
 				   PR_VERDICT_NOT_RUN,
-				   "the body is not a JSON object");
-	else if (!select_version(exchange, root))
-		start_attempt(exchange);
-	json_decref(root);
+				   "the body must be a JSON object with model "
+				   "and messages");
+		return;
+	}
+	read_fields(exchange);
+	if (pr_versions_plan(exchange)) {
+		refuse_plan(exchange);
+		return;
+	}
+	if (pr_admission_begin(exchange))
+		return;
+	pr_stream_init(&chat->events);
+	chat->events_open = true;
+	pr_chat_start_step(exchange, 0);
 }
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -49,19 +49,19 @@
 {
 	pr_router_t *router = exchange->router;
 	const pr_defaults_t *defaults = &exchange->fleet->fleet->defaults;
-	pr_upstream_link_t *link = exchange->attempt.link;
+	pr_upstream_link_t *link = exchange->call.link;
 	pr_usec_t now = pr_router_now(router);
-	const char *workspace = exchange->workspace->name;
+	const char *workspace = exchange->workspace_name;
 	char cause[PR_BURN_CAUSE_NAME];
 
 	if (exchange->failure[0] && !exchange->counts_against_budget)
 		return;
 	snprintf(cause, sizeof(cause), "upstream=%.32s,version=%.32s,limit=%s",
-		 link ? link->name : "-", exchange->model_version,
+		 link ? link->name : "-", exchange->what,
 		 exchange->failure[0] ? exchange->failure : "-");
 	pr_burn_record(&router->burn, now, workspace, PR_OBJECTIVE_AVAILABLE,
 		       exchange->failure[0] ? cause : NULL);
-	if (!exchange->stream || !exchange->first_byte)
+	if (!exchange->chat.stream || !exchange->first_byte)
 		return;
 	pr_burn_record(&router->burn, now, workspace, PR_OBJECTIVE_FIRST_TOKEN,
 		       exchange->first_byte - exchange->arrived >
@@ -76,8 +76,9 @@
 	pr_exchange_t *exchange = request->user;
 
 	exchange->request = NULL;
-	if (!complete)
-		pr_attempt_cancel(exchange);
+	/* A change goes on without its caller: its outcome must be known. */
+	if (!complete && !exchange->operation)
+		pr_upstream_call_cancel(exchange);
 	pr_exchange_release(exchange);
 }
 
@@ -85,18 +86,18 @@
 {
 	pr_exchange_t *exchange = request->user;
 
-	if (exchange->attempt.active)
-		pr_http_call_pause(&exchange->attempt.call, false);
+	if (exchange->call.active)
+		pr_http_call_pause(&exchange->call.http, false);
 }
 
 static void on_deadline(pr_timer_t *timer, pr_usec_t now)
 {
 	pr_exchange_t *exchange = timer->data;
-	bool sent = exchange->attempt.active &&
-		    exchange->attempt.call.stage > PR_STAGE_CONNECTING;
+	bool sent = exchange->call.active &&
+		    exchange->call.http.stage > PR_STAGE_CONNECTING;
 
 	exchange->holds++;
-	pr_attempt_cancel(exchange);
+	pr_upstream_call_cancel(exchange);
 	if (sent)
 		exchange->verdict = pr_verdict_join(exchange->verdict,
 						    PR_VERDICT_MAY_HAVE_RUN);
@@ -158,8 +159,10 @@
 {
 	pr_router_t *router = exchange->router;
 
-	if (exchange->request || exchange->attempt.active || exchange->holds)
+	if (exchange->request || exchange->call.active || exchange->holds)
 		return;
+	pr_timers_unsubscribe(&router->timers, &exchange->retry_timer);
+	pr_admission_end(exchange);
 	record_objectives(exchange);
 	pr_histogram_record(
 		router->counters.total_us,
@@ -174,7 +177,10 @@
 	router->exchange_count--;
 	pr_fleet_ref_put(exchange->fleet);
 	pr_str_finish(&exchange->upstream_body);
-	pr_str_finish(&exchange->attempt.body);
+	pr_str_finish(&exchange->call.body);
+	if (exchange->chat.events_open)
+		pr_stream_finish(&exchange->chat.events);
+	json_decref(exchange->chat.body);
 	free(exchange);
 }
 
@@ -187,7 +193,7 @@
 {
 	exchange->holds++;
 	pr_metric_add(exchange->router->counters.caller_gone, 1);
-	pr_attempt_cancel(exchange);
+	pr_upstream_call_cancel(exchange);
 	if (exchange->answer_started && !exchange->answer_ended)
 		pr_http_stream_end(exchange->request, false);
 	else
@@ -205,7 +211,7 @@
 	while (exchange) {
 		pr_exchange_t *next = exchange->next;
 
-		if (exchange->request && exchange->attempt.active &&
+		if (exchange->request && exchange->call.active &&
 		    !exchange->service &&
 		    pr_http_request_caller_gone(exchange->request))
 			cancel_exchange(exchange);
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -9,36 +9,73 @@
 
 #include <jansson.h>
 
+#include "pistachiorack/dispatch.h"
 #include "pistachiorack/verdict.h"
 #include "router/router.h"
 
-#define PR_TRIED_MAX 8
+#define PR_CLASS_BYTES 64
 
-/** One attempt on one upstream; an exchange has one at a time. */
-typedef struct pr_attempt_t {
-	pr_http_call_t call;
+typedef struct pr_exchange_t pr_exchange_t;
+
+/** One call to one upstream; an exchange has one at a time. */
+typedef struct pr_upstream_call_t {
+	pr_http_call_t http;
 	bool active;
+	pr_balance_choice_t choice;
 	pr_upstream_link_t *link;
+	/** Number of the attempt in the dispatch state machine. */
+	int number;
 	char id[PR_ID_BYTES];
 	int status;
 	/** The upstream stated that it did not start. */
 	bool refused;
-	bool id_matches;
+	/** Attempt id that the upstream echoed. */
+	char echoed[PR_ID_BYTES];
+	/** As stated; -1 when it was not. */
+	int64_t content_length;
 	pr_str_t body;
-} pr_attempt_t;
+} pr_upstream_call_t;
 
-typedef struct pr_exchange_t pr_exchange_t;
-
-/** What a kind of request does with its attempt's events. */
+/** What an exchange does with the events of its call. */
 typedef struct pr_exchange_ops_t {
 	/** The upstream's answer begins. */
 	void (*head)(pr_exchange_t *exchange);
 	void (*body)(pr_exchange_t *exchange, pr_slice_t bytes);
-	/** The attempt ended. */
-	void (*done)(pr_exchange_t *exchange, pr_attempt_stage_t stage,
-		     const char *error);
+	/** The call ended; stage DONE means whole by the framing of HTTP. */
+	void (*done)(pr_exchange_t *exchange, pr_attempt_stage_t stage);
+	/** The next attempt is due. */
+	void (*retry)(pr_exchange_t *exchange);
 } pr_exchange_ops_t;
 
+/** A model request. */
+typedef struct pr_chat_t {
+	json_t *body;
+	/** As the caller named it. */
+	char model[65];
+	char request_class[PR_CLASS_BYTES];
+	bool stream;
+	bool interactive;
+	uint32_t tokens_in, tokens_out;
+	pr_plan_t plan;
+	unsigned int step;
+	/** Next attempt continues a stream from the tokens already shown. */
+	bool resume;
+	pr_stream_t events;
+	bool events_open;
+	/** Session of the caller; "" when it named none. */
+	pr_session_t session;
+	pr_session_action_t session_action;
+	char moved_from[2 * PR_SESSION_NAME_MAX + 2];
+	double confidence;
+} pr_chat_t;
+
+/** Work done for the caller so far, over all steps; see bill.h. */
+typedef struct pr_charge_t {
+	uint64_t tokens_in, tokens_out;
+	/** Millionths of a currency unit. */
+	uint64_t price;
+} pr_charge_t;
+
 struct pr_exchange_t {
 	pr_exchange_t *prev, *next;
 	pr_router_t *router;
@@ -47,6 +84,8 @@
 	const pr_exchange_ops_t *ops;
 	pr_fleet_ref_t *fleet;
 	const pr_workspace_t *workspace;
+	/** Outlives a change of the configuration. */
+	char workspace_name[65];
 	char id[PR_ID_BYTES];
 	pr_usec_t arrived;
 	/** 0 until the first byte of the answer went out. */
@@ -55,28 +94,33 @@
 	char failure[32];
 	bool counts_against_budget;
 	pr_timer_t deadline;
-	pr_attempt_t attempt;
-	unsigned int attempts;
-	const char *tried[PR_TRIED_MAX];
-	unsigned int tried_count;
-	/** Joined over the attempts so far. */
+	pr_timer_t retry_timer;
+	pr_dispatch_t dispatch;
+	pr_upstream_call_t call;
+	/** Number of calls made, for attempt ids. */
+	unsigned int calls;
+	pr_balance_query_t query;
+	/** Joined over the attempts of all steps. */
 	pr_verdict_t verdict;
 	/** Callbacks that still use the exchange. */
 	unsigned int holds;
-	bool repeatable;
 	bool answer_started;
 	bool answer_ended;
-	/* Model requests. */
-	bool stream;
-	const pr_model_t *model;
-	const pr_version_t *version;
-	char model_version[160];
+	bool admitted;
+	/** The next attempt waits for its time. */
+	bool retry_waiting;
+	pr_admit_priority_t priority;
+	uint32_t tokens_expected;
+	pr_charge_t charge;
+	/** "model@version" of the step, or the service. */
+	char what[160];
 	pr_str_t upstream_body;
+	char upstream_path[256];
+	pr_chat_t chat;
 	/* Plain services. */
 	const pr_service_t *service;
 	const pr_operation_t *operation;
 	pr_slice_t idempotency_key;
-	char upstream_path[256];
 };
 
 /** @return NULL when the host is at its limit; an error was answered */
@@ -98,15 +142,54 @@
 	       pr_verdict_t verdict, const char *message);
 
 /**
- * Start an attempt on an upstream that serves `what`.
+ * Take the next attempt: choose an upstream for exchange->what and call it.
+ * When there is none, the dispatch state machine decides what follows.
+ */
+void pr_exchange_try(pr_exchange_t *exchange);
+/** Carry out a decision of the dispatch state machine. */
+void pr_exchange_act(pr_exchange_t *exchange,
+		     const pr_dispatch_decision_t *decision);
+/** The attempt failed; `refused`: the upstream stated that it did not start. */
+void pr_exchange_attempt_failed(pr_exchange_t *exchange, bool refused);
+/** Break the call that is under way, if any. */
+void pr_upstream_call_cancel(pr_exchange_t *exchange);
+/**
+ * Call the chosen upstream.
  *
- * @param what "model@version" or a service name
- * @return 0, PR_EUNAVAILABLE (no usable upstream is left) or PR_ENOMEM
+ * @return 0, PR_EUNAVAILABLE (no connections to it) or PR_ENOMEM
+ */
+int pr_upstream_call_start(pr_exchange_t *exchange);
+
+/** @return true when the upstream's error states that it did not start */
+bool pr_call_states_not_run(const pr_upstream_call_t *call);
+
+/** Find the workspace of the request's key. @return NULL for a wrong key */
+const pr_workspace_t *pr_admission_workspace(pr_router_t *router,
+					     const pr_http_request_t *request);
+/** Apply the limits. @return 0, or an error that was answered */
+int pr_admission_begin(pr_exchange_t *exchange);
+void pr_admission_end(pr_exchange_t *exchange);
+/** @return retry budget of the exchange's workspace */
+pr_retry_budget_t *pr_admission_budget(pr_exchange_t *exchange);
+
+/** Fill chat.plan and the session fields. @return 0 or PR_EDENIED */
+int pr_versions_plan(pr_exchange_t *exchange);
+/** @return true when the current step may run now */
+bool pr_versions_permitted(pr_exchange_t *exchange);
+/** Add the session's headers to the answer. */
+void pr_versions_answer_headers(pr_exchange_t *exchange);
+/** The step's answer is known: feed evidence and ask for ratings. */
+void pr_versions_answered(pr_exchange_t *exchange, bool final);
+void pr_versions_failed(pr_exchange_t *exchange);
+
+/** Count the tokens of a step of the answer. */
+void pr_exchange_charge(pr_exchange_t *exchange, uint64_t tokens_in,
+			uint64_t tokens_out);
+/**
+ * Make the bill safe, then call `then` once. Called before the last byte.
  */
-int pr_attempt_start(pr_exchange_t *exchange, pr_slice_t what,
-		     const char *method, pr_slice_t path, pr_slice_t body);
-/** Break the attempt that is under way, if any. */
-void pr_attempt_cancel(pr_exchange_t *exchange);
+void pr_billing_finish(pr_exchange_t *exchange,
+		       void (*then)(pr_exchange_t *exchange));
 
 /** Note why a started answer could not be completed. */
 void pr_exchange_broken(pr_exchange_t *exchange, const char *code);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -5,10 +5,16 @@
  *   router.c      construction, time, graceful shutdown
  *   caller.c      callers' requests: path, key, limits
  *   exchange.c    life of one request from arrival to the end of its answer
- *   chat.c        model requests
+ *   admission.c   keys, limits, retry budgets
+ *   chat.c        model requests: parsing and the steps of the plan
+ *   chat_answer.c streamed and whole answers of models
  *   service.c     plain services
- *   attempt.c     one attempt on one upstream
+ *   attempt.c     choice, attempts, retries
+ *   call.c        one call to one upstream
  *   upstreams.c   upstream addresses and their connections
+ *   balance_task.c  load and state of upstreams
+ *   versions_task.c plan, sessions, roll-outs, ratings
+ *   billing.c     bills
  *   task.h, tasks.c  duties with their own state, and the events between them
  *   config_task.c the fleet configuration
  *   admin.c       metrics, health, operators' requests
@@ -16,13 +22,20 @@
 #ifndef PR_ROUTER_ROUTER_H
 #define PR_ROUTER_ROUTER_H
 
+#include <uthash.h>
+
+#include "pistachiorack/admit.h"
+#include "pistachiorack/balance.h"
 #include "pistachiorack/config.h"
 #include "pistachiorack/http.h"
 #include "pistachiorack/metrics.h"
 #include "pistachiorack/peer.h"
 #include "pistachiorack/platform.h"
+#include "pistachiorack/policy.h"
 #include "pistachiorack/rand.h"
 #include "pistachiorack/report.h"
+#include "pistachiorack/rollout.h"
+#include "pistachiorack/session.h"
 #include "pistachiorack/settings.h"
 #include "pistachiorack/timer.h"
 #include "router/task.h"
@@ -38,12 +51,11 @@
 
 /** Connections and counters of one upstream. */
 typedef struct pr_upstream_link_t {
-	struct pr_upstream_link_t *next;
+	UT_hash_handle hh;
 	char *name;
 	char *address;
 	uint16_t port;
 	pr_http_target_t *target;
-	unsigned int in_flight;
 } pr_upstream_link_t;
 
 typedef struct pr_router_counters_t {
@@ -68,7 +80,21 @@
 	pr_platform_t *platform;
 	pr_peers_t *peers;
 	pr_fleet_ref_t *fleet;
+	/** By name. */
 	pr_upstream_link_t *upstreams;
+	/** Links whose upstream moved; their calls may still run. */
+	pr_upstream_link_t *retired;
+	pr_balance_t balance;
+	pr_admit_t admit;
+	struct pr_budget_entry_t *budgets;
+	pr_policy_t policy;
+	pr_rollout_t rollout;
+	pr_session_ring_t session_ring;
+	pr_session_memory_t sessions;
+	/** Hosts that this host believes alive, itself included. */
+	unsigned int live_hosts;
+	/** The configuration in force is known to be current. */
+	bool confirmed;
 	struct pr_exchange_t *exchanges;
 	unsigned int exchange_count;
 	/** Random per start, so that request ids never repeat. */
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -5,8 +5,8 @@
 
 /* In the order of their start; they finish in reverse. */
 static const pr_task_ops_t *const tasks[] = {
-	&pr_upstreams_task,
-	&pr_config_task,
+	&pr_upstreams_task, &pr_admission_task, &pr_balance_task,
+	&pr_versions_task,  &pr_config_task,
 };
 
 #define TASK_COUNT (sizeof(tasks) / sizeof(tasks[0]))
--- a/src/router/upstreams.c
+++ b/src/router/upstreams.c
@@ -10,10 +10,9 @@
 
 pr_upstream_link_t *pr_upstreams_find(pr_router_t *router, const char *name)
 {
-	pr_upstream_link_t *link = router->upstreams;
+	pr_upstream_link_t *link;
 
-	while (link && strcmp(link->name, name) != 0)
-		link = link->next;
+	HASH_FIND_STR(router->upstreams, name, link);
 	return link;
 }
 
@@ -34,16 +33,21 @@
 	link->name = strdup(upstream->name);
 	link->address = strdup(upstream->address);
 	link->port = upstream->port;
-	link->next = router->upstreams;
-	router->upstreams = link;
+	HASH_ADD_KEYPTR(hh, router->upstreams, link->name, strlen(link->name),
+			link);
 	return 0;
 }
 
 /*
- * A link whose upstream moved to another address stays until the process ends,
- * since calls may still use its pool; its name is cleared so that it is not
- * found any more.
+ * A link whose upstream moved to another address is kept until the process
+ * ends, since calls may still use its pool.
  */
+static void retire_link(pr_router_t *router, pr_upstream_link_t *link)
+{
+	HASH_DEL(router->upstreams, link);
+	HASH_ADD_PTR(router->retired, target, link);
+}
+
 static void update_links(pr_router_t *router)
 {
 	const pr_fleet_t *fleet = router->fleet->fleet;
@@ -55,7 +59,7 @@
 
 		if (link && (strcmp(link->address, upstream->address) != 0 ||
 			     link->port != upstream->port)) {
-			link->name[0] = '\0';
+			retire_link(router, link);
 			link = NULL;
 		}
 		if (!link && add_link(router, upstream))
@@ -64,12 +68,13 @@
 	}
 }
 
-static void finish_links(pr_router_t *router)
+static void free_links(pr_upstream_link_t **links)
 {
-	while (router->upstreams) {
-		pr_upstream_link_t *link = router->upstreams;
+	pr_upstream_link_t *link, *next;
 
-		router->upstreams = link->next;
+	HASH_ITER(hh, *links, link, next)
+	{
+		HASH_DEL(*links, link);
 		pr_http_target_close(link->target);
 		free(link->name);
 		free(link->address);
@@ -77,6 +82,12 @@
 	}
 }
 
+static void finish_links(pr_router_t *router)
+{
+	free_links(&router->upstreams);
+	free_links(&router->retired);
+}
+
 const pr_task_ops_t pr_upstreams_task = {
 	.name = "upstreams",
 	.fleet_changed = update_links,
--- /dev/null
+++ b/src/router/versions_task.c
@@ -0,0 +1,272 @@
+/* Plans, sessions, roll-outs and ratings of model requests. */
+#include <stdlib.h>
+#include <time.h>
+
+#include "pistachiorack/error.h"
+#include "pistachiorack/hash.h"
+#include "router/chat.h"
+
+#define SESSIONS_MAX   20000
+#define SESSION_TTL    (24 * 3600 * PR_USEC_PER_SEC)
+#define RATING_TIMEOUT (2 * PR_USEC_PER_SEC)
+
+static pr_usec_t wall_clock(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (pr_usec_t)ts.tv_sec * PR_USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+/* The session's name: header, else that of a valid token. */
+static pr_slice_t session_id(const pr_exchange_t *exchange,
+			     const pr_session_t *token)
+{
+	pr_slice_t id =
+		pr_http_request_header(exchange->request, "x-session-id");
+
+	if (id.len && id.len <= PR_SESSION_NAME_MAX)
+		return id;
+	return token ? pr_slice_of(token->session) : pr_slice("", 0);
+}
+
+static bool draw(void *data, const pr_model_t *model,
+		 const pr_version_t *version)
+{
+	pr_exchange_t *exchange = data;
+	pr_router_t *router = exchange->router;
+	pr_slice_t session = pr_slice_of(exchange->chat.session.session);
+
+	if (!session.len)
+		session = pr_slice_of(exchange->id);
+	return pr_rollout_draw(&router->rollout, exchange->fleet->fleet, model,
+			       version, pr_slice_of(exchange->workspace_name),
+			       session, router->live_hosts,
+			       pr_router_now(router));
+}
+
+/* Finds the session's version; what it ran on before is in chat->session. */
+static void find_session(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+	pr_chat_t *chat = &exchange->chat;
+	pr_slice_t workspace = pr_slice_of(exchange->workspace_name);
+	pr_slice_t header =
+		pr_http_request_header(exchange->request, "x-session-token");
+	pr_session_t token, memory;
+	bool has_token =
+		header.len && !pr_session_check(&router->session_ring, &token,
+						header, workspace);
+	pr_slice_t id = session_id(exchange, has_token ? &token : NULL);
+	bool has_memory =
+		id.len &&
+		!pr_session_memory_get(&router->sessions, &memory, workspace,
+				       id, pr_router_now(router));
+	pr_session_decision_t decision = pr_session_decide(
+		exchange->fleet->fleet, has_token ? &token : NULL,
+		has_memory ? &memory : NULL);
+
+	chat->session_action = decision.action;
+	if (decision.source)
+		chat->session = *decision.source;
+	else
+		memset(&chat->session, 0, sizeof(chat->session));
+	if (id.len)
+		pr_slice_copy(chat->session.session,
+			      sizeof(chat->session.session), id);
+	if (decision.action == PR_SESSION_MOVE)
+		snprintf(chat->moved_from, sizeof(chat->moved_from), "%s@%s",
+			 chat->session.model, chat->session.version);
+}
+
+static void fill_query(pr_query_t *query, pr_exchange_t *exchange)
+{
+	pr_chat_t *chat = &exchange->chat;
+	bool keep = chat->session_action == PR_SESSION_KEEP;
+
+	*query = (pr_query_t){
+		.fleet = exchange->fleet->fleet,
+		.workspace = pr_slice_of(exchange->workspace_name),
+		.request_class = pr_slice_of(chat->request_class),
+		.model = pr_slice_of(chat->model),
+		.session_model = pr_slice_of(keep ? chat->session.model : ""),
+		.session_version =
+			pr_slice_of(keep ? chat->session.version : ""),
+		.opens_session = chat->session.session[0] && !keep,
+		.stream = chat->stream,
+		.interactive = chat->interactive,
+		.confirmed = exchange->router->confirmed,
+		.tokens_in = chat->tokens_in,
+		.tokens_out = chat->tokens_out,
+		.draw = draw,
+		.draw_data = exchange,
+	};
+}
+
+int pr_versions_plan(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+	pr_query_t query;
+
+	if (exchange->fleet != router->fleet) {
+		pr_fleet_ref_put(exchange->fleet);
+		exchange->fleet = pr_fleet_ref_get(router->fleet);
+		exchange->workspace = pr_fleet_workspace(
+			exchange->fleet->fleet,
+			pr_slice_of(exchange->workspace_name));
+		if (!exchange->workspace)
+			return PR_EDENIED;
+	}
+	find_session(exchange);
+	fill_query(&query, exchange);
+	return pr_policy_plan(&router->policy, &exchange->chat.plan, &query,
+			      &router->rand, pr_router_now(router));
+}
+
+bool pr_versions_permitted(pr_exchange_t *exchange)
+{
+	const pr_router_t *router = exchange->router;
+	const pr_step_t *step = pr_chat_step(exchange);
+
+	return pr_policy_permitted(router->fleet->fleet,
+				   pr_slice_of(exchange->workspace_name),
+				   pr_slice_of(step->model->name),
+				   pr_slice_of(step->version->name),
+				   step->basis,
+				   router->confirmed) == PR_PERMITTED;
+}
+
+/* Signs and remembers the version that a named session runs on. */
+static void answer_session(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+	pr_chat_t *chat = &exchange->chat;
+	const pr_step_t *step = pr_chat_step(exchange);
+	pr_str_t token = PR_STR_INIT;
+	char name[PR_SESSION_NAME_MAX + 1];
+
+	if (!chat->session.session[0])
+		return;
+	snprintf(name, sizeof(name), "%s", chat->session.session);
+	if (chat->session_action != PR_SESSION_KEEP &&
+	    pr_session_set(&chat->session,
+			   pr_slice_of(exchange->workspace_name),
+			   pr_slice_of(name), pr_slice_of(step->model->name),
+			   pr_slice_of(step->version->name), wall_clock()))
+		return;
+	pr_session_memory_put(&router->sessions, &chat->session,
+			      pr_router_now(router));
+	if (!pr_session_sign(&router->session_ring, &chat->session, &token))
+		pr_http_answer_header(exchange->request, "x-session-token",
+				      pr_str_slice(&token));
+	pr_str_finish(&token);
+	if (chat->session_action == PR_SESSION_MOVE)
+		pr_http_answer_header(exchange->request, "x-session-moved",
+				      pr_slice_of(chat->moved_from));
+}
+
+void pr_versions_answer_headers(pr_exchange_t *exchange)
+{
+	pr_http_answer_header(exchange->request, "x-request-id",
+			      pr_slice_of(exchange->id));
+	pr_http_answer_header(exchange->request, "x-model-version",
+			      pr_slice_of(exchange->what));
+	answer_session(exchange);
+}
+
+static void count_outcome(pr_exchange_t *exchange, bool error)
+{
+	const pr_step_t *step = pr_chat_step(exchange);
+	pr_counts_t counts = { 0 };
+
+	counts.trials[PR_SIGNAL_ERROR] = 1;
+	counts.bad[PR_SIGNAL_ERROR] = error;
+	pr_rollout_add(&exchange->router->rollout,
+		       pr_slice_of(step->model->name),
+		       pr_slice_of(step->version->name),
+		       pr_slice_of(exchange->workspace_name), &counts);
+}
+
+static void on_asked(void *data, pr_platform_outcome_t outcome, int status,
+		     pr_slice_t body)
+{
+}
+
+/* Asks the rating service about the step's answer. */
+static void ask_rating(pr_exchange_t *exchange, bool final)
+{
+	pr_router_t *router = exchange->router;
+	pr_chat_t *chat = &exchange->chat;
+	const pr_step_t *step = pr_chat_step(exchange);
+	char request[PR_ID_BYTES + 8];
+	char name[PR_CLASS_BYTES + 16];
+	json_t *root;
+	char *text;
+
+	snprintf(request, sizeof(request), "%s/%u", exchange->id, chat->step);
+	snprintf(name, sizeof(name), "%s%s", chat->request_class,
+		 chat->step ? "+escalated" : "");
+	pr_policy_note(&router->policy, &chat->plan,
+		       pr_hash64(request, strlen(request), 0), chat->confidence);
+	root = json_pack("{s:s, s:s, s:s, s:s, s:s}", "request", request,
+			 "workspace", exchange->workspace_name, "class", name,
+			 "model", step->model->name, "version",
+			 step->version->name);
+	text = json_dumps(root, JSON_COMPACT);
+	if (text)
+		pr_platform_call(router->platform, "POST",
+				 PR_SLICE("/v1/ratings"), pr_slice_of(text),
+				 RATING_TIMEOUT, on_asked, router);
+	free(text);
+	json_decref(root);
+}
+
+void pr_versions_answered(pr_exchange_t *exchange, bool final)
+{
+	count_outcome(exchange, false);
+	if (exchange->chat.plan.rate)
+		ask_rating(exchange, final);
+}
+
+void pr_versions_failed(pr_exchange_t *exchange)
+{
+	count_outcome(exchange, true);
+}
+
+static int init(pr_router_t *router)
+{
+	pr_policy_options_t policy = PR_POLICY_OPTIONS_INIT;
+	pr_rollout_options_t rollout = PR_ROLLOUT_OPTIONS_INIT;
+	int rc = pr_policy_init(&router->policy, &policy);
+
+	if (!rc)
+		rc = pr_rollout_init(&router->rollout, &rollout);
+	if (!rc)
+		rc = pr_session_ring_init(
+			&router->session_ring,
+			pr_slice_of(router->settings->secret));
+	if (!rc)
+		rc = pr_session_memory_init(&router->sessions, SESSIONS_MAX,
+					    SESSION_TTL);
+	return rc;
+}
+
+static void fleet_changed(pr_router_t *router)
+{
+	pr_rollout_configure(&router->rollout, router->fleet->fleet,
+			     router->fleet->version, pr_router_now(router));
+}
+
+static void finish(pr_router_t *router)
+{
+	pr_policy_finish(&router->policy);
+	pr_rollout_finish(&router->rollout);
+	pr_session_memory_finish(&router->sessions);
+}
+
+const pr_task_ops_t pr_versions_task = {
+	.name = "versions",
+	.init = init,
+	.fleet_changed = fleet_changed,
+	.finish = finish,
+};
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -124,7 +124,7 @@
 {
 	pr_rollout_options_t options = PR_ROLLOUT_OPTIONS_INIT;
 	pr_fleet_t *fleet = fleet_at("rolling", 100);
-	pr_change_t changes[4];
+	pr_rollout_change_t changes[4];
 	bool withdrawn = false;
 	pr_rollout_t rollout;
 
@@ -188,7 +188,7 @@
 {
 	pr_rollout_options_t options = PR_ROLLOUT_OPTIONS_INIT;
 	pr_fleet_t *fleet = fleet_at("rolling", 100);
-	pr_change_t change;
+	pr_rollout_change_t change;
 	pr_rollout_t rollout;
 
 	setup(&rollout, &options, fleet);
@@ -216,7 +216,7 @@
 	pr_fleet_t *withdrawn = fleet_at("withdrawn", 0);
 	pr_fleet_t *halted = fleet_at("halted", 100);
 	pr_rollout_t hosts[2];
-	pr_change_t change[2], none;
+	pr_rollout_change_t change[2], none;
 
 	for (int i = 0; i < 2; i++) {
 		setup(&hosts[i], &options, fleet);
@@ -244,10 +244,10 @@
 		assert_string_equal(none.change_id, change[i].change_id);
 	}
 	assert_string_equal(change[0].change_id, change[1].change_id);
-	assert_int_equal(pr_change_check(&change[0], fleet), 0);
-	assert_int_equal(pr_change_check(&change[1], next), PR_ECONFLICT);
-	assert_int_equal(pr_change_check(&change[1], withdrawn), PR_ECONFLICT);
-	assert_int_equal(pr_change_check(&change[1], halted), PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&change[0], fleet), 0);
+	assert_int_equal(pr_rollout_change_check(&change[1], next), PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&change[1], withdrawn), PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&change[1], halted), PR_ECONFLICT);
 	pr_rollout_configure(&hosts[0], halted, 2, 0);
 	assert_int_equal(
 		pr_rollout_conclude(&hosts[0], halted, 2, true, &none, 1, 0),
@@ -273,7 +273,7 @@
 {
 	pr_rollout_options_t options = PR_ROLLOUT_OPTIONS_INIT;
 	pr_fleet_t *fleet = fleet_at("rolling", 2500);
-	pr_change_t changes[4];
+	pr_rollout_change_t changes[4];
 	pr_rollout_t rollout;
 
 	setup(&rollout, &options, fleet);
@@ -298,7 +298,7 @@
 	pr_rollout_options_t options = PR_ROLLOUT_OPTIONS_INIT;
 	pr_fleet_t *pair = fleet_at("proven", 0);
 	pr_fleet_t *single = fleet_at("withdrawn", 0);
-	pr_change_t changes[2];
+	pr_rollout_change_t changes[2];
 	pr_rollout_t rollout;
 	unsigned int found = 0;
 	int batches = 0;
@@ -315,8 +315,8 @@
 	}
 	assert_int_equal(found, 1);
 	assert_int_equal(changes[0].conclusion, PR_CONCLUDE_WITHDRAW);
-	assert_int_equal(pr_change_check(&changes[0], pair), 0);
-	assert_int_equal(pr_change_check(&changes[0], single), PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&changes[0], pair), 0);
+	assert_int_equal(pr_rollout_change_check(&changes[0], single), PR_ECONFLICT);
 	pr_rollout_configure(&rollout, single, 2, 0);
 	assert_int_equal(
 		pr_rollout_conclude(&rollout, single, 2, true, changes, 1, 0),
