Connect claims and bills to the daemon

A change is claimed before dispatch and its outcome is stored before the answer; an answer that comes after the caller's deadline still becomes the outcome of its key. Answers end when their bill is held by another host.

--- a/include/pistachiorack/platform.h
+++ b/include/pistachiorack/platform.h
@@ -33,7 +33,8 @@
 void pr_platform_close(pr_platform_t *platform);
 
 /**
- * Make a call; exactly one callback follows, also after a timeout.
+ * Make a call; exactly one callback follows, also after a timeout, and never
+ * before the function returns.
  *
  * @param path path with query
  * @param body JSON text, or an empty slice
@@ -45,4 +46,7 @@
 		     pr_slice_t path, pr_slice_t body, pr_usec_t timeout,
 		     pr_platform_cb callback, void *data);
 
+/** @return the timer service of the client's owner */
+pr_timers_t *pr_platform_timers(pr_platform_t *platform);
+
 #endif
--- a/include/pistachiorack/store_client.h
+++ b/include/pistachiorack/store_client.h
@@ -17,8 +17,8 @@
 			    const pr_store_result_t *results, size_t count);
 
 /**
- * Commit operations in one transaction; exactly one callback follows, maybe
- * before the function returns.
+ * Commit operations in one transaction; exactly one callback follows, after
+ * the function has returned unless memory ran out.
  */
 void pr_store_commit(pr_platform_t *platform, const pr_store_op_t *ops,
 		     size_t count, pr_usec_t timeout, pr_store_cb callback,
--- a/src/net/platform.c
+++ b/src/net/platform.c
@@ -18,6 +18,11 @@
 	pr_timer_t timeout;
 	pr_str_t body;
 	int status;
+	/** pr_http_call_start() has not returned yet. */
+	bool starting;
+	/** The call ended while it was starting. */
+	bool ended;
+	pr_platform_outcome_t outcome;
 	pr_platform_cb callback;
 	void *data;
 } platform_call_t;
@@ -85,6 +90,11 @@
 		   call->status == STATUS_DOWN) {
 		outcome = PR_PLATFORM_NOT_APPLIED;
 	}
+	if (call->starting) {
+		call->ended = true;
+		call->outcome = outcome;
+		return;
+	}
 	end_call(call, outcome);
 }
 
@@ -100,6 +110,10 @@
 	platform_call_t *call = timer->data;
 	bool sent = call->http.stage > PR_STAGE_CONNECTING;
 
+	if (call->ended) {
+		end_call(call, call->outcome);
+		return;
+	}
 	pr_http_call_cancel(&call->http);
 	call->status = 0;
 	end_call(call, sent ? PR_PLATFORM_UNKNOWN : PR_PLATFORM_NOT_APPLIED);
@@ -173,9 +187,19 @@
 	link_call(platform, call);
 	pr_timers_subscribe(platform->timers, &call->timeout, timeout, 0,
 			    on_timeout);
+	call->starting = true;
 	rc = pr_http_call_start(&call->http, platform->client, platform->target,
 				method, path, &type, body.len ? 1 : 0, body);
+	call->starting = false;
 	if (rc)
 		free_call(call);
+	else if (call->ended)
+		pr_timers_subscribe(platform->timers, &call->timeout, 0, 0,
+				    on_timeout);
 	return rc;
 }
+
+pr_timers_t *pr_platform_timers(pr_platform_t *platform)
+{
+	return platform->timers;
+}
--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -15,6 +15,8 @@
 	void *data;
 	uint64_t tag;
 	size_t count;
+	/** Gives a refusal after the function has returned. */
+	pr_timer_t later;
 } store_call_t;
 
 static store_call_t *new_call(pr_store_cb callback, void *data, uint64_t tag,
@@ -37,6 +39,19 @@
 	free(call);
 }
 
+static void on_refused(pr_timer_t *timer, pr_usec_t now)
+{
+	end_without_results(timer->data, PR_STORE_REFUSED);
+}
+
+/* Callers rely on a callback that never comes before the call returns. */
+static void refuse_later(pr_platform_t *platform, store_call_t *call)
+{
+	call->later.data = call;
+	pr_timers_subscribe(pr_platform_timers(platform), &call->later, 0, 0,
+			    on_refused);
+}
+
 /* Text of a row's value; the caller frees it. */
 static char *value_text(const json_t *item)
 {
@@ -161,8 +176,10 @@
 	if (!text ||
 	    pr_platform_call(platform, "POST", PR_SLICE("/v1/table/commit"),
 			     pr_slice_of(text), timeout, on_committed, call)) {
-		free(call);
-		callback(data, tag, PR_STORE_REFUSED, NULL, 0);
+		if (call)
+			refuse_later(platform, call);
+		else
+			callback(data, tag, PR_STORE_REFUSED, NULL, 0);
 	}
 	free(text);
 	json_decref(root);
@@ -202,8 +219,8 @@
 		rc = pr_platform_call(platform, "GET", pr_str_slice(&path),
 				      pr_slice("", 0), timeout, on_read, call);
 	pr_str_finish(&path);
-	if (rc) {
-		free(call);
-		callback(data, tag, PR_STORE_UNKNOWN, NULL, 0);
-	}
+	if (rc && call)
+		refuse_later(platform, call);
+	else if (rc)
+		callback(data, tag, PR_STORE_REFUSED, NULL, 0);
 }
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -118,6 +118,10 @@
 		retry_at(exchange, decision->at);
 		break;
 	case PR_DISPATCH_REFUSE:
+		if (exchange->ops->refused) {
+			exchange->ops->refused(exchange, decision);
+			break;
+		}
 		pr_exchange_refuse(exchange, decision->status, decision->code,
 				   exchange->verdict,
 				   "no upstream could complete the request");
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -77,8 +77,10 @@
 
 	exchange->request = NULL;
 	/* A change goes on without its caller: its outcome must be known. */
-	if (!complete && !exchange->operation)
+	if (!complete && !exchange->operation) {
+		exchange->caller_left = true;
 		pr_upstream_call_cancel(exchange);
+	}
 	pr_exchange_release(exchange);
 }
 
@@ -90,6 +92,8 @@
 		pr_http_call_pause(&exchange->call.http, false);
 }
 
+static void subscribe_deadline(pr_exchange_t *exchange);
+
 static void on_deadline(pr_timer_t *timer, pr_usec_t now)
 {
 	pr_exchange_t *exchange = timer->data;
@@ -97,6 +101,13 @@
 		    exchange->call.http.stage > PR_STAGE_CONNECTING;
 
 	exchange->holds++;
+	if (exchange->ops->deadline && exchange->ops->deadline(exchange)) {
+		if (exchange->call.active)
+			subscribe_deadline(exchange);
+		exchange->holds--;
+		pr_exchange_release(exchange);
+		return;
+	}
 	pr_upstream_call_cancel(exchange);
 	if (sent)
 		exchange->verdict = pr_verdict_join(exchange->verdict,
@@ -115,6 +126,17 @@
 	pr_exchange_release(exchange);
 }
 
+static void subscribe_deadline(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+
+	pr_timers_subscribe(
+		&router->timers, &exchange->deadline,
+		(pr_usec_t)router->settings->limits.answer_timeout_ms *
+			PR_USEC_PER_MSEC,
+		0, on_deadline);
+}
+
 pr_exchange_t *pr_exchange_open(pr_router_t *router, pr_http_request_t *request)
 {
 	pr_exchange_t *exchange;
@@ -135,9 +157,10 @@
 	exchange->arrived = pr_router_now(router);
 	exchange->fleet = pr_fleet_ref_get(router->fleet);
 	exchange->deadline.data = exchange;
+	exchange->number = ++router->next_request;
 	snprintf(exchange->id, sizeof(exchange->id), "%s-%s-%llu",
 		 router->settings->host, router->boot,
-		 (unsigned long long)++router->next_request);
+		 (unsigned long long)exchange->number);
 	exchange->next = router->exchanges;
 	if (exchange->next)
 		exchange->next->prev = exchange;
@@ -146,11 +169,7 @@
 	request->user = exchange;
 	request->on_end = on_end;
 	request->on_drain = on_drain;
-	pr_timers_subscribe(
-		&router->timers, &exchange->deadline,
-		(pr_usec_t)router->settings->limits.answer_timeout_ms *
-			PR_USEC_PER_MSEC,
-		0, on_deadline);
+	subscribe_deadline(exchange);
 	pr_metric_add(router->counters.requests, 1);
 	return exchange;
 }
@@ -162,6 +181,7 @@
 	if (exchange->request || exchange->call.active || exchange->holds)
 		return;
 	pr_timers_unsubscribe(&router->timers, &exchange->retry_timer);
+	pr_billing_abandoned(exchange);
 	pr_admission_end(exchange);
 	record_objectives(exchange);
 	pr_histogram_record(
@@ -177,6 +197,7 @@
 	router->exchange_count--;
 	pr_fleet_ref_put(exchange->fleet);
 	pr_str_finish(&exchange->upstream_body);
+	pr_str_finish(&exchange->outcome);
 	pr_str_finish(&exchange->call.body);
 	if (exchange->chat.events_open)
 		pr_stream_finish(&exchange->chat.events);
@@ -193,6 +214,7 @@
 {
 	exchange->holds++;
 	pr_metric_add(exchange->router->counters.caller_gone, 1);
+	exchange->caller_left = true;
 	pr_upstream_call_cancel(exchange);
 	if (exchange->answer_started && !exchange->answer_ended)
 		pr_http_stream_end(exchange->request, false);
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -45,6 +45,16 @@
 	void (*done)(pr_exchange_t *exchange, pr_attempt_stage_t stage);
 	/** The next attempt is due. */
 	void (*retry)(pr_exchange_t *exchange);
+	/** No attempt is left. NULL: the caller is told. */
+	void (*refused)(pr_exchange_t *exchange,
+			const pr_dispatch_decision_t *decision);
+	/**
+	 * The caller's time is up. May be NULL.
+	 *
+	 * @return true when it was handled; the exchange may get as much time
+	 *	   again
+	 */
+	bool (*deadline)(pr_exchange_t *exchange);
 } pr_exchange_ops_t;
 
 /** A model request. */
@@ -78,6 +88,8 @@
 
 struct pr_exchange_t {
 	pr_exchange_t *prev, *next;
+	/** In router->billing by number, in router->claiming by claim. */
+	UT_hash_handle hh_bill, hh_once;
 	pr_router_t *router;
 	/** NULL once the caller's side has ended. */
 	pr_http_request_t *request;
@@ -87,6 +99,8 @@
 	/** Outlives a change of the configuration. */
 	char workspace_name[65];
 	char id[PR_ID_BYTES];
+	/** Sequence number of the request on this host in this boot. */
+	uint64_t number;
 	pr_usec_t arrived;
 	/** 0 until the first byte of the answer went out. */
 	pr_usec_t first_byte;
@@ -112,6 +126,9 @@
 	pr_admit_priority_t priority;
 	uint32_t tokens_expected;
 	pr_charge_t charge;
+	bool billed;
+	bool caller_left;
+	void (*after_billing)(pr_exchange_t *exchange);
 	/** "model@version" of the step, or the service. */
 	char what[160];
 	pr_str_t upstream_body;
@@ -121,6 +138,19 @@
 	const pr_service_t *service;
 	const pr_operation_t *operation;
 	pr_slice_t idempotency_key;
+	/** Copy of the key; the caller may leave before it is needed. */
+	char key[208];
+	uint64_t claim;
+	bool claimed;
+	bool claim_completed;
+	/** The claim is held; it is dispatched after the running callback. */
+	bool granted;
+	/** The caller was answered; the call goes on for its outcome. */
+	bool late;
+	bool replayed;
+	int outcome_status;
+	pr_str_t outcome;
+	char refused_code[32];
 };
 
 /** @return NULL when the host is at its limit; an error was answered */
@@ -190,6 +220,8 @@
  */
 void pr_billing_finish(pr_exchange_t *exchange,
 		       void (*then)(pr_exchange_t *exchange));
+/** Bill the work of a caller that left before the end. */
+void pr_billing_abandoned(pr_exchange_t *exchange);
 
 /** Note why a started answer could not be completed. */
 void pr_exchange_broken(pr_exchange_t *exchange, const char *code);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -14,7 +14,9 @@
  *   upstreams.c   upstream addresses and their connections
  *   balance_task.c  load and state of upstreams
  *   versions_task.c plan, sessions, roll-outs, ratings
+ *   once_task.c   claims of requests that may not be repeated
  *   billing.c     bills
+ *   hosts.c       known hosts, owners of keys
  *   task.h, tasks.c  duties with their own state, and the events between them
  *   config_task.c the fleet configuration
  *   admin.c       metrics, health, operators' requests
@@ -26,9 +28,11 @@
 
 #include "pistachiorack/admit.h"
 #include "pistachiorack/balance.h"
+#include "pistachiorack/bill.h"
 #include "pistachiorack/config.h"
 #include "pistachiorack/http.h"
 #include "pistachiorack/metrics.h"
+#include "pistachiorack/once.h"
 #include "pistachiorack/peer.h"
 #include "pistachiorack/platform.h"
 #include "pistachiorack/policy.h"
@@ -38,6 +42,7 @@
 #include "pistachiorack/session.h"
 #include "pistachiorack/settings.h"
 #include "pistachiorack/timer.h"
+#include "router/hosts.h"
 #include "router/task.h"
 
 #define PR_ID_BYTES 112
@@ -91,6 +96,11 @@
 	pr_rollout_t rollout;
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
+	pr_host_list_t hosts;
+	pr_once_t *once;
+	pr_bill_book_t *bills;
+	/** Exchanges that wait for their bill, or for their claim. */
+	struct pr_exchange_t *billing, *claiming;
 	/** Hosts that this host believes alive, itself included. */
 	unsigned int live_hosts;
 	/** The configuration in force is known to be current. */
--- a/src/router/task.h
+++ b/src/router/task.h
@@ -38,6 +38,9 @@
 	void (*finish)(struct pr_router_t *router);
 } pr_task_ops_t;
 
+extern const pr_task_ops_t pr_hosts_task;
+extern const pr_task_ops_t pr_billing_task;
+extern const pr_task_ops_t pr_once_task;
 extern const pr_task_ops_t pr_upstreams_task;
 extern const pr_task_ops_t pr_admission_task;
 extern const pr_task_ops_t pr_balance_task;
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -4,10 +4,18 @@
 #include "router/router.h"
 
 /* In the order of their start; they finish in reverse. */
+/* clang-format off */
 static const pr_task_ops_t *const tasks[] = {
-	&pr_upstreams_task, &pr_admission_task, &pr_balance_task,
-	&pr_versions_task,  &pr_config_task,
+	&pr_hosts_task,
+	&pr_upstreams_task,
+	&pr_admission_task,
+	&pr_balance_task,
+	&pr_versions_task,
+	&pr_billing_task,
+	&pr_once_task,
+	&pr_config_task,
 };
+/* clang-format on */
 
 #define TASK_COUNT (sizeof(tasks) / sizeof(tasks[0]))
 
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -207,7 +207,8 @@
 	snprintf(name, sizeof(name), "%s%s", chat->request_class,
 		 chat->step ? "+escalated" : "");
 	pr_policy_note(&router->policy, &chat->plan,
-		       pr_hash64(request, strlen(request), 0), chat->confidence);
+		       pr_hash64(request, strlen(request), 0),
+		       chat->confidence);
 	root = json_pack("{s:s, s:s, s:s, s:s, s:s}", "request", request,
 			 "workspace", exchange->workspace_name, "class", name,
 			 "model", step->model->name, "version",
