--- a/standins/common/answer.c
+++ b/standins/common/answer.c
@@ -107,11 +107,10 @@
 	pr_str_append(&exchange->answer, bytes.ptr, bytes.len);
 	if (standin->faults.delay_answer_ms &&
 	    standin_faults_match(&standin->faults, exchange->http->path)) {
-		standin_now(standin);
-		pr_timers_subscribe(&standin->timers, &exchange->timer,
-				    standin->faults.delay_answer_ms *
-					    PR_USEC_PER_MSEC,
-				    0, on_delay_end);
+		standin_after(standin, &exchange->timer,
+			      standin->faults.delay_answer_ms *
+				      PR_USEC_PER_MSEC,
+			      0, on_delay_end);
 		return;
 	}
 	send_answer(exchange);
--- a/standins/common/args.c
+++ b/standins/common/args.c
@@ -55,6 +55,25 @@
 	shared->lifetime->ival[0] = 0;
 }
 
+/* @return 0, 1 when the help text was printed, or PR_EINVALID */
+static int parse_table(standin_options_t *out, int argc, char **argv,
+		       void **table, shared_t *shared, struct arg_end *end)
+{
+	if (arg_nullcheck(table))
+		return pr_error_set(PR_ENOMEM, "no memory for arguments");
+	defaults(shared);
+	if (arg_parse(argc, argv, table) > 0 && !shared->help->count) {
+		arg_print_errors(stderr, end, argv[0]);
+		return pr_error_set(PR_EINVALID, "bad arguments, see --help");
+	}
+	if (shared->help->count) {
+		arg_print_glossary(stdout, table, "  %-28s %s\n");
+		return 1;
+	}
+	take(out, shared);
+	return check(shared);
+}
+
 int standin_parse(standin_options_t *out, int argc, char **argv, void **extra,
 		  size_t extra_count)
 {
@@ -74,6 +93,7 @@
 	};
 	struct arg_end *end = arg_end(ERRORS_MAX);
 	size_t n = 0;
+	int rc;
 
 	table[n++] = shared.help;
 	table[n++] = shared.address;
@@ -87,17 +107,9 @@
 	for (size_t i = 0; i < extra_count && i < EXTRA_MAX; i++)
 		table[n++] = extra[i];
 	table[n] = end;
-	if (arg_nullcheck(table))
-		return pr_error_set(PR_ENOMEM, "no memory for arguments");
-	defaults(&shared);
-	if (arg_parse(argc, argv, table) > 0) {
-		arg_print_errors(stderr, end, argv[0]);
-		return pr_error_set(PR_EINVALID, "bad arguments, see --help");
-	}
-	if (shared.help->count) {
-		arg_print_glossary(stdout, table, "  %-28s %s\n");
-		return 1;
-	}
-	take(out, &shared);
-	return check(&shared);
+	rc = parse_table(out, argc, argv, table, &shared, end);
+	/* String values point into argv, so they outlive the entries. */
+	arg_freetable(table, SHARED_COUNT);
+	free(end);
+	return rc;
 }
--- a/standins/standin-platform/budget.c
+++ b/standins/common/budget.c
@@ -1,4 +1,4 @@
-#include "platform.h"
+#include "budget.h"
 
 void budget_init(budget_t *budget, double per_s, pr_usec_t now)
 {
--- a/standins/standin-engine/cache.c
+++ b/standins/common/cache.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "engine.h"
+#include "cache.h"
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 
@@ -13,22 +13,29 @@
 {
 	*cache = (cache_t){.max = max, .next_event = 1, .rand = rand};
 	cache->blocks = calloc(max ? max : 1, sizeof(block_t));
-	cache->events = calloc(ENGINE_EVENTS, sizeof(cache_event_t));
+	cache->events = calloc(CACHE_EVENTS, sizeof(cache_event_t));
 	if (!cache->blocks || !cache->events)
 		return pr_error_set(PR_ENOMEM, "no memory for a cache");
 	return 0;
 }
 
+void cache_finish(cache_t *cache)
+{
+	free(cache->blocks);
+	free(cache->events);
+	*cache = (cache_t){0};
+}
+
 size_t cache_hashes(uint64_t *out, pr_slice_t version, pr_slice_t prompt)
 {
 	uint64_t hash = pr_hash64(version.ptr, version.len, 0);
-	size_t count = prompt.len / ENGINE_BLOCK_BYTES;
+	size_t count = prompt.len / CACHE_BLOCK_BYTES;
 
-	if (count > ENGINE_BLOCKS_MAX)
-		count = ENGINE_BLOCKS_MAX;
+	if (count > CACHE_BLOCKS_MAX)
+		count = CACHE_BLOCKS_MAX;
 	for (size_t i = 0; i < count; i++) {
-		hash = pr_hash64(prompt.ptr + i * ENGINE_BLOCK_BYTES,
-				 ENGINE_BLOCK_BYTES, hash);
+		hash = pr_hash64(prompt.ptr + i * CACHE_BLOCK_BYTES,
+				 CACHE_BLOCK_BYTES, hash);
 		out[i] = hash;
 	}
 	return count;
@@ -36,8 +43,7 @@
 
 static void publish(cache_t *cache, uint64_t hash, bool evicted, pr_usec_t now)
 {
-	cache_event_t *event =
-		&cache->events[cache->next_event % ENGINE_EVENTS];
+	cache_event_t *event = &cache->events[cache->next_event % CACHE_EVENTS];
 
 	*event = (cache_event_t){
 		.seq = cache->next_event++,
@@ -78,7 +84,7 @@
 double cache_touch(cache_t *cache, pr_slice_t version, pr_slice_t prompt,
 		   pr_usec_t now)
 {
-	uint64_t hashes[ENGINE_BLOCKS_MAX];
+	uint64_t hashes[CACHE_BLOCKS_MAX];
 	size_t count = cache_hashes(hashes, version, prompt);
 	size_t hits = 0;
 	bool prefix = true;
@@ -107,15 +113,14 @@
 json_t *cache_events(const cache_t *cache, uint64_t after, pr_usec_t now)
 {
 	json_t *list = json_array();
-	uint64_t first = cache->next_event > ENGINE_EVENTS
-				 ? cache->next_event - ENGINE_EVENTS
+	uint64_t first = cache->next_event > CACHE_EVENTS
+				 ? cache->next_event - CACHE_EVENTS
 				 : 1;
 	uint64_t seq = after + 1 > first ? after + 1 : first;
 
 	for (; seq < cache->next_event && json_array_size(list) < EVENTS_A_CALL;
 	     seq++) {
-		const cache_event_t *event =
-			&cache->events[seq % ENGINE_EVENTS];
+		const cache_event_t *event = &cache->events[seq % CACHE_EVENTS];
 		char block[17];
 
 		if (event->at + cache->lag_ms * PR_USEC_PER_MSEC > now)
--- a/standins/common/standin.c
+++ b/standins/common/standin.c
@@ -17,17 +17,25 @@
 #define FREEZE_LEAD_MS 20
 #define CRASH_STATUS   3
 
-pr_usec_t standin_now(standin_t *standin)
+pr_usec_t standin_now(const standin_t *standin)
 {
-	pr_usec_t now = (pr_usec_t)(uv_hrtime() / 1000);
+	return (pr_usec_t)(uv_hrtime() / 1000);
+}
 
-	pr_timers_advance(&standin->timers, now);
-	return now;
+void standin_after(standin_t *standin, pr_timer_t *timer, pr_usec_t delay,
+		   pr_usec_t period, void (*expired)(pr_timer_t *, pr_usec_t))
+{
+	pr_usec_t behind = standin_now(standin) - standin->timers.now;
+
+	pr_timers_subscribe(&standin->timers, timer, delay + behind, period,
+			    expired);
 }
 
-static void on_tick(uv_timer_t *timer)
+static void on_tick(uv_timer_t *tick)
 {
-	standin_now(timer->data);
+	standin_t *standin = tick->data;
+
+	pr_timers_advance(&standin->timers, standin_now(standin));
 }
 
 /* Arms the loop's timer for the next subscription before the loop waits. */
@@ -120,9 +128,8 @@
 		standin->ops->control(fields, standin->data);
 	if (standin->faults.freeze_ms) {
 		standin->freeze.data = standin;
-		pr_timers_subscribe(&standin->timers, &standin->freeze,
-				    FREEZE_LEAD_MS * PR_USEC_PER_MSEC, 0,
-				    on_freeze);
+		standin_after(standin, &standin->freeze,
+			      FREEZE_LEAD_MS * PR_USEC_PER_MSEC, 0, on_freeze);
 	}
 	return 0;
 }
@@ -211,9 +218,9 @@
 	if (standin->faults.slow_ms &&
 	    standin_faults_match(&standin->faults, path)) {
 		exchange->waiting = true;
-		pr_timers_subscribe(&standin->timers, &exchange->timer,
-				    standin->faults.slow_ms * PR_USEC_PER_MSEC,
-				    0, on_slow_end);
+		standin_after(standin, &exchange->timer,
+			      standin->faults.slow_ms * PR_USEC_PER_MSEC, 0,
+			      on_slow_end);
 		return;
 	}
 	standin->ops->handle(exchange, standin->data);
@@ -224,7 +231,6 @@
 	standin_t *standin = data;
 	standin_exchange_t *exchange = calloc(1, sizeof(*exchange));
 
-	standin_now(standin);
 	if (!exchange) {
 		pr_http_answer(http, 500, NULL, PR_SLICE("no memory"));
 		return;
@@ -262,9 +268,8 @@
 	standin->stopping = true;
 	pr_http_server_drain(standin->server);
 	standin->stop.data = standin;
-	standin_now(standin);
-	pr_timers_subscribe(&standin->timers, &standin->stop,
-			    STOP_MS * PR_USEC_PER_MSEC, 0, on_stop_timeout);
+	standin_after(standin, &standin->stop, STOP_MS * PR_USEC_PER_MSEC, 0,
+		      on_stop_timeout);
 	stop_if_idle(standin);
 }
 
@@ -343,9 +348,9 @@
 		return EXIT_FAILURE;
 	}
 	if (options->lifetime_s)
-		pr_timers_subscribe(&standin->timers, &lifetime,
-				    options->lifetime_s * PR_USEC_PER_SEC, 0,
-				    on_lifetime_end);
+		standin_after(standin, &lifetime,
+			      options->lifetime_s * PR_USEC_PER_SEC, 0,
+			      on_lifetime_end);
 	pr_log(PR_LOG_NOTICE, "listening on %s:%d, seed %llu", options->address,
 	       options->port, (unsigned long long)options->seed);
 	uv_run(&standin->loop, UV_RUN_DEFAULT);
--- a/standins/common/standin.h
+++ b/standins/common/standin.h
@@ -109,8 +109,16 @@
 int standin_run(standin_t *standin, const standin_options_t *options,
 		const standin_ops_t *ops, void *data);
 
-/** @return now in microseconds; the timer service is brought up to it */
-pr_usec_t standin_now(standin_t *standin);
+/** @return now in microseconds; runs no timers, so it is safe anywhere */
+pr_usec_t standin_now(const standin_t *standin);
+/**
+ * Subscribe a timer, counted from now; the timer service's own time is that of
+ * the last expiry.
+ *
+ * @param delay microseconds, and period 0 for one expiry
+ */
+void standin_after(standin_t *standin, pr_timer_t *timer, pr_usec_t delay,
+		   pr_usec_t period, void (*expired)(pr_timer_t *, pr_usec_t));
 
 /** Answer with JSON; takes the reference of json. */
 void standin_answer(standin_exchange_t *exchange, int status, json_t *json);
--- a/standins/standin-platform/table.c
+++ b/standins/common/table.c
@@ -1,9 +1,10 @@
 /* The table service: rows with versions and conditional writes. */
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "pistachiorack/error.h"
-#include "platform.h"
+#include "table.h"
 
 #define ROWS_FIRST 64
 
@@ -183,3 +184,18 @@
 	}
 	return list;
 }
+
+void tables_finish(tables_t *tables)
+{
+	for (size_t i = 0; i < tables->count; i++) {
+		table_t *table = &tables->tables[i];
+
+		for (size_t k = 0; k < table->count; k++) {
+			free(table->rows[k].key);
+			json_decref(table->rows[k].value);
+		}
+		free(table->rows);
+		free(table->name);
+	}
+	*tables = (tables_t){0};
+}
--- a/standins/standin-engine.c
+++ b/standins/standin-engine.c
@@ -229,7 +229,7 @@
 	cold->ival[0] = COLD_MS;
 	rc = standin_parse(options, argc, argv, extra, 5);
 	if (rc)
-		return rc;
+		goto cleanup;
 	engine->slots = (uint32_t)slots->ival[0];
 	engine->cold_ms = (uint32_t)cold->ival[0];
 	engine->fencing = fencing->count > 0;
@@ -242,7 +242,11 @@
 				&engine->rand);
 	engine->cache.lag_ms = EVENTS_LAG_MS;
 	engine->memos = calloc(ENGINE_MEMOS, sizeof(memo_t));
-	return engine->memos ? rc : PR_ENOMEM;
+	if (!rc && !engine->memos)
+		rc = pr_error_set(PR_ENOMEM, "no memory for memos");
+cleanup:
+	arg_freetable(extra, 5);
+	return rc;
 }
 
 int main(int argc, char **argv)
--- a/standins/standin-engine/run.c
+++ b/standins/standin-engine/run.c
@@ -157,13 +157,19 @@
 	end_run(run, "done");
 }
 
+/* A crossed answer has the text of another request. */
+static uint64_t text_seed(const run_t *run)
+{
+	return run->seed + (run->exchange->fate == STANDIN_FATE_CROSSED);
+}
+
 static void finish_whole(run_t *run)
 {
 	pr_str_t text = PR_STR_INIT;
 	json_t *json;
 
 	pr_str_append(&text, "", 0);
-	standin_text_append(&text, run->seed, run->from, run->count);
+	standin_text_append(&text, text_seed(run), run->from, run->count);
 	json = json_pack("{s:s,s:s,s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:o}", "id",
 			 run->attempt, "object", "chat.completion", "model",
 			 run->version->name, "choices", "index", 0, "message",
@@ -207,15 +213,12 @@
 static void send_token(run_t *run)
 {
 	char token[STANDIN_TOKEN_BYTES + 1];
-	uint64_t seed = run->seed;
 
 	if (run->exchange->fate == STANDIN_FATE_LOST)
 		return;
-	if (run->exchange->fate == STANDIN_FATE_CROSSED)
-		seed++;
 	if (!run->exchange->answered)
 		start_stream(run);
-	standin_text_token(token, seed, run->next_token);
+	standin_text_token(token, text_seed(run), run->next_token);
 	send_event(run, chunk(run, json_pack("{s:s}", "content", token), NULL));
 }
 
@@ -238,8 +241,8 @@
 		      run->between * (run->next_token - run->from);
 	}
 	if (run->next_token < run->count)
-		pr_timers_subscribe(&engine->standin.timers, &run->timer,
-				    due - now, 0, on_token);
+		standin_after(&engine->standin, &run->timer,
+			      due - standin_now(&engine->standin), 0, on_token);
 	else if (run->stream)
 		finish_stream(run);
 	else
@@ -274,12 +277,11 @@
 	}
 	run->first_due = now + (pr_usec_t)first;
 	run->timer.data = run;
-	pr_timers_subscribe(&engine->standin.timers, &run->timer,
-			    run->first_due - now, 0,
-			    version->errors > 0 && pr_rand_unit(&engine->rand) <
-							   version->errors
-				    ? on_failed
-				    : on_token);
+	standin_after(&engine->standin, &run->timer, run->first_due - now, 0,
+		      version->errors > 0 && pr_rand_unit(&engine->rand) <
+						     version->errors
+			      ? on_failed
+			      : on_token);
 }
 
 static void start_next(engine_t *engine)
--- a/standins/standin-engine/state.c
+++ b/standins/standin-engine/state.c
@@ -199,8 +199,8 @@
 	load->engine = engine;
 	load->timer.data = load;
 	snprintf(load->name, sizeof(load->name), "%s", name);
-	pr_timers_subscribe(&engine->standin.timers, &load->timer,
-			    engine->load_ms * PR_USEC_PER_MSEC, 0, on_loaded);
+	standin_after(&engine->standin, &load->timer,
+		      engine->load_ms * PR_USEC_PER_MSEC, 0, on_loaded);
 }
 
 /* @return 0, or PR_EINVALID for an order that is not known */
@@ -273,8 +273,8 @@
 void engine_load_start(engine_t *engine)
 {
 	engine->sampler.data = engine;
-	pr_timers_subscribe(&engine->standin.timers, &engine->sampler, 0,
-			    ENGINE_SAMPLE_MS * PR_USEC_PER_MSEC, on_sample);
+	standin_after(&engine->standin, &engine->sampler, 0,
+		      ENGINE_SAMPLE_MS * PR_USEC_PER_MSEC, on_sample);
 }
 
 /* The newest sample that is at least as old as the lag. */
--- a/standins/standin-ledger.c
+++ b/standins/standin-ledger.c
@@ -75,9 +75,8 @@
 	}
 	exchange->user = entry;
 	exchange->gone = on_gone;
-	standin_now(&ledger->standin);
-	pr_timers_subscribe(&ledger->standin.timers, &exchange->timer,
-			    ledger->work_ms * PR_USEC_PER_MSEC, 0, on_work_end);
+	standin_after(&ledger->standin, &exchange->timer,
+		      ledger->work_ms * PR_USEC_PER_MSEC, 0, on_work_end);
 }
 
 static void handle(standin_exchange_t *exchange, void *data)
@@ -115,10 +114,11 @@
 
 	work->ival[0] = 0;
 	rc = standin_parse(&options, argc, argv, extra, 1);
+	ledger.work_ms = (uint32_t)work->ival[0];
+	arg_freetable(extra, 1);
 	if (rc < 0)
 		pr_log(PR_LOG_ERR, "%s", pr_error_last());
 	if (rc)
 		return rc < 0 ? EXIT_FAILURE : EXIT_SUCCESS;
-	ledger.work_ms = (uint32_t)work->ival[0];
 	return standin_run(&ledger.standin, &options, &ops, &ledger);
 }
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -373,20 +373,26 @@
 	count->sval[0] = "commits";
 	rc = standin_parse(options, argc, argv, extra, 5);
 	if (rc)
-		return rc;
+		goto cleanup;
 	platform->writes.per_s = writes->ival[0];
 	platform->reads.per_s = reads->ival[0];
 	platform->weights.per_s = weights->dval[0];
 	platform->count_rows = strcmp(count->sval[0], "rows") == 0;
-	if (!platform->count_rows && strcmp(count->sval[0], "commits") != 0)
-		return pr_error_set(PR_EINVALID,
-				    "--count %s is not rows or commits",
-				    count->sval[0]);
+	if (!platform->count_rows && strcmp(count->sval[0], "commits") != 0) {
+		rc = pr_error_set(PR_EINVALID,
+				  "--count %s is not rows or commits",
+				  count->sval[0]);
+		goto cleanup;
+	}
 	platform->tables.rows_max = ROWS_MAX;
 	rc = ratings_init(&platform->ratings);
 	if (!rc)
 		rc = hosts_init(&platform->hosts);
-	return rc ? rc : read_qualities(&platform->ratings, quality);
+	if (!rc)
+		rc = read_qualities(&platform->ratings, quality);
+cleanup:
+	arg_freetable(extra, 5);
+	return rc;
 }
 
 int main(int argc, char **argv)
--- a/standins/standin-platform/ratings.c
+++ b/standins/standin-platform/ratings.c
@@ -3,10 +3,8 @@
  * Its score depends on the seed and the request only, so asking twice gives
  * the same score.
  */
-#include <stdio.h>
 #include <stdlib.h>
 
-#include "pistachiorack/hash.h"
 #include "platform.h"
 
 #define RATINGS_KEPT   200000
@@ -29,42 +27,6 @@
 	return standin_record_init(&ratings->ring, RATINGS_KEPT);
 }
 
-static const char *text_of(const json_t *object, const char *name)
-{
-	const char *text = json_string_value(json_object_get(object, name));
-
-	return text ? text : "";
-}
-
-static double quality_of(const ratings_t *ratings, const json_t *asked)
-{
-	char name[256];
-	char with_class[512];
-	const json_t *value;
-
-	snprintf(name, sizeof(name), "%s@%s", text_of(asked, "model"),
-		 text_of(asked, "version"));
-	snprintf(with_class, sizeof(with_class), "%s/%s",
-		 text_of(asked, "class"), name);
-	value = json_object_get(ratings->quality, with_class);
-	if (!value)
-		value = json_object_get(ratings->quality, name);
-	return value ? json_number_value(value) : ratings->quality_default;
-}
-
-double ratings_score(const ratings_t *ratings, uint64_t seed,
-		     const json_t *asked)
-{
-	pr_slice_t request = pr_slice_of(text_of(asked, "request"));
-	pr_slice_t version = pr_slice_of(text_of(asked, "version"));
-	uint64_t draw =
-		pr_hash64(request.ptr, request.len,
-			  seed ^ pr_hash64(version.ptr, version.len, 0));
-	double unit = (double)(draw >> 11) / (double)(1ULL << 53);
-
-	return unit < quality_of(ratings, asked) ? 1.0 : 0.0;
-}
-
 static void on_rated(pr_timer_t *timer, pr_usec_t now)
 {
 	pending_t *pending = timer->data;
@@ -102,12 +64,12 @@
 	pending->rating = json_deep_copy(exchange->json);
 	json_object_set_new(
 		pending->rating, "score",
-		json_real(ratings_score(ratings, platform->standin.options.seed,
-					exchange->json)));
+		json_real(score_draw(ratings->quality, ratings->quality_default,
+				     platform->standin.options.seed,
+				     exchange->json)));
 	ratings->pending++;
-	standin_now(&platform->standin);
-	pr_timers_subscribe(&platform->standin.timers, &pending->timer,
-			    ratings->delay_ms * PR_USEC_PER_MSEC, 0, on_rated);
+	standin_after(&platform->standin, &pending->timer,
+		      ratings->delay_ms * PR_USEC_PER_MSEC, 0, on_rated);
 	standin_answer(exchange, 202, json_pack("{s:b}", "accepted", 1));
 }
 
