--- a/src/bill/entry.c
+++ b/src/bill/entry.c
@@ -144,6 +144,12 @@
 	batch->retry = now + book->options.ack_wait;
 	for (unsigned int slot = 0; slot < book->options.holders; slot++)
 		batch->hosts[slot] = book->first[slot];
+	for (unsigned int slot = 0; slot < book->options.holders; slot++)
+		if (batch->hosts[slot] != PR_BILL_NOBODY &&
+		    book->names[batch->hosts[slot]]->full_until > now)
+			batch->hosts[slot] =
+				pr_bill_choose(book, slot, PR_BILL_NOBODY,
+					       batch->hosts[!slot], now);
 	for (unsigned int slot = 0; slot < book->options.holders; slot++)
 		send_hold(book, batch, slot);
 	arm_tick(book, now);
@@ -172,16 +178,20 @@
 	free(requests);
 }
 
+/* Replaces the holders that are silent, or only the one that refused. */
 static void ask_others(pr_bill_book_t *book, pr_bill_batch_t *batch,
-		       pr_usec_t now)
+		       uint16_t refused, pr_usec_t now)
 {
 	batch->retry =
 		now + (batch->requests ? book->options.ack_wait : RETRY_SLOW);
 	for (unsigned int slot = 0; slot < book->options.holders; slot++) {
-		if (batch->acknowledged[slot])
+		if (batch->acknowledged[slot] ||
+		    (refused != PR_BILL_NOBODY &&
+		     batch->hosts[slot] != refused))
 			continue;
-		batch->hosts[slot] = pr_bill_choose(
-			book, slot, batch->hosts[slot], batch->hosts[!slot]);
+		batch->hosts[slot] =
+			pr_bill_choose(book, slot, batch->hosts[slot],
+				       batch->hosts[!slot], now);
 		if (batch->hosts[slot] != PR_BILL_NOBODY)
 			book->counters.other_holder++;
 		send_hold(book, batch, slot);
@@ -211,7 +221,7 @@
 		next = next->next;
 		if (batch->retry > now)
 			continue;
-		ask_others(book, batch, now);
+		ask_others(book, batch, PR_BILL_NOBODY, now);
 		pr_list_remove(&batch->unheld);
 		pr_list_append(&book->unheld, &batch->unheld);
 	}
@@ -224,9 +234,14 @@
 	pr_bill_batch_t *batch = pr_bill_find(book, message->batch);
 	bool all = true;
 
-	/* A refusal is handled like silence: the next tick asks another. */
-	if (!batch || batch->role != PR_BILL_OWN || !message->accepted)
+	if (!batch || batch->role != PR_BILL_OWN)
+		return;
+	if (!message->accepted) {
+		book->names[from]->full_until = now + RETRY_SLOW;
+		if (batch->hosts[0] == from || batch->hosts[1] == from)
+			ask_others(book, batch, from, now);
 		return;
+	}
 	for (unsigned int slot = 0; slot < book->options.holders; slot++) {
 		if (batch->hosts[slot] == from)
 			batch->acknowledged[slot] = true;
--- a/src/bill/holder.c
+++ b/src/bill/holder.c
@@ -48,8 +48,7 @@
 		count_collected(book, batch);
 	}
 	if (!batch) {
-		if (message->value.len > book->options.held_max ||
-		    !is_json(message->value))
+		if (!is_json(message->value))
 			return;
 		if (book->pending.held_bytes + bytes <= book->options.held_max)
 			batch = pr_bill_batch_add(
--- a/src/bill/internal.h
+++ b/src/bill/internal.h
@@ -18,6 +18,8 @@
 	uint16_t number;
 	/** Last time that this host said that it waits for the store. */
 	pr_usec_t waiting_at;
+	/** Refused a batch: not asked before this time. */
+	pr_usec_t full_until;
 	/** Batches collected here that the host wants to hear of. */
 	uint32_t collected;
 	/** In the current list of peers. */
@@ -135,9 +137,10 @@
  * @param slot 0 for the collector, 1 for the second holder
  * @param after the holder that did not answer, or PR_BILL_NOBODY
  * @param other holder in the other slot
+ * @return a peer; PR_BILL_NOBODY when there is none that has room
  */
 uint16_t pr_bill_choose(const pr_bill_book_t *book, unsigned int slot,
-			uint16_t after, uint16_t other);
+			uint16_t after, uint16_t other, pr_usec_t now);
 
 /* entry.c */
 
--- a/src/bill/peers.c
+++ b/src/bill/peers.c
@@ -72,7 +72,7 @@
 }
 
 uint16_t pr_bill_choose(const pr_bill_book_t *book, unsigned int slot,
-			uint16_t after, uint16_t other)
+			uint16_t after, uint16_t other, pr_usec_t now)
 {
 	const pr_bill_place_t *other_place = place_of(book, other);
 	const pr_bill_place_t *last = place_of(book, after);
@@ -84,7 +84,8 @@
 		const pr_bill_place_t *peer = &book->peers[i];
 		uint64_t value = rank(book, slot, peer, other_place);
 
-		if (peer->name == other || peer->name == book->self.name)
+		if (peer->name == other || peer->name == book->self.name ||
+		    book->names[peer->name]->full_until > now)
 			continue;
 		if (value < first_rank) {
 			first_rank = value;
@@ -117,7 +118,7 @@
  * The collector has to be outside the entry host's zone, so the shards are
  * divided among the zones: hosts of one zone and shard share a collector.
  */
-static void choose_first(pr_bill_book_t *book)
+static void choose_first(pr_bill_book_t *book, pr_usec_t now)
 {
 	const char *self = book->names[book->self.name]->text;
 	unsigned int shards = book->options.shards / count_zones(book);
@@ -128,9 +129,9 @@
 		 (unsigned long long)book->self.zone,
 		 (unsigned int)(hash_of(self) % shards));
 	book->first[0] =
-		pr_bill_choose(book, 0, PR_BILL_NOBODY, PR_BILL_NOBODY);
+		pr_bill_choose(book, 0, PR_BILL_NOBODY, PR_BILL_NOBODY, now);
 	book->first[1] =
-		pr_bill_choose(book, 1, PR_BILL_NOBODY, book->first[0]);
+		pr_bill_choose(book, 1, PR_BILL_NOBODY, book->first[0], now);
 }
 
 int pr_bill_set_peers(pr_bill_book_t *book, const pr_bill_peer_t *peers,
@@ -155,7 +156,7 @@
 	free(book->peers);
 	book->peers = places;
 	book->peers_count = used;
-	choose_first(book);
+	choose_first(book, now);
 	pr_bill_replace_holders(book, now);
 	return 0;
 }
