--- a/src/bill/entry.c
+++ b/src/bill/entry.c
@@ -151,6 +151,12 @@
 					      batch->hosts[!slot], now);
 		batch->hosts[slot] = host;
 	}
+	for (unsigned int slot = 0; slot < book->options.holders; slot++)
+		if (batch->hosts[slot] != PR_BILL_NOBODY &&
+		    book->names[batch->hosts[slot]]->full_until > now)
+			batch->hosts[slot] =
+				pr_bill_choose(book, slot, PR_BILL_NOBODY,
+					       batch->hosts[!slot], now);
 	for (unsigned int slot = 0; slot < book->options.holders; slot++)
 		send_hold(book, batch, slot);
 	arm_tick(book, now);
--- a/tests/test_bill.c
+++ b/tests/test_bill.c
@@ -309,6 +309,7 @@
 	assert_true(walk.items[0].acknowledged);
 	assert_int_equal(pr_bill_pending(walk.books[0]).unheld, 0);
 	assert_true(walk.holders[0] != 2 && walk.holders[1] != 2);
+	assert_true(walk.holders[0] != walk.holders[1]);
 	walk_finish(&walk);
 }
 
