Add replay program: traces, generator, baselines, outcomes

Choice and roll-outs need figures that can be repeated from a seed, with the baselines in the same run, before they meet traffic.

pistachiorack-replay drives the policy, roll-out and session code over a trace in virtual time with eight hosts, a lagging rating feed, lost evidence messages and a configuration that reaches hosts one by one. It checks outcomes stated in a file and exits with 1 when one is missed. Estimates now share ratings more, sample promising versions more often and rate escalated answers apart, since escalated requests are harder.

The change test on a normal approximation was ruled out: near a quality of 1 it discards good estimates.

--- a/include/pistachiorack/policy.h
+++ b/include/pistachiorack/policy.h
@@ -17,6 +17,8 @@
 
 #define PR_POLICY_STEPS_MAX      4
 #define PR_POLICY_CANDIDATES_MAX 32
+/** Longer class names are cut for the rating of escalated answers. */
+#define PR_POLICY_CLASS_MAX 64
 /** Name of the virtual model that stands for any permitted model. */
 #define PR_POLICY_AUTO "auto"
 
@@ -67,6 +69,8 @@
 	uint32_t pending_max;
 	/** Share of requests that try another version to keep learning. */
 	double explore;
+	/** The same while a cheaper version may meet the target. */
+	double explore_promising;
 	/** Share of the other answers for which a rating is asked. */
 	double rate_share;
 	/** Share of the reference's quality that must be kept, 0..1. */
@@ -75,6 +79,8 @@
 	double bound_z;
 	/** Cost of one second of expected delay, in price units. */
 	double delay_price;
+	/** Ratings that the fleet-wide estimate is worth to a workspace. */
+	double prior_weight;
 	/** Most ratings that an estimate remembers; older ones fade. */
 	double memory;
 	/** Half-life of ratings, so that an idle estimate widens. */
@@ -85,9 +91,10 @@
 #define PR_POLICY_OPTIONS_INIT                                                 \
 	{                                                                      \
 		.version = PR_POLICY_OPTIONS_VERSION, .posteriors_max = 8192,  \
-		.pending_max = 4096, .explore = 0.03, .rate_share = 0.1,       \
-		.keep = 0.985, .bound_z = 1.0, .delay_price = 0.0,             \
-		.memory = 1000, .half_life = 86400 * PR_USEC_PER_SEC,          \
+		.pending_max = 4096, .explore = 0.03,                          \
+		.explore_promising = 0.08, .rate_share = 0.2, .keep = 0.975,   \
+		.bound_z = 0.3, .delay_price = 0.0, .prior_weight = 300,       \
+		.memory = 4000, .half_life = 86400 * PR_USEC_PER_SEC,          \
 	}
 
 /** Levels of the engine's confidence value, 0..1 cut into equal parts. */
@@ -115,7 +122,7 @@
 typedef struct pr_policy_pending_t {
 	uint64_t request;
 	float confidence;
-	/** True when the rating was asked by the uniform draw. */
+	/** The caller received it, and the uniform draw asked for it. */
 	bool uniform;
 } pr_policy_pending_t;
 
@@ -219,9 +226,21 @@
  * @return true when the answer of the step is sufficient
  */
 bool pr_policy_sufficient(const pr_step_t *step, double confidence);
-/** Remember what is needed when the rating of an answer arrives. */
-void pr_policy_note(pr_policy_t *policy, const pr_plan_t *plan,
-		    uint64_t request, double confidence);
+/** Suffix of the class under which escalated answers are rated. */
+#define PR_POLICY_ESCALATED "+escalated"
+
+/**
+ * Remember what is needed when the rating of an answer arrives. When
+ * plan->rate is set, a rating is asked for the answer of every step, each
+ * under an id of its own: were only accepted answers rated, the cheap version
+ * would look better than it is. An escalated answer is rated under the class
+ * with PR_POLICY_ESCALATED appended, since escalated requests are harder.
+ *
+ * @param answer hash of the id under which the rating was asked, not 0
+ * @param final the caller received this answer
+ */
+void pr_policy_note(pr_policy_t *policy, const pr_plan_t *plan, uint64_t answer,
+		    double confidence, bool final);
 
 typedef struct pr_rating_t {
 	uint64_t request;
--- a/include/pistachiorack/rollout.h
+++ b/include/pistachiorack/rollout.h
@@ -68,9 +68,9 @@
 #define PR_ROLLOUT_OPTIONS_INIT                                                \
 	{                                                                      \
 		.version = PR_ROLLOUT_OPTIONS_VERSION, .alpha = 0.01,          \
-		.tolerance = 0.005, .step_margin = 0.03, .reference_min = 100, \
+		.tolerance = 0.0, .step_margin = 0.04, .reference_min = 100,   \
 		.monitor_run_length = 1e6, .shares = {100, 500, 2500, 10000},  \
-		.odds = {4, 10, 20, 50}, .retry = 5 * PR_USEC_PER_SEC,         \
+		.odds = {2, 5, 10, 25}, .retry = 5 * PR_USEC_PER_SEC,          \
 		.test = true, .budget = true,                                  \
 	}
 
--- a/src/policy/learn.c
+++ b/src/policy/learn.c
@@ -16,12 +16,11 @@
 #include "policy/learn.h"
 
 #define PROBES 8
-/* Ratings that the fleet-wide estimate is worth as a workspace's prior. */
-#define PRIOR_WEIGHT 20.0f
-/* Ratings in the short window; 40 tell a drop of 20 points at 4 sigma. */
-#define RECENT_MEMORY 40.0f
-/* A false change costs only relearning, so 4 sigma is enough. */
-#define CHANGE_Z 4.0
+/* Ratings in the short window; 60 tell a drop from 95% to 75%. */
+#define RECENT_MEMORY 60.0f
+/* The window is looked at with every rating, so a low limit would often
+ * throw a good estimate away. */
+#define CHANGE_Z 4.5
 
 int pr_policy_init(pr_policy_t *policy, const pr_policy_options_t *options)
 {
@@ -30,7 +29,8 @@
 	*policy = (pr_policy_t){.options = *o};
 	if (o->version != PR_POLICY_OPTIONS_VERSION ||
 	    o->posteriors_max < PROBES ||
-	    (o->posteriors_max & (o->posteriors_max - 1)) || !o->pending_max)
+	    (o->posteriors_max & (o->posteriors_max - 1)) || !o->pending_max ||
+	    o->bound_z <= 0)
 		return pr_error_set(PR_EINVALID, "policy options are invalid");
 	policy->posteriors =
 		calloc(o->posteriors_max, sizeof(*policy->posteriors));
@@ -115,18 +115,20 @@
 		    (double)policy->options.half_life);
 }
 
-/* Replaces the estimate by the short window when the two disagree. */
+/* Replaces the estimate by the short window when the two disagree. The
+ * arcsine transform keeps the limit valid near a quality of 1, where the
+ * normal approximation takes three bad ratings in a row for a change. */
 static bool detect_change(pr_posterior_t *entry)
 {
 	double n = entry->recent_good + entry->recent_bad;
 	double all = entry->good + entry->bad;
-	double p = (entry->good + 1) / (all + 2);
-	double recent;
+	double distance;
 
-	if (n < RECENT_MEMORY / 2 || all < 2 * RECENT_MEMORY)
+	if (n < RECENT_MEMORY / 4 || all < 2 * RECENT_MEMORY)
 		return false;
-	recent = entry->recent_good / n;
-	if (fabs(recent - p) < CHANGE_Z * sqrt(p * (1 - p) * (1 / n + 1 / all)))
+	distance = asin(sqrt(entry->recent_good / n)) -
+		   asin(sqrt((entry->good + 1) / (all + 2)));
+	if (2 * fabs(distance) < CHANGE_Z * sqrt(1 / n + 1 / all))
 		return false;
 	entry->good = entry->recent_good;
 	entry->bad = entry->recent_bad;
@@ -194,17 +196,17 @@
 		entry->bad[level]++;
 }
 
-void pr_policy_note(pr_policy_t *policy, const pr_plan_t *plan,
-		    uint64_t request, double confidence)
+void pr_policy_note(pr_policy_t *policy, const pr_plan_t *plan, uint64_t answer,
+		    double confidence, bool final)
 {
 	pr_policy_pending_t *pending =
-		&policy->pending[request % policy->options.pending_max];
+		&policy->pending[answer % policy->options.pending_max];
 
 	if (plan->rate)
-		*pending =
-			(pr_policy_pending_t){.request = request,
-					      .confidence = (float)confidence,
-					      .uniform = plan->uniform};
+		*pending = (pr_policy_pending_t){
+			.request = answer,
+			.confidence = (float)confidence,
+			.uniform = plan->uniform && final};
 }
 
 void pr_policy_rate(pr_policy_t *policy, const pr_rating_t *rating,
@@ -232,10 +234,10 @@
 	pending->request = 0;
 }
 
-void pr_policy_estimate(const pr_policy_t *policy, pr_slice_t workspace,
-			pr_slice_t request_class, pr_slice_t model,
-			pr_slice_t version, pr_usec_t now, double *quality,
-			double *quality_low)
+void pr_policy_estimate_from(const pr_policy_t *policy, pr_slice_t workspace,
+			     pr_slice_t request_class, pr_slice_t model,
+			     pr_slice_t version, pr_usec_t now, double a,
+			     double b, double *quality, double *quality_low)
 {
 	const pr_posterior_t *own =
 		find_posterior(policy, pr_policy_key(workspace, request_class,
@@ -243,12 +245,13 @@
 	const pr_posterior_t *all = find_posterior(
 		policy,
 		pr_policy_key(PR_SLICE(""), request_class, model, version));
-	double a = 1, b = 1, mean;
+	double mean;
 
 	if (all) {
 		double keep = fade(policy, all->updated, now);
 		double sum = (all->good + all->bad) * keep;
-		double weight = sum > PRIOR_WEIGHT ? PRIOR_WEIGHT / sum : 1;
+		double most = policy->options.prior_weight;
+		double weight = sum > most ? most / sum : 1;
 
 		a += all->good * keep * weight;
 		b += all->bad * keep * weight;
@@ -265,6 +268,33 @@
 				      sqrt(mean * (1 - mean) / (a + b + 1));
 }
 
+void pr_policy_estimate(const pr_policy_t *policy, pr_slice_t workspace,
+			pr_slice_t request_class, pr_slice_t model,
+			pr_slice_t version, pr_usec_t now, double *quality,
+			double *quality_low)
+{
+	pr_policy_estimate_from(policy, workspace, request_class, model,
+				version, now, 1, 1, quality, quality_low);
+}
+
+/* Quantile by bisection: gsl_cdf_beta_Pinv() calls the fatal error handler
+ * when its Newton steps do not converge, which happens from some thousand
+ * ratings on. */
+static double beta_quantile(double p, double a, double b)
+{
+	double low = 0, high = 1;
+
+	for (int i = 0; i < 50; i++) {
+		double middle = (low + high) / 2;
+
+		if (gsl_cdf_beta_P(middle, a, b) < p)
+			low = middle;
+		else
+			high = middle;
+	}
+	return (low + high) / 2;
+}
+
 void pr_policy_report(const pr_policy_t *policy, pr_quality_report_t *report)
 {
 	double good = policy->uniform_good, bad = policy->uniform_bad;
@@ -274,7 +304,7 @@
 		return;
 	report->quality = good / (good + bad);
 	if (good > 0)
-		report->low = gsl_cdf_beta_Pinv(0.025, good, bad + 1);
+		report->low = beta_quantile(0.025, good, bad + 1);
 	if (bad > 0)
-		report->high = gsl_cdf_beta_Pinv(0.975, good + 1, bad);
+		report->high = beta_quantile(0.975, good + 1, bad);
 }
--- a/src/policy/learn.h
+++ b/src/policy/learn.h
@@ -11,4 +11,10 @@
 const pr_calibration_t *pr_policy_calibration(const pr_policy_t *policy,
 					      uint64_t key);
 
+/** As pr_policy_estimate(), from a Beta(a, b) prior. */
+void pr_policy_estimate_from(const pr_policy_t *policy, pr_slice_t workspace,
+			     pr_slice_t request_class, pr_slice_t model,
+			     pr_slice_t version, pr_usec_t now, double a,
+			     double b, double *quality, double *quality_low);
+
 #endif
--- a/src/policy/plan.c
+++ b/src/policy/plan.c
@@ -2,6 +2,7 @@
 #include "pistachiorack/policy.h"
 
 #include <math.h>
+#include <stdio.h>
 
 #include "pistachiorack/error.h"
 #include "policy/learn.h"
@@ -9,10 +10,15 @@
 /* Ratings a confidence level needs before a threshold may rest on it. */
 #define LEVEL_RATINGS_MIN 30.0
 
+/* Standard deviations within which an estimate may still be wrong. */
+#define PROMISING_Z 2.0
+
 typedef struct pr_candidates_t {
 	pr_step_t steps[PR_POLICY_CANDIDATES_MAX];
 	unsigned int count;
 	unsigned int reference;
+	/** Quality of the reference on requests that were escalated to it. */
+	double escalated;
 } pr_candidates_t;
 
 static double price_of(const pr_query_t *query, const pr_version_t *version)
@@ -79,6 +85,28 @@
 	plan->candidates = list->count;
 }
 
+static void estimate_escalated(const pr_policy_t *policy,
+			       const pr_query_t *query, pr_usec_t now,
+			       pr_candidates_t *list)
+{
+	const pr_step_t *step = &list->steps[list->reference];
+	char name[PR_POLICY_CLASS_MAX + sizeof(PR_POLICY_ESCALATED)];
+	int len = snprintf(name, sizeof(name), "%.*s%s",
+			   query->request_class.len > PR_POLICY_CLASS_MAX
+				   ? PR_POLICY_CLASS_MAX
+				   : (int)query->request_class.len,
+			   query->request_class.ptr, PR_POLICY_ESCALATED);
+	double low;
+
+	/* Until escalated answers are rated, the quality on all requests is
+	 * the guess, worth 20 ratings. */
+	pr_policy_estimate_from(
+		policy, query->workspace, pr_slice(name, (size_t)len),
+		pr_slice_of(step->model->name),
+		pr_slice_of(step->version->name), now, 20 * step->quality,
+		20 * (1 - step->quality), &list->escalated, &low);
+}
+
 static double target_of(const pr_policy_t *policy, const pr_query_t *query,
 			const pr_step_t *reference)
 {
@@ -143,7 +171,7 @@
 		if (!accept_stats(policy, query, step, level, &share, &low))
 			return;
 		price = step->price + (1 - share) * reference->price;
-		quality = share * low + (1 - share) * reference->quality;
+		quality = share * low + (1 - share) * list->escalated;
 		cost = price + (1 - share) * query->answer_s *
 				       policy->options.delay_price;
 		if (quality >= target && cost < best->cost)
@@ -230,29 +258,56 @@
 	return 0;
 }
 
-static void explore(const pr_candidates_t *list, pr_rand_t *rand,
-		    pr_choice_t *choice)
+/* True when the version would be cheaper than the choice and may, by what is
+ * known, meet the target. */
+static bool is_promising(const pr_policy_t *policy, const pr_step_t *step,
+			 const pr_choice_t *choice, double target)
 {
-	unsigned int best = choice->first;
-	double highest = -1;
+	double error =
+		(step->quality - step->quality_low) / policy->options.bound_z;
 
-	/* A sample of each posterior prefers versions that may be good and
-	 * spares those that are known to be bad (Thompson, 1933). */
+	return step->price < choice->cost &&
+	       step->quality + PROMISING_Z * error >= target;
+}
+
+/* Draws a version to sample: one of the promising ones, at a raised rate, or
+ * else any other one, so that a changed quality is noticed. A sample of each
+ * posterior spares versions that are known to be bad (Thompson, 1933). */
+static bool explore(const pr_policy_t *policy, const pr_candidates_t *list,
+		    double target, pr_rand_t *rand, pr_choice_t *choice)
+{
+	const pr_policy_options_t *o = &policy->options;
+	unsigned int promising = 0, best = choice->first;
+	double highest = -INFINITY;
+
+	for (unsigned int i = 0; i < list->count; i++)
+		promising +=
+			i != choice->first &&
+			is_promising(policy, &list->steps[i], choice, target);
+	if (pr_rand_unit(rand) >=
+	    (promising ? o->explore_promising : o->explore))
+		return false;
 	for (unsigned int i = 0; i < list->count; i++) {
 		const pr_step_t *step = &list->steps[i];
-		double sigma = step->quality - step->quality_low;
-		double sample = step->quality +
-				3 * sigma * (2 * pr_rand_unit(rand) - 1);
-
-		if (i != choice->first && sample > highest) {
-			highest = sample;
-			best = i;
-		}
+		double error = (step->quality - step->quality_low) /
+			       policy->options.bound_z;
+		double sample =
+			step->quality +
+			PROMISING_Z * error * (2 * pr_rand_unit(rand) - 1);
+
+		if (i == choice->first || sample <= highest ||
+		    (promising && !is_promising(policy, step, choice, target)))
+			continue;
+		highest = sample;
+		best = i;
 	}
+	if (best == choice->first)
+		return false;
 	choice->first = best;
 	choice->level = 0;
 	choice->price = list->steps[best].price;
 	choice->quality = list->steps[best].quality;
+	return true;
 }
 
 int pr_policy_plan(pr_policy_t *policy, pr_plan_t *plan,
@@ -271,12 +326,12 @@
 		return pr_error_set(PR_EDENIED, "no permitted version: %s",
 				    pr_permission_name(plan->refused));
 	plan->target = target_of(policy, query, &list.steps[list.reference]);
+	estimate_escalated(policy, query, now, &list);
 	choice = choose(policy, query, &list, plan->target);
 	plan->rule = choice.level                     ? PR_RULE_CASCADE
 		     : choice.first == list.reference ? PR_RULE_REFERENCE
 						      : PR_RULE_SINGLE;
-	if (list.count > 1 && pr_rand_unit(rand) < policy->options.explore) {
-		explore(&list, rand, &choice);
+	if (explore(policy, &list, plan->target, rand, &choice)) {
 		plan->rule = PR_RULE_EXPLORE;
 		plan->rate = true;
 	}
--- /dev/null
+++ b/src/replay/stages.c
@@ -0,0 +1,85 @@
+/* Fixed stages: 1, 5, 25, 50 per cent, twenty minutes each. */
+#include "replay/stages.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "rollout/track.h"
+
+#define STAGE_S 1200
+/* Four looks at 2.8 sigma: about 1% false alarms in all. */
+#define ALARM_Z 2.8
+
+static const uint32_t shares[] = {100, 500, 2500, 5000};
+#define STAGES (sizeof(shares) / sizeof(shares[0]))
+
+static double z_score(const pr_track_t *track, const pr_track_t *reference)
+{
+	double n = (double)track->counts.trials[PR_SIGNAL_RATING];
+	double m = (double)reference->counts.trials[PR_SIGNAL_RATING];
+	double k = (double)track->counts.bad[PR_SIGNAL_RATING];
+	double j = (double)reference->counts.bad[PR_SIGNAL_RATING];
+	double p = (k + j + 0.5) / (n + m + 1);
+
+	if (n < 1 || m < 1)
+		return 0;
+	return (k / n - j / m) / sqrt(p * (1 - p) * (1 / n + 1 / m));
+}
+
+static bool stage_ends(rp_stage_t *stage, const pr_track_t *track,
+		       const pr_track_t *reference, long second,
+		       pr_change_t *change)
+{
+	if (!stage->since_s)
+		stage->since_s = (double)second;
+	if ((double)second < stage->since_s + STAGE_S)
+		return false;
+	change->to_state = PR_VERSION_ROLLING;
+	change->conclusion = PR_CONCLUDE_ADVANCE;
+	stage->since_s = (double)second;
+	stage->stage++;
+	if (z_score(track, reference) > ALARM_Z) {
+		change->conclusion = PR_CONCLUDE_WITHDRAW;
+		change->to_state = PR_VERSION_WITHDRAWN;
+	} else if (stage->stage == STAGES) {
+		change->conclusion = PR_CONCLUDE_PROVEN;
+		change->to_state = PR_VERSION_PROVEN;
+	} else {
+		change->to_share = shares[stage->stage];
+	}
+	return true;
+}
+
+unsigned int rp_stages_conclude(rp_stages_t *stages, const rp_trace_t *trace,
+				const pr_rollout_t *rollout,
+				const pr_fleet_t *fleet, long second,
+				pr_change_t *changes, unsigned int max)
+{
+	unsigned int count = 0;
+
+	for (size_t i = 0; i < trace->versions_count && count < max; i++) {
+		const rp_version_t *v = &trace->versions[i];
+		const pr_version_t *entry = pr_model_version(
+			pr_fleet_model(fleet, pr_slice_of(v->model)),
+			pr_slice_of(v->name));
+		const pr_track_t *track = pr_rollout_track(
+			rollout, pr_slice_of(v->model), pr_slice_of(v->name));
+		const pr_track_t *reference =
+			pr_rollout_track(rollout, pr_slice_of(v->model),
+					 pr_slice_of(v->replaces));
+
+		if (entry->state != PR_VERSION_ROLLING || !track || !reference)
+			continue;
+		memset(&changes[count], 0, sizeof(changes[count]));
+		snprintf(changes[count].model, PR_ROLLOUT_NAME_MAX, "%s",
+			 v->model);
+		snprintf(changes[count].version, PR_ROLLOUT_NAME_MAX, "%s",
+			 v->name);
+		changes[count].from_state = entry->state;
+		changes[count].from_share = entry->share;
+		count += stage_ends(&stages->stages[i], track, reference,
+				    second, &changes[count]);
+	}
+	return count;
+}
--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -15,7 +15,7 @@
 #define POOLED_PART     0.5
 #define RATING_PART     0.5
 #define OTHER_PART      (0.5 / (PR_SIGNALS - 1))
-#define REFERENCE_Z     2.0
+#define REFERENCE_Z     1.0
 #define STRENGTH_NARROW 40.0
 
 static double log_or_none(double p)
@@ -23,17 +23,31 @@
 	return p > 0 ? log(p) : -INFINITY;
 }
 
+/* Probability that a Beta(a, b) number is above (or below) p0. The library's
+ * continued fraction gives NaN for parameters of some 100,000, where the
+ * normal distribution is close enough. */
+static double beta_part(double p0, double a, double b, bool above)
+{
+	double part =
+		above ? gsl_cdf_beta_Q(p0, a, b) : gsl_cdf_beta_P(p0, a, b);
+	double mean = a / (a + b);
+	double deviation = sqrt(mean * (1 - mean) / (a + b + 1));
+
+	if (!isnan(part))
+		return part;
+	return above ? gsl_cdf_gaussian_Q(p0 - mean, deviation)
+		     : gsl_cdf_gaussian_P(p0 - mean, deviation);
+}
+
 /* Log likelihood ratio of a Beta(a, b) mixture over rates above (or below)
  * p0 against p0. */
 static double log_mixture(double bad, double good, double p0, double a,
 			  double b, bool above)
 {
-	double (*part)(double, double, double) =
-		above ? gsl_cdf_beta_Q : gsl_cdf_beta_P;
-
 	return gsl_sf_lnbeta(a + bad, b + good) - gsl_sf_lnbeta(a, b) +
-	       log_or_none(part(p0, a + bad, b + good)) -
-	       log_or_none(part(p0, a, b)) - bad * log(p0) - good * log(1 - p0);
+	       log_or_none(beta_part(p0, a + bad, b + good, above)) -
+	       log_or_none(beta_part(p0, a, b, above)) - bad * log(p0) -
+	       good * log(1 - p0);
 }
 
 /* Mean of a wide mixture and one close to p0; both are martingales. */
