--- a/include/pistachiorack/balance.h
+++ b/include/pistachiorack/balance.h
@@ -69,7 +69,7 @@
 		.subset_remote = 4, .candidates = 2, .ramp = true,             \
 		.ejection = true, .affinity = true,                            \
 		.ramp_hold = 5 * PR_USEC_PER_SEC,                              \
-		.ramp_time = 25 * PR_USEC_PER_SEC, .eject_errors = 5,          \
+		.ramp_time = 15 * PR_USEC_PER_SEC, .eject_errors = 5,          \
 		.eject_first = 5 * PR_USEC_PER_SEC,                            \
 		.eject_max = 300 * PR_USEC_PER_SEC,                            \
 		.settle = 3 * PR_USEC_PER_SEC,                                 \
@@ -220,7 +220,12 @@
  */
 int pr_balance_set_grant(pr_balance_t *balance, const char *upstream,
 			 uint32_t amount, pr_usec_t until);
-/** Live hosts, this one included, for default shares. @return 0, PR_ENOMEM */
+/**
+ * Live hosts, this one included, for default shares. Before the first call
+ * the host takes itself for the only one.
+ *
+ * @return 0 or PR_ENOMEM
+ */
 int pr_balance_set_hosts(pr_balance_t *balance, const char *const *hosts,
 			 unsigned int count, pr_usec_t now);
 
--- a/src/balance/choose.c
+++ b/src/balance/choose.c
@@ -30,34 +30,33 @@
 	       now - upstream->reported_at <= balance->options.report_max_age;
 }
 
-/* Requests that the upstream works on, from the last report, corrected by what
- * this host sent and finished since it was measured. */
+/* Hosts that share the upstream's load, this one included. */
+static double sharing_hosts(const pr_balance_t *balance,
+			    const pr_balance_pool_t *pool,
+			    const pr_balance_upstream_t *upstream)
+{
+	unsigned int hosts = balance->views ? balance->views[0].count : 1;
+	unsigned int region =
+		pool->region_count ? pool->region_count : pool->count;
+	double sharing = (double)hosts * pool->local / region;
+
+	return sharing > 1 ? sharing : 1;
+}
+
+/* Requests that the upstream works on: the mean of the reports, moved by how
+ * far this host's own share is from its mean. Single reports are too old: all
+ * hosts would follow the same one and meet at the same upstream. */
 static double load_of(const pr_balance_t *balance,
 		      const pr_balance_pool_t *pool,
 		      const pr_balance_upstream_t *upstream, pr_usec_t now)
 {
 	double own = upstream->in_flight;
+	double sharing = sharing_hosts(balance, pool, upstream);
 	double load;
-	pr_usec_t age = now - upstream->reported_at;
-
-	if (!has_report(balance, upstream, now)) {
-		unsigned int hosts =
-			balance->views ? balance->views[0].count : 1;
-		unsigned int local =
-			pool->region_count ? pool->region_count : pool->count;
-		double sharing = (double)hosts * pool->local / local;
 
-		return sharing > 1 ? own * sharing : own;
-	}
-	load = upstream->reported;
-	if (age / PR_HISTORY_STEP < PR_HISTORY) {
-		int64_t step = upstream->reported_at / PR_HISTORY_STEP;
-		bool changed = step < upstream->history_step;
-
-		load += own -
-			(changed ? upstream->history[(step + 1) % PR_HISTORY]
-				 : own);
-	}
+	if (!has_report(balance, upstream, now))
+		return own * sharing;
+	load = upstream->mean_load + sharing * (own - upstream->mean_own);
 	return load > own ? load : own;
 }
 
@@ -111,13 +110,16 @@
 /* Hosts that did not notice the start, or whose requests outlast a change of
  * shares, show up in the load report only. */
 static bool is_cold_full(const pr_balance_t *balance,
-			 const pr_balance_pool_t *pool,
 			 const pr_balance_upstream_t *upstream, pr_usec_t now)
 {
-	return upstream->cold && has_report(balance, upstream, now) &&
-	       upstream->reported_at > upstream->ramp_start &&
-	       load_of(balance, pool, upstream, now) >=
-		       pr_balance_level(balance, upstream, now);
+	double load = upstream->reported;
+
+	if (!upstream->cold || !has_report(balance, upstream, now) ||
+	    upstream->reported_at <= upstream->ramp_start)
+		return false;
+	load += (double)upstream->in_flight -
+		pr_balance_in_flight_at(upstream, upstream->reported_at);
+	return load >= pr_balance_level(balance, upstream, now);
 }
 
 static void scan(pr_balance_t *balance, scan_t *found,
@@ -134,7 +136,7 @@
 			continue;
 		if (upstream->in_flight >=
 			    pr_balance_ceiling(balance, upstream, now) ||
-		    is_cold_full(balance, pool, upstream, now)) {
+		    is_cold_full(balance, upstream, now)) {
 			found->full = true;
 			continue;
 		}
--- a/src/balance/event.c
+++ b/src/balance/event.c
@@ -8,6 +8,9 @@
 /* Weight of one observation in moving averages. */
 #define LEARN 0.1
 
+/* Weight of one load report in the averages. */
+#define REPORT_WEIGHT 0.2
+
 /* Observations before the first-token time counts as known. */
 #define SAMPLES_MIN 10
 
@@ -35,6 +38,18 @@
 		upstream->history_step = step;
 }
 
+uint32_t pr_balance_in_flight_at(const pr_balance_upstream_t *upstream,
+				 pr_usec_t when)
+{
+	int64_t step = when / PR_HISTORY_STEP + 1;
+
+	if (step > upstream->history_step)
+		return upstream->in_flight;
+	if (upstream->history_step - step >= PR_HISTORY)
+		step = upstream->history_step - PR_HISTORY + 1;
+	return upstream->history[step % PR_HISTORY];
+}
+
 void pr_balance_sent(pr_balance_t *balance, pr_balance_choice_t *choice,
 		     pr_usec_t now)
 {
@@ -198,11 +213,19 @@
 			   uint32_t load, pr_usec_t measured)
 {
 	pr_balance_upstream_t *upstream = pr_balance_find(balance, name);
+	double own;
 
 	if (!upstream)
 		return pr_error_set(PR_ENOTFOUND, "no upstream %s", name);
 	if (measured <= upstream->reported_at)
 		return 0;
+	own = pr_balance_in_flight_at(upstream, measured);
+	if (upstream->reported_at < 0) {
+		upstream->mean_load = load;
+		upstream->mean_own = own;
+	}
+	upstream->mean_load += REPORT_WEIGHT * (load - upstream->mean_load);
+	upstream->mean_own += REPORT_WEIGHT * (own - upstream->mean_own);
 	upstream->reported = load;
 	upstream->reported_at = measured;
 	return 0;
--- a/src/balance/internal.h
+++ b/src/balance/internal.h
@@ -56,6 +56,8 @@
 	int64_t history_step;
 	uint32_t reported;
 	pr_usec_t reported_at;
+	/* Moving averages at the times of reports. */
+	double mean_load, mean_own;
 	/* Learned times in microseconds. */
 	double first_token, duration, excess;
 	/** Observations in first_token, counted up to 10. */
@@ -103,6 +105,9 @@
 			  const pr_balance_upstream_t *upstream, pr_usec_t now);
 bool pr_balance_usable(const pr_balance_t *balance,
 		       const pr_balance_upstream_t *upstream, pr_usec_t now);
+/* @return own requests in flight at a time in the recent past */
+uint32_t pr_balance_in_flight_at(const pr_balance_upstream_t *upstream,
+				 pr_usec_t when);
 void pr_balance_note_in_flight(pr_balance_upstream_t *upstream, pr_usec_t now);
 unsigned int pr_balance_prefix_hits(const pr_balance_upstream_t *upstream,
 				    const uint64_t *blocks, unsigned int count);
