--- a/script/lib/fleet.sh
+++ b/script/lib/fleet.sh
@@ -88,8 +88,10 @@
 	text=$(sed -e 's/\\/\\\\/g' -e 's/"/\\"/g' "$1" |
 		awk '{printf "%s\\n", $0}')
 	printf '{"ops":[{"table":"config","key":"current","if":"any",'
-	printf '"value":{"change_id":"%s-%s","text":"%s"}}]}' \
-		"$(basename "$1")" "$RANDOM" "$text"
+	FLEET_VERSION=$((${FLEET_VERSION:-0} + 1))
+	printf '"value":{"version":%d,"change_id":"script-%s-%s",' \
+		"$FLEET_VERSION" "$FLEET_VERSION" "$RANDOM"
+	printf '"text":"%s"}}]}' "$text"
 }
 
 fleet_start_host() {
--- a/src/replay/run.c
+++ b/src/replay/run.c
@@ -164,13 +164,13 @@
 	}
 }
 
-static int apply(world_t *w, const pr_change_t *change)
+static int apply(world_t *w, const pr_rollout_change_t *change)
 {
 	int i = rp_find_version(w->trace, change->model, change->version);
 	rp_version_t *v = &w->versions[i];
 
 	if (change->conclusion == PR_CONCLUDE_WARN ||
-	    pr_change_check(change, w->configs[w->configs_count - 1]))
+	    pr_rollout_change_check(change, w->configs[w->configs_count - 1]))
 		return 0;
 	if (change->conclusion == PR_CONCLUDE_WITHDRAW)
 		w->result->withdrawn[v->kind]++;
@@ -185,7 +185,7 @@
 {
 	host_t *owner = &w->hosts[0];
 	const pr_fleet_t *fleet = w->configs[owner->config];
-	pr_change_t changes[8];
+	pr_rollout_change_t changes[8];
 	unsigned int count;
 	int err = 0;
 
--- a/src/replay/stages.c
+++ b/src/replay/stages.c
@@ -29,7 +29,7 @@
 
 static bool stage_ends(rp_stage_t *stage, const pr_track_t *track,
 		       const pr_track_t *reference, long second,
-		       pr_change_t *change)
+		       pr_rollout_change_t *change)
 {
 	if (!stage->since_s)
 		stage->since_s = (double)second;
@@ -54,7 +54,7 @@
 unsigned int rp_stages_conclude(rp_stages_t *stages, const rp_trace_t *trace,
 				const pr_rollout_t *rollout,
 				const pr_fleet_t *fleet, long second,
-				pr_change_t *changes, unsigned int max)
+				pr_rollout_change_t *changes, unsigned int max)
 {
 	unsigned int count = 0;
 
--- a/src/replay/stages.h
+++ b/src/replay/stages.h
@@ -12,6 +12,6 @@
 unsigned int rp_stages_conclude(rp_stages_t *stages, const rp_trace_t *trace,
 				const pr_rollout_t *rollout,
 				const pr_fleet_t *fleet, long second,
-				pr_change_t *changes, unsigned int max);
+				pr_rollout_change_t *changes, unsigned int max);
 
 #endif
--- a/src/router/admin.c
+++ b/src/router/admin.c
@@ -9,10 +9,6 @@
 	pr_metrics_print(&router->metrics, &text);
 	pr_str_appendf(&text, "pr_requests_in_work %u\n",
 		       router->exchange_count);
-	pr_str_appendf(&text, "pr_config_version %llu\n",
-		       router->fleet
-			       ? (unsigned long long)router->fleet->version
-			       : 0ULL);
 	pr_tasks_metrics(router, &text);
 	pr_http_answer(request, 200, "text/plain; version=0.0.4",
 		       pr_str_slice(&text));
@@ -60,11 +56,11 @@
 {
 	pr_str_t text = PR_STR_INIT;
 
-	pr_str_appendf(&text, "{\"host\":\"%s\",\"version\":%llu}",
-		       router->settings->host,
-		       router->fleet
-			       ? (unsigned long long)router->fleet->version
-			       : 0ULL);
+	pr_str_appendf(
+		&text, "{\"host\":\"%s\",\"version\":%llu,\"fresh\":%s}",
+		router->settings->host,
+		(unsigned long long)pr_config_holder_version(&router->config),
+		router->confirmed ? "true" : "false");
 	pr_http_answer(request, 200, "application/json", pr_str_slice(&text));
 	pr_str_finish(&text);
 }
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -155,7 +155,7 @@
 	exchange->router = router;
 	exchange->request = request;
 	exchange->arrived = pr_router_now(router);
-	exchange->fleet = pr_fleet_ref_get(router->fleet);
+	exchange->fleet = pr_config_ref(router->fleet);
 	exchange->deadline.data = exchange;
 	exchange->number = ++router->next_request;
 	snprintf(exchange->id, sizeof(exchange->id), "%s-%s-%llu",
@@ -195,7 +195,7 @@
 	if (exchange->next)
 		exchange->next->prev = exchange->prev;
 	router->exchange_count--;
-	pr_fleet_ref_put(exchange->fleet);
+	pr_config_unref(exchange->fleet);
 	pr_str_finish(&exchange->upstream_body);
 	pr_str_finish(&exchange->outcome);
 	pr_str_finish(&exchange->call.body);
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -94,7 +94,7 @@
 	/** NULL once the caller's side has ended. */
 	pr_http_request_t *request;
 	const pr_exchange_ops_t *ops;
-	pr_fleet_ref_t *fleet;
+	pr_config_t *fleet;
 	const pr_workspace_t *workspace;
 	/** Outlives a change of the configuration. */
 	char workspace_name[65];
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -30,6 +30,7 @@
 #include "pistachiorack/balance.h"
 #include "pistachiorack/bill.h"
 #include "pistachiorack/config.h"
+#include "pistachiorack/config_holder.h"
 #include "pistachiorack/http.h"
 #include "pistachiorack/metrics.h"
 #include "pistachiorack/once.h"
@@ -47,13 +48,6 @@
 
 #define PR_ID_BYTES 112
 
-/** A version of the fleet configuration, kept alive by its users. */
-typedef struct pr_fleet_ref_t {
-	pr_fleet_t *fleet;
-	uint64_t version;
-	unsigned int users;
-} pr_fleet_ref_t;
-
 /** Connections and counters of one upstream. */
 typedef struct pr_upstream_link_t {
 	UT_hash_handle hh;
@@ -84,7 +78,9 @@
 	pr_http_client_t *client;
 	pr_platform_t *platform;
 	pr_peers_t *peers;
-	pr_fleet_ref_t *fleet;
+	pr_config_holder_t config;
+	/** The configuration in force; NULL until the first is accepted. */
+	pr_config_t *fleet;
 	/** By name. */
 	pr_upstream_link_t *upstreams;
 	/** Links whose upstream moved; their calls may still run. */
@@ -110,8 +106,7 @@
 	/** Random per start, so that request ids never repeat. */
 	char boot[17];
 	uint64_t next_request;
-	pr_timer_t config_poll;
-	bool config_polling;
+	pr_timer_t config_tick;
 	pr_timer_t caller_check;
 	pr_timer_t stop_timer;
 	bool stopping;
@@ -131,9 +126,6 @@
 void pr_caller_on_request(pr_http_request_t *request, void *data);
 void pr_admin_on_request(pr_http_request_t *request, void *data);
 
-pr_fleet_ref_t *pr_fleet_ref_get(pr_fleet_ref_t *ref);
-void pr_fleet_ref_put(pr_fleet_ref_t *ref);
-
 pr_upstream_link_t *pr_upstreams_find(pr_router_t *router, const char *name);
 
 #endif
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -109,8 +109,8 @@
 	pr_query_t query;
 
 	if (exchange->fleet != router->fleet) {
-		pr_fleet_ref_put(exchange->fleet);
-		exchange->fleet = pr_fleet_ref_get(router->fleet);
+		pr_config_unref(exchange->fleet);
+		exchange->fleet = pr_config_ref(router->fleet);
 		exchange->workspace = pr_fleet_workspace(
 			exchange->fleet->fleet,
 			pr_slice_of(exchange->workspace_name));
@@ -205,10 +205,10 @@
 
 	snprintf(request, sizeof(request), "%s/%u", exchange->id, chat->step);
 	snprintf(name, sizeof(name), "%s%s", chat->request_class,
-		 chat->step ? "+escalated" : "");
+		 chat->step ? PR_POLICY_ESCALATED : "");
 	pr_policy_note(&router->policy, &chat->plan,
-		       pr_hash64(request, strlen(request), 0),
-		       chat->confidence);
+		       pr_hash64(request, strlen(request), 0), chat->confidence,
+		       final);
 	root = json_pack("{s:s, s:s, s:s, s:s, s:s}", "request", request,
 			 "workspace", exchange->workspace_name, "class", name,
 			 "model", step->model->name, "version",
