Add the membership task and the host list; mask the boot number

Half of the starts drew a boot number above 63 bits; holders could not parse it, stayed silent, and bills were not acknowledged.

--- a/src/router/balance_task.c
+++ b/src/router/balance_task.c
@@ -5,20 +5,20 @@
 #include "pistachiorack/log.h"
 #include "router/router.h"
 
-/* Until membership says otherwise, all hosts of the settings are alive. */
-static void use_settings_hosts(pr_router_t *router)
+static void view_changed(pr_router_t *router)
 {
-	const pr_settings_t *settings = router->settings;
-	const char **hosts = calloc(settings->peers_count + 1, sizeof(*hosts));
+	const pr_host_list_t *hosts = &router->hosts;
+	const char **live = calloc(hosts->count + 1, sizeof(*live));
+	unsigned int count = 0;
 
-	if (!hosts)
+	if (!live)
 		return;
-	hosts[0] = settings->host;
-	for (unsigned int i = 0; i < settings->peers_count; i++)
-		hosts[i + 1] = settings->peers[i].name;
-	pr_balance_set_hosts(&router->balance, hosts, settings->peers_count + 1,
+	for (unsigned int i = 0; i < hosts->count; i++)
+		if (hosts->items[i].live)
+			live[count++] = hosts->items[i].name;
+	pr_balance_set_hosts(&router->balance, live, count,
 			     pr_router_now(router));
-	free(hosts);
+	free(live);
 }
 
 static int init(pr_router_t *router)
@@ -29,9 +29,8 @@
 	options.host = router->settings->host;
 	options.zone = router->settings->zone;
 	rc = pr_balance_init(&router->balance, &options);
-	router->live_hosts = router->settings->peers_count + 1;
 	if (!rc)
-		use_settings_hosts(router);
+		view_changed(router);
 	return rc;
 }
 
@@ -67,6 +66,7 @@
 	.name = "balance",
 	.init = init,
 	.fleet_changed = fleet_changed,
+	.view_changed = view_changed,
 	.metrics = print_metrics,
 	.finish = finish,
 };
--- a/src/router/billing.c
+++ b/src/router/billing.c
@@ -149,7 +149,8 @@
 	options.host = router->settings->host;
 	options.zone = router->settings->zone;
 	options.region = "";
-	options.boot = strtoull(router->boot, NULL, 16);
+	/* The number becomes a JSON integer, which has 63 bits. */
+	options.boot = strtoull(router->boot, NULL, 16) & INT64_MAX;
 	return pr_bill_open(&router->bills, &options);
 }
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -8,6 +8,7 @@
 #include "pistachiorack/hash.h"
 #include "pistachiorack/log.h"
 #include "router/exchange.h"
+#include "router/member_task.h"
 
 #define SERIES_MAX         4096
 #define CALLER_CHECK_EVERY (250 * PR_USEC_PER_MSEC)
@@ -129,6 +130,7 @@
 	options.port = settings->peer.port;
 	options.secret = settings->secret;
 	options.on_message = on_peer_message;
+	options.on_datagram = pr_member_task_datagram;
 	options.data = router;
 	rc = pr_peers_open(&router->peers, &options);
 	for (unsigned int i = 0; i < settings->peers_count && !rc; i++)
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -17,6 +17,7 @@
  *   once_task.c   claims of requests that may not be repeated
  *   billing.c     bills
  *   hosts.c       known hosts, owners of keys
+ *   member_task.c probes, the platform's host list
  *   task.h, tasks.c  duties with their own state, and the events between them
  *   config_task.c the fleet configuration
  *   admin.c       metrics, health, operators' requests
@@ -32,6 +33,7 @@
 #include "pistachiorack/config.h"
 #include "pistachiorack/config_holder.h"
 #include "pistachiorack/http.h"
+#include "pistachiorack/member.h"
 #include "pistachiorack/metrics.h"
 #include "pistachiorack/once.h"
 #include "pistachiorack/peer.h"
@@ -93,6 +95,12 @@
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
 	pr_host_list_t hosts;
+	pr_member_t *member;
+	/** The view changed since the tasks were told. */
+	bool view_dirty;
+	pr_timer_t member_tick;
+	pr_usec_t list_due;
+	bool list_reading;
 	pr_once_t *once;
 	pr_bill_book_t *bills;
 	/** Exchanges that wait for their bill, or for their claim. */
--- a/src/router/task.h
+++ b/src/router/task.h
@@ -39,6 +39,7 @@
 } pr_task_ops_t;
 
 extern const pr_task_ops_t pr_hosts_task;
+extern const pr_task_ops_t pr_member_task;
 extern const pr_task_ops_t pr_billing_task;
 extern const pr_task_ops_t pr_once_task;
 extern const pr_task_ops_t pr_upstreams_task;
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -14,6 +14,7 @@
 	&pr_billing_task,
 	&pr_once_task,
 	&pr_config_task,
+	&pr_member_task,
 };
 /* clang-format on */
 
