Take a stream that closes early as broken; bound memory of records

Cause: h2o's http1client reports the end of a chunked body when the peer closes after a whole chunk, so an upstream that died between two tokens looked like a whole answer (stage DONE). The read that saw the close has no bytes; such an end is now an error.

Records keep entries as text instead of jansson objects, and an engine knows 4,000 runs instead of 10,000, so that 20 stand-ins fit next to each other.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -114,8 +114,15 @@
 	if (!errstr)
 		return 0;
 	if (errstr == h2o_http1client_error_is_eos) {
-		call->stage = PR_STAGE_DONE;
-		errstr = NULL;
+		/* http1client also reports the end when the peer closes after
+		 * a whole chunk; the read that saw the close has no bytes. An
+		 * upstream that dies between two chunks must not look done. */
+		if (client->sock->bytes_read) {
+			call->stage = PR_STAGE_DONE;
+			errstr = NULL;
+		} else {
+			errstr = "closed before the end of the body";
+		}
 	}
 	finish_call(call, errstr);
 	return 0;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -310,7 +310,14 @@
 
 void pr_http_server_close(pr_http_server_t *server)
 {
+	h2o_timeout_entry_t *graceful =
+		&server->context.http2._graceful_shutdown_timeout;
+
 	if (server->connections == 0) {
+		/* A drain leaves h2o's entry linked for a while; disposing of
+		 * the context with it fails an assertion of h2o. */
+		if (h2o_timeout_is_linked(graceful))
+			h2o_timeout_unlink(graceful);
 		h2o_context_dispose(&server->context);
 		h2o_config_dispose(&server->config);
 	}
--- a/standins/common/record.c
+++ b/standins/common/record.c
@@ -7,7 +7,7 @@
 
 int standin_record_init(standin_record_t *record, size_t max)
 {
-	record->entries = calloc(max ? max : 1, sizeof(json_t *));
+	record->entries = calloc(max ? max : 1, sizeof(char *));
 	record->max = max ? max : 1;
 	record->next = 1;
 	record->counts = json_object();
@@ -19,7 +19,7 @@
 void standin_record_finish(standin_record_t *record)
 {
 	for (size_t i = 0; record->entries && i < record->max; i++)
-		json_decref(record->entries[i]);
+		free(record->entries[i]);
 	free(record->entries);
 	json_decref(record->counts);
 	*record = (standin_record_t){0};
@@ -28,7 +28,7 @@
 void standin_record_add(standin_record_t *record, json_t *entry)
 {
 	struct timespec now;
-	json_t **slot = &record->entries[record->next % record->max];
+	char **slot = &record->entries[record->next % record->max];
 
 	json_object_set_new(entry, "seq",
 			    json_integer((json_int_t)record->next));
@@ -36,8 +36,9 @@
 	json_object_set_new(entry, "at_ms",
 			    json_integer((json_int_t)now.tv_sec * 1000 +
 					 now.tv_nsec / 1000000));
-	json_decref(*slot);
-	*slot = entry;
+	free(*slot);
+	*slot = json_dumps(entry, JSON_COMPACT);
+	json_decref(entry);
 	record->next++;
 }
 
@@ -49,15 +50,21 @@
 	json_object_set_new(record->counts, name, json_integer(old + 1));
 }
 
-json_t *standin_record_json(const standin_record_t *record, uint64_t after)
+json_t *standin_record_json(const standin_record_t *record, uint64_t after,
+			    size_t limit)
 {
 	json_t *entries = json_array();
 	uint64_t first =
 		record->next > record->max ? record->next - record->max : 1;
 
 	for (uint64_t seq = after + 1 > first ? after + 1 : first;
-	     seq < record->next; seq++)
-		json_array_append(entries, record->entries[seq % record->max]);
+	     seq < record->next && json_array_size(entries) < limit; seq++) {
+		const char *text = record->entries[seq % record->max];
+
+		if (text)
+			json_array_append_new(entries,
+					      json_loads(text, 0, NULL));
+	}
 	return json_pack("{s:o,s:I,s:I,s:O}", "entries", entries, "next",
 			 (json_int_t)record->next, "dropped",
 			 (json_int_t)(first - 1), "counts", record->counts);
--- a/standins/common/record.h
+++ b/standins/common/record.h
@@ -7,9 +7,12 @@
 #include <jansson.h>
 #include <stdint.h>
 
-/** A ring of JSON objects; the oldest are dropped and counted. */
+/**
+ * A ring of JSON objects; the oldest are dropped and counted. Entries are kept
+ * as text, which takes about a tenth of the memory of jansson's objects.
+ */
 typedef struct standin_record_t {
-	json_t **entries;
+	char **entries;
 	size_t max;
 	/** Sequence number of the next entry; the first one has 1. */
 	uint64_t next;
@@ -28,8 +31,10 @@
 void standin_record_count(standin_record_t *record, const char *name);
 /**
  * @param after entries with a sequence number up to this are left out
+ * @param limit most entries
  * @return new object {"entries","next","dropped","counts"}, or NULL
  */
-json_t *standin_record_json(const standin_record_t *record, uint64_t after);
+json_t *standin_record_json(const standin_record_t *record, uint64_t after,
+			    size_t limit);
 
 #endif
--- a/standins/common/standin.c
+++ b/standins/common/standin.c
@@ -15,7 +15,9 @@
 #define STOP_MS 5000
 /* A freeze starts after the answer to its control request was written. */
 #define FREEZE_LEAD_MS 20
-#define CRASH_STATUS   3
+/* Entries that one GET /record gives at most. */
+#define RECORD_LIMIT 1000000
+#define CRASH_STATUS 3
 
 pr_usec_t standin_now(const standin_t *standin)
 {
@@ -151,7 +153,8 @@
 	standin_t *standin = exchange->standin;
 	json_t *out = standin_record_json(
 		&standin->record,
-		(uint64_t)standin_query_int(exchange, "after", 0));
+		(uint64_t)standin_query_int(exchange, "after", 0),
+		(size_t)standin_query_int(exchange, "limit", RECORD_LIMIT));
 
 	json_object_set_new(out, "name", json_string(standin->options.name));
 	json_object_set_new(out, "zone", json_string(standin->options.zone));
--- a/standins/standin-engine/engine.h
+++ b/standins/standin-engine/engine.h
@@ -12,7 +12,8 @@
 #define ENGINE_NAME_BYTES   128
 #define ENGINE_SAMPLES      512
 #define ENGINE_SAMPLE_MS    25
-#define ENGINE_MEMOS        10000
+/** Runs that resume and KV export know; bounds the memory for prompts. */
+#define ENGINE_MEMOS 4000
 
 /** A model version that the engine can serve. */
 typedef struct version_t {
--- a/standins/standin-platform/ratings.c
+++ b/standins/standin-platform/ratings.c
@@ -85,10 +85,8 @@
 	}
 	all = standin_record_json(
 		&ratings->ring,
-		(uint64_t)standin_query_int(exchange, "after", 0));
+		(uint64_t)standin_query_int(exchange, "after", 0), limit);
 	page = json_object_get(all, "entries");
-	while (json_array_size(page) > limit)
-		json_array_remove(page, json_array_size(page) - 1);
 	standin_answer(exchange, 200, json_pack("{s:O}", "ratings", page));
 	json_decref(all);
 }
--- a/tests/test_standins.c
+++ b/tests/test_standins.c
@@ -102,7 +102,7 @@
 	assert_int_equal(standin_record_init(&record, 4), 0);
 	for (int i = 1; i <= 10; i++)
 		standin_record_add(&record, json_pack("{s:i}", "i", i));
-	out = standin_record_json(&record, 0);
+	out = standin_record_json(&record, 0, 100);
 	entries = json_object_get(out, "entries");
 	assert_int_equal(json_integer_value(json_object_get(out, "dropped")),
 			 6);
@@ -111,9 +111,16 @@
 				 json_array_get(entries, 0), "i")),
 			 7);
 	json_decref(out);
-	out = standin_record_json(&record, 9);
+	out = standin_record_json(&record, 9, 100);
 	assert_int_equal(json_array_size(json_object_get(out, "entries")), 1);
 	json_decref(out);
+	out = standin_record_json(&record, 0, 2);
+	entries = json_object_get(out, "entries");
+	assert_int_equal(json_array_size(entries), 2);
+	assert_int_equal(json_integer_value(json_object_get(
+				 json_array_get(entries, 1), "seq")),
+			 8);
+	json_decref(out);
 	standin_record_finish(&record);
 }
 
