Measure recovered upstreams again, name empty choices

An upstream that was slow once kept its bad estimate, because it was never chosen again; one choice in 64 is now random. A request for which no upstream could be chosen ended as upstream_failed; it is now 503 no_capacity, costs no budget, and stays not_run.

Decaying every estimate towards the pool's mean was not tried.

--- a/include/pistachiorack/balance.h
+++ b/include/pistachiorack/balance.h
@@ -135,7 +135,8 @@
 	 */
 	const pr_balance_upstream_t *tried[PR_BALANCE_TRIED_MAX];
 	unsigned int tried_count;
-	/** True when the request may leave the region. */
+	/** True when the request may leave the region. What is served in one
+	 * region only needs it. */
 	bool cross_region;
 } pr_balance_query_t;
 
--- a/src/balance/choose.c
+++ b/src/balance/choose.c
@@ -16,6 +16,10 @@
 /* Load makes a batch of an engine slower even below its slots. */
 #define LOAD_SLOPE 0.3
 
+/* One choice in this many takes a random candidate, so that an upstream which
+ * was slow once is measured again. */
+#define EXPLORE 64
+
 typedef struct scan_t {
 	pr_balance_upstream_t *usable[SCAN_MAX];
 	unsigned int count;
@@ -216,6 +220,12 @@
 		   const pr_balance_query_t *query, pr_rand_t *rand,
 		   pr_usec_t penalty, pr_usec_t now)
 {
+	if (!choice->upstream && pr_rand_below(rand, EXPLORE) == 0) {
+		consider(balance, choice, pool,
+			 found->usable[pr_rand_below(rand, found->count)],
+			 query, penalty, now);
+		return;
+	}
 	if (balance->options.affinity && query->blocks_count)
 		consider(balance, choice, pool,
 			 found->usable[prefix_candidate(found, query)], query,
--- a/src/dispatch/attempt.c
+++ b/src/dispatch/attempt.c
@@ -168,7 +168,10 @@
 	decision->verdict = joined_verdict(dispatch);
 	decision->position = dispatch->shown;
 	decision->at = now + backoff(dispatch, rand);
-	if (!may_repeat(dispatch))
+	if (!dispatch->attempts_count &&
+	    dispatch->empty_choices >= dispatch->options.attempts_max)
+		give_up(dispatch, decision, 503, "no_capacity");
+	else if (!may_repeat(dispatch))
 		give_up(dispatch, decision, 502, "upstream_failed");
 	else if (decision->at >= dispatch->options.deadline)
 		give_up(dispatch, decision, 504, "deadline_exceeded");
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -177,6 +177,35 @@
 	pr_rand_finish(&rand);
 }
 
+/* Guards against waiting without end, a spent budget and a wrong reason when
+ * no upstream can be chosen. */
+static void empty_choices_end_as_no_capacity(void **state)
+{
+	pr_dispatch_options_t options = PR_DISPATCH_OPTIONS_INIT;
+	pr_retry_budget_t budget;
+	pr_dispatch_t dispatch;
+	pr_dispatch_decision_t decision = {.action = PR_DISPATCH_TRY};
+	pr_usec_t now = 0;
+	pr_rand_t rand;
+	int choices = 0;
+
+	pr_rand_init(&rand, 5);
+	pr_retry_budget_init(&budget);
+	pr_dispatch_init(&dispatch, &options, &budget);
+	while (decision.action == PR_DISPATCH_TRY) {
+		pr_dispatch_failed(&dispatch, &decision, -1, false, &rand, now);
+		now = decision.at;
+		choices++;
+	}
+	assert_int_equal(choices, options.attempts_max);
+	assert_int_equal(decision.action, PR_DISPATCH_REFUSE);
+	assert_int_equal(decision.status, 503);
+	assert_string_equal(decision.code, "no_capacity");
+	assert_int_equal(decision.verdict, PR_VERDICT_NOT_RUN);
+	assert_true(budget.tokens > 0.09);
+	pr_rand_finish(&rand);
+}
+
 /* Guards against work that goes on after its caller left, and against two
  * answers of a hedged request. */
 static void open_attempts_are_cancelled(void **state)
@@ -381,6 +410,7 @@
 		cmocka_unit_test(verdict_joins_attempts),
 		cmocka_unit_test(budget_bounds_attempts),
 		cmocka_unit_test(deadline_ends_attempts),
+		cmocka_unit_test(empty_choices_end_as_no_capacity),
 		cmocka_unit_test(open_attempts_are_cancelled),
 		cmocka_unit_test(stream_survives_chunks_and_resume),
 		cmocka_unit_test(stream_rejects_garbage),
