--- a/src/admit/decide.c
+++ b/src/admit/decide.c
@@ -66,7 +66,7 @@
 static bool check_limits(pr_admit_t *admit, pr_admit_decision_t *decision,
 			 pr_admit_workspace_t *workspace, pr_usec_t now)
 {
-	static const char *const names[] = {"requests_per_s", "tokens_per_s"};
+	static const char *const names[] = { "requests_per_s", "tokens_per_s" };
 	const pr_admit_bucket_t *in_flight =
 		&workspace->buckets[PR_ADMIT_IN_FLIGHT];
 	uint32_t open = workspace->in_flight[PR_ADMIT_INTERACTIVE] +
@@ -156,7 +156,7 @@
 {
 	pr_admit_workspace_t *workspace = &admit->workspaces[index];
 
-	*decision = (pr_admit_decision_t){.admitted = true};
+	*decision = (pr_admit_decision_t){ .admitted = true };
 	workspace->seen = now;
 	if (!check_limits(admit, decision, workspace, now) ||
 	    !check_load(admit, decision, workspace, priority, now)) {
--- a/src/balance/choose.c
+++ b/src/balance/choose.c
@@ -281,7 +281,7 @@
 		      pr_usec_t now)
 {
 	const pr_balance_pool_t *pool = find_pool(balance, query->what);
-	scan_t found = {.count = 0};
+	scan_t found = { .count = 0 };
 
 	memset(choice, 0, sizeof(*choice));
 	if (!pool)
--- a/src/balance/cold.c
+++ b/src/balance/cold.c
@@ -78,7 +78,7 @@
 
 	if (rank->view == view->id)
 		return rank;
-	*rank = (pr_rank_t){.view = view->id};
+	*rank = (pr_rank_t){ .view = view->id };
 	for (unsigned int i = 0; i < view->count; i++) {
 		if (view->hosts[i] == own)
 			member = true;
--- a/src/dispatch/attempt.c
+++ b/src/dispatch/attempt.c
@@ -55,7 +55,7 @@
 	if (dispatch->attempts_count >= dispatch->options.attempts_max)
 		return pr_error_set(PR_EFULL, "all attempts were used");
 	attempt = &dispatch->attempts[dispatch->attempts_count];
-	*attempt = (pr_attempt_t){.open = true, .started = now};
+	*attempt = (pr_attempt_t){ .open = true, .started = now };
 	return (int)dispatch->attempts_count++;
 }
 
--- a/src/dispatch/sse.c
+++ b/src/dispatch/sse.c
@@ -41,7 +41,7 @@
 static int end_line(pr_sse_t *sse)
 {
 	pr_slice_t name = pr_str_slice(&sse->line);
-	pr_slice_t value = {"", 0};
+	pr_slice_t value = { "", 0 };
 	const char *colon;
 	int rc = 0;
 
--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -287,7 +287,7 @@
 				   const pr_fleet_t *fleet,
 				   const pr_model_t *model,
 				   const pr_version_t *version,
-				   const pr_track_t *track, pr_change_t *change)
+				   const pr_track_t *track, pr_rollout_change_t *change)
 {
 	pr_rollout_t wider = *rollout;
 	const pr_track_t *reference;
--- a/tests/balance_world.h
+++ b/tests/balance_world.h
@@ -137,7 +137,7 @@
 static void schedule(world_t *world, pr_usec_t time, unsigned int kind,
 		     unsigned int id, uint64_t value)
 {
-	event_t event = {time, world->sequence++, value, kind, id};
+	event_t event = { time, world->sequence++, value, kind, id };
 	size_t at = world->heap_count++;
 
 	if (world->heap_count > world->heap_cap) {
@@ -178,7 +178,8 @@
 /* Three blocks are the workspace's system prompt, the rest the session's. */
 static uint64_t block_hash(unsigned int session, unsigned int block)
 {
-	uint64_t parts[2] = {block < 3 ? session % 10 : 1000 + session, block};
+	uint64_t parts[2] = { block < 3 ? session % 10 : 1000 + session,
+			      block };
 
 	return pr_hash64(parts, sizeof(parts), 1) | 1;
 }
@@ -602,7 +603,9 @@
 				uint64_t seed)
 {
 	world_t *world = calloc(1, sizeof(*world));
-	const char *names[] = {"h0", "h1", "h2", "h3", "h4", "h5", "h6", "h7"};
+	const char *names[] = {
+		"h0", "h1", "h2", "h3", "h4", "h5", "h6", "h7"
+	};
 	world_result_t result;
 
 	world->options = *options;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -67,10 +67,10 @@
 
 	for (pr_usec_t now = from; now < from + 10 * SEC; now += 10 * MS) {
 		pr_admit_decision_t decision;
-		pr_admit_end_t end = {.tokens_expected = tokens,
-				      .tokens = tokens,
-				      .first_token = 1,
-				      .duration = MS};
+		pr_admit_end_t end = { .tokens_expected = tokens,
+				       .tokens = tokens,
+				       .first_token = 1,
+				       .duration = MS };
 
 		pr_admit_decide(admit, &decision, 0, PR_ADMIT_INTERACTIVE,
 				tokens, now);
@@ -175,8 +175,8 @@
 {
 	pr_fleet_t *fleet = fixture_fleet(1, 1, 1, 10);
 	pr_admit_options_t options = defaults;
-	job_t slots[SLOTS] = {{0}};
-	unsigned int head[2] = {0}, tail[2] = {0};
+	job_t slots[SLOTS] = { { 0 } };
+	unsigned int head[2] = { 0 }, tail[2] = { 0 };
 	pr_admit_t admit;
 	pr_rand_t rand;
 
@@ -189,7 +189,7 @@
 	pr_admit_load(&admit, fleet, 0);
 	for (pr_usec_t now = 1; now < 60 * SEC; now += MS) {
 		for (unsigned int w = 0; w < 10; w++) {
-			job_t job = {.workspace = w, .arrival = now};
+			job_t job = { .workspace = w, .arrival = now };
 			pr_admit_decision_t decision;
 
 			if (pr_rand_unit(&rand) >= run->rates[w] / 1000)
@@ -226,8 +226,9 @@
 	unsigned int useful = 0;
 
 	for (uint64_t seed = first_seed; seed < first_seed + SEEDS; seed++) {
-		run_t run = {
-			.fairness = true, .control = control, .batch = batch};
+		run_t run = { .fairness = true,
+			      .control = control,
+			      .batch = batch };
 
 		for (unsigned int w = 0; w < 10; w++)
 			run.rates[w] = load * SLOTS / 10;
@@ -267,9 +268,9 @@
 
 		for (uint64_t seed = first_seed; seed < first_seed + SEEDS;
 		     seed++) {
-			run_t run = {.fairness = fair,
-				     .control = true,
-				     .rates = {60}};
+			run_t run = { .fairness = fair,
+				      .control = true,
+				      .rates = { 60 } };
 
 			for (unsigned int w = 1; w < 10; w++)
 				run.rates[w] = 1.2;
@@ -282,8 +283,8 @@
 		share[fair] = (double)useful / offered;
 	}
 	for (uint64_t seed = first_seed; seed < first_seed + SEEDS; seed++) {
-		run_t run = {.fairness = true, .control = true, .batch = 0.6};
-		unsigned int sums[4] = {0};
+		run_t run = { .fairness = true, .control = true, .batch = 0.6 };
+		unsigned int sums[4] = { 0 };
 
 		for (unsigned int w = 0; w < 10; w++)
 			run.rates[w] = 4;
@@ -324,7 +325,8 @@
 		clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &times[0]);
 		for (int i = 0; i < 100000; i++) {
 			pr_admit_decision_t decision;
-			pr_admit_end_t end = {.first_token = 1, .duration = 1};
+			pr_admit_end_t end = { .first_token = 1,
+					       .duration = 1 };
 
 			pr_admit_decide(
 				&admit, &decision, (unsigned int)i % count,
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -13,7 +13,7 @@
 
 #define SEC    PR_USEC_PER_SEC
 #define MS     PR_USEC_PER_MSEC
-#define QUERY0 ((pr_balance_query_t){.what = PR_SLICE("m0@1")})
+#define QUERY0 ((pr_balance_query_t){ .what = PR_SLICE("m0@1") })
 
 static void open_balance(pr_balance_t *balance, const pr_fleet_t *fleet,
 			 const pr_balance_options_t *base, const char *host,
@@ -36,7 +36,7 @@
 {
 	pr_fleet_t *fleet = fixture_fleet(5, 600, 25, 0);
 	unsigned int most = 0, kept = 0, connections = 0;
-	unsigned int hosts_of[600] = {0};
+	unsigned int hosts_of[600] = { 0 };
 	unsigned int least_of = 390, most_of = 0;
 
 	for (unsigned int h = 0; h < 390; h++) {
--- a/tests/test_balance_cold.c
+++ b/tests/test_balance_cold.c
@@ -13,7 +13,7 @@
 #define SEC    PR_USEC_PER_SEC
 #define MS     PR_USEC_PER_MSEC
 #define HOSTS  8
-#define QUERY0 ((pr_balance_query_t){.what = PR_SLICE("m0@1")})
+#define QUERY0 ((pr_balance_query_t){ .what = PR_SLICE("m0@1") })
 
 static void open_balance(pr_balance_t *balance, const pr_fleet_t *fleet,
 			 const pr_balance_options_t *base, const char *host,
@@ -80,8 +80,8 @@
 
 static void learn_view(cold_world_t *world, unsigned int h, pr_usec_t now)
 {
-	static const char *const all[HOSTS] = {"h0", "h1", "h2", "h3",
-					       "h4", "h5", "h6", "h7"};
+	static const char *const all[HOSTS] = { "h0", "h1", "h2", "h3",
+						"h4", "h5", "h6", "h7" };
 	const char *names[HOSTS];
 	unsigned int count = 0;
 
@@ -168,17 +168,23 @@
  * it only by requests that run longer than the settling time. */
 static void cold_shares_stay_within_limit(void **state)
 {
-	cold_run_t on = {true, 2 * SEC, 3 * SEC, 500 * MS, false, 0, 0, 0, 0};
-	cold_run_t slow = {true, 2 * SEC, 3 * SEC, 12 * SEC, false, 0, 0, 0, 0};
-	cold_run_t reported = {true, 2 * SEC, 3 * SEC, 12 * SEC, true,
-			       0,    0,       0,       0};
-	cold_run_t unsettled = {true, 2 * SEC, 0, 500 * MS, false, 0, 0, 0, 0};
-	cold_run_t hasty = {.ramp = true,
-			    .spread = 2 * SEC,
-			    .settle = 3 * SEC,
-			    .request_time = 500 * MS,
-			    .period = SEC};
-	cold_run_t off = {false, 2 * SEC, 3 * SEC, 500 * MS, false, 0, 0, 0, 0};
+	cold_run_t on = { true, 2 * SEC, 3 * SEC, 500 * MS, false, 0, 0, 0, 0 };
+	cold_run_t slow = {
+		true, 2 * SEC, 3 * SEC, 12 * SEC, false, 0, 0, 0, 0
+	};
+	cold_run_t reported = { true, 2 * SEC, 3 * SEC, 12 * SEC, true,
+				0,    0,       0,       0 };
+	cold_run_t unsettled = {
+		true, 2 * SEC, 0, 500 * MS, false, 0, 0, 0, 0
+	};
+	cold_run_t hasty = { .ramp = true,
+			     .spread = 2 * SEC,
+			     .settle = 3 * SEC,
+			     .request_time = 500 * MS,
+			     .period = SEC };
+	cold_run_t off = {
+		false, 2 * SEC, 3 * SEC, 500 * MS, false, 0, 0, 0, 0
+	};
 
 	for (uint64_t seed = 101; seed <= 110; seed++) {
 		run_cold(&on, seed);
@@ -214,7 +220,7 @@
 static void grant_replaces_share(void **state)
 {
 	pr_fleet_t *fleet = fixture_fleet(1, 1, 1, 0);
-	const char *hosts[] = {"h0"};
+	const char *hosts[] = { "h0" };
 	pr_balance_query_t query = QUERY0;
 	pr_balance_choice_t choice;
 	pr_balance_status_t status;
@@ -248,7 +254,7 @@
 	pr_balance_options_t options = defaults;
 	static pr_balance_choice_t choices[2000];
 	pr_balance_query_t query = QUERY0;
-	const char *hosts[] = {"h0"};
+	const char *hosts[] = { "h0" };
 	pr_balance_status_t status;
 	uint32_t most = 0;
 	pr_balance_t balance;
--- a/tests/test_balance_world.c
+++ b/tests/test_balance_world.c
@@ -21,13 +21,13 @@
 } variant_t;
 
 static const variant_t variants[] = {
-	{"expected time", PR_BALANCE_EXPECTED, true, true, 0},
-	{"round robin", PR_BALANCE_ROUND_ROBIN, false, false, 0},
-	{"least requests", PR_BALANCE_LEAST_REQUESTS, false, false, 0},
-	{"two random", PR_BALANCE_TWO_RANDOM, false, false, 0},
-	{"no affinity", PR_BALANCE_EXPECTED, true, false, 0},
-	{"no ramp", PR_BALANCE_EXPECTED, false, true, 0},
-	{"hedge at 1 s", PR_BALANCE_EXPECTED, true, true, SEC},
+	{ "expected time", PR_BALANCE_EXPECTED, true, true, 0 },
+	{ "round robin", PR_BALANCE_ROUND_ROBIN, false, false, 0 },
+	{ "least requests", PR_BALANCE_LEAST_REQUESTS, false, false, 0 },
+	{ "two random", PR_BALANCE_TWO_RANDOM, false, false, 0 },
+	{ "no affinity", PR_BALANCE_EXPECTED, true, false, 0 },
+	{ "no ramp", PR_BALANCE_EXPECTED, false, true, 0 },
+	{ "hedge at 1 s", PR_BALANCE_EXPECTED, true, true, SEC },
 };
 
 #define VARIANTS (sizeof(variants) / sizeof(variants[0]))
@@ -42,7 +42,7 @@
 static summary_t run_variant(const variant_t *variant, world_options_t *options)
 {
 	pr_balance_options_t policy = PR_BALANCE_OPTIONS_INIT;
-	summary_t sum = {.p99_least = 1e9};
+	summary_t sum = { .p99_least = 1e9 };
 
 	policy.policy = variant->policy;
 	policy.ramp = variant->ramp;
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -22,16 +22,16 @@
 } failure_point_t;
 
 static const failure_point_t failure_points[] = {
-	{"nothing chosen", PR_STAGE_CHOSEN, false, 0, 0},
-	{"connect refused", PR_STAGE_CONNECTING, false, 0, 0},
-	{"connect timed out", PR_STAGE_CONNECTING, false, 0, 0},
-	{"closed while sending", PR_STAGE_SENT, false, 0, 1},
-	{"closed before the head", PR_STAGE_SENT, false, 0, 1},
-	{"answered that it did not start", PR_STAGE_HEAD, true, 0, 0},
-	{"status 500", PR_STAGE_HEAD, false, 0, 1},
-	{"closed in the body", PR_STAGE_BODY, false, 1, 1},
-	{"not started, but in the body", PR_STAGE_BODY, true, 0, 1},
-	{"whole answer that fails its check", PR_STAGE_DONE, false, 1, 1},
+	{ "nothing chosen", PR_STAGE_CHOSEN, false, 0, 0 },
+	{ "connect refused", PR_STAGE_CONNECTING, false, 0, 0 },
+	{ "connect timed out", PR_STAGE_CONNECTING, false, 0, 0 },
+	{ "closed while sending", PR_STAGE_SENT, false, 0, 1 },
+	{ "closed before the head", PR_STAGE_SENT, false, 0, 1 },
+	{ "answered that it did not start", PR_STAGE_HEAD, true, 0, 0 },
+	{ "status 500", PR_STAGE_HEAD, false, 0, 1 },
+	{ "closed in the body", PR_STAGE_BODY, false, 1, 1 },
+	{ "not started, but in the body", PR_STAGE_BODY, true, 0, 1 },
+	{ "whole answer that fails its check", PR_STAGE_DONE, false, 1, 1 },
 };
 
 /* Guards against a not_run verdict for a request that ran, and against a
@@ -116,7 +116,7 @@
 	for (int i = 0; i < 20000; i++) {
 		pr_dispatch_options_t options = PR_DISPATCH_OPTIONS_INIT;
 		pr_dispatch_t dispatch;
-		pr_dispatch_decision_t decision = {.action = PR_DISPATCH_TRY};
+		pr_dispatch_decision_t decision = { .action = PR_DISPATCH_TRY };
 
 		options.idempotent = true;
 		pr_dispatch_init(&dispatch, &options, &budget);
@@ -184,7 +184,7 @@
 	pr_dispatch_options_t options = PR_DISPATCH_OPTIONS_INIT;
 	pr_retry_budget_t budget;
 	pr_dispatch_t dispatch;
-	pr_dispatch_decision_t decision = {.action = PR_DISPATCH_TRY};
+	pr_dispatch_decision_t decision = { .action = PR_DISPATCH_TRY };
 	pr_usec_t now = 0;
 	pr_rand_t rand;
 	int choices = 0;
@@ -247,7 +247,7 @@
 
 static void write_answer(pr_str_t *out, const char *attempt, int from)
 {
-	static const char *const ends[] = {"\n", "\r\n", "\r"};
+	static const char *const ends[] = { "\n", "\r\n", "\r" };
 
 	for (int i = from; i < TOKENS; i++) {
 		const char *end = ends[i % 3];
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -334,7 +334,7 @@
 {
 	pr_rollout_options_t options = PR_ROLLOUT_OPTIONS_INIT;
 	pr_fleet_t *fleet = fleet_at("proven", 0);
-	pr_change_t change;
+	pr_rollout_change_t change;
 	pr_rollout_t rollout;
 
 	setup(&rollout, &options, fleet);
@@ -349,7 +349,7 @@
 		1);
 	assert_int_equal(change.conclusion, PR_CONCLUDE_WITHDRAW);
 	assert_string_equal(change.version, "s2");
-	assert_int_equal(pr_change_check(&change, fleet), 0);
+	assert_int_equal(pr_rollout_change_check(&change, fleet), 0);
 	pr_rollout_finish(&rollout);
 	pr_fleet_free(fleet);
 }
