--- a/standins/standin-load/report.c
+++ b/standins/standin-load/report.c
@@ -4,6 +4,7 @@
 
 #include "load.h"
 #include "pistachiorack/error.h"
+#include "pistachiorack/hash.h"
 
 #define TIMES_FIRST 1024
 
@@ -72,8 +73,9 @@
 static void write_line(const load_request_t *request, bool whole,
 		       load_check_t check, double first, double total)
 {
-	static const char *const checks[] = {"none", "ok", "wrong"};
+	static const char *const checks[] = { "none", "ok", "wrong" };
 	load_t *load = request->load;
+	char answer[24];
 	json_t *line = json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:s,s:s}", "key",
 				 request->key, "attempt", (int)request->attempt,
 				 "class", load_classes[request->class_id].name,
@@ -82,10 +84,14 @@
 				 request->status, "verdict", request->verdict,
 				 "code", request->code);
 
+	snprintf(answer, sizeof(answer), "%016llx",
+		 (unsigned long long)pr_hash64(pr_str_cstr(&request->input),
+					       request->input.len, 0));
 	json_object_set_new(line, "version", json_string(request->version));
 	json_object_set_new(line, "request_id",
 			    json_string(request->request_id));
 	json_object_set_new(line, "moved", json_string(request->moved));
+	json_object_set_new(line, "answer", json_string(answer));
 	json_object_set_new(
 		line, "session",
 		json_integer(request->session
