--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -6,8 +6,8 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 
-/* Expected batches: an hour of one host, and some of others. */
-#define BATCHES_EXPECTED 65536
+/* Buckets of the index: 128 KiB, chains of 8 after an hour's outage. */
+#define BATCH_BUCKETS 16384
 
 void pr_bill_arm(pr_bill_book_t *book, pr_timer_t *timer, pr_usec_t now,
 		 pr_usec_t delay, void (*expired)(pr_timer_t *, pr_usec_t))
@@ -42,7 +42,7 @@
 	book->write.data = book;
 	book->gap = options->commit_gap;
 	book->names_count = PR_BILL_NOBODY + 1;
-	if (pr_index_init(&book->batches, BATCHES_EXPECTED) ||
+	if (pr_index_init(&book->batches, BATCH_BUCKETS) ||
 	    pr_index_init(&book->names_index, PR_BILL_NAMES_MAX / 4))
 		return PR_ENOMEM;
 	book->self.name = pr_bill_name(book, pr_slice_of(options->host));
--- a/tests/bill_walk.h
+++ b/tests/bill_walk.h
@@ -42,7 +42,7 @@
 typedef struct item_t {
 	int host, life;
 	uint64_t boot, request;
-	pr_usec_t added;
+	pr_usec_t added, ended;
 	bool finished, acknowledged;
 	/* Set when a holder is asked. */
 	char batch[48];
@@ -164,6 +164,7 @@
 			continue;
 		assert_false(item->finished);
 		item->finished = true;
+		item->ended = walk->world.now;
 		item->acknowledged = acknowledged;
 		walk->held_count++;
 		walk->held_sum += (double)(walk->world.now - item->added);
--- a/tests/fake_world.h
+++ b/tests/fake_world.h
@@ -34,11 +34,11 @@
 	size_t count;
 	bool read;
 	bool late;
-	pr_store_result_t results[PR_STORE_OPS_MAX];
-	pr_store_op_t ops[PR_STORE_OPS_MAX];
+	pr_store_result_t *results;
+	pr_store_op_t *ops;
 	/* Owned bytes: a message, or copies for the ops and results. */
 	pr_str_t bytes;
-	char *copies[PR_STORE_OPS_MAX * 2];
+	char **copies;
 	size_t copies_count;
 } fake_event_t;
 
@@ -92,6 +92,9 @@
 	for (size_t i = 0; i < event->copies_count; i++)
 		free(event->copies[i]);
 	pr_str_finish(&event->bytes);
+	free((void *)event->copies);
+	free(event->results);
+	free(event->ops);
 	free(event);
 }
 
@@ -149,6 +152,17 @@
 	return event;
 }
 
+/* Room for the operations or results of a commit. */
+static inline void fake_event_room(fake_event_t *event, size_t count)
+{
+	event->count = count;
+	event->results = calloc(count, sizeof(*event->results));
+	event->ops = calloc(count, sizeof(*event->ops));
+	event->copies = calloc(2 * count, sizeof(char *));
+	if (!event->results || !event->ops || !event->copies)
+		abort();
+}
+
 static inline char *fake_copy(fake_event_t *event, pr_slice_t text)
 {
 	char *copy = calloc(1, text.len + 1);
@@ -200,7 +214,7 @@
 
 	answer->life = event->life;
 	answer->number = event->number;
-	answer->count = event->count;
+	fake_event_room(answer, event->count);
 	answer->read = event->read;
 	if (world->now < world->down_until)
 		answer->status = PR_STORE_REFUSED;
@@ -248,7 +262,7 @@
 	event->from = host;
 	event->life = world->hosts[host].life;
 	event->number = tag;
-	event->count = count;
+	fake_event_room(event, count);
 	event->read = read;
 	event->late = slow;
 	*(read ? &world->reads : &world->commits) += 1;
@@ -264,7 +278,7 @@
 
 		answer->number = tag;
 		answer->read = read;
-		answer->count = count;
+		fake_event_room(answer, count);
 		answer->status = PR_STORE_UNKNOWN;
 		fake_queue(world, answer);
 	}
@@ -341,20 +355,31 @@
 	fake_event_free(event);
 }
 
+static inline pr_usec_t fake_next(fake_world_t *world)
+{
+	pr_usec_t at;
+
+	(void)fake_next_timer(world, &at);
+	return world->events && world->events->at < at ? world->events->at : at;
+}
+
 /* Runs until the given time. */
 static inline void fake_world_run(fake_world_t *world, pr_usec_t until)
 {
 	for (;;) {
-		pr_usec_t timer_at;
-		int host = fake_next_timer(world, &timer_at);
-		pr_usec_t event_at =
-			world->events ? world->events->at : PR_USEC_NEVER;
+		pr_usec_t timer_at, event_at;
+		int host;
 
-		if (timer_at > until && event_at > until)
+		if (fake_next(world) > until)
 			break;
 		world->steps++;
 		if (world->on_step)
 			world->on_step(world);
+		/* A fault may have started something that comes first. */
+		if (fake_next(world) > until)
+			break;
+		host = fake_next_timer(world, &timer_at);
+		event_at = world->events ? world->events->at : PR_USEC_NEVER;
 		if (event_at <= timer_at && world->events) {
 			if (event_at > world->now)
 				world->now = event_at;
--- a/tests/once_walk.h
+++ b/tests/once_walk.h
@@ -38,7 +38,7 @@
 	int host, life, key;
 	uint64_t request;
 	char attempt[32];
-	pr_usec_t deadline, sent_at;
+	pr_usec_t deadline, sent_at, finished_at;
 	int ran;
 	bool started, finished, retry;
 	const char *hash;
@@ -231,6 +231,7 @@
 	assert_non_null(call);
 	assert_false(call->finished);
 	call->finished = true;
+	call->finished_at = world->now;
 	call->result = *result;
 	assert_int_equal(
 		pr_slice_copy(call->body, sizeof(call->body), result->body), 0);
--- a/tests/test_bill.c
+++ b/tests/test_bill.c
@@ -66,6 +66,10 @@
 
 		bad += rows > 1;
 		bad += alive && !item->finished;
+		/* Batch wait, bounded wait for a holder, one tick. */
+		if (!walk->world.hosts[item->host].paused_until)
+			bad += item->ended >
+			       item->added + 65 * PR_USEC_PER_MSEC;
 		if (item->finished && !rows)
 			bad += !loss_excused(walk, item);
 	}
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -20,6 +20,11 @@
 	if (call->finished && call->result.verdict == PR_VERDICT_NOT_RUN)
 		bad += call->ran > 0;
 	bad += call->sent_at >= call->deadline;
+	/* The caller's wait has a bound, whatever the store does. */
+	if (!walk->world.hosts[call->host].paused_until)
+		bad += call->finished_at > call->deadline +
+						   walk->options.outcome_wait +
+						   5 * PR_USEC_PER_MSEC;
 	bad += call->started && !call->finished && !killed(walk, call);
 	if (call->finished && strcmp(call->hash, "other") == 0 && !call->ran)
 		bad += call->result.code == PR_ONCE_STORED;
