Give each run of the socket tests addresses of its own

Cause: fault_standins failed at once ("insert: wanted 'true', saw 'false'") while the same test ran in another worktree: both used 127.11.1.x, the second run's stand-ins could not listen, and the checks went to the other run's stand-ins.

The third byte of the address now comes from the process id, in tests/faults/standins.sh and tests/test_http.c, and the script checks that its own process is alive and answers with its own name.

--- a/tests/faults/standins.sh
+++ b/tests/faults/standins.sh
@@ -14,10 +14,12 @@
 }
 trap cleanup EXIT
 
-platform=http://127.11.1.1:9100
-ledger=http://127.11.1.2:9100
-engine=http://127.11.1.3:9100
-second=http://127.11.1.4:9100
+# A net of its own per run, so that runs of several worktrees do not meet.
+net=127.11.$((1 + $$ % 250))
+platform=http://$net.1:9100
+ledger=http://$net.2:9100
+engine=http://$net.3:9100
+second=http://$net.4:9100
 checks=0
 
 fail() {
@@ -65,20 +67,22 @@
 		--lifetime 100 "$@" 2>"$work/$name.log" &
 	pids+=($!)
 	for _ in $(seq 100); do
-		[ "$(status "http://$address:9100/healthz" || true)" = 200 ] &&
-			return 0
+		# Another process may hold the address and answer.
+		kill -0 "${pids[-1]}" 2>/dev/null || break
+		[ "$(field "http://$address:9100/record?limit=0" .name || true)" = \
+			"\"$name\"" ] && kill -0 "${pids[-1]}" && return 0
 		sleep 0.05
 	done
 	fail "$name does not listen"
 }
 commit() { call -d "{\"ops\":[$1]}" "$platform/v1/table/commit"; }
 
-start standin-platform 127.11.1.1 platform --quality small@v1=1 \
+start standin-platform $net.1 platform --quality small@v1=1 \
 	--quality small@v2=0 --control '{"rating_delay_ms":1500}'
-start standin-ledger 127.11.1.2 ledger
-start standin-engine 127.11.1.3 engine --cold-ms 1 --fencing --slots 2 \
+start standin-ledger $net.2 ledger
+start standin-engine $net.3 engine --cold-ms 1 --fencing --slots 2 \
 	--serve small@v1:first_ms=20,between_ms=2
-start standin-engine 127.11.1.4 second --cold-ms 1 \
+start standin-engine $net.4 second --cold-ms 1 \
 	--serve small@v1:first_ms=20,between_ms=2
 
 # Table: conditional writes, versions, reads.
@@ -274,7 +278,7 @@
 # Load: every answer checked, retries keep the key, wrong answers are found.
 control $engine '{"clear":true,"slots":200}'
 load() { timeout 30 "$bin/standin-load" --direct "$@" 2>"$work/load.log"; }
-load --entry 127.11.1.3:9100 --entry 127.11.1.4:9100 --rate 100 --requests 60 \
+load --entry $net.3:9100 --entry $net.4:9100 --rate 100 --requests 60 \
 	--mix route=2,summary=1,tag=2 --seed 7 --out "$work/out.jsonl" \
 	>"$work/summary.json" || fail "load on healthy engines"
 check "all answers right" 60 "$(jq '[.classes[].ok] | add' \
@@ -282,7 +286,7 @@
 check "one line each" 60 "$(wc -l <"$work/out.jsonl")"
 before=$(count $ledger runs)
 control $ledger '{"lose_answers":5}'
-load --entry 127.11.1.2:9100 --rate 200 --requests 40 \
+load --entry $net.2:9100 --rate 200 --requests 40 \
 	--mix pickup=1,payout=1 --retry 3 --seed 7 >"$work/summary.json" ||
 	fail "load on the ledger"
 check "retried until done" 40 "$(jq '[.classes[].ok] | add' \
@@ -290,7 +294,7 @@
 check "each retry ran again" 45 "$(($(count $ledger runs) - before))"
 control $engine '{"cross_answers":1}'
 rc=0
-load --entry 127.11.1.3:9100 --rate 100 --requests 5 --mix tag=1 \
+load --entry $net.3:9100 --rate 100 --requests 5 --mix tag=1 \
 	>"$work/summary.json" || rc=$?
 check "wrong answer is found" "2 1" \
 	"$rc $(jq .classes.tag.wrong "$work/summary.json")"
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -7,13 +7,14 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "pistachiorack/http.h"
 
-#define ADDRESS    "127.11.2.1"
 #define PORT       9199
 #define TIMEOUT_MS 5000
 
@@ -39,6 +40,8 @@
 } fixture_t;
 
 static fixture_t fixture;
+/* Depends on the process, so that runs of several worktrees do not meet. */
+static char address[32];
 /* One loop a test; pr_http_server_close() lets the loop not run again, so it
  * cannot be closed either. */
 static uv_loop_t loops[16];
@@ -138,8 +141,10 @@
 	pr_http_server_options_t options = PR_HTTP_SERVER_OPTIONS_INIT;
 
 	signal(SIGPIPE, SIG_IGN);
+	snprintf(address, sizeof(address), "127.11.%d.200",
+		 1 + (int)getpid() % 250);
 	fixture = (fixture_t){0};
-	options.address = ADDRESS;
+	options.address = address;
 	options.port = PORT;
 	options.on_request = on_request;
 	assert_true(loops_used < sizeof(loops) / sizeof(loops[0]));
@@ -154,7 +159,7 @@
 	assert_int_equal(
 		pr_http_client_open(&fixture.client, fixture.loop, TIMEOUT_MS),
 		0);
-	return pr_http_target_open(&fixture.target, fixture.client, ADDRESS,
+	return pr_http_target_open(&fixture.target, fixture.client, address,
 				   PORT, 16);
 }
 
