--- a/src/bill/peers.c
+++ b/src/bill/peers.c
@@ -150,8 +150,9 @@
 		if (name == PR_BILL_NOBODY || name == book->self.name)
 			continue;
 		book->names[name]->live = true;
-		places[used++] = (pr_bill_place_t){name, hash_of(peers[i].zone),
-						   hash_of(peers[i].region)};
+		places[used++] =
+			(pr_bill_place_t){ name, hash_of(peers[i].zone),
+					   hash_of(peers[i].region) };
 	}
 	free(book->peers);
 	book->peers = places;
--- a/src/bill/write.c
+++ b/src/bill/write.c
@@ -98,7 +98,7 @@
 static void commit(pr_bill_book_t *book, pr_usec_t now)
 {
 	pr_store_op_t ops[PR_STORE_OPS_MAX];
-	pr_str_t keys[PR_STORE_OPS_MAX] = {{NULL, 0, 0}};
+	pr_str_t keys[PR_STORE_OPS_MAX] = { { NULL, 0, 0 } };
 
 	for (size_t i = 0; i < book->committing_count; i++) {
 		const pr_bill_batch_t *batch = book->committing[i];
@@ -174,7 +174,7 @@
 static void announce_to(pr_bill_book_t *book, uint16_t name)
 {
 	pr_str_t ids = PR_STR_INIT;
-	pr_bill_message_t message = {.kind = PR_BILL_MESSAGE_STORED};
+	pr_bill_message_t message = { .kind = PR_BILL_MESSAGE_STORED };
 	int err = 0;
 
 	for (size_t i = 0; i < book->committing_count; i++) {
--- a/src/once/row.c
+++ b/src/once/row.c
@@ -5,7 +5,7 @@
 
 #include "pistachiorack/error.h"
 
-static const char *const state_names[] = {"claimed", "done", "not_run"};
+static const char *const state_names[] = { "claimed", "done", "not_run" };
 
 int pr_once_row_print(pr_str_t *out, const pr_once_row_t *row)
 {
--- a/src/router/once_task.c
+++ b/src/router/once_task.c
@@ -10,6 +10,9 @@
 #include "router/service.h"
 
 #define STORE_TIMEOUT (2 * PR_USEC_PER_SEC)
+/* Keys are spread over this many owners: grouping saves commits only above
+ * some 200 claims a second at an owner. */
+#define CLAIM_SHARDS 16
 
 static const char *const message_types[] = {
 	[PR_ONCE_MESSAGE_CLAIM] = "claim",
@@ -26,6 +29,15 @@
 	return exchange;
 }
 
+static const char *owner_of(const pr_router_t *router, pr_slice_t key)
+{
+	char shard[24];
+
+	snprintf(shard, sizeof(shard), "claims/%u",
+		 (unsigned int)(pr_hash64(key.ptr, key.len, 0) % CLAIM_SHARDS));
+	return pr_hosts_owner(router, pr_slice_of(shard));
+}
+
 int pr_claim_start(pr_exchange_t *exchange)
 {
 	pr_router_t *router = exchange->router;
@@ -53,8 +65,7 @@
 		pr_sha256_hex(hash, pr_str_slice(&text));
 		options.key = pr_str_slice(&key);
 		options.body_hash = pr_slice_of(hash);
-		options.owner =
-			pr_slice_of(pr_hosts_owner(router, options.key));
+		options.owner = pr_slice_of(owner_of(router, options.key));
 		rc = pr_once_start(router->once, &exchange->claim, &options,
 				   pr_router_now(router));
 	}
--- a/standins/common/cache.c
+++ b/standins/common/cache.c
@@ -23,7 +23,7 @@
 {
 	free(cache->blocks);
 	free(cache->events);
-	*cache = (cache_t){0};
+	*cache = (cache_t){ 0 };
 }
 
 size_t cache_hashes(uint64_t *out, pr_slice_t version, pr_slice_t prompt)
--- a/standins/common/table.c
+++ b/standins/common/table.c
@@ -197,5 +197,5 @@
 		free(table->rows);
 		free(table->name);
 	}
-	*tables = (tables_t){0};
+	*tables = (tables_t){ 0 };
 }
--- a/standins/standin-load.c
+++ b/standins/standin-load.c
@@ -367,7 +367,7 @@
 
 static void run(load_t *load)
 {
-	static const int numbers[2] = {SIGTERM, SIGINT};
+	static const int numbers[2] = { SIGTERM, SIGINT };
 
 	signal(SIGPIPE, SIG_IGN);
 	load->began = load->next_at = load_now(load);
--- a/standins/standin-load/report.c
+++ b/standins/standin-load/report.c
@@ -72,7 +72,7 @@
 static void write_line(const load_request_t *request, bool whole,
 		       load_check_t check, double first, double total)
 {
-	static const char *const checks[] = {"none", "ok", "wrong"};
+	static const char *const checks[] = { "none", "ok", "wrong" };
 	load_t *load = request->load;
 	json_t *line = json_pack("{s:s,s:i,s:s,s:s,s:s,s:i,s:s,s:s}", "key",
 				 request->key, "attempt", (int)request->attempt,
--- a/standins/standin-load/request.c
+++ b/standins/standin-load/request.c
@@ -15,12 +15,12 @@
 #define INPUT_MAX (64 << 20)
 
 const load_class_t load_classes[LOAD_CLASSES] = {
-	[LOAD_ROUTE] = {"route", 1.0, 8, 40, 120, true, true},
-	[LOAD_SUMMARY] = {"summary", 0.5, 40, 160, 1200, true, false},
-	[LOAD_TAG] = {"tag", 0.0, 2, 8, 200, true, false},
-	[LOAD_PICKUP] = {.name = "pickup"},
-	[LOAD_PAYOUT] = {.name = "payout"},
-	[LOAD_TICKET] = {.name = "ticket"},
+	[LOAD_ROUTE] = { "route", 1.0, 8, 40, 120, true, true },
+	[LOAD_SUMMARY] = { "summary", 0.5, 40, 160, 1200, true, false },
+	[LOAD_TAG] = { "tag", 0.0, 2, 8, 200, true, false },
+	[LOAD_PICKUP] = { .name = "pickup" },
+	[LOAD_PAYOUT] = { .name = "payout" },
+	[LOAD_TICKET] = { .name = "ticket" },
 };
 
 static void fill_words(pr_str_t *out, pr_rand_t *rand, uint32_t bytes)
@@ -236,8 +236,8 @@
 static void add(pr_http_header_t *headers, size_t *count, const char *name,
 		const char *value)
 {
-	headers[(*count)++] = (pr_http_header_t){.name = pr_slice_of(name),
-						 .value = pr_slice_of(value)};
+	headers[(*count)++] = (pr_http_header_t){ .name = pr_slice_of(name),
+						  .value = pr_slice_of(value) };
 }
 
 static size_t make_headers(load_request_t *request, pr_http_header_t *headers,
@@ -293,7 +293,7 @@
 		limit_ms = 1 + (uint32_t)(pr_hash64(request->key,
 						    strlen(request->key), 0) %
 					  LEAVE_MS_MAX);
-	request->call = (pr_http_call_t){.ops = &call_ops, .data = request};
+	request->call = (pr_http_call_t){ .ops = &call_ops, .data = request };
 	request->timer.data = request;
 	pr_timers_subscribe(&load->timers, &request->timer,
 			    limit_ms * PR_USEC_PER_MSEC, 0, on_timeout);
--- a/tests/bill_walk.h
+++ b/tests/bill_walk.h
@@ -35,8 +35,8 @@
 	FAULTS,
 } fault_t;
 
-static const char *const zones[FAKE_HOSTS] = {"z0", "z0", "z1", "z2", "z3"};
-static const char *const regions[FAKE_HOSTS] = {"r0", "r0", "r0", "r0", "r1"};
+static const char *const zones[FAKE_HOSTS] = { "z0", "z0", "z1", "z2", "z3" };
+static const char *const regions[FAKE_HOSTS] = { "r0", "r0", "r0", "r0", "r1" };
 
 /* A request whose bill was handed over. */
 typedef struct item_t {
@@ -204,8 +204,9 @@
 
 	for (int i = 0; i < FAKE_HOSTS; i++)
 		if (!world->hosts[i].dead)
-			peers[count++] = (pr_bill_peer_t){world->hosts[i].name,
-							  zones[i], regions[i]};
+			peers[count++] =
+				(pr_bill_peer_t){ world->hosts[i].name,
+						  zones[i], regions[i] };
 	for (int i = 0; i < FAKE_HOSTS; i++)
 		if (walk->books[i])
 			assert_int_equal(pr_bill_set_peers(walk->books[i],
@@ -253,7 +254,7 @@
 	walk->world.on_committed = on_committed;
 	walk->world.on_message = on_message;
 	for (int i = 0; i < FAKE_HOSTS; i++)
-		walk->contexts[i] = (struct context_t){walk, i};
+		walk->contexts[i] = (struct context_t){ walk, i };
 }
 
 static void walk_open(walk_t *walk)
@@ -292,11 +293,11 @@
 	if (!walk->quiet) {
 		assert_true(walk->items_count < ITEMS_MAX);
 		walk->items[walk->items_count++] =
-			(item_t){.host = host,
-				 .life = walk->world.hosts[host].life,
-				 .boot = walk->boots[host],
-				 .request = request,
-				 .added = walk->world.now};
+			(item_t){ .host = host,
+				  .life = walk->world.hosts[host].life,
+				  .boot = walk->boots[host],
+				  .request = request,
+				  .added = walk->world.now };
 	}
 	return pr_bill_add(walk->books[host], &bill, walk->world.now);
 }
--- a/tests/once_walk.h
+++ b/tests/once_walk.h
@@ -88,7 +88,7 @@
 {
 	call_t *call = &walk->calls[walk->calls_count];
 	char text[16];
-	pr_once_request_options_t options = {.body_hash = pr_slice_of(hash)};
+	pr_once_request_options_t options = { .body_hash = pr_slice_of(hash) };
 	int err;
 
 	if (walk->calls_count == CALLS_MAX || walk->world.hosts[host].dead)
@@ -127,7 +127,7 @@
 static void do_read(void *data, const char *table, pr_slice_t key, uint64_t tag)
 {
 	struct context_t *context = data;
-	pr_store_op_t op = {.table = table, .key = key};
+	pr_store_op_t op = { .table = table, .key = key };
 
 	fake_store_call(&context->walk->world, context->host, &op, 1, tag,
 			true);
@@ -345,7 +345,7 @@
 	walk->world.on_committed = on_committed;
 	walk->world.on_message = on_message;
 	for (int i = 0; i < FAKE_HOSTS; i++)
-		walk->contexts[i] = (struct context_t){walk, i};
+		walk->contexts[i] = (struct context_t){ walk, i };
 }
 
 static void walk_open(walk_t *walk)
--- a/tests/test_bill.c
+++ b/tests/test_bill.c
@@ -130,8 +130,8 @@
 
 static void walk_seed(uint64_t seed, long *runs)
 {
-	fault_t faults[2] = {FAULT_NONE, FAULT_NONE};
-	uint64_t at[2] = {0, 0};
+	fault_t faults[2] = { FAULT_NONE, FAULT_NONE };
+	uint64_t at[2] = { 0, 0 };
 	uint64_t steps;
 	pr_rand_t rand;
 
@@ -197,7 +197,8 @@
 /* Guards against checks that cannot fail: each mechanism is switched off. */
 static void checks_fail_with_mechanism_off(void **state)
 {
-	static const char *const names[] = {"holders", "condition", "fallback"};
+	static const char *const names[] = { "holders", "condition",
+					     "fallback" };
 
 	for (int off = 0; off < 3; off++) {
 		int bad = 0;
@@ -341,12 +342,12 @@
 /* Guards against a decoder that reads outside a message of any bytes. */
 static void decode_survives_garbage(void **state)
 {
-	pr_bill_message_t in = {.kind = PR_BILL_MESSAGE_HOLD,
-				.batch = PR_SLICE("h0/1/0"),
-				.other = PR_SLICE("h3"),
-				.count = 1,
-				.collect = true,
-				.value = PR_SLICE("{\"bills\":[]}")};
+	pr_bill_message_t in = { .kind = PR_BILL_MESSAGE_HOLD,
+				 .batch = PR_SLICE("h0/1/0"),
+				 .other = PR_SLICE("h3"),
+				 .count = 1,
+				 .collect = true,
+				 .value = PR_SLICE("{\"bills\":[]}") };
 	pr_bill_message_t out;
 	pr_str_t bytes = PR_STR_INIT;
 	static walk_t walk;
@@ -404,7 +405,7 @@
 
 static int figures(void)
 {
-	static const uint32_t rates[] = {7, 175, 400, 1000};
+	static const uint32_t rates[] = { 7, 175, 400, 1000 };
 
 	print_message("requests/s  wait ms  batches/s  commits/s\n");
 	for (int i = 0; i < 4; i++) {
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -143,7 +143,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	snprintf(address, sizeof(address), "127.11.%d.200",
 		 1 + (int)getpid() % 250);
-	fixture = (fixture_t){0};
+	fixture = (fixture_t){ 0 };
 	options.address = address;
 	options.port = PORT;
 	options.on_request = on_request;
@@ -179,7 +179,7 @@
 
 static void run(const char *path, const char *body)
 {
-	fixture.call = (pr_http_call_t){.ops = &ops};
+	fixture.call = (pr_http_call_t){ .ops = &ops };
 	assert_int_equal(pr_http_call_start(&fixture.call, fixture.client,
 					    fixture.target, "POST",
 					    pr_slice_of(path), NULL, 0,
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -121,8 +121,8 @@
 
 static void walk_seed(uint64_t seed, long *runs)
 {
-	fault_t faults[2] = {FAULT_NONE, FAULT_NONE};
-	uint64_t at[2] = {0, 0};
+	fault_t faults[2] = { FAULT_NONE, FAULT_NONE };
+	uint64_t at[2] = { 0, 0 };
 	uint64_t steps;
 	pr_rand_t rand;
 
@@ -183,8 +183,8 @@
 /* Guards against checks that cannot fail: each mechanism is switched off. */
 static void checks_fail_with_mechanism_off(void **state)
 {
-	static const char *const names[] = {"claims", "condition",
-					    "honest upstream", "deadline"};
+	static const char *const names[] = { "claims", "condition",
+					     "honest upstream", "deadline" };
 
 	for (int off = 0; off < 4; off++) {
 		int bad = 0;
@@ -282,11 +282,11 @@
 /* Guards against a decoder that reads outside a message of any bytes. */
 static void decode_survives_garbage(void **state)
 {
-	pr_once_message_t in = {.kind = PR_ONCE_MESSAGE_CLAIM,
-				.request = 7,
-				.key = PR_SLICE("w/k"),
-				.attempt = PR_SLICE("a"),
-				.row = PR_SLICE("{}")};
+	pr_once_message_t in = { .kind = PR_ONCE_MESSAGE_CLAIM,
+				 .request = 7,
+				 .key = PR_SLICE("w/k"),
+				 .attempt = PR_SLICE("a"),
+				 .row = PR_SLICE("{}") };
 	pr_once_message_t out;
 	pr_str_t bytes = PR_STR_INIT;
 	pr_rand_t rand;
@@ -333,7 +333,8 @@
 		char key[32];
 		pr_once_request_options_t options = {
 			.body_hash = PR_SLICE("b"),
-			.deadline = PR_USEC_PER_SEC * 10};
+			.deadline = PR_USEC_PER_SEC * 10
+		};
 		uint64_t request;
 
 		snprintf(key, sizeof(key), "w/%u", i);
@@ -361,7 +362,7 @@
 
 static int figures(void)
 {
-	static const uint32_t rates[] = {10, 100, 400, 2000};
+	static const uint32_t rates[] = { 10, 100, 400, 2000 };
 
 	print_message("claims/s  group  wait ms  commits/s    mean ms     "
 		      "max ms\n");
--- a/tests/test_standin_platform.c
+++ b/tests/test_standin_platform.c
@@ -65,7 +65,7 @@
  * row that a page ended with. */
 static void lists_are_sorted_pages(void **state)
 {
-	static const char *const keys[] = {"b/2", "a/1", "b/1", "c/1", "b/3"};
+	static const char *const keys[] = { "b/2", "a/1", "b/1", "c/1", "b/3" };
 	tables_t *tables = calloc(1, sizeof(*tables));
 	json_int_t version;
 	json_t *list;
