--- a/src/bill/entry.c
+++ b/src/bill/entry.c
@@ -142,15 +142,8 @@
 	if (book->options.holders)
 		pr_list_append(&book->unheld, &batch->unheld);
 	batch->retry = now + book->options.ack_wait;
-	for (unsigned int slot = 0; slot < book->options.holders; slot++) {
-		uint16_t host = book->first[slot];
-
-		if (host != PR_BILL_NOBODY &&
-		    book->names[host]->full_until > now)
-			host = pr_bill_choose(book, slot, PR_BILL_NOBODY,
-					      batch->hosts[!slot], now);
-		batch->hosts[slot] = host;
-	}
+	for (unsigned int slot = 0; slot < book->options.holders; slot++)
+		batch->hosts[slot] = book->first[slot];
 	for (unsigned int slot = 0; slot < book->options.holders; slot++)
 		if (batch->hosts[slot] != PR_BILL_NOBODY &&
 		    book->names[batch->hosts[slot]]->full_until > now)
--- a/src/once/group.c
+++ b/src/once/group.c
@@ -79,7 +79,6 @@
 		return pr_error_set(PR_ENOMEM, "no memory for a claim");
 	write->request = message->request;
 	write->write = message->write;
-	write->claim = message->kind == PR_ONCE_MESSAGE_CLAIM;
 	write->version = message->version;
 	if (pr_slice_copy(write->from, sizeof(write->from), from) ||
 	    pr_str_append(&write->key, message->key.ptr, message->key.len) ||
--- a/src/once/internal.h
+++ b/src/once/internal.h
@@ -56,7 +56,6 @@
 	/** Empty for a write of this host. */
 	char from[PR_ONCE_NAME_SIZE];
 	uint64_t request, write;
-	bool claim;
 	uint64_t version;
 	pr_str_t key, attempt, row;
 } pr_once_write_t;
