Add test switches and the request id on refusals

Failure tests must be shown failing with the mechanism off.

Refusals did not carry x-request-id, so that a caller's not_run could not be compared with the upstreams' records; they do now.

--- a/src/router/admission.c
+++ b/src/router/admission.c
@@ -4,6 +4,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/log.h"
 #include "router/exchange.h"
+#include "router/test_off.h"
 
 /* Retries that a workspace has before its first requests have paid for any:
  * without them the first request that meets a dead upstream would fail. */
@@ -112,6 +113,7 @@
 	entry->workspace = strdup(workspace);
 	pr_retry_budget_init(&entry->budget);
 	entry->budget.tokens = RETRY_RESERVE;
+	entry->budget.enabled = !pr_test_off("retry-budget");
 	HASH_ADD_KEYPTR(hh, router->budgets, entry->workspace,
 			strlen(entry->workspace), entry);
 }
--- a/src/router/billing.c
+++ b/src/router/billing.c
@@ -10,6 +10,7 @@
 #include "pistachiorack/log.h"
 #include "pistachiorack/store_client.h"
 #include "router/chat.h"
+#include "router/test_off.h"
 
 #define TOKENS_PER_PRICE 1000
 #define COMMIT_TIMEOUT   (3 * PR_USEC_PER_SEC)
@@ -151,6 +152,8 @@
 	options.region = "";
 	/* The number becomes a JSON integer, which has 63 bits. */
 	options.boot = strtoull(router->boot, NULL, 16) & INT64_MAX;
+	if (pr_test_off("bill-holders"))
+		options.holders = 0;
 	return pr_bill_open(&router->bills, &options);
 }
 
--- a/src/router/chat_answer.c
+++ b/src/router/chat_answer.c
@@ -5,6 +5,7 @@
  */
 #include "pistachiorack/error.h"
 #include "router/chat.h"
+#include "router/test_off.h"
 
 static void start_stream(pr_exchange_t *exchange)
 {
@@ -151,9 +152,11 @@
 	if (exchange->chat.stream)
 		whole = whole && pr_stream_complete(&exchange->chat.events);
 	else if (whole && stage == PR_STAGE_DONE)
-		whole = !pr_answer_check(
-			pr_slice_of(call->id), pr_slice_of(call->echoed),
-			call->content_length, pr_str_slice(&call->body));
+		whole = pr_test_off("answer-check") ||
+			!pr_answer_check(pr_slice_of(call->id),
+					 pr_slice_of(call->echoed),
+					 call->content_length,
+					 pr_str_slice(&call->body));
 	else
 		whole = false;
 	if (whole) {
--- a/src/router/config_task.c
+++ b/src/router/config_task.c
@@ -8,6 +8,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/log.h"
 #include "router/router.h"
+#include "router/test_off.h"
 
 #define TICK_EVERY   (100 * PR_USEC_PER_MSEC)
 #define READ_TIMEOUT (2 * PR_USEC_PER_SEC)
@@ -83,6 +84,11 @@
 {
 	pr_router_t *router = data;
 
+	if (pr_test_off("config")) {
+		if (router->fleet)
+			return;
+		pr_config_ref(router->config.current);
+	}
 	router->fleet = router->config.current;
 	router->confirmed = true;
 	pr_tasks_fleet_changed(router);
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "pistachiorack/error.h"
+#include "router/test_off.h"
 
 /* Statuses from here on are the service's fault, not the caller's. */
 #define SERVER_ERROR 500
@@ -34,6 +35,8 @@
 	pr_metric_add(exchange->router->counters.refused, 1);
 	snprintf(exchange->failure, sizeof(exchange->failure), "%s", code);
 	exchange->counts_against_budget = status >= SERVER_ERROR;
+	pr_http_answer_header(exchange->request, "x-request-id",
+			      pr_slice_of(exchange->id));
 	pr_refuse(exchange->request, status, code, verdict, message);
 }
 
@@ -79,7 +82,8 @@
 	/* A change goes on without its caller: its outcome must be known. */
 	if (!complete && !exchange->operation) {
 		exchange->caller_left = true;
-		pr_upstream_call_cancel(exchange);
+		if (!pr_test_off("cancel"))
+			pr_upstream_call_cancel(exchange);
 	}
 	pr_exchange_release(exchange);
 }
@@ -234,7 +238,7 @@
 		pr_exchange_t *next = exchange->next;
 
 		if (exchange->request && exchange->call.active &&
-		    !exchange->service &&
+		    !exchange->service && !pr_test_off("cancel") &&
 		    pr_http_request_caller_gone(exchange->request))
 			cancel_exchange(exchange);
 		exchange = next;
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -6,6 +6,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/log.h"
 #include "router/router.h"
+#include "router/test_off.h"
 
 #define EXIT_USAGE    2
 #define EXIT_SETTINGS 3
@@ -25,7 +26,7 @@
 	uv_signal_t terminate, interrupt;
 
 	signal(SIGPIPE, SIG_IGN);
-	if (pr_settings_load(&settings, path)) {
+	if (pr_test_off_init() || pr_settings_load(&settings, path)) {
 		pr_log(PR_LOG_ERR, "%s", pr_error_last());
 		return EXIT_SETTINGS;
 	}
--- a/src/router/member_task.c
+++ b/src/router/member_task.c
@@ -8,6 +8,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/log.h"
 #include "router/member_task.h"
+#include "router/test_off.h"
 
 #define TICK_EVERY    (100 * PR_USEC_PER_MSEC)
 #define LIST_TIMEOUT  (2 * PR_USEC_PER_SEC)
@@ -132,6 +133,8 @@
 	const json_t *item;
 	size_t at;
 
+	if (pr_test_off("host-list"))
+		return;
 	json_array_foreach(upstreams, at, item)
 	{
 		const char *name, *state;
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -9,6 +9,7 @@
 #include "pistachiorack/log.h"
 #include "router/exchange.h"
 #include "router/member_task.h"
+#include "router/test_off.h"
 
 #define SERIES_MAX         4096
 #define CALLER_CHECK_EVERY (250 * PR_USEC_PER_MSEC)
@@ -244,7 +245,7 @@
 
 void pr_router_stop(pr_router_t *router)
 {
-	if (router->stopping) {
+	if (router->stopping || pr_test_off("drain")) {
 		end_loop(router);
 		return;
 	}
--- a/src/router/service.c
+++ b/src/router/service.c
@@ -3,6 +3,7 @@
 
 #include "pistachiorack/error.h"
 #include "router/service.h"
+#include "router/test_off.h"
 
 #define SERVER_ERROR        500
 #define IDEMPOTENCY_KEY_MAX 200
@@ -43,6 +44,15 @@
 		pr_billing_finish(exchange, answer);
 }
 
+/* True when the answer is whole and belongs to the call. */
+static bool is_own_answer(const pr_upstream_call_t *call)
+{
+	return pr_test_off("answer-check") ||
+	       !pr_answer_check(pr_slice_of(call->id),
+				pr_slice_of(call->echoed), call->content_length,
+				pr_str_slice(&call->body));
+}
+
 static void on_done(pr_exchange_t *exchange, pr_attempt_stage_t stage)
 {
 	pr_upstream_call_t *call = &exchange->call;
@@ -50,8 +60,7 @@
 	pr_dispatch_decision_t decision;
 
 	if (stage != PR_STAGE_DONE || call->status >= SERVER_ERROR ||
-	    pr_answer_check(pr_slice_of(call->id), pr_slice_of(call->echoed),
-			    call->content_length, pr_str_slice(&call->body))) {
+	    !is_own_answer(call)) {
 		pr_exchange_attempt_failed(
 			exchange, call->status >= SERVER_ERROR &&
 					  pr_call_states_not_run(call));
@@ -248,7 +257,7 @@
 				   PR_VERDICT_NOT_RUN, "out of memory");
 		return;
 	}
-	if (exchange->operation->repeatable) {
+	if (exchange->operation->repeatable || pr_test_off("claims")) {
 		pr_service_dispatch(exchange);
 		return;
 	}
