Take only answers with status 200 as a first token

Cause: the body of a refusal (503) was reported to the balance as a first token. This reset the upstream's errors in a row, so it was never ejected, and its time became the shortest, so it got most of the work. Change: only answers with status 200 count.

--- a/src/router/chat_answer.c
+++ b/src/router/chat_answer.c
@@ -63,7 +63,9 @@
 		pass_events_on(exchange);
 		return;
 	}
-	if (!exchange->call.body.len)
+	/* The text of a refusal is no first token; it would count as a fast
+	 * answer of an upstream that fails. */
+	if (!exchange->call.body.len && exchange->call.status == 200)
 		pr_balance_first_token(&exchange->router->balance,
 				       &exchange->call.choice,
 				       pr_router_now(exchange->router));
