--- a/standins/standin-check/checks.c
+++ b/standins/standin-check/checks.c
@@ -145,6 +145,26 @@
 	}
 }
 
+/* The call began after the one before it had ended. */
+static void check_session_call(check_t *check, const json_t *before,
+			       const json_t *call)
+{
+	const char *old = check_text(before, "version");
+	const char *new = check_text(call, "version");
+	bool same = strcmp(old, new) == 0;
+	bool moved = check_text(call, "moved")[0];
+
+	if (!moved && !same)
+		check_violation(check,
+				"session %lld changed from %s to %s without "
+				"x-session-moved",
+				(long long)check_number(call, "session"), old,
+				new);
+	if (moved && same)
+		check_violation(check, "session %lld was moved to %s twice",
+				(long long)check_number(call, "session"), new);
+}
+
 /*
  * Calls are in the order of their ends. A call that overlaps the move may still
  * answer from the old version, so only calls that began after the last one
@@ -168,17 +188,10 @@
 		before = json_object_get(last, name);
 		if (moved[0])
 			check_count(check, "sessions_moved", 1);
-		if (before && !moved[0] &&
-		    check_number(call, "at_ms") >
-			    check_number(before, "at_ms") +
-				    check_number(before, "total_ms") &&
-		    strcmp(check_text(before, "version"),
-			   check_text(call, "version")) != 0)
-			check_violation(check,
-					"session %s changed from %s to %s "
-					"without x-session-moved",
-					name, check_text(before, "version"),
-					check_text(call, "version"));
+		if (before && check_number(call, "at_ms") >
+				      check_number(before, "at_ms") +
+					      check_number(before, "total_ms"))
+			check_session_call(check, before, call);
 		json_object_set(last, name, call);
 	}
 	json_decref(last);
