--- a/include/pistachiorack/rollout.h
+++ b/include/pistachiorack/rollout.h
@@ -69,9 +69,9 @@
 	{                                                                      \
 		.version = PR_ROLLOUT_OPTIONS_VERSION, .alpha = 0.01,          \
 		.tolerance = 0.0, .step_margin = 0.04, .reference_min = 100,   \
-		.monitor_run_length = 1e6, .shares = {100, 500, 2500, 10000},  \
-		.odds = {2, 5, 10, 25}, .retry = 5 * PR_USEC_PER_SEC,          \
-		.test = true, .budget = true,                                  \
+		.monitor_run_length = 1e6,                                     \
+		.shares = { 100, 500, 2500, 10000 }, .odds = { 2, 5, 10, 25 }, \
+		.retry = 5 * PR_USEC_PER_SEC, .test = true, .budget = true,    \
 	}
 
 /** Watch on a proven version: baseline and CUSUM of log likelihood ratios. */
@@ -201,7 +201,8 @@
  *
  * @return 0, or PR_ECONFLICT when another change overtook it; drop it then
  */
-int pr_rollout_change_check(const pr_rollout_change_t *change, const pr_fleet_t *fleet);
+int pr_rollout_change_check(const pr_rollout_change_t *change,
+			    const pr_fleet_t *fleet);
 
 /** Log of the evidence that the bad rate is above p0. */
 double pr_evidence_worse(uint64_t trials, uint64_t bad, double p0);
--- a/src/base/msgpack_check.c
+++ b/src/base/msgpack_check.c
@@ -27,15 +27,15 @@
 /* Types 0xc0 to 0xdf, by the msgpack specification. */
 static head_t long_head(uint8_t first)
 {
-	static const uint8_t lengths[32] = {0, 0, 0, 0, 1, 2, 4, 1, 2, 4, 0,
-					    0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
-					    0, 0, 0, 1, 2, 4, 2, 4, 2, 4};
-	static const uint8_t fixed[32] = {0, 0, 0,  0, 0, 0, 0, 1, 1, 1, 4,
-					  8, 1, 2,  4, 8, 1, 2, 4, 8, 2, 3,
-					  5, 9, 17, 0, 0, 0, 0, 0, 0, 0};
-	head_t head = {.length_bytes = lengths[first - 0xc0],
-		       .fixed = fixed[first - 0xc0],
-		       .valid = first != 0xc1};
+	static const uint8_t lengths[32] = { 0, 0, 0, 0, 1, 2, 4, 1, 2, 4, 0,
+					     0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
+					     0, 0, 0, 1, 2, 4, 2, 4, 2, 4 };
+	static const uint8_t fixed[32] = { 0, 0, 0,  0, 0, 0, 0, 1, 1, 1, 4,
+					   8, 1, 2,  4, 8, 1, 2, 4, 8, 2, 3,
+					   5, 9, 17, 0, 0, 0, 0, 0, 0, 0 };
+	head_t head = { .length_bytes = lengths[first - 0xc0],
+			.fixed = fixed[first - 0xc0],
+			.valid = first != 0xc1 };
 
 	if (first == 0xdc || first == 0xdd)
 		head.values = 1;
@@ -47,15 +47,17 @@
 static head_t read_head(uint8_t first)
 {
 	if (first < 0x80 || first >= 0xe0)
-		return (head_t){.valid = true};
+		return (head_t){ .valid = true };
 	if (first < 0x90)
-		return (head_t){
-			.values = 2, .entries = first & 15, .valid = true};
+		return (head_t){ .values = 2,
+				 .entries = first & 15,
+				 .valid = true };
 	if (first < 0xa0)
-		return (head_t){
-			.values = 1, .entries = first & 15, .valid = true};
+		return (head_t){ .values = 1,
+				 .entries = first & 15,
+				 .valid = true };
 	if (first < 0xc0)
-		return (head_t){.fixed = first & 31, .valid = true};
+		return (head_t){ .fixed = first & 31, .valid = true };
 	return long_head(first);
 }
 
@@ -64,7 +66,7 @@
 	const uint8_t *at = (const uint8_t *)bytes.ptr;
 	size_t left = bytes.len, depth = 0;
 	/* Values still to come at each level. */
-	size_t wanted[PR_MSGPACK_DEPTH_MAX + 1] = {1};
+	size_t wanted[PR_MSGPACK_DEPTH_MAX + 1] = { 1 };
 
 	for (;;) {
 		uint32_t length = 0;
@@ -76,7 +78,7 @@
 			depth--;
 		}
 		wanted[depth]--;
-		head = left ? read_head(*at) : (head_t){0};
+		head = left ? read_head(*at) : (head_t){ 0 };
 		if (!head.valid || left < 1 + head.length_bytes)
 			return false;
 		length = big_endian(at + 1, head.length_bytes);
--- a/src/config/apply.c
+++ b/src/config/apply.c
@@ -9,7 +9,7 @@
 		  pr_slice_t change_id, pr_slice_t text,
 		  uint64_t expected_version, pr_usec_t deadline)
 {
-	pr_findings_t findings = {0};
+	pr_findings_t findings = { 0 };
 	int rc;
 
 	memset(apply, 0, sizeof(*apply));
@@ -75,7 +75,7 @@
 
 static void conflict(pr_apply_t *apply, const pr_config_row_t *row)
 {
-	pr_changes_t mine = {0}, theirs = {0};
+	pr_changes_t mine = { 0 }, theirs = { 0 };
 	pr_fleet_t *other = NULL;
 
 	apply->other_version = row->version;
--- a/src/config/check.c
+++ b/src/config/check.c
@@ -373,7 +373,7 @@
 int pr_fleet_check(pr_findings_t *out, const pr_fleet_t *fleet, pr_slice_t text)
 {
 	pr_tree_t *tree = text.len ? pr_tree_load(text) : NULL;
-	check_t check = {.fleet = fleet, .tree = tree, .out = out};
+	check_t check = { .fleet = fleet, .tree = tree, .out = out };
 
 	check_defaults(&check);
 	check_models(&check);
--- a/src/config/diff.c
+++ b/src/config/diff.c
@@ -89,7 +89,7 @@
 int pr_fleet_diff(pr_changes_t *out, const pr_fleet_t *before,
 		  const pr_fleet_t *after)
 {
-	pr_leaves_t a = {0}, b = {0};
+	pr_leaves_t a = { 0 }, b = { 0 };
 	int rc;
 
 	rc = leaves_of(&a, before);
--- a/src/config/holder.c
+++ b/src/config/holder.c
@@ -108,7 +108,7 @@
 
 static pr_config_t *load(const pr_config_row_t *row)
 {
-	pr_findings_t findings = {0};
+	pr_findings_t findings = { 0 };
 	pr_config_t *config = calloc(1, sizeof(*config));
 	int rc;
 
--- a/src/grant/grant.c
+++ b/src/grant/grant.c
@@ -207,8 +207,8 @@
 	pr_slice_t resource = pr_slice_of(grant->resource);
 	pr_slice_t owner = grants->ops->owner(grants->data, resource);
 	uint64_t wanted = pr_grant_wanted(grant->demand, grant->in_use);
-	pr_lease_message_t message = {.kind = PR_LEASE_REQUEST,
-				      .in_use = grant->in_use};
+	pr_lease_message_t message = { .kind = PR_LEASE_REQUEST,
+				       .in_use = grant->in_use };
 	uint32_t floor = pr_grants_floor(grants, resource);
 
 	/* What demand does not need is returned with this request. */
--- a/src/grant/owner.c
+++ b/src/grant/owner.c
@@ -144,7 +144,7 @@
 static uint64_t divide(const pr_owned_t *owned, const pr_lease_t *mine,
 		       uint64_t limit, pr_usec_t now)
 {
-	uint64_t sums[PR_GRANT_CLASSES] = {0}, target = 0, left = limit;
+	uint64_t sums[PR_GRANT_CLASSES] = { 0 }, target = 0, left = limit;
 	uint64_t all = 0, own;
 	const pr_lease_t *lease;
 
@@ -191,10 +191,10 @@
 void pr_owner_request(pr_grants_t *grants, pr_slice_t from,
 		      const pr_lease_message_t *message, pr_usec_t now)
 {
-	pr_lease_message_t answer = {.kind = PR_LEASE_RESULT,
-				     .sent = message->sent,
-				     .lifetime = grants->options.lifetime,
-				     .status = PR_LEASE_NOT_OWNER};
+	pr_lease_message_t answer = { .kind = PR_LEASE_RESULT,
+				      .sent = message->sent,
+				      .lifetime = grants->options.lifetime,
+				      .status = PR_LEASE_NOT_OWNER };
 	char host[PR_GRANT_NAME_SIZE];
 	pr_owned_t *owned = NULL;
 	pr_lease_t *lease = NULL;
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -20,8 +20,8 @@
 
 const char *pr_member_state_name(pr_member_state_t state)
 {
-	static const char *const names[] = {"alive", "suspect", "leaving",
-					    "dead"};
+	static const char *const names[] = { "alive", "suspect", "leaving",
+					     "dead" };
 
 	return names[state];
 }
--- a/src/member/probe.c
+++ b/src/member/probe.c
@@ -149,13 +149,13 @@
 static void start_round(pr_member_t *member, pr_usec_t now)
 {
 	pr_member_host_t *target = next_target(member);
-	pr_probe_t probe = {.kind = PR_PROBE_PING};
+	pr_probe_t probe = { .kind = PR_PROBE_PING };
 
 	if (!target)
 		return;
-	member->round = (round_t){.running = true,
-				  .sequence = ++member->sequence,
-				  .started = now};
+	member->round = (round_t){ .running = true,
+				   .sequence = ++member->sequence,
+				   .started = now };
 	memcpy(member->round.target, target->name, sizeof(target->name));
 	probe.sequence = member->round.sequence;
 	member_send(member, target, &probe, now);
@@ -168,8 +168,8 @@
 	round->indirect = true;
 	for (int i = 0; i < HELPERS; i++) {
 		pr_member_host_t *helper = member_random(member, round->target);
-		pr_probe_t probe = {.kind = PR_PROBE_REQUEST,
-				    .sequence = round->sequence};
+		pr_probe_t probe = { .kind = PR_PROBE_REQUEST,
+				     .sequence = round->sequence };
 
 		if (!helper)
 			return;
@@ -190,8 +190,8 @@
 		member_health_change(member, 1);
 	if (target && (target->state == PR_MEMBER_ALIVE ||
 		       target->state == PR_MEMBER_SUSPECT)) {
-		pr_update_t update = {.state = PR_MEMBER_SUSPECT,
-				      .incarnation = target->incarnation};
+		pr_update_t update = { .state = PR_MEMBER_SUSPECT,
+				       .incarnation = target->incarnation };
 
 		memcpy(update.host, target->name, sizeof(update.host));
 		member_apply_update(member, &update, member_self(member)->name,
@@ -206,7 +206,7 @@
 {
 	for (int i = 0; i < RELAYS_MAX; i++) {
 		relay_t *relay = &member->relays[i];
-		pr_probe_t probe = {.kind = PR_PROBE_NACK};
+		pr_probe_t probe = { .kind = PR_PROBE_NACK };
 		pr_member_host_t *origin;
 
 		if (!relay->due || now < relay->due)
@@ -224,7 +224,7 @@
 static void probe_dead(pr_member_t *member, pr_usec_t now)
 {
 	bool reviving = now - member->revived < member->options.dead_probe;
-	pr_probe_t probe = {.kind = PR_PROBE_PING};
+	pr_probe_t probe = { .kind = PR_PROBE_PING };
 	unsigned int start = pr_rand_below(member->rand, member->count);
 
 	if (now < member->next_dead)
@@ -246,7 +246,7 @@
 
 void member_check(pr_member_t *member, pr_member_host_t *host, pr_usec_t now)
 {
-	pr_probe_t probe = {.kind = PR_PROBE_PING};
+	pr_probe_t probe = { .kind = PR_PROBE_PING };
 	uint64_t before = member->stats.bytes_sent;
 
 	if (member->budget <= 0)
@@ -297,7 +297,7 @@
 	member->next_news = now + member->options.gossip_interval;
 	for (int i = 0; i < NEWS_TARGETS; i++) {
 		pr_member_host_t *to = member_random(member, NULL);
-		pr_probe_t probe = {.kind = PR_PROBE_NEWS};
+		pr_probe_t probe = { .kind = PR_PROBE_NEWS };
 		uint64_t before = member->stats.bytes_sent;
 
 		if (!to || member->budget <= 0 || !has_news(member))
@@ -313,7 +313,7 @@
 			  const pr_probe_t *probe, pr_usec_t now)
 {
 	pr_member_host_t *subject = member_find(member, probe->subject);
-	pr_probe_t ping = {.kind = PR_PROBE_PING};
+	pr_probe_t ping = { .kind = PR_PROBE_PING };
 
 	for (int i = 0; subject && i < RELAYS_MAX; i++) {
 		relay_t *relay = &member->relays[i];
@@ -356,7 +356,7 @@
 	}
 	for (int i = 0; i < RELAYS_MAX; i++) {
 		relay_t *relay = &member->relays[i];
-		pr_probe_t ack = {.kind = PR_PROBE_ACK};
+		pr_probe_t ack = { .kind = PR_PROBE_ACK };
 		pr_member_host_t *origin;
 
 		if (!relay->due || relay->sequence != probe->sequence)
@@ -375,9 +375,9 @@
 static void take_updates(pr_member_t *member, pr_member_host_t *from,
 			 const pr_probe_t *probe, pr_usec_t now)
 {
-	pr_update_t own = {.state = probe->leaving ? PR_MEMBER_LEAVING
-						   : PR_MEMBER_ALIVE,
-			   .incarnation = probe->incarnation};
+	pr_update_t own = { .state = probe->leaving ? PR_MEMBER_LEAVING
+						    : PR_MEMBER_ALIVE,
+			    .incarnation = probe->incarnation };
 
 	memcpy(own.host, from->name, sizeof(own.host));
 	member_apply_update(member, &own, from->name, now);
@@ -392,7 +392,7 @@
 void member_handle(pr_member_t *member, pr_member_host_t *from,
 		   const pr_probe_t *probe, pr_usec_t now)
 {
-	pr_probe_t ack = {.kind = PR_PROBE_ACK, .sequence = probe->sequence};
+	pr_probe_t ack = { .kind = PR_PROBE_ACK, .sequence = probe->sequence };
 
 	take_updates(member, from, probe, now);
 	switch (probe->kind) {
--- a/src/policy/learn.c
+++ b/src/policy/learn.c
@@ -26,7 +26,7 @@
 {
 	const pr_policy_options_t *o = options;
 
-	*policy = (pr_policy_t){.options = *o};
+	*policy = (pr_policy_t){ .options = *o };
 	if (o->version != PR_POLICY_OPTIONS_VERSION ||
 	    o->posteriors_max < PROBES ||
 	    (o->posteriors_max & (o->posteriors_max - 1)) || !o->pending_max ||
@@ -48,7 +48,7 @@
 	free(policy->posteriors);
 	free(policy->calibrations);
 	free(policy->pending);
-	*policy = (pr_policy_t){.posteriors = NULL};
+	*policy = (pr_policy_t){ .posteriors = NULL };
 }
 
 size_t pr_policy_bytes(const pr_policy_t *policy)
@@ -103,7 +103,7 @@
 	}
 	if (oldest->key)
 		policy->evicted++;
-	*oldest = (pr_posterior_t){.key = key, .updated = now};
+	*oldest = (pr_posterior_t){ .key = key, .updated = now };
 	return oldest;
 }
 
@@ -182,7 +182,7 @@
 	float sum = 1;
 
 	if (entry->key != key)
-		*entry = (pr_calibration_t){.key = key};
+		*entry = (pr_calibration_t){ .key = key };
 	for (int i = 0; i < PR_POLICY_LEVELS; i++)
 		sum += entry->good[i] + entry->bad[i];
 	if (sum > (float)policy->options.memory)
@@ -203,10 +203,11 @@
 		&policy->pending[answer % policy->options.pending_max];
 
 	if (plan->rate)
-		*pending = (pr_policy_pending_t){
-			.request = answer,
-			.confidence = (float)confidence,
-			.uniform = plan->uniform && final};
+		*pending =
+			(pr_policy_pending_t){ .request = answer,
+					       .confidence = (float)confidence,
+					       .uniform =
+						       plan->uniform && final };
 }
 
 void pr_policy_rate(pr_policy_t *policy, const pr_rating_t *rating,
@@ -299,7 +300,7 @@
 {
 	double good = policy->uniform_good, bad = policy->uniform_bad;
 
-	*report = (pr_quality_report_t){.ratings = good + bad, .high = 1};
+	*report = (pr_quality_report_t){ .ratings = good + bad, .high = 1 };
 	if (good + bad <= 0)
 		return;
 	report->quality = good / (good + bad);
--- a/src/policy/plan.c
+++ b/src/policy/plan.c
@@ -32,10 +32,10 @@
 		      const pr_model_t *model, const pr_version_t *version,
 		      pr_basis_t basis, pr_usec_t now, pr_step_t *step)
 {
-	*step = (pr_step_t){.model = model,
-			    .version = version,
-			    .basis = basis,
-			    .price = price_of(query, version)};
+	*step = (pr_step_t){ .model = model,
+			     .version = version,
+			     .basis = basis,
+			     .price = price_of(query, version) };
 	pr_policy_estimate(policy, query->workspace, query->request_class,
 			   pr_slice_of(model->name), pr_slice_of(version->name),
 			   now, &step->quality, &step->quality_low);
@@ -175,7 +175,7 @@
 		cost = price + (1 - share) * query->answer_s *
 				       policy->options.delay_price;
 		if (quality >= target && cost < best->cost)
-			*best = (pr_choice_t){i, level, cost, price, quality};
+			*best = (pr_choice_t){ i, level, cost, price, quality };
 	}
 }
 
@@ -183,10 +183,10 @@
 			  const pr_candidates_t *list, double target)
 {
 	const pr_step_t *reference = &list->steps[list->reference];
-	pr_choice_t best = {.first = list->reference,
-			    .cost = reference->price,
-			    .price = reference->price,
-			    .quality = reference->quality};
+	pr_choice_t best = { .first = list->reference,
+			     .cost = reference->price,
+			     .price = reference->price,
+			     .quality = reference->quality };
 	bool may_escalate = !query->stream && !query->opens_session;
 
 	for (unsigned int i = 0; i < list->count; i++) {
@@ -195,8 +195,8 @@
 		if (i == list->reference || step->price >= best.cost)
 			continue;
 		if (step->quality_low >= target) {
-			best = (pr_choice_t){i, 0, step->price, step->price,
-					     step->quality};
+			best = (pr_choice_t){ i, 0, step->price, step->price,
+					      step->quality };
 			continue;
 		}
 		if (may_escalate)
@@ -316,7 +316,7 @@
 	pr_candidates_t list;
 	pr_choice_t choice;
 
-	*plan = (pr_plan_t){.steps_count = 0};
+	*plan = (pr_plan_t){ .steps_count = 0 };
 	plan->uniform = pr_rand_unit(rand) < policy->options.rate_share;
 	plan->rate = plan->uniform;
 	if (query->session_version.len)
--- a/src/replay/baselines.c
+++ b/src/replay/baselines.c
@@ -10,7 +10,8 @@
 {
 	static const char *const names[RP_MODES] = {
 		"pistachiorack", "fixed_stages",    "dearest", "cheapest",
-		"split",         "fixed_threshold", "oracle",  "clairvoyant"};
+		"split",         "fixed_threshold", "oracle",  "clairvoyant"
+	};
 
 	return names[mode];
 }
@@ -61,7 +62,7 @@
 static oracle_t best_of(const rp_trace_t *t, int dearest, int c, int w,
 			bool single, double keep)
 {
-	oracle_t best = {dearest, 0};
+	oracle_t best = { dearest, 0 };
 	double best_cost = INFINITY, reference = 0, n = 0;
 
 	for (size_t i = 0; i < t->requests_count; i++)
@@ -73,7 +74,7 @@
 	for (size_t v = 0; n > 0 && v < t->versions_count; v++)
 		for (int level = 0; level < (single ? 1 : LEVELS); level++) {
 			double threshold = level / (double)LEVELS;
-			rp_result_t trial = {.cost = 0};
+			rp_result_t trial = { .cost = 0 };
 			double good = 0;
 
 			if (t->versions[v].kind != RP_INITIAL ||
@@ -92,7 +93,7 @@
 			if (good >= keep * reference &&
 			    trial.cost < best_cost) {
 				best_cost = trial.cost;
-				best = (oracle_t){(int)v, threshold};
+				best = (oracle_t){ (int)v, threshold };
 			}
 		}
 	return best;
@@ -139,7 +140,7 @@
 {
 	int cheapest, dearest;
 
-	*result = (rp_result_t){.requests = (double)t->requests_count};
+	*result = (rp_result_t){ .requests = (double)t->requests_count };
 	find_ends(t, &cheapest, &dearest);
 	if (mode == RP_ORACLE) {
 		run_oracle(t, dearest, result);
--- a/src/replay/generate.c
+++ b/src/replay/generate.c
@@ -18,22 +18,22 @@
 } deployment_t;
 
 static const deployment_t deployments[] = {
-	{"A",
-	 {"shah-alam", "prai", "kuching"},
-	 {"route", "manifest", "note"},
-	 {0.45, 0.2, 0.35},
-	 {0.6, 0, 0},
-	 {0.6, 0.1, 0},
-	 {400, 3000, 300},
-	 {150, 400, 20}},
-	{"B",
-	 {"nq-ayr", "nq-hom", "seq-bne"},
-	 {"settlement", "sorting", "docket"},
-	 {0.25, 0.3, 0.45},
-	 {0.2, 0.3, 0},
-	 {0.2, 0.2, 0},
-	 {2500, 800, 300},
-	 {500, 200, 20}},
+	{ "A",
+	  { "shah-alam", "prai", "kuching" },
+	  { "route", "manifest", "note" },
+	  { 0.45, 0.2, 0.35 },
+	  { 0.6, 0, 0 },
+	  { 0.6, 0.1, 0 },
+	  { 400, 3000, 300 },
+	  { 150, 400, 20 } },
+	{ "B",
+	  { "nq-ayr", "nq-hom", "seq-bne" },
+	  { "settlement", "sorting", "docket" },
+	  { 0.25, 0.3, 0.45 },
+	  { 0.2, 0.3, 0 },
+	  { 0.2, 0.2, 0 },
+	  { 2500, 800, 300 },
+	  { 500, 200, 20 } },
 };
 
 typedef struct model_t {
@@ -44,10 +44,10 @@
 
 /* Quality by class: question, long summary, short tag. */
 static const model_t models[] = {
-	{"large", 100, 2.5, {0.955, 0.95, 0.97}},
-	{"medium", 30, 1.2, {0.945, 0.90, 0.965}},
-	{"small", 10, 0.6, {0.86, 0.78, 0.955}},
-	{"tiny", 3, 0.3, {0.66, 0.55, 0.90}},
+	{ "large", 100, 2.5, { 0.955, 0.95, 0.97 } },
+	{ "medium", 30, 1.2, { 0.945, 0.90, 0.965 } },
+	{ "small", 10, 0.6, { 0.86, 0.78, 0.955 } },
+	{ "tiny", 3, 0.3, { 0.66, 0.55, 0.90 } },
 };
 
 static void add_versions(rp_trace_t *trace, pr_rand_t *rand)
@@ -55,12 +55,12 @@
 	for (size_t m = 0; m < 4; m++) {
 		rp_version_t *v = &trace->versions[trace->versions_count++];
 
-		*v = (rp_version_t){.price_in = models[m].price,
-				    .price_out = 3 * models[m].price,
-				    .answer_s = models[m].answer_s,
-				    .confidence = m > 0,
-				    .roll_s = -1,
-				    .kind = RP_INITIAL};
+		*v = (rp_version_t){ .price_in = models[m].price,
+				     .price_out = 3 * models[m].price,
+				     .answer_s = models[m].answer_s,
+				     .confidence = m > 0,
+				     .roll_s = -1,
+				     .kind = RP_INITIAL };
 		snprintf(v->model, RP_NAME, "%s", models[m].name);
 		snprintf(v->name, RP_NAME, "v1");
 		for (size_t c = 0; c < trace->classes_count; c++)
@@ -73,12 +73,12 @@
 		  double delta, int workspace)
 {
 	trace->shifts[trace->shifts_count++] =
-		(rp_shift_t){.at_s = at_s,
-			     .over_s = over_s,
-			     .delta = delta,
-			     .version = version,
-			     .request_class = -1,
-			     .workspace = workspace};
+		(rp_shift_t){ .at_s = at_s,
+			      .over_s = over_s,
+			      .delta = delta,
+			      .version = version,
+			      .request_class = -1,
+			      .workspace = workspace };
 }
 
 /* Adds a roll-out of a version that replaces `base`. */
@@ -146,22 +146,22 @@
 		       uint32_t *sessions)
 {
 	/* Three large workspaces, seven small ones. */
-	static const double weights[10] = {0.35,  0.25,  0.15,  0.045, 0.04,
-					   0.035, 0.035, 0.035, 0.03,  0.03};
+	static const double weights[10] = { 0.35,  0.25,  0.15,  0.045, 0.04,
+					    0.035, 0.035, 0.035, 0.03,  0.03 };
 	unsigned int c = pick(rand, d->share, 3);
-	rp_request_t r = {.at_s = at_s,
-			  .difficulty = (float)pr_rand_unit(rand),
-			  .zone = (uint8_t)pr_rand_below(rand, 3),
-			  .workspace = (uint8_t)pick(rand, weights, 10),
-			  .request_class = (uint8_t)c};
+	rp_request_t r = { .at_s = at_s,
+			   .difficulty = (float)pr_rand_unit(rand),
+			   .zone = (uint8_t)pr_rand_below(rand, 3),
+			   .workspace = (uint8_t)pick(rand, weights, 10),
+			   .request_class = (uint8_t)c };
 
 	if (pr_rand_unit(rand) < d->sessions[c]) {
 		open_session_t *s = &open[pr_rand_below(rand, OPEN_SESSIONS)];
 
 		if (!s->left)
-			*s = (open_session_t){++*sessions,
-					      2 + pr_rand_below(rand, 8),
-					      r.workspace, r.request_class};
+			*s = (open_session_t){ ++*sessions,
+					       2 + pr_rand_below(rand, 8),
+					       r.workspace, r.request_class };
 		s->left--;
 		r.session = s->id;
 		r.workspace = s->workspace;
@@ -181,13 +181,14 @@
 	const deployment_t *d =
 		&deployments[strcmp(deployment, "B") == 0 ? 1 : 0];
 	double end_s = hours * 3600, mean = end_s / (double)count, at_s = 0;
-	open_session_t open[OPEN_SESSIONS] = {{0, 0, 0, 0}};
+	open_session_t open[OPEN_SESSIONS] = { { 0, 0, 0, 0 } };
 	uint32_t sessions = 0;
 	pr_rand_t rand;
 	int err;
 
 	*trace = (rp_trace_t){
-		.seed = seed, .hosts = 8, .exposure_per_s = 1, .target = 0.95};
+		.seed = seed, .hosts = 8, .exposure_per_s = 1, .target = 0.95
+	};
 	err = pr_rand_init(&rand, seed * 2 + (d != deployments));
 	if (err)
 		return err;
--- a/src/replay/main.c
+++ b/src/replay/main.c
@@ -92,8 +92,8 @@
 	struct arg_dbl *hours =
 		arg_dbl0(NULL, "hours", "H", "virtual hours per trace");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {command,  deployment, seeds, file,
-			 outcomes, count,      hours, end};
+	void *table[] = { command,  deployment, seeds, file,
+			  outcomes, count,      hours, end };
 	static rp_summary_t summary;
 	int err = 0, status = 2;
 
--- a/src/replay/outcomes.c
+++ b/src/replay/outcomes.c
@@ -7,8 +7,9 @@
 
 #include "pistachiorack/error.h"
 
-static const char *const kinds[RP_KINDS] = {
-	"good", "subtle", "sudden", "slow", "workspace", "late", "initial"};
+static const char *const kinds[RP_KINDS] = { "good",   "subtle",    "sudden",
+					     "slow",   "workspace", "late",
+					     "initial" };
 
 static double ratio(double a, double b)
 {
@@ -120,22 +121,22 @@
 		const char *name;
 		double value;
 	} values[] = {
-		{"cost_vs_dearest", ratio(ours->cost, dearest->cost)},
-		{"quality_vs_dearest", quality(ours) / quality(dearest)},
-		{"cost_vs_oracle",
-		 ratio(ours->cost, s->results[RP_ORACLE].cost)},
-		{"exposure_vs_stages",
-		 ratio(exposure(ours), exposure(&s->results[RP_STAGES]))},
-		{"late_exposure_vs_stages",
-		 ratio(ours->exposed[RP_LATE],
-		       s->results[RP_STAGES].exposed[RP_LATE])},
-		{"false_withdrawals_per_100", false_withdrawals(ours)},
-		{"stages_false_withdrawals_per_100",
-		 false_withdrawals(&s->results[RP_STAGES])},
-		{"good_rollouts_proven",
-		 ratio(ours->proven[RP_GOOD], ours->rollouts[RP_GOOD])},
-		{"report_covers", ratio(s->covered, s->traces)},
-		{"forbidden_attempts", ours->forbidden},
+		{ "cost_vs_dearest", ratio(ours->cost, dearest->cost) },
+		{ "quality_vs_dearest", quality(ours) / quality(dearest) },
+		{ "cost_vs_oracle",
+		  ratio(ours->cost, s->results[RP_ORACLE].cost) },
+		{ "exposure_vs_stages",
+		  ratio(exposure(ours), exposure(&s->results[RP_STAGES])) },
+		{ "late_exposure_vs_stages",
+		  ratio(ours->exposed[RP_LATE],
+			s->results[RP_STAGES].exposed[RP_LATE]) },
+		{ "false_withdrawals_per_100", false_withdrawals(ours) },
+		{ "stages_false_withdrawals_per_100",
+		  false_withdrawals(&s->results[RP_STAGES]) },
+		{ "good_rollouts_proven",
+		  ratio(ours->proven[RP_GOOD], ours->rollouts[RP_GOOD]) },
+		{ "report_covers", ratio(s->covered, s->traces) },
+		{ "forbidden_attempts", ours->forbidden },
 	};
 
 	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++)
--- a/src/replay/run.c
+++ b/src/replay/run.c
@@ -59,8 +59,8 @@
 
 static int publish(world_t *w)
 {
-	static const char *const states[] = {"proven", "rolling", "halted",
-					     "withdrawn"};
+	static const char *const states[] = { "proven", "rolling", "halted",
+					      "withdrawn" };
 	const rp_trace_t *t = w->trace;
 	pr_str_t text = PR_STR_INIT;
 	int err;
@@ -129,8 +129,8 @@
 	pending_rating_t *next;
 
 	for (pending_rating_t *p = w->due[w->second]; p; p = next) {
-		pr_counts_t counts = {.trials = {1},
-				      .bad = {p->rating.good ? 0 : 1}};
+		pr_counts_t counts = { .trials = { 1 },
+				       .bad = { p->rating.good ? 0 : 1 } };
 
 		next = p->next;
 		p->rating.request_class = pr_slice_of(p->class_name);
@@ -275,7 +275,8 @@
 		/* The trace's names outlive configurations. */
 		.model = pr_slice_of(w->trace->versions[version].model),
 		.version = pr_slice_of(w->trace->versions[version].name),
-		.good = good};
+		.good = good
+	};
 	p->host = (uint8_t)h;
 	p->evidence = !escalated;
 	p->next = w->due[at];
@@ -345,22 +346,22 @@
 	pr_usec_t now = (pr_usec_t)(r->at_s * (double)PR_USEC_PER_SEC);
 	char id[RP_NAME];
 	pr_session_t known;
-	pr_session_decision_t decision = {PR_SESSION_START, NULL};
+	pr_session_decision_t decision = { PR_SESSION_START, NULL };
 	pr_slice_t workspace = pr_slice_of(t->workspaces[r->workspace]);
-	draw_context_t context = {w, host, fleet, workspace, {id, 0}, now};
-	pr_query_t query = {.fleet = fleet,
-			    .workspace = workspace,
-			    .request_class =
-				    pr_slice_of(t->classes[r->request_class]),
-			    .model = PR_SLICE(PR_POLICY_AUTO),
-			    .opens_session = r->session != 0,
-			    .stream = r->stream,
-			    .confirmed = true,
-			    .tokens_in = r->tokens_in,
-			    .tokens_out = r->tokens_out,
-			    .answer_s = 1,
-			    .draw = draw,
-			    .draw_data = &context};
+	draw_context_t context = { w, host, fleet, workspace, { id, 0 }, now };
+	pr_query_t query = { .fleet = fleet,
+			     .workspace = workspace,
+			     .request_class =
+				     pr_slice_of(t->classes[r->request_class]),
+			     .model = PR_SLICE(PR_POLICY_AUTO),
+			     .opens_session = r->session != 0,
+			     .stream = r->stream,
+			     .confirmed = true,
+			     .tokens_in = r->tokens_in,
+			     .tokens_out = r->tokens_out,
+			     .answer_s = 1,
+			     .draw = draw,
+			     .draw_data = &context };
 	pr_plan_t plan;
 
 	context.session.len =
@@ -446,7 +447,7 @@
 		good += w->hosts[h].policy.uniform_good;
 		bad += w->hosts[h].policy.uniform_bad;
 	}
-	sum = (pr_policy_t){.uniform_good = good, .uniform_bad = bad};
+	sum = (pr_policy_t){ .uniform_good = good, .uniform_bad = bad };
 	pr_policy_report(&sum, &report);
 	w->result->report_low = report.low;
 	w->result->report_high = report.high;
@@ -459,7 +460,7 @@
 	world_t *w = calloc(1, sizeof(*w));
 	int err;
 
-	*result = (rp_result_t){.cost = 0};
+	*result = (rp_result_t){ .cost = 0 };
 	if (!w)
 		return pr_error_set(PR_ENOMEM, "no memory for a run");
 	w->trace = trace;
--- a/src/replay/stages.c
+++ b/src/replay/stages.c
@@ -11,7 +11,7 @@
 /* Four looks at 2.8 sigma: about 1% false alarms in all. */
 #define ALARM_Z 2.8
 
-static const uint32_t shares[] = {100, 500, 2500, 5000};
+static const uint32_t shares[] = { 100, 500, 2500, 5000 };
 #define STAGES (sizeof(shares) / sizeof(shares[0]))
 
 static double z_score(const pr_track_t *track, const pr_track_t *reference)
--- a/src/replay/trace.c
+++ b/src/replay/trace.c
@@ -8,7 +8,8 @@
 #include "pistachiorack/error.h"
 
 static const char *const kind_names[RP_KINDS] = {
-	"good", "subtle", "sudden", "slow", "workspace", "late", "initial"};
+	"good", "subtle", "sudden", "slow", "workspace", "late", "initial"
+};
 
 int rp_find(const char (*names)[RP_NAME], size_t count, const char *name)
 {
@@ -166,7 +167,7 @@
 static bool read_request(rp_trace_t *t, const char *line)
 {
 	char zone[RP_NAME], workspace[RP_NAME], class_name[RP_NAME];
-	rp_request_t r = {.at_s = 0};
+	rp_request_t r = { .at_s = 0 };
 	int stream, z, w, c;
 
 	if (sscanf(line, "request %lf %31s %31s %31s %d %u %u %u %f", &r.at_s,
@@ -224,7 +225,7 @@
 	char line[512];
 	int err = 0;
 
-	*trace = (rp_trace_t){.hosts = 0};
+	*trace = (rp_trace_t){ .hosts = 0 };
 	if (!file)
 		return pr_error_set(PR_EIO, "%s: %s", name, strerror(errno));
 	for (int number = 1; !err && fgets(line, sizeof(line), file); number++)
--- a/src/replay/world.c
+++ b/src/replay/world.c
@@ -13,7 +13,7 @@
 
 double rp_unit(const rp_trace_t *trace, size_t request, uint64_t salt)
 {
-	uint64_t words[3] = {trace->seed, request, salt};
+	uint64_t words[3] = { trace->seed, request, salt };
 
 	return (double)(pr_hash64(words, sizeof(words), 3) >> 11) * 0x1p-53;
 }
--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -87,8 +87,8 @@
 	double n = (double)counts->trials[signal];
 	double p = ((double)counts->bad[signal] + 0.5) / (n + 1);
 
-	return (pr_rate_t){p, sqrt(p * (1 - p) / (n + 1)),
-			   counts->trials[signal]};
+	return (pr_rate_t){ p, sqrt(p * (1 - p) / (n + 1)),
+			    counts->trials[signal] };
 }
 
 /* Rate of the replaced version; without one the quality target counts. */
@@ -100,8 +100,8 @@
 	if (reference)
 		return rate_of(reference, signal);
 	if (signal == PR_SIGNAL_RATING && target > 0)
-		return (pr_rate_t){1 - target, 0, UINT64_MAX};
-	return (pr_rate_t){0.05, 0, UINT64_MAX};
+		return (pr_rate_t){ 1 - target, 0, UINT64_MAX };
+	return (pr_rate_t){ 0.05, 0, UINT64_MAX };
 }
 
 static bool test_counts(const pr_rollout_t *rollout, const pr_counts_t *counts,
@@ -210,8 +210,8 @@
 static void set_target(pr_rollout_change_t *change, pr_conclusion_t conclusion,
 		       pr_version_state_t state, uint32_t share)
 {
-	static const char *const states[] = {"proven", "rolling", "halted",
-					     "withdrawn"};
+	static const char *const states[] = { "proven", "rolling", "halted",
+					      "withdrawn" };
 
 	change->conclusion = conclusion;
 	change->to_state = state;
@@ -225,7 +225,8 @@
 static bool conclude_rolling(const pr_rollout_t *rollout,
 			     const pr_fleet_t *fleet, const pr_model_t *model,
 			     const pr_version_t *version,
-			     const pr_track_t *track, pr_rollout_change_t *change)
+			     const pr_track_t *track,
+			     pr_rollout_change_t *change)
 {
 	const pr_track_t *reference = NULL;
 	unsigned int step = step_of(rollout, version->share);
@@ -287,7 +288,8 @@
 				   const pr_fleet_t *fleet,
 				   const pr_model_t *model,
 				   const pr_version_t *version,
-				   const pr_track_t *track, pr_rollout_change_t *change)
+				   const pr_track_t *track,
+				   pr_rollout_change_t *change)
 {
 	pr_rollout_t wider = *rollout;
 	const pr_track_t *reference;
@@ -303,7 +305,8 @@
 static bool conclude_proven(const pr_rollout_t *rollout,
 			    const pr_fleet_t *fleet, const pr_model_t *model,
 			    const pr_version_t *version,
-			    const pr_track_t *track, pr_rollout_change_t *change)
+			    const pr_track_t *track,
+			    pr_rollout_change_t *change)
 {
 	unsigned int others = other_proven(model, version, rollout);
 
@@ -332,8 +335,8 @@
 
 static bool conclude_version(pr_rollout_t *rollout, const pr_fleet_t *fleet,
 			     const pr_model_t *model,
-			     const pr_version_t *version, pr_rollout_change_t *change,
-			     pr_usec_t now)
+			     const pr_version_t *version,
+			     pr_rollout_change_t *change, pr_usec_t now)
 {
 	pr_track_t *track = pr_rollout_track(rollout, pr_slice_of(model->name),
 					     pr_slice_of(version->name));
@@ -382,7 +385,8 @@
 	return count;
 }
 
-int pr_rollout_change_check(const pr_rollout_change_t *change, const pr_fleet_t *fleet)
+int pr_rollout_change_check(const pr_rollout_change_t *change,
+			    const pr_fleet_t *fleet)
 {
 	const pr_model_t *model =
 		pr_fleet_model(fleet, pr_slice_of(change->model));
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -223,7 +223,7 @@
 		seen = &inbox->seen[inbox->next];
 		inbox->next = (inbox->next + 1) % PR_EVIDENCE_HOSTS;
 	}
-	*seen = (pr_evidence_seen_t){.host = host};
+	*seen = (pr_evidence_seen_t){ .host = host };
 	return seen;
 }
 
--- a/src/rollout/track.c
+++ b/src/rollout/track.c
@@ -18,7 +18,7 @@
 
 int pr_rollout_init(pr_rollout_t *rollout, const pr_rollout_options_t *options)
 {
-	*rollout = (pr_rollout_t){.options = *options};
+	*rollout = (pr_rollout_t){ .options = *options };
 	if (options->version != PR_ROLLOUT_OPTIONS_VERSION ||
 	    options->alpha <= 0 || options->alpha >= 1 || !options->shares[0])
 		return pr_error_set(PR_EINVALID,
@@ -32,7 +32,7 @@
 void pr_rollout_finish(pr_rollout_t *rollout)
 {
 	free(rollout->tracks);
-	*rollout = (pr_rollout_t){.tracks = NULL};
+	*rollout = (pr_rollout_t){ .tracks = NULL };
 }
 
 size_t pr_rollout_bytes(const pr_rollout_t *rollout)
@@ -229,7 +229,8 @@
 static bool watch_add(pr_watch_t *watch, const pr_counts_t *counts,
 		      double threshold)
 {
-	static const double worse[PR_ROLLOUT_ALTERNATIVES] = {0.04, 0.12, 0.4};
+	static const double worse[PR_ROLLOUT_ALTERNATIVES] = { 0.04, 0.12,
+							       0.4 };
 	double bad = (double)counts->bad[PR_SIGNAL_RATING];
 	double good = (double)counts->trials[PR_SIGNAL_RATING] - bad;
 	bool alarm = false;
--- a/src/session/memory.c
+++ b/src/session/memory.c
@@ -17,11 +17,11 @@
 int pr_session_memory_init(pr_session_memory_t *memory, uint32_t max,
 			   pr_usec_t ttl)
 {
-	*memory = (pr_session_memory_t){.max = max,
-					.ttl = ttl,
-					.newest = NONE,
-					.oldest = NONE,
-					.free = NONE};
+	*memory = (pr_session_memory_t){ .max = max,
+					 .ttl = ttl,
+					 .newest = NONE,
+					 .oldest = NONE,
+					 .free = NONE };
 	if (!max || max == NONE || ttl <= 0)
 		return pr_error_set(PR_EINVALID,
 				    "session memory needs a size and a "
@@ -42,7 +42,7 @@
 	free(memory->buckets);
 	for (uint16_t i = 0; i < memory->names_count; i++)
 		free(memory->names[i]);
-	*memory = (pr_session_memory_t){.entries = NULL};
+	*memory = (pr_session_memory_t){ .entries = NULL };
 }
 
 size_t pr_session_memory_bytes(const pr_session_memory_t *memory)
@@ -136,7 +136,7 @@
  * more versions than the list has places. */
 static uint16_t unused_name(const pr_session_memory_t *memory)
 {
-	bool used[PR_SESSION_NAMES_MAX] = {false};
+	bool used[PR_SESSION_NAMES_MAX] = { false };
 	uint16_t index = 0;
 
 	for (uint32_t i = memory->newest; i != NONE;
@@ -198,8 +198,8 @@
 	if (i == NONE) {
 		i = take_free(memory);
 		entry = &memory->entries[i];
-		*entry = (pr_session_entry_t){.key = {key[0], key[1]},
-					      .issued = session->issued};
+		*entry = (pr_session_entry_t){ .key = { key[0], key[1] },
+					       .issued = session->issued };
 		entry->chain = memory->buckets[key[0] % memory->max];
 		memory->buckets[key[0] % memory->max] = i;
 	} else {
@@ -247,11 +247,11 @@
 	if (!token || (memory && memory->issued > token->issued))
 		newer = memory;
 	if (!newer)
-		return (pr_session_decision_t){PR_SESSION_START, NULL};
+		return (pr_session_decision_t){ PR_SESSION_START, NULL };
 	if (pr_policy_permitted(fleet, pr_slice_of(newer->workspace),
 				pr_slice_of(newer->model),
 				pr_slice_of(newer->version), PR_BASIS_SESSION,
 				true))
-		return (pr_session_decision_t){PR_SESSION_MOVE, newer};
-	return (pr_session_decision_t){PR_SESSION_KEEP, newer};
+		return (pr_session_decision_t){ PR_SESSION_MOVE, newer };
+	return (pr_session_decision_t){ PR_SESSION_KEEP, newer };
 }
--- a/src/session/token.c
+++ b/src/session/token.c
@@ -34,7 +34,7 @@
 
 int pr_session_ring_init(pr_session_ring_t *ring, pr_slice_t secret)
 {
-	*ring = (pr_session_ring_t){.lengths = {0, 0}};
+	*ring = (pr_session_ring_t){ .lengths = { 0, 0 } };
 	return pr_session_ring_rotate(ring, secret);
 }
 
@@ -100,10 +100,10 @@
 	const struct {
 		const char *name;
 		char *value;
-	} texts[] = {{"workspace", session->workspace},
-		     {"session", session->session},
-		     {"model", session->model},
-		     {"version", session->version}};
+	} texts[] = { { "workspace", session->workspace },
+		      { "session", session->session },
+		      { "model", session->model },
+		      { "version", session->version } };
 	pr_slice_t key;
 
 	if (field->key.type != MSGPACK_OBJECT_STR)
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -97,30 +97,30 @@
 	const char *path;
 	unsigned int line;
 } expected[] = {
-	{"format", 1},
-	{"defaults.quality_target", 2},
-	{"defaults.models[1]", 2},
-	{"models[0].versions[3].name", 12},
-	{"models[0].versions[1].replaces", 8},
-	{"models[0].versions[2]", 10},
-	{"models[0].versions[3].share", 12},
-	{"models[0].versions", 7},
-	{"zones[1].name", 13},
-	{"upstreams[0].zone", 15},
-	{"upstreams[0].serves[2]", 16},
-	{"upstreams[1].cold_slots", 18},
-	{"upstreams[1].address", 17},
-	{"workspaces[1].keys[0]", 21},
-	{"exceptions[0].workspace", 23},
-	{"exceptions[0].reason", 23},
-	{"exceptions[0].quality_target", 23},
+	{ "format", 1 },
+	{ "defaults.quality_target", 2 },
+	{ "defaults.models[1]", 2 },
+	{ "models[0].versions[3].name", 12 },
+	{ "models[0].versions[1].replaces", 8 },
+	{ "models[0].versions[2]", 10 },
+	{ "models[0].versions[3].share", 12 },
+	{ "models[0].versions", 7 },
+	{ "zones[1].name", 13 },
+	{ "upstreams[0].zone", 15 },
+	{ "upstreams[0].serves[2]", 16 },
+	{ "upstreams[1].cold_slots", 18 },
+	{ "upstreams[1].address", 17 },
+	{ "workspaces[1].keys[0]", 21 },
+	{ "exceptions[0].workspace", 23 },
+	{ "exceptions[0].reason", 23 },
+	{ "exceptions[0].quality_target", 23 },
 };
 
 /* Guards against a check that stops at the first fault, misses one, or names
  * the wrong place. */
 static void check_finds_every_fault(void **state)
 {
-	pr_findings_t findings = {0};
+	pr_findings_t findings = { 0 };
 	pr_fleet_t *fleet;
 
 	assert_int_equal(pr_fleet_parse(&fleet, "f", pr_slice_of(faulty)), 0);
@@ -159,7 +159,7 @@
  * against a clash that two operators are not told. */
 static void diff_names_changes_and_clashes(void **state)
 {
-	pr_changes_t mine = {0}, theirs = {0}, clash = {0};
+	pr_changes_t mine = { 0 }, theirs = { 0 }, clash = { 0 };
 	pr_fleet_t *base = edited("format: 1", "format:   1");
 	pr_fleet_t *a = edited("share: 100", "share: 500");
 	pr_fleet_t *b = edited("share: 100", "share: 900");
--- a/tests/test_config_holder.c
+++ b/tests/test_config_holder.c
@@ -75,9 +75,9 @@
 
 static void store_put(test_t *test, const char *id, const char *text)
 {
-	pr_config_row_t row = {.version = test->store.version + 1,
-			       .change_id = pr_slice_of(id),
-			       .text = pr_slice_of(text)};
+	pr_config_row_t row = { .version = test->store.version + 1,
+				.change_id = pr_slice_of(id),
+				.text = pr_slice_of(text) };
 
 	store_write(test, &row);
 }
@@ -139,8 +139,8 @@
 {
 }
 
-static const pr_config_holder_ops_t holder_ops = {holder_read, on_accepted,
-						  on_rejected, on_state};
+static const pr_config_holder_ops_t holder_ops = { holder_read, on_accepted,
+						   on_rejected, on_state };
 
 static void host_start(test_t *test, int index)
 {
@@ -417,8 +417,8 @@
 	}
 }
 
-static const pr_apply_ops_t operator_ops = {operator_read, operator_commit,
-					    operator_ask};
+static const pr_apply_ops_t operator_ops = { operator_read, operator_commit,
+					     operator_ask };
 
 static void operator_start(operator_t *self, test_t *test, const char *id,
 			   const char *text, uint64_t expected)
@@ -450,7 +450,7 @@
 static void lost_answer_is_read_back(void **state)
 {
 	test_t *test = fixture_new(4);
-	operator_t self = {0};
+	operator_t self = { 0 };
 	char *text = document("out", "");
 
 	test->store.lose_commits = 1;
@@ -475,7 +475,7 @@
 static void one_of_two_operators_wins(void **state)
 {
 	test_t *test = fixture_new(5);
-	operator_t a = {0}, b = {0};
+	operator_t a = { 0 }, b = { 0 };
 	char *base = document("in", ""), *out = document("out", "");
 	char *paced = document("in", ", exposure_per_s: 7");
 	char *both = document("out", ", exposure_per_s: 9");
@@ -511,7 +511,7 @@
 static void missing_hosts_and_outages_are_told(void **state)
 {
 	test_t *test = fixture_new(6);
-	operator_t self = {0};
+	operator_t self = { 0 };
 	char *text = document("out", "");
 
 	test->hosts[2].cut_off = true;
--- a/tests/test_grant.c
+++ b/tests/test_grant.c
@@ -120,7 +120,7 @@
 	fleet->queued++;
 }
 
-static const pr_grant_ops_t fake_ops = {fake_owner, fake_limit, fake_send};
+static const pr_grant_ops_t fake_ops = { fake_owner, fake_limit, fake_send };
 
 static bool up(const host_t *host)
 {
@@ -279,7 +279,7 @@
 		deliver(fleet);
 		for (int i = 0; i < fleet->count; i++) {
 			host_t *host = &fleet->hosts[i];
-			uint32_t demand[PR_GRANT_CLASSES] = {0, host->demand};
+			uint32_t demand[PR_GRANT_CLASSES] = { 0, host->demand };
 
 			if (!up(host))
 				continue;
@@ -465,8 +465,8 @@
  * one. */
 static void classes_are_served_in_order(void **state)
 {
-	static const uint32_t first[PR_GRANT_CLASSES] = {8000, 0, 0};
-	static const uint32_t last[PR_GRANT_CLASSES] = {0, 0, 8000};
+	static const uint32_t first[PR_GRANT_CLASSES] = { 8000, 0, 0 };
+	static const uint32_t last[PR_GRANT_CLASSES] = { 0, 0, 8000 };
 	fleet_t *fleet = fleet_new(2, 7, true, true);
 	pr_usec_t now = 0;
 
@@ -492,11 +492,11 @@
 /* Guards against a decoder that reads outside a damaged message. */
 static void decoder_tolerates_garbage(void **state)
 {
-	pr_lease_message_t message = {.kind = PR_LEASE_REQUEST,
-				      .resource = "model/large",
-				      .sent = 77,
-				      .held = 5,
-				      .demand = {1, 2, 3}};
+	pr_lease_message_t message = { .kind = PR_LEASE_REQUEST,
+				       .resource = "model/large",
+				       .sent = 77,
+				       .held = 5,
+				       .demand = { 1, 2, 3 } };
 	pr_lease_message_t back;
 	msgpack_sbuffer buffer;
 	pr_rand_t rand;
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -100,7 +100,7 @@
 	pr_member_set_config(host->member, version, false, 0);
 }
 
-static const pr_member_ops_t fake_ops = {fake_send, on_changed, on_config};
+static const pr_member_ops_t fake_ops = { fake_send, on_changed, on_config };
 
 static void host_open(net_t *net, int index, bool local_health)
 {
@@ -132,9 +132,9 @@
 
 	for (int i = 0; i < net->count; i++) {
 		snprintf(addresses[i], sizeof(addresses[i]), "%d", i);
-		list[i] = (pr_member_listed_t){pr_slice_of(net->hosts[i].name),
-					       pr_slice_of(net->hosts[i].zone),
-					       pr_slice_of(addresses[i])};
+		list[i] = (pr_member_listed_t){ pr_slice_of(net->hosts[i].name),
+						pr_slice_of(net->hosts[i].zone),
+						pr_slice_of(addresses[i]) };
 	}
 	assert_int_equal(pr_member_set_list(net->hosts[index].member, list,
 					    (unsigned int)net->count, net->now),
@@ -330,7 +330,7 @@
  * noticed, and news of a leaving host that spreads slowly. */
 static void cost_and_detection_by_size(void **state)
 {
-	static const int sizes[] = {8, 32, 64, 128, 390};
+	static const int sizes[] = { 8, 32, 64, 128, 390 };
 
 	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++)
 		measure_size(sizes[i]);
@@ -354,7 +354,7 @@
 /* Guards against a slow host that gets healthy hosts declared dead. */
 static void slow_host_accuses_nobody(void **state)
 {
-	unsigned int deaths[2] = {0}, suspicions[2] = {0};
+	unsigned int deaths[2] = { 0 }, suspicions[2] = { 0 };
 
 	run_with_slow_host(true, &deaths[0], &suspicions[0]);
 	run_with_slow_host(false, &deaths[1], &suspicions[1]);
@@ -484,7 +484,7 @@
 static void decoder_tolerates_garbage(void **state)
 {
 	pr_slice_t secret = PR_SLICE("secret");
-	pr_probe_t probe = {.kind = PR_PROBE_PING, .sequence = 9};
+	pr_probe_t probe = { .kind = PR_PROBE_PING, .sequence = 9 };
 	char datagram[PR_MEMBER_DATAGRAM_MAX];
 	pr_probe_t back;
 	pr_rand_t rand;
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -23,22 +23,22 @@
 
 static pr_query_t query_of(const pr_fleet_t *fleet)
 {
-	return (pr_query_t){.fleet = fleet,
-			    .workspace = PR_SLICE("w1"),
-			    .request_class = PR_SLICE("tag"),
-			    .model = PR_SLICE(PR_POLICY_AUTO),
-			    .confirmed = true,
-			    .tokens_in = 500,
-			    .tokens_out = 500};
+	return (pr_query_t){ .fleet = fleet,
+			     .workspace = PR_SLICE("w1"),
+			     .request_class = PR_SLICE("tag"),
+			     .model = PR_SLICE(PR_POLICY_AUTO),
+			     .confirmed = true,
+			     .tokens_in = 500,
+			     .tokens_out = 500 };
 }
 
 static void rate_many(pr_policy_t *policy, const char *workspace,
 		      const char *model, const char *version, int good, int bad)
 {
-	pr_rating_t rating = {.workspace = pr_slice_of(workspace),
-			      .request_class = PR_SLICE("tag"),
-			      .model = pr_slice_of(model),
-			      .version = pr_slice_of(version)};
+	pr_rating_t rating = { .workspace = pr_slice_of(workspace),
+			       .request_class = PR_SLICE("tag"),
+			       .model = pr_slice_of(model),
+			       .version = pr_slice_of(version) };
 
 	for (int i = 0; i < good + bad; i++) {
 		rating.good = (long)i * bad / (good + bad) ==
@@ -55,31 +55,32 @@
 		const char *workspace, *model, *version;
 		pr_permission_t by_basis[3];
 	} cases[] = {
-		{"w1", "small", "s1", {0, 0, 0}},
-		{"w1", "small", "s2", {PR_FORBIDDEN_UNPROVEN, 0, 0}},
-		{"w1",
-		 "large",
-		 "l2",
-		 {PR_FORBIDDEN_UNPROVEN, PR_FORBIDDEN_UNPROVEN, 0}},
-		{"w1",
-		 "large",
-		 "l0",
-		 {PR_FORBIDDEN_WITHDRAWN, PR_FORBIDDEN_WITHDRAWN,
-		  PR_FORBIDDEN_WITHDRAWN}},
-		{"w3",
-		 "small",
-		 "s1",
-		 {PR_FORBIDDEN_MODEL, PR_FORBIDDEN_MODEL, PR_FORBIDDEN_MODEL}},
-		{"w9",
-		 "small",
-		 "s1",
-		 {PR_FORBIDDEN_WORKSPACE, PR_FORBIDDEN_WORKSPACE,
-		  PR_FORBIDDEN_WORKSPACE}},
-		{"w1",
-		 "small",
-		 "s9",
-		 {PR_FORBIDDEN_UNKNOWN, PR_FORBIDDEN_UNKNOWN,
-		  PR_FORBIDDEN_UNKNOWN}},
+		{ "w1", "small", "s1", { 0, 0, 0 } },
+		{ "w1", "small", "s2", { PR_FORBIDDEN_UNPROVEN, 0, 0 } },
+		{ "w1",
+		  "large",
+		  "l2",
+		  { PR_FORBIDDEN_UNPROVEN, PR_FORBIDDEN_UNPROVEN, 0 } },
+		{ "w1",
+		  "large",
+		  "l0",
+		  { PR_FORBIDDEN_WITHDRAWN, PR_FORBIDDEN_WITHDRAWN,
+		    PR_FORBIDDEN_WITHDRAWN } },
+		{ "w3",
+		  "small",
+		  "s1",
+		  { PR_FORBIDDEN_MODEL, PR_FORBIDDEN_MODEL,
+		    PR_FORBIDDEN_MODEL } },
+		{ "w9",
+		  "small",
+		  "s1",
+		  { PR_FORBIDDEN_WORKSPACE, PR_FORBIDDEN_WORKSPACE,
+		    PR_FORBIDDEN_WORKSPACE } },
+		{ "w1",
+		  "small",
+		  "s9",
+		  { PR_FORBIDDEN_UNKNOWN, PR_FORBIDDEN_UNKNOWN,
+		    PR_FORBIDDEN_UNKNOWN } },
 	};
 	pr_fleet_t *fleet = fleet_of(two_models);
 
@@ -143,13 +144,13 @@
 	pr_policy_options_t options = PR_POLICY_OPTIONS_INIT;
 	pr_fleet_t *fleet = fleet_of(two_models);
 	pr_query_t query = query_of(fleet);
-	pr_rating_t rating = {.workspace = PR_SLICE("w1"),
-			      .request_class = PR_SLICE("tag"),
-			      .model = PR_SLICE("small"),
-			      .version = PR_SLICE("s1")};
+	pr_rating_t rating = { .workspace = PR_SLICE("w1"),
+			       .request_class = PR_SLICE("tag"),
+			       .model = PR_SLICE("small"),
+			       .version = PR_SLICE("s1") };
 	pr_policy_t policy;
 	pr_rand_t rand;
-	pr_plan_t plan = {.rate = true};
+	pr_plan_t plan = { .rate = true };
 	pr_str_t text = PR_STR_INIT;
 
 	options.explore = options.explore_promising = 0;
@@ -212,9 +213,9 @@
 
 static pr_fleet_t *random_fleet(pr_rand_t *rand)
 {
-	static const char *const states[] = {"proven", "rolling", "halted",
-					     "withdrawn"};
-	static const char *const models[] = {"small", "large"};
+	static const char *const states[] = { "proven", "rolling", "halted",
+					      "withdrawn" };
+	static const char *const models[] = { "small", "large" };
 	pr_str_t text = PR_STR_INIT;
 	pr_fleet_t *fleet;
 
@@ -248,7 +249,7 @@
 			   const pr_fleet_t *current, pr_rand_t *rand,
 			   bool check)
 {
-	static const char *const workspaces[] = {"w1", "w2", "w3"};
+	static const char *const workspaces[] = { "w1", "w2", "w3" };
 	pr_query_t query = query_of(fleet);
 	pr_plan_t plan;
 	char name[16];
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -40,8 +40,8 @@
 		      const char *version, const char *workspace,
 		      uint64_t trials, uint64_t bad)
 {
-	pr_counts_t counts = {.trials = {trials, trials, trials, trials},
-			      .bad = {bad, 0, 0, 0}};
+	pr_counts_t counts = { .trials = { trials, trials, trials, trials },
+			       .bad = { bad, 0, 0, 0 } };
 
 	pr_rollout_add(rollout, pr_slice_of(model), pr_slice_of(version),
 		       pr_slice_of(workspace), &counts);
@@ -57,7 +57,7 @@
 	const pr_model_t *model = pr_fleet_model(fleet, SMALL);
 	const pr_version_t *version = &model->versions[1];
 	pr_version_t raised = *version;
-	int drawn[2] = {0, 0}, assigned = 0;
+	int drawn[2] = { 0, 0 }, assigned = 0;
 	pr_rollout_t rollout;
 	char id[24];
 
@@ -245,9 +245,12 @@
 	}
 	assert_string_equal(change[0].change_id, change[1].change_id);
 	assert_int_equal(pr_rollout_change_check(&change[0], fleet), 0);
-	assert_int_equal(pr_rollout_change_check(&change[1], next), PR_ECONFLICT);
-	assert_int_equal(pr_rollout_change_check(&change[1], withdrawn), PR_ECONFLICT);
-	assert_int_equal(pr_rollout_change_check(&change[1], halted), PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&change[1], next),
+			 PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&change[1], withdrawn),
+			 PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&change[1], halted),
+			 PR_ECONFLICT);
 	pr_rollout_configure(&hosts[0], halted, 2, 0);
 	assert_int_equal(
 		pr_rollout_conclude(&hosts[0], halted, 2, true, &none, 1, 0),
@@ -316,7 +319,8 @@
 	assert_int_equal(found, 1);
 	assert_int_equal(changes[0].conclusion, PR_CONCLUDE_WITHDRAW);
 	assert_int_equal(pr_rollout_change_check(&changes[0], pair), 0);
-	assert_int_equal(pr_rollout_change_check(&changes[0], single), PR_ECONFLICT);
+	assert_int_equal(pr_rollout_change_check(&changes[0], single),
+			 PR_ECONFLICT);
 	pr_rollout_configure(&rollout, single, 2, 0);
 	assert_int_equal(
 		pr_rollout_conclude(&rollout, single, 2, true, changes, 1, 0),
@@ -364,7 +368,7 @@
 	static pr_evidence_outbox_t outbox;
 	static pr_evidence_inbox_t inbox;
 	static pr_evidence_t received, stale;
-	pr_counts_t one = {.trials = {1, 1, 1, 1}, .bad = {1, 0, 0, 0}};
+	pr_counts_t one = { .trials = { 1, 1, 1, 1 }, .bad = { 1, 0, 0, 0 } };
 	pr_str_t message = PR_STR_INIT;
 	pr_rollout_t rollout;
 	pr_rand_t rand;
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -165,11 +165,11 @@
 		int share;
 		pr_session_action_t of_s1, of_s2;
 	} cases[] = {
-		{"rolling", 100, PR_SESSION_KEEP, PR_SESSION_KEEP},
-		{"rolling", 10000, PR_SESSION_KEEP, PR_SESSION_KEEP},
-		{"halted", 100, PR_SESSION_KEEP, PR_SESSION_KEEP},
-		{"proven", 0, PR_SESSION_KEEP, PR_SESSION_KEEP},
-		{"withdrawn", 0, PR_SESSION_KEEP, PR_SESSION_MOVE},
+		{ "rolling", 100, PR_SESSION_KEEP, PR_SESSION_KEEP },
+		{ "rolling", 10000, PR_SESSION_KEEP, PR_SESSION_KEEP },
+		{ "halted", 100, PR_SESSION_KEEP, PR_SESSION_KEEP },
+		{ "proven", 0, PR_SESSION_KEEP, PR_SESSION_KEEP },
+		{ "withdrawn", 0, PR_SESSION_KEEP, PR_SESSION_MOVE },
 	};
 	pr_session_t on_s1 = session_of("a", "s1", 10);
 	pr_session_t on_s2 = session_of("b", "s2", 10);
