--- a/include/pistachiorack/config_apply.h
+++ b/include/pistachiorack/config_apply.h
@@ -73,6 +73,8 @@
 	uint64_t other_version;
 	pr_apply_host_t *hosts;
 	unsigned int hosts_count;
+	/** Written with the row; set after pr_apply_init(), borrowed. */
+	pr_slice_t reason;
 	/* Private. */
 	char change_id[PR_CHANGE_ID_SIZE];
 	pr_str_t text;
--- a/include/pistachiorack/config_holder.h
+++ b/include/pistachiorack/config_holder.h
@@ -37,6 +37,8 @@
 	/** Ids of up to 16 changes before it, newest first, with commas. */
 	pr_slice_t previous;
 	pr_slice_t text;
+	/** Why the change was made; written, not read back. May be empty. */
+	pr_slice_t reason;
 } pr_config_row_t;
 
 /** Append the row's value as a JSON object. @return 0 or PR_ENOMEM */
--- a/src/config/apply.c
+++ b/src/config/apply.c
@@ -211,6 +211,7 @@
 		.change_id = pr_slice_of(apply->change_id),
 		.previous = pr_str_slice(&apply->previous),
 		.text = pr_str_slice(&apply->text),
+		.reason = apply->reason,
 	};
 
 	apply->commit_sent = true;
@@ -241,8 +242,10 @@
 
 	if (apply->state == PR_APPLY_DONE)
 		return;
+	/* Without a host that is expected to confirm, nobody has confirmed. */
 	if (apply->state == PR_APPLY_CONFIRM && !missing(apply)) {
-		finish(apply, PR_APPLY_CONFIRMED);
+		finish(apply, apply->hosts_count ? PR_APPLY_CONFIRMED
+						 : PR_APPLY_NOT_CONFIRMED);
 		return;
 	}
 	if (now >= apply->deadline) {
--- a/src/config/row.c
+++ b/src/config/row.c
@@ -34,6 +34,10 @@
 	json_object_set_new(value, "previous", split_ids(row->previous));
 	json_object_set_new(value, "text",
 			    json_stringn(row->text.ptr, row->text.len));
+	if (row->reason.len)
+		json_object_set_new(
+			value, "reason",
+			json_stringn(row->reason.ptr, row->reason.len));
 	text = json_dumps(value, JSON_COMPACT);
 	json_decref(value);
 	if (!text)
