--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -37,6 +37,8 @@
 	int base;
 	int share;
 	int timeout_s;
+	/* Port of listed hosts whose address has none. */
+	int admin_port;
 	const char *args[CTL_ARGS_MAX];
 	int args_count;
 } ctl_options_t;
@@ -67,10 +69,9 @@
  *
  * @param where ADDRESS:PORT
  * @param body NULL for a GET
- * @param sent set when the request may have reached the server
  * @return HTTP status, or 0 without a whole answer
  */
 int ctl_call(pr_str_t *answer, const char *where, const char *path,
-	     const pr_str_t *body, bool *sent);
+	     const pr_str_t *body);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -43,7 +43,7 @@
 typedef struct table_t {
 	struct arg_lit *help, *json;
 	struct arg_str *store, *hosts, *reason;
-	struct arg_int *base, *share, *timeout;
+	struct arg_int *base, *share, *timeout, *admin_port;
 	struct arg_str *args;
 	struct arg_end *end;
 } table_t;
@@ -56,7 +56,9 @@
 		.store = arg_str0(NULL, "store", "ADDRESS:PORT",
 				  "table service of the platform"),
 		.hosts = arg_strn(NULL, "host", "ADDRESS:PORT", 0, 1024,
-				  "router host; may be repeated"),
+				  "router host; may be repeated; apply, zone "
+				  "and version take the platform's list "
+				  "without it"),
 		.reason = arg_str0(NULL, "reason", "TEXT",
 				   "why the change is made"),
 		.base = arg_int0(NULL, "base", "VERSION",
@@ -65,6 +67,8 @@
 				  "share of new sessions, 1/10,000"),
 		.timeout = arg_int0(NULL, "timeout", "SECONDS",
 				    "longest wait, 15 by default"),
+		.admin_port = arg_int0(NULL, "admin-port", "PORT",
+				       "port of listed hosts, 8080 by default"),
 		.args = arg_strn(NULL, NULL, "ARGUMENT", 0, CTL_ARGS_MAX, NULL),
 		.end = arg_end(8),
 	};
@@ -104,6 +108,9 @@
 		.share = table->share->count ? table->share->ival[0] : 0,
 		.timeout_s =
 			table->timeout->count ? table->timeout->ival[0] : 15,
+		.admin_port = table->admin_port->count
+				      ? table->admin_port->ival[0]
+				      : 8080,
 		.args_count = table->args->count,
 	};
 
--- a/src/ctl/net.c
+++ b/src/ctl/net.c
@@ -66,7 +66,7 @@
 }
 
 int ctl_call(pr_str_t *answer, const char *where, const char *path,
-	     const pr_str_t *body, bool *sent)
+	     const pr_str_t *body)
 {
 	const char *colon = strrchr(where, ':');
 	pr_http_client_t *client = NULL;
@@ -75,7 +75,6 @@
 	char address[64] = "";
 	uv_loop_t loop;
 
-	*sent = false;
 	if (!colon || pr_slice_copy(address, sizeof(address),
 				    pr_slice(where, (size_t)(colon - where)))) {
 		fprintf(stderr, "%s is not ADDRESS:PORT\n", where);
@@ -95,6 +94,5 @@
 	for (int i = 0; i < 16; i++)
 		uv_run(&loop, UV_RUN_NOWAIT);
 	uv_loop_close(&loop);
-	*sent = own.stage >= PR_STAGE_SENT;
 	return own.done && own.stage == PR_STAGE_DONE ? own.status : 0;
 }
--- a/src/ctl/online.c
+++ b/src/ctl/online.c
@@ -43,10 +43,9 @@
 {
 	pr_config_read_t result = PR_CONFIG_READ_FAILED;
 	pr_str_t answer = PR_STR_INIT;
-	bool sent;
 	int status;
 
-	status = ctl_call(&answer, options->store, ROW_PATH, NULL, &sent);
+	status = ctl_call(&answer, options->store, ROW_PATH, NULL);
 	if (status == 404) {
 		result = PR_CONFIG_READ_ABSENT;
 	} else if (status == 200) {
@@ -101,11 +100,10 @@
 	pr_config_row_t found = {0};
 	json_t *root = NULL;
 	const json_t *applied;
-	bool sent;
 
 	if (!commit_body(&body, row) &&
-	    ctl_call(&answer, run->options->store, "/v1/table/commit", &body,
-		     &sent) == 200) {
+	    ctl_call(&answer, run->options->store, "/v1/table/commit", &body) ==
+		    200) {
 		const json_t *first;
 
 		root = json_loadb(answer.ptr, answer.len, 0, NULL);
@@ -129,14 +127,12 @@
 {
 	run_t *run = data;
 
-	for (int i = 0; i < run->options->hosts_count; i++) {
-		const char *host = run->options->hosts[i];
+	for (unsigned int i = 0; i < run->apply.hosts_count; i++) {
+		const char *host = run->apply.hosts[i].name;
 		pr_str_t answer = PR_STR_INIT;
 		json_t *root;
-		bool sent;
 
-		if (ctl_call(&answer, host, "/admin/config", NULL, &sent) ==
-		    200) {
+		if (ctl_call(&answer, host, "/admin/config", NULL) == 200) {
 			root = json_loadb(answer.ptr, answer.len, 0, NULL);
 			pr_apply_host(
 				&run->apply, pr_slice_of(host),
@@ -204,6 +200,39 @@
 	json_decref(clashes);
 }
 
+/* Expects every router host that the platform lists and that does not leave. */
+static void expect_listed(run_t *run)
+{
+	pr_str_t answer = PR_STR_INIT, name = PR_STR_INIT;
+	json_t *root = NULL, *host;
+	size_t index;
+
+	if (ctl_call(&answer, run->options->store, "/v1/hosts", NULL) == 200)
+		root = json_loadb(answer.ptr, answer.len, 0, NULL);
+	json_array_foreach(json_object_get(root, "hosts"), index, host)
+	{
+		const char *state =
+			json_string_value(json_object_get(host, "state"));
+		const char *address =
+			json_string_value(json_object_get(host, "address"));
+
+		if (!address || (state && !strcmp(state, "leaving")))
+			continue;
+		pr_str_clear(&name);
+		pr_str_appendf(&name, "%s", address);
+		if (!strchr(address, ':'))
+			pr_str_appendf(&name, ":%d", run->options->admin_port);
+		if (pr_apply_expect(&run->apply, pr_str_slice(&name)))
+			fprintf(stderr, "%s\n", pr_error_last());
+	}
+	if (!root)
+		fprintf(stderr, "the list of hosts cannot be read from %s\n",
+			run->options->store);
+	json_decref(root);
+	pr_str_finish(&answer);
+	pr_str_finish(&name);
+}
+
 /* Applies a document and leaves the result in run->apply. */
 static int apply_text(run_t *run, pr_slice_t text, uint64_t expected)
 {
@@ -223,6 +252,9 @@
 	for (int i = 0; i < options->hosts_count && !rc; i++)
 		rc = pr_apply_expect(&run->apply,
 				     pr_slice_of(options->hosts[i]));
+	/* Without the list the change is written and ends as not confirmed. */
+	if (!rc && !options->hosts_count)
+		expect_listed(run);
 	while (!rc && run->apply.result == PR_APPLY_PENDING) {
 		pr_apply_tick(&run->apply, now_usec());
 		if (run->apply.state != PR_APPLY_DONE)
@@ -396,9 +428,7 @@
 	for (int i = 0; i < options->hosts_count; i++) {
 		pr_str_t answer = PR_STR_INIT;
 		json_t *root = NULL;
-		bool sent;
-		int status =
-			ctl_call(&answer, options->hosts[i], path, NULL, &sent);
+		int status = ctl_call(&answer, options->hosts[i], path, NULL);
 
 		if (status == 200)
 			root = json_loadb(answer.ptr, answer.len, 0, NULL);
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -93,6 +93,11 @@
 				      "host", "h1"));
 	else if (pr_slice_equal(request->path, PR_SLICE("/admin/explain")))
 		answer_json(request, 200, json_pack("{s:s}", "rule", "price"));
+	else if (pr_slice_equal(request->path, PR_SLICE("/v1/hosts")))
+		answer_json(request, 200,
+			    json_pack("{s:[{s:s,s:s},{s:s,s:s}]}", "hosts",
+				      "address", where, "state", "live",
+				      "address", "127.0.0.1", "state", "live"));
 	else if (!standin.version)
 		pr_http_answer(request, 404, NULL, PR_SLICE(""));
 	else
@@ -216,7 +221,7 @@
 /* Guards against a change that is lost, written twice or reported wrongly. */
 static void changes_are_applied_once(void **state)
 {
-	char out[8192];
+	char out[8192], listed[128];
 
 	standin.lose_commits = 1;
 	assert_int_equal(online(out, sizeof(out), "apply test_ctl_good.yaml"),
@@ -226,11 +231,16 @@
 	assert_int_equal(
 		online(out, sizeof(out), "apply test_ctl_good.yaml --base 7"),
 		4);
+	snprintf(listed, sizeof(listed),
+		 "zone in ipoh --timeout 1 --admin-port 1 --store %s", where);
+	assert_int_equal(ctl(out, sizeof(out), listed), 5);
+	assert_string_equal(out, "not_confirmed: version 2\n"
+				 "not confirmed by 127.0.0.1:1\n");
 	assert_int_equal(online(out, sizeof(out), "zone out ipoh"), 2);
 	assert_int_equal(
 		online(out, sizeof(out), "zone out ipoh --reason 'power work'"),
 		0);
-	assert_int_equal(standin.version, 2);
+	assert_int_equal(standin.version, 3);
 	assert_string_equal(
 		json_string_value(json_object_get(standin.value, "reason")),
 		"power work");
