Replace uthash in the daemon by the fixed-size index

The clang analyzer reports uthash's macros as use after free and counts them into each function's size. The index of src/base has neither problem.

--- a/src/ctl/net.c
+++ b/src/ctl/net.c
@@ -36,7 +36,7 @@
 	own->stage = stage;
 }
 
-static const pr_http_call_ops_t call_ops = {on_head, on_body, on_done};
+static const pr_http_call_ops_t call_ops = { on_head, on_body, on_done };
 
 static void run_call(call_t *own, uv_loop_t *loop, pr_http_client_t *client,
 		     pr_http_target_t *target, const char *path,
@@ -49,11 +49,13 @@
 
 	pr_str_appendf(&bearer, "Bearer %s", key ? key : "");
 	if (key)
-		headers[count++] = (pr_http_header_t){PR_SLICE("authorization"),
-						      pr_str_slice(&bearer)};
+		headers[count++] =
+			(pr_http_header_t){ PR_SLICE("authorization"),
+					    pr_str_slice(&bearer) };
 	if (body)
-		headers[count++] = (pr_http_header_t){
-			PR_SLICE("content-type"), PR_SLICE("application/json")};
+		headers[count++] =
+			(pr_http_header_t){ PR_SLICE("content-type"),
+					    PR_SLICE("application/json") };
 	own->call.ops = &call_ops;
 	own->call.data = own;
 	if (!pr_http_call_start(&own->call, client, target,
@@ -71,7 +73,7 @@
 	const char *colon = strrchr(where, ':');
 	pr_http_client_t *client = NULL;
 	pr_http_target_t *target = NULL;
-	call_t own = {.answer = answer};
+	call_t own = { .answer = answer };
 	char address[64] = "";
 	uv_loop_t loop;
 
--- a/src/ctl/offline.c
+++ b/src/ctl/offline.c
@@ -55,7 +55,7 @@
 {
 	const char *path = options->args[0];
 	pr_str_t text = PR_STR_INIT;
-	pr_findings_t findings = {0};
+	pr_findings_t findings = { 0 };
 	pr_fleet_t *fleet = NULL;
 	int rc = ctl_load(&fleet, &text, path);
 
@@ -102,9 +102,9 @@
 
 int ctl_diff(const ctl_options_t *options)
 {
-	pr_str_t texts[2] = {PR_STR_INIT, PR_STR_INIT};
-	pr_fleet_t *fleets[2] = {NULL, NULL};
-	pr_changes_t changes = {0};
+	pr_str_t texts[2] = { PR_STR_INIT, PR_STR_INIT };
+	pr_fleet_t *fleets[2] = { NULL, NULL };
+	pr_changes_t changes = { 0 };
 	int rc = CTL_OK;
 
 	for (int i = 0; i < 2 && !rc; i++)
@@ -142,7 +142,7 @@
 {
 	pr_str_t text = PR_STR_INIT;
 	pr_fleet_t *fleet = NULL;
-	pr_config_row_t row = {0};
+	pr_config_row_t row = { 0 };
 	int rc = CTL_OK;
 
 	if (options->args_count) {
--- a/src/ctl/online.c
+++ b/src/ctl/online.c
@@ -62,7 +62,7 @@
 {
 	run_t *run = data;
 	pr_str_t buffer = PR_STR_INIT;
-	pr_config_row_t row = {0};
+	pr_config_row_t row = { 0 };
 	pr_config_read_t result = ctl_read_row(run->options, &row, &buffer);
 
 	pr_apply_read_done(&run->apply, id, result, &row, now_usec());
@@ -97,7 +97,7 @@
 	run_t *run = data;
 	pr_str_t body = PR_STR_INIT, answer = PR_STR_INIT, buffer = PR_STR_INIT;
 	pr_commit_result_t result = PR_COMMIT_LOST;
-	pr_config_row_t found = {0};
+	pr_config_row_t found = { 0 };
 	json_t *root = NULL;
 	const json_t *applied;
 
@@ -145,7 +145,7 @@
 	}
 }
 
-static const pr_apply_ops_t apply_ops = {on_read, on_commit, on_ask_hosts};
+static const pr_apply_ops_t apply_ops = { on_read, on_commit, on_ask_hosts };
 
 static int exit_code(pr_apply_result_t result)
 {
@@ -165,9 +165,9 @@
 
 static void report(const run_t *run)
 {
-	static const char *const names[] = {"pending",       "confirmed",
-					    "not_confirmed", "conflict",
-					    "failed",        "unknown"};
+	static const char *const names[] = { "pending",       "confirmed",
+					     "not_confirmed", "conflict",
+					     "failed",        "unknown" };
 	const pr_apply_t *apply = &run->apply;
 	json_t *missing = json_array(), *clashes = json_array();
 
@@ -274,7 +274,7 @@
 
 int ctl_apply(const ctl_options_t *options)
 {
-	run_t run = {.options = options};
+	run_t run = { .options = options };
 	pr_str_t text = PR_STR_INIT;
 	pr_fleet_t *fleet = NULL;
 	int rc;
@@ -302,7 +302,7 @@
 {
 	pr_str_t buffer = PR_STR_INIT, text = PR_STR_INIT;
 	pr_fleet_t *fleet = NULL;
-	pr_config_row_t row = {0};
+	pr_config_row_t row = { 0 };
 	int rc;
 
 	if (ctl_read_row(run->options, &row, &buffer) != PR_CONFIG_READ_ROW ||
@@ -327,7 +327,7 @@
 
 static int edit_and_apply(const ctl_options_t *options, edit_t edit)
 {
-	run_t run = {.options = options};
+	run_t run = { .options = options };
 	int rc = CTL_CONFLICT;
 
 	if (!has_store(options))
--- a/src/router/admission.c
+++ b/src/router/admission.c
@@ -2,16 +2,19 @@
 #include <stdlib.h>
 
 #include "pistachiorack/error.h"
+#include "pistachiorack/hash.h"
 #include "pistachiorack/log.h"
 #include "router/exchange.h"
 
 /* Retries that a workspace has before its first requests have paid for any:
  * without them the first request that meets a dead upstream would fail. */
 #define RETRY_RESERVE 10
+/* Size of the table of budgets; more workspaces only make it slower. */
+#define WORKSPACES_EXPECTED 256
 
 /** Retry budget of one workspace; kept over changes of the configuration. */
 typedef struct pr_budget_entry_t {
-	UT_hash_handle hh;
+	pr_index_node_t node;
 	char *workspace;
 	pr_retry_budget_t budget;
 } pr_budget_entry_t;
@@ -90,12 +93,27 @@
 	pr_admit_end(&router->admit, (unsigned int)index, &end, now);
 }
 
+static pr_budget_entry_t *find_budget(const pr_router_t *router,
+				      const char *workspace)
+{
+	uint64_t key = pr_hash64(workspace, strlen(workspace), 0);
+	pr_index_node_t *node = pr_index_find(&router->budgets, key);
+
+	for (; node; node = pr_index_same(node)) {
+		pr_budget_entry_t *entry =
+			PR_OWNER(node, pr_budget_entry_t, node);
+
+		if (!strcmp(entry->workspace, workspace))
+			return entry;
+	}
+	return NULL;
+}
+
 pr_retry_budget_t *pr_admission_budget(pr_exchange_t *exchange)
 {
-	pr_budget_entry_t *entry;
+	pr_budget_entry_t *entry =
+		find_budget(exchange->router, exchange->workspace_name);
 
-	HASH_FIND_STR(exchange->router->budgets, exchange->workspace_name,
-		      entry);
 	return entry ? &entry->budget : NULL;
 }
 
@@ -103,8 +121,7 @@
 {
 	pr_budget_entry_t *entry;
 
-	HASH_FIND_STR(router->budgets, workspace, entry);
-	if (entry)
+	if (find_budget(router, workspace))
 		return;
 	entry = calloc(1, sizeof(*entry));
 	if (!entry)
@@ -112,14 +129,16 @@
 	entry->workspace = strdup(workspace);
 	pr_retry_budget_init(&entry->budget);
 	entry->budget.tokens = RETRY_RESERVE;
-	HASH_ADD_KEYPTR(hh, router->budgets, entry->workspace,
-			strlen(entry->workspace), entry);
+	pr_index_add(&router->budgets, &entry->node,
+		     pr_hash64(workspace, strlen(workspace), 0));
 }
 
 static int init(pr_router_t *router)
 {
 	pr_admit_options_t options = PR_ADMIT_OPTIONS_INIT;
 
+	if (pr_index_init(&router->budgets, WORKSPACES_EXPECTED))
+		return PR_ENOMEM;
 	return pr_admit_init(&router->admit, &options);
 }
 
@@ -140,14 +159,17 @@
 
 static void finish(pr_router_t *router)
 {
-	pr_budget_entry_t *entry, *next;
+	pr_index_node_t *node;
+
+	while ((node = pr_index_any(&router->budgets))) {
+		pr_budget_entry_t *entry =
+			PR_OWNER(node, pr_budget_entry_t, node);
 
-	HASH_ITER(hh, router->budgets, entry, next)
-	{
-		HASH_DEL(router->budgets, entry);
+		pr_index_remove(&router->budgets, node);
 		free(entry->workspace);
 		free(entry);
 	}
+	pr_index_finish(&router->budgets);
 	pr_admit_finish(&router->admit);
 }
 
--- a/src/router/billing.c
+++ b/src/router/billing.c
@@ -61,13 +61,12 @@
 
 	exchange->after_billing = then;
 	exchange->holds++;
-	HASH_ADD(hh_bill, router->billing, number, sizeof(exchange->number),
-		 exchange);
+	pr_index_add(&router->billing, &exchange->bill_node, exchange->number);
 	if (!add_bill(exchange))
 		return;
 	pr_log(PR_LOG_ERR, "request %s could not be billed: %s", exchange->id,
 	       pr_error_last());
-	HASH_DELETE(hh_bill, router->billing, exchange);
+	pr_index_remove(&router->billing, &exchange->bill_node);
 	exchange->holds--;
 	then(exchange);
 }
@@ -89,13 +88,13 @@
 static void on_held(void *data, uint64_t request, bool acknowledged)
 {
 	pr_router_t *router = data;
+	pr_index_node_t *node = pr_index_find(&router->billing, request);
 	pr_exchange_t *exchange;
 
-	HASH_FIND(hh_bill, router->billing, &request, sizeof(request),
-		  exchange);
-	if (!exchange)
+	if (!node)
 		return;
-	HASH_DELETE(hh_bill, router->billing, exchange);
+	exchange = PR_OWNER(node, pr_exchange_t, bill_node);
+	pr_index_remove(&router->billing, &exchange->bill_node);
 	exchange->after_billing(exchange);
 	exchange->holds--;
 	pr_exchange_release(exchange);
@@ -151,6 +150,8 @@
 	options.region = "";
 	/* The number becomes a JSON integer, which has 63 bits. */
 	options.boot = strtoull(router->boot, NULL, 16) & INT64_MAX;
+	if (pr_index_init(&router->billing, router->settings->limits.requests))
+		return PR_ENOMEM;
 	return pr_bill_open(&router->bills, &options);
 }
 
@@ -221,6 +222,7 @@
 static void finish(pr_router_t *router)
 {
 	pr_bill_close(router->bills);
+	pr_index_finish(&router->billing);
 }
 
 const pr_task_ops_t pr_billing_task = {
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -89,7 +89,7 @@
 struct pr_exchange_t {
 	pr_exchange_t *prev, *next;
 	/** In router->billing by number, in router->claiming by claim. */
-	UT_hash_handle hh_bill, hh_once;
+	pr_index_node_t bill_node, claim_node;
 	pr_router_t *router;
 	/** NULL once the caller's side has ended. */
 	pr_http_request_t *request;
@@ -143,8 +143,8 @@
 	uint64_t claim;
 	bool claimed;
 	bool claim_completed;
-	/** The claim is held; it is dispatched after the running callback. */
-	bool granted;
+	/** Next in router->granted, which are dispatched after the callback. */
+	pr_exchange_t *next_granted;
 	/** The caller was answered; the call goes on for its outcome. */
 	bool late;
 	bool replayed;
--- a/src/router/once_task.c
+++ b/src/router/once_task.c
@@ -22,11 +22,9 @@
 
 static pr_exchange_t *find_exchange(pr_router_t *router, uint64_t request)
 {
-	pr_exchange_t *exchange;
+	pr_index_node_t *node = pr_index_find(&router->claiming, request);
 
-	HASH_FIND(hh_once, router->claiming, &request, sizeof(request),
-		  exchange);
-	return exchange;
+	return node ? PR_OWNER(node, pr_exchange_t, claim_node) : NULL;
 }
 
 static const char *owner_of(const pr_router_t *router, pr_slice_t key)
@@ -38,45 +36,49 @@
 	return pr_hosts_owner(router, pr_slice_of(shard));
 }
 
-int pr_claim_start(pr_exchange_t *exchange)
+/* Hash of operation and body: the same key for another operation is another
+ * request. */
+static int hash_request(char hash[PR_SHA256_HEX_SIZE],
+			const pr_exchange_t *exchange)
 {
-	pr_router_t *router = exchange->router;
 	pr_slice_t body = exchange->request->body;
-	pr_once_request_options_t options = {
-		.deadline = exchange->deadline.due,
-		.attempt = pr_slice_of(exchange->id),
-	};
-	char hash[PR_SHA256_HEX_SIZE];
 	pr_str_t text = PR_STR_INIT;
-	pr_str_t key = PR_STR_INIT;
-	int rc;
+	int rc = pr_str_appendf(&text, "%s/%s\n", exchange->service->name,
+				exchange->operation->name);
 
-	/* The operation is hashed too: the same key for another operation is
-	 * another request. */
-	rc = pr_str_appendf(&text, "%s/%s\n", exchange->service->name,
-			    exchange->operation->name);
 	if (!rc)
 		rc = pr_str_append(&text, body.ptr, body.len);
 	if (!rc)
-		rc = pr_str_appendf(&key, "%s/%.*s", exchange->workspace_name,
-				    (int)exchange->idempotency_key.len,
-				    exchange->idempotency_key.ptr);
-	if (!rc) {
 		pr_sha256_hex(hash, pr_str_slice(&text));
-		options.key = pr_str_slice(&key);
-		options.body_hash = pr_slice_of(hash);
-		options.owner = pr_slice_of(owner_of(router, options.key));
-		rc = pr_once_start(router->once, &exchange->claim, &options,
-				   pr_router_now(router));
-	}
 	pr_str_finish(&text);
-	pr_str_finish(&key);
+	return rc;
+}
+
+int pr_claim_start(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+	pr_once_request_options_t options = {
+		.deadline = exchange->deadline.due,
+		.attempt = pr_slice_of(exchange->id),
+	};
+	char key[PR_ONCE_KEY_MAX];
+	char hash[PR_SHA256_HEX_SIZE];
+	int rc = hash_request(hash, exchange);
+
+	if (rc)
+		return rc;
+	snprintf(key, sizeof(key), "%s/%s", exchange->workspace_name,
+		 exchange->key);
+	options.key = pr_slice_of(key);
+	options.body_hash = pr_slice_of(hash);
+	options.owner = pr_slice_of(owner_of(router, options.key));
+	rc = pr_once_start(router->once, &exchange->claim, &options,
+			   pr_router_now(router));
 	if (rc)
 		return rc;
 	exchange->claimed = true;
 	exchange->holds++;
-	HASH_ADD(hh_once, router->claiming, claim, sizeof(exchange->claim),
-		 exchange);
+	pr_index_add(&router->claiming, &exchange->claim_node, exchange->claim);
 	return 0;
 }
 
@@ -97,8 +99,10 @@
 	pr_router_t *router = data;
 	pr_exchange_t *exchange = find_exchange(router, request);
 
-	if (exchange)
-		exchange->granted = true;
+	if (!exchange)
+		return;
+	exchange->next_granted = router->granted;
+	router->granted = exchange;
 }
 
 static void on_finished(void *data, uint64_t request,
@@ -109,7 +113,7 @@
 
 	if (!exchange)
 		return;
-	HASH_DELETE(hh_once, router->claiming, exchange);
+	pr_index_remove(&router->claiming, &exchange->claim_node);
 	exchange->claimed = false;
 	pr_service_finished(exchange, result);
 	exchange->holds--;
@@ -120,13 +124,10 @@
  * granted during a call are dispatched after it. */
 static void dispatch_granted(pr_router_t *router)
 {
-	pr_exchange_t *exchange, *next;
+	while (router->granted) {
+		pr_exchange_t *exchange = router->granted;
 
-	HASH_ITER(hh_once, router->claiming, exchange, next)
-	{
-		if (!exchange->granted)
-			continue;
-		exchange->granted = false;
+		router->granted = exchange->next_granted;
 		if (!pr_once_dispatch(router->once, exchange->claim,
 				      pr_router_now(router)))
 			pr_service_dispatch(exchange);
@@ -200,6 +201,8 @@
 	options.data = router;
 	options.timers = &router->timers;
 	options.host = router->settings->host;
+	if (pr_index_init(&router->claiming, router->settings->limits.requests))
+		return PR_ENOMEM;
 	return pr_once_open(&router->once, &options);
 }
 
@@ -242,6 +245,7 @@
 static void finish(pr_router_t *router)
 {
 	pr_once_close(router->once);
+	pr_index_finish(&router->claiming);
 }
 
 const pr_task_ops_t pr_once_task = {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -25,8 +25,8 @@
 #ifndef PR_ROUTER_ROUTER_H
 #define PR_ROUTER_ROUTER_H
 
-#include <uthash.h>
-
+#include "base/index.h"
+#include "base/list.h"
 #include "pistachiorack/admit.h"
 #include "pistachiorack/balance.h"
 #include "pistachiorack/bill.h"
@@ -52,7 +52,8 @@
 
 /** Connections and counters of one upstream. */
 typedef struct pr_upstream_link_t {
-	UT_hash_handle hh;
+	/** In router->upstreams by the hash of the name. */
+	pr_index_node_t node;
 	char *name;
 	char *address;
 	uint16_t port;
@@ -83,13 +84,13 @@
 	pr_config_holder_t config;
 	/** The configuration in force; NULL until the first is accepted. */
 	pr_config_t *fleet;
-	/** By name. */
-	pr_upstream_link_t *upstreams;
+	pr_index_t upstreams;
 	/** Links whose upstream moved; their calls may still run. */
-	pr_upstream_link_t *retired;
+	pr_index_t retired;
 	pr_balance_t balance;
 	pr_admit_t admit;
-	struct pr_budget_entry_t *budgets;
+	/** Retry budgets by the hash of the workspace's name. */
+	pr_index_t budgets;
 	pr_policy_t policy;
 	pr_rollout_t rollout;
 	pr_session_ring_t session_ring;
@@ -104,7 +105,9 @@
 	pr_once_t *once;
 	pr_bill_book_t *bills;
 	/** Exchanges that wait for their bill, or for their claim. */
-	struct pr_exchange_t *billing, *claiming;
+	pr_index_t billing, claiming;
+	/** Exchanges whose claim is held and that are not dispatched yet. */
+	struct pr_exchange_t *granted;
 	/** Hosts that this host believes alive, itself included. */
 	unsigned int live_hosts;
 	/** The configuration in force is known to be current. */
--- a/src/router/upstreams.c
+++ b/src/router/upstreams.c
@@ -2,18 +2,32 @@
 #include <stdlib.h>
 
 #include "pistachiorack/error.h"
+#include "pistachiorack/hash.h"
 #include "pistachiorack/log.h"
 #include "router/router.h"
 
 /* Idle connections kept to one upstream. */
 #define CONNECTIONS_MAX 256
+/* Size of the tables; more upstreams only make them slower. */
+#define UPSTREAMS_EXPECTED 1024
+
+static uint64_t key_of(const char *name)
+{
+	return pr_hash64(name, strlen(name), 0);
+}
 
 pr_upstream_link_t *pr_upstreams_find(pr_router_t *router, const char *name)
 {
-	pr_upstream_link_t *link;
+	pr_index_node_t *node = pr_index_find(&router->upstreams, key_of(name));
 
-	HASH_FIND_STR(router->upstreams, name, link);
-	return link;
+	for (; node; node = pr_index_same(node)) {
+		pr_upstream_link_t *link =
+			PR_OWNER(node, pr_upstream_link_t, node);
+
+		if (!strcmp(link->name, name))
+			return link;
+	}
+	return NULL;
 }
 
 static int add_link(pr_router_t *router, const pr_upstream_t *upstream)
@@ -33,8 +47,7 @@
 	link->name = strdup(upstream->name);
 	link->address = strdup(upstream->address);
 	link->port = upstream->port;
-	HASH_ADD_KEYPTR(hh, router->upstreams, link->name, strlen(link->name),
-			link);
+	pr_index_add(&router->upstreams, &link->node, key_of(link->name));
 	return 0;
 }
 
@@ -44,8 +57,8 @@
  */
 static void retire_link(pr_router_t *router, pr_upstream_link_t *link)
 {
-	HASH_DEL(router->upstreams, link);
-	HASH_ADD_PTR(router->retired, target, link);
+	pr_index_remove(&router->upstreams, &link->node);
+	pr_index_add(&router->retired, &link->node, key_of(link->name));
 }
 
 static void update_links(pr_router_t *router)
@@ -68,18 +81,28 @@
 	}
 }
 
-static void free_links(pr_upstream_link_t **links)
+static void free_links(pr_index_t *links)
 {
-	pr_upstream_link_t *link, *next;
+	pr_index_node_t *node;
 
-	HASH_ITER(hh, *links, link, next)
-	{
-		HASH_DEL(*links, link);
+	while ((node = pr_index_any(links))) {
+		pr_upstream_link_t *link =
+			PR_OWNER(node, pr_upstream_link_t, node);
+
+		pr_index_remove(links, node);
 		pr_http_target_close(link->target);
 		free(link->name);
 		free(link->address);
 		free(link);
 	}
+	pr_index_finish(links);
+}
+
+static int init_links(pr_router_t *router)
+{
+	int rc = pr_index_init(&router->upstreams, UPSTREAMS_EXPECTED);
+
+	return rc ? rc : pr_index_init(&router->retired, UPSTREAMS_EXPECTED);
 }
 
 static void finish_links(pr_router_t *router)
@@ -90,6 +113,7 @@
 
 const pr_task_ops_t pr_upstreams_task = {
 	.name = "upstreams",
+	.init = init_links,
 	.fleet_changed = update_links,
 	.finish = finish_links,
 };
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -7,7 +7,7 @@
 #include "router/chat.h"
 
 #define SESSIONS_MAX   20000
-#define SESSION_TTL    (24 * 3600 * PR_USEC_PER_SEC)
+#define SESSION_TTL    (86400 * PR_USEC_PER_SEC)
 #define RATING_TIMEOUT (2 * PR_USEC_PER_SEC)
 
 static pr_usec_t wall_clock(void)
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -169,7 +169,7 @@
  * @return its exit code; the output is in out */
 static int ctl(char *out, size_t size, const char *arguments)
 {
-	job_t job = {.out = out, .size = size, .exit_code = -1};
+	job_t job = { .out = out, .size = size, .exit_code = -1 };
 
 	snprintf(job.command, sizeof(job.command),
 		 "timeout 30 ./pistachiorackctl %s 2>&1", arguments);
