--- a/include/pistachiorack/policy.h
+++ b/include/pistachiorack/policy.h
@@ -77,7 +77,7 @@
 	double keep;
 	/** Standard deviations between estimate and lower bound. */
 	double bound_z;
-	/** Cost of one second of expected delay, in price units. */
+	/** Cost of a second of delay of an interactive answer, price units. */
 	double delay_price;
 	/** Ratings that the fleet-wide estimate is worth to a workspace. */
 	double prior_weight;
@@ -93,7 +93,7 @@
 		.version = PR_POLICY_OPTIONS_VERSION, .posteriors_max = 8192,  \
 		.pending_max = 4096, .explore = 0.03,                          \
 		.explore_promising = 0.08, .rate_share = 0.2, .keep = 0.975,   \
-		.bound_z = 0.3, .delay_price = 0.0, .prior_weight = 300,       \
+		.bound_z = 0.3, .delay_price = 10, .prior_weight = 300,        \
 		.memory = 4000, .half_life = 86400 * PR_USEC_PER_SEC,          \
 	}
 
--- a/src/policy/plan.c
+++ b/src/policy/plan.c
@@ -163,8 +163,11 @@
 {
 	const pr_step_t *step = &list->steps[i];
 	const pr_step_t *reference = &list->steps[list->reference];
-	double share, low;
+	double share, low, delay = 0;
 
+	/* Nobody waits for a batch answer. */
+	if (query->interactive)
+		delay = query->answer_s * policy->options.delay_price;
 	for (int level = 1; level < PR_POLICY_LEVELS; level++) {
 		double price, quality, cost;
 
@@ -172,8 +175,7 @@
 			return;
 		price = step->price + (1 - share) * reference->price;
 		quality = share * low + (1 - share) * list->escalated;
-		cost = price + (1 - share) * query->answer_s *
-				       policy->options.delay_price;
+		cost = price + (1 - share) * delay;
 		if (quality >= target && cost < best->cost)
 			*best = (pr_choice_t){i, level, cost, price, quality};
 	}
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -136,8 +136,8 @@
 	pr_fleet_free(fleet);
 }
 
-/* Guards against a cascade that keeps answers of low confidence, and against
- * a stream or a session that is given an escalation it cannot make. */
+/* Guards against a cascade that keeps answers of low confidence, that ignores
+ * the delay of an escalation, or that a stream, which cannot escalate, gets. */
 static void cascade_uses_confidence(void **state)
 {
 	pr_policy_options_t options = PR_POLICY_OPTIONS_INIT;
@@ -172,6 +172,12 @@
 	assert_true(pr_policy_sufficient(&plan.steps[1], -1));
 	assert_int_equal(pr_plan_explain(&plan, &text), 0);
 	assert_non_null(strstr(text.ptr, "\"rule\":\"cascade\""));
+	/* An escalation's delay must be worth the saving. */
+	query.interactive = true;
+	query.answer_s = 1000;
+	assert_int_equal(pr_policy_plan(&policy, &plan, &query, &rand, 0), 0);
+	assert_int_equal(plan.rule, PR_RULE_REFERENCE);
+	query.interactive = false;
 	query.stream = true;
 	assert_int_equal(pr_policy_plan(&policy, &plan, &query, &rand, 0), 0);
 	assert_int_equal(plan.steps_count, 1);
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -45,6 +45,7 @@
 			 0);
 	assert_string_equal(out.version, "s1");
 	assert_int_equal(out.issued, 1234567);
+	printf("token with short names: %zu characters\n", token.len);
 	assert_int_equal(pr_session_check(&ring, &out, pr_str_slice(&token),
 					  PR_SLICE("w2")),
 			 PR_EDENIED);
