Revert the test after the last roll-out step

Once a version is proven the policy gives it other classes of work than the replaced version had, and the pooled rates compare classes instead of versions. The mechanism needs counts by class first; its test goes with it.

--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -12,12 +12,11 @@
 
 /* Half of alpha goes to all workspaces together, half is divided among single
  * workspaces; ratings get half of each, the other signals a sixth. */
-#define POOLED_PART      0.5
-#define RATING_PART      0.5
-#define OTHER_PART       (0.5 / (PR_SIGNALS - 1))
-#define REFERENCE_Z      1.0
-#define PROVEN_TOLERANCE 0.005
-#define STRENGTH_NARROW  40.0
+#define POOLED_PART     0.5
+#define RATING_PART     0.5
+#define OTHER_PART      (0.5 / (PR_SIGNALS - 1))
+#define REFERENCE_Z     1.0
+#define STRENGTH_NARROW 40.0
 
 static double log_or_none(double p)
 {
@@ -279,48 +278,21 @@
 	return others;
 }
 
-/* The test against the replaced version goes on after the last step: a
- * version that is worse by a few points may pass all steps, and shows only
- * with the ratings of full traffic. The classes of work may differ then, for
- * which the larger tolerance allows. */
-static bool is_worse_than_replaced(const pr_rollout_t *rollout,
-				   const pr_fleet_t *fleet,
-				   const pr_model_t *model,
-				   const pr_version_t *version,
-				   const pr_track_t *track, pr_change_t *change)
-{
-	pr_rollout_t wider = *rollout;
-	const pr_track_t *reference;
-
-	if (!version->replaces)
-		return false;
-	reference = pr_rollout_track(rollout, pr_slice_of(model->name),
-				     pr_slice_of(version->replaces));
-	wider.options.tolerance += PROVEN_TOLERANCE;
-	return reference && is_bad(&wider, track, reference, fleet, change);
-}
-
 static bool conclude_proven(const pr_rollout_t *rollout,
-			    const pr_fleet_t *fleet, const pr_model_t *model,
+			    const pr_model_t *model,
 			    const pr_version_t *version,
 			    const pr_track_t *track, pr_change_t *change)
 {
 	unsigned int others = other_proven(model, version, rollout);
 
-	if (!rollout->options.test)
-		return false;
-	if (track->alarm) {
-		change->signal = PR_SIGNAL_RATING;
-		change->log_evidence = log(rollout->options.monitor_run_length);
-		if (track->alarm_workspace >= 0)
-			memcpy(change->workspace,
-			       track->workspaces[track->alarm_workspace]
-				       .workspace,
-			       sizeof(change->workspace));
-	} else if (!is_worse_than_replaced(rollout, fleet, model, version,
-					   track, change)) {
+	if (!track->alarm || !rollout->options.test)
 		return false;
-	}
+	change->signal = PR_SIGNAL_RATING;
+	change->log_evidence = log(rollout->options.monitor_run_length);
+	if (track->alarm_workspace >= 0)
+		memcpy(change->workspace,
+		       track->workspaces[track->alarm_workspace].workspace,
+		       sizeof(change->workspace));
 	if (others)
 		set_target(change, PR_CONCLUDE_WITHDRAW, PR_VERSION_WITHDRAWN,
 			   0);
@@ -347,8 +319,7 @@
 	change->from_state = version->state;
 	change->from_share = version->share;
 	if (version->state == PR_VERSION_PROVEN)
-		found = conclude_proven(rollout, fleet, model, version, track,
-					change);
+		found = conclude_proven(rollout, model, version, track, change);
 	else
 		found = conclude_rolling(rollout, fleet, model, version, track,
 					 change);
