--- a/src/ctl/net.c
+++ b/src/ctl/net.c
@@ -36,7 +36,12 @@
 	own->stage = stage;
 }
 
-static const pr_http_call_ops_t call_ops = { on_head, on_body, on_done };
+static const pr_http_call_ops_t call_ops = {
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.released = NULL,
+};
 
 static void run_call(call_t *own, uv_loop_t *loop, pr_http_client_t *client,
 		     pr_http_target_t *target, const char *path,
