Take an answer of length zero as whole

The check for streams that close early also broke answers with content-length 0, since the read that saw the end had no further bytes. The operators' apply then read the absent row for ever (test_ctl red). The check now applies only to answers without a stated length; the new test fails with the former condition.

--- a/include/pistachiorack/http.h
+++ b/include/pistachiorack/http.h
@@ -172,6 +172,8 @@
 	void *connect_buffer;
 	pr_str_t request;
 	pr_attempt_stage_t stage;
+	/** The answer stated its length. */
+	bool has_length;
 	bool paused;
 	bool in_callback;
 	bool cancelled;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -120,10 +120,11 @@
 	if (!errstr)
 		return 0;
 	if (errstr == h2o_http1client_error_is_eos) {
-		/* http1client also reports the end when the peer closes after
-		 * a whole chunk; the read that saw the close has no bytes. An
-		 * upstream that dies between two chunks must not look done. */
-		if (client->sock->bytes_read) {
+		/* Without a stated length http1client also reports the end
+		 * when the peer closes after a whole chunk; the read that saw
+		 * the close has no bytes. An upstream that dies between two
+		 * chunks must not look done. */
+		if (call->has_length || client->sock->bytes_read) {
 			call->stage = PR_STAGE_DONE;
 			errstr = NULL;
 		} else {
@@ -141,9 +142,12 @@
 
 	if (count > HEADERS_MAX)
 		count = HEADERS_MAX;
+	call->has_length = false;
 	for (size_t i = 0; i < count; i++) {
 		list[i].name =
 			pr_slice(headers[i].name->base, headers[i].name->len);
+		call->has_length |= pr_slice_equal(list[i].name,
+						   PR_SLICE("content-length"));
 		list[i].value =
 			pr_slice(headers[i].value.base, headers[i].value.len);
 	}
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -78,6 +78,8 @@
 		pr_http_request_break(request);
 	} else if (pr_slice_equal(request->path, PR_SLICE("/empty"))) {
 		pr_http_answer(request, 304, NULL, pr_slice("", 0));
+	} else if (pr_slice_equal(request->path, PR_SLICE("/none"))) {
+		pr_http_answer(request, 404, NULL, pr_slice("", 0));
 	} else {
 		fixture.held = request;
 	}
@@ -223,6 +225,16 @@
 	assert_int_equal(fixture.stage, PR_STAGE_DONE);
 }
 
+/* Guards against a whole answer of length 0 that is taken for a broken one: a
+ * store read of a row that does not exist then never ended. */
+static void answer_of_length_zero_is_done(void **state)
+{
+	run("/none", "x");
+	assert_int_equal(fixture.status, 404);
+	assert_int_equal(fixture.stage, PR_STAGE_DONE);
+	assert_false(fixture.failed);
+}
+
 /* Guards against a status line before a break: the client must not see an
  * answer, and the verdict must be that the request may have run. */
 static void break_sends_nothing(void **state)
@@ -267,6 +279,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(empty_answer_is_done, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(answer_of_length_zero_is_done,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(break_sends_nothing, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(half_answer_is_not_done, set_up,
