--- a/src/router/test_off.h
+++ b/src/router/test_off.h
@@ -10,6 +10,8 @@
  *   bill-holders   bills are held by no other host
  *   drain          a stop ends the process at once
  *   config         configurations after the first are not put in force
+ *   monotonic      a configuration with a lower version is accepted
+ *   ramp           an upstream in cold start gets as much work as others
  *   host-list      the platform's states of upstreams are ignored
  *   answer-check   an answer is not matched with its attempt
  *   retry-budget   retries are not limited
--- a/standins/standin-check/check.h
+++ b/standins/standin-check/check.h
@@ -28,6 +28,8 @@
 	json_t *killed;
 	/** Chat requests that engines turned away or broke unrun. */
 	uint64_t turned_away;
+	/** Engines that fell over. */
+	uint64_t fell;
 	int64_t grace_ms;
 	uint64_t violations;
 	/** Counts for the summary. */
@@ -52,6 +54,7 @@
 void check_bills(check_t *check);
 void check_whole(check_t *check);
 void check_sessions(check_t *check);
+void check_monotonic(check_t *check);
 void check_least(check_t *check, size_t least);
 /* Rules; @return 0 or PR_EINVALID when the rule cannot be read. */
 int check_forbidden(check_t *check, const char *rule);
--- a/standins/standin-check/checks.c
+++ b/standins/standin-check/checks.c
@@ -197,6 +197,40 @@
 	json_decref(last);
 }
 
+static long version_number(const json_t *call)
+{
+	const char *at = strstr(check_text(call, "version"), "@v");
+
+	return at && check_finished(call) ? strtol(at + 2, NULL, DECIMAL) : -1;
+}
+
+void check_monotonic(check_t *check)
+{
+	size_t i, j;
+	json_t *later, *earlier;
+
+	json_array_foreach(check->calls, i, later)
+	{
+		long number = version_number(later);
+
+		for (j = 0; number >= 0 && j < i; j++) {
+			earlier = json_array_get(check->calls, j);
+			if (version_number(earlier) <= number ||
+			    strcmp(check_text(earlier, "entry"),
+				   check_text(later, "entry")) != 0 ||
+			    check_number(later, "at_ms") <=
+				    check_number(earlier, "at_ms") +
+					    check_number(earlier, "total_ms"))
+				continue;
+			check_violation(check, "%s went back from %s to %s",
+					check_text(later, "entry"),
+					check_text(earlier, "version"),
+					check_text(later, "version"));
+			break;
+		}
+	}
+}
+
 void check_least(check_t *check, size_t least)
 {
 	size_t whole = 0;
