Do not blame upstreams for requests that they refuse as bad

Cause: a 400 of an engine counted as a failed attempt. It was retried at other engines, each failure counted towards ejection, and a handful of such requests (max_tokens of -1, for example) got every engine of the model ejected: the next good request was refused with no_capacity. Change: 400, 413 and 422 before an answer started are passed on as bad_request; the upstream is neither failed nor ejected, and nothing is retried. Found by bad_input.sh: a good request after malformed JSON failed in 4 of 4 checks before, and got 200 in all after.

--- a/src/router/chat_answer.c
+++ b/src/router/chat_answer.c
@@ -146,6 +146,33 @@
 				  chat->stream ? end_stream : end_whole);
 }
 
+/* The upstream refuses the request itself. It is not the upstream's fault: a
+ * caller that repeats such a request must not get every upstream ejected. */
+static bool is_bad_request(const pr_exchange_t *exchange,
+			   pr_attempt_stage_t stage)
+{
+	int status = exchange->call.status;
+
+	return stage == PR_STAGE_DONE && !exchange->answer_started &&
+	       (status == 400 || status == 413 || status == 422);
+}
+
+static void refuse_bad_request(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+	pr_dispatch_decision_t decision;
+
+	pr_balance_cancelled(&router->balance, &exchange->call.choice,
+			     pr_router_now(router));
+	pr_dispatch_done(&exchange->dispatch, &decision, exchange->call.number);
+	if (!pr_call_states_not_run(&exchange->call))
+		exchange->verdict = pr_verdict_join(exchange->verdict,
+						    PR_VERDICT_MAY_HAVE_RUN);
+	pr_exchange_refuse(exchange, exchange->call.status, "bad_request",
+			   exchange->verdict,
+			   "the upstream does not accept the request");
+}
+
 static void on_done(pr_exchange_t *exchange, pr_attempt_stage_t stage)
 {
 	pr_upstream_call_t *call = &exchange->call;
@@ -165,6 +192,10 @@
 		answer_is_whole(exchange);
 		return;
 	}
+	if (is_bad_request(exchange, stage)) {
+		refuse_bad_request(exchange);
+		return;
+	}
 	pr_versions_failed(exchange);
 	pr_exchange_attempt_failed(
 		exchange, stage == PR_STAGE_DONE && call->status != 200 &&
--- a/tests/faults/bad_input.sh
+++ b/tests/faults/bad_input.sh
@@ -44,7 +44,11 @@
 		--data-binary "$1" "$base/v1/chat/completions" || true
 }
 
-alive() { [ "$(chat "$body")" = 200 ]; }
+alive() {
+	local got
+	got=$(chat "$body")
+	[ "$got" = 200 ] || { echo "status $got"; return 1; }
+}
 
 # expect WANTED NAME BODY
 expect() {
