Authenticate both ends of a peer link and bound what strangers can send

A listener that answered on a peer's address received bills and claims without proof, and libmsgpack allocated what a frame's header announced. Both ends now prove the shared secret and their names; frames are limited to 256 bytes until then and checked before they are unpacked.

--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -1,8 +1,9 @@
 /*
- * Peer links. The one who connects proves itself to the listener: the listener
- * sends a random challenge, the connecting host answers with its name and
- * HMAC(secret, challenge || name). Frames are a 4-byte big-endian length and a
- * msgpack array [type, payload].
+ * Peer links. Both sides prove that they know the shared secret: the listener
+ * sends a random challenge; the connecting host answers with a nonce of its
+ * own, its name and a MAC over challenge, nonce and name; the listener answers
+ * with a MAC over nonce, challenge and its own name. Only then messages flow.
+ * Frames are a 4-byte big-endian length and a msgpack array [type, payload].
  */
 #include "pistachiorack/peer.h"
 
@@ -10,23 +11,30 @@
 #include <openssl/rand.h>
 #include <stdlib.h>
 
+#include "base/msgpack_check.h"
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 #include "pistachiorack/log.h"
 
 #define NAME_BYTES      65
 #define CHALLENGE_BYTES 16
-#define HEADER_BYTES    4
-#define LISTEN_BACKLOG  256
-#define READ_BYTES      65536
+/* Largest frame of a side that has not proved itself. */
+#define HANDSHAKE_FRAME_MAX 256
+/* Accepted links; a host has one to each of its peers. */
+#define LINKS_MAX      4096
+#define HEADER_BYTES   4
+#define LISTEN_BACKLOG 256
+#define READ_BYTES     65536
 /* Pause between attempts to connect to a peer that does not answer. */
 #define RECONNECT_PAUSE (200 * PR_USEC_PER_MSEC)
 
 typedef enum link_state_t {
 	LINK_IDLE,
 	LINK_CONNECTING,
-	/* Connected, waiting for the listener's challenge. */
+	/* Connected; the challenge was sent, or is waited for. */
 	LINK_CHALLENGED,
+	/* The connecting side waits for the listener's proof. */
+	LINK_PROVING,
 	LINK_OPEN,
 	LINK_CLOSING,
 } link_state_t;
@@ -40,6 +48,7 @@
 	link_state_t state;
 	char name[NAME_BYTES];
 	uint8_t challenge[CHALLENGE_BYTES];
+	uint8_t nonce[CHALLENGE_BYTES];
 	uv_connect_t connect;
 	pr_str_t input;
 } link_t;
@@ -174,12 +183,14 @@
 	msgpack_sbuffer_destroy(&buffer);
 }
 
+/* MAC over two random numbers, the later one first, and a name. */
 static void sign(uint8_t mac[PR_SHA256_SIZE], const link_t *link,
-		 const char *name)
+		 const uint8_t *first, const uint8_t *second, const char *name)
 {
 	pr_str_t text = PR_STR_INIT;
 
-	pr_str_append(&text, link->challenge, sizeof(link->challenge));
+	pr_str_append(&text, first, CHALLENGE_BYTES);
+	pr_str_append(&text, second, CHALLENGE_BYTES);
 	pr_str_append(&text, name, strlen(name));
 	pr_hmac_sha256(mac, pr_slice_of(link->peers->options.secret),
 		       pr_str_slice(&text));
@@ -200,53 +211,83 @@
 	pr_str_t hello = PR_STR_INIT;
 	pr_str_t frame = PR_STR_INIT;
 
-	if (payload.len != CHALLENGE_BYTES)
+	if (payload.len != CHALLENGE_BYTES ||
+	    RAND_bytes(link->nonce, sizeof(link->nonce)) != 1)
 		return PR_EPARSE;
 	memcpy(link->challenge, payload.ptr, CHALLENGE_BYTES);
-	sign(mac, link, name);
+	sign(mac, link, link->nonce, link->challenge, name);
 	pr_str_append(&hello, mac, sizeof(mac));
+	pr_str_append(&hello, link->nonce, sizeof(link->nonce));
 	pr_str_append(&hello, name, strlen(name));
 	pack_frame(&frame, "hello", pr_str_slice(&hello));
 	pr_str_finish(&hello);
+	link->state = LINK_PROVING;
 	write_bytes(link, &frame);
-	link->state = LINK_OPEN;
-	flush_queue(link->peer);
 	return 0;
 }
 
+static bool is_mac(const uint8_t *mac, pr_slice_t payload)
+{
+	return payload.len >= PR_SHA256_SIZE &&
+	       pr_equal_constant_time(mac, payload.ptr, PR_SHA256_SIZE);
+}
+
 /* The listening side: the first frame must prove the name. */
 static int check_hello(link_t *link, pr_slice_t payload)
 {
+	const size_t fixed = PR_SHA256_SIZE + CHALLENGE_BYTES;
 	uint8_t mac[PR_SHA256_SIZE];
+	pr_str_t frame = PR_STR_INIT;
 
-	if (payload.len <= PR_SHA256_SIZE ||
+	if (payload.len <= fixed ||
 	    pr_slice_copy(link->name, sizeof(link->name),
-			  pr_slice(payload.ptr + PR_SHA256_SIZE,
-				   payload.len - PR_SHA256_SIZE)))
+			  pr_slice(payload.ptr + fixed, payload.len - fixed)))
 		return PR_EPARSE;
-	sign(mac, link, link->name);
-	if (!pr_equal_constant_time(mac, payload.ptr, sizeof(mac))) {
+	memcpy(link->nonce, payload.ptr + PR_SHA256_SIZE, CHALLENGE_BYTES);
+	sign(mac, link, link->nonce, link->challenge, link->name);
+	if (!is_mac(mac, payload)) {
+		pr_metric_add(link->peers->refused, 1);
+		return PR_EDENIED;
+	}
+	sign(mac, link, link->challenge, link->nonce,
+	     link->peers->options.name);
+	pack_frame(&frame, "welcome", pr_slice((char *)mac, sizeof(mac)));
+	link->state = LINK_OPEN;
+	write_bytes(link, &frame);
+	return 0;
+}
+
+/* The connecting side: the listener must be the peer that was meant. */
+static int check_welcome(link_t *link, pr_slice_t payload)
+{
+	uint8_t mac[PR_SHA256_SIZE];
+
+	sign(mac, link, link->challenge, link->nonce, link->peer->name);
+	if (!is_mac(mac, payload)) {
 		pr_metric_add(link->peers->refused, 1);
 		return PR_EDENIED;
 	}
 	link->state = LINK_OPEN;
+	flush_queue(link->peer);
 	return 0;
 }
 
 static int handle_frame(link_t *link, pr_slice_t type, pr_slice_t payload)
 {
 	pr_peers_t *peers = link->peers;
-
-	if (link->state == LINK_CHALLENGED && link->peer)
-		return pr_slice_equal(type, PR_SLICE("challenge"))
-			       ? answer_challenge(link, payload)
-			       : PR_EPARSE;
-	if (link->state == LINK_CHALLENGED)
-		return pr_slice_equal(type, PR_SLICE("hello"))
-			       ? check_hello(link, payload)
-			       : PR_EDENIED;
-	if (link->peer)
-		return PR_EPARSE;
+	bool connecting = link->peer != NULL;
+
+	if (link->state == LINK_CHALLENGED && connecting &&
+	    pr_slice_equal(type, PR_SLICE("challenge")))
+		return answer_challenge(link, payload);
+	if (link->state == LINK_CHALLENGED && !connecting &&
+	    pr_slice_equal(type, PR_SLICE("hello")))
+		return check_hello(link, payload);
+	if (link->state == LINK_PROVING &&
+	    pr_slice_equal(type, PR_SLICE("welcome")))
+		return check_welcome(link, payload);
+	if (link->state != LINK_OPEN || connecting)
+		return PR_EDENIED;
 	peers->options.on_message(peers->options.data, pr_slice_of(link->name),
 				  type, payload);
 	return 0;
@@ -260,7 +301,8 @@
 	int rc = PR_EPARSE;
 
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, bytes, len, &used) !=
+	if (!pr_msgpack_check(pr_slice(bytes, len)) ||
+	    msgpack_unpack_next(&unpacked, bytes, len, &used) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    unpacked.data.type != MSGPACK_OBJECT_ARRAY ||
 	    unpacked.data.via.array.size != 2)
@@ -283,12 +325,14 @@
 	size_t at = 0;
 	int rc = 0;
 
-	while (!rc && link->input.len - at >= HEADER_BYTES) {
+	while (!rc && link->state != LINK_CLOSING &&
+	       link->input.len - at >= HEADER_BYTES) {
 		const uint8_t *head = (uint8_t *)link->input.ptr + at;
 		size_t len = (size_t)head[0] << 24 | (size_t)head[1] << 16 |
 			     (size_t)head[2] << 8 | head[3];
 
-		if (len > PR_PEER_FRAME_MAX)
+		if (len > (link->state == LINK_OPEN ? PR_PEER_FRAME_MAX
+						    : HANDSHAKE_FRAME_MAX))
 			return PR_EPARSE;
 		if (link->input.len - at - HEADER_BYTES < len)
 			break;
@@ -350,6 +394,11 @@
 	if (!link)
 		return;
 	link->state = LINK_CHALLENGED;
+	if (peers->handles > LINKS_MAX) {
+		uv_accept(listener, (uv_stream_t *)&link->tcp);
+		close_link(link);
+		return;
+	}
 	if (uv_accept(listener, (uv_stream_t *)&link->tcp) ||
 	    RAND_bytes(link->challenge, sizeof(link->challenge)) != 1 ||
 	    uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read)) {
