--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -187,11 +187,12 @@
 static void sign(uint8_t mac[PR_SHA256_SIZE], const link_t *link,
 		 const uint8_t *first, const uint8_t *second, const char *name)
 {
+	pr_slice_t signer = pr_slice_of(name);
 	pr_str_t text = PR_STR_INIT;
 
 	pr_str_append(&text, first, CHALLENGE_BYTES);
 	pr_str_append(&text, second, CHALLENGE_BYTES);
-	pr_str_append(&text, name, strlen(name));
+	pr_str_append(&text, signer.ptr, signer.len);
 	pr_hmac_sha256(mac, pr_slice_of(link->peers->options.secret),
 		       pr_str_slice(&text));
 	pr_str_finish(&text);
