--- a/src/base/yaml.c
+++ b/src/base/yaml.c
@@ -1,10 +1,14 @@
 #include "base/yaml.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "pistachiorack/error.h"
 
+/* Longest text of a number, with the terminator. */
+#define FLOAT_BYTES 40
+
 /*
  * libcyaml reports a fault through its log: first the reason, then a backtrace
  * whose innermost entry has the line. Both are joined to one message.
@@ -53,6 +57,44 @@
 	return rc;
 }
 
+/*
+ * libcyaml writes 0.9 as 9.0000000000000002e-01. Values in that form are
+ * written with as many digits as people use.
+ */
+static int append_line(pr_str_t *out, const char *line, size_t len)
+{
+	const char *colon = memchr(line, ':', len);
+	char value[FLOAT_BYTES];
+	char *end = value;
+	double number = 0;
+
+	if (colon && colon[1] == ' ' &&
+	    !pr_slice_copy(
+		    value, sizeof(value),
+		    pr_slice(colon + 2, len - (size_t)(colon + 2 - line))))
+		number = strtod(value, &end);
+	if (end == value || *end || !strchr(value, 'e'))
+		return pr_str_appendf(out, "%.*s\n", (int)len, line);
+	return pr_str_appendf(out, "%.*s %.10g\n", (int)(colon + 1 - line),
+			      line, number);
+}
+
+static int append_lines(pr_str_t *out, const char *text, size_t len)
+{
+	int rc = 0;
+
+	while (len && !rc) {
+		const char *newline = memchr(text, '\n', len);
+		size_t line = newline ? (size_t)(newline - text) : len;
+
+		rc = append_line(out, text, line);
+		line += newline != NULL;
+		text += line;
+		len -= line;
+	}
+	return rc;
+}
+
 int pr_yaml_save(pr_str_t *out, const void *value,
 		 const cyaml_schema_value_t *schema)
 {
@@ -68,7 +110,7 @@
 		rc = pr_error_set(PR_EINVALID, "%s: %s", cyaml_strerror(err),
 				  pr_str_cstr(&log));
 	else
-		rc = pr_str_append(out, text, len);
+		rc = append_lines(out, text, len);
 	if (text)
 		cyaml_mem(NULL, text, 0);
 	pr_str_finish(&log);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -188,9 +188,24 @@
 	pr_fleet_free(c);
 }
 
+/* Guards against numbers that nobody would write in the printed document. */
+static void numbers_are_printed_short(void **state)
+{
+	pr_fleet_t *fleet;
+	pr_str_t text = PR_STR_INIT;
+
+	assert_int_equal(
+		pr_fleet_parse(&fleet, "fleet.yaml", pr_slice_of(good)), 0);
+	assert_int_equal(pr_fleet_print(fleet, &text), 0);
+	assert_non_null(strstr(text.ptr, "quality_target: 0.9\n"));
+	pr_str_finish(&text);
+	pr_fleet_free(fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(numbers_are_printed_short),
 		cmocka_unit_test(lookups_follow_defaults_and_exceptions),
 		cmocka_unit_test(bad_documents_are_refused_with_place),
 		cmocka_unit_test(check_finds_every_fault),
