Read the rating service's feed into policy, roll-outs and burn

The daemon asked for ratings but never read them, so quality estimates and roll-outs stayed without evidence. A task now follows the feed from the newest rating on; it feeds policy and roll-outs, and records the quality objective on the host that asked.

--- a/src/router/router.h
+++ b/src/router/router.h
@@ -14,6 +14,8 @@
  *   upstreams.c   upstream addresses and their connections
  *   balance_task.c  load and state of upstreams
  *   versions_task.c plan, sessions, roll-outs, ratings
+ *   ratings_task.c  the rating service's feed
+ *   rollout_task.c  evidence of roll-outs and their steps
  *   once_task.c   claims of requests that may not be repeated
  *   billing.c     bills
  *   hosts.c       known hosts, owners of keys
@@ -92,6 +94,7 @@
 	struct pr_budget_entry_t *budgets;
 	pr_policy_t policy;
 	pr_rollout_t rollout;
+	struct pr_ratings_t *ratings;
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
 	pr_host_list_t hosts;
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -5,9 +5,10 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 #include "router/chat.h"
+#include "router/live.h"
 
 #define SESSIONS_MAX   20000
-#define SESSION_TTL    (24 * 3600 * PR_USEC_PER_SEC)
+#define SESSION_TTL    (86400 * PR_USEC_PER_SEC)
 #define RATING_TIMEOUT (2 * PR_USEC_PER_SEC)
 
 static pr_usec_t wall_clock(void)
@@ -190,6 +191,8 @@
 static void on_asked(void *data, pr_platform_outcome_t outcome, int status,
 		     pr_slice_t body)
 {
+	if (outcome != PR_PLATFORM_ANSWERED || status >= 300)
+		pr_ratings_ask_failed(data);
 }
 
 /* Asks the rating service about the step's answer. */
@@ -200,32 +203,52 @@
 	const pr_step_t *step = pr_chat_step(exchange);
 	char request[PR_ID_BYTES + 8];
 	char name[PR_CLASS_BYTES + 16];
+	uint64_t answer;
 	json_t *root;
 	char *text;
 
 	snprintf(request, sizeof(request), "%s/%u", exchange->id, chat->step);
 	snprintf(name, sizeof(name), "%s%s", chat->request_class,
 		 chat->step ? PR_POLICY_ESCALATED : "");
-	pr_policy_note(&router->policy, &chat->plan,
-		       pr_hash64(request, strlen(request), 0), chat->confidence,
+	answer = pr_hash64(request, strlen(request), 0);
+	pr_policy_note(&router->policy, &chat->plan, answer, chat->confidence,
 		       final);
+	pr_ratings_asked(router, answer, final);
 	root = json_pack("{s:s, s:s, s:s, s:s, s:s}", "request", request,
 			 "workspace", exchange->workspace_name, "class", name,
 			 "model", step->model->name, "version",
 			 step->version->name);
 	text = json_dumps(root, JSON_COMPACT);
-	if (text)
-		pr_platform_call(router->platform, "POST",
-				 PR_SLICE("/v1/ratings"), pr_slice_of(text),
-				 RATING_TIMEOUT, on_asked, router);
+	if (!text ||
+	    pr_platform_call(router->platform, "POST", PR_SLICE("/v1/ratings"),
+			     pr_slice_of(text), RATING_TIMEOUT, on_asked,
+			     router))
+		pr_ratings_ask_failed(router);
 	free(text);
 	json_decref(root);
 }
 
+/*
+ * Every answer of a version in roll-out is rated while the budget lasts. All
+ * steps of one request are rated or none: a cascade whose first step alone is
+ * rated would be judged by its easy requests.
+ */
+static bool wants_rating(pr_exchange_t *exchange)
+{
+	pr_chat_t *chat = &exchange->chat;
+	bool unproven =
+		pr_chat_step(exchange)->version->state != PR_VERSION_PROVEN;
+
+	if (chat->step == 0)
+		chat->plan.rate = (chat->plan.rate || unproven) &&
+				  pr_ratings_allow(exchange->router, unproven);
+	return chat->plan.rate;
+}
+
 void pr_versions_answered(pr_exchange_t *exchange, bool final)
 {
 	count_outcome(exchange, false);
-	if (exchange->chat.plan.rate)
+	if (wants_rating(exchange))
 		ask_rating(exchange, final);
 }
 
