--- a/tests/faults/ratings.sh
+++ b/tests/faults/ratings.sh
@@ -77,7 +77,8 @@
 wait_metric host-2 pr_ratings_read_total "$asked"
 curl -fs -m 2 -H 'authorization: Bearer operator-key' \
 	"http://$(fleet_host_address host-1):8081/admin/burn" >"$FLEET_DIR/burn"
-grep -q '"quality"' "$FLEET_DIR/burn" || fail "no quality objective in the burn report"
+# 3 is PR_OBJECTIVE_QUALITY.
+grep -q '"objective":3' "$FLEET_DIR/burn" || fail "no quality objective in the burn report"
 
 rate twice
 sleep 0.1
