--- a/src/router/admission.c
+++ b/src/router/admission.c
@@ -5,6 +5,7 @@
 #include "pistachiorack/hash.h"
 #include "pistachiorack/log.h"
 #include "router/exchange.h"
+#include "router/test_off.h"
 
 /* Retries that a workspace has before its first requests have paid for any:
  * without them the first request that meets a dead upstream would fail. */
@@ -129,6 +130,7 @@
 	entry->workspace = strdup(workspace);
 	pr_retry_budget_init(&entry->budget);
 	entry->budget.tokens = RETRY_RESERVE;
+	entry->budget.enabled = !pr_test_off("retry-budget");
 	pr_index_add(&router->budgets, &entry->node,
 		     pr_hash64(workspace, strlen(workspace), 0));
 }
