--- a/standins/standin-check/check.h
+++ b/standins/standin-check/check.h
@@ -22,7 +22,7 @@
 	json_t *by_key, *runs_by_key;
 	/** Runs of engines and ledgers, with upstream, zone and arrived_ms. */
 	json_t *runs;
-	/** Number of bills, by request id with a decimal boot number. */
+	/** Arrays of bills, by request id with a decimal boot number. */
 	json_t *bills;
 	/** Hosts that were killed. */
 	json_t *killed;
--- a/standins/standin-check/load.c
+++ b/standins/standin-check/load.c
@@ -167,16 +167,22 @@
 	return rc;
 }
 
+/* Fields of a bill: request, workspace, model, version, tokens in, tokens out,
+ * price. */
 static void add_bill(check_t *check, const char *host, json_int_t boot,
 		     const json_t *bill)
 {
 	char name[NAME_BYTES];
-	json_int_t count;
+	json_t *list;
 
 	snprintf(name, sizeof(name), "%s-%lld-%lld", host, (long long)boot,
 		 (long long)json_integer_value(json_array_get(bill, 0)));
-	count = json_integer_value(json_object_get(check->bills, name));
-	json_object_set_new(check->bills, name, json_integer(count + 1));
+	list = json_object_get(check->bills, name);
+	if (!list) {
+		list = json_array();
+		json_object_set_new(check->bills, name, list);
+	}
+	json_array_append(list, (json_t *)bill);
 }
 
 static void add_bill_rows(check_t *check, const json_t *rows)
