--- a/src/router/test_off.h
+++ b/src/router/test_off.h
@@ -11,6 +11,7 @@
  *   drain          a stop ends the process at once
  *   config         configurations after the first are not put in force
  *   monotonic      a configuration with a lower version is accepted
+ *   sessions       a session's version is not kept
  *   ramp           an upstream in cold start gets as much work as others
  *   host-list      the platform's states of upstreams are ignored
  *   answer-check   an answer is not matched with its attempt
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -5,6 +5,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 #include "router/chat.h"
+#include "router/test_off.h"
 #include "router/live.h"
 
 #define SESSIONS_MAX   20000
@@ -67,6 +68,8 @@
 		exchange->fleet->fleet, has_token ? &token : NULL,
 		has_memory ? &memory : NULL);
 
+	if (pr_test_off("sessions"))
+		decision = (pr_session_decision_t){ .action = PR_SESSION_START };
 	chat->session_action = decision.action;
 	if (decision.source)
 		chat->session = *decision.source;
