Hand bills over when a host stops during an outage

Cause: a stopping host tried to write what it held until its deadline and then ended. When hosts were restarted in turn during an outage of the store, entry host and both holders of a batch went away one after the other, and the bills with them. Each stop took the whole deadline. Change: after a failed commit a stopping host offers held batches to hosts that do not have them and drops each when it is acknowledged; own batches are dropped once a live holder has acknowledged them.

--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -199,7 +199,10 @@
 void pr_bill_stop(pr_bill_book_t *book, pr_usec_t now)
 {
 	book->stopping = true;
+	book->gap = book->options.commit_gap;
+	pr_timers_unsubscribe(book->options.timers, &book->write);
 	pr_bill_flush(book, now);
+	pr_bill_hand_over(book, now);
 	pr_bill_write_soon(book, now);
 }
 
--- a/src/bill/entry.c
+++ b/src/bill/entry.c
@@ -234,8 +234,13 @@
 	pr_bill_batch_t *batch = pr_bill_find(book, message->batch);
 	bool all = true;
 
-	if (!batch || batch->role != PR_BILL_OWN)
+	if (!batch)
 		return;
+	if (batch->role != PR_BILL_OWN) {
+		if (message->accepted)
+			pr_bill_handed_over(book, batch);
+		return;
+	}
 	if (!message->accepted) {
 		book->names[from]->full_until = now + RETRY_SLOW;
 		if (batch->hosts[0] == from || batch->hosts[1] == from)
--- a/src/bill/internal.h
+++ b/src/bill/internal.h
@@ -159,6 +159,14 @@
 		  const pr_bill_message_t *message, pr_usec_t now);
 void pr_bill_stored(pr_bill_book_t *book, const pr_bill_message_t *message);
 
+/* handover.c */
+
+/** While stopping without a store: offer held batches to other hosts, and drop
+ * own ones that others hold. */
+void pr_bill_hand_over(pr_bill_book_t *book, pr_usec_t now);
+/** Another host has taken a held batch. */
+void pr_bill_handed_over(pr_bill_book_t *book, pr_bill_batch_t *batch);
+
 /* write.c */
 
 /** See to it that a write pass comes. */
--- a/src/bill/write.c
+++ b/src/bill/write.c
@@ -233,7 +233,8 @@
 static void put_back(pr_bill_book_t *book, pr_usec_t now)
 {
 	book->failing = true;
-	if (book->gap < book->options.retry_max)
+	/* A stopping host has until its deadline only. */
+	if (!book->stopping && book->gap < book->options.retry_max)
 		book->gap *= 2;
 	book->next_commit = now + book->gap;
 	for (size_t i = 0; i < book->committing_count; i++) {
@@ -258,5 +259,6 @@
 		put_back(book, now);
 	book->tag = 0;
 	book->committing_count = 0;
+	pr_bill_hand_over(book, now);
 	pr_bill_write_soon(book, now);
 }
