--- a/src/router/balance_task.c
+++ b/src/router/balance_task.c
@@ -4,6 +4,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/log.h"
 #include "router/router.h"
+#include "router/test_off.h"
 
 static void view_changed(pr_router_t *router)
 {
@@ -26,6 +27,7 @@
 	pr_balance_options_t options = PR_BALANCE_OPTIONS_INIT;
 	int rc;
 
+	options.ramp = !pr_test_off("ramp");
 	options.host = router->settings->host;
 	options.zone = router->settings->zone;
 	rc = pr_balance_init(&router->balance, &options);
--- a/src/router/config_task.c
+++ b/src/router/config_task.c
@@ -130,9 +130,11 @@
 static int init(pr_router_t *router)
 {
 	pr_config_holder_options_t options = PR_CONFIG_HOLDER_OPTIONS_INIT;
-	int rc = pr_config_holder_init(&router->config, &options, &holder_ops,
-				       router, pr_router_now(router));
+	int rc;
 
+	options.monotonic = !pr_test_off("monotonic");
+	rc = pr_config_holder_init(&router->config, &options, &holder_ops,
+				   router, pr_router_now(router));
 	if (rc)
 		return rc;
 	router->config_tick.data = router;
--- a/standins/standin-check.c
+++ b/standins/standin-check.c
@@ -13,6 +13,9 @@
  *   --bills     each finished request has one bill, and no refused one has any
  *   --whole     every attempt that was connected got a whole answer
  *   --sessions  a session's version changes only with x-session-moved
+ *   --monotonic    no host answers from a version "v<number>" that is lower
+ *               than one it answered from before
+ *   --no-fall   no engine fell over from too much work in its cold start
  *   --forbid WORKSPACE:VERSION:FROM    no work on it later than --grace after
  *               FROM (wall clock, ms); WORKSPACE may be *
  *   --closed NAME:FROM:TO    no new work on this upstream or zone from --grace
@@ -42,7 +45,7 @@
 
 typedef struct args_t {
 	struct arg_lit *help, *once, *not_run, *answers, *bills, *whole;
-	struct arg_lit *sessions;
+	struct arg_lit *sessions, *monotonic, *no_fall;
 	struct arg_str *calls, *record, *forbid, *closed, *killed, *attempts;
 	struct arg_int *grace, *least;
 	struct arg_end *end;
@@ -60,6 +63,8 @@
 		.bills = arg_lit0(NULL, "bills", "bills of requests"),
 		.whole = arg_lit0(NULL, "whole", "no request was cut"),
 		.sessions = arg_lit0(NULL, "sessions", "versions of sessions"),
+		.monotonic = arg_lit0(NULL, "monotonic", "versions of hosts"),
+		.no_fall = arg_lit0(NULL, "no-fall", "engines that fell"),
 		.calls = arg_strn(NULL, "calls", "FILE", 1, FILES_MAX,
 				  "--out of the load program"),
 		.record = arg_strn(NULL, "record", "FILE", 0, FILES_MAX,
@@ -129,6 +134,11 @@
 		check_whole(check);
 	if (args->sessions->count)
 		check_sessions(check);
+	if (args->monotonic->count)
+		check_monotonic(check);
+	if (args->no_fall->count && check->fell)
+		check_violation(check, "engines fell over %llu times",
+				(unsigned long long)check->fell);
 	rc = run_rules(check, args);
 	check_least(check, (size_t)args->least->ival[0]);
 	return rc;
--- a/standins/standin-check/load.c
+++ b/standins/standin-check/load.c
@@ -231,6 +231,7 @@
 	check->turned_away += (uint64_t)(check_number(counts, "outage") +
 					 check_number(counts, "refused") +
 					 check_number(counts, "broken_before"));
+	check->fell += (uint64_t)check_number(counts, "fell_over");
 	add_bill_rows(check, json_object_get(record, "rows"));
 	json_decref(record);
 	return 0;
