Lease fleet-wide limits between hosts

Limits of workspaces, exposure and cold upstreams were divided equally, so a workspace with all its callers on one host got an eighth of its limit.

Connect the grant slice: demand is what the host did in the last period, amounts go to balance, admission and roll-outs. A cold upstream has no default share any more: a host has what its lease says, so defaults cannot add to what others were granted. Notices of cold starts go to the owner and from it to all hosts.

A smoothing weight of 0.5 was ruled out: its noise looked like growth and brought early requests.

--- a/include/pistachiorack/admit.h
+++ b/include/pistachiorack/admit.h
@@ -67,6 +67,8 @@
 	pr_usec_t seen;
 	uint64_t admitted;
 	uint64_t refused;
+	/** Tokens expected by requests, admitted or not. */
+	uint64_t tokens_asked;
 } pr_admit_workspace_t;
 
 typedef struct pr_admit_key_t {
--- a/include/pistachiorack/balance.h
+++ b/include/pistachiorack/balance.h
@@ -51,6 +51,10 @@
 	pr_usec_t eject_max;
 	/** A default share grows only after the view was stable this long. */
 	pr_usec_t settle;
+	/** A cold upstream takes the default share while it has no grant. False
+	 * where a grant is asked for as soon as there is demand: then default
+	 * shares cannot add to what is granted. */
+	bool default_share;
 	/** A load report older than this is ignored. */
 	pr_usec_t report_max_age;
 	/** Part of the first-token time that a full prefix hit saves. */
@@ -72,7 +76,7 @@
 		.ramp_time = 15 * PR_USEC_PER_SEC, .eject_errors = 5,          \
 		.eject_first = 5 * PR_USEC_PER_SEC,                            \
 		.eject_max = 300 * PR_USEC_PER_SEC,                            \
-		.settle = 3 * PR_USEC_PER_SEC,                                 \
+		.settle = 3 * PR_USEC_PER_SEC, .default_share = true,          \
 		.report_max_age = 5 * PR_USEC_PER_SEC, .prefix_saving = 0.8,   \
 		.zone_rtt = 3 * PR_USEC_PER_MSEC,                              \
 		.region_rtt = 60 * PR_USEC_PER_MSEC,                           \
@@ -241,8 +245,14 @@
 	bool connected;
 	bool usable;
 	bool cold;
+	/** Start of the ramp, when cold. */
+	pr_usec_t ramp_start;
+	/** Requests in flight that it bears now, from the whole fleet. */
+	uint32_t level;
 	/** Most requests of this host in flight; UINT32_MAX when warm. */
 	uint32_t ceiling;
+	/** Choices that passed it over because of its ceiling. */
+	uint64_t passed_over;
 	uint32_t in_flight;
 	pr_usec_t ejected_until;
 	/** Learned first-token time without queueing. */
--- a/include/pistachiorack/grant.h
+++ b/include/pistachiorack/grant.h
@@ -147,6 +147,8 @@
  */
 uint32_t pr_grant_amount(const pr_grants_t *grants, const pr_grant_t *grant,
 			 pr_usec_t now);
+/** @return end of the lease, in the past when there is none */
+pr_usec_t pr_grant_until(const pr_grant_t *grant);
 /** @return true when the amount is the local floor, not a lease */
 bool pr_grant_on_floor(const pr_grants_t *grants, const pr_grant_t *grant,
 		       pr_usec_t now);
--- a/src/balance/choose.c
+++ b/src/balance/choose.c
@@ -142,6 +142,7 @@
 			    pr_balance_ceiling(balance, upstream, now) ||
 		    is_cold_full(balance, upstream, now)) {
 			found->full = true;
+			upstream->passed_over++;
 			continue;
 		}
 		found->usable[found->count++] = upstream;
--- a/src/balance/cold.c
+++ b/src/balance/cold.c
@@ -151,6 +151,8 @@
 	}
 	if (now < upstream->granted_until)
 		return upstream->granted;
+	if (!balance->options.default_share)
+		return 0;
 	return default_share(balance, upstream,
 			     pr_balance_level(balance, upstream, now), now);
 }
--- a/src/balance/internal.h
+++ b/src/balance/internal.h
@@ -69,6 +69,7 @@
 	/* Ramp; ramp_start is meaningful while cold. */
 	bool cold;
 	pr_usec_t ramp_start;
+	uint64_t passed_over;
 	uint32_t granted;
 	pr_usec_t granted_until;
 	pr_rank_t ranks[PR_VIEWS_MAX];
--- a/src/balance/state.c
+++ b/src/balance/state.c
@@ -363,5 +363,8 @@
 	/* May find that the ramp is over. */
 	status->ceiling = pr_balance_ceiling(balance, upstream, now);
 	status->cold = upstream->cold;
+	status->ramp_start = upstream->ramp_start;
+	status->level = pr_balance_level(balance, upstream, now);
+	status->passed_over = upstream->passed_over;
 	status->usable = pr_balance_usable(balance, upstream, now);
 }
--- a/src/grant/grant.c
+++ b/src/grant/grant.c
@@ -176,6 +176,11 @@
 	return grant;
 }
 
+pr_usec_t pr_grant_until(const pr_grant_t *grant)
+{
+	return grant->until;
+}
+
 bool pr_grant_on_floor(const pr_grants_t *grants, const pr_grant_t *grant,
 		       pr_usec_t now)
 {
--- a/src/router/balance_task.c
+++ b/src/router/balance_task.c
@@ -28,6 +28,7 @@
 
 	options.host = router->settings->host;
 	options.zone = router->settings->zone;
+	options.default_share = false;
 	rc = pr_balance_init(&router->balance, &options);
 	if (!rc)
 		view_changed(router);
--- /dev/null
+++ b/src/router/cold_task.c
@@ -0,0 +1,261 @@
+/*
+ * Notices of cold upstreams. A host that finds an upstream cold tells the owner
+ * of resource cold/<upstream>, which tells all other hosts; otherwise hosts
+ * that have not noticed would send as much as to a warm one. A notice costs
+ * about 60 bytes a host, and starts are rare, so it is sent once and again
+ * only when the view of hosts changes during the ramp.
+ */
+#include <msgpack.h>
+#include <stdlib.h>
+
+#include "pistachiorack/error.h"
+#include "router/router.h"
+
+#define TICK_EVERY (100 * PR_USEC_PER_MSEC)
+/* Hosts told at each tick: 390 hosts are told within 2.5 s. */
+#define TOLD_PER_TICK 16
+/* Ramp starts of one cold start, as different hosts see it, differ by less. */
+#define SAME_START (2 * PR_USEC_PER_SEC)
+/* A notice of an older start is ignored; it was held up on its way. */
+#define NOTICE_MAX_AGE (60 * PR_USEC_PER_SEC)
+#define NAME_BYTES     65
+#define MESSAGE        "cold"
+
+/** What was said about one upstream. */
+typedef struct notice_t {
+	UT_hash_handle hh;
+	char name[NAME_BYTES];
+	/** Ramp start that was told or heard. */
+	pr_usec_t start;
+	/** Next host of the list to tell; at the end of it when done. */
+	unsigned int next_host;
+	bool owner_told;
+} notice_t;
+
+typedef struct pr_cold_t {
+	notice_t *notices;
+	pr_timer_t tick;
+	uint64_t sent, received;
+} pr_cold_t;
+
+static notice_t *find_notice(pr_cold_t *cold, const char *name)
+{
+	notice_t *notice;
+
+	HASH_FIND_STR(cold->notices, name, notice);
+	if (notice)
+		return notice;
+	notice = calloc(1, sizeof(*notice));
+	if (!notice)
+		return NULL;
+	snprintf(notice->name, sizeof(notice->name), "%s", name);
+	/* No start was told yet. */
+	notice->start = -PR_USEC_PER_SEC * 3600;
+	HASH_ADD_STR(cold->notices, name, notice);
+	return notice;
+}
+
+static void send_notice(pr_router_t *router, const char *host,
+			const notice_t *notice)
+{
+	pr_usec_t age = pr_router_now(router) - notice->start;
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, 2);
+	msgpack_pack_str_with_body(&packer, notice->name, strlen(notice->name));
+	msgpack_pack_int64(&packer, age);
+	router->cold->sent += buffer.size;
+	pr_peers_send(router->peers, host, MESSAGE,
+		      pr_slice(buffer.data, buffer.size));
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+static bool owns(const pr_router_t *router, const notice_t *notice,
+		 const char **owner)
+{
+	char resource[NAME_BYTES + 8];
+
+	snprintf(resource, sizeof(resource), "cold/%s", notice->name);
+	*owner = pr_hosts_owner(router, pr_slice_of(resource));
+	return !strcmp(*owner, router->settings->host);
+}
+
+static void spread(pr_router_t *router, notice_t *notice)
+{
+	const pr_host_list_t *hosts = &router->hosts;
+	const char *owner;
+
+	if (!owns(router, notice, &owner)) {
+		if (!notice->owner_told)
+			send_notice(router, owner, notice);
+		notice->owner_told = true;
+		notice->next_host = hosts->count;
+		return;
+	}
+	for (unsigned int i = 0;
+	     i < TOLD_PER_TICK && notice->next_host < hosts->count; i++) {
+		const pr_host_t *host = &hosts->items[notice->next_host++];
+
+		if (host->live && !host->self)
+			send_notice(router, host->name, notice);
+	}
+}
+
+static void check(pr_router_t *router, pr_balance_upstream_t *upstream,
+		  pr_usec_t now)
+{
+	pr_balance_status_t status;
+	notice_t *notice;
+
+	pr_balance_status(&router->balance, &status, upstream, now);
+	/* The ramp of an ejected upstream begins when it returns; until then
+	 * only this host takes it for failed. */
+	if (!status.cold || status.ramp_start > now)
+		return;
+	notice = find_notice(router->cold, status.name);
+	if (!notice)
+		return;
+	if (status.ramp_start > notice->start + SAME_START) {
+		notice->start = status.ramp_start;
+		notice->next_host = 0;
+		notice->owner_told = false;
+	}
+	spread(router, notice);
+}
+
+static void on_tick(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_router_t *router = timer->data;
+
+	for (unsigned int i = 0; i < router->balance.upstreams_count; i++)
+		check(router, router->balance.upstreams[i], now);
+}
+
+static int decode(notice_t *notice, pr_slice_t bytes, pr_usec_t now)
+{
+	msgpack_unpacked unpacked;
+	const msgpack_object *items;
+	int rc = PR_EPARSE;
+
+	memset(notice, 0, sizeof(*notice));
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, bytes.ptr, bytes.len, NULL) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    unpacked.data.type != MSGPACK_OBJECT_ARRAY ||
+	    unpacked.data.via.array.size != 2)
+		goto cleanup;
+	items = unpacked.data.via.array.ptr;
+	if (items[0].type != MSGPACK_OBJECT_STR ||
+	    items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    items[1].via.u64 > (uint64_t)NOTICE_MAX_AGE ||
+	    pr_slice_copy(
+		    notice->name, sizeof(notice->name),
+		    pr_slice(items[0].via.str.ptr, items[0].via.str.size)))
+		goto cleanup;
+	notice->start = now - (pr_usec_t)items[1].via.u64;
+	rc = 0;
+
+cleanup:
+	msgpack_unpacked_destroy(&unpacked);
+	return rc;
+}
+
+static void receive(pr_router_t *router, const notice_t *heard, pr_usec_t now)
+{
+	pr_balance_upstream_t *upstream =
+		pr_balance_find(&router->balance, heard->name);
+	pr_balance_status_t status;
+	notice_t *notice;
+	const char *owner;
+
+	if (!upstream)
+		return;
+	notice = find_notice(router->cold, heard->name);
+	if (!notice || heard->start <= notice->start + SAME_START)
+		return;
+	notice->start = heard->start;
+	notice->owner_told = true;
+	notice->next_host =
+		owns(router, notice, &owner) ? 0 : router->hosts.count;
+	pr_balance_status(&router->balance, &status, upstream, now);
+	/* An ejection, or a ramp that began later, is stricter. */
+	if (status.ejected_until > now ||
+	    (status.cold && status.ramp_start >= heard->start - SAME_START))
+		return;
+	pr_balance_cold(&router->balance, heard->name, heard->start);
+}
+
+static bool on_message(pr_router_t *router, pr_slice_t from, pr_slice_t type,
+		       pr_slice_t payload)
+{
+	pr_usec_t now = pr_router_now(router);
+	notice_t heard;
+
+	if (!pr_slice_equal(type, PR_SLICE(MESSAGE)))
+		return false;
+	router->cold->received++;
+	if (!decode(&heard, payload, now))
+		receive(router, &heard, now);
+	return true;
+}
+
+/* A new host knows nothing yet, and neither does a new owner. */
+static void view_changed(pr_router_t *router)
+{
+	notice_t *notice, *next;
+
+	if (!router->cold)
+		return;
+	HASH_ITER(hh, router->cold->notices, notice, next)
+	{
+		notice->next_host = 0;
+		notice->owner_told = false;
+	}
+}
+
+static int init(pr_router_t *router)
+{
+	router->cold = calloc(1, sizeof(*router->cold));
+	if (!router->cold)
+		return pr_error_set(PR_ENOMEM, "no memory for notices");
+	router->cold->tick.data = router;
+	pr_timers_subscribe(&router->timers, &router->cold->tick, TICK_EVERY,
+			    TICK_EVERY, on_tick);
+	return 0;
+}
+
+static void print_metrics(const pr_router_t *router, pr_str_t *out)
+{
+	pr_str_appendf(out,
+		       "pr_cold_notice_bytes_total %llu\n"
+		       "pr_cold_notices_received_total %llu\n",
+		       (unsigned long long)router->cold->sent,
+		       (unsigned long long)router->cold->received);
+}
+
+static void finish(pr_router_t *router)
+{
+	notice_t *notice, *next;
+
+	if (!router->cold)
+		return;
+	HASH_ITER(hh, router->cold->notices, notice, next)
+	{
+		HASH_DEL(router->cold->notices, notice);
+		free(notice);
+	}
+	free(router->cold);
+	router->cold = NULL;
+}
+
+const pr_task_ops_t pr_cold_task = {
+	.name = "cold",
+	.init = init,
+	.view_changed = view_changed,
+	.message = on_message,
+	.metrics = print_metrics,
+	.finish = finish,
+};
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -16,6 +16,9 @@
  *   versions_task.c plan, sessions, roll-outs, ratings
  *   once_task.c   claims of requests that may not be repeated
  *   billing.c     bills
+ *   grant_task.c  leases of fleet-wide limits
+ *   grant_demand.c  what this host needs of each limit
+ *   cold_task.c   notices of cold upstreams between hosts
  *   hosts.c       known hosts, owners of keys
  *   member_task.c probes, the platform's host list
  *   task.h, tasks.c  duties with their own state, and the events between them
@@ -102,6 +105,8 @@
 	pr_usec_t list_due;
 	bool list_reading;
 	pr_once_t *once;
+	struct pr_leases_t *leases;
+	struct pr_cold_t *cold;
 	pr_bill_book_t *bills;
 	/** Exchanges that wait for their bill, or for their claim. */
 	struct pr_exchange_t *billing, *claiming;
--- a/src/router/task.h
+++ b/src/router/task.h
@@ -45,6 +45,8 @@
 extern const pr_task_ops_t pr_upstreams_task;
 extern const pr_task_ops_t pr_admission_task;
 extern const pr_task_ops_t pr_balance_task;
+extern const pr_task_ops_t pr_cold_task;
+extern const pr_task_ops_t pr_grant_task;
 extern const pr_task_ops_t pr_versions_task;
 extern const pr_task_ops_t pr_config_task;
 
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -13,6 +13,8 @@
 	&pr_versions_task,
 	&pr_billing_task,
 	&pr_once_task,
+	&pr_cold_task,
+	&pr_grant_task,
 	&pr_config_task,
 	&pr_member_task,
 };
--- a/tests/test_balance_cold.c
+++ b/tests/test_balance_cold.c
@@ -247,6 +247,41 @@
 	fixture_free(fleet);
 }
 
+/* Guards against default shares that add to what the owner of the limit has
+ * granted to other hosts. */
+static void no_share_without_grant(void **state)
+{
+	pr_balance_options_t options = defaults;
+	pr_fleet_t *fleet = fixture_fleet(1, 1, 1, 0);
+	const char *hosts[] = { "h0" };
+	pr_balance_query_t query = QUERY0;
+	pr_balance_choice_t choice;
+	pr_balance_status_t status;
+	pr_balance_t balance;
+	pr_rand_t rand;
+
+	options.default_share = false;
+	pr_rand_init(&rand, 1);
+	open_balance(&balance, fleet, &options, "h0", "z0");
+	pr_balance_set_hosts(&balance, hosts, 1, 0);
+	pr_balance_cold(&balance, "u0", 4 * SEC);
+	assert_int_equal(
+		pr_balance_choose(&balance, &choice, &query, &rand, 5 * SEC),
+		PR_EFULL);
+	pr_balance_status(&balance, &status, balance.upstreams[0], 5 * SEC);
+	assert_int_equal(status.ceiling, 0);
+	assert_int_equal(status.passed_over, 1);
+	assert_int_equal(status.ramp_start, 4 * SEC);
+	pr_balance_set_grant(&balance, "u0", 1, 6 * SEC);
+	pr_balance_status(&balance, &status, balance.upstreams[0], 5 * SEC);
+	assert_int_equal(status.ceiling, 1);
+	pr_balance_status(&balance, &status, balance.upstreams[0], 6 * SEC);
+	assert_int_equal(status.ceiling, 0);
+	pr_rand_finish(&rand);
+	pr_balance_finish(&balance);
+	fixture_free(fleet);
+}
+
 /* @return most requests in flight in the zone within 2 s of its return */
 static uint32_t return_of_zone(bool ramp, bool *warm_later)
 {
@@ -355,6 +390,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(cold_shares_stay_within_limit),
 		cmocka_unit_test(grant_replaces_share),
+		cmocka_unit_test(no_share_without_grant),
 		cmocka_unit_test(returning_zone_is_ramped),
 		cmocka_unit_test(cold_start_is_detected),
 	};
