--- a/src/config/apply.c
+++ b/src/config/apply.c
@@ -9,7 +9,7 @@
 		  pr_slice_t change_id, pr_slice_t text,
 		  uint64_t expected_version, pr_usec_t deadline)
 {
-	pr_findings_t findings = {0};
+	pr_findings_t findings = { 0 };
 	int rc;
 
 	memset(apply, 0, sizeof(*apply));
@@ -75,7 +75,7 @@
 
 static void conflict(pr_apply_t *apply, const pr_config_row_t *row)
 {
-	pr_changes_t mine = {0}, theirs = {0};
+	pr_changes_t mine = { 0 }, theirs = { 0 };
 	pr_fleet_t *other = NULL;
 
 	apply->other_version = row->version;
@@ -211,6 +211,7 @@
 		.change_id = pr_slice_of(apply->change_id),
 		.previous = pr_str_slice(&apply->previous),
 		.text = pr_str_slice(&apply->text),
+		.reason = apply->reason,
 	};
 
 	apply->commit_sent = true;
@@ -241,8 +242,10 @@
 
 	if (apply->state == PR_APPLY_DONE)
 		return;
+	/* Without a host that is expected to confirm, nobody has confirmed. */
 	if (apply->state == PR_APPLY_CONFIRM && !missing(apply)) {
-		finish(apply, PR_APPLY_CONFIRMED);
+		finish(apply, apply->hosts_count ? PR_APPLY_CONFIRMED
+						 : PR_APPLY_NOT_CONFIRMED);
 		return;
 	}
 	if (now >= apply->deadline) {
--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -12,12 +12,11 @@
 
 /* Half of alpha goes to all workspaces together, half is divided among single
  * workspaces; ratings get half of each, the other signals a sixth. */
-#define POOLED_PART      0.5
-#define RATING_PART      0.5
-#define OTHER_PART       (0.5 / (PR_SIGNALS - 1))
-#define REFERENCE_Z      1.0
-#define PROVEN_TOLERANCE 0.005
-#define STRENGTH_NARROW  40.0
+#define POOLED_PART     0.5
+#define RATING_PART     0.5
+#define OTHER_PART      (0.5 / (PR_SIGNALS - 1))
+#define REFERENCE_Z     1.0
+#define STRENGTH_NARROW 40.0
 
 static double log_or_none(double p)
 {
@@ -87,8 +86,8 @@
 	double n = (double)counts->trials[signal];
 	double p = ((double)counts->bad[signal] + 0.5) / (n + 1);
 
-	return (pr_rate_t){p, sqrt(p * (1 - p) / (n + 1)),
-			   counts->trials[signal]};
+	return (pr_rate_t){ p, sqrt(p * (1 - p) / (n + 1)),
+			    counts->trials[signal] };
 }
 
 /* Rate of the replaced version; without one the quality target counts. */
@@ -100,8 +99,8 @@
 	if (reference)
 		return rate_of(reference, signal);
 	if (signal == PR_SIGNAL_RATING && target > 0)
-		return (pr_rate_t){1 - target, 0, UINT64_MAX};
-	return (pr_rate_t){0.05, 0, UINT64_MAX};
+		return (pr_rate_t){ 1 - target, 0, UINT64_MAX };
+	return (pr_rate_t){ 0.05, 0, UINT64_MAX };
 }
 
 static bool test_counts(const pr_rollout_t *rollout, const pr_counts_t *counts,
@@ -210,8 +209,8 @@
 static void set_target(pr_rollout_change_t *change, pr_conclusion_t conclusion,
 		       pr_version_state_t state, uint32_t share)
 {
-	static const char *const states[] = {"proven", "rolling", "halted",
-					     "withdrawn"};
+	static const char *const states[] = { "proven", "rolling", "halted",
+					      "withdrawn" };
 
 	change->conclusion = conclusion;
 	change->to_state = state;
@@ -225,7 +224,8 @@
 static bool conclude_rolling(const pr_rollout_t *rollout,
 			     const pr_fleet_t *fleet, const pr_model_t *model,
 			     const pr_version_t *version,
-			     const pr_track_t *track, pr_rollout_change_t *change)
+			     const pr_track_t *track,
+			     pr_rollout_change_t *change)
 {
 	const pr_track_t *reference = NULL;
 	unsigned int step = step_of(rollout, version->share);
@@ -279,48 +279,22 @@
 	return others;
 }
 
-/* The test against the replaced version goes on after the last step: a
- * version that is worse by a few points may pass all steps, and shows only
- * with the ratings of full traffic. The classes of work may differ then, for
- * which the larger tolerance allows. */
-static bool is_worse_than_replaced(const pr_rollout_t *rollout,
-				   const pr_fleet_t *fleet,
-				   const pr_model_t *model,
-				   const pr_version_t *version,
-				   const pr_track_t *track, pr_rollout_change_t *change)
-{
-	pr_rollout_t wider = *rollout;
-	const pr_track_t *reference;
-
-	if (!version->replaces)
-		return false;
-	reference = pr_rollout_track(rollout, pr_slice_of(model->name),
-				     pr_slice_of(version->replaces));
-	wider.options.tolerance += PROVEN_TOLERANCE;
-	return reference && is_bad(&wider, track, reference, fleet, change);
-}
-
 static bool conclude_proven(const pr_rollout_t *rollout,
-			    const pr_fleet_t *fleet, const pr_model_t *model,
+			    const pr_model_t *model,
 			    const pr_version_t *version,
-			    const pr_track_t *track, pr_rollout_change_t *change)
+			    const pr_track_t *track,
+			    pr_rollout_change_t *change)
 {
 	unsigned int others = other_proven(model, version, rollout);
 
-	if (!rollout->options.test)
+	if (!track->alarm || !rollout->options.test)
 		return false;
-	if (track->alarm) {
-		change->signal = PR_SIGNAL_RATING;
-		change->log_evidence = log(rollout->options.monitor_run_length);
-		if (track->alarm_workspace >= 0)
-			memcpy(change->workspace,
-			       track->workspaces[track->alarm_workspace]
-				       .workspace,
-			       sizeof(change->workspace));
-	} else if (!is_worse_than_replaced(rollout, fleet, model, version,
-					   track, change)) {
-		return false;
-	}
+	change->signal = PR_SIGNAL_RATING;
+	change->log_evidence = log(rollout->options.monitor_run_length);
+	if (track->alarm_workspace >= 0)
+		memcpy(change->workspace,
+		       track->workspaces[track->alarm_workspace].workspace,
+		       sizeof(change->workspace));
 	if (others)
 		set_target(change, PR_CONCLUDE_WITHDRAW, PR_VERSION_WITHDRAWN,
 			   0);
@@ -332,8 +306,8 @@
 
 static bool conclude_version(pr_rollout_t *rollout, const pr_fleet_t *fleet,
 			     const pr_model_t *model,
-			     const pr_version_t *version, pr_rollout_change_t *change,
-			     pr_usec_t now)
+			     const pr_version_t *version,
+			     pr_rollout_change_t *change, pr_usec_t now)
 {
 	pr_track_t *track = pr_rollout_track(rollout, pr_slice_of(model->name),
 					     pr_slice_of(version->name));
@@ -347,8 +321,7 @@
 	change->from_state = version->state;
 	change->from_share = version->share;
 	if (version->state == PR_VERSION_PROVEN)
-		found = conclude_proven(rollout, fleet, model, version, track,
-					change);
+		found = conclude_proven(rollout, model, version, track, change);
 	else
 		found = conclude_rolling(rollout, fleet, model, version, track,
 					 change);
@@ -382,7 +355,8 @@
 	return count;
 }
 
-int pr_rollout_change_check(const pr_rollout_change_t *change, const pr_fleet_t *fleet)
+int pr_rollout_change_check(const pr_rollout_change_t *change,
+			    const pr_fleet_t *fleet)
 {
 	const pr_model_t *model =
 		pr_fleet_model(fleet, pr_slice_of(change->model));
