Keep batch work and services in their region

Every attempt was allowed to cross the link between regions, so batch work and services went there as soon as their own upstreams were at a cold ceiling, and requests over the link were not counted.

Batch work and services now leave the region only when it has nothing for them, or nothing that is up; interactive requests also when the expected first-token time breaks the objective. pr_link_bytes_total has a direction.

Waiting for a returning upstream even when nothing is up was ruled out: it fails work that the other region can do.

--- a/include/pistachiorack/balance.h
+++ b/include/pistachiorack/balance.h
@@ -93,7 +93,9 @@
 	uint64_t choices_remote;
 	uint64_t ejections;
 	uint64_t ramps;
+	/** Payload over the region link, from and to the upstreams. */
 	uint64_t link_bytes;
+	uint64_t link_bytes_out;
 	/** Cache events for blocks that the prompts sent had foretold. */
 	uint64_t cache_matches;
 } pr_balance_counters_t;
@@ -198,9 +200,12 @@
 		       pr_attempt_stage_t stage, pr_usec_t now);
 void pr_balance_cancelled(pr_balance_t *balance, pr_balance_choice_t *choice,
 			  pr_usec_t now);
-/** Count payload of an attempt; only bytes over the region link are kept. */
+/** Count payload of an answer; only bytes over the region link are kept. */
 void pr_balance_bytes(pr_balance_t *balance, const pr_balance_choice_t *choice,
 		      uint64_t bytes);
+/** The same for the payload of a request. */
+void pr_balance_bytes_out(pr_balance_t *balance,
+			  const pr_balance_choice_t *choice, uint64_t bytes);
 
 /* Events about an upstream, by name. @return 0 or PR_ENOTFOUND */
 
@@ -265,6 +270,8 @@
 
 void pr_balance_status(pr_balance_t *balance, pr_balance_status_t *status,
 		       pr_balance_upstream_t *upstream, pr_usec_t now);
+/** @return true when an upstream of this region serves it, usable or not */
+bool pr_balance_in_region(const pr_balance_t *balance, pr_slice_t what);
 /** @return the upstream or NULL */
 pr_balance_upstream_t *pr_balance_find(const pr_balance_t *balance,
 				       const char *name);
--- a/src/balance/choose.c
+++ b/src/balance/choose.c
@@ -253,6 +253,13 @@
 	return NULL;
 }
 
+bool pr_balance_in_region(const pr_balance_t *balance, pr_slice_t what)
+{
+	const pr_balance_pool_t *pool = find_pool(balance, what);
+
+	return pool && pool->region_count > 0;
+}
+
 /* Look in the subset of this region, then beyond it, then in the other region,
  * and only then at upstreams that were tried before. */
 static void scan_widening(pr_balance_t *balance, scan_t *found,
--- a/src/balance/event.c
+++ b/src/balance/event.c
@@ -149,6 +149,13 @@
 		balance->counters.link_bytes += bytes;
 }
 
+void pr_balance_bytes_out(pr_balance_t *balance,
+			  const pr_balance_choice_t *choice, uint64_t bytes)
+{
+	if (choice->remote)
+		balance->counters.link_bytes_out += bytes;
+}
+
 /* @return false when half of a subset is ejected already */
 static bool may_eject(const pr_balance_t *balance,
 		      const pr_balance_upstream_t *upstream, pr_usec_t now)
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -11,6 +11,23 @@
 			exchange->call.choice.upstream;
 }
 
+static int choose_upstream(pr_exchange_t *exchange, bool cross_region)
+{
+	pr_router_t *router = exchange->router;
+
+	exchange->query.cross_region = cross_region;
+	return pr_balance_choose(&router->balance, &exchange->call.choice,
+				 &exchange->query, &router->rand,
+				 pr_router_now(router));
+}
+
+/*
+ * Work stays in the region. Interactive model requests may leave it when their
+ * expected first-token time breaks the objective, which the choice itself
+ * compares. Batch work and services have no such objective: they leave only
+ * when this region has nothing for them, or nothing that is up; where all that
+ * is up is at its cold ceiling, they wait for it.
+ */
 static int choose(pr_exchange_t *exchange)
 {
 	pr_router_t *router = exchange->router;
@@ -20,10 +37,14 @@
 	exchange->query.priority = exchange->priority == PR_ADMIT_BATCH
 					   ? PR_BALANCE_BATCH
 					   : PR_BALANCE_INTERACTIVE;
-	exchange->query.cross_region = true;
-	rc = pr_balance_choose(&router->balance, &exchange->call.choice,
-			       &exchange->query, &router->rand,
-			       pr_router_now(router));
+	if ((!exchange->service && exchange->priority != PR_ADMIT_BATCH) ||
+	    !pr_balance_in_region(&router->balance, exchange->query.what)) {
+		rc = choose_upstream(exchange, true);
+	} else {
+		rc = choose_upstream(exchange, false);
+		if (rc == PR_EUNAVAILABLE)
+			rc = choose_upstream(exchange, true);
+	}
 	if (!rc)
 		note_tried(exchange);
 	return rc;
--- a/src/router/balance_task.c
+++ b/src/router/balance_task.c
@@ -50,13 +50,15 @@
 	pr_str_appendf(out,
 		       "pr_choices_total %llu\npr_choices_remote_total %llu\n"
 		       "pr_ejections_total %llu\npr_ramps_total %llu\n"
-		       "pr_link_bytes_total %llu\n"
+		       "pr_link_bytes_total{direction=\"in\"} %llu\n"
+		       "pr_link_bytes_total{direction=\"out\"} %llu\n"
 		       "pr_cache_matches_total %llu\n",
 		       (unsigned long long)counters->choices,
 		       (unsigned long long)counters->choices_remote,
 		       (unsigned long long)counters->ejections,
 		       (unsigned long long)counters->ramps,
 		       (unsigned long long)counters->link_bytes,
+		       (unsigned long long)counters->link_bytes_out,
 		       (unsigned long long)counters->cache_matches);
 }
 
--- a/src/router/call.c
+++ b/src/router/call.c
@@ -132,6 +132,9 @@
 				"POST", pr_slice_of(exchange->upstream_path),
 				headers, count,
 				pr_str_slice(&exchange->upstream_body));
+	if (!rc)
+		pr_balance_bytes_out(&router->balance, &call->choice,
+				     exchange->upstream_body.len);
 	if (rc) {
 		call->active = false;
 		pr_balance_cancelled(&router->balance, &call->choice,
