Tell the fleet of a cold start once two hosts have seen it

A notice of one host was spread to all, so a host whose own network is at fault could slow down every upstream for everybody.

The owner of cold/<upstream> now waits for a second host.

Spreading notices of ejected upstreams was ruled out: a single host ejects for up to 300 s.

--- a/src/router/balance_task.c
+++ b/src/router/balance_task.c
@@ -4,6 +4,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/log.h"
 #include "router/router.h"
+#include "router/test_off.h"
 
 static void view_changed(pr_router_t *router)
 {
@@ -29,6 +30,7 @@
 	options.host = router->settings->host;
 	options.zone = router->settings->zone;
 	options.default_share = false;
+	options.ramp = !pr_test_off("ramp");
 	rc = pr_balance_init(&router->balance, &options);
 	if (!rc)
 		view_changed(router);
--- a/src/router/cold_task.c
+++ b/src/router/cold_task.c
@@ -1,9 +1,11 @@
 /*
  * Notices of cold upstreams. A host that finds an upstream cold tells the owner
- * of resource cold/<upstream>, which tells all other hosts; otherwise hosts
- * that have not noticed would send as much as to a warm one. A notice costs
- * about 60 bytes a host, and starts are rare, so it is sent once and again
- * only when the view of hosts changes during the ramp.
+ * of resource cold/<upstream>; when two hosts have found it cold, the owner
+ * tells all others, which otherwise would send as much as to a warm one. One
+ * host is not enough: its own network may be at fault, and it would slow down
+ * every upstream for the whole fleet. A notice costs about 60 bytes a host, and
+ * starts are rare, so it is sent once and again only when the view of hosts
+ * changes during the ramp.
  */
 #include <msgpack.h>
 #include <stdlib.h>
@@ -35,6 +37,9 @@
 	/** Next host of the list to tell; at the end of it when done. */
 	unsigned int next_host;
 	bool owner_told;
+	/** Host that found it first, and whether a second one has. */
+	char witness[NAME_BYTES];
+	bool confirmed;
 } notice_t;
 
 typedef struct pr_cold_t {
@@ -118,8 +123,9 @@
 		notice->next_host = hosts->count;
 		return;
 	}
-	for (unsigned int i = 0;
-	     i < TOLD_PER_TICK && notice->next_host < hosts->count; i++) {
+	for (unsigned int i = 0; notice->confirmed && i < TOLD_PER_TICK &&
+				 notice->next_host < hosts->count;
+	     i++) {
 		const pr_host_t *host = &hosts->items[notice->next_host++];
 
 		if (host->live && !host->self)
@@ -127,6 +133,21 @@
 	}
 }
 
+/* Notes that a host found an upstream cold since a time. */
+static void testify(notice_t *notice, const char *host, pr_usec_t start)
+{
+	if (start > notice->start + SAME_START) {
+		notice->start = start;
+		notice->owner_told = false;
+		notice->confirmed = false;
+		notice->next_host = 0;
+		snprintf(notice->witness, sizeof(notice->witness), "%s", host);
+	} else if (start > notice->start - SAME_START &&
+		   strcmp(notice->witness, host) != 0) {
+		notice->confirmed = true;
+	}
+}
+
 static void check(pr_router_t *router, pr_balance_upstream_t *upstream,
 		  pr_usec_t now)
 {
@@ -141,11 +162,7 @@
 	notice = find_notice(router->cold, status.name);
 	if (!notice)
 		return;
-	if (status.ramp_start > notice->start + SAME_START) {
-		notice->start = status.ramp_start;
-		notice->next_host = 0;
-		notice->owner_told = false;
-	}
+	testify(notice, router->settings->host, status.ramp_start);
 	spread(router, notice);
 }
 
@@ -186,23 +203,27 @@
 	return rc;
 }
 
-static void receive(pr_router_t *router, const notice_t *heard, pr_usec_t now)
+static void receive(pr_router_t *router, const char *from,
+		    const notice_t *heard, pr_usec_t now)
 {
 	pr_balance_upstream_t *upstream =
 		pr_balance_find(&router->balance, heard->name);
+	notice_t *notice =
+		upstream ? find_notice(router->cold, heard->name) : NULL;
 	pr_balance_status_t status;
-	notice_t *notice;
 	const char *owner;
 
-	if (!upstream)
-		return;
-	notice = find_notice(router->cold, heard->name);
-	if (!notice || heard->start <= notice->start + SAME_START)
+	if (!notice)
 		return;
-	notice->start = heard->start;
-	notice->owner_told = true;
-	notice->next_host =
-		owns(router, notice, &owner) ? 0 : router->hosts.count;
+	testify(notice, from, heard->start);
+	if (owns(router, notice, &owner)) {
+		if (!notice->confirmed)
+			return;
+	} else {
+		/* Only a confirmed start is told to hosts that own nothing. */
+		notice->confirmed = true;
+		notice->owner_told = true;
+	}
 	pr_balance_status(&router->balance, &status, upstream, now);
 	/* An ejection, or a ramp that began later, is stricter. */
 	if (status.ejected_until > now ||
@@ -215,13 +236,15 @@
 		       pr_slice_t payload)
 {
 	pr_usec_t now = pr_router_now(router);
+	char name[NAME_BYTES];
 	notice_t heard;
 
 	if (!pr_slice_equal(type, PR_SLICE(MESSAGE)))
 		return false;
 	router->cold->received++;
-	if (!decode(&heard, payload, now))
-		receive(router, &heard, now);
+	if (!pr_slice_copy(name, sizeof(name), from) &&
+	    !decode(&heard, payload, now))
+		receive(router, name, &heard, now);
 	return true;
 }
 
--- a/src/router/test_off.h
+++ b/src/router/test_off.h
@@ -14,6 +14,7 @@
  *   answer-check   an answer is not matched with its attempt
  *   retry-budget   retries are not limited
  *   cancel         work of callers that left goes on
+ *   ramp           cold upstreams get as much work as warm ones
  */
 #ifndef PR_ROUTER_TEST_OFF_H
 #define PR_ROUTER_TEST_OFF_H
--- a/standins/standin-engine.c
+++ b/standins/standin-engine.c
@@ -140,6 +140,7 @@
 	json_object_set_new(out, "running", json_integer(engine->active.count));
 	json_object_set_new(out, "queued", json_integer(engine->queued.count));
 	json_object_set_new(out, "cold", json_boolean(engine_is_cold(engine)));
+	json_object_set_new(out, "cold_most", json_integer(engine->cold_most));
 	json_object_set_new(out, "role", json_string(engine->role));
 	json_object_set_new(out, "fence", json_integer(engine->fence));
 }
--- a/standins/standin-engine/engine.h
+++ b/standins/standin-engine/engine.h
@@ -91,6 +91,8 @@
 	uint32_t cold_slots;
 	uint32_t cold_ms;
 	uint32_t cold_factor;
+	/** Most runs and queued requests at once while cold. */
+	uint32_t cold_most;
 	uint32_t fall_ms;
 	bool fall_breaks;
 	/** Set while all runs are broken; no queued run may start then. */
--- a/standins/standin-engine/run.c
+++ b/standins/standin-engine/run.c
@@ -417,8 +417,11 @@
 				pr_str_slice(&run->prompt), run->count);
 	standin_record_count(&engine->standin.record, "accepted");
 	enqueue(run);
-	if (engine_is_cold(engine) &&
-	    engine->active.count + engine->queued.count > engine->cold_slots)
+	if (!engine_is_cold(engine))
+		return;
+	if (engine->active.count + engine->queued.count > engine->cold_most)
+		engine->cold_most = engine->active.count + engine->queued.count;
+	if (engine->active.count + engine->queued.count > engine->cold_slots)
 		engine_fall(engine);
 }
 
