--- a/include/pistachiorack/balance.h
+++ b/include/pistachiorack/balance.h
@@ -51,6 +51,10 @@
 	pr_usec_t eject_max;
 	/** A default share grows only after the view was stable this long. */
 	pr_usec_t settle;
+	/** A cold upstream takes the default share while it has no grant. False
+	 * where a grant is asked for as soon as there is demand: then default
+	 * shares cannot add to what is granted. */
+	bool default_share;
 	/** A load report older than this is ignored. */
 	pr_usec_t report_max_age;
 	/** Part of the first-token time that a full prefix hit saves. */
@@ -72,7 +76,7 @@
 		.ramp_time = 15 * PR_USEC_PER_SEC, .eject_errors = 5,          \
 		.eject_first = 5 * PR_USEC_PER_SEC,                            \
 		.eject_max = 300 * PR_USEC_PER_SEC,                            \
-		.settle = 3 * PR_USEC_PER_SEC,                                 \
+		.settle = 3 * PR_USEC_PER_SEC, .default_share = true,          \
 		.report_max_age = 5 * PR_USEC_PER_SEC, .prefix_saving = 0.8,   \
 		.zone_rtt = 3 * PR_USEC_PER_MSEC,                              \
 		.region_rtt = 60 * PR_USEC_PER_MSEC,                           \
@@ -89,7 +93,11 @@
 	uint64_t choices_remote;
 	uint64_t ejections;
 	uint64_t ramps;
+	/** Payload over the region link, from and to the upstreams. */
 	uint64_t link_bytes;
+	uint64_t link_bytes_out;
+	/** Cache events for blocks that the prompts sent had foretold. */
+	uint64_t cache_matches;
 } pr_balance_counters_t;
 
 typedef struct pr_balance_t {
@@ -192,9 +200,12 @@
 		       pr_attempt_stage_t stage, pr_usec_t now);
 void pr_balance_cancelled(pr_balance_t *balance, pr_balance_choice_t *choice,
 			  pr_usec_t now);
-/** Count payload of an attempt; only bytes over the region link are kept. */
+/** Count payload of an answer; only bytes over the region link are kept. */
 void pr_balance_bytes(pr_balance_t *balance, const pr_balance_choice_t *choice,
 		      uint64_t bytes);
+/** The same for the payload of a request. */
+void pr_balance_bytes_out(pr_balance_t *balance,
+			  const pr_balance_choice_t *choice, uint64_t bytes);
 
 /* Events about an upstream, by name. @return 0 or PR_ENOTFOUND */
 
@@ -241,8 +252,16 @@
 	bool connected;
 	bool usable;
 	bool cold;
+	/** Start of the ramp, when cold. */
+	pr_usec_t ramp_start;
+	/** Requests in flight that it bears now, from the whole fleet. */
+	uint32_t level;
 	/** Most requests of this host in flight; UINT32_MAX when warm. */
 	uint32_t ceiling;
+	/** Choices that passed it over because of its ceiling. */
+	uint64_t passed_over;
+	/** Attempts sent to it. */
+	uint64_t sent;
 	uint32_t in_flight;
 	pr_usec_t ejected_until;
 	/** Learned first-token time without queueing. */
@@ -251,6 +270,8 @@
 
 void pr_balance_status(pr_balance_t *balance, pr_balance_status_t *status,
 		       pr_balance_upstream_t *upstream, pr_usec_t now);
+/** @return true when an upstream of this region serves it, usable or not */
+bool pr_balance_in_region(const pr_balance_t *balance, pr_slice_t what);
 /** @return the upstream or NULL */
 pr_balance_upstream_t *pr_balance_find(const pr_balance_t *balance,
 				       const char *name);
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -14,6 +14,9 @@
 	&pr_ratings_task,
 	&pr_billing_task,
 	&pr_once_task,
+	&pr_cold_task,
+	&pr_grant_task,
+	&pr_poll_task,
 	&pr_config_task,
 	&pr_member_task,
 };
