Roll versions out by evidence from all hosts

Evidence stayed on the host that saw it and no step was ever applied. Now errors, slow first tokens and refusals go to the owner of the model's roll-outs in acknowledged messages; the owner concludes each second and applies the step by compare-and-set on config/current. Requests of running sessions on unproven versions are charged to the exposure budget.

The owner is chosen by model, not by model@version, since the test needs the counts of the replaced version too. The change id has the version of the configuration in it: the step's name alone repeats in a second roll-out of the same version.

Inter-token times are not evidence.

--- a/src/router/call.c
+++ b/src/router/call.c
@@ -127,6 +127,8 @@
 	call->http.data = exchange;
 	call->active = true;
 	pr_metric_add(router->counters.attempts, 1);
+	call->sent_at = pr_router_now(router);
+	call->had_token = false;
 	pr_balance_sent(&router->balance, &call->choice, pr_router_now(router));
 	rc = pr_http_call_start(&call->http, router->client, call->link->target,
 				"POST", pr_slice_of(exchange->upstream_path),
--- a/src/router/chat_answer.c
+++ b/src/router/chat_answer.c
@@ -51,11 +51,26 @@
 	pr_stream_head(&chat->events, pr_slice_of(exchange->call.echoed));
 }
 
+static void note_first_token(pr_exchange_t *exchange)
+{
+	pr_upstream_call_t *call = &exchange->call;
+
+	if (call->had_token || call->status != 200)
+		return;
+	call->had_token = true;
+	pr_versions_first_token(exchange, pr_router_now(exchange->router) -
+						  call->sent_at);
+}
+
 static void on_body(pr_exchange_t *exchange, pr_slice_t bytes)
 {
 	const pr_limit_settings_t *limits = &exchange->router->settings->limits;
 	pr_chat_t *chat = &exchange->chat;
 
+	/* A whole answer comes after all its tokens: its time depends on its
+	 * length and is no measure of the first token. */
+	if (chat->stream)
+		note_first_token(exchange);
 	if (exchange->call.status == 200 && chat->stream) {
 		/* A fault of the stream is found again when the call ends. */
 		if (!chat->events.invalid && !chat->events.upstream_error)
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -25,6 +25,8 @@
 	pr_upstream_link_t *link;
 	/** Number of the attempt in the dispatch state machine. */
 	int number;
+	pr_usec_t sent_at;
+	bool had_token;
 	char id[PR_ID_BYTES];
 	int status;
 	/** The upstream stated that it did not start. */
@@ -211,6 +213,8 @@
 /** The step's answer is known: feed evidence and ask for ratings. */
 void pr_versions_answered(pr_exchange_t *exchange, bool final);
 void pr_versions_failed(pr_exchange_t *exchange);
+/** @param after time from the start of the call to its first token */
+void pr_versions_first_token(pr_exchange_t *exchange, pr_usec_t after);
 
 /** Count the tokens of a step of the answer. */
 void pr_exchange_charge(pr_exchange_t *exchange, uint64_t tokens_in,
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -15,7 +15,8 @@
  *   balance_task.c  load and state of upstreams
  *   versions_task.c plan, sessions, roll-outs, ratings
  *   ratings_task.c  the rating service's feed
- *   rollout_task.c  evidence of roll-outs and their steps
+ *   rollout_task.c  evidence of roll-outs and what follows from it
+ *   stepper.c     changes of the configuration by roll-outs
  *   once_task.c   claims of requests that may not be repeated
  *   billing.c     bills
  *   hosts.c       known hosts, owners of keys
@@ -96,6 +97,8 @@
 	pr_policy_t policy;
 	pr_rollout_t rollout;
 	struct pr_ratings_t *ratings;
+	struct pr_rollouts_t *rollouts;
+	struct pr_stepper_t *stepper;
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
 	pr_host_list_t hosts;
--- a/src/router/test_off.h
+++ b/src/router/test_off.h
@@ -13,6 +13,9 @@
  *   host-list      the platform's states of upstreams are ignored
  *   answer-check   an answer is not matched with its attempt
  *   retry-budget   retries are not limited
+ *   rollout-test   versions in roll-out are not withdrawn by evidence
+ *   rollout-budget exposure to versions in roll-out is not limited
+ *   session-memory sessions without a token are not remembered
  *   cancel         work of callers that left goes on
  */
 #ifndef PR_ROUTER_TEST_OFF_H
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -6,6 +6,7 @@
 #include "pistachiorack/hash.h"
 #include "router/chat.h"
 #include "router/live.h"
+#include "router/test_off.h"
 
 #define SESSIONS_MAX   20000
 #define SESSION_TTL    (86400 * PR_USEC_PER_SEC)
@@ -107,7 +108,9 @@
 int pr_versions_plan(pr_exchange_t *exchange)
 {
 	pr_router_t *router = exchange->router;
+	const pr_step_t *step;
 	pr_query_t query;
+	int rc;
 
 	if (exchange->fleet != router->fleet) {
 		pr_config_unref(exchange->fleet);
@@ -120,8 +123,13 @@
 	}
 	find_session(exchange);
 	fill_query(&query, exchange);
-	return pr_policy_plan(&router->policy, &exchange->chat.plan, &query,
-			      &router->rand, pr_router_now(router));
+	rc = pr_policy_plan(&router->policy, &exchange->chat.plan, &query,
+			    &router->rand, pr_router_now(router));
+	step = &exchange->chat.plan.steps[0];
+	/* A draw has taken its part of the exposure budget already. */
+	if (!rc && step->basis == PR_BASIS_SESSION)
+		pr_rollout_charge(&router->rollout, step->model, step->version);
+	return rc;
 }
 
 bool pr_versions_permitted(pr_exchange_t *exchange)
@@ -175,17 +183,18 @@
 	answer_session(exchange);
 }
 
-static void count_outcome(pr_exchange_t *exchange, bool error)
+static void report(pr_exchange_t *exchange, pr_signal_t signal, bool bad)
 {
-	const pr_step_t *step = pr_chat_step(exchange);
-	pr_counts_t counts = { 0 };
-
-	counts.trials[PR_SIGNAL_ERROR] = 1;
-	counts.bad[PR_SIGNAL_ERROR] = error;
-	pr_rollout_add(&exchange->router->rollout,
-		       pr_slice_of(step->model->name),
-		       pr_slice_of(step->version->name),
-		       pr_slice_of(exchange->workspace_name), &counts);
+	pr_rollouts_report(exchange->router, pr_chat_step(exchange),
+			   exchange->workspace_name, signal, bad);
+}
+
+void pr_versions_first_token(pr_exchange_t *exchange, pr_usec_t after)
+{
+	const pr_defaults_t *defaults = &exchange->fleet->fleet->defaults;
+
+	report(exchange, PR_SIGNAL_SLOW,
+	       after > defaults->first_token_ms * PR_USEC_PER_MSEC);
 }
 
 static void on_asked(void *data, pr_platform_outcome_t outcome, int status,
@@ -247,21 +256,36 @@
 
 void pr_versions_answered(pr_exchange_t *exchange, bool final)
 {
-	count_outcome(exchange, false);
+	report(exchange, PR_SIGNAL_ERROR, false);
+	report(exchange, PR_SIGNAL_REFUSAL, false);
 	if (wants_rating(exchange))
 		ask_rating(exchange, final);
 }
 
 void pr_versions_failed(pr_exchange_t *exchange)
 {
-	count_outcome(exchange, true);
+	const pr_upstream_call_t *call = &exchange->call;
+
+	/* An upstream that cannot be reached says nothing of the version. */
+	if (!call->status)
+		return;
+	if (pr_call_states_not_run(call)) {
+		report(exchange, PR_SIGNAL_REFUSAL, true);
+		return;
+	}
+	report(exchange, PR_SIGNAL_REFUSAL, false);
+	report(exchange, PR_SIGNAL_ERROR, true);
 }
 
 static int init(pr_router_t *router)
 {
 	pr_policy_options_t policy = PR_POLICY_OPTIONS_INIT;
 	pr_rollout_options_t rollout = PR_ROLLOUT_OPTIONS_INIT;
-	int rc = pr_policy_init(&router->policy, &policy);
+	int rc;
+
+	rollout.test = !pr_test_off("rollout-test");
+	rollout.budget = !pr_test_off("rollout-budget");
+	rc = pr_policy_init(&router->policy, &policy);
 
 	if (!rc)
 		rc = pr_rollout_init(&router->rollout, &rollout);
