Record times between tokens and of whole answers for the burn report

Only the first token of streams was recorded, so an engine that stalls within a stream or answers whole requests slowly burned no budget. The mean time between a stream's tokens is recorded now, but not when a slow caller made the upstream wait. A whole answer is late when it took longer than first_token_ms plus between_tokens_ms for each further token: its plain duration would mark every long answer as late.

test_report passes; tests/faults/ratings.sh finds the new objective.

--- a/include/pistachiorack/report.h
+++ b/include/pistachiorack/report.h
@@ -101,6 +101,29 @@
 pr_alert_t pr_burn_alert(const pr_burn_series_t *series, pr_usec_t now,
 			 double allowed);
 
+/** Times of one answer, microseconds from the arrival of its request. */
+typedef struct pr_answer_times_t {
+	bool stream;
+	/** First bytes to the caller, and the last ones that held tokens. */
+	pr_usec_t first, last;
+	/** Tokens that were generated, over all steps. */
+	uint64_t tokens;
+} pr_answer_times_t;
+
+/**
+ * True when the first token was late. A whole answer shows no first token; it
+ * is late when it took longer than the first token and all further tokens may
+ * take together.
+ *
+ * @param first_ms objective for the first token
+ * @param between_ms objective between two tokens
+ */
+bool pr_answer_first_late(const pr_answer_times_t *times, uint32_t first_ms,
+			  uint32_t between_ms);
+/** True when the mean time between the tokens of a stream was too long. */
+bool pr_answer_between_late(const pr_answer_times_t *times,
+			    uint32_t between_ms);
+
 const char *pr_objective_name(pr_objective_t objective);
 /** Window length in microseconds. */
 pr_usec_t pr_burn_window_length(int window);
--- a/src/router/chat_answer.c
+++ b/src/router/chat_answer.c
@@ -31,14 +31,17 @@
 	if (!exchange->request || chat->events.done || !chat->events.out.len)
 		return;
 	start_stream(exchange);
+	chat->last_event = pr_router_now(exchange->router);
 	pr_http_stream_write(exchange->request,
 			     pr_str_slice(&chat->events.out));
 	pr_str_clear(&chat->events.out);
 	pr_dispatch_shown(&exchange->dispatch, chat->events.tokens);
 	if (exchange->request &&
 	    pr_http_stream_pending(exchange->request) >
-		    exchange->router->settings->limits.buffer_bytes)
+		    exchange->router->settings->limits.buffer_bytes) {
+		chat->caller_slow = true;
 		pr_http_call_pause(&exchange->call.http, true);
+	}
 }
 
 static void on_head(pr_exchange_t *exchange)
@@ -104,6 +107,7 @@
 	if (!exchange->request || exchange->answer_ended)
 		return;
 	pr_versions_answer_headers(exchange);
+	exchange->chat.last_event = pr_router_now(exchange->router);
 	exchange->answer_started = true;
 	exchange->answer_ended = true;
 	pr_http_answer(exchange->request, 200, "application/json",
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -47,33 +47,6 @@
 	pr_metric_add(exchange->router->counters.broken_streams, 1);
 }
 
-/* Counts the finished request for the service-level report. */
-static void record_objectives(pr_exchange_t *exchange)
-{
-	pr_router_t *router = exchange->router;
-	const pr_defaults_t *defaults = &exchange->fleet->fleet->defaults;
-	pr_upstream_link_t *link = exchange->call.link;
-	pr_usec_t now = pr_router_now(router);
-	const char *workspace = exchange->workspace_name;
-	char cause[PR_BURN_CAUSE_NAME];
-
-	if (exchange->failure[0] && !exchange->counts_against_budget)
-		return;
-	snprintf(cause, sizeof(cause), "upstream=%.32s,version=%.32s,limit=%s",
-		 link ? link->name : "-", exchange->what,
-		 exchange->failure[0] ? exchange->failure : "-");
-	pr_burn_record(&router->burn, now, workspace, PR_OBJECTIVE_AVAILABLE,
-		       exchange->failure[0] ? cause : NULL);
-	if (!exchange->chat.stream || !exchange->first_byte)
-		return;
-	pr_burn_record(&router->burn, now, workspace, PR_OBJECTIVE_FIRST_TOKEN,
-		       exchange->first_byte - exchange->arrived >
-				       defaults->first_token_ms *
-					       PR_USEC_PER_MSEC
-			       ? cause
-			       : NULL);
-}
-
 static void on_end(pr_http_request_t *request, bool complete)
 {
 	pr_exchange_t *exchange = request->user;
@@ -187,7 +160,7 @@
 	pr_timers_unsubscribe(&router->timers, &exchange->retry_timer);
 	pr_billing_abandoned(exchange);
 	pr_admission_end(exchange);
-	record_objectives(exchange);
+	pr_objectives_record(exchange);
 	pr_histogram_record(
 		router->counters.total_us,
 		(double)(pr_router_now(router) - exchange->arrived));
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -74,6 +74,10 @@
 	bool resume;
 	pr_stream_t events;
 	bool events_open;
+	/** When the last tokens, or the whole answer, were passed on. */
+	pr_usec_t last_event;
+	/** The caller read so slowly that the upstream had to wait. */
+	bool caller_slow;
 	/** Session of the caller; "" when it named none. */
 	pr_session_t session;
 	pr_session_action_t session_action;
@@ -227,6 +231,9 @@
 /** Bill the work of a caller that left before the end. */
 void pr_billing_abandoned(pr_exchange_t *exchange);
 
+/** Count the finished request for the service-level report. */
+void pr_objectives_record(pr_exchange_t *exchange);
+
 /** Note why a started answer could not be completed. */
 void pr_exchange_broken(pr_exchange_t *exchange, const char *code);
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -5,6 +5,7 @@
  *   router.c      construction, time, graceful shutdown
  *   caller.c      callers' requests: path, key, limits
  *   exchange.c    life of one request from arrival to the end of its answer
+ *   objectives.c  finished requests in the service-level report
  *   admission.c   keys, limits, retry budgets
  *   chat.c        model requests: parsing and the steps of the plan
  *   chat_answer.c streamed and whole answers of models
--- a/tests/faults/ratings.sh
+++ b/tests/faults/ratings.sh
@@ -79,6 +79,8 @@
 	"http://$(fleet_host_address host-1):8081/admin/burn" >"$FLEET_DIR/burn"
 # 3 is PR_OBJECTIVE_QUALITY.
 grep -q '"objective":3' "$FLEET_DIR/burn" || fail "no quality objective in the burn report"
+# 2 is PR_OBJECTIVE_BETWEEN_TOKENS; the load has streams.
+grep -q '"objective":2' "$FLEET_DIR/burn" || fail "no time between tokens"
 
 rate twice
 sleep 0.1
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -81,12 +81,39 @@
 	pr_burn_finish(&sum);
 }
 
+/* Guards against a long whole answer that counts as a late first token, and
+ * against a stream whose tokens come too slowly but whose first was in time. */
+static void late_answers_are_told_from_long_ones(void **state)
+{
+	pr_answer_times_t whole = { .first = 4000 * PR_USEC_PER_MSEC,
+				    .last = 4000 * PR_USEC_PER_MSEC,
+				    .tokens = 101 };
+	pr_answer_times_t stream = { .stream = true,
+				     .first = 900 * PR_USEC_PER_MSEC,
+				     .last = 4400 * PR_USEC_PER_MSEC,
+				     .tokens = 101 };
+
+	assert_false(pr_answer_first_late(&whole, 990, 35));
+	whole.tokens = 51;
+	assert_true(pr_answer_first_late(&whole, 990, 35));
+	assert_false(pr_answer_between_late(&whole, 35));
+	assert_false(pr_answer_first_late(&stream, 990, 35));
+	assert_false(pr_answer_between_late(&stream, 35));
+	stream.last += 1;
+	assert_true(pr_answer_between_late(&stream, 35));
+	stream.first = 991 * PR_USEC_PER_MSEC;
+	assert_true(pr_answer_first_late(&stream, 990, 35));
+	stream.tokens = 1;
+	assert_false(pr_answer_between_late(&stream, 35));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(alert_starts_and_ends),
 		cmocka_unit_test(idle_time_clears_slots),
 		cmocka_unit_test(merge_adds_hosts),
+		cmocka_unit_test(late_answers_are_told_from_long_ones),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
