--- a/src/router/chat_answer.c
+++ b/src/router/chat_answer.c
@@ -31,14 +31,17 @@
 	if (!exchange->request || chat->events.done || !chat->events.out.len)
 		return;
 	start_stream(exchange);
+	chat->last_event = pr_router_now(exchange->router);
 	pr_http_stream_write(exchange->request,
 			     pr_str_slice(&chat->events.out));
 	pr_str_clear(&chat->events.out);
 	pr_dispatch_shown(&exchange->dispatch, chat->events.tokens);
 	if (exchange->request &&
 	    pr_http_stream_pending(exchange->request) >
-		    exchange->router->settings->limits.buffer_bytes)
+		    exchange->router->settings->limits.buffer_bytes) {
+		chat->caller_slow = true;
 		pr_http_call_pause(&exchange->call.http, true);
+	}
 }
 
 static void on_head(pr_exchange_t *exchange)
@@ -51,11 +54,26 @@
 	pr_stream_head(&chat->events, pr_slice_of(exchange->call.echoed));
 }
 
+static void note_first_token(pr_exchange_t *exchange)
+{
+	pr_upstream_call_t *call = &exchange->call;
+
+	if (call->had_token || call->status != 200)
+		return;
+	call->had_token = true;
+	pr_versions_first_token(exchange, pr_router_now(exchange->router) -
+						  call->sent_at);
+}
+
 static void on_body(pr_exchange_t *exchange, pr_slice_t bytes)
 {
 	const pr_limit_settings_t *limits = &exchange->router->settings->limits;
 	pr_chat_t *chat = &exchange->chat;
 
+	/* A whole answer comes after all its tokens: its time depends on its
+	 * length and is no measure of the first token. */
+	if (chat->stream)
+		note_first_token(exchange);
 	if (exchange->call.status == 200 && chat->stream) {
 		/* A fault of the stream is found again when the call ends. */
 		if (!chat->events.invalid && !chat->events.upstream_error)
@@ -89,6 +107,7 @@
 	if (!exchange->request || exchange->answer_ended)
 		return;
 	pr_versions_answer_headers(exchange);
+	exchange->chat.last_event = pr_router_now(exchange->router);
 	exchange->answer_started = true;
 	exchange->answer_ended = true;
 	pr_http_answer(exchange->request, 200, "application/json",
