Give the engines of stop.sh the configured slots

The stand-ins had 16 slots and the configuration said 32. Full engines answered slowly, were taken for cold, and one of 600 requests was refused with no_capacity, which is no fault of the stop that the test looks at.

--- a/tests/faults/stop.sh
+++ b/tests/faults/stop.sh
@@ -14,7 +14,10 @@
 open_run() {
 	fleet_open "$build" 34 tan-seng-huat
 	slow_engines 40 12
-	FLEET_ENGINE_ARGS="--cold-ms 1" fleet_start_upstreams 9 >/dev/null
+	# As many slots as the configuration says; fewer would make full engines
+	# look as if they were in cold start.
+	FLEET_ENGINE_ARGS="--cold-ms 1 --slots 32" fleet_start_upstreams 9 \
+		>/dev/null
 	fleet_apply "$FLEET_DIR/fleet.yaml" >/dev/null
 	fleet_start_hosts "$1"
 	load_start load --mix route=6,summary=2,pickup=1 --rate 60 \
