--- a/src/router/billing.c
+++ b/src/router/billing.c
@@ -151,10 +151,10 @@
 	options.region = "";
 	/* The number becomes a JSON integer, which has 63 bits. */
 	options.boot = strtoull(router->boot, NULL, 16) & INT64_MAX;
-	if (pr_test_off("bill-holders"))
-		options.holders = 0;
 	if (pr_index_init(&router->billing, router->settings->limits.requests))
 		return PR_ENOMEM;
+	if (pr_test_off("bill-holders"))
+		options.holders = 0;
 	return pr_bill_open(&router->bills, &options);
 }
 
