--- a/tests/faults/retries.sh
+++ b/tests/faults/retries.sh
@@ -8,9 +8,9 @@
 . script/lib/fleet.sh
 # shellcheck source=tests/faults/lib.sh
 . tests/faults/lib.sh
-build=$1 hosts=3 workspaces=2 reserve=10
+build=$1 hosts=2 workspaces=1 reserve=10
 
-# run SECONDS ERRORS FIELDS: each engine fails this share of its requests, and
+# run RATE ERRORS FIELDS: each engine fails this share of its requests, and
 # the fields are set at half of the engines of each model.
 run() {
 	local number
@@ -25,7 +25,7 @@
 		control "engine-$number" "{$3,\"only\":\"/v1/chat\"}"
 	done
 	LOAD_WORKSPACES=$workspaces load_start load --mix route=1,tag=1 \
-		--rate 250 --seconds "$1" --seed 9 --timeout-ms 5000
+		--rate "$1" --seconds 4 --seed 9 --timeout-ms 5000
 	load_wait
 	save_records
 }
@@ -39,20 +39,20 @@
 # Ejection spares engines that always fail. Engines that fail some of their
 # requests stay, and the limit has to hold the retries.
 export PISTACHIORACK_TEST_OFF=retry-budget
-run 3 0.3 '"outage":false'
+run 120 0.3 '"outage":false'
 must_fail "without the budget the checker reports violations" judge 1
 close_fleet "without the budget"
 unset PISTACHIORACK_TEST_OFF
 
-run 3 0.3 '"outage":false'
+run 120 0.3 '"outage":false'
 must_pass "engines fail 3 of 10 requests" judge 200
 close_fleet "3 of 10 requests"
 # Failing upstreams answer fastest; without ejection they would get most work
 # and most requests would fail.
-run 3 0 '"outage":true'
+run 200 0 '"outage":true'
 must_pass "half of the engines down" judge 650
 close_fleet "engines down"
-run 3 0 '"unreachable":true'
+run 200 0 '"unreachable":true'
 must_pass "half of the engines break connections" judge 650
 close_fleet "connections broken"
 [ "$failures" -eq 0 ]
