Keep goodput at twice the capacity

At twice the capacity 8 hosts gave 39.7 and 40.2 useful answers/s instead of 91.3: engines with full queues refuse, three refusals in a row counted as errors and began a ramp, and ramps cut the capacity to the cold slots.

A refusal for lack of capacity by an upstream that gave a first token within the last second is no error; it only lengthens the expected time. Slow first tokens count as a cold start only when load reports and the other upstreams of the pool do not show general overload. Refusals for lack of capacity carry Retry-After.

--- a/include/pistachiorack/balance.h
+++ b/include/pistachiorack/balance.h
@@ -189,7 +189,7 @@
 		      pr_usec_t now);
 
 /* Events of an attempt. pr_balance_sent() must be followed by exactly one of
- * finished, failed and cancelled; further ones are ignored. */
+ * finished, failed, refused and cancelled; further ones are ignored. */
 void pr_balance_sent(pr_balance_t *balance, pr_balance_choice_t *choice,
 		     pr_usec_t now);
 void pr_balance_first_token(pr_balance_t *balance, pr_balance_choice_t *choice,
@@ -198,6 +198,10 @@
 			 pr_usec_t now);
 void pr_balance_failed(pr_balance_t *balance, pr_balance_choice_t *choice,
 		       pr_attempt_stage_t stage, pr_usec_t now);
+/** It stated that it did not start for lack of capacity. Counts as a failure
+ * unless it has answered other requests a moment ago. */
+void pr_balance_refused(pr_balance_t *balance, pr_balance_choice_t *choice,
+			pr_usec_t now);
 void pr_balance_cancelled(pr_balance_t *balance, pr_balance_choice_t *choice,
 			  pr_usec_t now);
 /** Count payload of an answer; only bytes over the region link are kept. */
--- a/src/balance/event.c
+++ b/src/balance/event.c
@@ -19,6 +19,17 @@
 #define SLOW_FACTOR 4
 #define SLOW_COUNT  3
 
+/* Part of the slots from which on a load report explains slow answers. */
+#define FULL_SLOTS 0.9
+
+/* Ratio of other upstreams' first-token times to the learned ones from which on
+ * a slow answer is taken for general overload. */
+#define RATIO_BUSY 2.0
+
+/* An upstream that gave a first token within this time and refuses work is
+ * full, not broken. */
+#define REFUSAL_TIME PR_USEC_PER_SEC
+
 /* Errors in a row after which an upstream is taken for one that restarts. */
 #define RAMP_ERRORS 3
 
@@ -98,6 +109,55 @@
 	learn(&upstream->first_token, took);
 }
 
+/* Mean ratio over the other upstreams of the pools that this one is in. */
+static double ratio_of_others(const pr_balance_t *balance,
+			      const pr_balance_upstream_t *upstream,
+			      pr_usec_t now)
+{
+	double sum = 0;
+	unsigned int count = 0;
+
+	for (unsigned int i = 0; i < balance->pools_count; i++) {
+		const pr_balance_pool_t *pool = &balance->pools[i];
+		double here = 0;
+		unsigned int others = 0;
+		bool member = false;
+
+		for (unsigned int j = 0; j < pool->subset; j++) {
+			const pr_balance_upstream_t *other = pool->members[j];
+
+			if (other == upstream) {
+				member = true;
+			} else if (other->ratio > 0 &&
+				   now - other->excess_at <
+					   balance->options.report_max_age) {
+				here += other->ratio;
+				others++;
+			}
+		}
+		sum += member ? here : 0;
+		count += member ? others : 0;
+	}
+	return count ? sum / count : 0;
+}
+
+/*
+ * Queues that this host does not see make answers slow as a cold start does,
+ * but on all upstreams. Taking that for cold starts cuts the capacity to the
+ * cold slots at the moment when it is short: at twice the capacity 8 hosts
+ * answered 40 requests/s instead of 91.
+ */
+static bool is_overloaded(const pr_balance_t *balance,
+			  const pr_balance_upstream_t *upstream, pr_usec_t now)
+{
+	if (upstream->reported_at >= 0 &&
+	    now - upstream->reported_at <= balance->options.report_max_age &&
+	    (upstream->reported >= FULL_SLOTS * upstream->slots ||
+	     upstream->mean_load >= FULL_SLOTS * upstream->slots))
+		return true;
+	return ratio_of_others(balance, upstream, now) >= RATIO_BUSY;
+}
+
 void pr_balance_first_token(pr_balance_t *balance, pr_balance_choice_t *choice,
 			    pr_usec_t now)
 {
@@ -117,9 +177,12 @@
 		learn_first_token(upstream, took);
 	learn(&upstream->excess, beyond > 0 ? beyond : 0);
 	upstream->excess_at = now;
+	if (upstream->samples >= SAMPLES_MIN)
+		learn(&upstream->ratio, took / upstream->first_token);
 	/* While queueing, slow answers are load and not a cold start. */
 	if (choice->unqueued && upstream->samples >= SAMPLES_MIN &&
-	    took > SLOW_FACTOR * upstream->first_token)
+	    took > SLOW_FACTOR * upstream->first_token &&
+	    !is_overloaded(balance, upstream, now))
 		upstream->slow++;
 	else
 		upstream->slow = 0;
@@ -217,6 +280,20 @@
 		eject(balance, upstream, now);
 }
 
+void pr_balance_refused(pr_balance_t *balance, pr_balance_choice_t *choice,
+			pr_usec_t now)
+{
+	pr_balance_upstream_t *upstream = choice->upstream;
+
+	if (now - upstream->excess_at >= REFUSAL_TIME) {
+		pr_balance_failed(balance, choice, PR_STAGE_HEAD, now);
+		return;
+	}
+	if (!close_choice(choice, now))
+		return;
+	learn(&upstream->excess, upstream->duration);
+}
+
 int pr_balance_load_report(pr_balance_t *balance, const char *name,
 			   uint32_t load, pr_usec_t measured)
 {
--- a/src/balance/internal.h
+++ b/src/balance/internal.h
@@ -65,6 +65,8 @@
 	pr_usec_t excess_at;
 	/* Ejection. */
 	unsigned int errors, ejections, slow;
+	/** Moving average of first-token time to its learned value. */
+	double ratio;
 	pr_usec_t ejected_until, failed_at;
 	/* Ramp; ramp_start is meaningful while cold. */
 	bool cold;
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -143,6 +143,10 @@
 			exchange->ops->refused(exchange, decision);
 			break;
 		}
+		/* How long a shortage lasts is not known here. */
+		if (exchange->request && decision->status == 503)
+			pr_http_answer_header(exchange->request, "retry-after",
+					      PR_SLICE("1"));
 		pr_exchange_refuse(exchange, decision->status, decision->code,
 				   exchange->verdict,
 				   "no upstream could complete the request");
@@ -162,8 +166,14 @@
 	pr_dispatch_decision_t decision;
 	int number = exchange->call.number;
 
-	pr_balance_failed(&router->balance, &exchange->call.choice,
-			  exchange->dispatch.attempts[number].stage, now);
+	if (refused &&
+	    (exchange->call.status == 503 || exchange->call.status == 429))
+		pr_balance_refused(&router->balance, &exchange->call.choice,
+				   now);
+	else
+		pr_balance_failed(&router->balance, &exchange->call.choice,
+				  exchange->dispatch.attempts[number].stage,
+				  now);
 	pr_dispatch_failed(&exchange->dispatch, &decision, number, refused,
 			   &router->rand, now);
 	pr_exchange_act(exchange, &decision);
