Order engines to load the versions they are to serve

A version that the configuration lists for an engine, but that the engine has not loaded, was never loaded; its requests were refused there.

Add the order slice and its task. Load reports show what is missing; the owner of the upstream raises row orders/<upstream> by compare-and-set, takes a token of the weight store and sends the order. The row's version is the fencing number. The only kind of order is to load, so a doubled or late one does no harm at engines that ignore the number. A lost answer of the table is read back; a lost answer of the engine is waited for like a good one.

A token per owner before the row is raised was ruled out: the loser would waste it.

--- a/src/router/poll_task.c
+++ b/src/router/poll_task.c
@@ -12,6 +12,7 @@
 
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
+#include "router/order_task.h"
 #include "router/router.h"
 
 #define TICK_EVERY   (100 * PR_USEC_PER_MSEC)
@@ -90,6 +91,8 @@
 
 	if (load < 0 || load > UINT32_MAX || age < 0)
 		return;
+	pr_order_task_seen(router, poller->upstream,
+			   json_object_get(root, "versions"));
 	pr_balance_load_report(&router->balance, poller->upstream,
 			       (uint32_t)load,
 			       pr_router_now(router) - age * PR_USEC_PER_MSEC);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -20,6 +20,7 @@
  *   billing.c     bills
  *   grant_task.c  leases of fleet-wide limits
  *   grant_demand.c  what this host needs of each limit
+ *   order_task.c  orders to engines that lack a version
  *   poll_task.c   load reports and cache events of upstreams
  *   cold_task.c   notices of cold upstreams between hosts
  *   hosts.c       known hosts, owners of keys
@@ -113,6 +114,7 @@
 	struct pr_leases_t *leases;
 	struct pr_cold_t *cold;
 	struct pr_polls_t *polls;
+	struct pr_order_state_t *orders;
 	pr_bill_book_t *bills;
 	/** Exchanges that wait for their bill, or for their claim. */
 	pr_index_t billing, claiming;
--- a/src/router/task.h
+++ b/src/router/task.h
@@ -48,6 +48,7 @@
 extern const pr_task_ops_t pr_cold_task;
 extern const pr_task_ops_t pr_grant_task;
 extern const pr_task_ops_t pr_poll_task;
+extern const pr_task_ops_t pr_order_task;
 extern const pr_task_ops_t pr_versions_task;
 extern const pr_task_ops_t pr_ratings_task;
 extern const pr_task_ops_t pr_config_task;
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -16,6 +16,7 @@
 	&pr_once_task,
 	&pr_cold_task,
 	&pr_grant_task,
+	&pr_order_task,
 	&pr_poll_task,
 	&pr_config_task,
 	&pr_member_task,
