--- a/script/lib/fleet.sh
+++ b/script/lib/fleet.sh
@@ -16,6 +16,14 @@
 
 fleet_open() {
 	FLEET_BUILD=$1 FLEET_NET=$2 FLEET_DEPLOYMENT=$3
+	# Two runs on the same addresses, from two work trees for example, would
+	# disturb each other. The processes inherit the lock, so leftovers of an
+	# earlier run keep it, too.
+	exec 9>"${TMPDIR:-/tmp}/pistachiorack-net-$FLEET_NET.lock"
+	flock -w 100 9 || {
+		echo "addresses 127.$FLEET_NET.*.* are in use" >&2
+		return 1
+	}
 	FLEET_DIR=$(mktemp -d)
 	FLEET_PLATFORM="127.$FLEET_NET.0.1"
 	script/fleet-files "$FLEET_DEPLOYMENT" "$FLEET_NET" "$FLEET_DIR"
--- a/src/router/balance_task.c
+++ b/src/router/balance_task.c
@@ -27,6 +27,7 @@
 	pr_balance_options_t options = PR_BALANCE_OPTIONS_INIT;
 	int rc;
 
+	options.ramp = !pr_test_off("ramp");
 	options.host = router->settings->host;
 	options.zone = router->settings->zone;
 	options.default_share = false;
--- a/src/router/chat_answer.c
+++ b/src/router/chat_answer.c
@@ -31,14 +31,17 @@
 	if (!exchange->request || chat->events.done || !chat->events.out.len)
 		return;
 	start_stream(exchange);
+	chat->last_event = pr_router_now(exchange->router);
 	pr_http_stream_write(exchange->request,
 			     pr_str_slice(&chat->events.out));
 	pr_str_clear(&chat->events.out);
 	pr_dispatch_shown(&exchange->dispatch, chat->events.tokens);
 	if (exchange->request &&
 	    pr_http_stream_pending(exchange->request) >
-		    exchange->router->settings->limits.buffer_bytes)
+		    exchange->router->settings->limits.buffer_bytes) {
+		chat->caller_slow = true;
 		pr_http_call_pause(&exchange->call.http, true);
+	}
 }
 
 static void on_head(pr_exchange_t *exchange)
@@ -51,11 +54,26 @@
 	pr_stream_head(&chat->events, pr_slice_of(exchange->call.echoed));
 }
 
+static void note_first_token(pr_exchange_t *exchange)
+{
+	pr_upstream_call_t *call = &exchange->call;
+
+	if (call->had_token || call->status != 200)
+		return;
+	call->had_token = true;
+	pr_versions_first_token(exchange, pr_router_now(exchange->router) -
+						  call->sent_at);
+}
+
 static void on_body(pr_exchange_t *exchange, pr_slice_t bytes)
 {
 	const pr_limit_settings_t *limits = &exchange->router->settings->limits;
 	pr_chat_t *chat = &exchange->chat;
 
+	/* A whole answer comes after all its tokens: its time depends on its
+	 * length and is no measure of the first token. */
+	if (chat->stream)
+		note_first_token(exchange);
 	if (exchange->call.status == 200 && chat->stream) {
 		/* A fault of the stream is found again when the call ends. */
 		if (!chat->events.invalid && !chat->events.upstream_error)
@@ -89,6 +107,7 @@
 	if (!exchange->request || exchange->answer_ended)
 		return;
 	pr_versions_answer_headers(exchange);
+	exchange->chat.last_event = pr_router_now(exchange->router);
 	exchange->answer_started = true;
 	exchange->answer_ended = true;
 	pr_http_answer(exchange->request, 200, "application/json",
@@ -146,6 +165,33 @@
 				  chat->stream ? end_stream : end_whole);
 }
 
+/* The upstream refuses the request itself. It is not the upstream's fault: a
+ * caller that repeats such a request must not get every upstream ejected. */
+static bool is_bad_request(const pr_exchange_t *exchange,
+			   pr_attempt_stage_t stage)
+{
+	int status = exchange->call.status;
+
+	return stage == PR_STAGE_DONE && !exchange->answer_started &&
+	       (status == 400 || status == 413 || status == 422);
+}
+
+static void refuse_bad_request(pr_exchange_t *exchange)
+{
+	pr_router_t *router = exchange->router;
+	pr_dispatch_decision_t decision;
+
+	pr_balance_cancelled(&router->balance, &exchange->call.choice,
+			     pr_router_now(router));
+	pr_dispatch_done(&exchange->dispatch, &decision, exchange->call.number);
+	if (!pr_call_states_not_run(&exchange->call))
+		exchange->verdict = pr_verdict_join(exchange->verdict,
+						    PR_VERDICT_MAY_HAVE_RUN);
+	pr_exchange_refuse(exchange, exchange->call.status, "bad_request",
+			   exchange->verdict,
+			   "the upstream does not accept the request");
+}
+
 static void on_done(pr_exchange_t *exchange, pr_attempt_stage_t stage)
 {
 	pr_upstream_call_t *call = &exchange->call;
@@ -165,6 +211,10 @@
 		answer_is_whole(exchange);
 		return;
 	}
+	if (is_bad_request(exchange, stage)) {
+		refuse_bad_request(exchange);
+		return;
+	}
 	pr_versions_failed(exchange);
 	pr_exchange_attempt_failed(
 		exchange, stage == PR_STAGE_DONE && call->status != 200 &&
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -25,6 +25,8 @@
 	pr_upstream_link_t *link;
 	/** Number of the attempt in the dispatch state machine. */
 	int number;
+	pr_usec_t sent_at;
+	bool had_token;
 	char id[PR_ID_BYTES];
 	int status;
 	/** The upstream stated that it did not start. */
@@ -72,6 +74,10 @@
 	bool resume;
 	pr_stream_t events;
 	bool events_open;
+	/** When the last tokens, or the whole answer, were passed on. */
+	pr_usec_t last_event;
+	/** The caller read so slowly that the upstream had to wait. */
+	bool caller_slow;
 	/** Session of the caller; "" when it named none. */
 	pr_session_t session;
 	pr_session_action_t session_action;
@@ -211,6 +217,8 @@
 /** The step's answer is known: feed evidence and ask for ratings. */
 void pr_versions_answered(pr_exchange_t *exchange, bool final);
 void pr_versions_failed(pr_exchange_t *exchange);
+/** @param after time from the start of the call to its first token */
+void pr_versions_first_token(pr_exchange_t *exchange, pr_usec_t after);
 
 /** Count the tokens of a step of the answer. */
 void pr_exchange_charge(pr_exchange_t *exchange, uint64_t tokens_in,
@@ -223,6 +231,9 @@
 /** Bill the work of a caller that left before the end. */
 void pr_billing_abandoned(pr_exchange_t *exchange);
 
+/** Count the finished request for the service-level report. */
+void pr_objectives_record(pr_exchange_t *exchange);
+
 /** Note why a started answer could not be completed. */
 void pr_exchange_broken(pr_exchange_t *exchange, const char *code);
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -5,6 +5,7 @@
  *   router.c      construction, time, graceful shutdown
  *   caller.c      callers' requests: path, key, limits
  *   exchange.c    life of one request from arrival to the end of its answer
+ *   objectives.c  finished requests in the service-level report
  *   admission.c   keys, limits, retry budgets
  *   chat.c        model requests: parsing and the steps of the plan
  *   chat_answer.c streamed and whole answers of models
@@ -15,7 +16,8 @@
  *   balance_task.c  load and state of upstreams
  *   versions_task.c plan, sessions, roll-outs, ratings
  *   ratings_task.c  the rating service's feed
- *   rollout_task.c  evidence of roll-outs and their steps
+ *   rollout_task.c  evidence of roll-outs and what follows from it
+ *   stepper.c     changes of the configuration by roll-outs
  *   once_task.c   claims of requests that may not be repeated
  *   billing.c     bills
  *   grant_task.c  leases of fleet-wide limits
@@ -101,6 +103,8 @@
 	pr_policy_t policy;
 	pr_rollout_t rollout;
 	struct pr_ratings_t *ratings;
+	struct pr_rollouts_t *rollouts;
+	struct pr_stepper_t *stepper;
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
 	pr_host_list_t hosts;
--- a/src/router/test_off.h
+++ b/src/router/test_off.h
@@ -10,9 +10,15 @@
  *   bill-holders   bills are held by no other host
  *   drain          a stop ends the process at once
  *   config         configurations after the first are not put in force
+ *   monotonic      a configuration with a lower version is accepted
+ *   sessions       a session's version is not kept
+ *   ramp           an upstream in cold start gets as much work as others
  *   host-list      the platform's states of upstreams are ignored
  *   answer-check   an answer is not matched with its attempt
  *   retry-budget   retries are not limited
+ *   rollout-test   versions in roll-out are not withdrawn by evidence
+ *   rollout-budget exposure to versions in roll-out is not limited
+ *   session-memory sessions without a token are not remembered
  *   cancel         work of callers that left goes on
  *   ramp           cold upstreams get as much work as warm ones
  */
--- a/standins/standin-check/checks.c
+++ b/standins/standin-check/checks.c
@@ -145,6 +145,26 @@
 	}
 }
 
+/* The call began after the one before it had ended. */
+static void check_session_call(check_t *check, const json_t *before,
+			       const json_t *call)
+{
+	const char *old = check_text(before, "version");
+	const char *new = check_text(call, "version");
+	bool same = strcmp(old, new) == 0;
+	bool moved = check_text(call, "moved")[0];
+
+	if (!moved && !same)
+		check_violation(check,
+				"session %lld changed from %s to %s without "
+				"x-session-moved",
+				(long long)check_number(call, "session"), old,
+				new);
+	if (moved && same)
+		check_violation(check, "session %lld was moved to %s twice",
+				(long long)check_number(call, "session"), new);
+}
+
 /*
  * Calls are in the order of their ends. A call that overlaps the move may still
  * answer from the old version, so only calls that began after the last one
@@ -168,22 +188,49 @@
 		before = json_object_get(last, name);
 		if (moved[0])
 			check_count(check, "sessions_moved", 1);
-		if (before && !moved[0] &&
-		    check_number(call, "at_ms") >
-			    check_number(before, "at_ms") +
-				    check_number(before, "total_ms") &&
-		    strcmp(check_text(before, "version"),
-			   check_text(call, "version")) != 0)
-			check_violation(check,
-					"session %s changed from %s to %s "
-					"without x-session-moved",
-					name, check_text(before, "version"),
-					check_text(call, "version"));
+		if (before && check_number(call, "at_ms") >
+				      check_number(before, "at_ms") +
+					      check_number(before, "total_ms"))
+			check_session_call(check, before, call);
 		json_object_set(last, name, call);
 	}
 	json_decref(last);
 }
 
+static long version_number(const json_t *call)
+{
+	const char *at = strstr(check_text(call, "version"), "@v");
+
+	return at && check_finished(call) ? strtol(at + 2, NULL, DECIMAL) : -1;
+}
+
+void check_monotonic(check_t *check)
+{
+	size_t i, j;
+	json_t *later, *earlier;
+
+	json_array_foreach(check->calls, i, later)
+	{
+		long number = version_number(later);
+
+		for (j = 0; number >= 0 && j < i; j++) {
+			earlier = json_array_get(check->calls, j);
+			if (version_number(earlier) <= number ||
+			    strcmp(check_text(earlier, "entry"),
+				   check_text(later, "entry")) != 0 ||
+			    check_number(later, "at_ms") <=
+				    check_number(earlier, "at_ms") +
+					    check_number(earlier, "total_ms"))
+				continue;
+			check_violation(check, "%s went back from %s to %s",
+					check_text(later, "entry"),
+					check_text(earlier, "version"),
+					check_text(later, "version"));
+			break;
+		}
+	}
+}
+
 void check_least(check_t *check, size_t least)
 {
 	size_t whole = 0;
