--- /dev/null
+++ b/tests/faults/fairness.sh
@@ -0,0 +1,93 @@
+#!/usr/bin/env bash
+# Fairness over 8 hosts. Guards against one large workspace that takes the
+# capacity from nine small ones, which each send their equal share of it.
+# Useful answers are whole ones within 8 s.
+# usage: fairness.sh BUILD [SEED]
+set -euo pipefail
+# shellcheck source=script/lib/fleet.sh
+. script/lib/fleet.sh
+fleet_open "$1" 57 tan-seng-huat
+# shellcheck source=tests/faults/lib.sh
+. tests/faults/lib.sh
+seed=${2:-101}
+# 6 engines of 16 slots; a request takes 50 ms and 24 tokens of 40 ms on
+# average, so the capacity is 6 * 16 / 1.01 s = 95 requests/s.
+CAPACITY=95
+slow_engines 50 40
+sed -i -e 's/slots: 32, cold_slots: 8/slots: 16, cold_slots: 4/' \
+	-e 's/weight: 5/weight: 1/' "$FLEET_DIR/fleet.yaml"
+FLEET_ENGINE_ARGS='--cold-ms 0 --slots 16 --control {"queue_max":32}'
+fleet_start_upstreams >/dev/null
+fleet_apply "$FLEET_DIR/fleet.yaml" >/dev/null
+fleet_start_hosts 8
+sleep 2
+
+# load OUT RATE SECONDS WORKSPACE...: in the background.
+load() {
+	local out=$1 rate=$2 seconds=$3 name zone address
+	local -a arguments=()
+	shift 3
+	while read -r name zone address; do
+		arguments+=(--entry "$address:8080")
+	done <"$FLEET_DIR/started.txt"
+	for name in "$@"; do
+		arguments+=(--key "$name=key-$name")
+	done
+	mkdir -p "$FLEET_DIR/calls"
+	"$FLEET_BUILD/standin-load" "${arguments[@]}" --model small \
+		--mix route=1 --rate "$rate" --seconds "$seconds" \
+		--in-flight 4000 --timeout-ms 8000 --seed "$seed" \
+		--out "$FLEET_DIR/calls/$out" >/dev/null \
+		2>"$FLEET_DIR/logs/load-$out.log" &
+	echo $! >"$FLEET_DIR/pids/load-$out"
+}
+finish() {
+	wait "$(fleet_pid "load-$1")" || true
+	rm -f "$FLEET_DIR/pids/load-$1"
+}
+
+# judge_calls OUT FROM_MS: "useful/s useful-share wrong-refusals", and what was
+# refused in which way to stderr.
+judge_calls() {
+	python3 - "$FLEET_DIR/calls/$1" "$2" <<'PY'
+import collections, json, sys
+lines = [json.loads(line) for line in open(sys.argv[1])]
+start = min(line["at_ms"] for line in lines)
+late = [l for l in lines if l["at_ms"] - start >= int(sys.argv[2])]
+seconds = (max(l["at_ms"] for l in late) - start - int(sys.argv[2])) / 1000
+useful = [l for l in late if l["status"] == 200 and l["complete"]]
+wrong = [l for l in late if l["status"] != 200 and
+         (l["status"] not in (429, 503) or l["verdict"] != "not_run")]
+print(collections.Counter((l["status"], l["code"], l["verdict"],
+      l["complete"]) for l in late), file=sys.stderr)
+print("%.1f %.3f %d" % (len(useful) / seconds, len(useful) / len(late),
+                        len(wrong)))
+PY
+}
+at_least() {
+	echo "$1: $2 (at least $3)"
+	awk -v got="$2" -v low="$3" 'BEGIN {exit !(got >= low)}' || {
+		echo "FAIL $1"
+		failures=$((failures + 1))
+	}
+}
+
+# fair NAME RATE: the small ones send their share, the large one RATE.
+fair() {
+	load large "$2" 18 yard-01
+	load small $((CAPACITY * 9 / 10)) 18 yard-0{2..9} yard-10
+	finish large
+	finish small
+	read -r small small_share _ <<<"$(judge_calls small 6000)"
+	read -r large _ _ <<<"$(judge_calls large 6000)"
+	echo "$1: useful answers/s, large $large, small $small"
+	at_least "$1: share of the small ones' requests answered" \
+		"$small_share" 0.9
+}
+# Warms the hosts' estimates.
+load warm $CAPACITY 6 yard-0{1..9} yard-10
+finish warm
+fair "three times its share" $((CAPACITY * 3 / 10))
+fair "twice the capacity in all" $((CAPACITY * 11 / 10))
+fleet_stop || failures=$((failures + 1))
+[ "$failures" -eq 0 ]
