Keep sessions without a token at their two owners

A session whose caller sends only x-session-id kept its version on one host only.

A session read from the memory lacked its workspace, so its new token was signed for a workspace that does not exist and was refused later; the workspace is filled in.

Handing sessions over after a change of the view was ruled out, since the memory keeps only hashes of names.

--- a/src/router/chat.c
+++ b/src/router/chat.c
@@ -3,6 +3,7 @@
 
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
+#include "router/live.h"
 #include "router/chat.h"
 
 /* Rough number of prompt bytes in a token, for expected prices. */
@@ -174,6 +175,21 @@
 				   "no version of the model is in service");
 }
 
+static void plan_and_start(pr_exchange_t *exchange)
+{
+	pr_chat_t *chat = &exchange->chat;
+
+	if (pr_versions_plan(exchange)) {
+		refuse_plan(exchange);
+		return;
+	}
+	if (pr_admission_begin(exchange))
+		return;
+	pr_stream_init(&chat->events);
+	chat->events_open = true;
+	pr_chat_start_step(exchange, 0);
+}
+
 void pr_chat_begin(pr_exchange_t *exchange)
 {
 	pr_chat_t *chat = &exchange->chat;
@@ -190,13 +206,6 @@
 		return;
 	}
 	read_fields(exchange);
-	if (pr_versions_plan(exchange)) {
-		refuse_plan(exchange);
-		return;
-	}
-	if (pr_admission_begin(exchange))
-		return;
-	pr_stream_init(&chat->events);
-	chat->events_open = true;
-	pr_chat_start_step(exchange, 0);
+	pr_sessions_find(exchange, pr_versions_session_name(exchange),
+			 plan_and_start);
 }
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -122,6 +122,13 @@
 	pr_balance_query_t query;
 	/** Joined over the attempts of all steps. */
 	pr_verdict_t verdict;
+	/** Wait for the owners of the session; answers that are due. */
+	pr_exchange_t *asking_next;
+	pr_timer_t asking_timer;
+	unsigned int asking_due;
+	char asking_session[PR_SESSION_NAME_MAX + 1];
+	bool session_asked;
+	void (*after_asking)(pr_exchange_t *exchange);
 	/** Callbacks that still use the exchange. */
 	unsigned int holds;
 	bool answer_started;
@@ -208,6 +215,12 @@
 /** @return retry budget of the exchange's workspace */
 pr_retry_budget_t *pr_admission_budget(pr_exchange_t *exchange);
 
+/**
+ * Name of the session, if its owners may know more than the request says.
+ *
+ * @return empty without a session, or when a valid token settles it
+ */
+pr_slice_t pr_versions_session_name(pr_exchange_t *exchange);
 /** Fill chat.plan and the session fields. @return 0 or PR_EDENIED */
 int pr_versions_plan(pr_exchange_t *exchange);
 /** @return true when the current step may run now */
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -15,6 +15,7 @@
  *   upstreams.c   upstream addresses and their connections
  *   balance_task.c  load and state of upstreams
  *   versions_task.c plan, sessions, roll-outs, ratings
+ *   sessions_task.c  memory of sessions at their owners
  *   ratings_task.c  the rating service's feed
  *   rollout_task.c  evidence of roll-outs and what follows from it
  *   stepper.c     changes of the configuration by roll-outs
@@ -102,6 +103,9 @@
 	struct pr_stepper_t *stepper;
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
+	/** Exchanges that wait for an owner of their session. */
+	struct pr_exchange_t *asking;
+	uint64_t session_timeouts;
 	pr_host_list_t hosts;
 	pr_member_t *member;
 	/** The view changed since the tasks were told. */
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -76,11 +76,35 @@
 	if (id.len)
 		pr_slice_copy(chat->session.session,
 			      sizeof(chat->session.session), id);
+	/* The memory gives the version only; the token and the owners need the
+	 * workspace too. */
+	pr_slice_copy(chat->session.workspace, sizeof(chat->session.workspace),
+		      workspace);
 	if (decision.action == PR_SESSION_MOVE)
 		snprintf(chat->moved_from, sizeof(chat->moved_from), "%s@%s",
 			 chat->session.model, chat->session.version);
 }
 
+pr_slice_t pr_versions_session_name(pr_exchange_t *exchange)
+{
+	pr_slice_t header =
+		pr_http_request_header(exchange->request, "x-session-token");
+	pr_slice_t workspace = pr_slice_of(exchange->workspace_name);
+	pr_slice_t id =
+		pr_http_request_header(exchange->request, "x-session-id");
+	pr_session_t token;
+
+	if (!id.len || id.len > PR_SESSION_NAME_MAX)
+		return pr_slice("", 0);
+	if (header.len &&
+	    !pr_session_check(&exchange->router->session_ring, &token, header,
+			      workspace) &&
+	    pr_session_decide(exchange->fleet->fleet, &token, NULL).action ==
+		    PR_SESSION_KEEP)
+		return pr_slice("", 0);
+	return id;
+}
+
 static void fill_query(pr_query_t *query, pr_exchange_t *exchange)
 {
 	pr_chat_t *chat = &exchange->chat;
@@ -163,8 +187,7 @@
 			   pr_slice_of(name), pr_slice_of(step->model->name),
 			   pr_slice_of(step->version->name), wall_clock()))
 		return;
-	pr_session_memory_put(&router->sessions, &chat->session,
-			      pr_router_now(router));
+	pr_sessions_put(exchange);
 	if (!pr_session_sign(&router->session_ring, &chat->session, &token))
 		pr_http_answer_header(exchange->request, "x-session-token",
 				      pr_str_slice(&token));
--- a/standins/standin-load.c
+++ b/standins/standin-load.c
@@ -24,7 +24,7 @@
 #define DEFAULT_MIX   "route=5,summary=2,tag=2,pickup=1,payout=1"
 
 typedef struct args_t {
-	struct arg_lit *help, *direct;
+	struct arg_lit *help, *direct, *no_token;
 	struct arg_str *entry, *key, *mix, *model, *service, *out;
 	struct arg_dbl *rate, *seconds, *leave;
 	struct arg_int *requests, *in_flight, *timeout, *retry, *retry_ms;
@@ -247,6 +247,7 @@
 	options->model = args->model->sval[0];
 	options->service = args->service->sval[0];
 	options->direct = args->direct->count > 0;
+	options->no_token = args->no_token->count > 0;
 	options->seed = (uint64_t)args->seed->ival[0];
 	if (options->seconds <= 0 && !options->requests)
 		options->seconds = 10;
@@ -266,6 +267,8 @@
 {
 	*args = (args_t){
 		.help = arg_lit0(NULL, "help", "print this text"),
+		.no_token = arg_lit0(NULL, "no-token",
+				     "sessions send only their id"),
 		.direct = arg_lit0(NULL, "direct",
 				   "entries are engines or ledgers"),
 		.entry = arg_strn(NULL, "entry", "IP:PORT", 1, LOAD_ENTRIES_MAX,
--- a/standins/standin-load/load.h
+++ b/standins/standin-load/load.h
@@ -97,6 +97,8 @@
 	const char *service;
 	/** Path prefix of operations: "/services/<service>" or "". */
 	bool direct;
+	/** Sessions do not echo x-session-token. */
+	bool no_token;
 	uint64_t seed;
 } load_options_t;
 
--- a/standins/standin-load/request.c
+++ b/standins/standin-load/request.c
@@ -267,7 +267,7 @@
 			 (unsigned long long)load->options.seed,
 			 (size_t)(request->session - load->sessions));
 		add(headers, &count, "x-session-id", session);
-		if (request->session->token[0])
+		if (request->session->token[0] && !load->options.no_token)
 			add(headers, &count, "x-session-token",
 			    request->session->token);
 	}
