Derive a key for each purpose from the shared secret

Peer links, datagrams and session tokens were authenticated with the same secret, so a message of one kind could be offered as another. Each now has a key of its own, the HMAC of a label. Tokens signed under the first of old_secrets are accepted; further ones are named in a warning, since the ring has room for one.

A request's token is checked once: it was checked twice when its session was looked up at the owners, and a bad one was counted twice.

test_base compares a derived key with the openssl program; tests/faults/sessions.sh rotates a host's secret, sees the old token kept and a forged one refused.

--- a/include/pistachiorack/hash.h
+++ b/include/pistachiorack/hash.h
@@ -27,6 +27,14 @@
 void pr_sha256_hex(char out[PR_SHA256_HEX_SIZE], pr_slice_t data);
 void pr_hmac_sha256(uint8_t out[PR_SHA256_SIZE], pr_slice_t key,
 		    pr_slice_t data);
+/** Hexadecimal digits of a derived key, with the terminator. */
+#define PR_KEY_SIZE 65
+/**
+ * Derive a key for one purpose from a shared secret: HMAC of the label. A key
+ * that leaks, or a message that is valid for one purpose, is then of no use
+ * for another.
+ */
+void pr_derive_key(char out[PR_KEY_SIZE], pr_slice_t secret, const char *label);
 /** Compare without a data-dependent running time. */
 bool pr_equal_constant_time(const void *a, const void *b, size_t len);
 /** Lower-case hexadecimal; out has 2 * len + 1 bytes. */
--- a/src/base/hash.c
+++ b/src/base/hash.c
@@ -55,3 +55,11 @@
 {
 	return CRYPTO_memcmp(a, b, len) == 0;
 }
+
+void pr_derive_key(char out[PR_KEY_SIZE], pr_slice_t secret, const char *label)
+{
+	uint8_t mac[PR_SHA256_SIZE];
+
+	pr_hmac_sha256(mac, secret, pr_slice_of(label));
+	pr_hex(out, mac, sizeof(mac));
+}
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -78,6 +78,9 @@
 	pr_usec_t last_event;
 	/** The caller read so slowly that the upstream had to wait. */
 	bool caller_slow;
+	/** The caller's session token, checked once. */
+	pr_session_t token;
+	bool token_checked, token_valid;
 	/** Session of the caller; "" when it named none. */
 	pr_session_t session;
 	pr_session_action_t session_action;
--- a/src/router/member_task.c
+++ b/src/router/member_task.c
@@ -251,6 +251,7 @@
 	const pr_settings_t *settings = router->settings;
 	pr_member_options_t options = PR_MEMBER_OPTIONS_INIT;
 	char address[ADDRESS_BYTES];
+	char key[PR_KEY_SIZE];
 	int rc;
 
 	snprintf(address, sizeof(address), "%.40s:%u", settings->peer.address,
@@ -258,7 +259,9 @@
 	options.host = pr_slice_of(settings->host);
 	options.zone = pr_slice_of(settings->zone);
 	options.address = pr_slice_of(address);
-	options.secret = pr_slice_of(settings->secret);
+	pr_derive_key(key, pr_slice_of(settings->secret),
+		      "pistachiorack/datagrams");
+	options.secret = pr_slice_of(key);
 	options.incarnation = (uint64_t)time(NULL);
 	rc = pr_member_open(&router->member, &options, &member_ops, router,
 			    &router->rand, pr_router_now(router));
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -129,7 +129,9 @@
 	options.name = settings->host;
 	options.address = settings->peer.address;
 	options.port = settings->peer.port;
-	options.secret = settings->secret;
+	pr_derive_key(router->peer_key, pr_slice_of(settings->secret),
+		      "pistachiorack/peers");
+	options.secret = router->peer_key;
 	options.on_message = on_peer_message;
 	options.on_datagram = pr_member_task_datagram;
 	options.data = router;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -37,6 +37,7 @@
 #include "pistachiorack/bill.h"
 #include "pistachiorack/config.h"
 #include "pistachiorack/config_holder.h"
+#include "pistachiorack/hash.h"
 #include "pistachiorack/http.h"
 #include "pistachiorack/member.h"
 #include "pistachiorack/metrics.h"
@@ -86,6 +87,8 @@
 	pr_http_client_t *client;
 	pr_platform_t *platform;
 	pr_peers_t *peers;
+	/** Key of the links between hosts. */
+	char peer_key[PR_KEY_SIZE];
 	pr_config_holder_t config;
 	/** The configuration in force; NULL until the first is accepted. */
 	pr_config_t *fleet;
--- a/src/router/sessions_task.c
+++ b/src/router/sessions_task.c
@@ -210,17 +210,18 @@
 
 static void print_metrics(const pr_router_t *router, pr_str_t *out)
 {
-	pr_str_appendf(
-		out,
-		"pr_sessions %u\npr_sessions_evicted_total %llu\n"
-		"pr_session_waits_over_total %llu\n"
-		"pr_session_tokens_refused_total %llu\n",
-		router->sessions.count,
-		(unsigned long long)router->sessions.evicted,
-		(unsigned long long)router->session_timeouts,
-		(unsigned long long)(router->session_ring.wrong_signature +
-				     router->session_ring.wrong_workspace +
-				     router->session_ring.malformed));
+	const pr_session_ring_t *ring = &router->session_ring;
+	uint64_t refused =
+		ring->wrong_signature + ring->wrong_workspace + ring->malformed;
+
+	pr_str_appendf(out,
+		       "pr_sessions %u\npr_sessions_evicted_total %llu\n"
+		       "pr_session_waits_over_total %llu\n"
+		       "pr_session_tokens_refused_total %llu\n",
+		       router->sessions.count,
+		       (unsigned long long)router->sessions.evicted,
+		       (unsigned long long)router->session_timeouts,
+		       (unsigned long long)refused);
 }
 
 const pr_task_ops_t pr_sessions_task = {
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -4,6 +4,7 @@
 
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
+#include "pistachiorack/log.h"
 #include "router/chat.h"
 #include "router/live.h"
 #include "router/test_off.h"
@@ -47,26 +48,36 @@
 			       pr_router_now(router));
 }
 
+/* @return the request's token, or NULL without a valid one */
+static const pr_session_t *token_of(pr_exchange_t *exchange)
+{
+	pr_chat_t *chat = &exchange->chat;
+	pr_slice_t header =
+		pr_http_request_header(exchange->request, "x-session-token");
+
+	if (!chat->token_checked && header.len)
+		chat->token_valid = !pr_session_check(
+			&exchange->router->session_ring, &chat->token, header,
+			pr_slice_of(exchange->workspace_name));
+	chat->token_checked = true;
+	return chat->token_valid ? &chat->token : NULL;
+}
+
 /* Finds the session's version; what it ran on before is in chat->session. */
 static void find_session(pr_exchange_t *exchange)
 {
 	pr_router_t *router = exchange->router;
 	pr_chat_t *chat = &exchange->chat;
 	pr_slice_t workspace = pr_slice_of(exchange->workspace_name);
-	pr_slice_t header =
-		pr_http_request_header(exchange->request, "x-session-token");
-	pr_session_t token, memory;
-	bool has_token =
-		header.len && !pr_session_check(&router->session_ring, &token,
-						header, workspace);
-	pr_slice_t id = session_id(exchange, has_token ? &token : NULL);
+	const pr_session_t *token = token_of(exchange);
+	pr_session_t memory;
+	pr_slice_t id = session_id(exchange, token);
 	bool has_memory =
 		id.len &&
 		!pr_session_memory_get(&router->sessions, &memory, workspace,
 				       id, pr_router_now(router));
 	pr_session_decision_t decision = pr_session_decide(
-		exchange->fleet->fleet, has_token ? &token : NULL,
-		has_memory ? &memory : NULL);
+		exchange->fleet->fleet, token, has_memory ? &memory : NULL);
 
 	chat->session_action = decision.action;
 	if (decision.source)
@@ -87,19 +98,14 @@
 
 pr_slice_t pr_versions_session_name(pr_exchange_t *exchange)
 {
-	pr_slice_t header =
-		pr_http_request_header(exchange->request, "x-session-token");
-	pr_slice_t workspace = pr_slice_of(exchange->workspace_name);
 	pr_slice_t id =
 		pr_http_request_header(exchange->request, "x-session-id");
-	pr_session_t token;
+	const pr_session_t *token = token_of(exchange);
 
 	if (!id.len || id.len > PR_SESSION_NAME_MAX)
 		return pr_slice("", 0);
-	if (header.len &&
-	    !pr_session_check(&exchange->router->session_ring, &token, header,
-			      workspace) &&
-	    pr_session_decide(exchange->fleet->fleet, &token, NULL).action ==
+	if (token &&
+	    pr_session_decide(exchange->fleet->fleet, token, NULL).action ==
 		    PR_SESSION_KEEP)
 		return pr_slice("", 0);
 	return id;
@@ -300,6 +306,33 @@
 	report(exchange, PR_SIGNAL_ERROR, true);
 }
 
+static int add_key(pr_session_ring_t *ring, const char *secret)
+{
+	char key[PR_KEY_SIZE];
+
+	pr_derive_key(key, pr_slice_of(secret), "pistachiorack/tokens");
+	return pr_session_ring_rotate(ring, pr_slice_of(key));
+}
+
+/* Tokens are signed with the current secret; those of the first old secret are
+ * accepted too. The ring has room for one. */
+static int init_ring(pr_router_t *router)
+{
+	const pr_settings_t *settings = router->settings;
+	int rc = 0;
+
+	memset(&router->session_ring, 0, sizeof(router->session_ring));
+	if (settings->old_secrets_count > 1)
+		pr_log(PR_LOG_WARNING,
+		       "old_secrets: only the first of %u is accepted",
+		       settings->old_secrets_count);
+	if (settings->old_secrets_count)
+		rc = add_key(&router->session_ring, settings->old_secrets[0]);
+	if (!rc)
+		rc = add_key(&router->session_ring, settings->secret);
+	return rc;
+}
+
 static int init(pr_router_t *router)
 {
 	pr_policy_options_t policy = PR_POLICY_OPTIONS_INIT;
@@ -313,9 +346,7 @@
 	if (!rc)
 		rc = pr_rollout_init(&router->rollout, &rollout);
 	if (!rc)
-		rc = pr_session_ring_init(
-			&router->session_ring,
-			pr_slice_of(router->settings->secret));
+		rc = init_ring(router);
 	if (!rc)
 		rc = pr_session_memory_init(&router->sessions, SESSIONS_MAX,
 					    SESSION_TTL);
--- a/tests/faults/sessions.sh
+++ b/tests/faults/sessions.sh
@@ -57,6 +57,30 @@
 wait "$(fleet_pid load)" || fail "the load saw wrong answers"
 rm -f "$FLEET_DIR/pids/load"
 
+# A token that was signed under the former secret keeps its session.
+ask() {
+	curl -s -m 5 -D "$FLEET_DIR/head" -o /dev/null "$@" \
+		-H 'authorization: Bearer key-yard-01' -H 'x-session-id: rotated' \
+		-d '{"model":"small","messages":[{"role":"user","content":"x"}]}' \
+		"http://$(fleet_host_address host-1):8080/v1/chat/completions"
+	tr -d '\r' <"$FLEET_DIR/head" | awk '$1 == "x-session-token:" {print $2}'
+}
+refused() {
+	curl -fs "http://$(fleet_host_address host-1):8081/metrics" |
+		awk '$1 == "pr_session_tokens_refused_total" {print $2}'
+}
+token=$(ask)
+fleet_stop_one host-1 || fail "host-1 did not stop gracefully"
+sed -i 's/^secret: \(.*\)/secret: the-next-shared-secret\nold_secrets: [\1]/' \
+	"$FLEET_DIR/host-1.yaml"
+fleet_start_host host-1
+fleet_wait_http "http://$(fleet_host_address host-1):8081/readyz"
+next=$(ask -H "x-session-token: $token")
+[ -n "$token" ] && [ -n "$next" ] || fail "no token"
+[ "$(refused)" = 0 ] || fail "a token of the former secret was refused"
+ask -H "x-session-token: ${token%?}" >/dev/null
+[ "$(refused)" = 1 ] || fail "a forged token was accepted"
+
 changes=$(jq .session_changes "$FLEET_DIR/logs/load.out")
 ran=$(jq -r 'select(.version == "small@v2") | .session' "$FLEET_DIR/calls" |
 	sort -u | wc -l)
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -134,6 +134,21 @@
 	pr_rand_finish(&b);
 }
 
+/* Guards against keys of two purposes that are the same, and against a change
+ * of the derivation, which would cut running hosts off from new ones. */
+static void derived_keys_differ(void **state)
+{
+	pr_slice_t secret = PR_SLICE("a-shared-secret-for-local-runs");
+	char peers[PR_KEY_SIZE], tokens[PR_KEY_SIZE];
+
+	pr_derive_key(peers, secret, "pistachiorack/peers");
+	pr_derive_key(tokens, secret, "pistachiorack/tokens");
+	/* From the openssl program. */
+	assert_string_equal(peers, "ce94edc8492dab50b338be256aad1c0e"
+				   "f1e40a2cbbfbb71199eea2ae50746a04");
+	assert_string_not_equal(peers, tokens);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -143,6 +158,7 @@
 		cmocka_unit_test(rendezvous_moves_only_lost_keys),
 		cmocka_unit_test(histogram_quantile_is_close),
 		cmocka_unit_test(rand_repeats),
+		cmocka_unit_test(derived_keys_differ),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
