Explain finished requests and list hosts and upstreams for operators

tests/faults/path.sh asks for the record of an answered and of a refused request, for an unknown id, and for both lists.

--- a/src/router/call.c
+++ b/src/router/call.c
@@ -59,6 +59,8 @@
 	if (stage != PR_STAGE_DONE)
 		pr_dispatch_stage(&exchange->dispatch, exchange->call.number,
 				  stage);
+	pr_explain_tried(exchange,
+			 stage == PR_STAGE_DONE ? "answered" : "broken");
 	exchange->ops->done(exchange, stage);
 	exchange->holds--;
 	pr_exchange_release(exchange);
@@ -148,6 +150,7 @@
 
 	if (!call->active)
 		return;
+	pr_explain_tried(exchange, "cancelled");
 	pr_balance_cancelled(&exchange->router->balance, &call->choice,
 			     pr_router_now(exchange->router));
 	if (pr_http_call_cancel(&call->http))
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -161,6 +161,7 @@
 	pr_billing_abandoned(exchange);
 	pr_admission_end(exchange);
 	pr_objectives_record(exchange);
+	pr_explain_record(exchange);
 	pr_histogram_record(
 		router->counters.total_us,
 		(double)(pr_router_now(router) - exchange->arrived));
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -95,6 +95,20 @@
 	uint64_t price;
 } pr_charge_t;
 
+/** Attempts that a reason record names. */
+#define PR_EXPLAIN_ATTEMPTS 4
+
+typedef struct pr_explain_attempt_t {
+	char upstream[65];
+	const char *outcome;
+	int status;
+} pr_explain_attempt_t;
+
+typedef struct pr_explain_attempts_t {
+	pr_explain_attempt_t items[PR_EXPLAIN_ATTEMPTS];
+	unsigned int count;
+} pr_explain_attempts_t;
+
 struct pr_exchange_t {
 	pr_exchange_t *prev, *next;
 	/** In router->billing by number, in router->claiming by claim. */
@@ -167,6 +181,7 @@
 	int outcome_status;
 	pr_str_t outcome;
 	char refused_code[32];
+	pr_explain_attempts_t tried;
 };
 
 /** @return NULL when the host is at its limit; an error was answered */
@@ -250,6 +265,13 @@
 /** Count the finished request for the service-level report. */
 void pr_objectives_record(pr_exchange_t *exchange);
 
+/** Note how a call ended, for the reason record. */
+void pr_explain_tried(pr_exchange_t *exchange, const char *outcome);
+/** Keep the reason record of a request that ended. */
+void pr_explain_record(pr_exchange_t *exchange);
+/** @return the record as JSON, or NULL when it is not or no longer known */
+const char *pr_explain_find(const pr_router_t *router, pr_slice_t request);
+
 /** Note why a started answer could not be completed. */
 void pr_exchange_broken(pr_exchange_t *exchange, const char *code);
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -25,6 +25,7 @@
  *   member_task.c probes, the platform's host list
  *   task.h, tasks.c  duties with their own state, and the events between them
  *   config_task.c the fleet configuration
+ *   explain.c     reason records of finished requests
  *   admin.c       metrics, health, operators' requests
  */
 #ifndef PR_ROUTER_ROUTER_H
@@ -101,6 +102,7 @@
 	pr_index_t budgets;
 	pr_policy_t policy;
 	pr_rollout_t rollout;
+	struct pr_explain_t *explain;
 	struct pr_ratings_t *ratings;
 	struct pr_rollouts_t *rollouts;
 	struct pr_stepper_t *stepper;
--- a/src/router/task.h
+++ b/src/router/task.h
@@ -47,6 +47,7 @@
 extern const pr_task_ops_t pr_balance_task;
 extern const pr_task_ops_t pr_versions_task;
 extern const pr_task_ops_t pr_sessions_task;
+extern const pr_task_ops_t pr_explain_task;
 extern const pr_task_ops_t pr_ratings_task;
 extern const pr_task_ops_t pr_rollouts_task;
 extern const pr_task_ops_t pr_config_task;
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -12,6 +12,7 @@
 	&pr_balance_task,
 	&pr_versions_task,
 	&pr_sessions_task,
+	&pr_explain_task,
 	&pr_ratings_task,
 	&pr_rollouts_task,
 	&pr_billing_task,
--- a/tests/faults/path.sh
+++ b/tests/faults/path.sh
@@ -52,6 +52,31 @@
 expect burn '"series".*status=200' -H 'authorization: Bearer operator-key' \
 	"http://$host:8081/admin/burn"
 
+# What decided a request, also one that was refused; without a key of a caller.
+explained() {
+	local id
+	id=$(curl -s -m 5 -o /dev/null -D - -H "$key" -d "$1" \
+		"$base/v1/chat/completions" | tr -d '\r' |
+		awk 'tolower($1) == "x-request-id:" {print $2}')
+	sleep 0.2
+	expect "$2" "$3" -H 'authorization: Bearer operator-key' \
+		"http://$host:8081/admin/explain?request=$id"
+}
+explained "$small" explain \
+	'"what":"small@v1".*"outcome":"answered".*"rule":.*status=200'
+explained "${small/small/none}" explain_refused \
+	'"limit":"model_not_allowed".*status=200'
+expect explain_unknown 'unknown_request.*status=404' \
+	-H 'authorization: Bearer operator-key' \
+	"http://$host:8081/admin/explain?request=host-1-x-1"
+expect explain_key 'bad_key.*status=401' \
+	"http://$host:8081/admin/explain?request=host-1-x-1"
+expect hosts '"host":"host-2".*"state":"alive".*status=200' \
+	-H 'authorization: Bearer operator-key' "http://$host:8081/admin/hosts"
+expect upstreams '"upstream":"engine-1".*"in_flight":0.*status=200' \
+	-H 'authorization: Bearer operator-key' \
+	"http://$host:8081/admin/upstreams"
+
 head -c 3000000 /dev/zero >"$FLEET_DIR/large"
 expect oversized 'status=(413|400|000)' -H "$key" \
 	--data-binary "@$FLEET_DIR/large" "$base/v1/chat/completions"
