--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -6,6 +6,7 @@
 #include "pistachiorack/hash.h"
 #include "pistachiorack/log.h"
 #include "router/chat.h"
+#include "router/test_off.h"
 #include "router/live.h"
 #include "router/test_off.h"
 
@@ -79,6 +80,8 @@
 	pr_session_decision_t decision = pr_session_decide(
 		exchange->fleet->fleet, token, has_memory ? &memory : NULL);
 
+	if (pr_test_off("sessions"))
+		decision = (pr_session_decision_t){ .action = PR_SESSION_START };
 	chat->session_action = decision.action;
 	if (decision.source)
 		chat->session = *decision.source;
