--- a/src/router/router.h
+++ b/src/router/router.h
@@ -15,6 +15,7 @@
  *   upstreams.c   upstream addresses and their connections
  *   balance_task.c  load and state of upstreams
  *   versions_task.c plan, sessions, roll-outs, ratings
+ *   sessions_task.c  memory of sessions at their owners
  *   ratings_task.c  the rating service's feed
  *   rollout_task.c  evidence of roll-outs and what follows from it
  *   stepper.c     changes of the configuration by roll-outs
@@ -29,6 +30,7 @@
  *   member_task.c probes, the platform's host list
  *   task.h, tasks.c  duties with their own state, and the events between them
  *   config_task.c the fleet configuration
+ *   explain.c     reason records of finished requests
  *   admin.c       metrics, health, operators' requests
  */
 #ifndef PR_ROUTER_ROUTER_H
@@ -41,6 +43,7 @@
 #include "pistachiorack/bill.h"
 #include "pistachiorack/config.h"
 #include "pistachiorack/config_holder.h"
+#include "pistachiorack/hash.h"
 #include "pistachiorack/http.h"
 #include "pistachiorack/member.h"
 #include "pistachiorack/metrics.h"
@@ -90,6 +93,8 @@
 	pr_http_client_t *client;
 	pr_platform_t *platform;
 	pr_peers_t *peers;
+	/** Key of the links between hosts. */
+	char peer_key[PR_KEY_SIZE];
 	pr_config_holder_t config;
 	/** The configuration in force; NULL until the first is accepted. */
 	pr_config_t *fleet;
@@ -102,11 +107,15 @@
 	pr_index_t budgets;
 	pr_policy_t policy;
 	pr_rollout_t rollout;
+	struct pr_explain_t *explain;
 	struct pr_ratings_t *ratings;
 	struct pr_rollouts_t *rollouts;
 	struct pr_stepper_t *stepper;
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
+	/** Exchanges that wait for an owner of their session. */
+	struct pr_exchange_t *asking;
+	uint64_t session_timeouts;
 	pr_host_list_t hosts;
 	pr_member_t *member;
 	/** The view changed since the tasks were told. */
