--- a/standins/standin-baseline.c
+++ b/standins/standin-baseline.c
@@ -1,6 +1,8 @@
 /*
  * Baselines for script/bench on the same HTTP stack as the router:
- *   bare   a handler that answers a fixed text
+ *   bare   a handler that answers a fixed text; with --chat the answer of a
+ *          model, with the attempt id of the request, so that a router can
+ *          stand in front of it without the upstream being the slower part
  *   pass   a pass-through: h2o handler, http1client with a socket pool, the
  *          answer copied on; what any router on this stack has to pay
  */
@@ -20,6 +22,13 @@
 #define EXIT_USAGE     2
 #define REQUEST_MAX    512
 #define HELLO          "hello, world\n"
+#define CHAT                                                                   \
+	"{\"id\":\"1\",\"object\":\"chat.completion\",\"model\":\"small@v1\"," \
+	"\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\","       \
+	"\"content\":\"w69268e4f wdf8463fe w8f875495 w2a614668 wea362e96 "     \
+	"w13789f52 w4d1badb4 w26135b34 \"},\"finish_reason\":\"stop\"}],"      \
+	"\"usage\":{\"prompt_tokens\":10,\"completion_tokens\":8,"             \
+	"\"total_tokens\":18}}"
 
 typedef struct baseline_t {
 	h2o_globalconf_t config;
@@ -29,7 +38,7 @@
 	h2o_timeout_t io_timeout;
 	h2o_socketpool_t pool;
 	char authority[64];
-	bool pass;
+	bool pass, chat;
 } baseline_t;
 
 static baseline_t baseline;
@@ -43,11 +52,29 @@
 	int status;
 } forward_t;
 
+static void echo_attempt(h2o_req_t *req)
+{
+	ssize_t at = h2o_find_header_by_str(&req->headers,
+					    H2O_STRLIT("x-attempt-id"), -1);
+	h2o_iovec_t id;
+
+	if (at < 0)
+		return;
+	id = req->headers.entries[at].value;
+	h2o_add_header_by_str(&req->pool, &req->res.headers,
+			      H2O_STRLIT("x-attempt-id"), 1, NULL, id.base,
+			      id.len);
+}
+
 static int answer_bare(h2o_req_t *req)
 {
 	static h2o_generator_t generator;
 	h2o_iovec_t body = { H2O_STRLIT(HELLO) };
 
+	if (baseline.chat) {
+		body = h2o_iovec_init(H2O_STRLIT(CHAT));
+		echo_attempt(req);
+	}
 	req->res.status = 200;
 	req->res.reason = "OK";
 	req->res.content_length = body.len;
@@ -232,14 +259,21 @@
 	struct arg_int *port = arg_int1(NULL, "port", "N", "own port");
 	struct arg_str *to = arg_str0(NULL, "to", "IP", "pass on to");
 	struct arg_int *to_port = arg_int0(NULL, "to-port", "N", "its port");
+	struct arg_lit *chat = arg_lit0(NULL, "chat", "answer as a model");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { address, port, to, to_port, end };
+	void *table[] = { address, port, to, to_port, chat, help, end };
+	int errors = arg_parse(argc, argv, table);
 	int status = EXIT_USAGE;
 
-	if (arg_parse(argc, argv, table)) {
+	if (help->count) {
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		status = 0;
+	} else if (errors) {
 		arg_print_errors(stderr, end, "standin-baseline");
 	} else {
 		baseline.pass = to->count > 0;
+		baseline.chat = chat->count > 0;
 		status = serve(address->sval[0], port->ival[0],
 			       baseline.pass ? to->sval[0] : "0.0.0.0",
 			       to_port->count ? to_port->ival[0] : 0);
