--- a/src/router/config_task.c
+++ b/src/router/config_task.c
@@ -8,6 +8,7 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/log.h"
 #include "router/router.h"
+#include "router/test_off.h"
 
 #define TICK_EVERY   (100 * PR_USEC_PER_MSEC)
 #define READ_TIMEOUT (2 * PR_USEC_PER_SEC)
@@ -83,6 +84,11 @@
 {
 	pr_router_t *router = data;
 
+	if (pr_test_off("config")) {
+		if (router->fleet)
+			return;
+		pr_config_ref(router->config.current);
+	}
 	router->fleet = router->config.current;
 	router->confirmed = true;
 	pr_tasks_fleet_changed(router);
@@ -124,9 +130,11 @@
 static int init(pr_router_t *router)
 {
 	pr_config_holder_options_t options = PR_CONFIG_HOLDER_OPTIONS_INIT;
-	int rc = pr_config_holder_init(&router->config, &options, &holder_ops,
-				       router, pr_router_now(router));
+	int rc;
 
+	options.monotonic = !pr_test_off("monotonic");
+	rc = pr_config_holder_init(&router->config, &options, &holder_ops,
+				   router, pr_router_now(router));
 	if (rc)
 		return rc;
 	router->config_tick.data = router;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -5,6 +5,7 @@
  *   router.c      construction, time, graceful shutdown
  *   caller.c      callers' requests: path, key, limits
  *   exchange.c    life of one request from arrival to the end of its answer
+ *   objectives.c  finished requests in the service-level report
  *   admission.c   keys, limits, retry budgets
  *   chat.c        model requests: parsing and the steps of the plan
  *   chat_answer.c streamed and whole answers of models
@@ -14,8 +15,15 @@
  *   upstreams.c   upstream addresses and their connections
  *   balance_task.c  load and state of upstreams
  *   versions_task.c plan, sessions, roll-outs, ratings
+ *   ratings_task.c  the rating service's feed
+ *   rollout_task.c  evidence of roll-outs and what follows from it
+ *   stepper.c     changes of the configuration by roll-outs
  *   once_task.c   claims of requests that may not be repeated
  *   billing.c     bills
+ *   grant_task.c  leases of fleet-wide limits
+ *   grant_demand.c  what this host needs of each limit
+ *   poll_task.c   load reports and cache events of upstreams
+ *   cold_task.c   notices of cold upstreams between hosts
  *   hosts.c       known hosts, owners of keys
  *   member_task.c probes, the platform's host list
  *   task.h, tasks.c  duties with their own state, and the events between them
@@ -25,8 +33,8 @@
 #ifndef PR_ROUTER_ROUTER_H
 #define PR_ROUTER_ROUTER_H
 
-#include <uthash.h>
-
+#include "base/index.h"
+#include "base/list.h"
 #include "pistachiorack/admit.h"
 #include "pistachiorack/balance.h"
 #include "pistachiorack/bill.h"
@@ -52,7 +60,8 @@
 
 /** Connections and counters of one upstream. */
 typedef struct pr_upstream_link_t {
-	UT_hash_handle hh;
+	/** In router->upstreams by the hash of the name. */
+	pr_index_node_t node;
 	char *name;
 	char *address;
 	uint16_t port;
@@ -83,15 +92,18 @@
 	pr_config_holder_t config;
 	/** The configuration in force; NULL until the first is accepted. */
 	pr_config_t *fleet;
-	/** By name. */
-	pr_upstream_link_t *upstreams;
+	pr_index_t upstreams;
 	/** Links whose upstream moved; their calls may still run. */
-	pr_upstream_link_t *retired;
+	pr_index_t retired;
 	pr_balance_t balance;
 	pr_admit_t admit;
-	struct pr_budget_entry_t *budgets;
+	/** Retry budgets by the hash of the workspace's name. */
+	pr_index_t budgets;
 	pr_policy_t policy;
 	pr_rollout_t rollout;
+	struct pr_ratings_t *ratings;
+	struct pr_rollouts_t *rollouts;
+	struct pr_stepper_t *stepper;
 	pr_session_ring_t session_ring;
 	pr_session_memory_t sessions;
 	pr_host_list_t hosts;
@@ -102,9 +114,14 @@
 	pr_usec_t list_due;
 	bool list_reading;
 	pr_once_t *once;
+	struct pr_leases_t *leases;
+	struct pr_cold_t *cold;
+	struct pr_polls_t *polls;
 	pr_bill_book_t *bills;
 	/** Exchanges that wait for their bill, or for their claim. */
-	struct pr_exchange_t *billing, *claiming;
+	pr_index_t billing, claiming;
+	/** Exchanges whose claim is held and that are not dispatched yet. */
+	struct pr_exchange_t *granted;
 	/** Hosts that this host believes alive, itself included. */
 	unsigned int live_hosts;
 	/** The configuration in force is known to be current. */
--- a/src/router/tasks.c
+++ b/src/router/tasks.c
@@ -11,8 +11,13 @@
 	&pr_admission_task,
 	&pr_balance_task,
 	&pr_versions_task,
+	&pr_ratings_task,
+	&pr_rollouts_task,
 	&pr_billing_task,
 	&pr_once_task,
+	&pr_cold_task,
+	&pr_grant_task,
+	&pr_poll_task,
 	&pr_config_task,
 	&pr_member_task,
 };
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -5,9 +5,11 @@
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 #include "router/chat.h"
+#include "router/live.h"
+#include "router/test_off.h"
 
 #define SESSIONS_MAX   20000
-#define SESSION_TTL    (24 * 3600 * PR_USEC_PER_SEC)
+#define SESSION_TTL    (86400 * PR_USEC_PER_SEC)
 #define RATING_TIMEOUT (2 * PR_USEC_PER_SEC)
 
 static pr_usec_t wall_clock(void)
@@ -106,7 +108,9 @@
 int pr_versions_plan(pr_exchange_t *exchange)
 {
 	pr_router_t *router = exchange->router;
+	const pr_step_t *step;
 	pr_query_t query;
+	int rc;
 
 	if (exchange->fleet != router->fleet) {
 		pr_config_unref(exchange->fleet);
@@ -119,8 +123,13 @@
 	}
 	find_session(exchange);
 	fill_query(&query, exchange);
-	return pr_policy_plan(&router->policy, &exchange->chat.plan, &query,
-			      &router->rand, pr_router_now(router));
+	rc = pr_policy_plan(&router->policy, &exchange->chat.plan, &query,
+			    &router->rand, pr_router_now(router));
+	step = &exchange->chat.plan.steps[0];
+	/* A draw has taken its part of the exposure budget already. */
+	if (!rc && step->basis == PR_BASIS_SESSION)
+		pr_rollout_charge(&router->rollout, step->model, step->version);
+	return rc;
 }
 
 bool pr_versions_permitted(pr_exchange_t *exchange)
@@ -174,22 +183,25 @@
 	answer_session(exchange);
 }
 
-static void count_outcome(pr_exchange_t *exchange, bool error)
+static void report(pr_exchange_t *exchange, pr_signal_t signal, bool bad)
 {
-	const pr_step_t *step = pr_chat_step(exchange);
-	pr_counts_t counts = { 0 };
-
-	counts.trials[PR_SIGNAL_ERROR] = 1;
-	counts.bad[PR_SIGNAL_ERROR] = error;
-	pr_rollout_add(&exchange->router->rollout,
-		       pr_slice_of(step->model->name),
-		       pr_slice_of(step->version->name),
-		       pr_slice_of(exchange->workspace_name), &counts);
+	pr_rollouts_report(exchange->router, pr_chat_step(exchange),
+			   exchange->workspace_name, signal, bad);
+}
+
+void pr_versions_first_token(pr_exchange_t *exchange, pr_usec_t after)
+{
+	const pr_defaults_t *defaults = &exchange->fleet->fleet->defaults;
+
+	report(exchange, PR_SIGNAL_SLOW,
+	       after > defaults->first_token_ms * PR_USEC_PER_MSEC);
 }
 
 static void on_asked(void *data, pr_platform_outcome_t outcome, int status,
 		     pr_slice_t body)
 {
+	if (outcome != PR_PLATFORM_ANSWERED || status >= 300)
+		pr_ratings_ask_failed(data);
 }
 
 /* Asks the rating service about the step's answer. */
@@ -200,45 +212,80 @@
 	const pr_step_t *step = pr_chat_step(exchange);
 	char request[PR_ID_BYTES + 8];
 	char name[PR_CLASS_BYTES + 16];
+	uint64_t answer;
 	json_t *root;
 	char *text;
 
 	snprintf(request, sizeof(request), "%s/%u", exchange->id, chat->step);
 	snprintf(name, sizeof(name), "%s%s", chat->request_class,
 		 chat->step ? PR_POLICY_ESCALATED : "");
-	pr_policy_note(&router->policy, &chat->plan,
-		       pr_hash64(request, strlen(request), 0), chat->confidence,
+	answer = pr_hash64(request, strlen(request), 0);
+	pr_policy_note(&router->policy, &chat->plan, answer, chat->confidence,
 		       final);
+	pr_ratings_asked(router, answer, final);
 	root = json_pack("{s:s, s:s, s:s, s:s, s:s}", "request", request,
 			 "workspace", exchange->workspace_name, "class", name,
 			 "model", step->model->name, "version",
 			 step->version->name);
 	text = json_dumps(root, JSON_COMPACT);
-	if (text)
-		pr_platform_call(router->platform, "POST",
-				 PR_SLICE("/v1/ratings"), pr_slice_of(text),
-				 RATING_TIMEOUT, on_asked, router);
+	if (!text ||
+	    pr_platform_call(router->platform, "POST", PR_SLICE("/v1/ratings"),
+			     pr_slice_of(text), RATING_TIMEOUT, on_asked,
+			     router))
+		pr_ratings_ask_failed(router);
 	free(text);
 	json_decref(root);
 }
 
+/*
+ * Every answer of a version in roll-out is rated while the budget lasts. All
+ * steps of one request are rated or none: a cascade whose first step alone is
+ * rated would be judged by its easy requests.
+ */
+static bool wants_rating(pr_exchange_t *exchange)
+{
+	pr_chat_t *chat = &exchange->chat;
+	bool unproven =
+		pr_chat_step(exchange)->version->state != PR_VERSION_PROVEN;
+
+	if (chat->step == 0)
+		chat->plan.rate = (chat->plan.rate || unproven) &&
+				  pr_ratings_allow(exchange->router, unproven);
+	return chat->plan.rate;
+}
+
 void pr_versions_answered(pr_exchange_t *exchange, bool final)
 {
-	count_outcome(exchange, false);
-	if (exchange->chat.plan.rate)
+	report(exchange, PR_SIGNAL_ERROR, false);
+	report(exchange, PR_SIGNAL_REFUSAL, false);
+	if (wants_rating(exchange))
 		ask_rating(exchange, final);
 }
 
 void pr_versions_failed(pr_exchange_t *exchange)
 {
-	count_outcome(exchange, true);
+	const pr_upstream_call_t *call = &exchange->call;
+
+	/* An upstream that cannot be reached says nothing of the version. */
+	if (!call->status)
+		return;
+	if (pr_call_states_not_run(call)) {
+		report(exchange, PR_SIGNAL_REFUSAL, true);
+		return;
+	}
+	report(exchange, PR_SIGNAL_REFUSAL, false);
+	report(exchange, PR_SIGNAL_ERROR, true);
 }
 
 static int init(pr_router_t *router)
 {
 	pr_policy_options_t policy = PR_POLICY_OPTIONS_INIT;
 	pr_rollout_options_t rollout = PR_ROLLOUT_OPTIONS_INIT;
-	int rc = pr_policy_init(&router->policy, &policy);
+	int rc;
+
+	rollout.test = !pr_test_off("rollout-test");
+	rollout.budget = !pr_test_off("rollout-budget");
+	rc = pr_policy_init(&router->policy, &policy);
 
 	if (!rc)
 		rc = pr_rollout_init(&router->rollout, &rollout);
