Count uniformly drawn ratings only as the reference

Cause: every sampled (explored) request is rated, but only a fifth of the others. The replaced version's counts held mostly sampled requests, of classes that it is not chosen for because it is worse there, so its rate looked worse than it is and worse versions passed.

Change: pr_policy_evidence() says which ratings count; of proven versions only those that the uniform draw asked for. All answers of an unproven version still count.

--- a/include/pistachiorack/policy.h
+++ b/include/pistachiorack/policy.h
@@ -242,6 +242,14 @@
 void pr_policy_note(pr_policy_t *policy, const pr_plan_t *plan, uint64_t answer,
 		    double confidence, bool final);
 
+/**
+ * Whether the rating of a step's answer may count in the test of a roll-out.
+ * First answers only, since escalated requests are harder. Of proven versions
+ * only uniformly drawn answers count: sampled requests (PR_RULE_EXPLORE) are
+ * all rated, and would be over-represented on the replaced version's side.
+ */
+bool pr_policy_evidence(const pr_plan_t *plan, unsigned int step);
+
 typedef struct pr_rating_t {
 	uint64_t request;
 	pr_slice_t workspace;
--- a/src/policy/plan.c
+++ b/src/policy/plan.c
@@ -359,6 +359,13 @@
 	return confidence >= step->accept_confidence;
 }
 
+bool pr_policy_evidence(const pr_plan_t *plan, unsigned int step)
+{
+	return step == 0 && plan->rate &&
+	       (plan->uniform ||
+		plan->steps[0].version->state != PR_VERSION_PROVEN);
+}
+
 int pr_plan_explain(const pr_plan_t *plan, pr_str_t *out)
 {
 	static const char *const rules[] = {
--- a/src/replay/run.c
+++ b/src/replay/run.c
@@ -252,7 +252,7 @@
 }
 
 static void ask_rating(world_t *w, size_t request, unsigned int h, int version,
-		       bool good, bool escalated)
+		       bool good, bool escalated, bool evidence)
 {
 	const rp_request_t *r = &w->trace->requests[request];
 	pending_rating_t *p;
@@ -278,7 +278,7 @@
 		.good = good
 	};
 	p->host = (uint8_t)h;
-	p->evidence = !escalated;
+	p->evidence = evidence;
 	p->next = w->due[at];
 	w->due[at] = p;
 }
@@ -327,7 +327,8 @@
 		pr_policy_note(&host->policy, plan,
 			       2 * (uint64_t)request + 1 + i, confidence, done);
 		if (plan->rate)
-			ask_rating(w, request, h, version, good, i > 0);
+			ask_rating(w, request, h, version, good, i > 0,
+				   pr_policy_evidence(plan, i));
 		if (done)
 			break;
 	}
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -101,6 +101,29 @@
 	pr_fleet_free(fleet);
 }
 
+/* Guards against sampled or escalated requests of a proven version in the
+ * reference of a roll-out: they are harder, and a worse version would pass. */
+static void evidence_is_drawn_uniformly(void **state)
+{
+	pr_fleet_t *fleet = fleet_of(two_models);
+	const pr_model_t *small = pr_fleet_model(fleet, PR_SLICE("small"));
+	pr_plan_t plan = { .steps_count = 2, .rule = PR_RULE_EXPLORE };
+
+	plan.steps[0].version = pr_model_version(small, PR_SLICE("s1"));
+	plan.steps[1].version = plan.steps[0].version;
+	plan.rate = true;
+	assert_false(pr_policy_evidence(&plan, 0));
+	plan.uniform = true;
+	assert_true(pr_policy_evidence(&plan, 0));
+	assert_false(pr_policy_evidence(&plan, 1));
+	plan.uniform = false;
+	plan.steps[0].version = pr_model_version(small, PR_SLICE("s2"));
+	assert_true(pr_policy_evidence(&plan, 0));
+	plan.rate = false;
+	assert_false(pr_policy_evidence(&plan, 0));
+	pr_fleet_free(fleet);
+}
+
 /* Guards against cheap answers without evidence, against paying for the
  * dearest where evidence shows that cheap suffices, and against a changed
  * quality that goes unnoticed. */
@@ -375,6 +398,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(permission_follows_state_and_basis),
+		cmocka_unit_test(evidence_is_drawn_uniformly),
 		cmocka_unit_test(choice_follows_evidence),
 		cmocka_unit_test(cascade_uses_confidence),
 		cmocka_unit_test(sharing_gives_way_to_own_ratings),
