Compare with the replaced version since the roll-out began

Cause: the replaced version's counts held work from before the roll-out, with another mix of classes, which policy had not learned yet.

Change: a version that enters roll-out keeps the replaced version's counts of that moment and subtracts them, in all and by workspace. The fixed stages of the replay get the same reference.

--- a/include/pistachiorack/rollout.h
+++ b/include/pistachiorack/rollout.h
@@ -86,6 +86,16 @@
 	pr_watch_t watch;
 } pr_workspace_track_t;
 
+/**
+ * Counts of the replaced version when a roll-out began. Earlier outcomes come
+ * from another mix of work and take no part in the comparison.
+ */
+typedef struct pr_rollout_base_t {
+	pr_counts_t counts;
+	/** In the order of the replaced version's workspaces. */
+	pr_counts_t workspaces[PR_ROLLOUT_WORKSPACES];
+} pr_rollout_base_t;
+
 typedef struct pr_track_t {
 	char model[PR_ROLLOUT_NAME_MAX];
 	char version[PR_ROLLOUT_NAME_MAX];
@@ -96,6 +106,7 @@
 	bool alarm;
 	pr_workspace_track_t workspaces[PR_ROLLOUT_WORKSPACES];
 	unsigned int workspaces_count;
+	pr_rollout_base_t base;
 	/** Exposure budget: requests that may still be sent. */
 	double tokens, granted_per_s;
 	pr_usec_t tokens_at, granted_until;
--- a/src/replay/stages.c
+++ b/src/replay/stages.c
@@ -16,12 +16,16 @@
 
 static double z_score(const pr_track_t *track, const pr_track_t *reference)
 {
+	pr_counts_t since = reference->counts;
 	double n = (double)track->counts.trials[PR_SIGNAL_RATING];
-	double m = (double)reference->counts.trials[PR_SIGNAL_RATING];
 	double k = (double)track->counts.bad[PR_SIGNAL_RATING];
-	double j = (double)reference->counts.bad[PR_SIGNAL_RATING];
-	double p = (k + j + 0.5) / (n + m + 1);
+	double m, j, p;
 
+	/* The same reference as our test has: since the roll-out began. */
+	pr_counts_subtract(&since, &track->base.counts);
+	m = (double)since.trials[PR_SIGNAL_RATING];
+	j = (double)since.bad[PR_SIGNAL_RATING];
+	p = (k + j + 0.5) / (n + m + 1);
 	if (n < 1 || m < 1)
 		return 0;
 	return (k / n - j / m) / sqrt(p * (1 - p) * (1 / n + 1 / m));
--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -137,17 +137,29 @@
 	return NULL;
 }
 
+/* The replaced version's counts since the roll-out began. */
+static pr_counts_t since_start(const pr_track_t *track,
+			       const pr_track_t *reference)
+{
+	pr_counts_t counts = reference->counts;
+
+	pr_counts_subtract(&counts, &track->base.counts);
+	return counts;
+}
+
 static bool is_bad(const pr_rollout_t *rollout, const pr_track_t *track,
 		   const pr_track_t *reference, const pr_fleet_t *fleet,
 		   pr_rollout_change_t *change)
 {
 	double alpha = rollout->options.alpha;
+	pr_counts_t counts;
 
 	if (!rollout->options.test)
 		return false;
-	if (test_counts(rollout, &track->counts,
-			reference ? &reference->counts : NULL, fleet,
-			alpha * POOLED_PART, change))
+	if (reference)
+		counts = since_start(track, reference);
+	if (test_counts(rollout, &track->counts, reference ? &counts : NULL,
+			fleet, alpha * POOLED_PART, change))
 		return true;
 	for (unsigned int i = 0; i < track->workspaces_count; i++) {
 		const pr_workspace_track_t *entry = &track->workspaces[i];
@@ -156,8 +168,15 @@
 
 		if (reference && !same)
 			continue;
-		if (!test_counts(rollout, &entry->counts,
-				 same ? &same->counts : NULL, fleet,
+		if (same) {
+			counts = same->counts;
+			pr_counts_subtract(
+				&counts,
+				&track->base.workspaces[same -
+							reference->workspaces]);
+		}
+		if (!test_counts(rollout, &entry->counts, same ? &counts : NULL,
+				 fleet,
 				 alpha * (1 - POOLED_PART) /
 					 PR_ROLLOUT_WORKSPACES,
 				 change))
@@ -183,9 +202,13 @@
 			const pr_track_t *reference, const pr_fleet_t *fleet,
 			unsigned int step, pr_rollout_change_t *change)
 {
-	const pr_counts_t *counts = reference ? &reference->counts : NULL;
-	pr_rate_t rate = reference_rate(counts, fleet, PR_SIGNAL_RATING);
+	pr_counts_t since = { 0 };
+	const pr_counts_t *counts = reference ? &since : NULL;
+	pr_rate_t rate;
 
+	if (reference)
+		since = since_start(track, reference);
+	rate = reference_rate(counts, fleet, PR_SIGNAL_RATING);
 	if (rate.trials < rollout->options.reference_min)
 		return false;
 	change->signal = PR_SIGNAL_RATING;
--- a/src/rollout/track.c
+++ b/src/rollout/track.c
@@ -70,6 +70,20 @@
 	track->stated[0] = '\0';
 }
 
+void pr_counts_subtract(pr_counts_t *from, const pr_counts_t *counts)
+{
+	for (int s = 0; s < PR_SIGNALS; s++) {
+		/* The replaced version's evidence was cleared meanwhile. */
+		if (from->trials[s] < counts->trials[s] ||
+		    from->bad[s] < counts->bad[s])
+			return;
+	}
+	for (int s = 0; s < PR_SIGNALS; s++) {
+		from->trials[s] -= counts->trials[s];
+		from->bad[s] -= counts->bad[s];
+	}
+}
+
 static void drop_unlisted(pr_rollout_t *rollout, const pr_fleet_t *fleet)
 {
 	for (unsigned int i = 0; i < rollout->tracks_count;) {
@@ -85,6 +99,32 @@
 	}
 }
 
+/* True when the version has answered since its evidence was cleared. */
+static bool is_compared(const pr_track_t *track)
+{
+	for (int s = 0; s < PR_SIGNALS; s++)
+		if (track->counts.trials[s])
+			return true;
+	return false;
+}
+
+static void start_comparison(const pr_rollout_t *rollout, pr_track_t *track,
+			     const pr_model_t *model,
+			     const pr_version_t *version)
+{
+	const pr_track_t *reference = NULL;
+
+	memset(&track->base, 0, sizeof(track->base));
+	if (version->replaces)
+		reference = pr_rollout_track(rollout, pr_slice_of(model->name),
+					     pr_slice_of(version->replaces));
+	if (!reference)
+		return;
+	track->base.counts = reference->counts;
+	for (unsigned int i = 0; i < reference->workspaces_count; i++)
+		track->base.workspaces[i] = reference->workspaces[i].counts;
+}
+
 static void follow(pr_rollout_t *rollout, const pr_model_t *model,
 		   const pr_version_t *version, pr_usec_t now)
 {
@@ -104,6 +144,7 @@
 				  pr_slice_of(version->name)))
 			return;
 		rollout->tracks_count++;
+		start_comparison(rollout, track, model, version);
 		return;
 	}
 	if (track->state == version->state)
@@ -112,6 +153,9 @@
 	if (track->state == PR_VERSION_WITHDRAWN)
 		clear_evidence(track);
 	track->state = version->state;
+	/* While it is halted or rolling the first comparison goes on. */
+	if (version->state == PR_VERSION_ROLLING && !is_compared(track))
+		start_comparison(rollout, track, model, version);
 }
 
 void pr_rollout_configure(pr_rollout_t *rollout, const pr_fleet_t *fleet,
--- a/src/rollout/track.h
+++ b/src/rollout/track.h
@@ -8,4 +8,10 @@
 pr_track_t *pr_rollout_track(const pr_rollout_t *rollout, pr_slice_t model,
 			     pr_slice_t version);
 
+/**
+ * Subtract an earlier state of the same counts. Nothing changes when they are
+ * below it, as they are after they started afresh.
+ */
+void pr_counts_subtract(pr_counts_t *from, const pr_counts_t *counts);
+
 #endif
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -205,6 +205,33 @@
 	pr_fleet_free(fleet);
 }
 
+/* Guards against a worse version that passes because the replaced version did
+ * other work, with a higher bad rate, before the roll-out began. */
+static void reference_starts_with_the_rollout(void **state)
+{
+	pr_rollout_options_t options = PR_ROLLOUT_OPTIONS_INIT;
+	pr_fleet_t *before = fleet_at("halted", 0);
+	pr_fleet_t *fleet = fleet_at("rolling", 100);
+	pr_rollout_change_t change;
+	pr_rollout_t rollout;
+
+	setup(&rollout, &options, before);
+	add_rated(&rollout, "small", "s1", "w1", 1000, 300);
+	pr_rollout_configure(&rollout, fleet, 2, 0);
+	assert_int_equal(
+		pr_rollout_conclude(&rollout, fleet, 2, true, &change, 1, 0),
+		0);
+	add_rated(&rollout, "small", "s1", "w1", 1000, 50);
+	add_rated(&rollout, "small", "s2", "w1", 400, 60);
+	assert_int_equal(
+		pr_rollout_conclude(&rollout, fleet, 2, true, &change, 1, 0),
+		1);
+	assert_int_equal(change.conclusion, PR_CONCLUDE_WITHDRAW);
+	pr_rollout_finish(&rollout);
+	pr_fleet_free(before);
+	pr_fleet_free(fleet);
+}
+
 /* Guards against a step that is applied twice by two hosts, a step from stale
  * or unconfirmed configuration (store outage), a second step before the first
  * is confirmed, and a step that overtakes an operator's withdrawal or halt. */
@@ -400,6 +427,7 @@
 		cmocka_unit_test(grants_end),
 		cmocka_unit_test(test_keeps_its_rate),
 		cmocka_unit_test(one_workspace_is_enough),
+		cmocka_unit_test(reference_starts_with_the_rollout),
 		cmocka_unit_test(steps_need_confirmation),
 		cmocka_unit_test(two_rollouts_are_separate),
 		cmocka_unit_test(proven_versions_are_watched),
