Keep a roll-out at each step for a least time

Cause: the odds for a step were reached within minutes, so versions whose quality falls within the first hour, or that fail later in it, reached 25 per cent or were proven before it showed.

Change: options.stay, 30 minutes at 1 and 5 per cent and 60 minutes at 25 per cent. A withdrawal is never delayed. At 25 per cent the replaced version still answers three quarters, which is the fair comparison before a version is proven. Tests of steps look after that time; what they require is the same, and a new test holds the time itself.

--- a/include/pistachiorack/rollout.h
+++ b/include/pistachiorack/rollout.h
@@ -58,6 +58,11 @@
 	uint32_t shares[PR_ROLLOUT_STEPS];
 	/** Odds against `step_margin` that allow the next step. */
 	double odds[PR_ROLLOUT_STEPS];
+	/**
+	 * Least time at each step. A fault that comes with time, or with
+	 * another part of the day's work, shows while the share is small.
+	 */
+	pr_usec_t stay[PR_ROLLOUT_STEPS];
 	/** Time before a change that was not confirmed is stated again. */
 	pr_usec_t retry;
 	/** For tests that show what each mechanism prevents. */
@@ -71,6 +76,8 @@
 		.tolerance = 0.0, .step_margin = 0.04, .reference_min = 100,   \
 		.monitor_run_length = 1e6,                                     \
 		.shares = { 100, 500, 2500, 10000 }, .odds = { 2, 5, 10, 25 }, \
+		.stay = { 1800 * PR_USEC_PER_SEC, 1800 * PR_USEC_PER_SEC,      \
+			  3600 * PR_USEC_PER_SEC, 0 },                         \
 		.retry = 5 * PR_USEC_PER_SEC, .test = true, .budget = true,    \
 	}
 
@@ -114,6 +121,9 @@
 	uint64_t exposed;
 	/** State last seen; new evidence counts start at a new roll-out. */
 	pr_version_state_t state;
+	uint32_t share;
+	/** When the share was last changed. */
+	pr_usec_t step_at;
 	pr_usec_t stated_at;
 	char stated[PR_ROLLOUT_CHANGE_ID_MAX];
 } pr_track_t;
--- a/src/rollout/conclude.c
+++ b/src/rollout/conclude.c
@@ -248,7 +248,7 @@
 			     const pr_fleet_t *fleet, const pr_model_t *model,
 			     const pr_version_t *version,
 			     const pr_track_t *track,
-			     pr_rollout_change_t *change)
+			     pr_rollout_change_t *change, pr_usec_t now)
 {
 	const pr_track_t *reference = NULL;
 	unsigned int step = step_of(rollout, version->share);
@@ -265,6 +265,7 @@
 	}
 	/* A halted version may be found bad, but only an operator resumes. */
 	if (version->state != PR_VERSION_ROLLING ||
+	    now < track->step_at + rollout->options.stay[step] ||
 	    !may_advance(rollout, track, reference, fleet, step, change))
 		return false;
 	if (step + 1 == PR_ROLLOUT_STEPS ||
@@ -347,7 +348,7 @@
 		found = conclude_proven(rollout, model, version, track, change);
 	else
 		found = conclude_rolling(rollout, fleet, model, version, track,
-					 change);
+					 change, now);
 	if (!found)
 		return false;
 	if (!strcmp(track->stated, change->change_id) &&
--- a/src/rollout/track.c
+++ b/src/rollout/track.c
@@ -138,6 +138,8 @@
 		memset(track, 0, sizeof(*track));
 		track->tokens_at = now;
 		track->state = version->state;
+		track->share = version->share;
+		track->step_at = now;
 		if (pr_slice_copy(track->model, sizeof(track->model),
 				  pr_slice_of(model->name)) ||
 		    pr_slice_copy(track->version, sizeof(track->version),
@@ -147,6 +149,9 @@
 		start_comparison(rollout, track, model, version);
 		return;
 	}
+	if (track->state != version->state || track->share != version->share)
+		track->step_at = now;
+	track->share = version->share;
 	if (track->state == version->state)
 		return;
 	/* A second roll-out of a withdrawn version starts afresh. */
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -14,6 +14,8 @@
 #include "fleet_text.h"
 
 #define SMALL PR_SLICE("small")
+/* A moment at which each step has lasted long enough. */
+#define SETTLED (7200 * PR_USEC_PER_SEC)
 
 static pr_fleet_t *fleet_at(const char *state_of_s2, unsigned int share)
 {
@@ -232,6 +234,16 @@
 	pr_fleet_free(fleet);
 }
 
+static void assert_no_change(pr_rollout_t *rollout, const pr_fleet_t *fleet,
+			     uint64_t version, bool confirmed, pr_usec_t now)
+{
+	pr_rollout_change_t none;
+
+	assert_int_equal(pr_rollout_conclude(rollout, fleet, version, confirmed,
+					     &none, 1, now),
+			 0);
+}
+
 /* Guards against a step that is applied twice by two hosts, a step from stale
  * or unconfirmed configuration (store outage), a second step before the first
  * is confirmed, and a step that overtakes an operator's withdrawal or halt. */
@@ -249,25 +261,19 @@
 		setup(&hosts[i], &options, fleet);
 		add_rated(&hosts[i], "small", "s1", "w1", 1000, 50);
 		add_rated(&hosts[i], "small", "s2", "w1", 800, 40 + i);
-		assert_int_equal(pr_rollout_conclude(&hosts[i], fleet, 1, false,
-						     &none, 1, 0),
-				 0);
-		assert_int_equal(pr_rollout_conclude(&hosts[i], fleet, 0, true,
-						     &none, 1, 0),
-				 0);
+		assert_no_change(&hosts[i], fleet, 1, false, SETTLED);
+		assert_no_change(&hosts[i], fleet, 0, true, SETTLED);
 		assert_int_equal(pr_rollout_conclude(&hosts[i], fleet, 1, true,
-						     &change[i], 1, 0),
+						     &change[i], 1, SETTLED),
 				 1);
 		assert_int_equal(change[i].conclusion, PR_CONCLUDE_ADVANCE);
 		assert_int_equal(change[i].to_share, 500);
 		/* Not confirmed: stated again after a while, no second step. */
-		assert_int_equal(pr_rollout_conclude(&hosts[i], fleet, 1, true,
-						     &none, 1, 1000),
-				 0);
-		assert_int_equal(pr_rollout_conclude(&hosts[i], fleet, 1, true,
-						     &none, 1,
-						     6 * PR_USEC_PER_SEC),
-				 1);
+		assert_no_change(&hosts[i], fleet, 1, true, SETTLED + 1000);
+		assert_int_equal(
+			pr_rollout_conclude(&hosts[i], fleet, 1, true, &none, 1,
+					    SETTLED + 6 * PR_USEC_PER_SEC),
+			1);
 		assert_string_equal(none.change_id, change[i].change_id);
 	}
 	assert_string_equal(change[0].change_id, change[1].change_id);
@@ -279,17 +285,12 @@
 	assert_int_equal(pr_rollout_change_check(&change[1], halted),
 			 PR_ECONFLICT);
 	pr_rollout_configure(&hosts[0], halted, 2, 0);
-	assert_int_equal(
-		pr_rollout_conclude(&hosts[0], halted, 2, true, &none, 1, 0),
-		0);
+	assert_no_change(&hosts[0], halted, 2, true, SETTLED);
 	pr_rollout_configure(&hosts[1], withdrawn, 2, 0);
-	assert_int_equal(
-		pr_rollout_conclude(&hosts[1], withdrawn, 2, true, &none, 1, 0),
-		0);
+	assert_no_change(&hosts[1], withdrawn, 2, true, SETTLED);
 	/* A late older configuration does not bring the step back. */
 	pr_rollout_configure(&hosts[1], fleet, 1, 0);
-	assert_int_equal(
-		pr_rollout_conclude(&hosts[1], fleet, 1, true, &none, 1, 0), 0);
+	assert_no_change(&hosts[1], fleet, 1, true, SETTLED);
 	for (int i = 0; i < 2; i++)
 		pr_rollout_finish(&hosts[i]);
 	pr_fleet_free(fleet);
@@ -298,6 +299,41 @@
 	pr_fleet_free(halted);
 }
 
+/* Guards against a step before its time, when a fault that grows slowly does
+ * not show yet, and against a bad version that is kept until that time. */
+static void steps_last_their_time(void **state)
+{
+	pr_rollout_options_t options = PR_ROLLOUT_OPTIONS_INIT;
+	pr_fleet_t *fleet = fleet_at("rolling", 100);
+	pr_fleet_t *next = fleet_at("rolling", 500);
+	pr_usec_t stay = options.stay[0];
+	pr_rollout_change_t change;
+	pr_rollout_t rollout;
+
+	setup(&rollout, &options, fleet);
+	add_rated(&rollout, "small", "s1", "w1", 1000, 50);
+	add_rated(&rollout, "small", "s2", "w1", 800, 40);
+	assert_int_equal(pr_rollout_conclude(&rollout, fleet, 1, true, &change,
+					     1, stay - 1),
+			 0);
+	assert_int_equal(
+		pr_rollout_conclude(&rollout, fleet, 1, true, &change, 1, stay),
+		1);
+	assert_int_equal(change.conclusion, PR_CONCLUDE_ADVANCE);
+	pr_rollout_configure(&rollout, next, 2, stay);
+	assert_int_equal(pr_rollout_conclude(&rollout, next, 2, true, &change,
+					     1, stay + options.stay[1] - 1),
+			 0);
+	add_rated(&rollout, "small", "s2", "w1", 800, 400);
+	assert_int_equal(pr_rollout_conclude(&rollout, next, 2, true, &change,
+					     1, stay + 1),
+			 1);
+	assert_int_equal(change.conclusion, PR_CONCLUDE_WITHDRAW);
+	pr_rollout_finish(&rollout);
+	pr_fleet_free(fleet);
+	pr_fleet_free(next);
+}
+
 /* Guards against evidence of one roll-out that decides another. */
 static void two_rollouts_are_separate(void **state)
 {
@@ -311,9 +347,9 @@
 	add_rated(&rollout, "small", "s2", "w1", 600, 25);
 	add_rated(&rollout, "large", "l1", "w1", 1000, 50);
 	add_rated(&rollout, "large", "l2", "w1", 200, 60);
-	assert_int_equal(
-		pr_rollout_conclude(&rollout, fleet, 1, true, changes, 4, 0),
-		2);
+	assert_int_equal(pr_rollout_conclude(&rollout, fleet, 1, true, changes,
+					     4, SETTLED),
+			 2);
 	assert_int_equal(changes[0].conclusion, PR_CONCLUDE_PROVEN);
 	assert_int_equal(changes[1].conclusion, PR_CONCLUDE_WITHDRAW);
 	assert_string_equal(changes[1].version, "l2");
@@ -429,6 +465,7 @@
 		cmocka_unit_test(one_workspace_is_enough),
 		cmocka_unit_test(reference_starts_with_the_rollout),
 		cmocka_unit_test(steps_need_confirmation),
+		cmocka_unit_test(steps_last_their_time),
 		cmocka_unit_test(two_rollouts_are_separate),
 		cmocka_unit_test(proven_versions_are_watched),
 		cmocka_unit_test(evidence_counts_once),
