Mark ratings that may count as evidence; make the hold of a step a default

Sampled requests are all rated, so counting them made the replaced version look worse than it is. Every host reads the feed, so the mark travels in the rating's id. The least time of a step is a fleet-wide default of the configuration.

--- a/include/pistachiorack/config.h
+++ b/include/pistachiorack/config.h
@@ -127,6 +127,11 @@
 	double objective;
 	/** Most requests of one unproven version per second, fleet-wide. */
 	uint32_t exposure_per_s;
+	/**
+	 * Least time of a roll-out's first two steps, seconds; the third takes
+	 * twice as long. Left out or 0: 1800.
+	 */
+	uint32_t rollout_hold_s;
 	pr_limits_t limits;
 } pr_defaults_t;
 
--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -149,6 +149,8 @@
 			  objective),
 	CYAML_FIELD_UINT("exposure_per_s", OPTIONAL, pr_defaults_t,
 			 exposure_per_s),
+	CYAML_FIELD_UINT("rollout_hold_s", OPTIONAL, pr_defaults_t,
+			 rollout_hold_s),
 	CYAML_FIELD_MAPPING("limits", OPTIONAL, pr_defaults_t, limits,
 			    limits_fields),
 	CYAML_FIELD_END,
--- a/src/router/live.h
+++ b/src/router/live.h
@@ -6,6 +6,9 @@
 
 #include "router/exchange.h"
 
+/** Ends the id of a rating that may count in the test of a roll-out. */
+#define PR_RATING_EVIDENCE "/evidence"
+
 /**
  * @param unproven the answer came from a version in roll-out, for which half
  *		   of the ratings are reserved
--- a/src/router/ratings_task.c
+++ b/src/router/ratings_task.c
@@ -127,6 +127,16 @@
 		       PR_OBJECTIVE_QUALITY, rating->good ? NULL : cause);
 }
 
+static bool is_evidence(pr_slice_t request)
+{
+	pr_slice_t suffix = PR_SLICE(PR_RATING_EVIDENCE);
+
+	return request.len > suffix.len &&
+	       pr_slice_equal(pr_slice(request.ptr + request.len - suffix.len,
+				       suffix.len),
+			      suffix);
+}
+
 static void take_rating(pr_router_t *router, const json_t *entry)
 {
 	pr_ratings_t *ratings = router->ratings;
@@ -157,8 +167,9 @@
 	counts.trials[PR_SIGNAL_RATING] = 1;
 	counts.bad[PR_SIGNAL_RATING] = !rating.good;
 	pr_policy_rate(&router->policy, &rating, pr_router_now(router));
-	pr_rollout_add(&router->rollout, rating.model, rating.version,
-		       rating.workspace, &counts);
+	if (is_evidence(request))
+		pr_rollout_add(&router->rollout, rating.model, rating.version,
+			       rating.workspace, &counts);
 	record_quality(router, &rating);
 	ratings->read++;
 }
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -10,7 +10,9 @@
 #include "router/live.h"
 #include "router/test_off.h"
 
-#define SESSIONS_MAX   20000
+#define SESSIONS_MAX 20000
+/* Least time of a roll-out's first steps when the configuration has none. */
+#define ROLLOUT_HOLD_S 1800
 #define SESSION_TTL    (86400 * PR_USEC_PER_SEC)
 #define RATING_TIMEOUT (2 * PR_USEC_PER_SEC)
 
@@ -81,7 +83,8 @@
 		exchange->fleet->fleet, token, has_memory ? &memory : NULL);
 
 	if (pr_test_off("sessions"))
-		decision = (pr_session_decision_t){ .action = PR_SESSION_START };
+		decision =
+			(pr_session_decision_t){ .action = PR_SESSION_START };
 	chat->session_action = decision.action;
 	if (decision.source)
 		chat->session = *decision.source;
@@ -242,13 +245,18 @@
 	pr_router_t *router = exchange->router;
 	pr_chat_t *chat = &exchange->chat;
 	const pr_step_t *step = pr_chat_step(exchange);
-	char request[PR_ID_BYTES + 8];
+	char request[PR_ID_BYTES + 24];
 	char name[PR_CLASS_BYTES + 16];
 	uint64_t answer;
 	json_t *root;
 	char *text;
 
-	snprintf(request, sizeof(request), "%s/%u", exchange->id, chat->step);
+	/* Every host reads the rating; the suffix tells all of them whether it
+	 * counts as evidence. */
+	snprintf(request, sizeof(request), "%s/%u%s", exchange->id, chat->step,
+		 pr_policy_evidence(&chat->plan, chat->step)
+			 ? PR_RATING_EVIDENCE
+			 : "");
 	snprintf(name, sizeof(name), "%s%s", chat->request_class,
 		 chat->step ? PR_POLICY_ESCALATED : "");
 	answer = pr_hash64(request, strlen(request), 0);
@@ -356,8 +364,22 @@
 	return rc;
 }
 
+/* Least times of the steps; the last share is already the whole. */
+static void set_hold(pr_rollout_options_t *options, uint32_t seconds)
+{
+	pr_usec_t hold = (pr_usec_t)(seconds ? seconds : ROLLOUT_HOLD_S) *
+			 PR_USEC_PER_SEC;
+
+	options->stay[0] = hold;
+	options->stay[1] = hold;
+	options->stay[2] = 2 * hold;
+	options->stay[3] = 0;
+}
+
 static void fleet_changed(pr_router_t *router)
 {
+	set_hold(&router->rollout.options,
+		 router->fleet->fleet->defaults.rollout_hold_s);
 	pr_rollout_configure(&router->rollout, router->fleet->fleet,
 			     router->fleet->version, pr_router_now(router));
 }
--- a/tests/faults/rollout.sh
+++ b/tests/faults/rollout.sh
@@ -31,7 +31,7 @@
 	fleet_open "$build" 61 tan-seng-huat
 	sed -i 's/small@v1/small@v1 small@v2/' "$FLEET_DIR/upstreams.txt"
 	sed -i -e 's/serves: \[small@v1\]/serves: [small@v1, small@v2]/' \
-		-e "s/exposure_per_s: .*/exposure_per_s: $exposure/" \
+		-e "s/exposure_per_s: .*/exposure_per_s: $exposure\n  rollout_hold_s: 1/" \
 		"$FLEET_DIR/fleet.yaml"
 	cp "$FLEET_DIR/fleet.yaml" "$FLEET_DIR/before.yaml"
 	fleet_start_upstreams 9 >/dev/null
