--- a/include/pistachiorack/rollout.h
+++ b/include/pistachiorack/rollout.h
@@ -58,6 +58,11 @@
 	uint32_t shares[PR_ROLLOUT_STEPS];
 	/** Odds against `step_margin` that allow the next step. */
 	double odds[PR_ROLLOUT_STEPS];
+	/**
+	 * Least time at each step. A fault that comes with time, or with
+	 * another part of the day's work, shows while the share is small.
+	 */
+	pr_usec_t stay[PR_ROLLOUT_STEPS];
 	/** Time before a change that was not confirmed is stated again. */
 	pr_usec_t retry;
 	/** For tests that show what each mechanism prevents. */
@@ -71,6 +76,8 @@
 		.tolerance = 0.0, .step_margin = 0.04, .reference_min = 100,   \
 		.monitor_run_length = 1e6,                                     \
 		.shares = { 100, 500, 2500, 10000 }, .odds = { 2, 5, 10, 25 }, \
+		.stay = { 1800 * PR_USEC_PER_SEC, 1800 * PR_USEC_PER_SEC,      \
+			  3600 * PR_USEC_PER_SEC, 0 },                         \
 		.retry = 5 * PR_USEC_PER_SEC, .test = true, .budget = true,    \
 	}
 
@@ -86,6 +93,16 @@
 	pr_watch_t watch;
 } pr_workspace_track_t;
 
+/**
+ * Counts of the replaced version when a roll-out began. Earlier outcomes come
+ * from another mix of work and take no part in the comparison.
+ */
+typedef struct pr_rollout_base_t {
+	pr_counts_t counts;
+	/** In the order of the replaced version's workspaces. */
+	pr_counts_t workspaces[PR_ROLLOUT_WORKSPACES];
+} pr_rollout_base_t;
+
 typedef struct pr_track_t {
 	char model[PR_ROLLOUT_NAME_MAX];
 	char version[PR_ROLLOUT_NAME_MAX];
@@ -96,6 +113,7 @@
 	bool alarm;
 	pr_workspace_track_t workspaces[PR_ROLLOUT_WORKSPACES];
 	unsigned int workspaces_count;
+	pr_rollout_base_t base;
 	/** Exposure budget: requests that may still be sent. */
 	double tokens, granted_per_s;
 	pr_usec_t tokens_at, granted_until;
@@ -103,6 +121,9 @@
 	uint64_t exposed;
 	/** State last seen; new evidence counts start at a new roll-out. */
 	pr_version_state_t state;
+	uint32_t share;
+	/** When the share was last changed. */
+	pr_usec_t step_at;
 	pr_usec_t stated_at;
 	char stated[PR_ROLLOUT_CHANGE_ID_MAX];
 } pr_track_t;
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -78,6 +78,9 @@
 	pr_usec_t last_event;
 	/** The caller read so slowly that the upstream had to wait. */
 	bool caller_slow;
+	/** The caller's session token, checked once. */
+	pr_session_t token;
+	bool token_checked, token_valid;
 	/** Session of the caller; "" when it named none. */
 	pr_session_t session;
 	pr_session_action_t session_action;
@@ -92,6 +95,20 @@
 	uint64_t price;
 } pr_charge_t;
 
+/** Attempts that a reason record names. */
+#define PR_EXPLAIN_ATTEMPTS 4
+
+typedef struct pr_explain_attempt_t {
+	char upstream[65];
+	const char *outcome;
+	int status;
+} pr_explain_attempt_t;
+
+typedef struct pr_explain_attempts_t {
+	pr_explain_attempt_t items[PR_EXPLAIN_ATTEMPTS];
+	unsigned int count;
+} pr_explain_attempts_t;
+
 struct pr_exchange_t {
 	pr_exchange_t *prev, *next;
 	/** In router->billing by number, in router->claiming by claim. */
@@ -122,6 +139,13 @@
 	pr_balance_query_t query;
 	/** Joined over the attempts of all steps. */
 	pr_verdict_t verdict;
+	/** Wait for the owners of the session; answers that are due. */
+	pr_exchange_t *asking_next;
+	pr_timer_t asking_timer;
+	unsigned int asking_due;
+	char asking_session[PR_SESSION_NAME_MAX + 1];
+	bool session_asked;
+	void (*after_asking)(pr_exchange_t *exchange);
 	/** Callbacks that still use the exchange. */
 	unsigned int holds;
 	bool answer_started;
@@ -157,6 +181,7 @@
 	int outcome_status;
 	pr_str_t outcome;
 	char refused_code[32];
+	pr_explain_attempts_t tried;
 };
 
 /** @return NULL when the host is at its limit; an error was answered */
@@ -208,6 +233,12 @@
 /** @return retry budget of the exchange's workspace */
 pr_retry_budget_t *pr_admission_budget(pr_exchange_t *exchange);
 
+/**
+ * Name of the session, if its owners may know more than the request says.
+ *
+ * @return empty without a session, or when a valid token settles it
+ */
+pr_slice_t pr_versions_session_name(pr_exchange_t *exchange);
 /** Fill chat.plan and the session fields. @return 0 or PR_EDENIED */
 int pr_versions_plan(pr_exchange_t *exchange);
 /** @return true when the current step may run now */
@@ -234,6 +265,13 @@
 /** Count the finished request for the service-level report. */
 void pr_objectives_record(pr_exchange_t *exchange);
 
+/** Note how a call ended, for the reason record. */
+void pr_explain_tried(pr_exchange_t *exchange, const char *outcome);
+/** Keep the reason record of a request that ended. */
+void pr_explain_record(pr_exchange_t *exchange);
+/** @return the record as JSON, or NULL when it is not or no longer known */
+const char *pr_explain_find(const pr_router_t *router, pr_slice_t request);
+
 /** Note why a started answer could not be completed. */
 void pr_exchange_broken(pr_exchange_t *exchange, const char *code);
 
--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -4,12 +4,15 @@
 
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
+#include "pistachiorack/log.h"
 #include "router/chat.h"
 #include "router/test_off.h"
 #include "router/live.h"
 #include "router/test_off.h"
 
-#define SESSIONS_MAX   20000
+#define SESSIONS_MAX 20000
+/* Least time of a roll-out's first steps when the configuration has none. */
+#define ROLLOUT_HOLD_S 1800
 #define SESSION_TTL    (86400 * PR_USEC_PER_SEC)
 #define RATING_TIMEOUT (2 * PR_USEC_PER_SEC)
 
@@ -48,26 +51,36 @@
 			       pr_router_now(router));
 }
 
+/* @return the request's token, or NULL without a valid one */
+static const pr_session_t *token_of(pr_exchange_t *exchange)
+{
+	pr_chat_t *chat = &exchange->chat;
+	pr_slice_t header =
+		pr_http_request_header(exchange->request, "x-session-token");
+
+	if (!chat->token_checked && header.len)
+		chat->token_valid = !pr_session_check(
+			&exchange->router->session_ring, &chat->token, header,
+			pr_slice_of(exchange->workspace_name));
+	chat->token_checked = true;
+	return chat->token_valid ? &chat->token : NULL;
+}
+
 /* Finds the session's version; what it ran on before is in chat->session. */
 static void find_session(pr_exchange_t *exchange)
 {
 	pr_router_t *router = exchange->router;
 	pr_chat_t *chat = &exchange->chat;
 	pr_slice_t workspace = pr_slice_of(exchange->workspace_name);
-	pr_slice_t header =
-		pr_http_request_header(exchange->request, "x-session-token");
-	pr_session_t token, memory;
-	bool has_token =
-		header.len && !pr_session_check(&router->session_ring, &token,
-						header, workspace);
-	pr_slice_t id = session_id(exchange, has_token ? &token : NULL);
+	const pr_session_t *token = token_of(exchange);
+	pr_session_t memory;
+	pr_slice_t id = session_id(exchange, token);
 	bool has_memory =
 		id.len &&
 		!pr_session_memory_get(&router->sessions, &memory, workspace,
 				       id, pr_router_now(router));
 	pr_session_decision_t decision = pr_session_decide(
-		exchange->fleet->fleet, has_token ? &token : NULL,
-		has_memory ? &memory : NULL);
+		exchange->fleet->fleet, token, has_memory ? &memory : NULL);
 
 	if (pr_test_off("sessions"))
 		decision =
@@ -80,11 +93,30 @@
 	if (id.len)
 		pr_slice_copy(chat->session.session,
 			      sizeof(chat->session.session), id);
+	/* The memory gives the version only; the token and the owners need the
+	 * workspace too. */
+	pr_slice_copy(chat->session.workspace, sizeof(chat->session.workspace),
+		      workspace);
 	if (decision.action == PR_SESSION_MOVE)
 		snprintf(chat->moved_from, sizeof(chat->moved_from), "%s@%s",
 			 chat->session.model, chat->session.version);
 }
 
+pr_slice_t pr_versions_session_name(pr_exchange_t *exchange)
+{
+	pr_slice_t id =
+		pr_http_request_header(exchange->request, "x-session-id");
+	const pr_session_t *token = token_of(exchange);
+
+	if (!id.len || id.len > PR_SESSION_NAME_MAX)
+		return pr_slice("", 0);
+	if (token &&
+	    pr_session_decide(exchange->fleet->fleet, token, NULL).action ==
+		    PR_SESSION_KEEP)
+		return pr_slice("", 0);
+	return id;
+}
+
 static void fill_query(pr_query_t *query, pr_exchange_t *exchange)
 {
 	pr_chat_t *chat = &exchange->chat;
@@ -167,8 +199,7 @@
 			   pr_slice_of(name), pr_slice_of(step->model->name),
 			   pr_slice_of(step->version->name), wall_clock()))
 		return;
-	pr_session_memory_put(&router->sessions, &chat->session,
-			      pr_router_now(router));
+	pr_sessions_put(exchange);
 	if (!pr_session_sign(&router->session_ring, &chat->session, &token))
 		pr_http_answer_header(exchange->request, "x-session-token",
 				      pr_str_slice(&token));
@@ -214,13 +245,18 @@
 	pr_router_t *router = exchange->router;
 	pr_chat_t *chat = &exchange->chat;
 	const pr_step_t *step = pr_chat_step(exchange);
-	char request[PR_ID_BYTES + 8];
+	char request[PR_ID_BYTES + 24];
 	char name[PR_CLASS_BYTES + 16];
 	uint64_t answer;
 	json_t *root;
 	char *text;
 
-	snprintf(request, sizeof(request), "%s/%u", exchange->id, chat->step);
+	/* Every host reads the rating; the suffix tells all of them whether it
+	 * counts as evidence. */
+	snprintf(request, sizeof(request), "%s/%u%s", exchange->id, chat->step,
+		 pr_policy_evidence(&chat->plan, chat->step)
+			 ? PR_RATING_EVIDENCE
+			 : "");
 	snprintf(name, sizeof(name), "%s%s", chat->request_class,
 		 chat->step ? PR_POLICY_ESCALATED : "");
 	answer = pr_hash64(request, strlen(request), 0);
@@ -281,6 +317,33 @@
 	report(exchange, PR_SIGNAL_ERROR, true);
 }
 
+static int add_key(pr_session_ring_t *ring, const char *secret)
+{
+	char key[PR_KEY_SIZE];
+
+	pr_derive_key(key, pr_slice_of(secret), "pistachiorack/tokens");
+	return pr_session_ring_rotate(ring, pr_slice_of(key));
+}
+
+/* Tokens are signed with the current secret; those of the first old secret are
+ * accepted too. The ring has room for one. */
+static int init_ring(pr_router_t *router)
+{
+	const pr_settings_t *settings = router->settings;
+	int rc = 0;
+
+	memset(&router->session_ring, 0, sizeof(router->session_ring));
+	if (settings->old_secrets_count > 1)
+		pr_log(PR_LOG_WARNING,
+		       "old_secrets: only the first of %u is accepted",
+		       settings->old_secrets_count);
+	if (settings->old_secrets_count)
+		rc = add_key(&router->session_ring, settings->old_secrets[0]);
+	if (!rc)
+		rc = add_key(&router->session_ring, settings->secret);
+	return rc;
+}
+
 static int init(pr_router_t *router)
 {
 	pr_policy_options_t policy = PR_POLICY_OPTIONS_INIT;
@@ -294,17 +357,29 @@
 	if (!rc)
 		rc = pr_rollout_init(&router->rollout, &rollout);
 	if (!rc)
-		rc = pr_session_ring_init(
-			&router->session_ring,
-			pr_slice_of(router->settings->secret));
+		rc = init_ring(router);
 	if (!rc)
 		rc = pr_session_memory_init(&router->sessions, SESSIONS_MAX,
 					    SESSION_TTL);
 	return rc;
 }
 
+/* Least times of the steps; the last share is already the whole. */
+static void set_hold(pr_rollout_options_t *options, uint32_t seconds)
+{
+	pr_usec_t hold = (pr_usec_t)(seconds ? seconds : ROLLOUT_HOLD_S) *
+			 PR_USEC_PER_SEC;
+
+	options->stay[0] = hold;
+	options->stay[1] = hold;
+	options->stay[2] = 2 * hold;
+	options->stay[3] = 0;
+}
+
 static void fleet_changed(pr_router_t *router)
 {
+	set_hold(&router->rollout.options,
+		 router->fleet->fleet->defaults.rollout_hold_s);
 	pr_rollout_configure(&router->rollout, router->fleet->fleet,
 			     router->fleet->version, pr_router_now(router));
 }
