--- a/src/router/router.c
+++ b/src/router/router.c
@@ -129,7 +129,9 @@
 	options.name = settings->host;
 	options.address = settings->peer.address;
 	options.port = settings->peer.port;
-	options.secret = settings->secret;
+	pr_derive_key(router->peer_key, pr_slice_of(settings->secret),
+		      "pistachiorack/peers");
+	options.secret = router->peer_key;
 	options.on_message = on_peer_message;
 	options.on_datagram = pr_member_task_datagram;
 	options.data = router;
@@ -221,7 +223,8 @@
 {
 	pr_router_t *router = timer->data;
 
-	if (!router->exchange_count && !pr_tasks_busy(router))
+	if (!router->exchange_count && !pr_tasks_busy(router) &&
+	    pr_http_server_end(router->server))
 		end_loop(router);
 }
 
--- a/src/router/task.h
+++ b/src/router/task.h
@@ -50,6 +50,8 @@
 extern const pr_task_ops_t pr_poll_task;
 extern const pr_task_ops_t pr_order_task;
 extern const pr_task_ops_t pr_versions_task;
+extern const pr_task_ops_t pr_sessions_task;
+extern const pr_task_ops_t pr_explain_task;
 extern const pr_task_ops_t pr_ratings_task;
 extern const pr_task_ops_t pr_rollouts_task;
 extern const pr_task_ops_t pr_config_task;
