--- a/tests/faults/ratings.sh
+++ b/tests/faults/ratings.sh
@@ -8,7 +8,7 @@
 . script/lib/fleet.sh
 # Cold engines refuse work, which is not what is looked at here.
 FLEET_ENGINE_ARGS=--cold-ms=0
-fleet_open "$1" 63 tan-seng-huat
+fleet_open "$1" "${PR_TEST_NET:-63}" tan-seng-huat
 fleet_start_upstreams 9 >/dev/null
 fleet_apply "$FLEET_DIR/fleet.yaml" >/dev/null
 platform="http://$FLEET_PLATFORM:$FLEET_PLATFORM_PORT"
--- a/tests/faults/rollout.sh
+++ b/tests/faults/rollout.sh
@@ -28,7 +28,7 @@
 	exposure=$2
 	FLEET_VERSION=0
 	FLEET_ENGINE_ARGS="--cold-ms=0 --record=200000"
-	fleet_open "$build" 61 tan-seng-huat
+	fleet_open "$build" "${PR_TEST_NET:-61}" tan-seng-huat
 	sed -i 's/small@v1/small@v1 small@v2/' "$FLEET_DIR/upstreams.txt"
 	sed -i -e 's/serves: \[small@v1\]/serves: [small@v1, small@v2]/' \
 		-e "s/exposure_per_s: .*/exposure_per_s: $exposure/" \
--- a/tests/faults/session_owners.sh
+++ b/tests/faults/session_owners.sh
@@ -8,7 +8,7 @@
 # shellcheck source=script/lib/fleet.sh
 . script/lib/fleet.sh
 FLEET_ENGINE_ARGS=--cold-ms=0
-fleet_open "$1" 62 tan-seng-huat
+fleet_open "$1" "${PR_TEST_NET:-62}" tan-seng-huat
 sed -i 's/small@v1/small@v1 small@v2/' "$FLEET_DIR/upstreams.txt"
 sed -i -e 's/serves: \[small@v1\]/serves: [small@v1, small@v2]/' \
 	-e 's/exposure_per_s: .*/exposure_per_s: 1000/' "$FLEET_DIR/fleet.yaml"
