--- a/src/router/versions_task.c
+++ b/src/router/versions_task.c
@@ -81,7 +81,8 @@
 		exchange->fleet->fleet, token, has_memory ? &memory : NULL);
 
 	if (pr_test_off("sessions"))
-		decision = (pr_session_decision_t){ .action = PR_SESSION_START };
+		decision =
+			(pr_session_decision_t){ .action = PR_SESSION_START };
 	chat->session_action = decision.action;
 	if (decision.source)
 		chat->session = *decision.source;
