--- a/src/router/explain.c
+++ b/src/router/explain.c
@@ -51,6 +51,15 @@
 	return list;
 }
 
+/* Why nothing was permitted. A plan that has steps also names the last reason
+ * against a candidate; that is not a refusal of the request. */
+static const char *refusal_of(const pr_plan_t *plan)
+{
+	if (plan->steps_count || plan->refused == PR_PERMITTED)
+		return "";
+	return pr_permission_name(plan->refused);
+}
+
 static json_t *plan_of(const pr_exchange_t *exchange)
 {
 	pr_str_t text = PR_STR_INIT;
@@ -75,8 +84,7 @@
 		"s:I, s:I, s:o}",
 		"request", exchange->id, "workspace", exchange->workspace_name,
 		"what", exchange->what, "limit", exchange->failure, "claim",
-		exchange->refused_code, "refused",
-		pr_permission_name(plan->refused), "verdict",
+		exchange->refused_code, "refused", refusal_of(plan), "verdict",
 		pr_verdict_name(exchange->verdict), "attempts",
 		(int)exchange->calls, "upstreams", attempts(exchange),
 		"first_token_us", (json_int_t)first, "total_us",
