--- a/src/balance/event.c
+++ b/src/balance/event.c
@@ -28,7 +28,7 @@
 
 /* An upstream that gave a first token within this time and refuses work is
  * full, not broken. */
-#define REFUSAL_TIME PR_USEC_PER_SEC
+#define REFUSAL_TIME (5 * PR_USEC_PER_SEC)
 
 /* Errors in a row after which an upstream is taken for one that restarts. */
 #define RAMP_ERRORS 3
