Check the bounds of every peer message before a task decodes it

libmsgpack allocates what a header announces; three decoders unpacked payloads unchecked. One check stands before all tasks now, and sessions and evidence share one reader of maps.

--- a/src/base/msgpack_check.c
+++ b/src/base/msgpack_check.c
@@ -1,5 +1,7 @@
 #include "base/msgpack_check.h"
 
+#include "pistachiorack/error.h"
+
 #include <stdint.h>
 
 static uint32_t big_endian(const uint8_t *bytes, size_t len)
@@ -101,3 +103,27 @@
 		left -= head.fixed + length;
 	}
 }
+
+int pr_msgpack_each_field(pr_slice_t bytes,
+			  int (*take)(void *data,
+				      const msgpack_object_kv *field),
+			  void *data)
+{
+	msgpack_unpacked unpacked;
+	int rc = PR_EPARSE;
+
+	if (!pr_msgpack_check(bytes))
+		return PR_EPARSE;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, bytes.ptr, bytes.len, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    unpacked.data.type == MSGPACK_OBJECT_MAP) {
+		const msgpack_object_map *map = &unpacked.data.via.map;
+
+		rc = 0;
+		for (uint32_t i = 0; !rc && i < map->size; i++)
+			rc = take(data, &map->ptr[i]);
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return rc;
+}
--- a/src/base/msgpack_check.h
+++ b/src/base/msgpack_check.h
@@ -8,6 +8,7 @@
 #ifndef PR_BASE_MSGPACK_CHECK_H
 #define PR_BASE_MSGPACK_CHECK_H
 
+#include <msgpack.h>
 #include <stdbool.h>
 
 #include "pistachiorack/str.h"
@@ -17,5 +18,15 @@
 
 /** @return true when bytes start with one whole value within the bounds */
 bool pr_msgpack_check(pr_slice_t bytes);
+/**
+ * Give each field of one map to a function, after the check above.
+ *
+ * @param take returns 0 or an error, which ends the reading
+ * @return 0, PR_EPARSE (not a map within the bounds) or the error of take
+ */
+int pr_msgpack_each_field(pr_slice_t bytes,
+			  int (*take)(void *data,
+				      const msgpack_object_kv *field),
+			  void *data);
 
 #endif
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -1,4 +1,5 @@
 /* Message `evidence`: msgpack form, outbox and inbox. */
+#include "base/msgpack_check.h"
 #include "pistachiorack/rollout.h"
 
 #include <msgpack.h>
@@ -102,8 +103,9 @@
 	return err;
 }
 
-static int take_field(pr_evidence_t *evidence, const msgpack_object_kv *field)
+static int take_field(void *data, const msgpack_object_kv *field)
 {
+	pr_evidence_t *evidence = data;
 	pr_slice_t key;
 
 	if (field->key.type != MSGPACK_OBJECT_STR)
@@ -122,21 +124,10 @@
 
 int pr_evidence_decode(pr_evidence_t *evidence, pr_slice_t message)
 {
-	msgpack_unpacked unpacked;
-	int err = PR_EPARSE;
+	int err;
 
 	memset(evidence, 0, sizeof(*evidence));
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, message.ptr, message.len, NULL) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_MAP) {
-		err = 0;
-		for (uint32_t i = 0; !err && i < unpacked.data.via.map.size;
-		     i++)
-			err = take_field(evidence,
-					 &unpacked.data.via.map.ptr[i]);
-	}
-	msgpack_unpacked_destroy(&unpacked);
+	err = pr_msgpack_each_field(message, take_field, evidence);
 	if (!err && evidence->host[0] && evidence->seq)
 		return 0;
 	return pr_error_set(PR_EPARSE, "evidence message is malformed");
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -4,6 +4,7 @@
 #include <openssl/rand.h>
 #include <time.h>
 
+#include "base/msgpack_check.h"
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 #include "pistachiorack/log.h"
@@ -113,7 +114,10 @@
 {
 	pr_router_t *router = data;
 
-	if (!pr_tasks_message(router, from, type, payload))
+	/* One check for all tasks: their decoders allocate what the headers
+	 * announce. */
+	if (!pr_msgpack_check(payload) ||
+	    !pr_tasks_message(router, from, type, payload))
 		pr_metric_add(router->counters.unknown_messages, 1);
 }
 
--- a/src/session/token.c
+++ b/src/session/token.c
@@ -3,6 +3,7 @@
  * the payload is the msgpack map of the session_put message. Hexadecimal
  * survives every proxy and header parser and needs no escaping.
  */
+#include "base/msgpack_check.h"
 #include "pistachiorack/session.h"
 
 #include <msgpack.h>
@@ -95,8 +96,9 @@
 		      pr_slice_of(session->session), session);
 }
 
-static int take_field(pr_session_t *session, const msgpack_object_kv *field)
+static int take_field(void *data, const msgpack_object_kv *field)
 {
+	pr_session_t *session = data;
 	const struct {
 		const char *name;
 		char *value;
@@ -131,21 +133,10 @@
 
 int pr_session_decode(pr_session_t *session, pr_slice_t message)
 {
-	msgpack_unpacked unpacked;
-	int err = PR_EPARSE;
+	int err;
 
 	memset(session, 0, sizeof(*session));
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, message.ptr, message.len, NULL) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_MAP) {
-		err = 0;
-		for (uint32_t i = 0; !err && i < unpacked.data.via.map.size;
-		     i++)
-			err = take_field(session,
-					 &unpacked.data.via.map.ptr[i]);
-	}
-	msgpack_unpacked_destroy(&unpacked);
+	err = pr_msgpack_each_field(message, take_field, session);
 	if (!err && session->workspace[0] && session->session[0])
 		return 0;
 	return pr_error_set(PR_EPARSE, "session message is malformed");
