--- a/src/router/config_task.c
+++ b/src/router/config_task.c
@@ -159,6 +159,8 @@
 
 static void finish(pr_router_t *router)
 {
+	if (pr_test_off("config"))
+		pr_config_unref(router->fleet);
 	router->fleet = NULL;
 	pr_config_holder_finish(&router->config);
 }
