--- a/include/pistachiorack/platform.h
+++ b/include/pistachiorack/platform.h
@@ -45,6 +45,15 @@
 int pr_platform_call(pr_platform_t *platform, const char *method,
 		     pr_slice_t path, pr_slice_t body, pr_usec_t timeout,
 		     pr_platform_cb callback, void *data);
+/**
+ * As pr_platform_call(), for data that belongs to the call.
+ *
+ * @param drop called in place of the callback when the client is closed first
+ */
+int pr_platform_call_owned(pr_platform_t *platform, const char *method,
+			   pr_slice_t path, pr_slice_t body, pr_usec_t timeout,
+			   pr_platform_cb callback, void (*drop)(void *data),
+			   void *data);
 
 /** @return the timer service of the client's owner */
 pr_timers_t *pr_platform_timers(pr_platform_t *platform);
--- a/src/net/platform.c
+++ b/src/net/platform.c
@@ -24,6 +24,8 @@
 	bool ended;
 	pr_platform_outcome_t outcome;
 	pr_platform_cb callback;
+	/** Frees the data of a call that never ends; may be NULL. */
+	void (*drop)(void *data);
 	void *data;
 } platform_call_t;
 
@@ -148,6 +150,8 @@
 		platform_call_t *next = call->next;
 
 		pr_http_call_cancel(&call->http);
+		if (call->drop)
+			call->drop(call->data);
 		free_call(call);
 		call = next;
 	}
@@ -167,6 +171,15 @@
 int pr_platform_call(pr_platform_t *platform, const char *method,
 		     pr_slice_t path, pr_slice_t body, pr_usec_t timeout,
 		     pr_platform_cb callback, void *data)
+{
+	return pr_platform_call_owned(platform, method, path, body, timeout,
+				      callback, NULL, data);
+}
+
+int pr_platform_call_owned(pr_platform_t *platform, const char *method,
+			   pr_slice_t path, pr_slice_t body, pr_usec_t timeout,
+			   pr_platform_cb callback, void (*drop)(void *data),
+			   void *data)
 {
 	pr_http_header_t type = { PR_SLICE("content-type"),
 				  PR_SLICE("application/json") };
@@ -180,6 +193,7 @@
 		return pr_error_set(PR_ENOMEM, "no memory for a call");
 	call->platform = platform;
 	call->callback = callback;
+	call->drop = drop;
 	call->data = data;
 	call->http.ops = &call_ops;
 	call->http.data = call;
--- a/src/net/store_client.c
+++ b/src/net/store_client.c
@@ -173,9 +173,10 @@
 		packed = !json_array_append_new(list, pack_op(&ops[i]));
 	if (packed)
 		text = json_dumps(root, JSON_COMPACT);
-	if (!text ||
-	    pr_platform_call(platform, "POST", PR_SLICE("/v1/table/commit"),
-			     pr_slice_of(text), timeout, on_committed, call)) {
+	if (!text || pr_platform_call_owned(platform, "POST",
+					    PR_SLICE("/v1/table/commit"),
+					    pr_slice_of(text), timeout,
+					    on_committed, free, call)) {
 		if (call)
 			refuse_later(platform, call);
 		else
@@ -216,8 +217,9 @@
 	if (!rc)
 		rc = append_encoded(&path, key);
 	if (!rc)
-		rc = pr_platform_call(platform, "GET", pr_str_slice(&path),
-				      pr_slice("", 0), timeout, on_read, call);
+		rc = pr_platform_call_owned(
+			platform, "GET", pr_str_slice(&path), pr_slice("", 0),
+			timeout, on_read, free, call);
 	pr_str_finish(&path);
 	if (rc && call)
 		refuse_later(platform, call);
--- a/src/router/config_task.c
+++ b/src/router/config_task.c
@@ -75,8 +75,9 @@
 		 "/v1/table/rows/config/current?unless=%llu",
 		 (unsigned long long)unless);
 	/* A read that cannot start is given up by the holder's timeout. */
-	if (pr_platform_call(router->platform, "GET", pr_slice_of(path),
-			     pr_slice("", 0), READ_TIMEOUT, on_read, read))
+	if (pr_platform_call_owned(router->platform, "GET", pr_slice_of(path),
+				   pr_slice("", 0), READ_TIMEOUT, on_read, free,
+				   read))
 		free(read);
 }
 
