State Retry-After in one place

Cause: admission and the attempt's give-up each added Retry-After before the shared refusal added its own, so a 503 carried the header twice, and a limit's seconds beside a 1. The exchange now carries the seconds and the refusal writes them once; the status from which a refusal counts against the service is named once too. fault_path fails before (two headers) and passes after.

--- a/src/router/admission.c
+++ b/src/router/admission.c
@@ -47,7 +47,6 @@
 {
 	pr_router_t *router = exchange->router;
 	pr_admit_decision_t decision;
-	char retry_after[16];
 	int index = index_of(exchange);
 
 	if (index < 0) {
@@ -62,9 +61,7 @@
 		exchange->admitted = true;
 		return 0;
 	}
-	snprintf(retry_after, sizeof(retry_after), "%u", decision.retry_after);
-	pr_http_answer_header(exchange->request, "retry-after",
-			      pr_slice_of(retry_after));
+	exchange->retry_after = decision.retry_after;
 	pr_exchange_refuse(exchange, decision.status, decision.code,
 			   PR_VERDICT_NOT_RUN, decision.reason);
 	return PR_EDENIED;
--- a/src/router/attempt.c
+++ b/src/router/attempt.c
@@ -143,10 +143,6 @@
 			exchange->ops->refused(exchange, decision);
 			break;
 		}
-		/* How long a shortage lasts is not known here. */
-		if (exchange->request && decision->status == 503)
-			pr_http_answer_header(exchange->request, "retry-after",
-					      PR_SLICE("1"));
 		pr_exchange_refuse(exchange, decision->status, decision->code,
 				   exchange->verdict,
 				   "no upstream could complete the request");
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -6,25 +6,39 @@
 #include "pistachiorack/error.h"
 #include "router/test_off.h"
 
-/* Statuses from here on are the service's fault, not the caller's. */
-#define SERVER_ERROR 500
-
-void pr_refuse(pr_http_request_t *request, int status, const char *code,
-	       pr_verdict_t verdict, const char *message)
+#define NUMBER_BYTES          16
+#define RETRY_AFTER_DEFAULT_S 1u
+
+/* The one place that states Retry-After: a shortage whose length is not known
+ * may be over after a second. */
+static void refuse(pr_http_request_t *request, int status, const char *code,
+		   pr_verdict_t verdict, const char *message,
+		   unsigned int retry_after)
 {
+	char seconds[NUMBER_BYTES];
 	json_t *root = json_pack("{s:{s:s, s:s, s:s}}", "error", "code", code,
 				 "message", message, "verdict",
 				 pr_verdict_name(verdict));
 	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 
-	if (status == 429 || status == 503)
-		pr_http_answer_header(request, "retry-after", PR_SLICE("1"));
+	if (status == 429 || status == 503) {
+		snprintf(seconds, sizeof(seconds), "%u",
+			 retry_after ? retry_after : RETRY_AFTER_DEFAULT_S);
+		pr_http_answer_header(request, "retry-after",
+				      pr_slice_of(seconds));
+	}
 	pr_http_answer(request, status, "application/json",
 		       pr_slice_of(text ? text : "{}"));
 	free(text);
 	json_decref(root);
 }
 
+void pr_refuse(pr_http_request_t *request, int status, const char *code,
+	       pr_verdict_t verdict, const char *message)
+{
+	refuse(request, status, code, verdict, message, 0);
+}
+
 void pr_exchange_refuse(pr_exchange_t *exchange, int status, const char *code,
 			pr_verdict_t verdict, const char *message)
 {
@@ -37,7 +51,8 @@
 	exchange->counts_against_budget = status >= SERVER_ERROR;
 	pr_http_answer_header(exchange->request, "x-request-id",
 			      pr_slice_of(exchange->id));
-	pr_refuse(exchange->request, status, code, verdict, message);
+	refuse(exchange->request, status, code, verdict, message,
+	       exchange->retry_after);
 }
 
 void pr_exchange_broken(pr_exchange_t *exchange, const char *code)
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -14,6 +14,8 @@
 #include "router/router.h"
 
 #define PR_CLASS_BYTES 64
+/** Statuses from here on are the service's fault, not the caller's. */
+#define SERVER_ERROR 500
 
 typedef struct pr_exchange_t pr_exchange_t;
 
@@ -130,6 +132,8 @@
 	/** Code of the refusal, or of what broke the answer; "" for none. */
 	char failure[32];
 	bool counts_against_budget;
+	/** Seconds for Retry-After of a refusal; 0 when not known. */
+	unsigned int retry_after;
 	pr_timer_t deadline;
 	pr_timer_t retry_timer;
 	pr_dispatch_t dispatch;
--- a/src/router/service.c
+++ b/src/router/service.c
@@ -5,7 +5,6 @@
 #include "router/service.h"
 #include "router/test_off.h"
 
-#define SERVER_ERROR        500
 #define IDEMPOTENCY_KEY_MAX 200
 
 static void on_head(pr_exchange_t *exchange)
--- a/tests/faults/path.sh
+++ b/tests/faults/path.sh
@@ -84,6 +84,27 @@
 expect alive '"usage".*status=200' -H "$key" -d "$small" \
 	"$base/v1/chat/completions"
 
+# One Retry-After, not one of each part that refuses: model large has no engine
+# that answers once its three are gone.
+for number in 7 8 9; do
+	kill -KILL "$(fleet_pid "engine-$number")"
+	wait "$(fleet_pid "engine-$number")" 2>/dev/null || true
+	rm -f "$FLEET_DIR/pids/engine-$number"
+done
+refusals=0
+for _ in {1..20}; do
+	curl -s -m 8 -D "$FLEET_DIR/refused" -o /dev/null -H "$key" \
+		-d "${small/small/large}" "$base/v1/chat/completions"
+	grep -q ' 503' "$FLEET_DIR/refused" || continue
+	refusals=$((refusals + 1))
+	[ "$(grep -ci '^retry-after:' "$FLEET_DIR/refused")" = 1 ] || {
+		echo "FAIL Retry-After: $(cat "$FLEET_DIR/refused")"
+		failures=$((failures + 1))
+		break
+	}
+done
+[ "$refusals" -gt 0 ] || { echo "FAIL no 503 to judge"; failures=$((failures + 1)); }
+
 # The stream's last event tells that it is whole.
 curl -s -m 5 -H "$key" -d "$stream" "$base/v1/chat/completions" |
 	grep -q '^data: \[DONE\]' || { echo "FAIL stream end"; failures=1; }
