--- a/src/base/hash.c
+++ b/src/base/hash.c
@@ -1,20 +1,9 @@
-/* Hashes by xxHash and OpenSSL. */
+/* Cryptographic hashes by OpenSSL. */
 #include "pistachiorack/hash.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
-#include <xxhash.h>
-
-uint64_t pr_hash64(const void *bytes, size_t len, uint64_t seed)
-{
-	return XXH64(bytes, len, seed);
-}
-
-uint64_t pr_rendezvous_score(pr_slice_t key, pr_slice_t node)
-{
-	return XXH64(node.ptr, node.len, XXH64(key.ptr, key.len, 0));
-}
 
 void pr_sha256(uint8_t out[PR_SHA256_SIZE], pr_slice_t data)
 {
--- /dev/null
+++ b/src/edge/admin.c
@@ -0,0 +1,158 @@
+/* Readiness for the balancer and metrics as Prometheus text. */
+#include <stdlib.h>
+
+#include "base/event_log.h"
+#include "edge/edge.h"
+#include "http/link.h"
+#include "http/reader.h"
+#include "pistachiorack/error.h"
+
+#define HEAD_MAX 8192
+
+typedef struct admin_t {
+	pr_link_t link;
+	pr_http_reader_t reader;
+	pr_edge_t *edge;
+} admin_t;
+
+static admin_t *of(pr_link_t *link)
+{
+	return PR_OWNER(link, admin_t, link);
+}
+
+static bool on_head(pr_http_reader_t *reader)
+{
+	return true;
+}
+
+static bool on_body(pr_http_reader_t *reader, pr_slice_t bytes)
+{
+	return true;
+}
+
+static void reply(admin_t *admin, int status, pr_slice_t body)
+{
+	pr_str_t out = PR_STR_INIT;
+
+	if (!pr_str_appendf(&out,
+			    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n\r\n",
+			    status, http_status_str((enum http_status)status),
+			    body.len) &&
+	    !pr_str_append(&out, body.ptr, body.len))
+		pr_link_write(&admin->link, out.ptr, out.len);
+	pr_str_finish(&out);
+}
+
+static void reply_metrics(admin_t *admin)
+{
+	pr_str_t text = PR_STR_INIT;
+	pr_metric_t *dropped = pr_metrics_series(
+		&admin->edge->metrics, "edge_log_lines_dropped_total", "");
+
+	dropped->value = (double)pr_event_log_dropped();
+	if (pr_metrics_print(&admin->edge->metrics, &text))
+		reply(admin, 500, pr_slice("", 0));
+	else
+		reply(admin, 200, pr_str_slice(&text));
+	pr_str_finish(&text);
+}
+
+static void on_message(pr_http_reader_t *reader)
+{
+	admin_t *admin = reader->owner;
+	pr_slice_t target = pr_http_target(reader);
+	bool ready = pr_edge_is_ready(admin->edge) && !admin->edge->stopping;
+
+	if (pr_slice_equal(target, PR_SLICE("/ready")))
+		reply(admin, ready ? 200 : 503, pr_slice("", 0));
+	else if (pr_slice_equal(target, PR_SLICE("/metrics")))
+		reply_metrics(admin);
+	else
+		reply(admin, 404, pr_slice("", 0));
+	if (!http_should_keep_alive(&reader->parser))
+		pr_link_close(&admin->link);
+	else
+		pr_http_reader_next(reader);
+}
+
+static const pr_http_reader_ops_t reader_ops = { on_head, on_body, on_message };
+
+static void on_read(pr_link_t *link, const char *bytes, size_t len)
+{
+	admin_t *admin = of(link);
+	size_t used = 0;
+
+	pr_edge_now(admin->edge);
+	while (used < len && !link->closing && !admin->reader.fault)
+		used += pr_http_reader_feed(&admin->reader, bytes + used,
+					    len - used);
+	if (admin->reader.fault)
+		pr_link_close(link);
+}
+
+static void on_end(pr_link_t *link, bool clean)
+{
+	pr_link_close(link);
+}
+
+static void on_connect(pr_link_t *link, int rc)
+{
+}
+
+static void on_closed(pr_link_t *link)
+{
+	admin_t *admin = of(link);
+
+	pr_http_reader_finish(&admin->reader);
+	free(admin);
+}
+
+static const pr_link_ops_t link_ops = {
+	.on_connect = on_connect,
+	.on_read = on_read,
+	.on_end = on_end,
+	.on_closed = on_closed,
+};
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	pr_edge_t *edge = listener->data;
+	admin_t *admin;
+
+	if (status)
+		return;
+	admin = calloc(1, sizeof(*admin));
+	if (!admin || pr_link_init(&admin->link, edge->loop, &link_ops)) {
+		free(admin);
+		return;
+	}
+	admin->edge = edge;
+	pr_http_reader_init(&admin->reader, true, HEAD_MAX, &reader_ops, admin);
+	if (pr_link_accept(&admin->link, listener))
+		pr_link_close(&admin->link);
+}
+
+static int listen_on(pr_edge_t *edge, uv_tcp_t *listener,
+		     const struct sockaddr_in *address)
+{
+	int rc;
+
+	uv_tcp_init(edge->loop, listener);
+	listener->data = edge;
+	rc = uv_tcp_bind(listener, (const struct sockaddr *)address, 0);
+	if (!rc)
+		rc = uv_listen((uv_stream_t *)listener, 64, on_connection);
+	return rc ? pr_error_set(PR_EIO, "listen on port %u: %s",
+				 ntohs(address->sin_port), uv_strerror(rc))
+		  : 0;
+}
+
+int pr_admin_listen(pr_edge_t *edge)
+{
+	int rc = listen_on(edge, &edge->ready, &edge->settings->at.ready);
+
+	if (!rc)
+		rc = listen_on(edge, &edge->metrics_listener,
+			       &edge->settings->at.metrics);
+	return rc;
+}
--- /dev/null
+++ b/src/edge/caller.c
@@ -0,0 +1,427 @@
+/*
+ * Callers' connections. Reading goes on while a request is in work, so that a
+ * caller that left is noticed at once; what it sends ahead is kept for later.
+ */
+#include "edge/caller.h"
+
+#include <stdlib.h>
+
+#include "base/event_log.h"
+#include "pistachiorack/error.h"
+
+/* Bounds while no configuration states them. */
+#define HEADER_BYTES_DEFAULT 16384
+#define BODY_BYTES_DEFAULT   (4 * 1024 * 1024)
+#define HEADER_MS_DEFAULT    5000
+#define IDLE_MS_DEFAULT      30000
+/* Most bytes of further requests that are kept. */
+#define PENDING_MAX 65536
+/* Time for a caller to read the last answer of a connection before it is
+ * closed, which resets it when unread bytes are left. */
+#define LINGER (1 * PR_USEC_PER_SEC)
+
+static void serve_pending(pr_caller_t *caller);
+
+static pr_caller_t *of(pr_link_t *link)
+{
+	return PR_OWNER(link, pr_caller_t, link);
+}
+
+static uint32_t bound(uint32_t value, uint32_t fallback)
+{
+	return value ? value : fallback;
+}
+
+static pr_caller_limits_t limits_of(const pr_edge_t *edge)
+{
+	pr_caller_limits_t limits = { 0 };
+
+	if (edge->routing)
+		limits = edge->routing->limits;
+	limits.header_bytes = bound(limits.header_bytes, HEADER_BYTES_DEFAULT);
+	limits.body_bytes = bound(limits.body_bytes, BODY_BYTES_DEFAULT);
+	limits.header_ms = bound(limits.header_ms, HEADER_MS_DEFAULT);
+	limits.idle_ms = bound(limits.idle_ms, IDLE_MS_DEFAULT);
+	return limits;
+}
+
+static const char *reason_of(int status)
+{
+	return http_status_str((enum http_status)status);
+}
+
+static void close_caller(pr_caller_t *caller, bool broken)
+{
+	pr_timers_unsubscribe(&caller->edge->timers, &caller->timer);
+	if (caller->exchange.active)
+		pr_exchange_abandon(&caller->exchange);
+	pr_list_remove(&caller->node);
+	if (broken)
+		pr_link_reset(&caller->link);
+	else
+		pr_link_close(&caller->link);
+}
+
+static void on_timer(pr_timer_t *timer, pr_usec_t now);
+
+/* One timer bounds the head, the body and the time between requests. */
+static void watch_time(pr_caller_t *caller)
+{
+	pr_caller_limits_t limits = limits_of(caller->edge);
+	pr_usec_t now = pr_edge_now(caller->edge);
+	pr_usec_t due = caller->idle_since +
+			(pr_usec_t)limits.idle_ms * PR_USEC_PER_MSEC;
+
+	if (caller->lingering) {
+		due = now + LINGER;
+	} else if (caller->head_began && caller->reader.in_head) {
+		pr_usec_t head = caller->head_began +
+				 (pr_usec_t)limits.header_ms * PR_USEC_PER_MSEC;
+
+		if (head < due)
+			due = head;
+	}
+	pr_timers_subscribe(&caller->edge->timers, &caller->timer,
+			    due > now ? due - now : 0, 0, on_timer);
+}
+
+/* A final answer of the connection itself; nothing more is read from it. */
+static void refuse(pr_caller_t *caller, int status, const char *code)
+{
+	char body[128];
+	int len =
+		snprintf(body, sizeof(body),
+			 "{\"error\":\"%s\",\"verdict\":\"not_run\"}\n", code);
+
+	pr_event("refused", "status=%d code=%s reason=connection", status,
+		 code);
+	pr_metric_add(caller->edge->counters.malformed, 1);
+	caller->closing_after = true;
+	pr_caller_head(caller, status,
+		       PR_SLICE("Content-Type: application/json\r\n"), len);
+	pr_caller_body(caller, pr_slice(body, (size_t)len));
+	pr_caller_end(caller);
+}
+
+static void on_timer(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_caller_t *caller = timer->data;
+
+	if (caller->exchange.active)
+		return;
+	if (caller->lingering || !caller->head_began)
+		close_caller(caller, false);
+	else
+		refuse(caller, 408, "request_timeout");
+}
+
+static void send_continue(pr_caller_t *caller)
+{
+	pr_slice_t expect = pr_http_find(&caller->reader, "Expect");
+
+	if (expect.ptr &&
+	    pr_slice_equal_nocase(expect, PR_SLICE("100-continue")))
+		pr_link_write(&caller->link, "HTTP/1.1 100 Continue\r\n\r\n",
+			      25);
+}
+
+static bool on_head(pr_http_reader_t *reader)
+{
+	pr_caller_t *caller = reader->owner;
+	pr_caller_limits_t limits = limits_of(caller->edge);
+
+	pr_str_clear(&caller->body);
+	if (reader->parser.upgrade)
+		return false;
+	if (reader->parser.flags & F_CONTENTLENGTH &&
+	    reader->parser.content_length > limits.body_bytes) {
+		refuse(caller, 413, "body_too_large");
+		return false;
+	}
+	send_continue(caller);
+	return true;
+}
+
+static bool on_body(pr_http_reader_t *reader, pr_slice_t bytes)
+{
+	pr_caller_t *caller = reader->owner;
+
+	if (caller->body.len + bytes.len > limits_of(caller->edge).body_bytes) {
+		refuse(caller, 413, "body_too_large");
+		return false;
+	}
+	return !pr_str_append(&caller->body, bytes.ptr, bytes.len);
+}
+
+static void on_message(pr_http_reader_t *reader)
+{
+	pr_caller_t *caller = reader->owner;
+
+	pr_timers_unsubscribe(&caller->edge->timers, &caller->timer);
+	if (!http_should_keep_alive(&reader->parser))
+		caller->closing_after = true;
+	pr_exchange_start(&caller->exchange, caller->edge, caller);
+}
+
+static const pr_http_reader_ops_t reader_ops = { on_head, on_body, on_message };
+
+static void take_fault(pr_caller_t *caller)
+{
+	if (caller->lingering || caller->link.closing)
+		return;
+	if (caller->reader.fault == PR_HTTP_HEAD_TOO_LARGE)
+		refuse(caller, 431, "head_too_large");
+	else
+		refuse(caller, 400, "malformed_request");
+}
+
+/* Feed what is pending until a request is in work. */
+static void serve_pending(pr_caller_t *caller)
+{
+	if (caller->busy)
+		return;
+	caller->busy = true;
+	while (caller->pending.len && !caller->exchange.active &&
+	       !caller->link.closing && !caller->lingering) {
+		size_t used;
+
+		if (!caller->head_began)
+			caller->head_began = pr_edge_now(caller->edge);
+		caller->reader.head_max = limits_of(caller->edge).header_bytes;
+		used = pr_http_reader_feed(&caller->reader, caller->pending.ptr,
+					   caller->pending.len);
+		memmove(caller->pending.ptr, caller->pending.ptr + used,
+			caller->pending.len - used);
+		caller->pending.len -= used;
+		if (caller->reader.fault) {
+			take_fault(caller);
+			break;
+		}
+	}
+	caller->busy = false;
+	if (!caller->exchange.active && !caller->link.closing)
+		watch_time(caller);
+}
+
+static void on_read(pr_link_t *link, const char *bytes, size_t len)
+{
+	pr_caller_t *caller = of(link);
+
+	pr_edge_now(caller->edge);
+	if (caller->lingering)
+		return;
+	caller->idle_since = pr_edge_now(caller->edge);
+	if (pr_str_append(&caller->pending, bytes, len)) {
+		close_caller(caller, true);
+		return;
+	}
+	serve_pending(caller);
+	if (caller->exchange.active && caller->pending.len > PENDING_MAX)
+		pr_link_pause(link);
+}
+
+static void on_end(pr_link_t *link, bool clean)
+{
+	pr_caller_t *caller = of(link);
+
+	if (!link->closing)
+		close_caller(caller, false);
+}
+
+static void on_drained(pr_link_t *link)
+{
+	pr_caller_t *caller = of(link);
+
+	if (caller->exchange.active)
+		pr_exchange_drained(&caller->exchange);
+}
+
+static void on_closed(pr_link_t *link)
+{
+	pr_caller_t *caller = of(link);
+
+	pr_http_reader_finish(&caller->reader);
+	pr_str_finish(&caller->body);
+	pr_str_finish(&caller->pending);
+	free(caller);
+}
+
+static void on_connect(pr_link_t *link, int rc)
+{
+}
+
+static const pr_link_ops_t link_ops = {
+	.on_connect = on_connect,
+	.on_read = on_read,
+	.on_end = on_end,
+	.on_drained = on_drained,
+	.on_closed = on_closed,
+};
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	pr_edge_t *edge = listener->data;
+	pr_caller_t *caller;
+
+	if (status) {
+		pr_event("accept_failed", "error=%s", uv_strerror(status));
+		return;
+	}
+	caller = calloc(1, sizeof(*caller));
+	if (!caller || pr_link_init(&caller->link, edge->loop, &link_ops)) {
+		pr_event("accept_failed", "error=no_memory");
+		free(caller);
+		return;
+	}
+	caller->edge = edge;
+	caller->timer.data = caller;
+	caller->idle_since = pr_edge_now(edge);
+	pr_list_init(&caller->node);
+	pr_list_append(&edge->callers, &caller->node);
+	pr_http_reader_init(&caller->reader, true, HEADER_BYTES_DEFAULT,
+			    &reader_ops, caller);
+	if (pr_link_accept(&caller->link, listener))
+		close_caller(caller, false);
+	else
+		watch_time(caller);
+}
+
+int pr_callers_listen(pr_edge_t *edge)
+{
+	int rc;
+
+	pr_list_init(&edge->callers);
+	uv_tcp_init(edge->loop, &edge->front);
+	edge->front.data = edge;
+	rc = uv_tcp_bind(&edge->front,
+			 (const struct sockaddr *)&edge->settings->at.listen,
+			 0);
+	if (!rc)
+		rc = uv_listen((uv_stream_t *)&edge->front, 1024,
+			       on_connection);
+	return rc ? pr_error_set(PR_EIO, "listen for callers: %s",
+				 uv_strerror(rc))
+		  : 0;
+}
+
+void pr_caller_head(pr_caller_t *caller, int status, pr_slice_t fields,
+		    int64_t length)
+{
+	pr_str_t head = PR_STR_INIT;
+	int rc;
+
+	if (caller->edge->stopping)
+		caller->closing_after = true;
+	caller->chunked = length < 0;
+	/* A body of unknown length ends with the connection in HTTP/1.0. */
+	if (caller->chunked && !caller->reader.parser.http_minor) {
+		caller->chunked = false;
+		caller->closing_after = true;
+	}
+	rc = pr_str_appendf(&head, "HTTP/1.1 %d %s\r\n", status,
+			    reason_of(status));
+	if (!rc)
+		rc = pr_str_append(&head, fields.ptr, fields.len);
+	if (!rc && length >= 0)
+		rc = pr_str_appendf(&head, "Content-Length: %lld\r\n",
+				    (long long)length);
+	if (!rc && caller->chunked)
+		rc = pr_str_appendf(&head, "Transfer-Encoding: chunked\r\n");
+	if (!rc)
+		rc = pr_str_appendf(
+			&head, "%s\r\n",
+			caller->closing_after ? "Connection: close\r\n" : "");
+	if (!rc)
+		rc = pr_link_write(&caller->link, head.ptr, head.len);
+	pr_str_finish(&head);
+	if (rc)
+		pr_event("caller_write_failed", "error=%s", pr_error_last());
+}
+
+void pr_caller_body(pr_caller_t *caller, pr_slice_t bytes)
+{
+	pr_str_t chunk = PR_STR_INIT;
+
+	if (!bytes.len || caller->reader.parser.method == HTTP_HEAD)
+		return;
+	if (!caller->chunked) {
+		pr_link_write(&caller->link, bytes.ptr, bytes.len);
+		return;
+	}
+	if (!pr_str_appendf(&chunk, "%zx\r\n", bytes.len) &&
+	    !pr_str_append(&chunk, bytes.ptr, bytes.len) &&
+	    !pr_str_append(&chunk, "\r\n", 2))
+		pr_link_write(&caller->link, chunk.ptr, chunk.len);
+	pr_str_finish(&chunk);
+}
+
+static void on_shutdown(uv_shutdown_t *request, int status)
+{
+	free(request);
+}
+
+/* End the writing side first, so that the caller can read the answer. */
+static void linger(pr_caller_t *caller)
+{
+	uv_shutdown_t *request = calloc(1, sizeof(*request));
+
+	caller->lingering = true;
+	pr_link_resume(&caller->link);
+	if (!request ||
+	    uv_shutdown(request, (uv_stream_t *)&caller->link.tcp, on_shutdown))
+		free(request);
+	watch_time(caller);
+}
+
+void pr_caller_end(pr_caller_t *caller)
+{
+	if (caller->chunked)
+		pr_link_write(&caller->link, "0\r\n\r\n", 5);
+	caller->chunked = false;
+	caller->idle_since = pr_edge_now(caller->edge);
+	caller->head_began = 0;
+	if (caller->closing_after) {
+		linger(caller);
+		return;
+	}
+	pr_http_reader_next(&caller->reader);
+	pr_link_resume(&caller->link);
+	serve_pending(caller);
+}
+
+void pr_caller_break(pr_caller_t *caller)
+{
+	close_caller(caller, true);
+}
+
+size_t pr_caller_unsent(const pr_caller_t *caller)
+{
+	return caller->link.unsent;
+}
+
+void pr_callers_close_idle(pr_edge_t *edge)
+{
+	pr_list_t *at = edge->callers.next;
+
+	while (at != &edge->callers) {
+		pr_caller_t *caller = PR_OWNER(at, pr_caller_t, node);
+
+		at = at->next;
+		if (!caller->exchange.active && !caller->lingering &&
+		    !caller->head_began)
+			linger(caller);
+	}
+}
+
+void pr_callers_finish(pr_edge_t *edge)
+{
+	pr_list_t *at = edge->callers.next;
+
+	while (at != &edge->callers) {
+		pr_caller_t *caller = PR_OWNER(at, pr_caller_t, node);
+
+		at = at->next;
+		if (caller->exchange.active)
+			pr_exchange_cut(&caller->exchange);
+	}
+}
--- /dev/null
+++ b/src/edge/edge.c
@@ -0,0 +1,245 @@
+/* Assembly of the entry daemon: start, housekeeping, stop. */
+#include "edge/edge.h"
+
+#include <stdlib.h>
+
+#include "base/event_log.h"
+#include "edge/daemon.h"
+#include "pistachiorack/error.h"
+
+#define SERIES_MAX 256
+/* Longest time for a connection to an upstream to come up: a round trip
+ * between regions with one more for the listener's turn. */
+#define CONNECT_TIMEOUT (500 * PR_USEC_PER_MSEC)
+#define HOUSEKEEPING    (100 * PR_USEC_PER_MSEC)
+/* The balancer asks once a second and takes a host out after two misses. */
+#define BALANCER_NOTICE (2600 * PR_USEC_PER_MSEC)
+/* Part of the grace time after which requests are cut, per cent. */
+#define GRACE_PERCENT 92
+#define STOP_POLL     (50 * PR_USEC_PER_MSEC)
+
+pr_usec_t pr_edge_now(pr_edge_t *edge)
+{
+	pr_usec_t now = (pr_usec_t)(uv_hrtime() / 1000);
+
+	if (now > edge->timers.now)
+		edge->timers.now = now;
+	return edge->timers.now;
+}
+
+int64_t pr_edge_store_now(pr_edge_t *edge)
+{
+	return edge->store_clock + pr_edge_now(edge) / PR_USEC_PER_MSEC;
+}
+
+bool pr_edge_is_ready(const pr_edge_t *edge)
+{
+	return edge->routing && edge->registry.primed &&
+	       edge->watches[PR_TABLE_ORDERS].version &&
+	       edge->watches[PR_TABLE_SHARED].version;
+}
+
+uint32_t pr_edge_hosts(const pr_edge_t *edge)
+{
+	return edge->hosts_count ? (uint32_t)edge->hosts_count : 1;
+}
+
+pr_repeats_t *pr_edge_repeats(pr_edge_t *edge, const char *service)
+{
+	size_t i = 0;
+
+	while (i < edge->services_count &&
+	       strcmp(edge->services[i].name, service) != 0)
+		i++;
+	if (i == PR_SERVICES_MAX)
+		return NULL;
+	if (i == edge->services_count) {
+		if (pr_slice_copy(edge->services[i].name,
+				  sizeof(edge->services[i].name),
+				  pr_slice_of(service)))
+			return NULL;
+		pr_repeats_init(
+			&edge->services[i].budget,
+			(pr_usec_t)(edge->settings->bounds.repeats_window_s *
+				    PR_USEC_PER_SEC));
+		edge->services_count++;
+	}
+	return &edge->services[i].budget;
+}
+
+static void on_wake(uv_timer_t *timer)
+{
+	/* The turn's prepare step runs what is due. */
+}
+
+static void on_prepare(uv_prepare_t *prepare)
+{
+	pr_edge_t *edge = prepare->data;
+	pr_usec_t now = pr_edge_now(edge);
+	pr_usec_t next;
+	uint64_t delay;
+
+	pr_event_log_tick(now);
+	pr_timers_advance(&edge->timers, now);
+	pr_event_log_flush();
+	next = pr_timers_next(&edge->timers);
+	if (next == PR_USEC_NEVER)
+		return;
+	now = pr_edge_now(edge);
+	delay = next > now ? (uint64_t)((next - now + 999) / 1000) : 0;
+	uv_update_time(edge->loop);
+	uv_timer_start(&edge->wake, on_wake, delay, 0);
+}
+
+static void on_housekeeping(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_edge_t *edge = timer->data;
+
+	pr_registry_expire(&edge->registry, now);
+	for (pr_list_t *at = edge->registry.upstreams.next;
+	     at != &edge->registry.upstreams; at = at->next)
+		pr_outbound_sweep(PR_OWNER(at, pr_upstream_t, node), now,
+				  false);
+	pr_edge_conclude(edge);
+}
+
+static void on_stop_poll(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_edge_t *edge = timer->data;
+	pr_usec_t grace =
+		(pr_usec_t)(edge->settings->bounds.grace_s * PR_USEC_PER_SEC) *
+		GRACE_PERCENT / 100;
+
+	if (now - edge->stop_began < BALANCER_NOTICE)
+		return;
+	pr_callers_close_idle(edge);
+	if (now - edge->stop_began >= grace) {
+		pr_callers_finish(edge);
+		uv_stop(edge->loop);
+	}
+	if (pr_list_empty(&edge->callers))
+		uv_stop(edge->loop);
+}
+
+void pr_edge_stop(pr_edge_t *edge)
+{
+	if (edge->stopping)
+		return;
+	edge->stopping = true;
+	edge->stop_began = pr_edge_now(edge);
+	pr_event_state("stopping", "requests=%zu grace_s=%g", edge->exchanges,
+		       edge->settings->bounds.grace_s);
+	edge->stop_timer.data = edge;
+	pr_timers_subscribe(&edge->timers, &edge->stop_timer, STOP_POLL,
+			    STOP_POLL, on_stop_poll);
+}
+
+void pr_edge_reload(pr_edge_t *edge)
+{
+	pr_edge_settings_t *settings;
+
+	if (pr_edge_settings_load(&settings, edge->settings_path)) {
+		pr_event_state("reload_refused", "error=\"%s\"",
+			       pr_error_last());
+		return;
+	}
+	/* Addresses and names stay for the life of a process. */
+	edge->settings->bounds = settings->bounds;
+	pr_edge_settings_free(settings);
+	pr_event_state("reloaded", "path=%s", edge->settings_path);
+}
+
+static int init_map(pr_edge_t *edge)
+{
+	const pr_edge_settings_t *settings = edge->settings;
+
+	edge->map.zones = calloc(settings->zones_count, sizeof(pr_zone_t));
+	if (!edge->map.zones)
+		return pr_error_set(PR_ENOMEM, "no memory for zones");
+	edge->map.count = settings->zones_count;
+	edge->map.zone = settings->zone;
+	edge->map.region = settings->region;
+	for (size_t i = 0; i < edge->map.count; i++) {
+		pr_zone_t *zone = &edge->map.zones[i];
+
+		pr_slice_copy(zone->name, sizeof(zone->name),
+			      pr_slice_of(settings->zones[i].name));
+		pr_slice_copy(zone->region, sizeof(zone->region),
+			      pr_slice_of(settings->zones[i].region));
+	}
+	return 0;
+}
+
+static void init_metrics(pr_edge_t *edge)
+{
+	pr_edge_metrics_t *counters = &edge->counters;
+	const struct {
+		pr_metric_t **at;
+		const char *name;
+	} list[] = {
+		{ &counters->requests, "edge_requests_total" },
+		{ &counters->answered, "edge_answered_total" },
+		{ &counters->refused, "edge_refused_total" },
+		{ &counters->failed, "edge_failed_total" },
+		{ &counters->gone, "edge_callers_gone_total" },
+		{ &counters->repeats, "edge_repeats_total" },
+		{ &counters->escalations, "edge_escalations_total" },
+		{ &counters->resumes, "edge_resumes_total" },
+		{ &counters->not_found, "edge_not_found_total" },
+		{ &counters->unauthorized, "edge_unauthorized_total" },
+		{ &counters->malformed, "edge_malformed_total" },
+	};
+
+	pr_metrics_init(&edge->metrics, SERIES_MAX);
+	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++)
+		*list[i].at =
+			pr_metrics_series(&edge->metrics, list[i].name, "");
+	counters->first_byte = pr_metrics_histogram(
+		&edge->metrics, "edge_first_byte_microseconds", "");
+	counters->total = pr_metrics_histogram(&edge->metrics,
+					       "edge_request_microseconds", "");
+}
+
+int pr_edge_init(pr_edge_t *edge, uv_loop_t *loop, const char *path)
+{
+	int rc;
+
+	memset(edge, 0, sizeof(*edge));
+	edge->loop = loop;
+	edge->settings_path = path;
+	rc = pr_edge_settings_load(&edge->settings, path);
+	if (rc)
+		return rc;
+	pr_event_log_init(edge->settings->host);
+	pr_timers_init(&edge->timers, (pr_usec_t)(uv_hrtime() / 1000));
+	pr_event_log_tick(edge->timers.now);
+	pr_registry_init(&edge->registry);
+	init_metrics(edge);
+	edge->pool = (pr_outbound_pool_t){
+		.loop = loop,
+		.timers = &edge->timers,
+		.connect_timeout = CONNECT_TIMEOUT,
+	};
+	uv_prepare_init(loop, &edge->prepare);
+	edge->prepare.data = edge;
+	uv_prepare_start(&edge->prepare, on_prepare);
+	uv_timer_init(loop, &edge->wake);
+	rc = init_map(edge);
+	if (!rc)
+		rc = pr_callers_listen(edge);
+	if (!rc)
+		rc = pr_admin_listen(edge);
+	if (!rc)
+		rc = pr_peering_start(edge);
+	if (!rc)
+		rc = pr_watches_start(edge);
+	if (rc)
+		return rc;
+	edge->housekeeping.data = edge;
+	pr_timers_subscribe(&edge->timers, &edge->housekeeping, HOUSEKEEPING,
+			    HOUSEKEEPING, on_housekeeping);
+	pr_event_state("started", "zone=%s region=%s listen=%s",
+		       edge->settings->zone, edge->settings->region,
+		       edge->settings->listen);
+	return 0;
+}
--- /dev/null
+++ b/src/edge/edge.h
@@ -0,0 +1,151 @@
+/**
+ * The entry daemon: its parts and the state that they share.
+ */
+#ifndef PR_EDGE_EDGE_H
+#define PR_EDGE_EDGE_H
+
+#include <uv.h>
+
+#include "base/list.h"
+#include "edge/outbound.h"
+#include "edge/settings.h"
+#include "routing/routing.h"
+#include "http/call.h"
+#include "limits/repeats.h"
+#include "pistachiorack/metrics.h"
+#include "place/place.h"
+#include "store/store.h"
+#include "transition/transition.h"
+#include "upstream/upstream.h"
+
+/** Services in transition at once. */
+#define PR_TRANSITIONS_MAX 16
+/** Services with a budget of repeats. */
+#define PR_SERVICES_MAX 64
+/** Hosts whose reports are kept. */
+#define PR_HOSTS_MAX 512
+
+typedef struct pr_edge_t pr_edge_t;
+
+/** Reading of one table. */
+typedef struct pr_watch_t {
+	pr_edge_t *edge;
+	pr_store_table_t table;
+	pr_call_t call;
+	pr_timer_t timer;
+	/** Version that the feed continues from. */
+	uint64_t version;
+	/** Whole reads are needed until one succeeded. */
+	bool complete;
+	/** Keys seen by the whole read under way. */
+	pr_names_t seen;
+	char *page;
+	uint32_t failures;
+	pr_usec_t failed_since;
+	/** End of the last outage that this watch saw. */
+	pr_usec_t restored_at;
+} pr_watch_t;
+
+/** Another host, as its row names it. */
+typedef struct pr_host_t {
+	char name[PR_UPSTREAM_NAME_SIZE];
+	char zone[PR_UPSTREAM_NAME_SIZE];
+	struct sockaddr_in address;
+	/** Counts of its transitions, one for each service. */
+	struct {
+		uint64_t order_row;
+		pr_tallies_t tallies;
+	} transitions[PR_TRANSITIONS_MAX];
+	/** Its load on upstreams: msgpack-free fixed records. */
+	struct {
+		uint32_t tag;
+		uint32_t in_flight;
+		uint32_t waiting_tokens;
+	} loads[128];
+	size_t loads_count;
+	pr_usec_t heard_at;
+} pr_host_t;
+
+typedef struct pr_edge_metrics_t {
+	pr_metric_t *requests, *answered, *refused, *failed, *gone, *repeats,
+		*escalations, *resumes, *not_found, *unauthorized, *malformed;
+	pr_histogram_t *first_byte, *total;
+} pr_edge_metrics_t;
+
+struct pr_edge_t {
+	uv_loop_t *loop;
+	pr_timers_t timers;
+	uv_prepare_t prepare;
+	uv_timer_t wake;
+	pr_edge_settings_t *settings;
+	const char *settings_path;
+	pr_routing_t *routing;
+	pr_map_t map;
+	pr_registry_t registry;
+	pr_outbound_pool_t pool;
+	pr_transition_t *transitions[PR_TRANSITIONS_MAX];
+	size_t transitions_count;
+	struct {
+		char name[PR_UPSTREAM_NAME_SIZE];
+		pr_repeats_t budget;
+	} services[PR_SERVICES_MAX];
+	size_t services_count;
+	pr_watch_t watches[PR_TABLES_COUNT];
+	pr_call_t writer;
+	/** Store's clock minus this host's steady clock, milliseconds. */
+	int64_t store_clock;
+	bool has_store_clock;
+	pr_host_t *hosts;
+	size_t hosts_count;
+	uv_udp_t udp;
+	uv_tcp_t front, ready, metrics_listener;
+	pr_list_t callers;
+	size_t exchanges;
+	pr_timer_t housekeeping, peers_timer, stop_timer;
+	pr_metrics_t metrics;
+	pr_edge_metrics_t counters;
+	bool stopping;
+	pr_usec_t stop_began;
+	/** This host's row was written. */
+	bool registered;
+};
+
+/** Time of the current turn, microseconds. */
+pr_usec_t pr_edge_now(pr_edge_t *edge);
+/** The store's clock, milliseconds. */
+int64_t pr_edge_store_now(pr_edge_t *edge);
+/** @return true when requests can be served */
+bool pr_edge_is_ready(const pr_edge_t *edge);
+pr_transition_t *pr_edge_transition(pr_edge_t *edge, const char *service);
+pr_repeats_t *pr_edge_repeats(pr_edge_t *edge, const char *service);
+/** Hosts that share the upstreams, this one included. */
+uint32_t pr_edge_hosts(const pr_edge_t *edge);
+
+/* watch.c */
+int pr_watches_start(pr_edge_t *edge);
+void pr_watches_finish(pr_edge_t *edge);
+
+/* orders.c: rows to state. */
+void pr_edge_row(pr_edge_t *edge, pr_store_table_t table,
+		 const pr_store_row_t *row, pr_usec_t lapse_at);
+/** Judge transitions and write what has to be shared. */
+void pr_edge_conclude(pr_edge_t *edge);
+
+/* peers.c */
+int pr_peering_start(pr_edge_t *edge);
+void pr_peering_finish(pr_edge_t *edge);
+void pr_peering_host(pr_edge_t *edge, const char *name, pr_slice_t row,
+		     bool removed);
+/** Row that tells other hosts where this one is. */
+int pr_peering_row(const pr_edge_t *edge, pr_str_t *value);
+
+/* caller.c */
+int pr_callers_listen(pr_edge_t *edge);
+/** Close connections that have nothing to do. */
+void pr_callers_close_idle(pr_edge_t *edge);
+void pr_callers_finish(pr_edge_t *edge);
+
+/* admin.c */
+int pr_admin_listen(pr_edge_t *edge);
+
+#endif
--- /dev/null
+++ b/src/edge/exchange.h
@@ -0,0 +1,71 @@
+/**
+ * One request from its head to its final answer: routing, attempts, resumes.
+ */
+#ifndef PR_EDGE_EXCHANGE_H
+#define PR_EDGE_EXCHANGE_H
+
+#include "edge/edge.h"
+#include "events/events.h"
+#include "platform/adapter.h"
+
+struct pr_caller_t;
+
+typedef struct pr_exchange_t {
+	pr_edge_t *edge;
+	struct pr_caller_t *caller;
+	pr_routing_t *routing;
+	const pr_route_t *route;
+	const pr_workspace_t *workspace;
+	const char *service;
+	char id[96];
+	/** Callers' and upstreams' time ends here. */
+	pr_usec_t began, deadline;
+	/** The caller's own deadline, without the route's time-out. */
+	pr_usec_t budget_end;
+	pr_prompt_t prompt;
+	uint64_t hash;
+	bool idempotent;
+	bool stream;
+	/** The router names the model. */
+	bool picks_model;
+	size_t model;
+	pr_version_choice_t version;
+
+	pr_outbound_t *outbound;
+	pr_upstream_t *upstream;
+	/** The upstream's count of waiting tokens includes this request. */
+	bool waiting;
+	pr_usec_t attempt_began, progress_at;
+	const pr_upstream_t *tried[PR_PLACE_TRIED_MAX];
+	size_t tried_count;
+	/** Upstreams that may have run it. */
+	uint32_t runs;
+	uint32_t sends;
+	/** Begin of the wait for an upstream; 0 when not waiting. */
+	pr_usec_t parked_at;
+	const char *last_fault;
+
+	pr_events_t events;
+	/** Answer of the current attempt, until it is passed on. */
+	int status;
+	bool sealed;
+	bool event_stream;
+	pr_str_t head, body;
+	/** The caller has the head of an answer. */
+	bool head_sent;
+	pr_usec_t first_byte_at;
+	pr_timer_t timer;
+	bool active;
+} pr_exchange_t;
+
+/** Begin with the caller's whole request. */
+void pr_exchange_start(pr_exchange_t *exchange, pr_edge_t *edge,
+		       struct pr_caller_t *caller);
+/** The caller has left. */
+void pr_exchange_abandon(pr_exchange_t *exchange);
+/** The caller's buffers are empty again. */
+void pr_exchange_drained(pr_exchange_t *exchange);
+/** The process ends: answer what cannot finish. */
+void pr_exchange_cut(pr_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/src/edge/orders.c
@@ -0,0 +1,377 @@
+/*
+ * Rows of the store become the routing document, the upstreams, the evacuated
+ * zones, the transitions and the hosts; and the writes of shared state.
+ */
+#include <stdlib.h>
+
+#include "base/event_log.h"
+#include "edge/edge.h"
+#include "pistachiorack/error.h"
+#include "platform/adapter.h"
+
+/* Shared rows of the hosts, beside the status that operators read. */
+#define ROW_HOST       "host/"
+#define ROW_TRANSITION "transition/"
+#define WRITE_TIMEOUT  (2 * PR_USEC_PER_SEC)
+/* Hosts conclude one after the other, milliseconds apart. */
+#define TURN_MS 250
+/* Upstreams of a zone that was taken out may return cold. */
+#define EVACUATED_COLD_MARGIN (500 * PR_USEC_PER_MSEC)
+
+static void apply_routing(pr_edge_t *edge, const pr_store_row_t *row)
+{
+	pr_routing_t *routing;
+
+	if (row->removed)
+		return;
+	if (pr_adapter_routing(&routing, pr_str_slice(&row->value))) {
+		pr_event_state("routing_refused", "row=%llu error=\"%s\"",
+			       (unsigned long long)row->version,
+			       pr_error_last());
+		return;
+	}
+	if (edge->routing && routing->version <= edge->routing->version) {
+		pr_routing_unref(routing);
+		return;
+	}
+	pr_event_state("routing_applied",
+		       "version=%llu row=%llu routes=%zu services=%zu keys=%zu",
+		       (unsigned long long)routing->version,
+		       (unsigned long long)row->version, routing->routes_count,
+		       routing->services_count, routing->keys_count);
+	pr_routing_unref(edge->routing);
+	edge->routing = routing;
+}
+
+static uint32_t cold_ms_of(const pr_edge_t *edge, const char *service)
+{
+	const pr_service_t *found =
+		edge->routing ? pr_routing_service(edge->routing, service)
+			      : NULL;
+
+	return found ? found->cold_ms : 0;
+}
+
+static void chill_zone(pr_edge_t *edge, const char *zone)
+{
+	pr_usec_t now = pr_edge_now(edge);
+
+	for (pr_list_t *at = edge->registry.upstreams.next;
+	     at != &edge->registry.upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+		pr_usec_t cold =
+			(pr_usec_t)cold_ms_of(edge, upstream->entry.service) *
+			PR_USEC_PER_MSEC;
+
+		if (cold && !strcmp(upstream->entry.zone, zone))
+			pr_upstream_chill(upstream,
+					  now + cold + EVACUATED_COLD_MARGIN);
+	}
+}
+
+static void apply_evacuation(pr_edge_t *edge, pr_slice_t name,
+			     const pr_store_row_t *row)
+{
+	for (size_t i = 0; i < edge->map.count; i++) {
+		pr_zone_t *zone = &edge->map.zones[i];
+
+		if (!pr_slice_equal(name, pr_slice_of(zone->name)) ||
+		    zone->evacuated == !row->removed)
+			continue;
+		zone->evacuated = !row->removed;
+		if (row->removed)
+			chill_zone(edge, zone->name);
+		pr_event_state(row->removed ? "zone_returned"
+					    : "zone_evacuated",
+			       "zone=%s row=%llu", zone->name,
+			       (unsigned long long)row->version);
+	}
+}
+
+pr_transition_t *pr_edge_transition(pr_edge_t *edge, const char *service)
+{
+	for (size_t i = 0; i < edge->transitions_count; i++) {
+		if (!strcmp(edge->transitions[i]->order.service, service))
+			return edge->transitions[i];
+	}
+	return NULL;
+}
+
+static void apply_rollout(pr_edge_t *edge, const pr_store_row_t *row)
+{
+	pr_rollout_order_t order;
+	pr_transition_t *transition;
+	uint64_t state_row = 0;
+
+	if (row->removed)
+		return;
+	if (pr_adapter_rollout(&order, pr_str_slice(&row->value))) {
+		pr_event_state("rollout_refused", "row=%llu error=\"%s\"",
+			       (unsigned long long)row->version,
+			       pr_error_last());
+		return;
+	}
+	transition = pr_edge_transition(edge, order.service);
+	if (transition && transition->order_row >= row->version)
+		return;
+	if (!transition) {
+		if (edge->transitions_count == PR_TRANSITIONS_MAX)
+			return;
+		transition = calloc(1, sizeof(*transition));
+		if (!transition)
+			return;
+		edge->transitions[edge->transitions_count++] = transition;
+	} else {
+		state_row = transition->state_row;
+	}
+	pr_transition_init(transition, &order, row->version);
+	transition->state_row = state_row;
+	pr_event_state("rollout_ordered",
+		       "service=%s version=%s duration_ms=%u row=%llu",
+		       order.service, order.version, order.duration_ms,
+		       (unsigned long long)row->version);
+}
+
+static void apply_order(pr_edge_t *edge, const pr_store_row_t *row)
+{
+	pr_slice_t subject;
+
+	switch (pr_adapter_order(pr_slice_of(row->key), &subject)) {
+	case PR_ORDER_ROUTING:
+		apply_routing(edge, row);
+		break;
+	case PR_ORDER_ROLLOUT:
+		apply_rollout(edge, row);
+		break;
+	case PR_ORDER_EVACUATION:
+		apply_evacuation(edge, subject, row);
+		break;
+	case PR_ORDER_UNKNOWN:
+		pr_event_state("order_unknown", "key=%s row=%llu", row->key,
+			       (unsigned long long)row->version);
+		break;
+	}
+}
+
+static void apply_upstream(pr_edge_t *edge, const pr_store_row_t *row,
+			   pr_usec_t lapse_at)
+{
+	pr_usec_t now = pr_edge_now(edge);
+	pr_upstream_entry_t entry;
+	pr_upstream_t *upstream;
+
+	if (!row->removed && pr_adapter_upstream(&entry, pr_slice_of(row->key),
+						 pr_str_slice(&row->value))) {
+		pr_event_state("upstream_unreadable",
+			       "id=%s row=%llu "
+			       "error=\"%s\"",
+			       row->key, (unsigned long long)row->version,
+			       pr_error_last());
+	} else if (!row->removed) {
+		upstream =
+			pr_registry_apply(&edge->registry, &entry, row->version,
+					  cold_ms_of(edge, entry.service), now);
+		if (upstream)
+			pr_event_state(
+				"upstream",
+				"id=%s service=%s zone=%s version=%s state=%s "
+				"cold_ms=%u born=%lld row=%llu",
+				entry.id, entry.service, entry.zone,
+				entry.version,
+				entry.draining ? "leaving" : "ready",
+				entry.cold_ms, (long long)entry.born,
+				(unsigned long long)row->version);
+		return;
+	}
+	pr_event_state("upstream_removed", "id=%s row=%llu lapse_in_ms=%lld",
+		       row->key, (unsigned long long)row->version,
+		       lapse_at > now ? (long long)((lapse_at - now) /
+						    PR_USEC_PER_MSEC)
+				      : 0LL);
+	pr_registry_remove(&edge->registry, row->key, row->version, lapse_at,
+			   now);
+}
+
+static void apply_shared(pr_edge_t *edge, const pr_store_row_t *row)
+{
+	pr_slice_t key = pr_slice_of(row->key);
+	pr_transition_t *transition;
+	pr_transition_row_t state;
+
+	if (pr_slice_starts_with(key, PR_SLICE(ROW_HOST))) {
+		pr_peering_host(edge, row->key + strlen(ROW_HOST),
+				pr_str_slice(&row->value), row->removed);
+		return;
+	}
+	if (!pr_slice_starts_with(key, PR_SLICE(ROW_TRANSITION)) ||
+	    row->removed)
+		return;
+	transition =
+		pr_edge_transition(edge, row->key + strlen(ROW_TRANSITION));
+	if (!transition ||
+	    pr_transition_row_unpack(&state, pr_str_slice(&row->value)))
+		return;
+	pr_transition_apply(transition, &state, row->version);
+	pr_event_state("transition",
+		       "service=%s version=%s state=%d row=%llu order=%llu",
+		       transition->order.service, transition->order.version,
+		       state.state, (unsigned long long)row->version,
+		       (unsigned long long)state.order_row);
+}
+
+void pr_edge_row(pr_edge_t *edge, pr_store_table_t table,
+		 const pr_store_row_t *row, pr_usec_t lapse_at)
+{
+	switch (table) {
+	case PR_TABLE_ORDERS:
+		apply_order(edge, row);
+		break;
+	case PR_TABLE_UPSTREAMS:
+		apply_upstream(edge, row, lapse_at);
+		break;
+	case PR_TABLE_SHARED:
+		apply_shared(edge, row);
+		break;
+	case PR_TABLES_COUNT:
+		break;
+	}
+}
+
+static void on_registered(pr_call_t *call, int status, pr_slice_t body)
+{
+	pr_edge_t *edge = call->owner;
+
+	edge->registered = status == 200;
+	pr_event_state("registered", "status=%d", status);
+}
+
+static void register_host(pr_edge_t *edge)
+{
+	pr_str_t key = PR_STR_INIT;
+	pr_str_t value = PR_STR_INIT;
+	pr_str_t request = PR_STR_INIT;
+	pr_store_write_t write = { .table = PR_TABLE_SHARED };
+	int rc = pr_str_appendf(&key, ROW_HOST "%s", edge->settings->host);
+
+	if (!rc)
+		rc = pr_peering_row(edge, &value);
+	write.key = pr_str_cstr(&key);
+	write.value = pr_str_slice(&value);
+	if (!rc)
+		rc = pr_adapter_store_write(&request, &write, 1);
+	if (!rc)
+		pr_call_start(&edge->writer, pr_str_slice(&request),
+			      WRITE_TIMEOUT, on_registered);
+	pr_str_finish(&key);
+	pr_str_finish(&value);
+	pr_str_finish(&request);
+}
+
+/* The feed brings the row that stands, whoever wrote it. */
+static void on_concluded(pr_call_t *call, int status, pr_slice_t body)
+{
+	pr_event_state("transition_written", "status=%d", status);
+}
+
+static void write_transition(pr_edge_t *edge, pr_transition_t *transition,
+			     pr_rollout_state_t state)
+{
+	pr_transition_row_t row = {
+		.order_row = transition->order_row,
+		.state = state,
+		.began_ms = transition->began_ms ? transition->began_ms
+						 : pr_edge_store_now(edge),
+	};
+	pr_str_t key = PR_STR_INIT, value = PR_STR_INIT;
+	pr_str_t status_key = PR_STR_INIT, status = PR_STR_INIT;
+	pr_str_t request = PR_STR_INIT;
+	pr_store_write_t writes[2] = { 0 };
+	int rc = pr_str_appendf(&key, ROW_TRANSITION "%s",
+				transition->order.service);
+
+	if (!rc)
+		rc = pr_transition_row_pack(&value, &row);
+	if (!rc)
+		rc = pr_adapter_rollout_status(
+			&status_key, &status, transition->order.service,
+			transition->order.version, state);
+	writes[0].table = PR_TABLE_SHARED;
+	writes[0].key = pr_str_cstr(&key);
+	writes[0].value = pr_str_slice(&value);
+	writes[0].conditional = true;
+	writes[0].expected = transition->state_row;
+	writes[1].table = PR_TABLE_SHARED;
+	writes[1].key = pr_str_cstr(&status_key);
+	writes[1].value = pr_str_slice(&status);
+	if (!rc)
+		rc = pr_adapter_store_write(&request, writes, 2);
+	if (!rc) {
+		pr_event_state(
+			"transition_concluded",
+			"service=%s version=%s state=%d new=%u/%u old=%u/%u "
+			"peers_new=%u/%u peers_old=%u/%u condition=%llu",
+			transition->order.service, transition->order.version,
+			state, transition->own.fresh.bad,
+			transition->own.fresh.total, transition->own.old.bad,
+			transition->own.old.total, transition->peers.fresh.bad,
+			transition->peers.fresh.total,
+			transition->peers.old.bad, transition->peers.old.total,
+			(unsigned long long)transition->state_row);
+		pr_call_start(&edge->writer, pr_str_slice(&request),
+			      WRITE_TIMEOUT, on_concluded);
+	}
+	pr_str_finish(&key);
+	pr_str_finish(&value);
+	pr_str_finish(&status_key);
+	pr_str_finish(&status);
+	pr_str_finish(&request);
+}
+
+/* Position of this host among the hosts, by name. */
+static int64_t turn_of(const pr_edge_t *edge)
+{
+	int64_t before = 0;
+
+	for (size_t i = 0; i < edge->hosts_count; i++) {
+		if (strcmp(edge->hosts[i].name, edge->settings->host) < 0)
+			before++;
+	}
+	return before * TURN_MS;
+}
+
+void pr_edge_conclude(pr_edge_t *edge)
+{
+	int64_t now = pr_edge_store_now(edge);
+
+	if (!edge->has_store_clock)
+		return;
+	if (!edge->registered && !edge->writer.busy)
+		register_host(edge);
+	for (size_t i = 0; i < edge->transitions_count; i++) {
+		pr_transition_t *transition = edge->transitions[i];
+		uint32_t usable = pr_place_usable(
+			&edge->registry, &edge->map, transition->order.service,
+			transition->order.version, pr_edge_now(edge));
+		pr_conclusion_t conclusion = pr_transition_conclude(
+			transition, now, turn_of(edge), usable);
+
+		/* Rows of the table must be known before one is written. */
+		if (edge->writer.busy ||
+		    !edge->watches[PR_TABLE_SHARED].complete)
+			continue;
+		switch (conclusion) {
+		case PR_CONCLUDE_NOTHING:
+			break;
+		case PR_CONCLUDE_START:
+			write_transition(edge, transition, PR_ROLLOUT_RUNNING);
+			break;
+		case PR_CONCLUDE_DONE:
+			write_transition(edge, transition, PR_ROLLOUT_DONE);
+			break;
+		case PR_CONCLUDE_WITHDRAW:
+			write_transition(edge, transition,
+					 PR_ROLLOUT_WITHDRAWN);
+			break;
+		}
+	}
+}
--- /dev/null
+++ b/src/edge/outbound.c
@@ -0,0 +1,339 @@
+/*
+ * Connections to upstreams. An answer belongs to the request only when it
+ * echoes the request's id: upstreams may send a second answer late, at the
+ * place where the next one is due.
+ */
+#include "edge/outbound.h"
+
+#include <stdlib.h>
+
+#include "pistachiorack/error.h"
+#include "platform/adapter.h"
+
+#define HEAD_MAX 32768
+/* Idle time of a connection whose upstream states none. */
+#define IDLE_DEFAULT (4 * PR_USEC_PER_SEC)
+/* A kept connection is given up this long before the stated time. */
+#define IDLE_MARGIN (700 * PR_USEC_PER_MSEC)
+/* Longest idle time of a connection for a request that may not be repeated. */
+#define IDLE_FRESH (1500 * PR_USEC_PER_MSEC)
+
+struct pr_outbound_t {
+	pr_link_t link;
+	pr_http_reader_t reader;
+	/** Seat in the upstream's idle list. */
+	pr_list_t node;
+	pr_outbound_pool_t *pool;
+	pr_upstream_t *upstream;
+	const pr_outbound_ops_t *ops;
+	/** NULL while idle or let go. */
+	void *owner;
+	pr_str_t request;
+	char id[96];
+	pr_timer_t timer;
+	pr_attempt_stage_t stage;
+	/** The current answer is another request's. */
+	bool crossed;
+	bool is_head;
+	pr_usec_t idle_since, idle_max;
+};
+
+static pr_outbound_t *of(pr_link_t *link)
+{
+	return PR_OWNER(link, pr_outbound_t, link);
+}
+
+static void close_outbound(pr_outbound_t *outbound)
+{
+	pr_list_remove(&outbound->node);
+	pr_timers_unsubscribe(outbound->pool->timers, &outbound->timer);
+	outbound->owner = NULL;
+	pr_link_close(&outbound->link);
+}
+
+static void fail(pr_outbound_t *outbound)
+{
+	void *owner = outbound->owner;
+
+	close_outbound(outbound);
+	if (owner)
+		outbound->ops->on_failed(owner, outbound->stage);
+}
+
+static bool on_head(pr_http_reader_t *reader)
+{
+	pr_outbound_t *outbound = reader->owner;
+	pr_slice_t id = pr_http_find(
+		reader, pr_adapter_field_name(PR_FIELD_REQUEST_ID));
+
+	if (!outbound->owner)
+		return false;
+	outbound->crossed =
+		id.ptr && !pr_slice_equal(id, pr_slice_of(outbound->id));
+	if (outbound->crossed)
+		return true;
+	outbound->stage = PR_STAGE_HEAD;
+	return outbound->ops->on_head(outbound->owner, reader);
+}
+
+static bool on_body(pr_http_reader_t *reader, pr_slice_t bytes)
+{
+	pr_outbound_t *outbound = reader->owner;
+
+	if (!outbound->owner)
+		return false;
+	if (outbound->crossed)
+		return true;
+	outbound->stage = PR_STAGE_BODY;
+	return outbound->ops->on_body(outbound->owner, bytes);
+}
+
+static void on_message(pr_http_reader_t *reader)
+{
+}
+
+static const pr_http_reader_ops_t reader_ops = { on_head, on_body, on_message };
+
+static pr_usec_t idle_time(const pr_http_reader_t *reader)
+{
+	pr_slice_t value = pr_http_find(reader, "Keep-Alive");
+	pr_usec_t seconds = 0;
+	size_t at = 0;
+
+	while (at + 8 <= value.len && memcmp(value.ptr + at, "timeout=", 8))
+		at++;
+	if (at + 8 > value.len)
+		return IDLE_DEFAULT;
+	for (at += 8;
+	     at < value.len && value.ptr[at] >= '0' && value.ptr[at] <= '9';
+	     at++)
+		seconds = seconds * 10 + (value.ptr[at] - '0');
+	return seconds * PR_USEC_PER_SEC - IDLE_MARGIN;
+}
+
+/* The message is complete: keep the connection where nothing is left on it. */
+static void end_message(pr_outbound_t *outbound, bool at_boundary)
+{
+	void *owner = outbound->owner;
+	bool keep = at_boundary && !outbound->link.unsent &&
+		    http_should_keep_alive(&outbound->reader.parser);
+
+	outbound->idle_max = idle_time(&outbound->reader);
+	if (!keep || outbound->idle_max <= 0) {
+		close_outbound(outbound);
+	} else {
+		outbound->owner = NULL;
+		outbound->idle_since = outbound->pool->timers->now;
+		/* The latest first: the others may expire. */
+		pr_list_append(outbound->upstream->idle.next, &outbound->node);
+		pr_http_reader_next(&outbound->reader);
+	}
+	outbound->ops->on_done(owner);
+}
+
+static void on_read(pr_link_t *link, const char *bytes, size_t len)
+{
+	pr_outbound_t *outbound = of(link);
+	size_t used = 0;
+
+	if (!outbound->owner) {
+		close_outbound(outbound);
+		return;
+	}
+	while (used < len && !link->closing) {
+		used += pr_http_reader_feed(&outbound->reader, bytes + used,
+					    len - used);
+		if (!outbound->owner)
+			return;
+		if (outbound->reader.fault) {
+			fail(outbound);
+			return;
+		}
+		if (!outbound->reader.complete)
+			continue;
+		if (!outbound->crossed) {
+			end_message(outbound, used == len);
+			return;
+		}
+		pr_http_reader_next(&outbound->reader);
+		outbound->reader.no_body = outbound->is_head;
+		outbound->crossed = false;
+	}
+}
+
+static void on_end(pr_link_t *link, bool clean)
+{
+	pr_outbound_t *outbound = of(link);
+
+	if (link->closing)
+		return;
+	if (outbound->owner && clean && !outbound->crossed &&
+	    pr_http_reader_end(&outbound->reader))
+		end_message(outbound, false);
+	else
+		fail(outbound);
+}
+
+static void send_request(pr_outbound_t *outbound)
+{
+	outbound->stage = PR_STAGE_SENT;
+	if (pr_link_write(&outbound->link, outbound->request.ptr,
+			  outbound->request.len))
+		fail(outbound);
+	pr_str_finish(&outbound->request);
+}
+
+static void on_connect(pr_link_t *link, int rc)
+{
+	pr_outbound_t *outbound = of(link);
+
+	pr_timers_unsubscribe(outbound->pool->timers, &outbound->timer);
+	if (rc)
+		fail(outbound);
+	else
+		send_request(outbound);
+}
+
+static void on_closed(pr_link_t *link)
+{
+	pr_outbound_t *outbound = of(link);
+
+	outbound->upstream->connections--;
+	pr_upstream_unref(outbound->upstream);
+	pr_http_reader_finish(&outbound->reader);
+	pr_str_finish(&outbound->request);
+	free(outbound);
+}
+
+static const pr_link_ops_t link_ops = {
+	.on_connect = on_connect,
+	.on_read = on_read,
+	.on_end = on_end,
+	.on_closed = on_closed,
+};
+
+static void on_timer(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_outbound_t *outbound = timer->data;
+
+	/* Either the connection did not come up, or a kept one is to send. */
+	if (outbound->stage == PR_STAGE_CONNECTING)
+		fail(outbound);
+	else
+		send_request(outbound);
+}
+
+static int open_connection(pr_outbound_t **out, pr_outbound_pool_t *pool,
+			   pr_upstream_t *upstream)
+{
+	pr_outbound_t *outbound = calloc(1, sizeof(*outbound));
+
+	if (!outbound)
+		return pr_error_set(PR_ENOMEM, "no memory for a connection");
+	pr_list_init(&outbound->node);
+	outbound->pool = pool;
+	outbound->timer.data = outbound;
+	if (pr_link_init(&outbound->link, pool->loop, &link_ops)) {
+		free(outbound);
+		return PR_EIO;
+	}
+	outbound->upstream = pr_upstream_ref(upstream);
+	upstream->connections++;
+	pool->opened++;
+	pr_http_reader_init(&outbound->reader, false, HEAD_MAX, &reader_ops,
+			    outbound);
+	if (pr_link_connect(&outbound->link, &upstream->entry.address)) {
+		pr_link_close(&outbound->link);
+		return PR_EIO;
+	}
+	outbound->stage = PR_STAGE_CONNECTING;
+	*out = outbound;
+	return 0;
+}
+
+static pr_outbound_t *take_idle(pr_outbound_pool_t *pool,
+				pr_upstream_t *upstream, bool needs_fresh)
+{
+	while (!pr_list_empty(&upstream->idle)) {
+		pr_outbound_t *outbound =
+			PR_OWNER(upstream->idle.next, pr_outbound_t, node);
+		pr_usec_t idle = pool->timers->now - outbound->idle_since;
+
+		if (needs_fresh && idle >= IDLE_FRESH)
+			return NULL;
+		pr_list_remove(&outbound->node);
+		if (idle < outbound->idle_max)
+			return outbound;
+		close_outbound(outbound);
+	}
+	return NULL;
+}
+
+int pr_outbound_start(pr_outbound_t **out, pr_outbound_pool_t *pool,
+		      pr_upstream_t *upstream,
+		      const pr_outbound_request_t *request,
+		      const pr_outbound_ops_t *ops, void *owner)
+{
+	pr_outbound_t *outbound =
+		take_idle(pool, upstream, request->needs_fresh);
+	int rc = 0;
+
+	if (!outbound)
+		rc = open_connection(&outbound, pool, upstream);
+	if (rc)
+		return rc;
+	outbound->ops = ops;
+	outbound->owner = owner;
+	outbound->crossed = false;
+	outbound->is_head = request->is_head;
+	outbound->reader.no_body = request->is_head;
+	pr_slice_copy(outbound->id, sizeof(outbound->id), request->id);
+	pr_str_clear(&outbound->request);
+	rc = pr_str_append(&outbound->request, request->bytes.ptr,
+			   request->bytes.len);
+	if (rc) {
+		close_outbound(outbound);
+		return rc;
+	}
+	if (outbound->link.connected)
+		outbound->stage = PR_STAGE_CHOSEN;
+	pr_timers_subscribe(pool->timers, &outbound->timer,
+			    outbound->link.connected ? 0
+						     : pool->connect_timeout,
+			    0, on_timer);
+	*out = outbound;
+	return 0;
+}
+
+void pr_outbound_cancel(pr_outbound_t *outbound)
+{
+	close_outbound(outbound);
+}
+
+pr_attempt_stage_t pr_outbound_stage(const pr_outbound_t *outbound)
+{
+	return outbound->stage;
+}
+
+void pr_outbound_pause(pr_outbound_t *outbound)
+{
+	pr_link_pause(&outbound->link);
+}
+
+void pr_outbound_resume(pr_outbound_t *outbound)
+{
+	pr_link_resume(&outbound->link);
+}
+
+void pr_outbound_sweep(pr_upstream_t *upstream, pr_usec_t now, bool all)
+{
+	pr_list_t *at = upstream->idle.next;
+
+	while (at != &upstream->idle) {
+		pr_outbound_t *outbound = PR_OWNER(at, pr_outbound_t, node);
+
+		at = at->next;
+		if (all || now - outbound->idle_since >= outbound->idle_max)
+			close_outbound(outbound);
+	}
+}
--- /dev/null
+++ b/src/edge/peers.c
@@ -0,0 +1,361 @@
+/*
+ * Hosts tell each other by datagrams what each can only see of itself: answers
+ * of both versions of a transition, to all; load on upstreams, to the hosts of
+ * the same zone, which use the same upstreams. Counts are cumulative, so a lost
+ * datagram costs nothing but time.
+ */
+#include <stdlib.h>
+
+#include "base/event_log.h"
+#include "base/address.h"
+#include "base/msgmap.h"
+#include "edge/edge.h"
+#include "pistachiorack/error.h"
+#include "platform/adapter.h"
+
+#define SEND_PERIOD (200 * PR_USEC_PER_MSEC)
+/* A report older than this says nothing of the load any more. */
+#define REPORT_MAX_AGE (1500 * PR_USEC_PER_MSEC)
+#define DATAGRAM_MAX   1400
+#define LOADS_MAX      (sizeof(((pr_host_t *)0)->loads) / 12)
+
+typedef struct send_t {
+	uv_udp_send_t request;
+	pr_str_t bytes;
+} send_t;
+
+static void on_sent(uv_udp_send_t *request, int status)
+{
+	send_t *send = (send_t *)(void *)request;
+
+	pr_str_finish(&send->bytes);
+	free(send);
+}
+
+static void send_to(pr_edge_t *edge, const pr_host_t *host,
+		    const pr_str_t *bytes)
+{
+	send_t *send = calloc(1, sizeof(*send));
+	uv_buf_t buf;
+
+	if (!send)
+		return;
+	if (pr_str_append(&send->bytes, bytes->ptr, bytes->len)) {
+		free(send);
+		return;
+	}
+	buf = uv_buf_init(send->bytes.ptr, (unsigned)send->bytes.len);
+	if (uv_udp_send(&send->request, &edge->udp, &buf, 1,
+			(const struct sockaddr *)&host->address, on_sent)) {
+		pr_str_finish(&send->bytes);
+		free(send);
+	}
+}
+
+static bool is_self(const pr_edge_t *edge, const pr_host_t *host)
+{
+	return !strcmp(host->name, edge->settings->host);
+}
+
+static pr_host_t *find_host(pr_edge_t *edge, pr_slice_t name)
+{
+	for (size_t i = 0; i < edge->hosts_count; i++) {
+		if (pr_slice_equal(name, pr_slice_of(edge->hosts[i].name)))
+			return &edge->hosts[i];
+	}
+	return NULL;
+}
+
+/* A row is "ADDRESS:PORT ZONE". */
+void pr_peering_host(pr_edge_t *edge, const char *name, pr_slice_t row,
+		     bool removed)
+{
+	const char *space = row.len ? memchr(row.ptr, ' ', row.len) : NULL;
+	pr_host_t *host = find_host(edge, pr_slice_of(name));
+	pr_host_t *grown;
+	size_t address_len;
+
+	if (removed || !space)
+		return;
+	address_len = (size_t)(space - row.ptr);
+	if (!host) {
+		if (edge->hosts_count == PR_HOSTS_MAX)
+			return;
+		grown = realloc(edge->hosts,
+				(edge->hosts_count + 1) * sizeof(pr_host_t));
+		if (!grown)
+			return;
+		edge->hosts = grown;
+		host = &grown[edge->hosts_count++];
+		memset(host, 0, sizeof(*host));
+		if (pr_slice_copy(host->name, sizeof(host->name),
+				  pr_slice_of(name))) {
+			edge->hosts_count--;
+			return;
+		}
+	}
+	pr_slice_copy(host->zone, sizeof(host->zone),
+		      pr_slice(space + 1, row.len - address_len - 1));
+	if (pr_address_parse(&host->address, pr_slice(row.ptr, address_len)))
+		pr_event_state("host_unreadable", "host=%s", name);
+	else
+		pr_event_state("host", "name=%s zone=%s", name, host->zone);
+}
+
+int pr_peering_row(const pr_edge_t *edge, pr_str_t *value)
+{
+	return pr_str_appendf(value, "%s %s", edge->settings->peer,
+			      edge->settings->zone);
+}
+
+static int pack_tally(msgpack_packer *packer, const char *prefix,
+		      const pr_tally_t *tally)
+{
+	char name[16];
+	int rc;
+
+	snprintf(name, sizeof(name), "%s_total", prefix);
+	rc = pr_msgmap_pack_number(packer, name, tally->total);
+	snprintf(name, sizeof(name), "%s_bad", prefix);
+	if (!rc)
+		rc = pr_msgmap_pack_number(packer, name, tally->bad);
+	snprintf(name, sizeof(name), "%s_who", prefix);
+	if (!rc)
+		rc = pr_msgmap_pack_number(packer, name, tally->bad_upstreams);
+	return rc;
+}
+
+static void send_transition(pr_edge_t *edge, const pr_transition_t *transition)
+{
+	pr_str_t bytes = PR_STR_INIT;
+	msgpack_packer packer;
+	int rc;
+
+	pr_msgmap_packer(&packer, &bytes);
+	rc = msgpack_pack_map(&packer, 9);
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "host",
+					 pr_slice_of(edge->settings->host));
+	if (!rc)
+		rc = pr_msgmap_pack_text(
+			&packer, "service",
+			pr_slice_of(transition->order.service));
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "order",
+					   transition->order_row);
+	if (!rc)
+		rc = pack_tally(&packer, "new", &transition->own.fresh);
+	if (!rc)
+		rc = pack_tally(&packer, "old", &transition->own.old);
+	for (size_t i = 0; i < edge->hosts_count && !rc; i++) {
+		if (!is_self(edge, &edge->hosts[i]))
+			send_to(edge, &edge->hosts[i], &bytes);
+	}
+	pr_str_finish(&bytes);
+}
+
+/* Loads as a row of 12-byte records: tag, requests, waiting tokens. */
+static void send_loads(pr_edge_t *edge)
+{
+	pr_str_t bytes = PR_STR_INIT, records = PR_STR_INIT;
+	msgpack_packer packer;
+	int rc = 0;
+
+	for (pr_list_t *at = edge->registry.upstreams.next;
+	     at != &edge->registry.upstreams && !rc; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+		uint32_t record[3] = { upstream->tag, upstream->in_flight,
+				       (uint32_t)upstream->waiting_tokens };
+
+		if (upstream->in_flight &&
+		    records.len + sizeof(record) < DATAGRAM_MAX - 200)
+			rc = pr_str_append(&records, record, sizeof(record));
+	}
+	pr_msgmap_packer(&packer, &bytes);
+	if (!rc)
+		rc = msgpack_pack_map(&packer, 2);
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "host",
+					 pr_slice_of(edge->settings->host));
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "loads",
+					 pr_str_slice(&records));
+	for (size_t i = 0; i < edge->hosts_count && !rc; i++) {
+		pr_host_t *host = &edge->hosts[i];
+
+		if (!is_self(edge, host) &&
+		    !strcmp(host->zone, edge->settings->zone))
+			send_to(edge, host, &bytes);
+	}
+	pr_str_finish(&bytes);
+	pr_str_finish(&records);
+}
+
+static void sum_loads(pr_edge_t *edge)
+{
+	pr_usec_t now = pr_edge_now(edge);
+
+	for (pr_list_t *at = edge->registry.upstreams.next;
+	     at != &edge->registry.upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+
+		upstream->peers_in_flight = 0;
+		upstream->peers_waiting_tokens = 0;
+		for (size_t i = 0; i < edge->hosts_count; i++) {
+			const pr_host_t *host = &edge->hosts[i];
+
+			if (now - host->heard_at > REPORT_MAX_AGE)
+				continue;
+			for (size_t j = 0; j < host->loads_count; j++) {
+				if (host->loads[j].tag != upstream->tag)
+					continue;
+				upstream->peers_in_flight +=
+					host->loads[j].in_flight;
+				upstream->peers_waiting_tokens +=
+					host->loads[j].waiting_tokens;
+			}
+		}
+	}
+}
+
+static void sum_tallies(pr_edge_t *edge, size_t index)
+{
+	pr_transition_t *transition = edge->transitions[index];
+	pr_tallies_t sum = { 0 };
+
+	for (size_t i = 0; i < edge->hosts_count; i++) {
+		const pr_tallies_t *tallies =
+			&edge->hosts[i].transitions[index].tallies;
+
+		if (edge->hosts[i].transitions[index].order_row !=
+		    transition->order_row)
+			continue;
+		sum.fresh.total += tallies->fresh.total;
+		sum.fresh.bad += tallies->fresh.bad;
+		sum.fresh.bad_upstreams |= tallies->fresh.bad_upstreams;
+		sum.old.total += tallies->old.total;
+		sum.old.bad += tallies->old.bad;
+		sum.old.bad_upstreams |= tallies->old.bad_upstreams;
+	}
+	transition->peers = sum;
+}
+
+static void read_tally(const pr_msgmap_t *map, const char *prefix,
+		       pr_tally_t *tally)
+{
+	uint64_t value;
+	char name[16];
+
+	snprintf(name, sizeof(name), "%s_total", prefix);
+	if (!pr_msgmap_number(map, &value, name))
+		tally->total = (uint32_t)value;
+	snprintf(name, sizeof(name), "%s_bad", prefix);
+	if (!pr_msgmap_number(map, &value, name))
+		tally->bad = (uint32_t)value;
+	snprintf(name, sizeof(name), "%s_who", prefix);
+	if (!pr_msgmap_number(map, &value, name))
+		tally->bad_upstreams = value;
+}
+
+static void take_transition(pr_edge_t *edge, pr_host_t *host,
+			    const pr_msgmap_t *map, pr_slice_t service)
+{
+	uint64_t order;
+
+	for (size_t i = 0; i < edge->transitions_count; i++) {
+		pr_transition_t *transition = edge->transitions[i];
+
+		if (!pr_slice_equal(service,
+				    pr_slice_of(transition->order.service)) ||
+		    pr_msgmap_number(map, &order, "order") ||
+		    order != transition->order_row)
+			continue;
+		host->transitions[i].order_row = order;
+		read_tally(map, "new", &host->transitions[i].tallies.fresh);
+		read_tally(map, "old", &host->transitions[i].tallies.old);
+		sum_tallies(edge, i);
+	}
+}
+
+static void take_loads(pr_edge_t *edge, pr_host_t *host, pr_slice_t records)
+{
+	size_t count = records.len / 12;
+
+	host->heard_at = pr_edge_now(edge);
+	if (count > LOADS_MAX)
+		count = LOADS_MAX;
+	memcpy(host->loads, records.ptr, count * 12);
+	host->loads_count = count;
+}
+
+static void take(pr_edge_t *edge, pr_slice_t bytes)
+{
+	pr_slice_t name, text;
+	pr_msgmap_t map;
+	pr_host_t *host;
+
+	if (pr_msgmap_init(&map, bytes)) {
+		pr_event("datagram_refused", "error=\"%s\"", pr_error_last());
+		return;
+	}
+	host = pr_msgmap_text(&map, &name, "host") ? NULL
+						   : find_host(edge, name);
+	if (host && !pr_msgmap_text(&map, &text, "loads"))
+		take_loads(edge, host, text);
+	else if (host && !pr_msgmap_text(&map, &text, "service"))
+		take_transition(edge, host, &map, text);
+	pr_msgmap_finish(&map);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char datagram[DATAGRAM_MAX + 200];
+
+	*buf = uv_buf_init(datagram, sizeof(datagram));
+}
+
+static void on_datagram(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
+			const struct sockaddr *from, unsigned int flags)
+{
+	if (len > 0 && from)
+		take(udp->data, pr_slice(buf->base, (size_t)len));
+}
+
+static void on_period(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_edge_t *edge = timer->data;
+
+	sum_loads(edge);
+	send_loads(edge);
+	for (size_t i = 0; i < edge->transitions_count; i++) {
+		if (edge->transitions[i]->state == PR_ROLLOUT_RUNNING)
+			send_transition(edge, edge->transitions[i]);
+	}
+}
+
+int pr_peering_start(pr_edge_t *edge)
+{
+	int rc;
+
+	uv_udp_init(edge->loop, &edge->udp);
+	edge->udp.data = edge;
+	rc = uv_udp_bind(&edge->udp,
+			 (const struct sockaddr *)&edge->settings->at.peer, 0);
+	if (!rc)
+		rc = uv_udp_recv_start(&edge->udp, on_alloc, on_datagram);
+	if (rc)
+		return pr_error_set(PR_EIO, "listen for hosts: %s",
+				    uv_strerror(rc));
+	edge->peers_timer.data = edge;
+	pr_timers_subscribe(&edge->timers, &edge->peers_timer, SEND_PERIOD,
+			    SEND_PERIOD, on_period);
+	return 0;
+}
+
+void pr_peering_finish(pr_edge_t *edge)
+{
+	pr_timers_unsubscribe(&edge->timers, &edge->peers_timer);
+	free(edge->hosts);
+	edge->hosts = NULL;
+	edge->hosts_count = 0;
+}
--- /dev/null
+++ b/src/edge/settings.c
@@ -0,0 +1,149 @@
+/* Settings of the entry daemon: schema, defaults and checks. */
+#include "edge/settings.h"
+
+#include "base/address.h"
+#include "base/yaml.h"
+#include "pistachiorack/error.h"
+
+#define NAME_MAX_BYTES 95
+#define ZONES_MAX      256
+#define OPTIONAL       CYAML_FLAG_OPTIONAL
+
+static const cyaml_schema_field_t zone_fields[] = {
+	CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, pr_zone_settings_t,
+			       name, 1, NAME_MAX_BYTES),
+	CYAML_FIELD_STRING_PTR("region", CYAML_FLAG_POINTER, pr_zone_settings_t,
+			       region, 1, NAME_MAX_BYTES),
+	CYAML_FIELD_END,
+};
+static const cyaml_schema_value_t zone_schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, pr_zone_settings_t,
+			    zone_fields),
+};
+
+#define BOUND_FIELD(member)                                                    \
+	CYAML_FIELD_FLOAT(#member, OPTIONAL, pr_bound_settings_t, member)
+
+static const cyaml_schema_field_t bound_fields[] = {
+	BOUND_FIELD(grace_s),
+	BOUND_FIELD(repeats_window_s),
+	BOUND_FIELD(repeats_ratio),
+	BOUND_FIELD(repeats_slack),
+	BOUND_FIELD(session_s),
+	BOUND_FIELD(lapse_s),
+	CYAML_FIELD_END,
+};
+
+#define ENDPOINT_FIELD(member)                                                 \
+	CYAML_FIELD_STRING_PTR(#member, CYAML_FLAG_POINTER,                    \
+			       pr_edge_settings_t, member, 9, NAME_MAX_BYTES)
+
+static const cyaml_schema_field_t settings_fields[] = {
+	CYAML_FIELD_STRING_PTR("host", CYAML_FLAG_POINTER, pr_edge_settings_t,
+			       host, 1, NAME_MAX_BYTES),
+	CYAML_FIELD_STRING_PTR("zone", CYAML_FLAG_POINTER, pr_edge_settings_t,
+			       zone, 1, NAME_MAX_BYTES),
+	CYAML_FIELD_STRING_PTR("region", CYAML_FLAG_POINTER, pr_edge_settings_t,
+			       region, 1, NAME_MAX_BYTES),
+	CYAML_FIELD_SEQUENCE("zones", CYAML_FLAG_POINTER, pr_edge_settings_t,
+			     zones, &zone_schema, 1, ZONES_MAX),
+	ENDPOINT_FIELD(listen),
+	ENDPOINT_FIELD(ready),
+	ENDPOINT_FIELD(metrics),
+	ENDPOINT_FIELD(peer),
+	ENDPOINT_FIELD(store),
+	CYAML_FIELD_MAPPING("bounds", OPTIONAL, pr_edge_settings_t, bounds,
+			    bound_fields),
+	CYAML_FIELD_END,
+};
+static const cyaml_schema_value_t settings_schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, pr_edge_settings_t,
+			    settings_fields),
+};
+
+static int apply_bounds(const char *path, pr_bound_settings_t *bounds)
+{
+	const struct {
+		const char *field;
+		double *value;
+		double fallback, lowest, highest;
+	} list[] = {
+		{ "bounds.grace_s", &bounds->grace_s, 8, 0.5, 600 },
+		{ "bounds.repeats_window_s", &bounds->repeats_window_s, 10, 0.1,
+		  600 },
+		{ "bounds.repeats_ratio", &bounds->repeats_ratio, 0.2, 0, 10 },
+		{ "bounds.repeats_slack", &bounds->repeats_slack, 8, 0, 1e6 },
+		{ "bounds.session_s", &bounds->session_s, 5, 0, 3600 },
+		{ "bounds.lapse_s", &bounds->lapse_s, 2.2, 0, 60 },
+	};
+
+	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
+		if (*list[i].value <= 0)
+			*list[i].value = list[i].fallback;
+		if (*list[i].value < list[i].lowest ||
+		    *list[i].value > list[i].highest)
+			return pr_error_set(
+				PR_EINVALID,
+				"%s: field %s: value %g: allowed %g to %g",
+				path, list[i].field, *list[i].value,
+				list[i].lowest, list[i].highest);
+	}
+	return 0;
+}
+
+static int read_endpoints(const char *path, pr_edge_settings_t *settings)
+{
+	const struct {
+		const char *field;
+		const char *text;
+		struct sockaddr_in *out;
+	} list[] = {
+		{ "listen", settings->listen, &settings->at.listen },
+		{ "ready", settings->ready, &settings->at.ready },
+		{ "metrics", settings->metrics, &settings->at.metrics },
+		{ "peer", settings->peer, &settings->at.peer },
+		{ "store", settings->store, &settings->at.store },
+	};
+
+	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
+		if (pr_address_parse(list[i].out, pr_slice_of(list[i].text)))
+			return pr_error_set(PR_EINVALID,
+					    "%s: field %s: value %s: allowed "
+					    "is IPv4:PORT, port 1 to 65535",
+					    path, list[i].field, list[i].text);
+	}
+	return 0;
+}
+
+int pr_edge_settings_load(pr_edge_settings_t **out, const char *path)
+{
+	pr_str_t text = PR_STR_INIT;
+	pr_edge_settings_t *settings = NULL;
+	int rc;
+
+	*out = NULL;
+	rc = pr_file_read(&text, path);
+	if (rc)
+		goto cleanup;
+	rc = pr_yaml_load((void **)&settings, path, pr_str_slice(&text),
+			  &settings_schema);
+	if (rc)
+		goto cleanup;
+	rc = apply_bounds(path, &settings->bounds);
+	if (!rc)
+		rc = read_endpoints(path, settings);
+
+cleanup:
+	pr_str_finish(&text);
+	if (rc) {
+		pr_edge_settings_free(settings);
+		settings = NULL;
+	}
+	*out = settings;
+	return rc;
+}
+
+void pr_edge_settings_free(pr_edge_settings_t *settings)
+{
+	pr_yaml_free(settings, &settings_schema);
+}
--- /dev/null
+++ b/src/edge/watch.c
@@ -0,0 +1,256 @@
+/*
+ * Reading of the store's tables: a whole read, then a feed by long poll that
+ * continues from its version. Lost history means a whole read again, after
+ * which rows that were not in it count as removed.
+ */
+#include <stdlib.h>
+
+#include "base/event_log.h"
+#include "edge/edge.h"
+#include "pistachiorack/error.h"
+#include "platform/adapter.h"
+
+/* The store answers a feed without changes after this time, milliseconds. */
+#define FEED_WAIT_MS 10000
+/* An answer that is this late is not coming. */
+#define ANSWER_SLACK (1500 * PR_USEC_PER_MSEC)
+#define READ_TIMEOUT (3 * PR_USEC_PER_SEC)
+/* Pause after a failure, doubled up to the maximum. */
+#define RETRY_BASE (100 * PR_USEC_PER_MSEC)
+#define RETRY_MAX  (800 * PR_USEC_PER_MSEC)
+/* Changes gather for this long, so that a series costs few calls. */
+#define GATHER (120 * PR_USEC_PER_MSEC)
+
+static void start(pr_watch_t *watch);
+
+static void on_due(pr_timer_t *timer, pr_usec_t now)
+{
+	start(timer->data);
+}
+
+static void schedule(pr_watch_t *watch, pr_usec_t delay)
+{
+	pr_timers_subscribe(&watch->edge->timers, &watch->timer, delay, 0,
+			    on_due);
+}
+
+static void failed(pr_watch_t *watch, int status)
+{
+	pr_usec_t now = pr_edge_now(watch->edge);
+	uint32_t doublings = watch->failures < 3 ? watch->failures : 3;
+	pr_usec_t pause = RETRY_BASE << doublings;
+
+	if (!watch->failures) {
+		watch->failed_since = now;
+		pr_event_state("store_lost", "table=%d status=%d version=%llu",
+			       watch->table, status,
+			       (unsigned long long)watch->version);
+	}
+	watch->failures++;
+	schedule(watch, pause < RETRY_MAX ? pause : RETRY_MAX);
+}
+
+static void recovered(pr_watch_t *watch)
+{
+	if (!watch->failures)
+		return;
+	watch->restored_at = pr_edge_now(watch->edge);
+	pr_event_state("store_regained", "table=%d failures=%u ms=%lld",
+		       watch->table, watch->failures,
+		       (long long)((watch->restored_at - watch->failed_since) /
+				   PR_USEC_PER_MSEC));
+	watch->failures = 0;
+}
+
+static void note_clock(pr_edge_t *edge, int64_t now_ms)
+{
+	edge->store_clock = now_ms - pr_edge_now(edge) / PR_USEC_PER_MSEC;
+	edge->has_store_clock = true;
+}
+
+/* Removals that an outage may have caused take effect a little later. */
+static pr_usec_t lapse_time(const pr_watch_t *watch)
+{
+	pr_usec_t settled = watch->restored_at +
+			    (pr_usec_t)(watch->edge->settings->bounds.lapse_s *
+					PR_USEC_PER_SEC);
+
+	return watch->restored_at ? settled : 0;
+}
+
+static void apply(pr_watch_t *watch, const pr_store_rows_t *rows)
+{
+	for (size_t i = 0; i < rows->count; i++) {
+		pr_edge_row(watch->edge, watch->table, &rows->rows[i],
+			    lapse_time(watch));
+		if (!watch->complete)
+			pr_names_add(&watch->seen, rows->rows[i].key);
+	}
+}
+
+static void clear_seen(pr_watch_t *watch)
+{
+	for (size_t i = 0; i < watch->seen.count; i++)
+		free(watch->seen.items[i]);
+	free((void *)watch->seen.items);
+	memset(&watch->seen, 0, sizeof(watch->seen));
+	free(watch->page);
+	watch->page = NULL;
+}
+
+static bool was_seen(const pr_watch_t *watch, const char *key)
+{
+	for (size_t i = 0; i < watch->seen.count; i++) {
+		if (!strcmp(watch->seen.items[i], key))
+			return true;
+	}
+	return false;
+}
+
+/* Upstreams that a whole read did not show are gone. */
+static void remove_unseen(pr_watch_t *watch, uint64_t version)
+{
+	pr_registry_t *registry = &watch->edge->registry;
+	pr_list_t *at = registry->upstreams.next;
+
+	if (watch->table != PR_TABLE_UPSTREAMS)
+		return;
+	while (at != &registry->upstreams) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+		pr_store_row_t row = { .key = upstream->entry.id,
+				       .version = version,
+				       .removed = true };
+
+		at = at->next;
+		if (!was_seen(watch, upstream->entry.id))
+			pr_edge_row(watch->edge, watch->table, &row,
+				    lapse_time(watch));
+	}
+}
+
+static void on_read(pr_call_t *call, int status, pr_slice_t body)
+{
+	pr_watch_t *watch = call->owner;
+	pr_store_rows_t rows;
+
+	if (status != 200 || pr_adapter_store_rows(&rows, body)) {
+		clear_seen(watch);
+		failed(watch, status);
+		return;
+	}
+	recovered(watch);
+	note_clock(watch->edge, rows.now_ms);
+	if (!watch->page)
+		watch->version = rows.version;
+	apply(watch, &rows);
+	free(watch->page);
+	watch->page = NULL;
+	if (rows.more && rows.count) {
+		size_t size = strlen(rows.rows[rows.count - 1].key) + 2;
+
+		/* The key behind the last one: it with a space added. */
+		watch->page = calloc(1, size);
+		if (watch->page)
+			snprintf(watch->page, size, "%s ",
+				 rows.rows[rows.count - 1].key);
+	}
+	if (!watch->page) {
+		remove_unseen(watch, watch->version);
+		clear_seen(watch);
+		watch->complete = true;
+		if (watch->table == PR_TABLE_UPSTREAMS)
+			watch->edge->registry.primed = true;
+		pr_event_state("table_read", "table=%d rows=%zu version=%llu",
+			       watch->table, rows.count,
+			       (unsigned long long)watch->version);
+	}
+	pr_store_rows_finish(&rows);
+	schedule(watch, 0);
+}
+
+static void on_feed(pr_call_t *call, int status, pr_slice_t body)
+{
+	pr_watch_t *watch = call->owner;
+	pr_store_rows_t rows;
+	pr_usec_t pause = 0;
+
+	if (status == 410) {
+		pr_event_state("history_lost", "table=%d version=%llu",
+			       watch->table,
+			       (unsigned long long)watch->version);
+		watch->complete = false;
+		schedule(watch, 0);
+		return;
+	}
+	if (status != 200 || pr_adapter_store_rows(&rows, body)) {
+		failed(watch, status);
+		return;
+	}
+	recovered(watch);
+	note_clock(watch->edge, rows.now_ms);
+	apply(watch, &rows);
+	if (rows.version > watch->version)
+		watch->version = rows.version;
+	if (rows.count)
+		pause = GATHER;
+	pr_store_rows_finish(&rows);
+	schedule(watch, pause);
+}
+
+static void start(pr_watch_t *watch)
+{
+	pr_str_t request = PR_STR_INIT;
+	int rc;
+
+	if (watch->call.busy)
+		return;
+	if (watch->complete)
+		rc = pr_adapter_store_feed(&request, watch->table,
+					   watch->version, FEED_WAIT_MS);
+	else
+		rc = pr_adapter_store_read(&request, watch->table,
+					   pr_slice_of(watch->page));
+	if (rc) {
+		pr_str_finish(&request);
+		failed(watch, 0);
+		return;
+	}
+	if (watch->complete)
+		pr_call_start(&watch->call, pr_str_slice(&request),
+			      FEED_WAIT_MS * PR_USEC_PER_MSEC + ANSWER_SLACK,
+			      on_feed);
+	else
+		pr_call_start(&watch->call, pr_str_slice(&request),
+			      READ_TIMEOUT, on_read);
+	pr_str_finish(&request);
+}
+
+int pr_watches_start(pr_edge_t *edge)
+{
+	const struct sockaddr_in *address = &edge->settings->at.store;
+
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		pr_watch_t *watch = &edge->watches[i];
+
+		watch->edge = edge;
+		watch->table = (pr_store_table_t)i;
+		watch->timer.data = watch;
+		pr_call_init(&watch->call, edge->loop, &edge->timers, address,
+			     watch);
+		start(watch);
+	}
+	pr_call_init(&edge->writer, edge->loop, &edge->timers, address, edge);
+	return 0;
+}
+
+void pr_watches_finish(pr_edge_t *edge)
+{
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		pr_watch_t *watch = &edge->watches[i];
+
+		pr_timers_unsubscribe(&edge->timers, &watch->timer);
+		clear_seen(watch);
+		pr_call_finish(&watch->call);
+	}
+	pr_call_finish(&edge->writer);
+}
--- /dev/null
+++ b/src/http/call.c
@@ -0,0 +1,201 @@
+/* HTTP client for single calls. */
+#include "http/call.h"
+
+#include <stdlib.h>
+
+#include "base/list.h"
+#include "pistachiorack/error.h"
+
+/* A store's answers hold at most a megabyte of rows. */
+#define ANSWER_MAX (8 * 1024 * 1024)
+#define HEAD_MAX   16384
+
+typedef struct pr_call_link_t {
+	pr_link_t link;
+	pr_http_reader_t reader;
+	pr_str_t body;
+	/** NULL once the call has let the connection go. */
+	pr_call_t *call;
+} pr_call_link_t;
+
+static pr_call_link_t *of(pr_link_t *link)
+{
+	return PR_OWNER(link, pr_call_link_t, link);
+}
+
+static void drop_link(pr_call_t *call)
+{
+	pr_call_link_t *link = call->link;
+
+	if (!link)
+		return;
+	call->link = NULL;
+	link->call = NULL;
+	pr_link_close(&link->link);
+}
+
+static void finish(pr_call_t *call, int status, pr_slice_t body)
+{
+	pr_timers_unsubscribe(call->timers, &call->timer);
+	call->busy = false;
+	call->done(call, status, body);
+}
+
+static void fail(pr_call_t *call)
+{
+	drop_link(call);
+	if (call->busy)
+		finish(call, 0, pr_slice("", 0));
+}
+
+static bool on_head(pr_http_reader_t *reader)
+{
+	return true;
+}
+
+static bool on_body(pr_http_reader_t *reader, pr_slice_t bytes)
+{
+	pr_call_link_t *link = reader->owner;
+
+	return link->body.len + bytes.len <= ANSWER_MAX &&
+	       !pr_str_append(&link->body, bytes.ptr, bytes.len);
+}
+
+static void on_message(pr_http_reader_t *reader)
+{
+}
+
+static const pr_http_reader_ops_t reader_ops = { on_head, on_body, on_message };
+
+static void answered(pr_call_link_t *link)
+{
+	pr_call_t *call = link->call;
+	int status = (int)link->reader.parser.status_code;
+	pr_str_t body = link->body;
+	bool keep = http_should_keep_alive(&link->reader.parser);
+
+	memset(&link->body, 0, sizeof(link->body));
+	pr_http_reader_next(&link->reader);
+	if (!keep)
+		drop_link(call);
+	finish(call, status, pr_str_slice(&body));
+	pr_str_finish(&body);
+}
+
+static void on_read(pr_link_t *base, const char *bytes, size_t len)
+{
+	pr_call_link_t *link = of(base);
+	size_t used;
+
+	if (!link->call)
+		return;
+	if (!link->call->busy) {
+		drop_link(link->call);
+		return;
+	}
+	used = pr_http_reader_feed(&link->reader, bytes, len);
+	if (link->reader.fault || (link->reader.complete && used < len))
+		fail(link->call);
+	else if (link->reader.complete)
+		answered(link);
+}
+
+static void on_end(pr_link_t *base, bool clean)
+{
+	pr_call_link_t *link = of(base);
+
+	if (!link->call)
+		return;
+	if (clean && link->call->busy && pr_http_reader_end(&link->reader))
+		answered(link);
+	else
+		fail(link->call);
+}
+
+static void on_connect(pr_link_t *base, int rc)
+{
+	pr_call_link_t *link = of(base);
+	pr_call_t *call = link->call;
+
+	if (!call)
+		return;
+	if (rc || pr_link_write(base, call->request.ptr, call->request.len))
+		fail(call);
+}
+
+static void on_closed(pr_link_t *base)
+{
+	pr_call_link_t *link = of(base);
+
+	pr_http_reader_finish(&link->reader);
+	pr_str_finish(&link->body);
+	free(link);
+}
+
+static const pr_link_ops_t link_ops = {
+	.on_connect = on_connect,
+	.on_read = on_read,
+	.on_end = on_end,
+	.on_closed = on_closed,
+};
+
+void pr_call_init(pr_call_t *call, uv_loop_t *loop, pr_timers_t *timers,
+		  const struct sockaddr_in *address, void *owner)
+{
+	memset(call, 0, sizeof(*call));
+	call->loop = loop;
+	call->timers = timers;
+	call->address = *address;
+	call->owner = owner;
+	call->timer.data = call;
+}
+
+void pr_call_finish(pr_call_t *call)
+{
+	pr_timers_unsubscribe(call->timers, &call->timer);
+	drop_link(call);
+	pr_str_finish(&call->request);
+}
+
+static void on_timeout(pr_timer_t *timer, pr_usec_t now)
+{
+	fail(timer->data);
+}
+
+static int open_link(pr_call_t *call)
+{
+	pr_call_link_t *link = calloc(1, sizeof(*link));
+
+	if (!link)
+		return PR_ENOMEM;
+	pr_http_reader_init(&link->reader, false, HEAD_MAX, &reader_ops, link);
+	link->call = call;
+	if (pr_link_init(&link->link, call->loop, &link_ops)) {
+		free(link);
+		return PR_EIO;
+	}
+	call->link = link;
+	return pr_link_connect(&link->link, &call->address);
+}
+
+void pr_call_start(pr_call_t *call, pr_slice_t request, pr_usec_t timeout,
+		   pr_call_done_fn done)
+{
+	int rc;
+
+	call->busy = true;
+	call->done = done;
+	pr_str_clear(&call->request);
+	pr_timers_subscribe(call->timers, &call->timer, timeout, 0, on_timeout);
+	rc = pr_str_append(&call->request, request.ptr, request.len);
+	if (!rc)
+		rc = call->link ? pr_link_write(&call->link->link, request.ptr,
+						request.len)
+				: open_link(call);
+	/* The owner hears of it from the timer, not from inside this call. */
+	if (rc) {
+		drop_link(call);
+		pr_timers_subscribe(call->timers, &call->timer, 0, 0,
+				    on_timeout);
+	}
+}
--- /dev/null
+++ b/src/http/call.h
@@ -0,0 +1,44 @@
+/**
+ * HTTP calls to one service, one at a time on one kept connection.
+ */
+#ifndef PR_HTTP_CALL_H
+#define PR_HTTP_CALL_H
+
+#include "http/link.h"
+#include "http/reader.h"
+#include "pistachiorack/timer.h"
+
+typedef struct pr_call_t pr_call_t;
+
+/**
+ * @param status HTTP status, or 0 when there was no answer: the call may have
+ *	  been performed, or may be performed later
+ */
+typedef void (*pr_call_done_fn)(pr_call_t *call, int status, pr_slice_t body);
+
+struct pr_call_t {
+	uv_loop_t *loop;
+	pr_timers_t *timers;
+	struct sockaddr_in address;
+	struct pr_call_link_t *link;
+	pr_timer_t timer;
+	pr_call_done_fn done;
+	void *owner;
+	pr_str_t request;
+	bool busy;
+};
+
+void pr_call_init(pr_call_t *call, uv_loop_t *loop, pr_timers_t *timers,
+		  const struct sockaddr_in *address, void *owner);
+/** Drop the connection; a call under way gets no answer. */
+void pr_call_finish(pr_call_t *call);
+/**
+ * Start a call; the earlier one must be done.
+ *
+ * @param request whole HTTP request, copied
+ * @param timeout longest time for the whole answer
+ */
+void pr_call_start(pr_call_t *call, pr_slice_t request, pr_usec_t timeout,
+		   pr_call_done_fn done);
+
+#endif
--- /dev/null
+++ b/src/http/link.c
@@ -0,0 +1,204 @@
+/*
+ * TCP connection. Reads share one buffer, since libuv delivers a read before
+ * it asks for the next buffer; nothing here runs on a second thread.
+ */
+#include "http/link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "pistachiorack/error.h"
+
+#define READ_BYTES 32768
+/*
+ * Keep-alive probes find connections that went silent without a reset within
+ * about three seconds, less than the time after which the platform counts a
+ * host as reachable again.
+ */
+#define PROBE_IDLE_S      1
+#define PROBE_INTERVAL_S  1
+#define PROBE_COUNT       2
+#define UNACKNOWLEDGED_MS 3000
+
+typedef struct write_t {
+	uv_write_t request;
+	size_t len;
+	char bytes[];
+} write_t;
+
+static char read_buffer[READ_BYTES];
+
+int pr_link_init(pr_link_t *link, uv_loop_t *loop, const pr_link_ops_t *ops)
+{
+	memset(link, 0, sizeof(*link));
+	link->ops = ops;
+	link->tcp.data = link;
+	if (uv_tcp_init(loop, &link->tcp))
+		return pr_error_set(PR_EIO, "no handle for a connection");
+	return 0;
+}
+
+static void set_options(pr_link_t *link)
+{
+	int interval = PROBE_INTERVAL_S;
+	int count = PROBE_COUNT;
+	unsigned int unacknowledged = UNACKNOWLEDGED_MS;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&link->tcp, 1);
+	uv_tcp_keepalive(&link->tcp, 1, PROBE_IDLE_S);
+	if (uv_fileno((uv_handle_t *)&link->tcp, &fd))
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+		   sizeof(unacknowledged));
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	pr_link_t *link = stream->data;
+
+	if (link->closing || !len)
+		return;
+	if (len < 0) {
+		link->reading = false;
+		uv_read_stop(stream);
+		link->ops->on_end(link, len == UV_EOF);
+		return;
+	}
+	link->ops->on_read(link, buf->base, (size_t)len);
+}
+
+void pr_link_resume(pr_link_t *link)
+{
+	if (link->reading || link->closing)
+		return;
+	link->reading =
+		!uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
+}
+
+void pr_link_pause(pr_link_t *link)
+{
+	if (!link->reading)
+		return;
+	link->reading = false;
+	uv_read_stop((uv_stream_t *)&link->tcp);
+}
+
+int pr_link_accept(pr_link_t *link, uv_stream_t *listener)
+{
+	int rc = uv_accept(listener, (uv_stream_t *)&link->tcp);
+
+	if (rc)
+		return pr_error_set(PR_EIO, "accept: %s", uv_strerror(rc));
+	link->connected = true;
+	set_options(link);
+	pr_link_resume(link);
+	return 0;
+}
+
+static void on_connect(uv_connect_t *request, int status)
+{
+	pr_link_t *link = request->handle->data;
+
+	if (link->closing)
+		return;
+	if (!status) {
+		link->connected = true;
+		set_options(link);
+		pr_link_resume(link);
+	}
+	link->ops->on_connect(link, status);
+}
+
+int pr_link_connect(pr_link_t *link, const struct sockaddr_in *address)
+{
+	int rc = uv_tcp_connect(&link->connect, &link->tcp,
+				(const struct sockaddr *)address, on_connect);
+
+	if (rc)
+		return pr_error_set(PR_EIO, "connect: %s", uv_strerror(rc));
+	return 0;
+}
+
+static void on_written(uv_write_t *request, int status)
+{
+	write_t *write = (write_t *)(void *)request;
+	pr_link_t *link = request->handle->data;
+
+	link->unsent -= write->len;
+	free(write);
+	if (link->closing)
+		return;
+	if (status)
+		link->ops->on_end(link, false);
+	else if (!link->unsent && link->ops->on_drained)
+		link->ops->on_drained(link);
+}
+
+int pr_link_write(pr_link_t *link, const void *bytes, size_t len)
+{
+	uv_buf_t buf = uv_buf_init((char *)(uintptr_t)bytes, (unsigned)len);
+	write_t *write;
+	int rc;
+
+	if (link->closing)
+		return PR_EIO;
+	if (!link->unsent) {
+		rc = uv_try_write((uv_stream_t *)&link->tcp, &buf, 1);
+		if (rc >= 0 && (size_t)rc == len)
+			return 0;
+		if (rc > 0) {
+			bytes = (const char *)bytes + rc;
+			len -= (size_t)rc;
+		}
+	}
+	write = malloc(sizeof(*write) + len);
+	if (!write)
+		return pr_error_set(PR_ENOMEM, "no memory for a write");
+	memcpy(write->bytes, bytes, len);
+	write->len = len;
+	buf = uv_buf_init(write->bytes, (unsigned)len);
+	rc = uv_write(&write->request, (uv_stream_t *)&link->tcp, &buf, 1,
+		      on_written);
+	if (rc) {
+		free(write);
+		return pr_error_set(PR_EIO, "write: %s", uv_strerror(rc));
+	}
+	link->unsent += len;
+	return 0;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	pr_link_t *link = handle->data;
+
+	link->ops->on_closed(link);
+}
+
+void pr_link_close(pr_link_t *link)
+{
+	if (link->closing)
+		return;
+	link->closing = true;
+	link->reading = false;
+	uv_close((uv_handle_t *)&link->tcp, on_closed);
+}
+
+void pr_link_reset(pr_link_t *link)
+{
+	if (link->closing)
+		return;
+	link->closing = true;
+	link->reading = false;
+	if (uv_tcp_close_reset(&link->tcp, on_closed))
+		uv_close((uv_handle_t *)&link->tcp, on_closed);
+}
--- /dev/null
+++ b/src/limits/repeats.h
@@ -0,0 +1,36 @@
+/**
+ * Budget of repeated sends of one service: retries, resumes and escalations
+ * together stay below a part of the requests of a sliding window. Each host
+ * keeps to its own requests, so the sum over the hosts keeps to the bound.
+ */
+#ifndef PR_LIMITS_REPEATS_H
+#define PR_LIMITS_REPEATS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "pistachiorack/timer.h"
+
+#define PR_REPEATS_SLOTS 40
+
+typedef struct pr_repeats_t {
+	uint32_t requests[PR_REPEATS_SLOTS];
+	uint32_t repeats[PR_REPEATS_SLOTS];
+	pr_usec_t slot;
+	int64_t current;
+} pr_repeats_t;
+
+/** @param window length of the window in microseconds */
+void pr_repeats_init(pr_repeats_t *budget, pr_usec_t window);
+void pr_repeats_request(pr_repeats_t *budget, pr_usec_t now);
+/**
+ * Take a repeat from the budget.
+ *
+ * @param ratio repeats for each request
+ * @param slack repeats in a window beyond the ratio
+ * @return false when the budget is used up
+ */
+bool pr_repeats_take(pr_repeats_t *budget, double ratio, uint32_t slack,
+		     pr_usec_t now);
+
+#endif
--- /dev/null
+++ b/src/place/place.c
@@ -0,0 +1,232 @@
+/*
+ * Choice of an upstream. Every host ranks the upstreams of a zone for a cached
+ * prefix by rendezvous hashing, so hosts agree without messages which one holds
+ * it; the expected work in front of it decides whether going elsewhere and
+ * reading the prefix again is faster (bounded loads: Mirrokni et al., 2016).
+ */
+#include "place/place.h"
+
+#include <math.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+/* Expected delay by distance, milliseconds. */
+#define COST_SAME_ZONE   0.0
+#define COST_SAME_REGION 4.0
+/* A round trip between regions, and the price of its bytes. */
+#define COST_OTHER_REGION 150.0
+/* Prompt tokens that an upstream reads in a millisecond. */
+#define TOKENS_PER_MS 68.0
+/* Delay at full slots, milliseconds; grows with the square of the load. */
+#define COST_FULL 400.0
+/* Going to an upstream that failed last time. */
+#define COST_SUSPECT 300.0
+/* A cold upstream is used when others are this much slower. */
+#define COST_COLD 1500.0
+/* Beyond this load an upstream queues requests. */
+#define LOAD_QUEUEING 1.0
+#define COST_QUEUEING 3000.0
+/* Load at which an upstream would refuse. */
+#define LOAD_MAX 2.0
+
+const pr_zone_t *pr_map_zone(const pr_map_t *map, const char *name)
+{
+	for (size_t i = 0; i < map->count; i++) {
+		if (!strcmp(map->zones[i].name, name))
+			return &map->zones[i];
+	}
+	return NULL;
+}
+
+double pr_place_load(const pr_upstream_t *upstream, uint32_t hosts)
+{
+	double requests = upstream->in_flight + upstream->peers_in_flight;
+
+	(void)hosts;
+	return requests / (upstream->entry.slots ? upstream->entry.slots : 1);
+}
+
+static bool was_tried(const pr_place_query_t *query,
+		      const pr_upstream_t *upstream)
+{
+	for (size_t i = 0; i < query->tried_count; i++) {
+		if (query->tried[i] == upstream)
+			return true;
+	}
+	return false;
+}
+
+static bool is_permitted(const pr_map_t *map, const pr_place_query_t *query,
+			 const pr_upstream_t *upstream)
+{
+	const pr_zone_t *zone = pr_map_zone(map, upstream->entry.zone);
+
+	if (strcmp(upstream->entry.service, query->service) != 0 ||
+	    upstream->entry.draining || !zone || zone->evacuated)
+		return false;
+	if (query->route_regions &&
+	    !pr_names_allow(query->route_regions, zone->region))
+		return false;
+	if (query->workspace_regions &&
+	    !pr_names_allow(query->workspace_regions, zone->region))
+		return false;
+	return !query->transition ||
+	       pr_transition_allows(query->transition, upstream->entry.version);
+}
+
+static double distance(const pr_map_t *map, const pr_upstream_t *upstream)
+{
+	const pr_zone_t *zone = pr_map_zone(map, upstream->entry.zone);
+
+	if (!strcmp(upstream->entry.zone, map->zone))
+		return COST_SAME_ZONE;
+	return !strcmp(zone->region, map->region) ? COST_SAME_REGION
+						  : COST_OTHER_REGION;
+}
+
+static double cost(const pr_map_t *map, const pr_place_query_t *query,
+		   const pr_upstream_t *upstream, bool holds_prefix)
+{
+	double load = pr_place_load(upstream, query->hosts);
+	double tokens = (double)(upstream->waiting_tokens +
+				 upstream->peers_waiting_tokens);
+	double total = distance(map, upstream) + COST_FULL * load * load +
+		       tokens / TOKENS_PER_MS;
+
+	if (load > LOAD_QUEUEING)
+		total += COST_QUEUEING * (load - LOAD_QUEUEING);
+	if (!holds_prefix)
+		total += query->cached_tokens / TOKENS_PER_MS;
+	if (upstream->failures)
+		total += COST_SUSPECT;
+	if (upstream->cold_until > query->now)
+		total += COST_COLD;
+	return total;
+}
+
+static uint64_t rank(const pr_place_query_t *query,
+		     const pr_upstream_t *upstream)
+{
+	return XXH64(upstream->entry.id, strlen(upstream->entry.id),
+		     query->cached_hash);
+}
+
+/* The upstream of the zone that keeps the prefix, by rendezvous hashing. */
+static bool holds_prefix(const pr_registry_t *registry, const pr_map_t *map,
+			 const pr_place_query_t *query,
+			 const pr_upstream_t *upstream)
+{
+	uint64_t own = rank(query, upstream);
+
+	for (pr_list_t *at = registry->upstreams.next;
+	     at != &registry->upstreams; at = at->next) {
+		const pr_upstream_t *other = PR_OWNER(at, pr_upstream_t, node);
+
+		if (other == upstream ||
+		    strcmp(other->entry.zone, upstream->entry.zone) != 0 ||
+		    strcmp(other->entry.version, upstream->entry.version) !=
+			    0 ||
+		    !is_permitted(map, query, other))
+			continue;
+		if (rank(query, other) > own)
+			return false;
+	}
+	return true;
+}
+
+static bool is_full(const pr_place_query_t *query,
+		    const pr_upstream_t *upstream)
+{
+	return pr_place_load(upstream, query->hosts) >= LOAD_MAX ||
+	       (pr_list_empty((pr_list_t *)(uintptr_t)&upstream->idle) &&
+		upstream->connections >= query->connections_max);
+}
+
+/* Only upstreams of the version that the session uses, where any is left. */
+static bool is_version(const pr_place_query_t *query,
+		       const pr_upstream_t *upstream)
+{
+	bool fresh;
+
+	if (!query->transition)
+		return true;
+	fresh = pr_transition_is_new(query->transition,
+				     upstream->entry.version);
+	return fresh == (query->version == PR_VERSION_NEW);
+}
+
+static pr_place_verdict_t choose(const pr_registry_t *registry,
+				 const pr_map_t *map,
+				 const pr_place_query_t *query,
+				 bool any_version, pr_upstream_t **out)
+{
+	pr_place_verdict_t verdict = PR_PLACE_NONE;
+	double least = INFINITY;
+
+	*out = NULL;
+	for (pr_list_t *at = registry->upstreams.next;
+	     at != &registry->upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+		bool cold = upstream->cold_until > query->now;
+		double expected;
+
+		if (!is_permitted(map, query, upstream) ||
+		    (!any_version && !is_version(query, upstream)) ||
+		    was_tried(query, upstream))
+			continue;
+		if (upstream->ejected_until > query->now ||
+		    is_full(query, upstream)) {
+			if (verdict == PR_PLACE_NONE)
+				verdict = PR_PLACE_BUSY;
+			continue;
+		}
+		if (cold && !pr_upstream_cold_ready(upstream, query->now)) {
+			verdict = PR_PLACE_COLD;
+			continue;
+		}
+		expected = cost(
+			map, query, upstream,
+			!query->cached_hash ||
+				holds_prefix(registry, map, query, upstream));
+		if (expected >= least)
+			continue;
+		least = expected;
+		*out = upstream;
+	}
+	return *out ? PR_PLACE_FOUND : verdict;
+}
+
+pr_place_verdict_t pr_place_choose(const pr_registry_t *registry,
+				   const pr_map_t *map,
+				   const pr_place_query_t *query,
+				   pr_upstream_t **out)
+{
+	pr_place_verdict_t verdict = choose(registry, map, query, false, out);
+
+	/* Old upstreams serve what the new version has no room for. */
+	if (verdict != PR_PLACE_FOUND && query->transition &&
+	    query->version == PR_VERSION_NEW)
+		verdict = choose(registry, map, query, true, out);
+	return verdict;
+}
+
+uint32_t pr_place_usable(const pr_registry_t *registry, const pr_map_t *map,
+			 const char *service, const char *version,
+			 pr_usec_t now)
+{
+	pr_place_query_t query = { .service = service, .now = now };
+	uint32_t usable = 0;
+
+	for (pr_list_t *at = registry->upstreams.next;
+	     at != &registry->upstreams; at = at->next) {
+		const pr_upstream_t *upstream =
+			PR_OWNER(at, pr_upstream_t, node);
+
+		if (is_permitted(map, &query, upstream) &&
+		    !strcmp(upstream->entry.version, version) &&
+		    upstream->ejected_until <= now)
+			usable++;
+	}
+	return usable;
+}
--- /dev/null
+++ b/src/place/place.h
@@ -0,0 +1,74 @@
+/**
+ * Choice of the upstream for one request: the least expected time to the first
+ * byte, from distance, work in hand and what the upstream has cached.
+ */
+#ifndef PR_PLACE_PLACE_H
+#define PR_PLACE_PLACE_H
+
+#include "routing/routing.h"
+#include "transition/transition.h"
+#include "upstream/upstream.h"
+
+/** Most upstreams that one request is sent to, whatever the route allows. */
+#define PR_PLACE_TRIED_MAX 16
+
+/** Zones and their regions; regions are compared by name. */
+typedef struct pr_zone_t {
+	char name[PR_UPSTREAM_NAME_SIZE];
+	char region[PR_UPSTREAM_NAME_SIZE];
+	/** Operators took it out. */
+	bool evacuated;
+} pr_zone_t;
+
+typedef struct pr_map_t {
+	pr_zone_t *zones;
+	size_t count;
+	/** Where this host stands. */
+	const char *zone, *region;
+} pr_map_t;
+
+const pr_zone_t *pr_map_zone(const pr_map_t *map, const char *name);
+
+typedef struct pr_place_query_t {
+	const char *service;
+	/** Either may be NULL. */
+	const pr_names_t *route_regions, *workspace_regions;
+	/** NULL when the service is not in transition. */
+	const pr_transition_t *transition;
+	pr_version_choice_t version;
+	/** Hash of what upstreams may have cached; 0 for none. */
+	uint64_t cached_hash;
+	/** Prompt tokens in all, and those that may be cached. */
+	uint32_t tokens, cached_tokens;
+	const pr_upstream_t *tried[PR_PLACE_TRIED_MAX];
+	size_t tried_count;
+	/** Connections that this host may open to one upstream. */
+	uint32_t connections_max;
+	/** Hosts that share the upstreams. */
+	uint32_t hosts;
+	pr_usec_t now;
+} pr_place_query_t;
+
+typedef enum pr_place_verdict_t {
+	PR_PLACE_FOUND,
+	/** No upstream is listed that the request may use. */
+	PR_PLACE_NONE,
+	/** All that are left are cold and out of permits. */
+	PR_PLACE_COLD,
+	/** All that are left are full or failing. */
+	PR_PLACE_BUSY,
+} pr_place_verdict_t;
+
+/** Load of an upstream relative to its slots, over all hosts. */
+double pr_place_load(const pr_upstream_t *upstream, uint32_t hosts);
+
+pr_place_verdict_t pr_place_choose(const pr_registry_t *registry,
+				   const pr_map_t *map,
+				   const pr_place_query_t *query,
+				   pr_upstream_t **out);
+/** @return upstreams of a service and version that could be used now */
+uint32_t pr_place_usable(const pr_registry_t *registry, const pr_map_t *map,
+			 const char *service, const char *version,
+			 pr_usec_t now);
+
+#endif
--- /dev/null
+++ b/src/transition/transition.c
@@ -0,0 +1,252 @@
+/* Share, pinning, evidence and conclusion of a version transition. */
+#include "transition/transition.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "base/msgmap.h"
+#include "pistachiorack/error.h"
+
+/*
+ * Share of the new version in the first half of the order's time: enough to
+ * see a bad version, half of the exposure that an order allows by default.
+ */
+#define FIRST_SHARE 0.07
+/* Most of this host's requests that the new version gets in that time. */
+#define FIRST_SHARE_MAX   0.11
+#define FIRST_SHARE_SLACK 3
+/* Sessions are moved after this part of the order's time, step by step. */
+#define MOVE_FROM 0.51
+/* All sessions use the new version from this part on. */
+#define MOVED_BY 0.68
+/* The new version is declared good after this part. */
+#define DONE_FROM 0.82
+/* Bad answers that are needed to judge, and from one upstream alone. */
+#define EVIDENCE_MIN      5
+#define EVIDENCE_ONE_HOST 12
+/* Rate of bad answers that any version may show. */
+#define USUAL_RATE 0.02
+/* The new version's rate must be this many times the old one's. */
+#define RATE_RATIO 3.0
+
+static const struct {
+	double until, share;
+} steps[] = {
+	{ MOVE_FROM, FIRST_SHARE },
+	{ 0.56, 0.15 },
+	{ 0.61, 0.35 },
+	{ MOVED_BY, 0.65 },
+};
+
+void pr_transition_init(pr_transition_t *transition,
+			const pr_rollout_order_t *order, uint64_t order_row)
+{
+	memset(transition, 0, sizeof(*transition));
+	transition->order = *order;
+	transition->order_row = order_row;
+}
+
+int pr_transition_row_pack(pr_str_t *out, const pr_transition_row_t *row)
+{
+	msgpack_packer packer;
+	int rc;
+
+	pr_msgmap_packer(&packer, out);
+	rc = msgpack_pack_map(&packer, 3);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "order", row->order_row);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "state",
+					   (uint64_t)row->state);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "began",
+					   (uint64_t)row->began_ms);
+	return rc ? pr_error_set(PR_ENOMEM, "no memory for a row") : 0;
+}
+
+int pr_transition_row_unpack(pr_transition_row_t *out, pr_slice_t bytes)
+{
+	pr_msgmap_t map;
+	uint64_t order = 0, state = 0, began = 0;
+	int rc;
+
+	if (pr_msgmap_init(&map, bytes))
+		return PR_EPARSE;
+	rc = pr_msgmap_number(&map, &order, "order");
+	if (!rc)
+		rc = pr_msgmap_number(&map, &state, "state");
+	if (!rc)
+		rc = pr_msgmap_number(&map, &began, "began");
+	if (!rc && state > PR_ROLLOUT_WITHDRAWN)
+		rc = pr_error_set(PR_EPARSE, "unknown state of a transition");
+	pr_msgmap_finish(&map);
+	out->order_row = order;
+	out->state = (pr_rollout_state_t)state;
+	out->began_ms = (int64_t)began;
+	return rc;
+}
+
+void pr_transition_apply(pr_transition_t *transition,
+			 const pr_transition_row_t *row, uint64_t row_version)
+{
+	if (row_version <= transition->state_row)
+		return;
+	/* The condition of the next write, whatever order the row is of. */
+	transition->state_row = row_version;
+	if (row->order_row != transition->order_row) {
+		transition->began_ms = 0;
+		transition->state = PR_ROLLOUT_RUNNING;
+		return;
+	}
+	transition->state = row->state;
+	transition->began_ms = row->began_ms;
+}
+
+static double progress(const pr_transition_t *transition, int64_t now_ms)
+{
+	if (!transition->order.duration_ms)
+		return 1;
+	return (double)(now_ms - transition->began_ms) /
+	       transition->order.duration_ms;
+}
+
+double pr_transition_share(const pr_transition_t *transition, int64_t now_ms)
+{
+	double at;
+
+	if (transition->state == PR_ROLLOUT_DONE)
+		return 1;
+	if (transition->state == PR_ROLLOUT_WITHDRAWN ||
+	    transition->condemned || !transition->began_ms)
+		return 0;
+	at = progress(transition, now_ms);
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		if (at < steps[i].until)
+			return steps[i].share;
+	}
+	return 1;
+}
+
+static bool below_share(uint64_t hash, double share)
+{
+	return (double)(hash >> 11) < share * 9007199254740992.0;
+}
+
+/* The first half's bound on this host's part of the exposure. */
+static bool has_room(const pr_transition_t *transition)
+{
+	const pr_tally_t *fresh = &transition->own.fresh;
+	uint32_t total = fresh->total + transition->own.old.total;
+
+	return fresh->total < FIRST_SHARE_MAX * total + FIRST_SHARE_SLACK;
+}
+
+pr_version_choice_t pr_transition_choose(pr_transition_t *transition,
+					 uint64_t session, uint64_t request,
+					 int64_t now_ms, uint32_t session_ms)
+{
+	double share = pr_transition_share(transition, now_ms);
+	bool first_half = progress(transition, now_ms) < MOVE_FROM &&
+			  transition->state == PR_ROLLOUT_RUNNING;
+	size_t seat = session & (PR_TRANSITION_SESSIONS - 1);
+	bool fresh = below_share(session ? session : request, share);
+	bool known;
+
+	if (share <= 0)
+		return PR_VERSION_OLD;
+	if (!session)
+		return fresh && (!first_half || has_room(transition))
+			       ? PR_VERSION_NEW
+			       : PR_VERSION_OLD;
+	known = transition->sessions[seat].hash == session &&
+		now_ms - transition->sessions[seat].seen_ms <= session_ms;
+	if (first_half && known)
+		fresh = transition->sessions[seat].fresh;
+	else if (known && transition->sessions[seat].fresh)
+		fresh = true;
+	else if (first_half && fresh)
+		fresh = has_room(transition);
+	transition->sessions[seat].hash = session;
+	transition->sessions[seat].seen_ms = now_ms;
+	transition->sessions[seat].fresh = fresh;
+	return fresh ? PR_VERSION_NEW : PR_VERSION_OLD;
+}
+
+bool pr_transition_is_new(const pr_transition_t *transition,
+			  const char *version)
+{
+	return !strcmp(transition->order.version, version);
+}
+
+bool pr_transition_allows(const pr_transition_t *transition,
+			  const char *version)
+{
+	bool fresh = pr_transition_is_new(transition, version);
+
+	if (transition->state == PR_ROLLOUT_DONE)
+		return fresh;
+	if (transition->state == PR_ROLLOUT_WITHDRAWN ||
+	    transition->condemned || !transition->began_ms)
+		return !fresh;
+	return true;
+}
+
+void pr_transition_record(pr_transition_t *transition, const char *version,
+			  bool bad, uint32_t upstream)
+{
+	pr_tally_t *tally = pr_transition_is_new(transition, version)
+				    ? &transition->own.fresh
+				    : &transition->own.old;
+
+	tally->total++;
+	if (!bad)
+		return;
+	tally->bad++;
+	tally->bad_upstreams |= UINT64_C(1) << (upstream & 63);
+}
+
+static pr_tally_t sum(const pr_tally_t *a, const pr_tally_t *b)
+{
+	return (pr_tally_t){ a->total + b->total, a->bad + b->bad,
+			     a->bad_upstreams | b->bad_upstreams };
+}
+
+/*
+ * The new version is bad when its rate of bad answers is several times the old
+ * one's in the same time, which faults of the network raise as well.
+ */
+static bool is_bad(const pr_transition_t *transition)
+{
+	pr_tally_t fresh =
+		sum(&transition->own.fresh, &transition->peers.fresh);
+	pr_tally_t old = sum(&transition->own.old, &transition->peers.old);
+	double usual = USUAL_RATE;
+	uint32_t needed = EVIDENCE_MIN;
+
+	if (old.total)
+		usual = fmax(usual, (double)old.bad / old.total);
+	if (!(fresh.bad_upstreams & (fresh.bad_upstreams - 1)))
+		needed = EVIDENCE_ONE_HOST;
+	return fresh.bad >= needed &&
+	       fresh.bad > RATE_RATIO * usual * fresh.total;
+}
+
+pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
+				       int64_t now_ms, int64_t turn_ms,
+				       uint32_t usable)
+{
+	double at;
+
+	if (transition->state != PR_ROLLOUT_RUNNING)
+		return PR_CONCLUDE_NOTHING;
+	if (!transition->began_ms)
+		return PR_CONCLUDE_START;
+	if (!transition->condemned)
+		transition->condemned = is_bad(transition);
+	if (transition->condemned)
+		return PR_CONCLUDE_WITHDRAW;
+	at = progress(transition, now_ms - turn_ms);
+	if (at >= DONE_FROM && usable)
+		return PR_CONCLUDE_DONE;
+	return PR_CONCLUDE_NOTHING;
+}
--- /dev/null
+++ b/src/upstream/upstream.c
@@ -0,0 +1,176 @@
+/* Registry of upstreams. */
+#include "upstream/upstream.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+/* A failed upstream is tried again after this time, doubled per failure. */
+#define EJECT_BASE (300 * PR_USEC_PER_MSEC)
+#define EJECT_MAX  (2 * PR_USEC_PER_SEC)
+/* Failures in a row before an upstream is left out. */
+#define EJECT_AFTER 2
+/* Discovery lags behind an upstream's own statement of its cold time. */
+#define COLD_MARGIN (500 * PR_USEC_PER_MSEC)
+/* Part of a cold upstream's rate that the hosts share out. */
+#define COLD_SHARE 0.8
+
+void pr_registry_init(pr_registry_t *registry)
+{
+	pr_list_init(&registry->upstreams);
+	registry->primed = false;
+}
+
+pr_upstream_t *pr_upstream_ref(pr_upstream_t *upstream)
+{
+	upstream->refs++;
+	return upstream;
+}
+
+void pr_upstream_unref(pr_upstream_t *upstream)
+{
+	if (!--upstream->refs)
+		free(upstream);
+}
+
+static void forget(pr_upstream_t *upstream)
+{
+	upstream->listed = false;
+	pr_list_remove(&upstream->node);
+	pr_upstream_unref(upstream);
+}
+
+void pr_registry_finish(pr_registry_t *registry)
+{
+	while (!pr_list_empty(&registry->upstreams))
+		forget(PR_OWNER(registry->upstreams.next, pr_upstream_t, node));
+}
+
+pr_upstream_t *pr_registry_find(const pr_registry_t *registry, const char *id)
+{
+	for (pr_list_t *at = registry->upstreams.next;
+	     at != &registry->upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+
+		if (!strcmp(upstream->entry.id, id))
+			return upstream;
+	}
+	return NULL;
+}
+
+static pr_upstream_t *add(pr_registry_t *registry,
+			  const pr_upstream_entry_t *entry)
+{
+	pr_upstream_t *upstream = calloc(1, sizeof(*upstream));
+
+	if (!upstream)
+		return NULL;
+	upstream->refs = 1;
+	upstream->listed = true;
+	upstream->tag = (uint32_t)XXH64(entry->id, strlen(entry->id),
+					(uint64_t)entry->born);
+	pr_list_init(&upstream->idle);
+	pr_list_append(&registry->upstreams, &upstream->node);
+	return upstream;
+}
+
+pr_upstream_t *pr_registry_apply(pr_registry_t *registry,
+				 const pr_upstream_entry_t *entry, uint64_t row,
+				 uint32_t cold_default_ms, pr_usec_t now)
+{
+	pr_upstream_t *upstream = pr_registry_find(registry, entry->id);
+	bool fresh = !upstream;
+	pr_usec_t cold = (pr_usec_t)entry->cold_ms * PR_USEC_PER_MSEC;
+
+	if (upstream && row <= upstream->row)
+		return NULL;
+	if (upstream && upstream->entry.born != entry->born) {
+		/* Another incarnation knows nothing of the one before. */
+		forget(upstream);
+		fresh = true;
+	}
+	if (fresh)
+		upstream = add(registry, entry);
+	if (!upstream)
+		return NULL;
+	upstream->entry = *entry;
+	upstream->row = row;
+	upstream->lapse_at = 0;
+	if (cold)
+		upstream->cold_until = now + cold + COLD_MARGIN;
+	else if (fresh && registry->primed)
+		upstream->cold_until =
+			now + cold_default_ms * PR_USEC_PER_MSEC + COLD_MARGIN;
+	return upstream;
+}
+
+void pr_registry_remove(pr_registry_t *registry, const char *id, uint64_t row,
+			pr_usec_t lapse_at, pr_usec_t now)
+{
+	pr_upstream_t *upstream = pr_registry_find(registry, id);
+
+	if (!upstream || row < upstream->row)
+		return;
+	if (lapse_at <= now)
+		forget(upstream);
+	else if (!upstream->lapse_at)
+		upstream->lapse_at = lapse_at;
+}
+
+void pr_registry_expire(pr_registry_t *registry, pr_usec_t now)
+{
+	pr_list_t *at = registry->upstreams.next;
+
+	while (at != &registry->upstreams) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+
+		at = at->next;
+		if (upstream->lapse_at && upstream->lapse_at <= now)
+			forget(upstream);
+	}
+}
+
+void pr_upstream_failed(pr_upstream_t *upstream, pr_usec_t now)
+{
+	uint32_t doublings;
+	pr_usec_t pause;
+
+	upstream->failures++;
+	if (upstream->failures < EJECT_AFTER)
+		return;
+	doublings = upstream->failures - EJECT_AFTER;
+	pause = EJECT_BASE << (doublings < 4 ? doublings : 4);
+	upstream->ejected_until = now + (pause < EJECT_MAX ? pause : EJECT_MAX);
+}
+
+void pr_upstream_succeeded(pr_upstream_t *upstream)
+{
+	upstream->failures = 0;
+	upstream->ejected_until = 0;
+}
+
+void pr_upstream_chill(pr_upstream_t *upstream, pr_usec_t until)
+{
+	if (until > upstream->cold_until)
+		upstream->cold_until = until;
+}
+
+bool pr_upstream_cold_ready(const pr_upstream_t *upstream, pr_usec_t now)
+{
+	return now >= upstream->cold_next;
+}
+
+bool pr_upstream_cold_permit(pr_upstream_t *upstream, double rate,
+			     uint32_t hosts, pr_usec_t now)
+{
+	double share;
+
+	if (rate <= 0)
+		return true;
+	if (!pr_upstream_cold_ready(upstream, now))
+		return false;
+	share = rate * COLD_SHARE / (hosts ? hosts : 1);
+	upstream->cold_next = now + (pr_usec_t)(PR_USEC_PER_SEC / share);
+	return true;
+}
