--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -12,6 +12,7 @@
 #include <xxhash.h>
 
 #include "base/event_log.h"
+#include "cascade/cascade.h"
 #include "edge/caller.h"
 #include "edge/request.h"
 #include "pistachiorack/error.h"
@@ -41,8 +42,6 @@
 #define GAP_DEFAULT_MS 2000
 /* The other hosts' repeats are not seen here, so each keeps a reserve. */
 #define REPEATS_SHARE 0.85
-/* Confidence below which the next larger model is asked, per cent. */
-#define CONFIDENCE_MIN 50
 
 static void dispatch(pr_exchange_t *x);
 static void arm(pr_exchange_t *x);
@@ -258,21 +257,26 @@
  */
 static bool escalate(pr_exchange_t *x, const pr_http_reader_t *reader)
 {
-	uint64_t confidence = number_field(reader, PR_FIELD_CONFIDENCE, 100);
+	pr_cascade_input_t input = {
+		.models = x->route->models.count,
+		.model = x->model,
+		.confidence = (uint32_t)number_field(reader,
+						     PR_FIELD_CONFIDENCE, 100),
+	};
+	size_t next = pr_cascade_next(&input);
 
-	if (!x->picks_model || x->head_sent || confidence >= CONFIDENCE_MIN ||
-	    x->model + 1 >= x->route->models.count ||
-	    x->runs + 1 >= x->route->max_upstreams)
+	if (!x->picks_model || x->head_sent || next == x->model ||
+	    x->runs + 1 >= x->route->max_upstreams || !may_repeat(x))
 		return false;
 	pr_event("escalated",
-		 "request=%s model=%s confidence=%llu next=%s ms=%lld", x->id,
-		 x->route->models.items[x->model],
-		 (unsigned long long)confidence,
-		 x->route->models.items[x->model + 1], since_start(x));
+		 "request=%s model=%s confidence=%u next=%s ms=%lld", x->id,
+		 x->route->models.items[x->model], input.confidence,
+		 x->route->models.items[next], since_start(x));
 	pr_metric_add(x->edge->counters.escalations, 1);
 	record(x, false);
 	x->runs++;
-	x->model++;
+	x->model = next;
+	x->repeat_paid = true;
 	cancel(x);
 	dispatch(x);
 	return true;
@@ -630,7 +634,7 @@
 		park(x, verdict);
 		return;
 	}
-	if (x->sends && !may_repeat(x)) {
+	if (x->sends && !x->repeat_paid && !may_repeat(x)) {
 		give_up(x, x->last_fault ? x->last_fault : "no_repeat");
 		return;
 	}
@@ -643,6 +647,7 @@
 		return;
 	}
 	x->parked_at = 0;
+	x->repeat_paid = false;
 	if (send_attempt(x, upstream)) {
 		if (x->tried_count < PR_PLACE_TRIED_MAX)
 			x->tried[x->tried_count++] = upstream;
@@ -713,7 +718,8 @@
 			(x->stream && x->route->resumable);
 	x->picks_model = x->route->models.count &&
 			 pr_slice_equal(model, PR_SLICE(PR_MODEL_ANY));
-	x->events.has_id = false;
+	if (x->picks_model)
+		x->model = pr_cascade_first(x->route->models.count);
 	if (x->stream) {
 		uint64_t last;
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -29,6 +29,8 @@
 	/** The router names the model. */
 	bool picks_model;
 	size_t model;
+	/** The next send was taken from the budget of repeats already. */
+	bool repeat_paid;
 	pr_version_choice_t version;
 
 	pr_outbound_t *outbound;
