--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -380,7 +380,7 @@
 	caller->chunked = false;
 	caller->idle_since = pr_edge_now(caller->edge);
 	caller->head_began = 0;
-	if (caller->closing_after) {
+	if (caller->closing_after || caller->edge->stopping) {
 		linger(caller);
 		return;
 	}
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -85,6 +85,15 @@
 	pr_outbound_pool_t pool;
 	pr_transition_t *transitions[PR_TRANSITIONS_MAX];
 	size_t transitions_count;
+	/** Shared rows of transitions, which may come before their orders. */
+	struct {
+		char service[PR_UPSTREAM_NAME_SIZE];
+		pr_transition_row_t row;
+		uint64_t version;
+	} transition_rows[PR_TRANSITIONS_MAX];
+	size_t transition_rows_count;
+	/** Earliest time of the next write of shared state. */
+	pr_usec_t write_after;
 	struct {
 		char name[PR_UPSTREAM_NAME_SIZE];
 		pr_repeats_t budget;
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -40,6 +40,9 @@
 /* A pause this many per cent of the one that is on time ends an attempt. */
 #define GAP_PERCENT    150
 #define GAP_DEFAULT_MS 2000
+/* Time that a stream and any other request needs before a stop. */
+#define STREAM_TIME (5 * PR_USEC_PER_SEC)
+#define CALL_TIME   (2 * PR_USEC_PER_SEC)
 /* The other hosts' repeats are not seen here, so each keeps a reserve. */
 #define REPEATS_SHARE 0.85
 
@@ -657,6 +660,19 @@
 	arm(x);
 }
 
+/* A request that cannot end within the grace time is not begun. */
+static bool ends_in_time(pr_exchange_t *x)
+{
+	pr_usec_t left = x->edge->stop_began +
+			 (pr_usec_t)(x->edge->settings->bounds.grace_s *
+				     PR_USEC_PER_SEC) -
+			 now_of(x);
+
+	return !x->edge->stopping ||
+	       left >= (x->route->kind == PR_CALL_STREAM ? STREAM_TIME
+							 : CALL_TIME);
+}
+
 /* Route and workspace. @return false when the request was answered */
 static bool admit(pr_exchange_t *x)
 {
@@ -693,6 +709,10 @@
 			return false;
 		}
 	}
+	if (!ends_in_time(x)) {
+		answer(x, 503, "stopping");
+		return false;
+	}
 	return true;
 }
 
--- a/src/edge/orders.c
+++ b/src/edge/orders.c
@@ -15,6 +15,8 @@
 #define WRITE_TIMEOUT  (2 * PR_USEC_PER_SEC)
 /* Hosts conclude one after the other, milliseconds apart. */
 #define TURN_MS 250
+/* Pause between two writes, in which the feed brings what the first did. */
+#define WRITE_PAUSE (700 * PR_USEC_PER_MSEC)
 /* Upstreams of a zone that was taken out may return cold. */
 #define EVACUATED_COLD_MARGIN (500 * PR_USEC_PER_MSEC)
 
@@ -97,11 +99,22 @@
 	return NULL;
 }
 
+/* Give a transition the shared row of its service, if one is known. */
+static void apply_transition_row(pr_edge_t *edge, pr_transition_t *transition)
+{
+	for (size_t i = 0; i < edge->transition_rows_count; i++) {
+		if (!strcmp(edge->transition_rows[i].service,
+			    transition->order.service))
+			pr_transition_apply(transition,
+					    &edge->transition_rows[i].row,
+					    edge->transition_rows[i].version);
+	}
+}
+
 static void apply_rollout(pr_edge_t *edge, const pr_store_row_t *row)
 {
 	pr_rollout_order_t order;
 	pr_transition_t *transition;
-	uint64_t state_row = 0;
 
 	if (row->removed)
 		return;
@@ -121,15 +134,13 @@
 		if (!transition)
 			return;
 		edge->transitions[edge->transitions_count++] = transition;
-	} else {
-		state_row = transition->state_row;
 	}
 	pr_transition_init(transition, &order, row->version);
-	transition->state_row = state_row;
+	apply_transition_row(edge, transition);
 	pr_event_state("rollout_ordered",
-		       "service=%s version=%s duration_ms=%u row=%llu",
+		       "service=%s version=%s duration_ms=%u row=%llu state=%d",
 		       order.service, order.version, order.duration_ms,
-		       (unsigned long long)row->version);
+		       (unsigned long long)row->version, transition->state);
 }
 
 static void apply_order(pr_edge_t *edge, const pr_store_row_t *row)
@@ -192,11 +203,39 @@
 			   now);
 }
 
+static void keep_transition_row(pr_edge_t *edge, const char *service,
+				const pr_store_row_t *row)
+{
+	pr_transition_row_t state;
+	size_t i = 0;
+
+	if (pr_transition_row_unpack(&state, pr_str_slice(&row->value))) {
+		pr_event_state("transition_unreadable", "service=%s row=%llu",
+			       service, (unsigned long long)row->version);
+		return;
+	}
+	while (i < edge->transition_rows_count &&
+	       strcmp(edge->transition_rows[i].service, service) != 0)
+		i++;
+	if (i == PR_TRANSITIONS_MAX ||
+	    pr_slice_copy(edge->transition_rows[i].service,
+			  sizeof(edge->transition_rows[i].service),
+			  pr_slice_of(service)))
+		return;
+	if (i == edge->transition_rows_count)
+		edge->transition_rows_count++;
+	edge->transition_rows[i].row = state;
+	edge->transition_rows[i].version = row->version;
+	pr_event_state("transition", "service=%s state=%d row=%llu order=%llu",
+		       service, state.state, (unsigned long long)row->version,
+		       (unsigned long long)state.order_row);
+}
+
 static void apply_shared(pr_edge_t *edge, const pr_store_row_t *row)
 {
 	pr_slice_t key = pr_slice_of(row->key);
+	const char *service = row->key + strlen(ROW_TRANSITION);
 	pr_transition_t *transition;
-	pr_transition_row_t state;
 
 	if (pr_slice_starts_with(key, PR_SLICE(ROW_HOST))) {
 		pr_peering_host(edge, row->key + strlen(ROW_HOST),
@@ -206,17 +245,10 @@
 	if (!pr_slice_starts_with(key, PR_SLICE(ROW_TRANSITION)) ||
 	    row->removed)
 		return;
-	transition =
-		pr_edge_transition(edge, row->key + strlen(ROW_TRANSITION));
-	if (!transition ||
-	    pr_transition_row_unpack(&state, pr_str_slice(&row->value)))
-		return;
-	pr_transition_apply(transition, &state, row->version);
-	pr_event_state("transition",
-		       "service=%s version=%s state=%d row=%llu order=%llu",
-		       transition->order.service, transition->order.version,
-		       state.state, (unsigned long long)row->version,
-		       (unsigned long long)state.order_row);
+	keep_transition_row(edge, service, row);
+	transition = pr_edge_transition(edge, service);
+	if (transition)
+		apply_transition_row(edge, transition);
 }
 
 void pr_edge_row(pr_edge_t *edge, pr_store_table_t table,
@@ -262,6 +294,7 @@
 	if (!rc)
 		pr_call_start(&edge->writer, pr_str_slice(&request),
 			      WRITE_TIMEOUT, on_registered);
+	edge->write_after = pr_edge_now(edge) + WRITE_PAUSE;
 	pr_str_finish(&key);
 	pr_str_finish(&value);
 	pr_str_finish(&request);
@@ -320,6 +353,7 @@
 		pr_call_start(&edge->writer, pr_str_slice(&request),
 			      WRITE_TIMEOUT, on_concluded);
 	}
+	edge->write_after = pr_edge_now(edge) + WRITE_PAUSE;
 	pr_str_finish(&key);
 	pr_str_finish(&value);
 	pr_str_finish(&status_key);
@@ -339,13 +373,18 @@
 	return before * TURN_MS;
 }
 
+static bool may_write(pr_edge_t *edge)
+{
+	return !edge->writer.busy && pr_edge_now(edge) >= edge->write_after;
+}
+
 void pr_edge_conclude(pr_edge_t *edge)
 {
 	int64_t now = pr_edge_store_now(edge);
 
 	if (!edge->has_store_clock)
 		return;
-	if (!edge->registered && !edge->writer.busy)
+	if (!edge->registered && may_write(edge))
 		register_host(edge);
 	for (size_t i = 0; i < edge->transitions_count; i++) {
 		pr_transition_t *transition = edge->transitions[i];
--- a/src/http/link.c
+++ b/src/http/link.c
@@ -62,6 +62,19 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/*
+ * libuv reports an end of stream when a reset follows the last bytes before
+ * they are read. The socket still tells the two apart.
+ */
+static bool is_clean_end(const pr_link_t *link)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return !uv_fileno((const uv_handle_t *)&link->tcp, &fd) &&
+	       !recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	pr_link_t *link = stream->data;
@@ -71,7 +84,7 @@
 	if (len < 0) {
 		link->reading = false;
 		uv_read_stop(stream);
-		link->ops->on_end(link, len == UV_EOF);
+		link->ops->on_end(link, len == UV_EOF && is_clean_end(link));
 		return;
 	}
 	link->ops->on_read(link, buf->base, (size_t)len);
