Keep active sessions on their version while a transition begins

Sessions were taken from the prompt's parts and remembered by each host alone, so hosts disagreed. Requests name their session in a field of their own; each host now tells the others which of the sessions that would move were active, and those stay.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -15,6 +15,7 @@
 #include "pistachiorack/metrics.h"
 #include "place/place.h"
 #include "store/store.h"
+#include "transition/sessions.h"
 #include "transition/transition.h"
 #include "upstream/upstream.h"
 
@@ -85,6 +86,10 @@
 	pr_outbound_pool_t pool;
 	pr_transition_t *transitions[PR_TRANSITIONS_MAX];
 	size_t transitions_count;
+	/** Sessions that used a version other than a transition's new one. */
+	pr_sessions_t sessions;
+	/** Peers know what was seen up to here, store's clock in ms. */
+	int64_t sessions_told_ms;
 	/** Shared rows of transitions, which may come before their orders. */
 	struct {
 		char service[PR_UPSTREAM_NAME_SIZE];
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -584,13 +584,14 @@
 	x->sends++;
 	pr_event("dispatch",
 		 "request=%s upstream=%s row=%llu version=%s load=%.2f "
-		 "failures=%u model=%s transition=%s ms=%lld",
+		 "failures=%u model=%s transition=%s session=%llx ms=%lld",
 		 x->id, upstream->entry.id, (unsigned long long)upstream->row,
 		 upstream->entry.version,
 		 pr_place_load(upstream, pr_edge_hosts(x->edge)),
 		 upstream->failures,
 		 x->picks_model ? x->route->models.items[x->model] : "-",
-		 x->version == PR_VERSION_NEW ? "new" : "old", since_start(x));
+		 x->version == PR_VERSION_NEW ? "new" : "old",
+		 (unsigned long long)x->session, since_start(x));
 	return 0;
 }
 
@@ -721,6 +722,8 @@
 	pr_http_reader_t *reader = &x->caller->reader;
 	pr_slice_t model =
 		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_MODEL));
+	pr_slice_t session =
+		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_SESSION));
 	uint64_t budget = number_field(reader, PR_FIELD_BUDGET,
 				       DEADLINE_DEFAULT / PR_USEC_PER_MSEC);
 	pr_usec_t timeout = (pr_usec_t)x->route->timeout_ms * PR_USEC_PER_MSEC;
@@ -733,6 +736,8 @@
 		&x->prompt,
 		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_TOKENS)),
 		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_PARTS)));
+	if (session.len)
+		x->session = XXH64(session.ptr, session.len, 0);
 	x->stream = x->route->kind == PR_CALL_STREAM;
 	x->idempotent = x->route->kind == PR_CALL_REPEATABLE ||
 			(x->stream && x->route->resumable);
@@ -786,9 +791,12 @@
 	if (budget)
 		pr_repeats_request(budget, now_of(x));
 	transition = pr_edge_transition(edge, x->service);
+	if (!transition || !transition->began_ms)
+		pr_sessions_note(&edge->sessions, x->session,
+				 pr_edge_store_now(edge));
 	if (transition)
 		x->version = pr_transition_choose(
-			transition, x->prompt.shared_hash, x->hash,
+			transition, &edge->sessions, x->session, x->hash,
 			pr_edge_store_now(edge),
 			(uint32_t)(edge->settings->bounds.session_s * 1000));
 	dispatch(x);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -24,6 +24,8 @@
 	pr_usec_t budget_end;
 	pr_prompt_t prompt;
 	uint64_t hash;
+	/** Hash of the session; 0 without one. */
+	uint64_t session;
 	bool idempotent;
 	bool stream;
 	/** The router names the model. */
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -17,6 +17,7 @@
 /* A report older than this says nothing of the load any more. */
 #define REPORT_MAX_AGE (1500 * PR_USEC_PER_MSEC)
 #define DATAGRAM_MAX   1400
+#define SESSIONS_MAX   80
 #define LOADS_MAX      (sizeof(((pr_host_t *)0)->loads) / 12)
 
 typedef struct send_t {
@@ -154,6 +155,61 @@
 	pr_str_finish(&bytes);
 }
 
+/* Sessions that stay on their version, as 16-byte records: hash, time. */
+static void send_sessions(pr_edge_t *edge, const pr_transition_t *transition)
+{
+	int64_t now = pr_edge_store_now(edge);
+	int64_t active =
+		now - (int64_t)(edge->settings->bounds.session_s * 1000);
+	int64_t after = edge->sessions_told_ms > active ? edge->sessions_told_ms
+							: active;
+	pr_session_seen_t seen[SESSIONS_MAX];
+	pr_str_t bytes = PR_STR_INIT, records = PR_STR_INIT;
+	msgpack_packer packer;
+	size_t count;
+	int rc = 0;
+
+	if (!pr_transition_pins(transition, now))
+		return;
+	count = pr_sessions_list(&edge->sessions, PR_TRANSITION_FIRST_SHARE,
+				 after, seen, SESSIONS_MAX);
+	edge->sessions_told_ms = now - 1;
+	for (size_t i = 0; i < count && !rc; i++) {
+		uint64_t record[2] = { seen[i].hash,
+				       (uint64_t)seen[i].seen_ms };
+
+		rc = pr_str_append(&records, record, sizeof(record));
+	}
+	pr_msgmap_packer(&packer, &bytes);
+	if (!rc)
+		rc = msgpack_pack_map(&packer, 2);
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "host",
+					 pr_slice_of(edge->settings->host));
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "sessions",
+					 pr_str_slice(&records));
+	for (size_t i = 0; i < edge->hosts_count && !rc && count; i++) {
+		if (!is_self(edge, &edge->hosts[i]))
+			send_to(edge, &edge->hosts[i], &bytes);
+	}
+	pr_str_finish(&bytes);
+	pr_str_finish(&records);
+}
+
+static void take_sessions(pr_edge_t *edge, pr_slice_t records)
+{
+	uint64_t record[2];
+
+	while (records.len >= sizeof(record)) {
+		memcpy(record, records.ptr, sizeof(record));
+		pr_sessions_hear(&edge->sessions, record[0],
+				 (int64_t)record[1]);
+		records = pr_slice(records.ptr + sizeof(record),
+				   records.len - sizeof(record));
+	}
+}
+
 /* Loads as a row of 12-byte records: tag, requests, waiting tokens. */
 static void send_loads(pr_edge_t *edge)
 {
@@ -302,6 +358,8 @@
 						   : find_host(edge, name);
 	if (host && !pr_msgmap_text(&map, &text, "loads"))
 		take_loads(edge, host, text);
+	else if (host && !pr_msgmap_text(&map, &text, "sessions"))
+		take_sessions(edge, text);
 	else if (host && !pr_msgmap_text(&map, &text, "service"))
 		take_transition(edge, host, &map, text);
 	pr_msgmap_finish(&map);
@@ -328,8 +386,10 @@
 	sum_loads(edge);
 	send_loads(edge);
 	for (size_t i = 0; i < edge->transitions_count; i++) {
-		if (edge->transitions[i]->state == PR_ROLLOUT_RUNNING)
-			send_transition(edge, edge->transitions[i]);
+		if (edge->transitions[i]->state != PR_ROLLOUT_RUNNING)
+			continue;
+		send_transition(edge, edge->transitions[i]);
+		send_sessions(edge, edge->transitions[i]);
 	}
 }
 
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -41,6 +41,7 @@
 		/* Replaced by the last event that was passed on. */
 		return !x->events.passed;
 	case PR_FIELD_REQUEST_ID:
+	case PR_FIELD_SESSION:
 	case PR_FIELD_TOKENS:
 	case PR_FIELD_PARTS:
 		return true;
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -15,6 +15,9 @@
 /* An answer that is this late is not coming. */
 #define ANSWER_SLACK (1500 * PR_USEC_PER_MSEC)
 #define READ_TIMEOUT (3 * PR_USEC_PER_SEC)
+/* After a failure a feed asks for an answer at once, which tells in a short
+ * time whether the store is back. */
+#define PROBE_TIMEOUT (1500 * PR_USEC_PER_MSEC)
 /* Pause after a failure, doubled up to the maximum. */
 #define RETRY_BASE (100 * PR_USEC_PER_MSEC)
 #define RETRY_MAX  (800 * PR_USEC_PER_MSEC)
@@ -199,14 +202,18 @@
 
 static void start(pr_watch_t *watch)
 {
+	pr_usec_t timeout = FEED_WAIT_MS * PR_USEC_PER_MSEC + ANSWER_SLACK;
 	pr_str_t request = PR_STR_INIT;
 	int rc;
 
 	if (watch->call.busy)
 		return;
+	if (watch->failures)
+		timeout = PROBE_TIMEOUT;
 	if (watch->complete)
 		rc = pr_adapter_store_feed(&request, watch->table,
-					   watch->version, FEED_WAIT_MS);
+					   watch->version,
+					   watch->failures ? 0 : FEED_WAIT_MS);
 	else
 		rc = pr_adapter_store_read(&request, watch->table,
 					   pr_slice_of(watch->page));
@@ -216,8 +223,7 @@
 		return;
 	}
 	if (watch->complete)
-		pr_call_start(&watch->call, pr_str_slice(&request),
-			      FEED_WAIT_MS * PR_USEC_PER_MSEC + ANSWER_SLACK,
+		pr_call_start(&watch->call, pr_str_slice(&request), timeout,
 			      on_feed);
 	else
 		pr_call_start(&watch->call, pr_str_slice(&request),
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -9,6 +9,8 @@
 /* A store's answers hold at most a megabyte of rows. */
 #define ANSWER_MAX (8 * 1024 * 1024)
 #define HEAD_MAX   16384
+/* Several round trips between regions. */
+#define CONNECT_TIMEOUT (600 * PR_USEC_PER_MSEC)
 
 typedef struct pr_call_link_t {
 	pr_link_t link;
@@ -112,6 +114,11 @@
 		fail(link->call);
 }
 
+static void on_timeout(pr_timer_t *timer, pr_usec_t now)
+{
+	fail(timer->data);
+}
+
 static void on_connect(pr_link_t *base, int rc)
 {
 	pr_call_link_t *link = of(base);
@@ -119,8 +126,12 @@
 
 	if (!call)
 		return;
-	if (rc || pr_link_write(base, call->request.ptr, call->request.len))
+	if (rc || pr_link_write(base, call->request.ptr, call->request.len)) {
 		fail(call);
+		return;
+	}
+	pr_timers_subscribe(call->timers, &call->timer, call->timeout, 0,
+			    on_timeout);
 }
 
 static void on_closed(pr_link_t *base)
@@ -157,11 +168,6 @@
 	pr_str_finish(&call->request);
 }
 
-static void on_timeout(pr_timer_t *timer, pr_usec_t now)
-{
-	fail(timer->data);
-}
-
 static int open_link(pr_call_t *call)
 {
 	pr_call_link_t *link = calloc(1, sizeof(*link));
@@ -186,7 +192,10 @@
 	call->busy = true;
 	call->done = done;
 	pr_str_clear(&call->request);
-	pr_timers_subscribe(call->timers, &call->timer, timeout, 0, on_timeout);
+	call->timeout = timeout;
+	pr_timers_subscribe(call->timers, &call->timer,
+			    call->link ? timeout : CONNECT_TIMEOUT, 0,
+			    on_timeout);
 	rc = pr_str_append(&call->request, request.ptr, request.len);
 	if (!rc)
 		rc = call->link ? pr_link_write(&call->link->link, request.ptr,
--- a/src/http/call.h
+++ b/src/http/call.h
@@ -22,6 +22,7 @@
 	struct sockaddr_in address;
 	struct pr_call_link_t *link;
 	pr_timer_t timer;
+	pr_usec_t timeout;
 	pr_call_done_fn done;
 	void *owner;
 	pr_str_t request;
@@ -35,8 +36,11 @@
 /**
  * Start a call; the earlier one must be done.
  *
+ * A connection that does not come up within a second counts as no answer, so
+ * that the next call finds a service that has returned meanwhile.
+ *
  * @param request whole HTTP request, copied
- * @param timeout longest time for the whole answer
+ * @param timeout longest time for the whole answer, once connected
  */
 void pr_call_start(pr_call_t *call, pr_slice_t request, pr_usec_t timeout,
 		   pr_call_done_fn done);
--- /dev/null
+++ b/src/transition/sessions.c
@@ -0,0 +1,56 @@
+/* Recently seen sessions in a table with one seat a hash. */
+#include "transition/sessions.h"
+
+static size_t seat_of(uint64_t hash)
+{
+	return hash & (PR_SESSIONS_MAX - 1);
+}
+
+static void see(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
+		bool own)
+{
+	pr_session_seen_t *seat = &sessions->seats[seat_of(hash)];
+
+	if (!hash || seat->seen_ms > seen_ms)
+		return;
+	*seat = (pr_session_seen_t){ hash, seen_ms, own };
+}
+
+void pr_sessions_note(pr_sessions_t *sessions, uint64_t hash, int64_t now_ms)
+{
+	see(sessions, hash, now_ms, true);
+}
+
+void pr_sessions_hear(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms)
+{
+	see(sessions, hash, seen_ms, false);
+}
+
+bool pr_sessions_active(const pr_sessions_t *sessions, uint64_t hash,
+			int64_t now_ms, int64_t within_ms)
+{
+	const pr_session_seen_t *seat = &sessions->seats[seat_of(hash)];
+
+	return seat->hash == hash && now_ms - seat->seen_ms <= within_ms;
+}
+
+size_t pr_sessions_list(const pr_sessions_t *sessions, double share,
+			int64_t after_ms, pr_session_seen_t *out, size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < PR_SESSIONS_MAX && count < max; i++) {
+		const pr_session_seen_t *seat = &sessions->seats[i];
+
+		if (seat->own && seat->seen_ms > after_ms &&
+		    pr_sessions_below(seat->hash, share))
+			out[count++] = *seat;
+	}
+	return count;
+}
+
+bool pr_sessions_below(uint64_t hash, double share)
+{
+	/* The highest 53 bits, which a double holds exactly. */
+	return (double)(hash >> 11) < share * 9007199254740992.0;
+}
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -8,13 +8,12 @@
 #include "pistachiorack/error.h"
 
 /*
- * Share of the new version in the first half of the order's time: enough to
- * see a bad version, half of the exposure that an order allows by default.
+ * Pause at the start of an order: the hosts tell each other which sessions are
+ * active, by datagrams that cross regions in tens of milliseconds.
  */
-#define FIRST_SHARE 0.07
-/* Most of this host's requests that the new version gets in that time. */
-#define FIRST_SHARE_MAX   0.11
-#define FIRST_SHARE_SLACK 3
+#define TELL_MS 1000
+/* A session counts as active a little longer than the platform says. */
+#define SESSION_SLACK_MS 500
 /* Sessions are moved after this part of the order's time, step by step. */
 #define MOVE_FROM 0.51
 /* All sessions use the new version from this part on. */
@@ -32,7 +31,7 @@
 static const struct {
 	double until, share;
 } steps[] = {
-	{ MOVE_FROM, FIRST_SHARE },
+	{ MOVE_FROM, PR_TRANSITION_FIRST_SHARE },
 	{ 0.56, 0.15 },
 	{ 0.61, 0.35 },
 	{ MOVED_BY, 0.65 },
@@ -119,6 +118,8 @@
 	if (transition->state == PR_ROLLOUT_WITHDRAWN ||
 	    transition->condemned || !transition->began_ms)
 		return 0;
+	if (now_ms - transition->began_ms < TELL_MS)
+		return 0;
 	at = progress(transition, now_ms);
 	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
 		if (at < steps[i].until)
@@ -127,48 +128,27 @@
 	return 1;
 }
 
-static bool below_share(uint64_t hash, double share)
-{
-	return (double)(hash >> 11) < share * 9007199254740992.0;
-}
-
-/* The first half's bound on this host's part of the exposure. */
-static bool has_room(const pr_transition_t *transition)
+bool pr_transition_pins(const pr_transition_t *transition, int64_t now_ms)
 {
-	const pr_tally_t *fresh = &transition->own.fresh;
-	uint32_t total = fresh->total + transition->own.old.total;
-
-	return fresh->total < FIRST_SHARE_MAX * total + FIRST_SHARE_SLACK;
+	return transition->state == PR_ROLLOUT_RUNNING &&
+	       transition->began_ms && progress(transition, now_ms) < MOVE_FROM;
 }
 
-pr_version_choice_t pr_transition_choose(pr_transition_t *transition,
+pr_version_choice_t pr_transition_choose(const pr_transition_t *transition,
+					 pr_sessions_t *sessions,
 					 uint64_t session, uint64_t request,
 					 int64_t now_ms, uint32_t session_ms)
 {
 	double share = pr_transition_share(transition, now_ms);
-	bool first_half = progress(transition, now_ms) < MOVE_FROM &&
-			  transition->state == PR_ROLLOUT_RUNNING;
-	size_t seat = session & (PR_TRANSITION_SESSIONS - 1);
-	bool fresh = below_share(session ? session : request, share);
-	bool known;
-
-	if (share <= 0)
-		return PR_VERSION_OLD;
-	if (!session)
-		return fresh && (!first_half || has_room(transition))
-			       ? PR_VERSION_NEW
-			       : PR_VERSION_OLD;
-	known = transition->sessions[seat].hash == session &&
-		now_ms - transition->sessions[seat].seen_ms <= session_ms;
-	if (first_half && known)
-		fresh = transition->sessions[seat].fresh;
-	else if (known && transition->sessions[seat].fresh)
-		fresh = true;
-	else if (first_half && fresh)
-		fresh = has_room(transition);
-	transition->sessions[seat].hash = session;
-	transition->sessions[seat].seen_ms = now_ms;
-	transition->sessions[seat].fresh = fresh;
+	bool fresh = pr_sessions_below(session ? session : request, share);
+
+	if (session && pr_transition_pins(transition, now_ms)) {
+		if (fresh && pr_sessions_active(sessions, session, now_ms,
+						session_ms + SESSION_SLACK_MS))
+			fresh = false;
+		if (!fresh)
+			pr_sessions_note(sessions, session, now_ms);
+	}
 	return fresh ? PR_VERSION_NEW : PR_VERSION_OLD;
 }
 
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -11,10 +11,14 @@
 #include <stdint.h>
 
 #include "pistachiorack/str.h"
+#include "transition/sessions.h"
 
 #define PR_TRANSITION_NAME_SIZE 96
-/** Sessions whose version is remembered; a power of two. */
-#define PR_TRANSITION_SESSIONS 512
+/**
+ * Share of the new version in the first half of an order's time: enough to see
+ * a bad version, half of the exposure that an order allows by default.
+ */
+#define PR_TRANSITION_FIRST_SHARE 0.07
 
 typedef enum pr_rollout_state_t {
 	PR_ROLLOUT_RUNNING,
@@ -56,11 +60,6 @@
 	pr_tallies_t own, peers;
 	/** This host has seen enough to withdraw the version. */
 	bool condemned;
-	struct {
-		uint64_t hash;
-		int64_t seen_ms;
-		bool fresh;
-	} sessions[PR_TRANSITION_SESSIONS];
 } pr_transition_t;
 
 /** Begin with an order; the memory is the caller's. */
@@ -88,14 +87,20 @@
 	PR_VERSION_NEW,
 } pr_version_choice_t;
 
+/** @return true while active sessions must stay on their version */
+bool pr_transition_pins(const pr_transition_t *transition, int64_t now_ms);
+
 /**
  * Version for a request of a session.
  *
+ * @param sessions those seen lately on another version than the new one; a
+ *	  session that stays there is noted
  * @param session hash; 0 for a request without one
  * @param request hash of the request, used where there is no session
  * @param session_ms time after which a session is no longer pinned
  */
-pr_version_choice_t pr_transition_choose(pr_transition_t *transition,
+pr_version_choice_t pr_transition_choose(const pr_transition_t *transition,
+					 pr_sessions_t *sessions,
 					 uint64_t session, uint64_t request,
 					 int64_t now_ms, uint32_t session_ms);
 /** The versions that may be used at all now. */
