--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 #define LINE_SIZE   512
-#define BUFFER_SIZE (32 * 1024)
+#define BUFFER_SIZE ((size_t)32 * 1024)
 /* Lines a second about requests: several for each request at the usual load
  * of a host, a bound on processor time beyond it. */
 #define LINES_PER_S 150
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -18,9 +18,9 @@
 #include "pistachiorack/error.h"
 
 /* A caller that reads slowly holds its upstream back beyond this. */
-#define CALLER_BUFFER_MAX (256 * 1024)
+#define CALLER_BUFFER_MAX ((size_t)256 * 1024)
 /* Longest answer that is held until it is complete. */
-#define ANSWER_MAX (8 * 1024 * 1024)
+#define ANSWER_MAX ((size_t)8 * 1024 * 1024)
 /* A request without a stated deadline waits this long. */
 #define DEADLINE_DEFAULT (30 * PR_USEC_PER_SEC)
 /* Time below which an attempt has no chance. */
--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -100,7 +100,8 @@
 	pr_usec_t seconds = 0;
 	size_t at = 0;
 
-	while (at + 8 <= value.len && memcmp(value.ptr + at, "timeout=", 8))
+	while (at + 8 <= value.len &&
+	       memcmp(value.ptr + at, "timeout=", 8) != 0)
 		at++;
 	if (at + 8 > value.len)
 		return IDLE_DEFAULT;
@@ -280,7 +281,7 @@
 
 	if (!outbound)
 		rc = open_connection(&outbound, pool, upstream);
-	if (rc)
+	if (rc || !outbound)
 		return rc;
 	outbound->ops = ops;
 	outbound->owner = owner;
--- a/src/events/events.c
+++ b/src/events/events.c
@@ -101,7 +101,8 @@
 		events->scanned = 0;
 	}
 	if (!rc && events->partial.len > PR_EVENT_MAX)
-		rc = pr_error_set(PR_EPARSE, "an event is longer than %d bytes",
+		rc = pr_error_set(PR_EPARSE,
+				  "an event is longer than %zu bytes",
 				  PR_EVENT_MAX);
 	return rc;
 }
--- a/src/events/events.h
+++ b/src/events/events.h
@@ -11,7 +11,7 @@
 #include "pistachiorack/str.h"
 
 /** Longest event in bytes; a longer one is not of this protocol. */
-#define PR_EVENT_MAX (256 * 1024)
+#define PR_EVENT_MAX ((size_t)256 * 1024)
 
 typedef struct pr_events_t {
 	/** Bytes of an event that is not complete. */
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -7,7 +7,7 @@
 #include "pistachiorack/error.h"
 
 /* A store's answers hold at most a megabyte of rows. */
-#define ANSWER_MAX (8 * 1024 * 1024)
+#define ANSWER_MAX ((size_t)8 * 1024 * 1024)
 #define HEAD_MAX   16384
 /* Several round trips between regions. */
 #define CONNECT_TIMEOUT (600 * PR_USEC_PER_MSEC)
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -43,8 +43,14 @@
 
 void pr_registry_finish(pr_registry_t *registry)
 {
-	while (!pr_list_empty(&registry->upstreams))
-		forget(PR_OWNER(registry->upstreams.next, pr_upstream_t, node));
+	pr_list_t *at = registry->upstreams.next;
+
+	while (at != &registry->upstreams) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+
+		at = at->next;
+		forget(upstream);
+	}
 }
 
 pr_upstream_t *pr_registry_find(const pr_registry_t *registry, const char *id)
--- /dev/null
+++ b/tests/test_cascade.c
@@ -0,0 +1,45 @@
+/* Tests of src/cascade: which model's answer a caller gets. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "cascade/cascade.h"
+
+static size_t next(size_t models, size_t model, uint32_t confidence)
+{
+	pr_cascade_input_t input = { models, model, confidence };
+
+	return pr_cascade_next(&input);
+}
+
+/* A model in the middle doubted itself as often as the small one, and the
+ * third run that followed was refused by the budget of repeats. */
+static void test_doubt_goes_to_the_largest_at_once(void **state)
+{
+	assert_int_equal(pr_cascade_first(3), 0);
+	assert_int_equal(next(3, 0, 10), 2);
+	assert_int_equal(next(2, 0, 10), 1);
+}
+
+static void test_confident_answer_is_kept(void **state)
+{
+	assert_int_equal(next(3, 0, 90), 0);
+	assert_int_equal(next(3, 2, 0), 2);
+	assert_int_equal(next(1, 0, 0), 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_doubt_goes_to_the_largest_at_once),
+		cmocka_unit_test(test_confident_answer_is_kept),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_events.c
@@ -0,0 +1,101 @@
+/* Tests of src/events: every event once, in order, whatever breaks off. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "events/events.h"
+
+typedef struct fixture_t {
+	pr_events_t events;
+	pr_str_t out;
+} fixture_t;
+
+static int feed(fixture_t *f, const char *text)
+{
+	return pr_events_feed(&f->events, pr_slice_of(text), &f->out);
+}
+
+static void start(fixture_t *f)
+{
+	memset(f, 0, sizeof(*f));
+	pr_events_init(&f->events);
+}
+
+static void stop(fixture_t *f)
+{
+	pr_events_finish(&f->events);
+	pr_str_finish(&f->out);
+}
+
+static void test_bytes_pass_unchanged(void **state)
+{
+	static const char text[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+	fixture_t f;
+
+	start(&f);
+	for (size_t i = 0; i < sizeof(text) - 1; i++) {
+		char byte[2] = { text[i], '\0' };
+
+		assert_int_equal(feed(&f, byte), 0);
+	}
+	assert_string_equal(pr_str_cstr(&f.out), text);
+	assert_true(pr_events_complete(&f.events));
+	stop(&f);
+}
+
+/* An upstream that crashes may stop in the middle of an event. */
+static void test_partial_event_is_dropped_on_resume(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: 1\ndata: a\n\nid: 2\nda"), 0);
+	assert_false(pr_events_complete(&f.events));
+	assert_int_equal(f.events.last_id, 1);
+	pr_events_restart(&f.events);
+	assert_int_equal(feed(&f, "id: 2\ndata: b\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out),
+			    "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	stop(&f);
+}
+
+/* A run that begins again from the start must not repeat events. */
+static void test_events_that_were_passed_are_skipped(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: 1\n\nid: 2\n\n"), 0);
+	pr_events_restart(&f.events);
+	assert_int_equal(feed(&f, "id: 1\n\nid: 2\n\nid: 3\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out), "id: 1\n\nid: 2\n\nid: 3\n\n");
+	stop(&f);
+}
+
+static void test_gap_is_an_error(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: 1\n\n"), 0);
+	assert_int_not_equal(feed(&f, "id: 3\n\n"), 0);
+	stop(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_bytes_pass_unchanged),
+		cmocka_unit_test(test_partial_event_is_dropped_on_resume),
+		cmocka_unit_test(test_events_that_were_passed_are_skipped),
+		cmocka_unit_test(test_gap_is_an_error),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_link.c
@@ -0,0 +1,116 @@
+/*
+ * Tests of src/http/link over loopback. An answer without a length that is
+ * reset on the way must not pass as whole: libuv reports the end of a stream
+ * where a reset follows the last bytes.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/link.h"
+
+typedef struct peer_t {
+	pr_link_t link;
+	bool ended, clean, closed;
+	size_t received;
+} peer_t;
+
+static void on_connect(pr_link_t *link, int rc)
+{
+	assert_int_equal(rc, 0);
+}
+
+static void on_read(pr_link_t *link, const char *bytes, size_t len)
+{
+	((peer_t *)(void *)link)->received += len;
+}
+
+static void on_end(pr_link_t *link, bool clean)
+{
+	peer_t *peer = (peer_t *)(void *)link;
+
+	peer->ended = true;
+	peer->clean = clean;
+	pr_link_close(link);
+}
+
+static void on_closed(pr_link_t *link)
+{
+	((peer_t *)(void *)link)->closed = true;
+}
+
+static const pr_link_ops_t ops = { .on_connect = on_connect,
+				   .on_read = on_read,
+				   .on_end = on_end,
+				   .on_closed = on_closed };
+
+/* Serve one connection: some bytes, then an end or a reset. */
+static void run(peer_t *peer, bool reset)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t len = sizeof(address);
+	struct linger linger = { 1, 0 };
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	uv_loop_t loop;
+	int fd;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(listener, (struct sockaddr *)&address, len), 0);
+	assert_int_equal(listen(listener, 1), 0);
+	getsockname(listener, (struct sockaddr *)&address, &len);
+	uv_loop_init(&loop);
+	memset(peer, 0, sizeof(*peer));
+	assert_int_equal(pr_link_init(&peer->link, &loop, &ops), 0);
+	assert_int_equal(pr_link_connect(&peer->link, &address), 0);
+	fd = accept(listener, NULL, NULL);
+	while (!peer->link.connected)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(send(fd, "bytes", 5, 0), 5);
+	if (reset)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+	close(listener);
+	while (!peer->closed)
+		uv_run(&loop, UV_RUN_ONCE);
+	uv_loop_close(&loop);
+}
+
+static void test_end_is_clean(void **state)
+{
+	peer_t peer;
+
+	run(&peer, false);
+	assert_int_equal(peer.received, 5);
+	assert_true(peer.ended && peer.clean);
+}
+
+static void test_reset_behind_bytes_is_not_clean(void **state)
+{
+	peer_t peer;
+
+	for (int i = 0; i < 20; i++) {
+		run(&peer, true);
+		assert_true(peer.ended);
+		assert_false(peer.clean);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_end_is_clean),
+		cmocka_unit_test(test_reset_behind_bytes_is_not_clean),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_place.c
@@ -0,0 +1,204 @@
+/* Tests of src/place: which upstream a request goes to, by pattern of load. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "place/place.h"
+
+#define UPSTREAMS 6
+#define NOW       (100 * PR_USEC_PER_SEC)
+
+typedef struct fixture_t {
+	pr_registry_t registry;
+	pr_zone_t zones[2];
+	pr_map_t map;
+	pr_upstream_t *upstreams[UPSTREAMS];
+	pr_place_query_t query;
+} fixture_t;
+
+/* Three upstreams in this host's zone, three in another region. */
+static void start(fixture_t *f)
+{
+	memset(f, 0, sizeof(*f));
+	pr_registry_init(&f->registry);
+	f->zones[0] = (pr_zone_t){ "near", "home", false };
+	f->zones[1] = (pr_zone_t){ "far", "abroad", false };
+	f->map = (pr_map_t){ f->zones, 2, "near", "home" };
+	for (int i = 0; i < UPSTREAMS; i++) {
+		pr_upstream_entry_t entry = { .slots = 64 };
+
+		snprintf(entry.id, sizeof(entry.id), "u%d", i);
+		snprintf(entry.service, sizeof(entry.service), "model");
+		snprintf(entry.zone, sizeof(entry.zone), "%s",
+			 i < 3 ? "near" : "far");
+		snprintf(entry.version, sizeof(entry.version), "v1");
+		f->upstreams[i] = pr_registry_apply(&f->registry, &entry,
+						    (uint64_t)i + 1, 0, NOW);
+	}
+	f->query = (pr_place_query_t){ .service = "model",
+				       .tokens = 6000,
+				       .connections_max = 40,
+				       .hosts = 8,
+				       .now = NOW };
+}
+
+static pr_upstream_t *choose(fixture_t *f, pr_place_verdict_t wanted)
+{
+	pr_upstream_t *chosen;
+
+	assert_int_equal(
+		pr_place_choose(&f->registry, &f->map, &f->query, &chosen),
+		wanted);
+	return chosen;
+}
+
+static void test_same_prefix_goes_to_one_upstream(void **state)
+{
+	fixture_t f;
+	pr_upstream_t *first;
+
+	start(&f);
+	f.query.cached_hash = 77;
+	f.query.cached_tokens = 5000;
+	first = choose(&f, PR_PLACE_FOUND);
+	for (int i = 0; i < 20; i++)
+		assert_ptr_equal(choose(&f, PR_PLACE_FOUND), first);
+	pr_registry_finish(&f.registry);
+}
+
+/* hot_key: one prefix gets much of the traffic. Waiting behind its prompts is
+ * slower than reading the prefix again elsewhere. */
+static void test_hot_prefix_spills_to_neighbours(void **state)
+{
+	fixture_t f;
+	pr_upstream_t *holder;
+
+	start(&f);
+	f.query.cached_hash = 77;
+	f.query.cached_tokens = 5000;
+	holder = choose(&f, PR_PLACE_FOUND);
+	holder->in_flight = 40;
+	holder->waiting_tokens = 60000;
+	assert_ptr_not_equal(choose(&f, PR_PLACE_FOUND), holder);
+	assert_string_equal(choose(&f, PR_PLACE_FOUND)->entry.zone, "near");
+	pr_registry_finish(&f.registry);
+}
+
+/* Other hosts of the zone send to the same upstreams. */
+static void test_load_of_peers_counts(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	f.upstreams[0]->peers_in_flight = 60;
+	f.upstreams[1]->peers_in_flight = 60;
+	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[2]);
+	pr_registry_finish(&f.registry);
+}
+
+/* A zone without upstreams is served by the other region, where allowed. */
+static void test_region_is_left_only_when_needed_and_allowed(void **state)
+{
+	char *home[] = { "home" };
+	pr_names_t allowed = { home, 1 };
+	fixture_t f;
+
+	start(&f);
+	for (int i = 0; i < 3; i++)
+		f.upstreams[i]->entry.draining = true;
+	assert_string_equal(choose(&f, PR_PLACE_FOUND)->entry.zone, "far");
+	f.query.workspace_regions = &allowed;
+	choose(&f, PR_PLACE_NONE);
+	pr_registry_finish(&f.registry);
+}
+
+static void test_evacuated_zone_gets_nothing(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	f.zones[0].evacuated = true;
+	assert_string_equal(choose(&f, PR_PLACE_FOUND)->entry.zone, "far");
+	f.zones[1].evacuated = true;
+	choose(&f, PR_PLACE_NONE);
+	pr_registry_finish(&f.registry);
+}
+
+static void test_verdict_tells_why(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	for (int i = 0; i < UPSTREAMS; i++) {
+		f.upstreams[i]->cold_until = NOW + PR_USEC_PER_SEC;
+		f.upstreams[i]->cold_next = NOW + PR_USEC_PER_SEC;
+	}
+	choose(&f, PR_PLACE_COLD);
+	for (int i = 0; i < UPSTREAMS; i++) {
+		f.upstreams[i]->cold_until = 0;
+		f.upstreams[i]->in_flight = 1000;
+	}
+	choose(&f, PR_PLACE_BUSY);
+	f.query.service = "other";
+	choose(&f, PR_PLACE_NONE);
+	pr_registry_finish(&f.registry);
+}
+
+static void test_connections_are_bounded(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	f.query.connections_max = 2;
+	for (int i = 0; i < UPSTREAMS; i++)
+		f.upstreams[i]->connections = 2;
+	choose(&f, PR_PLACE_BUSY);
+	pr_registry_finish(&f.registry);
+}
+
+/* The version of the session, and the old one where the new has no room. */
+static void test_version_of_the_session(void **state)
+{
+	pr_rollout_order_t order = { "model", "v2", 24000 };
+	pr_transition_row_t row = { 1, PR_ROLLOUT_RUNNING, 1000 };
+	static pr_transition_t transition;
+	fixture_t f;
+
+	start(&f);
+	pr_transition_init(&transition, &order, 1);
+	pr_transition_apply(&transition, &row, 2);
+	snprintf(f.upstreams[1]->entry.version,
+		 sizeof(f.upstreams[1]->entry.version), "v2");
+	f.query.transition = &transition;
+	f.query.version = PR_VERSION_NEW;
+	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[1]);
+	f.query.version = PR_VERSION_OLD;
+	assert_ptr_not_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[1]);
+	f.query.version = PR_VERSION_NEW;
+	f.upstreams[1]->entry.draining = true;
+	assert_non_null(choose(&f, PR_PLACE_FOUND));
+	pr_registry_finish(&f.registry);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_same_prefix_goes_to_one_upstream),
+		cmocka_unit_test(test_hot_prefix_spills_to_neighbours),
+		cmocka_unit_test(test_load_of_peers_counts),
+		cmocka_unit_test(
+			test_region_is_left_only_when_needed_and_allowed),
+		cmocka_unit_test(test_evacuated_zone_gets_nothing),
+		cmocka_unit_test(test_verdict_tells_why),
+		cmocka_unit_test(test_connections_are_bounded),
+		cmocka_unit_test(test_version_of_the_session),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_transition.c
@@ -0,0 +1,260 @@
+/* Tests of src/transition: what every host must decide alike. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "transition/transition.h"
+
+#define DURATION_MS 24000
+#define BEGAN_MS    100000
+#define SESSION_MS  5000
+
+static void begin(pr_transition_t *transition)
+{
+	pr_rollout_order_t order = { "model", "v2", DURATION_MS };
+	pr_transition_row_t row = { 7, PR_ROLLOUT_RUNNING, BEGAN_MS };
+
+	pr_transition_init(transition, &order, 7);
+	pr_transition_apply(transition, &row, 8);
+}
+
+static int64_t at(double part)
+{
+	return BEGAN_MS + (int64_t)(part * DURATION_MS);
+}
+
+/* A hash that moves in the first step, and one that moves last. */
+#define EARLY (UINT64_C(1) << 20)
+#define LATE  (UINT64_MAX - 5)
+
+/* A host that started again read the shared row before the order, and used no
+ * upstream of the version that the transition had made the only one. */
+static void test_done_row_allows_only_new(void **state)
+{
+	pr_transition_t transition;
+	pr_transition_row_t row = { 7, PR_ROLLOUT_DONE, BEGAN_MS };
+
+	begin(&transition);
+	pr_transition_apply(&transition, &row, 9);
+	assert_true(pr_transition_allows(&transition, "v2"));
+	assert_false(pr_transition_allows(&transition, "v1"));
+}
+
+static void test_row_of_another_order_is_only_a_condition(void **state)
+{
+	pr_transition_t transition;
+	pr_transition_row_t row = { 3, PR_ROLLOUT_DONE, BEGAN_MS };
+	pr_rollout_order_t order = { "model", "v2", DURATION_MS };
+
+	pr_transition_init(&transition, &order, 7);
+	pr_transition_apply(&transition, &row, 4);
+	assert_int_equal(transition.state, PR_ROLLOUT_RUNNING);
+	assert_int_equal(transition.state_row, 4);
+	assert_false(pr_transition_allows(&transition, "v2"));
+	assert_int_equal(pr_transition_conclude(&transition, at(0), 0, 1),
+			 PR_CONCLUDE_START);
+}
+
+static void test_older_row_is_ignored(void **state)
+{
+	pr_transition_t transition;
+	pr_transition_row_t done = { 7, PR_ROLLOUT_DONE, BEGAN_MS };
+	pr_transition_row_t running = { 7, PR_ROLLOUT_RUNNING, BEGAN_MS };
+
+	begin(&transition);
+	pr_transition_apply(&transition, &done, 20);
+	pr_transition_apply(&transition, &running, 19);
+	assert_int_equal(transition.state, PR_ROLLOUT_DONE);
+}
+
+/* The share only grows, so that no session returns to the old version. */
+static void test_share_grows_from_none_to_all(void **state)
+{
+	pr_transition_t transition;
+	double before = 0;
+
+	begin(&transition);
+	assert_true(pr_transition_share(&transition, BEGAN_MS + 500) == 0);
+	for (int64_t now = BEGAN_MS; now < at(1); now += 100) {
+		double share = pr_transition_share(&transition, now);
+
+		assert_true(share >= before);
+		if (now < at(0.5))
+			assert_true(share <= 0.15);
+		before = share;
+	}
+	assert_true(before == 1);
+}
+
+/* PINNED on a quiet day: a session that another host had sent to the old
+ * version a moment ago was moved. */
+static void test_session_active_elsewhere_stays(void **state)
+{
+	static pr_sessions_t sessions;
+	pr_transition_t transition;
+	int64_t now = at(0.2);
+
+	memset(&sessions, 0, sizeof(sessions));
+	begin(&transition);
+	pr_sessions_hear(&sessions, EARLY, now - 2000);
+	assert_int_equal(pr_transition_choose(&transition, &sessions, EARLY, 1,
+					      now, SESSION_MS),
+			 PR_VERSION_OLD);
+	/* It stays as long as it is active, and moves after that. */
+	assert_int_equal(pr_transition_choose(&transition, &sessions, EARLY, 1,
+					      now + 4000, SESSION_MS),
+			 PR_VERSION_OLD);
+	assert_int_equal(pr_transition_choose(&transition, &sessions, EARLY, 1,
+					      now + 10000, SESSION_MS),
+			 PR_VERSION_NEW);
+}
+
+static void test_sessions_outside_the_share_stay(void **state)
+{
+	static pr_sessions_t sessions;
+	pr_transition_t transition;
+
+	memset(&sessions, 0, sizeof(sessions));
+	begin(&transition);
+	assert_int_equal(pr_transition_choose(&transition, &sessions, LATE, 1,
+					      at(0.3), SESSION_MS),
+			 PR_VERSION_OLD);
+	assert_int_equal(pr_transition_choose(&transition, &sessions, LATE, 1,
+					      at(0.9), SESSION_MS),
+			 PR_VERSION_NEW);
+}
+
+/* A host tells of its own sessions only, or datagrams would go in circles. */
+static void test_only_own_candidates_are_told(void **state)
+{
+	static pr_sessions_t sessions;
+	pr_session_seen_t out[8];
+
+	memset(&sessions, 0, sizeof(sessions));
+	pr_sessions_note(&sessions, EARLY, 100);
+	pr_sessions_hear(&sessions, EARLY + 1, 100);
+	pr_sessions_note(&sessions, LATE, 100);
+	assert_int_equal(pr_sessions_list(&sessions, 0.07, 0, out, 8), 1);
+	assert_true(out[0].hash == EARLY);
+	assert_int_equal(pr_sessions_list(&sessions, 0.07, 100, out, 8), 0);
+}
+
+static void record(pr_transition_t *transition, const char *version, int total,
+		   int bad)
+{
+	for (int i = 0; i < total; i++)
+		pr_transition_record(transition, version, i < bad, (uint32_t)i);
+}
+
+static void test_bad_version_is_withdrawn(void **state)
+{
+	pr_transition_t transition;
+
+	begin(&transition);
+	record(&transition, "v1", 300, 2);
+	record(&transition, "v2", 20, 6);
+	assert_int_equal(pr_transition_conclude(&transition, at(0.3), 0, 4),
+			 PR_CONCLUDE_WITHDRAW);
+	/* Nothing more is sent, before the store knows of it. */
+	assert_false(pr_transition_allows(&transition, "v2"));
+	assert_true(pr_transition_share(&transition, at(0.9)) == 0);
+}
+
+/* Each host sees an eighth of the answers; together they are evidence. */
+static void test_peers_count_as_evidence(void **state)
+{
+	pr_transition_t transition;
+
+	begin(&transition);
+	record(&transition, "v2", 3, 1);
+	transition.peers.fresh = (pr_tally_t){ 20, 6, 0x6 };
+	transition.peers.old = (pr_tally_t){ 300, 3, 0x1 };
+	assert_int_equal(pr_transition_conclude(&transition, at(0.3), 0, 4),
+			 PR_CONCLUDE_WITHDRAW);
+}
+
+/* Faults of the network hit both versions; the new one is not to blame. */
+static void test_faults_of_both_versions_do_not_withdraw(void **state)
+{
+	pr_transition_t transition;
+
+	begin(&transition);
+	record(&transition, "v1", 300, 90);
+	record(&transition, "v2", 30, 9);
+	assert_int_equal(pr_transition_conclude(&transition, at(0.3), 0, 4),
+			 PR_CONCLUDE_NOTHING);
+}
+
+/* A version that turns bad late is judged until the end. */
+static void test_late_bad_version_is_withdrawn(void **state)
+{
+	pr_transition_t transition;
+
+	begin(&transition);
+	record(&transition, "v1", 300, 2);
+	record(&transition, "v2", 60, 0);
+	assert_int_equal(pr_transition_conclude(&transition, at(0.6), 0, 4),
+			 PR_CONCLUDE_NOTHING);
+	record(&transition, "v2", 30, 12);
+	assert_int_equal(pr_transition_conclude(&transition, at(0.7), 0, 4),
+			 PR_CONCLUDE_WITHDRAW);
+}
+
+static void test_good_version_is_done_in_time(void **state)
+{
+	pr_transition_t transition;
+
+	begin(&transition);
+	record(&transition, "v2", 200, 1);
+	assert_int_equal(pr_transition_conclude(&transition, at(0.7), 0, 4),
+			 PR_CONCLUDE_NOTHING);
+	assert_int_equal(pr_transition_conclude(&transition, at(0.9), 0, 4),
+			 PR_CONCLUDE_DONE);
+	/* Without an upstream to use, the old ones must not be stopped. */
+	assert_int_equal(pr_transition_conclude(&transition, at(0.9), 0, 0),
+			 PR_CONCLUDE_NOTHING);
+}
+
+static void test_row_round_trip(void **state)
+{
+	pr_transition_row_t row = { 41, PR_ROLLOUT_WITHDRAWN, 1234567 };
+	pr_transition_row_t read;
+	pr_str_t bytes = PR_STR_INIT;
+
+	assert_int_equal(pr_transition_row_pack(&bytes, &row), 0);
+	assert_int_equal(pr_transition_row_unpack(&read, pr_str_slice(&bytes)),
+			 0);
+	assert_int_equal(read.order_row, 41);
+	assert_int_equal(read.state, PR_ROLLOUT_WITHDRAWN);
+	assert_int_equal(read.began_ms, 1234567);
+	assert_int_not_equal(
+		pr_transition_row_unpack(&read, PR_SLICE("not a row")), 0);
+	pr_str_finish(&bytes);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_done_row_allows_only_new),
+		cmocka_unit_test(test_row_of_another_order_is_only_a_condition),
+		cmocka_unit_test(test_older_row_is_ignored),
+		cmocka_unit_test(test_share_grows_from_none_to_all),
+		cmocka_unit_test(test_session_active_elsewhere_stays),
+		cmocka_unit_test(test_sessions_outside_the_share_stay),
+		cmocka_unit_test(test_only_own_candidates_are_told),
+		cmocka_unit_test(test_bad_version_is_withdrawn),
+		cmocka_unit_test(test_peers_count_as_evidence),
+		cmocka_unit_test(test_faults_of_both_versions_do_not_withdraw),
+		cmocka_unit_test(test_late_bad_version_is_withdrawn),
+		cmocka_unit_test(test_good_version_is_done_in_time),
+		cmocka_unit_test(test_row_round_trip),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,149 @@
+/* Tests of src/upstream: which upstream is alive, and how much it bears. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "upstream/upstream.h"
+
+#define SECOND PR_USEC_PER_SEC
+
+static pr_upstream_entry_t entry_of(const char *id, int64_t born)
+{
+	pr_upstream_entry_t entry = { .slots = 64, .born = born };
+
+	snprintf(entry.id, sizeof(entry.id), "%s", id);
+	snprintf(entry.service, sizeof(entry.service), "model");
+	snprintf(entry.zone, sizeof(entry.zone), "z1");
+	snprintf(entry.version, sizeof(entry.version), "v1");
+	return entry;
+}
+
+/* All hosts together stay below the rate that a cold upstream bears, in every
+ * second, also when they all begin at the same moment. */
+static void test_cold_permits_of_all_hosts(void **state)
+{
+	const double rate = 12;
+	const double bound = 12 * 1.5 + 5;
+	static int sent[4000];
+
+	for (uint32_t hosts = 1; hosts <= 11; hosts++) {
+		pr_upstream_t seen[11];
+
+		memset(seen, 0, sizeof(seen));
+		memset(sent, 0, sizeof(sent));
+		for (int ms = 0; ms < 4000; ms++) {
+			for (uint32_t i = 0; i < hosts; i++)
+				sent[ms] += pr_upstream_cold_permit(
+					&seen[i], rate, hosts,
+					SECOND + ms * PR_USEC_PER_MSEC);
+		}
+		for (int first = 0; first + 1000 <= 4000; first++) {
+			int sum = 0;
+
+			for (int ms = first; ms < first + 1000; ms++)
+				sum += sent[ms];
+			assert_true(sum <= bound);
+		}
+	}
+}
+
+/* A new upstream that states no cold time is cold all the same. */
+static void test_upstream_that_appears_later_is_cold(void **state)
+{
+	pr_upstream_entry_t early = entry_of("a", 1), late = entry_of("b", 2);
+	pr_registry_t registry;
+
+	pr_registry_init(&registry);
+	assert_true(pr_registry_apply(&registry, &early, 1, 3000, SECOND)
+			    ->cold_until <= SECOND);
+	registry.primed = true;
+	assert_true(pr_registry_apply(&registry, &late, 2, 3000, SECOND)
+			    ->cold_until >= 4 * SECOND);
+	pr_registry_finish(&registry);
+}
+
+/* An id may come back as another incarnation, which knows nothing. */
+static void test_new_incarnation_replaces_the_old(void **state)
+{
+	pr_upstream_entry_t first = entry_of("a", 1), second = entry_of("a", 9);
+	pr_registry_t registry;
+	pr_upstream_t *before, *after;
+
+	pr_registry_init(&registry);
+	registry.primed = true;
+	before = pr_upstream_ref(
+		pr_registry_apply(&registry, &first, 1, 0, SECOND));
+	after = pr_registry_apply(&registry, &second, 2, 3000, SECOND);
+	assert_true(after != before);
+	assert_false(before->listed);
+	assert_true(after->cold_until > SECOND);
+	pr_upstream_unref(before);
+	pr_registry_finish(&registry);
+}
+
+/* Reads may be stale: an entry never goes back. */
+static void test_outdated_row_is_ignored(void **state)
+{
+	pr_upstream_entry_t ready = entry_of("a", 1),
+			    leaving = entry_of("a", 1);
+	pr_registry_t registry;
+
+	leaving.draining = true;
+	pr_registry_init(&registry);
+	pr_registry_apply(&registry, &leaving, 5, 0, SECOND);
+	assert_null(pr_registry_apply(&registry, &ready, 4, 0, SECOND));
+	assert_true(pr_registry_find(&registry, "a")->entry.draining);
+	pr_registry_finish(&registry);
+}
+
+/* Entries that lapsed while the store was away come back shortly after. */
+static void test_lapsed_entry_may_return(void **state)
+{
+	pr_upstream_entry_t entry = entry_of("a", 1);
+	pr_registry_t registry;
+
+	pr_registry_init(&registry);
+	pr_registry_apply(&registry, &entry, 1, 0, SECOND);
+	pr_registry_remove(&registry, "a", 2, 3 * SECOND, SECOND);
+	pr_registry_expire(&registry, 2 * SECOND);
+	assert_non_null(pr_registry_find(&registry, "a"));
+	pr_registry_apply(&registry, &entry, 3, 0, 2 * SECOND);
+	pr_registry_expire(&registry, 4 * SECOND);
+	assert_non_null(pr_registry_find(&registry, "a"));
+	pr_registry_remove(&registry, "a", 4, 4 * SECOND, 4 * SECOND);
+	assert_null(pr_registry_find(&registry, "a"));
+	pr_registry_finish(&registry);
+}
+
+static void test_failures_eject_and_success_readmits(void **state)
+{
+	pr_upstream_t upstream;
+
+	memset(&upstream, 0, sizeof(upstream));
+	pr_upstream_failed(&upstream, SECOND);
+	assert_true(upstream.ejected_until <= SECOND);
+	pr_upstream_failed(&upstream, SECOND);
+	assert_true(upstream.ejected_until > SECOND);
+	pr_upstream_succeeded(&upstream);
+	assert_true(upstream.ejected_until <= SECOND);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_cold_permits_of_all_hosts),
+		cmocka_unit_test(test_upstream_that_appears_later_is_cold),
+		cmocka_unit_test(test_new_incarnation_replaces_the_old),
+		cmocka_unit_test(test_outdated_row_is_ignored),
+		cmocka_unit_test(test_lapsed_entry_may_return),
+		cmocka_unit_test(test_failures_eject_and_success_readmits),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
