--- /dev/null
+++ b/src/edge/answer.c
@@ -0,0 +1,245 @@
+/*
+ * Answers of upstreams: what passes to the caller, what is dropped for a larger
+ * model's answer, and what counts as a failed attempt.
+ */
+#include <strings.h>
+
+#include "base/event_log.h"
+#include "cascade/cascade.h"
+#include "edge/caller.h"
+#include "edge/exchange_parts.h"
+
+/* A caller that reads slowly holds its upstream back beyond this. */
+#define CALLER_BUFFER_MAX ((size_t)256 * 1024)
+/* Longest answer that is held until it is complete. */
+#define ANSWER_MAX ((size_t)8 * 1024 * 1024)
+
+static bool is_streaming_type(const pr_http_reader_t *reader)
+{
+	pr_slice_t type = pr_http_find(reader, "Content-Type");
+
+	return type.len >= 17 &&
+	       !strncasecmp(type.ptr, "text/event-stream", 17);
+}
+
+/*
+ * The answer of a small model that doubts itself is dropped for a larger one
+ * while the caller has nothing of it.
+ */
+static bool escalate(pr_exchange_t *x, const pr_http_reader_t *reader)
+{
+	pr_cascade_input_t input = {
+		.models = x->route->models.count,
+		.model = x->model,
+		.confidence = (uint32_t)pr_exchange_number(
+			reader, PR_FIELD_CONFIDENCE, 100),
+	};
+	size_t next = pr_cascade_next(&input);
+
+	if (!x->picks_model || x->head_sent || next == x->model ||
+	    x->runs + 1 >= x->route->max_upstreams ||
+	    !pr_exchange_may_repeat(x))
+		return false;
+	pr_event("escalated",
+		 "request=%s model=%s confidence=%u next=%s ms=%lld", x->id,
+		 x->route->models.items[x->model], input.confidence,
+		 x->route->models.items[next], pr_exchange_age_ms(x));
+	pr_metric_add(x->edge->counters.escalations, 1);
+	pr_exchange_record(x, false);
+	x->runs++;
+	x->model = next;
+	x->repeat_paid = true;
+	pr_exchange_cancel(x);
+	pr_exchange_dispatch(x);
+	return true;
+}
+
+/* The upstream states that it did not run the request. */
+static bool is_refusal(const pr_http_reader_t *reader)
+{
+	return reader->parser.status_code == 421 ||
+	       pr_http_find(reader, pr_adapter_field_name(PR_FIELD_NOT_RUN))
+		       .ptr;
+}
+
+static void keep_head(pr_exchange_t *x, const pr_http_reader_t *reader)
+{
+	pr_str_clear(&x->head);
+	for (size_t i = 0; i < reader->fields_count; i++) {
+		pr_slice_t name = pr_http_field_name(reader, i);
+		pr_slice_t value = pr_http_field_value(reader, i);
+
+		if (pr_adapter_field(name) == PR_FIELD_HOP)
+			continue;
+		pr_str_append(&x->head, name.ptr, name.len);
+		pr_str_append(&x->head, ": ", 2);
+		pr_str_append(&x->head, value.ptr, value.len);
+		pr_str_append(&x->head, "\r\n", 2);
+	}
+}
+
+static void note_cold(pr_exchange_t *x, const pr_http_reader_t *reader)
+{
+	uint64_t cold = pr_exchange_number(reader, PR_FIELD_COLD_MS, 0);
+
+	if (cold && x->upstream)
+		pr_upstream_chill(x->upstream,
+				  pr_exchange_now(x) +
+					  (pr_usec_t)cold * PR_USEC_PER_MSEC);
+}
+
+static bool on_head(void *owner, const pr_http_reader_t *reader)
+{
+	pr_exchange_t *x = owner;
+
+	x->status = (int)reader->parser.status_code;
+	x->sealed = pr_http_find(reader, pr_adapter_field_name(PR_FIELD_SEAL))
+			    .ptr != NULL;
+	x->event_stream = false;
+	x->progress_at = pr_exchange_now(x);
+	pr_str_clear(&x->body);
+	note_cold(x, reader);
+	if (is_refusal(reader)) {
+		x->status = 0;
+		return true;
+	}
+	if ((x->status / 100 == 2 && !x->sealed) ||
+	    pr_http_find(reader, "Content-Encoding").ptr) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+					   "foreign_answer");
+		return false;
+	}
+	pr_exchange_stop_waiting(x);
+	x->event_stream =
+		x->stream && x->status == 200 && is_streaming_type(reader);
+	if (x->head_sent && !x->event_stream) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+					   "not_resumed");
+		return false;
+	}
+	if (x->event_stream && escalate(x, reader))
+		return false;
+	if (!x->head_sent)
+		keep_head(x, reader);
+	pr_exchange_arm(x);
+	return true;
+}
+
+static void first_byte(pr_exchange_t *x)
+{
+	if (x->first_byte_at)
+		return;
+	x->first_byte_at = pr_exchange_now(x);
+	pr_histogram_record(x->edge->counters.first_byte,
+			    (double)(x->first_byte_at - x->began));
+}
+
+static bool pass_events(pr_exchange_t *x, pr_slice_t bytes)
+{
+	pr_str_t out = PR_STR_INIT;
+	int rc = pr_events_feed(&x->events, bytes, &out);
+
+	if (!rc && out.len) {
+		x->progress_at = pr_exchange_now(x);
+		first_byte(x);
+		if (!x->head_sent)
+			pr_caller_head(x->caller, x->status,
+				       pr_str_slice(&x->head), -1);
+		x->head_sent = true;
+		pr_caller_body(x->caller, pr_str_slice(&out));
+		if (pr_caller_unsent(x->caller) > CALLER_BUFFER_MAX)
+			pr_outbound_pause(x->outbound);
+		pr_exchange_arm(x);
+	}
+	pr_str_finish(&out);
+	if (rc) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+					   "invalid_events");
+		return false;
+	}
+	return true;
+}
+
+static bool on_body(void *owner, pr_slice_t bytes)
+{
+	pr_exchange_t *x = owner;
+
+	x->progress_at = pr_exchange_now(x);
+	if (!x->status)
+		return true;
+	if (x->event_stream)
+		return pass_events(x, bytes);
+	if (x->body.len + bytes.len <= ANSWER_MAX &&
+	    !pr_str_append(&x->body, bytes.ptr, bytes.len))
+		return true;
+	pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+				   "answer_too_large");
+	return false;
+}
+
+/* Pass the whole answer on. */
+static void pass_answer(pr_exchange_t *x)
+{
+	pr_caller_t *caller = x->caller;
+	bool good = x->status / 100 == 2;
+	pr_str_t body = x->body;
+
+	memset(&x->body, 0, sizeof(x->body));
+	first_byte(x);
+	pr_exchange_record(x, x->status >= 500);
+	pr_upstream_succeeded(x->upstream);
+	x->runs++;
+	pr_exchange_log_end(x, good ? "answered" : "passed_failure", x->status);
+	pr_metric_add(good ? x->edge->counters.answered
+			   : x->edge->counters.failed,
+		      1);
+	if (!x->head_sent)
+		pr_caller_head(caller, x->status, pr_str_slice(&x->head),
+			       x->event_stream ? -1 : (int64_t)body.len);
+	pr_exchange_finish(x);
+	pr_caller_body(caller, pr_str_slice(&body));
+	pr_str_finish(&body);
+	pr_caller_end(caller);
+}
+
+static void on_done(void *owner)
+{
+	pr_exchange_t *x = owner;
+
+	x->outbound = NULL;
+	if (!x->status) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_NOT_RUN,
+					   "refused_by_upstream");
+		return;
+	}
+	if (x->event_stream && !pr_events_complete(&x->events)) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+					   "cut_event");
+		return;
+	}
+	if (x->status >= 500 && x->idempotent &&
+	    x->runs + 1 < x->route->max_upstreams) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_RAN, "upstream_error");
+		return;
+	}
+	pass_answer(x);
+}
+
+static void on_failed(void *owner, pr_attempt_stage_t stage)
+{
+	pr_exchange_t *x = owner;
+	pr_verdict_t verdict = pr_verdict_of_failure(stage, false);
+
+	x->outbound = NULL;
+	if (x->upstream)
+		pr_upstream_failed(x->upstream, pr_exchange_now(x));
+	if (verdict == PR_VERDICT_NOT_RUN)
+		x->sends--;
+	pr_exchange_attempt_failed(x, verdict,
+				   verdict == PR_VERDICT_NOT_RUN
+					   ? "unreachable"
+					   : "connection_broken");
+}
+
+const pr_outbound_ops_t pr_exchange_outbound_ops = { on_head, on_body, on_done,
+						     on_failed };
--- /dev/null
+++ b/src/edge/attempt.c
@@ -0,0 +1,273 @@
+/*
+ * Attempts. An attempt sends a request to one upstream; its outcome is not run,
+ * may have run, or ran. What may be repeated is sent again after any failure,
+ * the rest only on proof that it did not run. A stream goes on behind the last
+ * whole event that the caller got.
+ */
+#include <stdlib.h>
+
+#include "base/event_log.h"
+#include "edge/caller.h"
+#include "edge/exchange_parts.h"
+#include "edge/request.h"
+
+/* Time below which an attempt has no chance. */
+#define ATTEMPT_MIN (20 * PR_USEC_PER_MSEC)
+/* Pause between two looks for an upstream. */
+#define PARK_POLL (25 * PR_USEC_PER_MSEC)
+/* A request waits for an upstream for this part of its objective. */
+#define PARK_SHARE 8
+/* An idempotent request without an answer is sent elsewhere after this part
+ * of its objective, in per cent: the rest is needed for the second attempt. */
+#define ANSWER_SHARE_PERCENT 60
+/* A stream without its first event is sent elsewhere after this part of its
+ * objective, in per cent. */
+#define FIRST_EVENT_PERCENT 125
+/* A pause this many per cent of the one that is on time ends an attempt. */
+#define GAP_PERCENT    150
+#define GAP_DEFAULT_MS 2000
+/* The other hosts' repeats are not seen here, so each keeps a reserve. */
+#define REPEATS_SHARE 0.85
+
+bool pr_exchange_may_repeat(pr_exchange_t *x)
+{
+	pr_repeats_t *budget = pr_edge_repeats(x->edge, x->service);
+	const pr_bound_settings_t *bounds = &x->edge->settings->bounds;
+	uint32_t hosts = pr_edge_hosts(x->edge);
+
+	if (x->runs >= x->route->max_upstreams && x->runs)
+		return false;
+	return !budget ||
+	       pr_repeats_take(budget, REPEATS_SHARE * bounds->repeats_ratio,
+			       (uint32_t)(REPEATS_SHARE *
+					  bounds->repeats_slack / hosts),
+			       pr_exchange_now(x));
+}
+
+/* An attempt came to nothing. */
+void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
+				const char *fault)
+{
+	bool ran = verdict != PR_VERDICT_NOT_RUN;
+
+	x->last_fault = fault;
+	pr_event("attempt_failed",
+		 "request=%s upstream=%s version=%s fault=%s verdict=%s "
+		 "ms=%lld failures=%u",
+		 x->id, x->upstream ? x->upstream->entry.id : "-",
+		 x->upstream ? x->upstream->entry.version : "-", fault,
+		 pr_verdict_name(verdict), pr_exchange_age_ms(x),
+		 x->upstream ? x->upstream->failures : 0);
+	if (ran) {
+		pr_exchange_record(x, true);
+		x->runs++;
+	}
+	if (x->upstream && x->tried_count < PR_PLACE_TRIED_MAX)
+		x->tried[x->tried_count++] = x->upstream;
+	pr_exchange_cancel(x);
+	pr_events_restart(&x->events);
+	pr_str_clear(&x->body);
+	if (!x->head_sent)
+		pr_str_clear(&x->head);
+	if (ran && (!x->idempotent || (x->head_sent && !x->events.has_id))) {
+		pr_exchange_give_up(x, "upstream_failed");
+		return;
+	}
+	pr_exchange_dispatch(x);
+}
+
+/* The attempt made no progress for too long. */
+static pr_usec_t progress_limit(const pr_exchange_t *x)
+{
+	pr_usec_t target =
+		(pr_usec_t)pr_exchange_target_ms(x) * PR_USEC_PER_MSEC;
+	pr_usec_t gap = (pr_usec_t)(x->route->gap_ms ? x->route->gap_ms
+						     : GAP_DEFAULT_MS) *
+			PR_USEC_PER_MSEC;
+
+	if (!x->outbound || !x->idempotent ||
+	    x->runs + 1 >= x->route->max_upstreams)
+		return PR_USEC_NEVER;
+	if (x->stream && x->events.passed && x->progress_at > x->attempt_began)
+		return x->progress_at + gap * GAP_PERCENT / 100;
+	if (x->stream)
+		return x->attempt_began + target * FIRST_EVENT_PERCENT / 100;
+	return x->attempt_began + target * ANSWER_SHARE_PERCENT / 100;
+}
+
+static void on_timer(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_exchange_t *x = timer->data;
+
+	if (now >= x->deadline) {
+		x->last_fault = "deadline";
+		if (x->head_sent)
+			pr_exchange_give_up(x, "deadline");
+		else if (x->outbound &&
+			 pr_outbound_stage(x->outbound) >= PR_STAGE_SENT)
+			pr_exchange_answer(x, 504, "deadline");
+		else
+			pr_exchange_answer(x, x->runs ? 504 : 503, "deadline");
+		return;
+	}
+	if (!x->outbound) {
+		pr_exchange_dispatch(x);
+		return;
+	}
+	if (now >= progress_limit(x)) {
+		if (x->upstream)
+			pr_upstream_failed(x->upstream, now);
+		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+					   "no_progress");
+		return;
+	}
+	pr_exchange_arm(x);
+}
+
+void pr_exchange_arm(pr_exchange_t *x)
+{
+	pr_usec_t now = pr_exchange_now(x);
+	pr_usec_t due = x->deadline;
+	pr_usec_t limit = progress_limit(x);
+
+	if (limit < due)
+		due = limit;
+	if (!x->outbound && now + PARK_POLL < due)
+		due = now + PARK_POLL;
+	pr_timers_subscribe(&x->edge->timers, &x->timer,
+			    due > now ? due - now : 0, 0, on_timer);
+}
+
+static void make_query(pr_exchange_t *x, pr_place_query_t *query)
+{
+	const pr_service_t *service =
+		pr_routing_service(x->edge->routing, x->service);
+	uint32_t hosts = pr_edge_hosts(x->edge);
+
+	memset(query, 0, sizeof(*query));
+	query->service = x->service;
+	query->route_regions = &x->route->regions;
+	query->workspace_regions = x->workspace ? &x->workspace->regions : NULL;
+	query->transition = pr_edge_transition(x->edge, x->service);
+	query->version = x->version;
+	if (x->route->affinity && x->prompt.shared_hash) {
+		query->cached_hash = x->prompt.shared_hash + x->model;
+		query->cached_tokens = x->prompt.shared_tokens;
+	}
+	query->tokens = x->prompt.tokens;
+	query->tried_count = x->tried_count;
+	memcpy((void *)query->tried, (void *)x->tried, sizeof(x->tried));
+	query->connections_max =
+		service && service->max_connections
+			? service->max_connections * 9 / 10 / hosts
+			: UINT32_MAX;
+	if (!query->connections_max)
+		query->connections_max = 1;
+	query->hosts = hosts;
+	query->now = pr_exchange_now(x);
+}
+
+static int send_attempt(pr_exchange_t *x, pr_upstream_t *upstream)
+{
+	pr_outbound_request_t request = {
+		.id = pr_slice_of(x->id),
+		.is_head = x->caller->reader.parser.method == HTTP_HEAD,
+		.needs_fresh = !x->idempotent,
+	};
+	pr_str_t bytes = PR_STR_INIT;
+	int rc = pr_request_write(&bytes, x, upstream);
+
+	request.bytes = pr_str_slice(&bytes);
+	if (!rc)
+		rc = pr_outbound_start(&x->outbound, &x->edge->pool, upstream,
+				       &request, &pr_exchange_outbound_ops, x);
+	pr_str_finish(&bytes);
+	if (rc)
+		return rc;
+	x->upstream = pr_upstream_ref(upstream);
+	upstream->in_flight++;
+	upstream->waiting_tokens += x->prompt.tokens;
+	x->waiting = true;
+	x->attempt_began = pr_exchange_now(x);
+	x->progress_at = x->attempt_began;
+	x->status = 0;
+	x->sends++;
+	pr_event("dispatch",
+		 "request=%s upstream=%s row=%llu version=%s load=%.2f "
+		 "failures=%u model=%s transition=%s session=%llx ms=%lld",
+		 x->id, upstream->entry.id, (unsigned long long)upstream->row,
+		 upstream->entry.version,
+		 pr_place_load(upstream, pr_edge_hosts(x->edge)),
+		 upstream->failures,
+		 x->picks_model ? x->route->models.items[x->model] : "-",
+		 x->version == PR_VERSION_NEW ? "new" : "old",
+		 (unsigned long long)x->session, pr_exchange_age_ms(x));
+	return 0;
+}
+
+/* Wait a little for an upstream, then refuse. */
+static void park(pr_exchange_t *x, pr_place_verdict_t verdict)
+{
+	pr_usec_t now = pr_exchange_now(x);
+	pr_usec_t wait = (pr_usec_t)pr_exchange_target_ms(x) *
+			 PR_USEC_PER_MSEC / PARK_SHARE;
+
+	if (!x->parked_at)
+		x->parked_at = now;
+	if (now - x->parked_at < wait) {
+		pr_exchange_arm(x);
+		return;
+	}
+	/* One that failed earlier may have recovered. */
+	if (x->tried_count && x->idempotent && x->runs && x->head_sent) {
+		x->tried_count = 0;
+		x->parked_at = now;
+		pr_exchange_arm(x);
+		return;
+	}
+	pr_exchange_give_up(x, verdict == PR_PLACE_COLD   ? "upstreams_cold"
+			       : verdict == PR_PLACE_BUSY ? "upstreams_busy"
+							  : "no_upstream");
+}
+
+void pr_exchange_dispatch(pr_exchange_t *x)
+{
+	pr_place_query_t query;
+	pr_upstream_t *upstream;
+	pr_place_verdict_t verdict;
+	const pr_service_t *service;
+
+	if (x->deadline - pr_exchange_now(x) < ATTEMPT_MIN) {
+		pr_exchange_give_up(x, "deadline");
+		return;
+	}
+	make_query(x, &query);
+	verdict = pr_place_choose(&x->edge->registry, &x->edge->map, &query,
+				  &upstream);
+	if (verdict != PR_PLACE_FOUND) {
+		park(x, verdict);
+		return;
+	}
+	if (x->sends && !x->repeat_paid && !pr_exchange_may_repeat(x)) {
+		pr_exchange_give_up(x, x->last_fault ? x->last_fault
+						     : "no_repeat");
+		return;
+	}
+	service = pr_routing_service(x->edge->routing, x->service);
+	if (upstream->cold_until > pr_exchange_now(x) &&
+	    !pr_upstream_cold_permit(upstream,
+				     service ? service->cold_per_s : 0,
+				     query.hosts, pr_exchange_now(x))) {
+		park(x, PR_PLACE_COLD);
+		return;
+	}
+	x->parked_at = 0;
+	x->repeat_paid = false;
+	if (send_attempt(x, upstream)) {
+		if (x->tried_count < PR_PLACE_TRIED_MAX)
+			x->tried[x->tried_count++] = upstream;
+		park(x, PR_PLACE_BUSY);
+		return;
+	}
+	pr_exchange_arm(x);
+}
--- a/tests/test_repeats.c
+++ b/tests/test_repeats.c
@@ -27,7 +27,7 @@
 	for (int i = 0; i < HOSTS; i++)
 		pr_repeats_init(&hosts[i], WINDOW);
 	for (int slot = 0; slot < slots; slot++) {
-		pr_usec_t now = 1 + slot * 100 * PR_USEC_PER_MSEC;
+		pr_usec_t now = 1 + (pr_usec_t)slot * 100 * PR_USEC_PER_MSEC;
 		int load = slot % 150 < 20 ? 40 : 5;
 
 		for (int i = 0; i < load; i++) {
