Weigh the wait before the largest model is asked

Half of the requests went on to the largest model, which reads a prompt ten times slower, and queues were counted in tokens whatever the model. Change: the time to read a prompt is learned per model; work in front of an upstream counts in milliseconds; doubt that suffices for the largest model grows with its wait; a prefix is held once in a region, not in each zone.

--- a/src/cascade/cascade.h
+++ b/src/cascade/cascade.h
@@ -15,6 +15,10 @@
 	size_t models, model;
 	/** The model's own opinion of its answer, 0 to 100. */
 	uint32_t confidence;
+	/** Latency objective, and the time that is used of it, milliseconds. */
+	double target_ms, elapsed_ms;
+	/** Time until the largest model's answer would begin, milliseconds. */
+	double wait_ms;
 } pr_cascade_input_t;
 
 /** @return the model that answers a request first */
--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -33,21 +33,33 @@
 		.model = x->model,
 		.confidence = (uint32_t)pr_exchange_number(
 			reader, PR_FIELD_CONFIDENCE, 100),
+		.target_ms = pr_exchange_target_ms(x),
+		.elapsed_ms = (double)pr_exchange_age_ms(x),
 	};
-	size_t next = pr_cascade_next(&input);
+	size_t kept = x->model;
+	pr_upstream_t *upstream;
 
-	if (!x->picks_model || x->head_sent || next == x->model ||
-	    x->runs + 1 >= x->route->max_upstreams ||
-	    !pr_exchange_may_repeat(x))
+	if (!x->picks_model || x->head_sent ||
+	    kept + 1 >= x->route->models.count ||
+	    x->runs + 1 >= x->route->max_upstreams)
 		return false;
+	x->model = x->route->models.count - 1;
+	if (pr_exchange_place(x, &upstream, &input.wait_ms) != PR_PLACE_FOUND)
+		input.wait_ms = input.target_ms;
+	input.wait_ms += pr_reading_ms(&x->edge->reading, pr_exchange_model(x),
+				       x->prompt.tokens);
+	x->model = kept;
+	if (pr_cascade_next(&input) == kept || !pr_exchange_may_repeat(x))
+		return false;
+	x->model = pr_cascade_next(&input);
 	pr_event("escalated",
-		 "request=%s model=%s confidence=%u next=%s ms=%lld", x->id,
-		 x->route->models.items[x->model], input.confidence,
-		 x->route->models.items[next], pr_exchange_age_ms(x));
+		 "request=%s model=%s confidence=%u next=%s wait_ms=%.0f "
+		 "ms=%lld",
+		 x->id, x->route->models.items[kept], input.confidence,
+		 pr_exchange_model(x), input.wait_ms, pr_exchange_age_ms(x));
 	pr_metric_add(x->edge->counters.escalations, 1);
 	pr_exchange_record(x, false);
 	x->runs++;
-	x->model = next;
 	x->repeat_paid = true;
 	pr_exchange_cancel(x);
 	pr_exchange_dispatch(x);
@@ -109,6 +121,10 @@
 					   "foreign_answer");
 		return false;
 	}
+	pr_reading_learn(&x->edge->reading, pr_exchange_model(x),
+			 x->prompt.tokens,
+			 (double)(pr_exchange_now(x) - x->attempt_began) /
+				 PR_USEC_PER_MSEC);
 	pr_exchange_stop_waiting(x);
 	x->event_stream =
 		x->stream && x->status == 200 && is_streaming_type(reader);
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -152,9 +152,10 @@
 	query->version = x->version;
 	if (x->route->affinity && x->prompt.shared_hash) {
 		query->cached_hash = x->prompt.shared_hash + x->model;
-		query->cached_tokens = x->prompt.shared_tokens;
+		query->cached_ms =
+			pr_reading_ms(&x->edge->reading, pr_exchange_model(x),
+				      x->prompt.shared_tokens);
 	}
-	query->tokens = x->prompt.tokens;
 	query->tried_count = x->tried_count;
 	memcpy((void *)query->tried, (void *)x->tried, sizeof(x->tried));
 	query->connections_max =
@@ -167,6 +168,16 @@
 	query->now = pr_exchange_now(x);
 }
 
+pr_place_verdict_t pr_exchange_place(pr_exchange_t *x, pr_upstream_t **out,
+				     double *wait_ms)
+{
+	pr_place_query_t query;
+
+	make_query(x, &query);
+	return pr_place_choose(&x->edge->registry, &x->edge->map, &query, out,
+			       wait_ms);
+}
+
 static int send_attempt(pr_exchange_t *x, pr_upstream_t *upstream)
 {
 	pr_outbound_request_t request = {
@@ -186,8 +197,9 @@
 		return rc;
 	x->upstream = pr_upstream_ref(upstream);
 	upstream->in_flight++;
-	upstream->waiting_tokens += x->prompt.tokens;
-	x->waiting = true;
+	x->reading_ms = pr_reading_ms(&x->edge->reading, pr_exchange_model(x),
+				      x->prompt.tokens);
+	upstream->waiting_ms += x->reading_ms;
 	x->attempt_began = pr_exchange_now(x);
 	x->progress_at = x->attempt_began;
 	x->status = 0;
@@ -198,8 +210,7 @@
 		 x->id, upstream->entry.id, (unsigned long long)upstream->row,
 		 upstream->entry.version,
 		 pr_place_load(upstream, pr_edge_hosts(x->edge)),
-		 upstream->failures,
-		 x->picks_model ? x->route->models.items[x->model] : "-",
+		 upstream->failures, pr_exchange_model(x),
 		 x->version == PR_VERSION_NEW ? "new" : "old",
 		 (unsigned long long)x->session, pr_exchange_age_ms(x));
 	return 0;
@@ -232,7 +243,6 @@
 
 void pr_exchange_dispatch(pr_exchange_t *x)
 {
-	pr_place_query_t query;
 	pr_upstream_t *upstream;
 	pr_place_verdict_t verdict;
 	const pr_service_t *service;
@@ -241,9 +251,7 @@
 		pr_exchange_give_up(x, "deadline");
 		return;
 	}
-	make_query(x, &query);
-	verdict = pr_place_choose(&x->edge->registry, &x->edge->map, &query,
-				  &upstream);
+	verdict = pr_exchange_place(x, &upstream, NULL);
 	if (verdict != PR_PLACE_FOUND) {
 		park(x, verdict);
 		return;
@@ -255,9 +263,9 @@
 	}
 	service = pr_routing_service(x->edge->routing, x->service);
 	if (upstream->cold_until > pr_exchange_now(x) &&
-	    !pr_upstream_cold_permit(upstream,
-				     service ? service->cold_per_s : 0,
-				     query.hosts, pr_exchange_now(x))) {
+	    !pr_upstream_cold_permit(
+		    upstream, service ? service->cold_per_s : 0,
+		    pr_edge_hosts(x->edge), pr_exchange_now(x))) {
 		park(x, PR_PLACE_COLD);
 		return;
 	}
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -14,6 +14,7 @@
 #include "limits/repeats.h"
 #include "pistachiorack/metrics.h"
 #include "place/place.h"
+#include "place/reading.h"
 #include "store/store.h"
 #include "transition/sessions.h"
 #include "transition/transition.h"
@@ -61,7 +62,7 @@
 	struct {
 		uint32_t tag;
 		uint32_t in_flight;
-		uint32_t waiting_tokens;
+		uint32_t waiting_ms;
 	} loads[128];
 	size_t loads_count;
 	pr_usec_t heard_at;
@@ -84,6 +85,7 @@
 	pr_map_t map;
 	pr_registry_t registry;
 	pr_outbound_pool_t pool;
+	pr_reading_t reading;
 	pr_transition_t *transitions[PR_TRANSITIONS_MAX];
 	size_t transitions_count;
 	/** Sessions that used a version other than a transition's new one. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -31,6 +31,11 @@
 	return (pr_exchange_now(x) - x->began) / PR_USEC_PER_MSEC;
 }
 
+const char *pr_exchange_model(const pr_exchange_t *x)
+{
+	return x->picks_model ? x->route->models.items[x->model] : "-";
+}
+
 uint32_t pr_exchange_target_ms(const pr_exchange_t *x)
 {
 	return x->route && x->route->target_ms ? x->route->target_ms
@@ -39,9 +44,9 @@
 
 void pr_exchange_stop_waiting(pr_exchange_t *x)
 {
-	if (x->waiting && x->upstream)
-		x->upstream->waiting_tokens -= x->prompt.tokens;
-	x->waiting = false;
+	if (x->upstream)
+		x->upstream->waiting_ms -= x->reading_ms;
+	x->reading_ms = 0;
 }
 
 /* The attempt is over; the connection is dealt with. */
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -37,8 +37,8 @@
 
 	pr_outbound_t *outbound;
 	pr_upstream_t *upstream;
-	/** The upstream's count of waiting tokens includes this request. */
-	bool waiting;
+	/** Part of the upstream's time to read that is this request's. */
+	double reading_ms;
 	pr_usec_t attempt_began, progress_at;
 	const pr_upstream_t *tried[PR_PLACE_TRIED_MAX];
 	size_t tried_count;
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -10,6 +10,11 @@
 long long pr_exchange_age_ms(pr_exchange_t *x);
 /** @return latency objective of the route, milliseconds */
 uint32_t pr_exchange_target_ms(const pr_exchange_t *x);
+/** @return the model that the router named, or "-" */
+const char *pr_exchange_model(const pr_exchange_t *x);
+/** Where and how soon the next attempt could go. */
+pr_place_verdict_t pr_exchange_place(pr_exchange_t *x, pr_upstream_t **out,
+				     double *wait_ms);
 /** The prompt of the current attempt was read. */
 void pr_exchange_stop_waiting(pr_exchange_t *x);
 /** Count the current attempt's answer for its version. */
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -210,7 +210,7 @@
 	}
 }
 
-/* Loads as a row of 12-byte records: tag, requests, waiting tokens. */
+/* Loads as a row of 12-byte records: tag, requests, time to read. */
 static void send_loads(pr_edge_t *edge)
 {
 	pr_str_t bytes = PR_STR_INIT, records = PR_STR_INIT;
@@ -221,7 +221,7 @@
 	     at != &edge->registry.upstreams && !rc; at = at->next) {
 		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
 		uint32_t record[3] = { upstream->tag, upstream->in_flight,
-				       (uint32_t)upstream->waiting_tokens };
+				       (uint32_t)upstream->waiting_ms };
 
 		if (upstream->in_flight &&
 		    records.len + sizeof(record) < DATAGRAM_MAX - 200)
@@ -256,7 +256,7 @@
 		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
 
 		upstream->peers_in_flight = 0;
-		upstream->peers_waiting_tokens = 0;
+		upstream->peers_waiting_ms = 0;
 		for (size_t i = 0; i < edge->hosts_count; i++) {
 			const pr_host_t *host = &edge->hosts[i];
 
@@ -267,8 +267,8 @@
 					continue;
 				upstream->peers_in_flight +=
 					host->loads[j].in_flight;
-				upstream->peers_waiting_tokens +=
-					host->loads[j].waiting_tokens;
+				upstream->peers_waiting_ms +=
+					host->loads[j].waiting_ms;
 			}
 		}
 	}
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -1,8 +1,9 @@
 /*
- * Choice of an upstream. Every host ranks the upstreams of a zone for a cached
- * prefix by rendezvous hashing, so hosts agree without messages which one holds
- * it; the expected work in front of it decides whether going elsewhere and
- * reading the prefix again is faster (bounded loads: Mirrokni et al., 2016).
+ * Choice of an upstream. Every host ranks the upstreams of a region for a
+ * cached prefix by rendezvous hashing, so hosts agree without messages which
+ * one holds it; the expected work in front of it decides whether going
+ * elsewhere and reading the prefix again is faster (bounded loads: Mirrokni et
+ * al., 2016).
  */
 #include "place/place.h"
 
@@ -16,8 +17,6 @@
 #define COST_SAME_REGION 4.0
 /* A round trip between regions, and the price of its bytes. */
 #define COST_OTHER_REGION 150.0
-/* Prompt tokens that an upstream reads in a millisecond. */
-#define TOKENS_PER_MS 68.0
 /* Delay at full slots, milliseconds; grows with the square of the load. */
 #define COST_FULL 400.0
 /* Going to an upstream that failed last time. */
@@ -89,15 +88,13 @@
 		   const pr_upstream_t *upstream, bool holds_prefix)
 {
 	double load = pr_place_load(upstream, query->hosts);
-	double tokens = (double)(upstream->waiting_tokens +
-				 upstream->peers_waiting_tokens);
 	double total = distance(map, upstream) + COST_FULL * load * load +
-		       tokens / TOKENS_PER_MS;
+		       upstream->waiting_ms + upstream->peers_waiting_ms;
 
 	if (load > LOAD_QUEUEING)
 		total += COST_QUEUEING * (load - LOAD_QUEUEING);
 	if (!holds_prefix)
-		total += query->cached_tokens / TOKENS_PER_MS;
+		total += query->cached_ms;
 	if (upstream->failures)
 		total += COST_SUSPECT;
 	if (upstream->cold_until > query->now)
@@ -112,22 +109,28 @@
 		     query->cached_hash);
 }
 
-/* The upstream of the zone that keeps the prefix, by rendezvous hashing. */
+static const char *region_of(const pr_map_t *map, const pr_upstream_t *upstream)
+{
+	return pr_map_zone(map, upstream->entry.zone)->region;
+}
+
+/* The upstream of the region that keeps the prefix, by rendezvous hashing. */
 static bool holds_prefix(const pr_registry_t *registry, const pr_map_t *map,
 			 const pr_place_query_t *query,
 			 const pr_upstream_t *upstream)
 {
 	uint64_t own = rank(query, upstream);
+	const char *region = region_of(map, upstream);
 
 	for (pr_list_t *at = registry->upstreams.next;
 	     at != &registry->upstreams; at = at->next) {
 		const pr_upstream_t *other = PR_OWNER(at, pr_upstream_t, node);
 
 		if (other == upstream ||
-		    strcmp(other->entry.zone, upstream->entry.zone) != 0 ||
 		    strcmp(other->entry.version, upstream->entry.version) !=
 			    0 ||
-		    !is_permitted(map, query, other))
+		    !is_permitted(map, query, other) ||
+		    strcmp(region_of(map, other), region) != 0)
 			continue;
 		if (rank(query, other) > own)
 			return false;
@@ -200,7 +203,7 @@
 pr_place_verdict_t pr_place_choose(const pr_registry_t *registry,
 				   const pr_map_t *map,
 				   const pr_place_query_t *query,
-				   pr_upstream_t **out)
+				   pr_upstream_t **out, double *wait_ms)
 {
 	pr_place_verdict_t verdict = choose(registry, map, query, false, out);
 
@@ -208,6 +211,8 @@
 	if (verdict != PR_PLACE_FOUND && query->transition &&
 	    query->version == PR_VERSION_NEW)
 		verdict = choose(registry, map, query, true, out);
+	if (*out && wait_ms)
+		*wait_ms = cost(map, query, *out, true);
 	return verdict;
 }
 
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -38,8 +38,8 @@
 	pr_version_choice_t version;
 	/** Hash of what upstreams may have cached; 0 for none. */
 	uint64_t cached_hash;
-	/** Prompt tokens in all, and those that may be cached. */
-	uint32_t tokens, cached_tokens;
+	/** Time to read again what may be cached, milliseconds. */
+	double cached_ms;
 	const pr_upstream_t *tried[PR_PLACE_TRIED_MAX];
 	size_t tried_count;
 	/** Connections that this host may open to one upstream. */
@@ -62,10 +62,11 @@
 /** Load of an upstream relative to its slots, over all hosts. */
 double pr_place_load(const pr_upstream_t *upstream, uint32_t hosts);
 
+/** @param wait_ms expected delay before the upstream reads; may be NULL */
 pr_place_verdict_t pr_place_choose(const pr_registry_t *registry,
 				   const pr_map_t *map,
 				   const pr_place_query_t *query,
-				   pr_upstream_t **out);
+				   pr_upstream_t **out, double *wait_ms);
 /** @return upstreams of a service and version that could be used now */
 uint32_t pr_place_usable(const pr_registry_t *registry, const pr_map_t *map,
 			 const char *service, const char *version,
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -44,11 +44,12 @@
 	pr_usec_t cold_next;
 	/** Requests of this host in work. */
 	uint32_t in_flight;
-	/** Prompt tokens of this host's requests without a first event. */
-	uint64_t waiting_tokens;
+	/** Time to read the prompts of this host's requests that have no first
+	 *  event, milliseconds. */
+	double waiting_ms;
 	/** The same, as the other hosts report. */
 	uint32_t peers_in_flight;
-	uint64_t peers_waiting_tokens;
+	double peers_waiting_ms;
 	/** Open connections of this host. */
 	uint32_t connections;
 	uint32_t failures;
--- a/tests/test_cascade.c
+++ b/tests/test_cascade.c
@@ -13,7 +13,11 @@
 
 static size_t next(size_t models, size_t model, uint32_t confidence)
 {
-	pr_cascade_input_t input = { models, model, confidence };
+	pr_cascade_input_t input = { .models = models,
+				     .model = model,
+				     .confidence = confidence,
+				     .target_ms = 2000,
+				     .wait_ms = 200 };
 
 	return pr_cascade_next(&input);
 }
@@ -34,11 +38,30 @@
 	assert_int_equal(next(1, 0, 0), 0);
 }
 
+/* burst, cold_return: a third of the upstreams is gone while traffic rises. The
+ * largest model's answers would be late, and make all others late. */
+static void test_long_wait_keeps_probable_answers(void **state)
+{
+	pr_cascade_input_t input = { .models = 3,
+				     .confidence = 40,
+				     .target_ms = 2000,
+				     .elapsed_ms = 600 };
+
+	input.wait_ms = 100;
+	assert_int_equal(pr_cascade_next(&input), 2);
+	input.wait_ms = 1300;
+	assert_int_equal(pr_cascade_next(&input), 0);
+	/* A small model that all but knows that it failed is not kept. */
+	input.confidence = 2;
+	assert_int_equal(pr_cascade_next(&input), 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_doubt_goes_to_the_largest_at_once),
 		cmocka_unit_test(test_confident_answer_is_kept),
+		cmocka_unit_test(test_long_wait_keeps_probable_answers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -42,7 +42,6 @@
 						    (uint64_t)i + 1, 0, NOW);
 	}
 	f->query = (pr_place_query_t){ .service = "model",
-				       .tokens = 6000,
 				       .connections_max = 40,
 				       .hosts = 8,
 				       .now = NOW };
@@ -65,7 +64,7 @@
 
 	start(&f);
 	f.query.cached_hash = 77;
-	f.query.cached_tokens = 5000;
+	f.query.cached_ms = 300;
 	first = choose(&f, PR_PLACE_FOUND);
 	for (int i = 0; i < 20; i++)
 		assert_ptr_equal(choose(&f, PR_PLACE_FOUND), first);
@@ -81,15 +80,34 @@
 
 	start(&f);
 	f.query.cached_hash = 77;
-	f.query.cached_tokens = 5000;
+	f.query.cached_ms = 300;
 	holder = choose(&f, PR_PLACE_FOUND);
 	holder->in_flight = 40;
-	holder->waiting_tokens = 60000;
+	holder->waiting_ms = 900;
 	assert_ptr_not_equal(choose(&f, PR_PLACE_FOUND), holder);
 	assert_string_equal(choose(&f, PR_PLACE_FOUND)->entry.zone, "near");
 	pr_registry_finish(&f.registry);
 }
 
+/* Zones of a region are near each other: a prefix is read once for all. */
+static void test_prefix_is_held_once_in_a_region(void **state)
+{
+	fixture_t f;
+	pr_upstream_t *from_near;
+
+	start(&f);
+	snprintf(f.zones[1].region, sizeof(f.zones[1].region), "home");
+	f.query.cached_ms = 300;
+	for (uint64_t hash = 1; hash < 30; hash++) {
+		f.query.cached_hash = hash;
+		f.map.zone = "near";
+		from_near = choose(&f, PR_PLACE_FOUND);
+		f.map.zone = "far";
+		assert_ptr_equal(choose(&f, PR_PLACE_FOUND), from_near);
+	}
+	pr_registry_finish(&f.registry);
+}
+
 /* Other hosts of the zone send to the same upstreams. */
 static void test_load_of_peers_counts(void **state)
 {
@@ -191,6 +209,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_same_prefix_goes_to_one_upstream),
 		cmocka_unit_test(test_hot_prefix_spills_to_neighbours),
+		cmocka_unit_test(test_prefix_is_held_once_in_a_region),
 		cmocka_unit_test(test_load_of_peers_counts),
 		cmocka_unit_test(
 			test_region_is_left_only_when_needed_and_allowed),
