--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -51,9 +51,9 @@
 {
 	pr_upstream_t *chosen;
 
-	assert_int_equal(
-		pr_place_choose(&f->registry, &f->map, &f->query, &chosen),
-		wanted);
+	assert_int_equal(pr_place_choose(&f->registry, &f->map, &f->query,
+					 &chosen, NULL),
+			 wanted);
 	return chosen;
 }
 
