Refuse at once where no upstream is listed

A host that starts again leaves its row as it is, which spares the other hosts a call each. A prefix counts as held in the host's own region only, which test_hot_prefix_spills_to_neighbours asks for.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -216,7 +216,10 @@
 	return 0;
 }
 
-/* Wait a little for an upstream, then refuse. */
+/*
+ * Wait a little for an upstream, then refuse. Where none is listed that the
+ * request may use, waiting does not help.
+ */
 static void park(pr_exchange_t *x, pr_place_verdict_t verdict)
 {
 	pr_usec_t now = pr_exchange_now(x);
@@ -225,7 +228,8 @@
 
 	if (!x->parked_at)
 		x->parked_at = now;
-	if (now - x->parked_at < wait) {
+	if (now - x->parked_at < wait &&
+	    (verdict != PR_PLACE_NONE || x->tried_count)) {
 		pr_exchange_arm(x);
 		return;
 	}
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -17,6 +17,11 @@
 #define DEADLINE_DEFAULT (30 * PR_USEC_PER_SEC)
 /* Objective of routes that state none. */
 #define TARGET_DEFAULT_MS 1000
+/* Callers that were refused return after the base and an even spread, seconds,
+ * but within a part of the time that they have left. */
+#define RETRY_BASE_S   0.3
+#define RETRY_SPREAD_S 1.0
+#define RETRY_PART     0.25
 /* Time that a stream and any other request needs before a stop. */
 #define STREAM_TIME (5 * PR_USEC_PER_SEC)
 #define CALL_TIME   (2 * PR_USEC_PER_SEC)
@@ -98,7 +103,7 @@
 	pr_event(outcome,
 		 "request=%s route=%s workspace=%s status=%d ms=%lld "
 		 "first_ms=%lld sends=%u runs=%u events=%llu fault=%s "
-		 "routing=%llu",
+		 "code=%s routing=%llu",
 		 x->id, x->route ? x->route->name : "-",
 		 x->workspace ? x->workspace->name : "-", status,
 		 pr_exchange_age_ms(x),
@@ -106,7 +111,7 @@
 						PR_USEC_PER_MSEC)
 				  : -1,
 		 x->sends, x->runs, (unsigned long long)x->events.passed,
-		 x->last_fault ? x->last_fault : "-",
+		 x->last_fault ? x->last_fault : "-", x->code ? x->code : "-",
 		 x->routing ? (unsigned long long)x->routing->version : 0ULL);
 	pr_histogram_record(x->edge->counters.total,
 			    (double)(pr_exchange_now(x) - x->began));
@@ -117,10 +122,11 @@
 {
 	double left =
 		(double)(x->budget_end - pr_exchange_now(x)) / PR_USEC_PER_SEC;
-	double pause = 0.3 + (double)(x->hash % 1000) / 1000.0;
+	double pause = RETRY_BASE_S +
+		       RETRY_SPREAD_S * (double)(x->hash % 1000) / 1000.0;
 
-	if (pause > left / 4)
-		pause = left / 4;
+	if (pause > left * RETRY_PART)
+		pause = left * RETRY_PART;
 	return pause > 0.05 ? pause : 0.05;
 }
 
@@ -142,6 +148,7 @@
 	body_len = snprintf(body, sizeof(body),
 			    "{\"error\":\"%s\",\"verdict\":\"%s\"}\n", code,
 			    not_run ? "not_run" : "may_have_run");
+	x->code = code;
 	pr_exchange_log_end(x, status == 503 ? "refused" : "failed", status);
 	pr_metric_add(status == 503 ? x->edge->counters.refused
 				    : x->edge->counters.failed,
@@ -162,6 +169,7 @@
 		pr_exchange_answer(x, x->runs ? 502 : 503, code);
 		return;
 	}
+	x->code = code;
 	pr_exchange_log_end(x, "broken", 0);
 	pr_metric_add(x->edge->counters.failed, 1);
 	pr_exchange_finish(x);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -48,6 +48,8 @@
 	/** Begin of the wait for an upstream; 0 when not waiting. */
 	pr_usec_t parked_at;
 	const char *last_fault;
+	/** Code of the router's own final answer. */
+	const char *code;
 
 	pr_events_t events;
 	/** Answer of the current attempt, until it is passed on. */
--- a/src/edge/orders.c
+++ b/src/edge/orders.c
@@ -384,7 +384,8 @@
 
 	if (!edge->has_store_clock)
 		return;
-	if (!edge->registered && may_write(edge))
+	if (!edge->registered && edge->watches[PR_TABLE_SHARED].complete &&
+	    may_write(edge))
 		register_host(edge);
 	for (size_t i = 0; i < edge->transitions_count; i++) {
 		pr_transition_t *transition = edge->transitions[i];
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -67,6 +67,17 @@
 	return NULL;
 }
 
+/* The row of this host from before a restart says the same. */
+static bool is_own_row(const pr_edge_t *edge, pr_slice_t row)
+{
+	pr_str_t own = PR_STR_INIT;
+	bool same = !pr_peering_row(edge, &own) &&
+		    pr_slice_equal(pr_str_slice(&own), row);
+
+	pr_str_finish(&own);
+	return same;
+}
+
 /* A row is "ADDRESS:PORT ZONE". */
 void pr_peering_host(pr_edge_t *edge, const char *name, pr_slice_t row,
 		     bool removed)
@@ -78,6 +89,8 @@
 
 	if (removed || !space)
 		return;
+	if (!strcmp(name, edge->settings->host) && is_own_row(edge, row))
+		edge->registered = true;
 	address_len = (size_t)(space - row.ptr);
 	if (!host) {
 		if (edge->hosts_count == PR_HOSTS_MAX)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -114,7 +114,10 @@
 	return pr_map_zone(map, upstream->entry.zone)->region;
 }
 
-/* The upstream of the region that keeps the prefix, by rendezvous hashing. */
+/*
+ * The upstream of this host's region that keeps the prefix, by rendezvous
+ * hashing. One abroad may keep it too, but its own region's callers fill it.
+ */
 static bool holds_prefix(const pr_registry_t *registry, const pr_map_t *map,
 			 const pr_place_query_t *query,
 			 const pr_upstream_t *upstream)
@@ -122,6 +125,8 @@
 	uint64_t own = rank(query, upstream);
 	const char *region = region_of(map, upstream);
 
+	if (strcmp(region, map->region) != 0)
+		return false;
 	for (pr_list_t *at = registry->upstreams.next;
 	     at != &registry->upstreams; at = at->next) {
 		const pr_upstream_t *other = PR_OWNER(at, pr_upstream_t, node);
