Let changes of the store gather, and restart a feed that peers are ahead of

Changes now gather for 0.25 to 0.7 s behind the first one. A feed whose answer was lost was noticed only by its time-out; hosts of a zone now tell each other the newest rows that they applied, and one that stays behind for 0.6 s asks again.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -37,6 +37,10 @@
 	pr_timer_t timer;
 	/** Version that the feed continues from. */
 	uint64_t version;
+	/** Newest row that was applied. */
+	uint64_t newest;
+	/** Another host has had a newer row since this time; 0 when none has. */
+	pr_usec_t behind_since;
 	/** Whole reads are needed until one succeeded. */
 	bool complete;
 	/** Keys seen by the whole read under way. */
@@ -140,6 +144,8 @@
 /* watch.c */
 int pr_watches_start(pr_edge_t *edge);
 void pr_watches_finish(pr_edge_t *edge);
+/** Another host has applied rows up to a version. */
+void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest);
 
 /* orders.c: rows to state. */
 void pr_edge_row(pr_edge_t *edge, pr_store_table_t table,
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -20,6 +20,13 @@
 #define SESSIONS_MAX   80
 #define LOADS_MAX      (sizeof(((pr_host_t *)0)->loads) / 12)
 
+/* Fields of a datagram with the newest row of each table. */
+static const char *const table_names[PR_TABLES_COUNT] = {
+	[PR_TABLE_ORDERS] = "orders",
+	[PR_TABLE_UPSTREAMS] = "upstreams",
+	[PR_TABLE_SHARED] = "shared",
+};
+
 typedef struct send_t {
 	uv_udp_send_t request;
 	pr_str_t bytes;
@@ -242,13 +249,16 @@
 	}
 	pr_msgmap_packer(&packer, &bytes);
 	if (!rc)
-		rc = msgpack_pack_map(&packer, 2);
+		rc = msgpack_pack_map(&packer, 2 + PR_TABLES_COUNT);
 	if (!rc)
 		rc = pr_msgmap_pack_text(&packer, "host",
 					 pr_slice_of(edge->settings->host));
 	if (!rc)
 		rc = pr_msgmap_pack_text(&packer, "loads",
 					 pr_str_slice(&records));
+	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
+		rc = pr_msgmap_pack_number(&packer, table_names[i],
+					   edge->watches[i].newest);
 	for (size_t i = 0; i < edge->hosts_count && !rc; i++) {
 		pr_host_t *host = &edge->hosts[i];
 
@@ -260,6 +270,17 @@
 	pr_str_finish(&records);
 }
 
+/* What a host of the zone has read of the store tells of a lost feed here. */
+static void take_versions(pr_edge_t *edge, const pr_msgmap_t *map)
+{
+	uint64_t newest;
+
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		if (!pr_msgmap_number(map, &newest, table_names[i]))
+			pr_watch_peer(edge, (pr_store_table_t)i, newest);
+	}
+}
+
 static void sum_loads(pr_edge_t *edge)
 {
 	pr_usec_t now = pr_edge_now(edge);
@@ -357,6 +378,13 @@
 	host->loads_count = count;
 }
 
+static void take_host(pr_edge_t *edge, pr_host_t *host, const pr_msgmap_t *map,
+		      pr_slice_t loads)
+{
+	take_loads(edge, host, loads);
+	take_versions(edge, map);
+}
+
 static void take(pr_edge_t *edge, pr_slice_t bytes)
 {
 	pr_slice_t name, text;
@@ -370,7 +398,7 @@
 	host = pr_msgmap_text(&map, &name, "host") ? NULL
 						   : find_host(edge, name);
 	if (host && !pr_msgmap_text(&map, &text, "loads"))
-		take_loads(edge, host, text);
+		take_host(edge, host, &map, text);
 	else if (host && !pr_msgmap_text(&map, &text, "sessions"))
 		take_sessions(edge, text);
 	else if (host && !pr_msgmap_text(&map, &text, "service"))
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -21,8 +21,17 @@
 /* Pause after a failure, doubled up to the maximum. */
 #define RETRY_BASE (100 * PR_USEC_PER_MSEC)
 #define RETRY_MAX  (800 * PR_USEC_PER_MSEC)
-/* Changes gather for this long, so that a series costs few calls. */
-#define GATHER (120 * PR_USEC_PER_MSEC)
+/* A host that another one is ahead of for this long has lost its feed: the
+ * store's answers to two hosts are tens of milliseconds apart. */
+#define BEHIND_MAX (600 * PR_USEC_PER_MSEC)
+
+/* Changes gather for this long before the feed asks again, so that a series
+ * costs few calls. The first change of a series is not delayed. */
+static const pr_usec_t gather[PR_TABLES_COUNT] = {
+	[PR_TABLE_ORDERS] = 250 * PR_USEC_PER_MSEC,
+	[PR_TABLE_UPSTREAMS] = 700 * PR_USEC_PER_MSEC,
+	[PR_TABLE_SHARED] = 700 * PR_USEC_PER_MSEC,
+};
 
 static void start(pr_watch_t *watch);
 
@@ -86,6 +95,8 @@
 	for (size_t i = 0; i < rows->count; i++) {
 		pr_edge_row(watch->edge, watch->table, &rows->rows[i],
 			    lapse_time(watch));
+		if (rows->rows[i].version > watch->newest)
+			watch->newest = rows->rows[i].version;
 		if (!watch->complete)
 			pr_names_add(&watch->seen, rows->rows[i].key);
 	}
@@ -195,7 +206,7 @@
 	if (rows.version > watch->version)
 		watch->version = rows.version;
 	if (rows.count)
-		pause = GATHER;
+		pause = gather[watch->table];
 	pr_store_rows_finish(&rows);
 	schedule(watch, pause);
 }
@@ -231,6 +242,27 @@
 	pr_str_finish(&request);
 }
 
+void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest)
+{
+	pr_watch_t *watch = &edge->watches[table];
+	pr_usec_t now = pr_edge_now(edge);
+
+	if (newest <= watch->newest) {
+		watch->behind_since = 0;
+		return;
+	}
+	if (!watch->behind_since)
+		watch->behind_since = now;
+	if (now - watch->behind_since < BEHIND_MAX || watch->failures ||
+	    !watch->call.busy)
+		return;
+	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
+		       (unsigned long long)watch->newest,
+		       (unsigned long long)newest);
+	watch->behind_since = 0;
+	pr_call_abort(&watch->call);
+}
+
 int pr_watches_start(pr_edge_t *edge)
 {
 	const struct sockaddr_in *address = &edge->settings->at.store;
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -184,6 +184,12 @@
 	return pr_link_connect(&link->link, &call->address);
 }
 
+void pr_call_abort(pr_call_t *call)
+{
+	if (call->busy)
+		fail(call);
+}
+
 void pr_call_start(pr_call_t *call, pr_slice_t request, pr_usec_t timeout,
 		   pr_call_done_fn done)
 {
--- a/src/http/call.h
+++ b/src/http/call.h
@@ -33,6 +33,8 @@
 		  const struct sockaddr_in *address, void *owner);
 /** Drop the connection; a call under way gets no answer. */
 void pr_call_finish(pr_call_t *call);
+/** End the call under way without an answer, which its owner hears of. */
+void pr_call_abort(pr_call_t *call);
 /**
  * Start a call; the earlier one must be done.
  *
