--- /dev/null
+++ b/tests/edge/fleet.py
@@ -0,0 +1,224 @@
+"""A deployment of router processes on loopback, with stand-ins around them."""
+
+import asyncio
+import os
+import signal
+import tempfile
+
+from standins import P, Closed, Proxy, Store, Upstream, read_body, read_head
+
+ZONES = {"east": "home", "west": "home", "far": "abroad"}
+HOST = "api.example"
+
+
+def routing(version, extra_routes=(), keys=("key-1", "key-2")):
+    """The operator's document."""
+    def route(name, kind, service, **more):
+        return {
+            "name": name, "host": HOST, "prefix": f"/{name}/", "kind": kind, "service": service,
+            "timeout-ms": 8000, "target-latency-ms": 1000, "priority": 1, "max-attempts": 3,
+            "anonymous": False, "session-affinity": False, "stream-resume": False,
+            "allowed-regions": [], **more,
+        }
+
+    routes = [
+        route("safe", "safe", "ledger"),
+        route("once", "unsafe", "ledger", **{"max-attempts": 1}),
+        route("stream", "streaming", "model", **{"stream-resume": True, "gap-aim-ms": 1200}),
+    ]
+    routes += [route(name, "safe", "ledger") for name in extra_routes]
+    service = {"health-path": "/health", "max-connections": 400, "cold-start-s": 0.5, "cold-per-s": 20}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "ledger", **service}, {"name": "model", **service}],
+        "limits": {
+            "max-header-bytes": 8192, "max-body-bytes": 100000,
+            "header-timeout-ms": 2000, "idle-timeout-ms": 5000,
+        },
+        "tenants": [{"name": "tenant-1", "api-keys": list(keys), "priority": 1, "allowed-regions": []}],
+    }
+
+
+class Router:
+    """One router process."""
+
+    def __init__(self, fleet, index, zone):
+        self.fleet, self.index, self.zone = fleet, index, zone
+        self.name = f"host-{index}"
+        self.address = f"127.{fleet.net}.0.{index + 1}"
+        self.process = None
+        self.log = open(os.path.join(fleet.folder, self.name + ".log"), "ab")
+
+    def settings(self):
+        lines = [f"host: {self.name}", f"zone: {self.zone}", f"region: {ZONES[self.zone]}", "zones:"]
+        lines += [f"  - {{ name: {z}, region: {r} }}" for z, r in ZONES.items()]
+        for field, port in (("listen", 8080), ("ready", 8081), ("metrics", 8082), ("peer", 8083)):
+            lines.append(f'{field}: "{self.address}:{port}"')
+        lines.append(f'store: "127.0.0.1:{self.fleet.store_proxies[self.index].port}"')
+        lines += ["bounds:", "  grace_s: 6", "  repeats_ratio: 0.9", "  repeats_slack: 56", "  session_s: 3"]
+        return "\n".join(lines) + "\n"
+
+    async def start(self):
+        path = os.path.join(self.fleet.folder, self.name + ".yaml")
+        with open(path, "w", encoding="ascii") as out:
+            out.write(self.settings())
+        self.process = await asyncio.create_subprocess_exec(
+            self.fleet.binary, "--settings", path, stdout=self.log, stderr=self.log
+        )
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            os.kill(self.process.pid, number)
+
+    async def ready(self):
+        """Status of the readiness path; 0 without an answer."""
+        try:
+            status, _, _ = await asyncio.wait_for(get(self.address, 8081, "/ready"), 1)
+            return status
+        except (OSError, Closed, asyncio.TimeoutError):
+            return 0
+
+    async def wait_ready(self, seconds=8.0):
+        end = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end:
+            if await self.ready() == 200:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+
+async def get(address, port, path):
+    reader, writer = await asyncio.open_connection(address, port)
+    try:
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+        line, fields = await read_head(reader)
+        return int(line.split(" ")[1]), fields, await read_body(reader, fields)
+    finally:
+        writer.close()
+
+
+class Fleet:
+    """Store, upstreams behind proxies, and router processes."""
+
+    def __init__(self, binary, net, random, hosts=3, per_zone=1):
+        self.binary, self.net, self.random = binary, net, random
+        self.folder = tempfile.mkdtemp(prefix="pr-edge-")
+        self.store = Store(random)
+        self.store_proxies = []
+        self.upstreams = []
+        self.runs = {}
+        self.routers = []
+        self.hosts, self.per_zone = hosts, per_zone
+        self.version = 1
+
+    async def start(self):
+        await self.store.start()
+        for _ in range(self.hosts + 1):
+            proxy = Proxy(self.store.port)
+            await proxy.start()
+            self.store_proxies.append(proxy)
+        for zone in ZONES:
+            for _ in range(self.per_zone):
+                for service in ("ledger", "model"):
+                    await self.add_upstream(service, zone)
+        await self.store.put("op", "config", routing(self.version))
+        zones = list(ZONES)
+        for index in range(self.hosts):
+            router = Router(self, index, zones[index % len(zones)])
+            self.routers.append(router)
+            await router.start()
+        for router in self.routers:
+            if not await router.wait_ready():
+                raise RuntimeError(f"{router.name} is not ready; see {self.folder}")
+
+    async def add_upstream(self, service, zone, version="v1"):
+        name = f"u-{len(self.upstreams)}"
+        upstream = Upstream(name, service, zone, self.random, self.runs, version)
+        await upstream.start()
+        self.upstreams.append(upstream)
+        await self.store.put("servers", name, upstream.entry())
+        return upstream
+
+    async def apply(self, **changes):
+        """Write a new routing document; returns the time it was acknowledged."""
+        self.version += 1
+        return await self.store.put("op", "config", routing(self.version, **changes))
+
+    async def stop(self):
+        for router in self.routers:
+            router.signal(signal.SIGCONT)
+            router.signal(signal.SIGKILL)
+            if router.process:
+                await router.process.wait()
+            router.log.close()
+        for server in [self.store, *self.store_proxies, *self.upstreams]:
+            await server.stop()
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self, status=0, fields=None, body=b"", complete=False):
+        self.status, self.fields = status, fields or {}
+        self.body, self.complete = body, complete
+
+
+class Caller:
+    """A caller with one kept connection to one router."""
+
+    def __init__(self, address, port=8080):
+        self.address, self.port = address, port
+        self.reader = self.writer = None
+
+    async def request(self, ident, path, body=b"", key="key-1", budget_ms=5000, **more):
+        try:
+            return await asyncio.wait_for(
+                self._request(ident, path, body, key, budget_ms, more), budget_ms / 1000
+            )
+        except (OSError, Closed, asyncio.TimeoutError):
+            self.close()
+            return Answer()
+
+    async def _request(self, ident, path, body, key, budget_ms, more):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(
+                self.address, self.port, limit=1 << 20
+            )
+        fields = {
+            "Host": HOST, P + "Request-Attempt": ident, P + "Deadline-Ms": str(budget_ms),
+            P + "Credential": key, "Content-Length": str(len(body)), **more,
+        }
+        head = f"POST {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+        self.writer.write(head.encode() + b"\r\n" + body)
+        line, got = await read_head(self.reader)
+        answer = Answer(int(line.split(" ")[1]), got)
+        try:
+            await self._read_body(answer)
+        except Closed:
+            self.close()
+            return answer
+        if got.get("connection", "") == "close":
+            self.close()
+        return answer
+
+    async def _read_body(self, answer):
+        if answer.fields.get("transfer-encoding") != "chunked":
+            answer.body = await read_body(self.reader, answer.fields)
+            answer.complete = True
+            return
+        while True:
+            try:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                data = await self.reader.readexactly(size + 2)
+            except (asyncio.IncompleteReadError, ConnectionError) as error:
+                raise Closed from error
+            if not size:
+                answer.complete = True
+                return
+            answer.body += data[:-2]
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
--- /dev/null
+++ b/tests/edge/path.py
@@ -0,0 +1,239 @@
+"""The platform's path with real processes: one check a failure.
+
+usage: path.py BINARY NET
+"""
+
+import asyncio
+import random
+import signal
+import sys
+import time
+
+from fleet import Caller, Fleet, get
+from standins import P, event_of, events_of, whole_answer
+
+FAILURES = []
+
+
+def check(name, good, detail=""):
+    print(("ok   " if good else "FAIL ") + name + ("" if good else f": {detail}"))
+    if not good:
+        FAILURES.append(name)
+
+
+def stream_of(ident):
+    return b"".join(event_of(ident, n) for n in range(1, events_of(ident) + 1))
+
+
+async def check_answers(fleet, caller):
+    answer = await caller.request("id-1", "/safe/x?q=1", b"hello")
+    check("answer passes unchanged", answer.body == whole_answer("id-1", b"hello"), answer.body)
+    name, line, fields, _ = fleet.runs["id-1"][0]
+    check("target passes unchanged", line.startswith("POST /safe/x?q=1 "), line)
+    check("upstream is named", fields.get((P + "Expect-Instance").lower()) == name, fields)
+    check("key stays here", (P + "Credential").lower() not in fields, fields)
+    check("workspace is set", fields.get((P + "Tenant").lower()) == "tenant-1", fields)
+    check("time left is passed on", int(fields[(P + "Deadline-Ms").lower()]) <= 5000, fields)
+    answer = await caller.request("id-2", "/stream/x")
+    check("stream is whole", answer.complete and answer.body == stream_of("id-2"), answer.body)
+    answer = await caller.request("id-3", "/safe/x", key="nobody")
+    check("unknown key", answer.status == 401, answer.status)
+    answer = await caller.request("id-4", "/nowhere/x")
+    check("unknown route", answer.status == 404, answer.status)
+    answer = await caller.request("id-5", "/safe/x", **{P + "Tenant": "intruder", P + "Hold": "1"})
+    _, _, fields, _ = fleet.runs["id-5"][0]
+    check("callers do not set the router's fields", fields[(P + "Tenant").lower()] == "tenant-1"
+          and (P + "Hold").lower() not in fields, fields)
+
+
+async def check_faults(fleet, caller):
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    models = [u for u in fleet.upstreams if u.service == "model"]
+    for upstream in ledgers:
+        upstream.faults = {"lost": 1.0}
+    answer = await caller.request("id-20", "/once/x")
+    check("a run whose answer is lost is not repeated", len(fleet.runs["id-20"]) == 1
+          and answer.status not in (429, 503), answer.status)
+    for upstream in ledgers:
+        upstream.faults = {"cut_reset": 1.0}
+    answer = await caller.request("id-21", "/once/x")
+    check("a cut answer never looks whole", answer.status // 100 != 2 or not answer.complete,
+          answer.body)
+    for upstream in ledgers:
+        upstream.faults = {"shed": 1.0}
+    answer = await caller.request("id-22", "/once/x")
+    check("a refusal says when to return", answer.status == 503
+          and float(answer.fields.get("retry-after", 0)) > 0 and "id-22" not in fleet.runs,
+          (answer.status, answer.fields))
+    for upstream in ledgers:
+        upstream.faults = {}
+    for upstream in models:
+        upstream.faults = {"cut": 0.5}
+    good = 0
+    for number in range(20):
+        ident = f"id-3{number}"
+        answer = await caller.request(ident, "/stream/x")
+        whole = stream_of(ident)
+        if not whole.startswith(answer.body) or (answer.complete and answer.body != whole):
+            check("streams keep order", False, answer.body)
+        good += answer.complete and answer.body == whole
+    check("cut streams are resumed", good >= 12, good)
+    for upstream in models:
+        upstream.faults = {}
+
+
+async def check_leaving(fleet, caller):
+    leaving = next(u for u in fleet.upstreams if u.service == "ledger" and u.zone == "east")
+    await fleet.store.put("servers", leaving.name, leaving.entry("draining"))
+    await asyncio.sleep(1)
+    before = len(leaving.arrivals)
+    for number in range(20):
+        await caller.request(f"id-4{number}", "/safe/x")
+    check("a leaving upstream gets no new work", len(leaving.arrivals) == before)
+    await fleet.store.put("op", "evacuate/west", {})
+    await asyncio.sleep(1)
+    west = [u for u in fleet.upstreams if u.zone == "west"]
+    before = sum(len(u.arrivals) for u in west)
+    for number in range(20):
+        await caller.request(f"id-5{number}", "/safe/x")
+    check("an evacuated zone gets no work", sum(len(u.arrivals) for u in west) == before)
+    await fleet.store.put("op", "evacuate/west", None)
+    await fleet.store.put("servers", leaving.name, leaving.entry("ready"))
+
+
+async def check_configuration(fleet, caller):
+    await fleet.apply(extra_routes=["added"], keys=("key-2",))
+    await asyncio.sleep(1)
+    answer = await caller.request("id-60", "/added/x", key="key-2")
+    check("an added route is served", answer.status == 200, answer.status)
+    answer = await caller.request("id-61", "/safe/x", key="key-1")
+    check("a key that was taken away is refused", answer.status == 401, answer.status)
+    fleet.store.forget()
+    await fleet.apply(keys=("key-1", "key-2"))
+    await asyncio.sleep(1.5)
+    answer = await caller.request("id-62", "/added/x")
+    check("lost history is read whole", answer.status == 404, answer.status)
+    for proxy in fleet.store_proxies:
+        proxy.silent_down = True
+    await asyncio.sleep(0.5)
+    answer = await caller.request("id-63", "/safe/x")
+    check("a silent store stops no request", answer.status == 200, answer.status)
+    for proxy in fleet.store_proxies:
+        proxy.silent_down = False
+        proxy.drop_connections()
+    await fleet.apply(extra_routes=["late"])
+    await asyncio.sleep(2.5)
+    answer = await caller.request("id-64", "/late/x")
+    check("changes arrive after a silent time", answer.status == 200, answer.status)
+
+
+async def check_rollout(fleet, caller):
+    fresh = [await fleet.add_upstream("model", zone, "v2") for zone in ("east", "west", "far")]
+    await asyncio.sleep(1.2)
+    for upstream in fresh:
+        upstream.failing = 0.6
+    await fleet.store.put("op", "rollout/model", {"service": "model", "to": "v2", "duration-s": 8})
+    sent = 0
+    end = time.monotonic() + 9
+    while time.monotonic() < end:
+        await asyncio.gather(*(caller_of(fleet, i).request(f"id-7{sent}-{i}", "/stream/x")
+                               for i in range(6)))
+        sent += 6
+        if b"rolled_back" in (fleet.store.document("status", "rollout/model") or b""):
+            break
+    status = fleet.store.document("status", "rollout/model") or b""
+    check("a bad version is rolled back", b"rolled_back" in status, status)
+    reached = sum(len(u.arrivals) for u in fresh)
+    check("its exposure is bounded", reached <= 0.15 * sent + 30, (reached, sent))
+    await asyncio.sleep(0.5)
+    reached = sum(len(u.arrivals) for u in fresh)
+    for number in range(30):
+        await caller.request(f"id-8{number}", "/stream/x")
+    check("a withdrawn version gets nothing", sum(len(u.arrivals) for u in fresh) == reached)
+
+
+def caller_of(fleet, index):
+    return Caller(fleet.routers[index % len(fleet.routers)].address)
+
+
+async def check_stop(fleet):
+    router = fleet.routers[0]
+    caller = Caller(router.address)
+    task = asyncio.create_task(caller.request("id-90", "/stream/x"))
+    await asyncio.sleep(0.05)
+    router.signal(signal.SIGHUP)
+    router.signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)
+    check("not ready at once", await router.ready() == 503)
+    answer = await task
+    check("a stop cuts no stream", answer.complete and answer.body == stream_of("id-90"))
+    try:
+        code = await asyncio.wait_for(router.process.wait(), 7)
+    except asyncio.TimeoutError:
+        code = "still there"
+    check("the process ends by itself", code == 0, code)
+    await router.start()
+    check("a restart knows everything again", await router.wait_ready(2.0))
+    answer = await Caller(router.address).request("id-91", "/safe/x")
+    check("and serves", answer.status == 200, answer.status)
+
+
+async def check_gone(fleet, caller):
+    models = [u for u in fleet.upstreams if u.service == "model"]
+    for upstream in models:
+        upstream.faults = {"hang": 1.0}
+    open_before = sum(len(u.writers) for u in models)
+    task = asyncio.create_task(caller.request("id-95", "/stream/x"))
+    await asyncio.sleep(0.3)
+    held = [u for u in models if any(a[1] == "id-95" for a in u.arrivals)]
+    count = sum(len(u.writers) for u in held)
+    task.cancel()
+    caller.close()
+    await asyncio.sleep(0.4)
+    check("an upstream is let go when its caller leaves",
+          held and sum(len(u.writers) for u in held) < count, (open_before, count))
+    for upstream in models:
+        upstream.faults = {}
+
+
+async def check_smuggling(fleet):
+    router = fleet.routers[1]
+    hidden = (b"POST /once/hidden HTTP/1.1\r\nHost: api.example\r\n" + P.encode()
+              + b"Request-Attempt: hidden\r\n" + P.encode() + b"Credential: key-1\r\n\r\n")
+    for extra in (b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                  b"Content-Length: 5\r\nContent-Length: 200\r\n",
+                  b"Transfer-Encoding : chunked\r\nContent-Length: 5\r\n"):
+        reader, writer = await asyncio.open_connection(router.address, 8080)
+        writer.write(b"POST /safe/x HTTP/1.1\r\nHost: api.example\r\n" + extra + b"\r\n0\r\n\r\n"
+                     + hidden)
+        line = await asyncio.wait_for(reader.readline(), 2)
+        check("ambiguous framing is refused", b" 400 " in line, line)
+        writer.close()
+    await asyncio.sleep(0.2)
+    check("no hidden request runs", "hidden" not in fleet.runs)
+
+
+async def main():
+    fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7))
+    try:
+        await fleet.start()
+        caller = Caller(fleet.routers[0].address)
+        await check_answers(fleet, caller)
+        await check_faults(fleet, caller)
+        await check_gone(fleet, Caller(fleet.routers[1].address))
+        await check_smuggling(fleet)
+        await check_leaving(fleet, caller)
+        await check_configuration(fleet, caller)
+        await check_rollout(fleet, caller)
+        status, _, text = await get(fleet.routers[0].address, 8082, "/metrics")
+        check("metrics are served", status == 200 and b"edge_requests_total" in text)
+        await check_stop(fleet)
+    finally:
+        await fleet.stop()
+    if FAILURES:
+        print(f"logs: {fleet.folder}")
+    print(f"{len(FAILURES)} failed")
+    return bool(FAILURES)
+
+
+sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/tests/edge/standins.py
@@ -0,0 +1,393 @@
+"""Stand-ins for the platform's store and for upstreams, and a loopback proxy.
+
+They speak the published protocol as far as the router uses it, and misbehave on
+request. Everything runs on one asyncio loop; the routers are real processes.
+"""
+
+import asyncio
+import base64
+import json
+import socket
+import struct
+import time
+from urllib.parse import parse_qs, unquote, urlsplit
+
+P = "X-Pistachiorack-"
+
+
+class Closed(Exception):
+    """The peer ended the connection."""
+
+
+def reset(writer):
+    """Close a connection with a reset in place of an end."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            pass
+    writer.transport.abort()
+
+
+async def read_head(reader):
+    """Read a message's head; returns its first line and its fields."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError) as error:
+        raise Closed from error
+    lines = raw.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:-2]:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    return lines[0], fields
+
+
+async def read_body(reader, fields):
+    """Read a body with a length or in chunks."""
+    try:
+        if fields.get("transfer-encoding", "").lower() == "chunked":
+            body = b""
+            while True:
+                size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+                chunk = await reader.readexactly(size + 2)
+                if not size:
+                    return body
+                body += chunk[:-2]
+        if "content-length" in fields:
+            return await reader.readexactly(int(fields["content-length"]))
+        return b""
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
+        raise Closed from error
+
+
+class Server:
+    """Accepts connections on a loopback address and keeps track of them."""
+
+    def __init__(self):
+        self.server = None
+        self.writers = set()
+        self.port = 0
+
+    async def start(self, address="127.0.0.1", port=0):
+        self.server = await asyncio.start_server(self._serve, address, port, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (Closed, ConnectionError, asyncio.TimeoutError, asyncio.CancelledError):
+            # The end of the connection or of the run.
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def drop_connections(self):
+        """Reset all connections."""
+        for writer in list(self.writers):
+            reset(writer)
+
+    async def stop(self):
+        self.server.close()
+        self.drop_connections()
+
+
+class Store(Server):
+    """The platform's store: rows, feeds, conditional transactions.
+
+    mode: ok, busy (503), many (429), reset, silent; lose: part of the writes
+    that are done and not answered.
+    """
+
+    def __init__(self, random):
+        super().__init__()
+        self.random = random
+        self.rows = {}
+        self.version = 1
+        self.history = []
+        self.mode = "ok"
+        self.lose = 0.0
+        self.slow = 0.0
+        self.changed = asyncio.Condition()
+        self.calls = 0
+
+    def now_ms(self):
+        return int(time.monotonic() * 1000)
+
+    async def put(self, table, key, value):
+        """Write as the operator or an upstream does; None removes the row."""
+        async with self.changed:
+            self.version += 1
+            row = {"table": table, "part": "", "key": key, "ver": self.version}
+            if value is None:
+                self.rows.pop((table, key), None)
+                row["tombstone"] = True
+            else:
+                data = value if isinstance(value, bytes) else json.dumps(value).encode()
+                row["value"] = base64.b64encode(data).decode()
+                self.rows[(table, key)] = row
+            self.history.append(row)
+            self.changed.notify_all()
+        return time.monotonic()
+
+    def forget(self):
+        """Drop the history, as a store may do at any time."""
+        self.history.clear()
+
+    def document(self, table, key):
+        row = self.rows.get((table, key))
+        return base64.b64decode(row["value"]) if row else None
+
+    async def serve(self, reader, writer):
+        while True:
+            line, fields = await read_head(reader)
+            body = await read_body(reader, fields)
+            self.calls += 1
+            if self.mode == "reset":
+                reset(writer)
+                return
+            if self.mode == "silent":
+                await asyncio.sleep(3600)
+            if self.mode in ("busy", "many"):
+                self.answer(writer, 503 if self.mode == "busy" else 429, {})
+                continue
+            await asyncio.sleep(0.002 + self.slow)
+            await self.call(writer, line, body)
+
+    async def call(self, writer, line, body):
+        method, target, _ = line.split(" ")
+        url = urlsplit(target)
+        query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
+        if method == "POST" and url.path == "/rows-tx":
+            status, answer = await self.transact(json.loads(body))
+            if self.random.random() < self.lose:
+                await asyncio.sleep(3600)
+        elif url.path == "/rows-get":
+            rows = [r for (t, _), r in sorted(self.rows.items()) if t == query["table"]]
+            rows = [r for r in rows if r["key"] >= unquote(query.get("from", ""))]
+            status, answer = 200, {"rows": rows[:500], "more-pages": len(rows) > 500}
+        elif url.path == "/rows-feed":
+            status, answer = await self.feed(query)
+        else:
+            status, answer = 404, {}
+        self.answer(writer, status, answer)
+
+    async def feed(self, query):
+        after = int(query["after-rev"])
+        if after < self.version and not any(r["ver"] <= after + 1 for r in self.history):
+            if any(r["ver"] > after for r in self.rows.values()):
+                return 410, {}
+
+        def fresh():
+            return [r for r in self.history if r["ver"] > after and r["table"] == query["table"]]
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: bool(fresh())), int(query["wait-ms"]) / 1000
+                )
+            except asyncio.TimeoutError:
+                pass
+            if self.mode == "silent":
+                await asyncio.sleep(3600)
+            return 200, {"rows": fresh()}
+
+    async def transact(self, call):
+        for condition in call["expected-rev"]:
+            row = self.rows.get((condition["table"], condition["key"]))
+            if (row["ver"] if row else 0) != condition["ver"]:
+                return 412, {"rows": [row] if row else []}
+        for row in call["puts"]:
+            if row["table"] in ("op", "servers"):
+                return 403, {}
+        for row in call["puts"]:
+            await self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        return 200, {}
+
+    def answer(self, writer, status, document):
+        body = json.dumps({**document, "ver": self.version, "now-ms": self.now_ms()}).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+
+FAULTS = ("error", "shed", "reset", "lost", "cut", "cut_reset", "garbage", "extra", "hang")
+
+
+class Upstream(Server):
+    """An upstream. Each request id's runs are counted; faults come with the
+    probabilities in `faults`, by the names in FAULTS."""
+
+    def __init__(self, name, service, zone, random, runs, version="v1"):
+        super().__init__()
+        self.name, self.service, self.zone, self.version = name, service, zone, version
+        self.random = random
+        self.runs = runs
+        self.faults = {}
+        self.arrivals = []
+        self.cold_ms = 0
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.failing = 0.0
+
+    def entry(self, state="ready"):
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": self.version,
+            "slots": 64,
+            "state": state,
+            "cold-remaining-ms": self.cold_ms,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+    def draw(self):
+        for fault in FAULTS:
+            if self.random.random() < self.faults.get(fault, 0):
+                return fault
+        return None
+
+    async def serve(self, reader, writer):
+        while True:
+            line, fields = await read_head(reader)
+            body = await read_body(reader, fields)
+            fault = self.draw()
+            ident = fields.get((P + "Request-Attempt").lower(), "")
+            if fields.get((P + "Expect-Instance").lower()) != self.name:
+                self.plain(writer, 421, ident, b"", sealed=False)
+                continue
+            self.arrivals.append((time.monotonic(), ident, line))
+            if fault == "reset":
+                reset(writer)
+                return
+            if fault == "shed":
+                self.plain(writer, 503, ident, b"", more=f"{P}Not-Executed: 1\r\n", sealed=False)
+                continue
+            self.runs.setdefault(ident, []).append((self.name, line, fields, body))
+            if fault == "hang":
+                # Until the caller lets go, as an engine that stalls.
+                await reader.read(1)
+                return
+            if fault == "lost":
+                reset(writer)
+                return
+            if fault == "error" or self.random.random() < self.failing:
+                self.plain(writer, 500, ident, b"failed")
+                continue
+            if not await self.answer(writer, line, fields, body, ident, fault):
+                return
+
+    async def answer(self, writer, line, fields, body, ident, fault):
+        """Returns False when the connection has ended."""
+        if fault == "garbage":
+            writer.write(b"\x00\x01 this is not an answer\r\n\r\n")
+            return False
+        if "/stream/" in line:
+            return await self.stream(writer, fields, ident, fault)
+        await asyncio.sleep(self.random.uniform(0.002, 0.02))
+        content = whole_answer(ident, body)
+        if fault in ("cut", "cut_reset"):
+            # Without a length, so that only the end tells whole from cut.
+            length = f"Content-Length: {len(content)}\r\n" if fault == "cut" else ""
+            writer.write(self.head(200, ident, length) + content[: len(content) // 2])
+            await writer.drain()
+            if fault == "cut_reset":
+                reset(writer)
+            return False
+        self.plain(writer, 200, ident, content)
+        if fault == "extra":
+            self.plain(writer, 200, "someone-else", b"not yours")
+        return True
+
+    async def stream(self, writer, fields, ident, fault):
+        last = int(fields.get("last-event-id", 0))
+        count = events_of(ident)
+        writer.write(
+            self.head(200, ident, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+        )
+        stop = self.random.randint(last, count) if fault in ("cut", "cut_reset") else count + 1
+        for number in range(last + 1, count + 1):
+            event = event_of(ident, number)
+            if number >= stop:
+                writer.write(chunk(event[: len(event) // 2]))
+                await writer.drain()
+                if fault == "cut_reset":
+                    reset(writer)
+                return False
+            writer.write(chunk(event))
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def head(self, status, ident, more, sealed=True):
+        text = f"HTTP/1.1 {status} X\r\n{P}Request-Attempt: {ident}\r\n"
+        if sealed:
+            text += f"{P}Server-Seal: {self.name}.{ident}\r\n"
+        return (text + more + "\r\n").encode()
+
+    def plain(self, writer, status, ident, content, more="", sealed=True):
+        more += f"Content-Length: {len(content)}\r\n"
+        writer.write(self.head(status, ident, more, sealed) + content)
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def whole_answer(ident, body):
+    """The answer of an upstream to a request that is no stream."""
+    return f"answer to {ident}, {len(body)} bytes: ".encode() + body[:200] + b"x" * 300
+
+
+def events_of(ident):
+    return 3 + sum(ident.encode()) % 12
+
+
+def event_of(ident, number):
+    return f"id: {number}\ndata: {ident}-{number}\n\n".encode()
+
+
+class Proxy(Server):
+    """Passes a port on, and can delay, cut one way, silence or reset."""
+
+    def __init__(self, target):
+        super().__init__()
+        self.target = target
+        self.delay = 0.0
+        self.silent_up = self.silent_down = False
+        self.refuse = False
+
+    async def serve(self, reader, writer):
+        if self.refuse:
+            reset(writer)
+            return
+        up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        self.writers.add(up_writer)
+        try:
+            await asyncio.gather(
+                self.pump(reader, up_writer, lambda: self.silent_up),
+                self.pump(up_reader, writer, lambda: self.silent_down),
+            )
+        finally:
+            self.writers.discard(up_writer)
+            up_writer.close()
+
+    async def pump(self, reader, writer, silent):
+        while True:
+            try:
+                data = await reader.read(65536)
+            except ConnectionError:
+                reset(writer)
+                return
+            if not data:
+                writer.close()
+                return
+            if self.delay:
+                await asyncio.sleep(self.delay)
+            if not silent():
+                writer.write(data)
--- /dev/null
+++ b/tests/faults/edge_path.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# The platform's path as separate processes, against stand-ins that speak the
+# published protocol. Each check names the failure that it guards against.
+# usage: edge_path.sh BUILD
+set -euo pipefail
+exec python3 tests/edge/path.py "$1/pistachiorack-edge" 61
--- /dev/null
+++ b/tests/faults/edge_soak.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# A short seeded soak of the platform's path: each line of
+# tests/edge/regressions.txt, and one seed that changes with the day.
+# usage: edge_soak.sh BUILD
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+binary=$1/pistachiorack-edge
+status=0
+run() { python3 tests/edge/soak.py "$binary" 63 "$1" "$2" || status=1; }
+while read -r seed seconds _; do
+	[[ $seed =~ ^[0-9]+$ ]] || continue
+	run "$seed" "$seconds"
+done <tests/edge/regressions.txt
+run "$(date +%Y%m%d)" 8
+exit $status
