--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -39,7 +39,10 @@
 	uint64_t version;
 	/** Newest row that was applied. */
 	uint64_t newest;
-	/** Another host has had a newer row since this time; 0 when none has. */
+	/** The call under way was given up, since another host is ahead. */
+	bool restarting;
+	/** Another host has had a newer row since this time; 0 when none has.
+	 */
 	pr_usec_t behind_since;
 	/** Whole reads are needed until one succeeded. */
 	bool complete;
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -196,6 +196,12 @@
 		schedule(watch, 0);
 		return;
 	}
+	if (watch->restarting && !status) {
+		/* No outage, so nothing may have lapsed meanwhile. */
+		schedule(watch, 0);
+		return;
+	}
+	watch->restarting = false;
 	if (status != 200 || pr_adapter_store_rows(&rows, body)) {
 		failed(watch, status);
 		return;
@@ -214,20 +220,22 @@
 static void start(pr_watch_t *watch)
 {
 	pr_usec_t timeout = FEED_WAIT_MS * PR_USEC_PER_MSEC + ANSWER_SLACK;
+	bool at_once = watch->failures || watch->restarting;
 	pr_str_t request = PR_STR_INIT;
 	int rc;
 
 	if (watch->call.busy)
 		return;
-	if (watch->failures)
+	if (at_once)
 		timeout = PROBE_TIMEOUT;
 	if (watch->complete)
 		rc = pr_adapter_store_feed(&request, watch->table,
 					   watch->version,
-					   watch->failures ? 0 : FEED_WAIT_MS);
+					   at_once ? 0 : FEED_WAIT_MS);
 	else
 		rc = pr_adapter_store_read(&request, watch->table,
 					   pr_slice_of(watch->page));
+	watch->restarting = false;
 	if (rc) {
 		pr_str_finish(&request);
 		failed(watch, 0);
@@ -247,7 +255,8 @@
 	pr_watch_t *watch = &edge->watches[table];
 	pr_usec_t now = pr_edge_now(edge);
 
-	if (newest <= watch->newest) {
+	/* The feed's position also covers rows that were removed. */
+	if (newest <= watch->newest || newest <= watch->version) {
 		watch->behind_since = 0;
 		return;
 	}
@@ -260,6 +269,7 @@
 		       (unsigned long long)watch->newest,
 		       (unsigned long long)newest);
 	watch->behind_since = 0;
+	watch->restarting = true;
 	pr_call_abort(&watch->call);
 }
 
