--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -36,6 +36,7 @@
         self.answers = []
         self.number = 0
         self.disturbed = {}
+        self.held = set()
         self.store_disturbed = 0.0
         self.last_change = None
         self.running = True
@@ -119,8 +120,18 @@
     def disturb_store(self, seconds):
         self.store_disturbed = max(self.store_disturbed, time.monotonic() + seconds)
 
+    def pick_router(self):
+        """A host whose process no other fault is at work on, or None."""
+        free = [r for r in self.fleet.routers if r.name not in self.held]
+        router = self.random.choice(free) if free else None
+        if router:
+            self.held.add(router.name)
+        return router
+
     async def fault_kill(self):
-        router = self.random.choice(self.fleet.routers)
+        router = self.pick_router()
+        if not router:
+            return
         self.disturb(router, 3)
         self.note(f"kill {router.name}")
         router.signal(signal.SIGKILL)
@@ -128,21 +139,25 @@
         await asyncio.sleep(self.random.uniform(0.1, 1))
         await router.start()
         await router.wait_ready()
+        self.held.discard(router.name)
 
     async def fault_freeze(self):
-        router = self.random.choice(self.fleet.routers)
+        router = self.pick_router()
+        if not router:
+            return
         seconds = self.random.uniform(0.5, 3)
         self.disturb(router, seconds)
         self.note(f"freeze {router.name} for {seconds:.1f} s")
         router.signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         router.signal(signal.SIGCONT)
+        self.held.discard(router.name)
 
     async def fault_term(self):
-        router = self.random.choice(self.fleet.routers)
-        process = router.process
-        if process.returncode is not None:
+        router = self.pick_router()
+        if not router:
             return
+        process = router.process
         self.disturb(router, GRACE_S + 2)
         self.note(f"stop {router.name}")
         router.signal(signal.SIGHUP)
@@ -153,9 +168,9 @@
             self.break_promise(f"stop: {router.name} is still there after {GRACE_S} s")
             router.signal(signal.SIGKILL)
             await process.wait()
-        if process is router.process:
-            await router.start()
-            await router.wait_ready()
+        await router.start()
+        await router.wait_ready()
+        self.held.discard(router.name)
 
     async def fault_store(self):
         mode = self.random.choice(("busy", "many", "reset", "silent"))
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -191,9 +191,10 @@
                 )
             except asyncio.TimeoutError:
                 pass
-            if self.mode == "silent":
-                await asyncio.sleep(3600)
-            return 200, {"rows": fresh()}
+            rows = fresh()
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        return 200, {"rows": rows}
 
     async def transact(self, call):
         for condition in call["expected-rev"]:
