--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -44,6 +44,17 @@
 			       pr_exchange_now(x));
 }
 
+/* Slow answers say nothing of a version whose upstreams are loaded for a test;
+ * failures do. */
+static bool is_expected(pr_exchange_t *x, const char *fault)
+{
+	const pr_transition_t *transition =
+		pr_edge_transition(x->edge, x->service);
+
+	return transition && !strcmp(fault, PR_FAULT_NO_PROGRESS) &&
+	       pr_transition_tests_load(transition, pr_edge_store_now(x->edge));
+}
+
 /* An attempt came to nothing. */
 void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
 				const char *fault)
@@ -59,7 +70,7 @@
 		 pr_verdict_name(verdict), pr_exchange_age_ms(x),
 		 x->upstream ? x->upstream->failures : 0);
 	if (ran) {
-		pr_exchange_record(x, true);
+		pr_exchange_record(x, !is_expected(x, fault));
 		x->runs++;
 	}
 	if (x->upstream && x->tried_count < PR_PLACE_TRIED_MAX)
@@ -115,10 +126,10 @@
 		return;
 	}
 	if (now >= progress_limit(x)) {
-		if (x->upstream)
+		if (x->upstream && !is_expected(x, PR_FAULT_NO_PROGRESS))
 			pr_upstream_failed(x->upstream, now);
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
-					   "no_progress");
+					   PR_FAULT_NO_PROGRESS);
 		return;
 	}
 	pr_exchange_arm(x);
@@ -150,6 +161,9 @@
 	query->workspace_regions = x->workspace ? &x->workspace->regions : NULL;
 	query->transition = pr_edge_transition(x->edge, x->service);
 	query->version = x->version;
+	query->trial = query->transition &&
+		       pr_transition_tests_load(query->transition,
+						pr_edge_store_now(x->edge));
 	if (x->route->affinity && x->prompt.shared_hash) {
 		query->cached_hash = x->prompt.shared_hash + x->model;
 		query->cached_ms =
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -87,6 +87,10 @@
 
 void pr_exchange_finish(pr_exchange_t *x)
 {
+	/* A session is active until a time after the end of its request. */
+	if (x->version == PR_VERSION_OLD)
+		pr_sessions_note(&x->edge->sessions, x->session,
+				 pr_edge_store_now(x->edge));
 	pr_exchange_cancel(x);
 	pr_timers_unsubscribe(&x->edge->timers, &x->timer);
 	pr_events_finish(&x->events);
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -31,6 +31,9 @@
 uint64_t pr_exchange_number(const pr_http_reader_t *reader, pr_field_t field,
 			    uint64_t fallback);
 
+/** Fault of an attempt without an event or an answer for too long. */
+#define PR_FAULT_NO_PROGRESS "no_progress"
+
 /* attempt.c */
 /** Choose an upstream and send, or wait, or give up. */
 void pr_exchange_dispatch(pr_exchange_t *x);
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -193,7 +193,8 @@
 		return;
 	count = pr_sessions_list(&edge->sessions, PR_TRANSITION_FIRST_SHARE,
 				 after, seen, SESSIONS_MAX);
-	edge->sessions_told_ms = now - 1;
+	/* Told twice, since datagrams may be lost. */
+	edge->sessions_told_ms = now - SEND_PERIOD / PR_USEC_PER_MSEC - 50;
 	for (size_t i = 0; i < count && !rc; i++) {
 		uint64_t record[2] = { seen[i].hash,
 				       (uint64_t)seen[i].seen_ms };
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -26,6 +26,9 @@
 /* Beyond this load an upstream queues requests. */
 #define LOAD_QUEUEING 1.0
 #define COST_QUEUEING 3000.0
+/* Load up to which a version on trial is tested: above that of full service
+ * with a zone lost, below that at which requests are late. */
+#define TRIAL_LOAD 0.9
 /* Load at which an upstream would refuse. */
 #define LOAD_MAX 2.0
 
@@ -205,12 +208,71 @@
 	return *out ? PR_PLACE_FOUND : verdict;
 }
 
+/* Not to be used now: failing, full, tried, or without a permit while cold. */
+static bool is_resting(const pr_place_query_t *query,
+		       const pr_upstream_t *upstream)
+{
+	return upstream->ejected_until > query->now ||
+	       is_full(query, upstream) || was_tried(query, upstream) ||
+	       upstream->cold_until > query->now;
+}
+
+/* This host's part of the requests that load an upstream on trial. */
+static bool has_trial_room(const pr_place_query_t *query,
+			   const pr_upstream_t *upstream)
+{
+	uint32_t hosts = query->hosts ? query->hosts : 1;
+	double room = TRIAL_LOAD * upstream->entry.slots / hosts;
+
+	return upstream->in_flight < (room > 1 ? room : 1);
+}
+
+/*
+ * While a new version is on trial, one upstream after the other gets its share
+ * up to a high load, since a version may be bad under load only and the share
+ * spread over all upstreams would load none. All hosts take them in the same
+ * order, by rendezvous hashing.
+ */
+static pr_upstream_t *choose_on_trial(const pr_registry_t *registry,
+				      const pr_map_t *map,
+				      const pr_place_query_t *query)
+{
+	pr_upstream_t *best = NULL;
+	uint64_t highest = 0;
+
+	if (!query->trial || !query->transition ||
+	    query->version != PR_VERSION_NEW)
+		return NULL;
+	for (pr_list_t *at = registry->upstreams.next;
+	     at != &registry->upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+		uint64_t score;
+
+		if (!is_permitted(map, query, upstream) ||
+		    !is_version(query, upstream) ||
+		    is_resting(query, upstream) ||
+		    !has_trial_room(query, upstream))
+			continue;
+		score = XXH64(upstream->entry.id, strlen(upstream->entry.id),
+			      query->transition->order_row);
+		if (best && score <= highest)
+			continue;
+		best = upstream;
+		highest = score;
+	}
+	return best;
+}
+
 pr_place_verdict_t pr_place_choose(const pr_registry_t *registry,
 				   const pr_map_t *map,
 				   const pr_place_query_t *query,
 				   pr_upstream_t **out, double *wait_ms)
 {
-	pr_place_verdict_t verdict = choose(registry, map, query, false, out);
+	pr_place_verdict_t verdict = PR_PLACE_FOUND;
+
+	*out = choose_on_trial(registry, map, query);
+	if (!*out)
+		verdict = choose(registry, map, query, false, out);
 
 	/* Old upstreams serve what the new version has no room for. */
 	if (verdict != PR_PLACE_FOUND && query->transition &&
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -36,6 +36,9 @@
 	/** NULL when the service is not in transition. */
 	const pr_transition_t *transition;
 	pr_version_choice_t version;
+	/** The new version is tested under load: few upstreams get its share.
+	 */
+	bool trial;
 	/** Hash of what upstreams may have cached; 0 for none. */
 	uint64_t cached_hash;
 	/** Time to read again what may be cached, milliseconds. */
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -14,6 +14,9 @@
 #define TELL_MS 1000
 /* A session counts as active a little longer than the platform says. */
 #define SESSION_SLACK_MS 500
+/* The new version is tested under load after this part of the order's time. */
+#define LOAD_FROM 0.2
+#define LOAD_TO   0.51
 /* Sessions are moved after this part of the order's time, step by step. */
 #define MOVE_FROM 0.51
 /* All sessions use the new version from this part on. */
@@ -21,8 +24,10 @@
 /* The new version is declared good after this part. */
 #define DONE_FROM 0.82
 /* Bad answers that are needed to judge, and from one upstream alone. */
-#define EVIDENCE_MIN      5
-#define EVIDENCE_ONE_HOST 12
+#define EVIDENCE_MIN          5.0
+#define EVIDENCE_ONE_UPSTREAM 7.5
+/* Time constant of the answers that count as recent, milliseconds. */
+#define RECENT_MS 3000.0
 /* Rate of bad answers that any version may show. */
 #define USUAL_RATE 0.02
 /* The new version's rate must be this many times the old one's. */
@@ -31,10 +36,12 @@
 static const struct {
 	double until, share;
 } steps[] = {
+	/* Enough to see a version that is bad at once. */
+	{ LOAD_FROM, 0.05 },
+	/* Enough to load a few upstreams as full service would. */
 	{ MOVE_FROM, PR_TRANSITION_FIRST_SHARE },
-	{ 0.56, 0.15 },
-	{ 0.61, 0.35 },
-	{ MOVED_BY, 0.65 },
+	{ 0.57, 0.5 },
+	{ MOVED_BY, 0.75 },
 };
 
 void pr_transition_init(pr_transition_t *transition,
@@ -134,6 +141,14 @@
 	       transition->began_ms && progress(transition, now_ms) < MOVE_FROM;
 }
 
+bool pr_transition_tests_load(const pr_transition_t *transition, int64_t now_ms)
+{
+	double at = progress(transition, now_ms);
+
+	return pr_transition_pins(transition, now_ms) && at >= LOAD_FROM &&
+	       at < LOAD_TO;
+}
+
 pr_version_choice_t pr_transition_choose(const pr_transition_t *transition,
 					 pr_sessions_t *sessions,
 					 uint64_t session, uint64_t request,
@@ -191,24 +206,53 @@
 			     a->bad_upstreams | b->bad_upstreams };
 }
 
+static void update(pr_recent_t *recent, const pr_tally_t *now, double keep)
+{
+	/* Counts go back when a host starts again. */
+	if (now->total < recent->counted.total ||
+	    now->bad < recent->counted.bad)
+		recent->counted = *now;
+	recent->total =
+		recent->total * keep + now->total - recent->counted.total;
+	recent->bad = recent->bad * keep + now->bad - recent->counted.bad;
+	recent->counted = *now;
+}
+
 /*
- * The new version is bad when its rate of bad answers is several times the old
- * one's in the same time, which faults of the network raise as well.
+ * Bad when the rate of bad answers is several times the old version's in the
+ * same time, which faults of the network raise as well.
  */
-static bool is_bad(const pr_transition_t *transition)
+static bool stands_out(double bad, double total, double old_bad,
+		       double old_total, double needed)
+{
+	double usual = USUAL_RATE;
+
+	if (old_total >= 1)
+		usual = fmax(usual, old_bad / old_total);
+	return bad >= needed && bad > RATE_RATIO * usual * total;
+}
+
+/* All answers are judged, and those of the last seconds, since a version may
+ * turn bad late or under load. */
+static bool is_bad(pr_transition_t *transition, int64_t now_ms)
 {
 	pr_tally_t fresh =
 		sum(&transition->own.fresh, &transition->peers.fresh);
 	pr_tally_t old = sum(&transition->own.old, &transition->peers.old);
-	double usual = USUAL_RATE;
-	uint32_t needed = EVIDENCE_MIN;
+	double keep =
+		exp(-(double)(now_ms - transition->recent_ms) / RECENT_MS);
+	double needed = EVIDENCE_MIN;
 
-	if (old.total)
-		usual = fmax(usual, (double)old.bad / old.total);
+	update(&transition->recent_fresh, &fresh, keep);
+	update(&transition->recent_old, &old, keep);
+	transition->recent_ms = now_ms;
 	if (!(fresh.bad_upstreams & (fresh.bad_upstreams - 1)))
-		needed = EVIDENCE_ONE_HOST;
-	return fresh.bad >= needed &&
-	       fresh.bad > RATE_RATIO * usual * fresh.total;
+		needed = EVIDENCE_ONE_UPSTREAM;
+	return stands_out(fresh.bad, fresh.total, old.bad, old.total, needed) ||
+	       stands_out(transition->recent_fresh.bad,
+			  transition->recent_fresh.total,
+			  transition->recent_old.bad,
+			  transition->recent_old.total, needed);
 }
 
 pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
@@ -222,7 +266,7 @@
 	if (!transition->began_ms)
 		return PR_CONCLUDE_START;
 	if (!transition->condemned)
-		transition->condemned = is_bad(transition);
+		transition->condemned = is_bad(transition, now_ms);
 	if (transition->condemned)
 		return PR_CONCLUDE_WITHDRAW;
 	at = progress(transition, now_ms - turn_ms);
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -15,10 +15,11 @@
 
 #define PR_TRANSITION_NAME_SIZE 96
 /**
- * Share of the new version in the first half of an order's time: enough to see
- * a bad version, half of the exposure that an order allows by default.
+ * Largest share of the new version in the first half of an order's time, when
+ * active sessions stay on their version. Together the shares of that half stay
+ * below half of the exposure that an order allows by default.
  */
-#define PR_TRANSITION_FIRST_SHARE 0.07
+#define PR_TRANSITION_FIRST_SHARE 0.35
 
 typedef enum pr_rollout_state_t {
 	PR_ROLLOUT_RUNNING,
@@ -47,6 +48,13 @@
 	pr_tally_t fresh, old;
 } pr_tallies_t;
 
+/** Answers of the last seconds, by exponential decay. */
+typedef struct pr_recent_t {
+	/** Counts up to the last update. */
+	pr_tally_t counted;
+	double total, bad;
+} pr_recent_t;
+
 typedef struct pr_transition_t {
 	pr_rollout_order_t order;
 	/** Row version of the order. */
@@ -58,6 +66,8 @@
 	int64_t began_ms;
 	/** Counts of this host, and of all others together. */
 	pr_tallies_t own, peers;
+	pr_recent_t recent_fresh, recent_old;
+	int64_t recent_ms;
 	/** This host has seen enough to withdraw the version. */
 	bool condemned;
 } pr_transition_t;
@@ -90,6 +100,13 @@
 /** @return true while active sessions must stay on their version */
 bool pr_transition_pins(const pr_transition_t *transition, int64_t now_ms);
 
+/**
+ * @return true while the new version's share loads few upstreams, so that their
+ *	   answers are slow for that reason
+ */
+bool pr_transition_tests_load(const pr_transition_t *transition,
+			      int64_t now_ms);
+
 /**
  * Version for a request of a session.
  *
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -204,6 +204,44 @@
 	pr_registry_finish(&f.registry);
 }
 
+/* rollout_bad under_load: a share that is spread over all upstreams of the new
+ * version loads none of them, and the version passed for good. */
+static void test_load_test_fills_one_upstream_after_the_other(void **state)
+{
+	pr_rollout_order_t order = { "model", "v2", 24000 };
+	pr_transition_row_t row = { 1, PR_ROLLOUT_RUNNING, 1000 };
+	static pr_transition_t transition;
+	pr_upstream_t *first, *second;
+	fixture_t f;
+
+	start(&f);
+	pr_transition_init(&transition, &order, 1);
+	pr_transition_apply(&transition, &row, 2);
+	for (int i = 0; i < 4; i++)
+		snprintf(f.upstreams[i]->entry.version,
+			 sizeof(f.upstreams[i]->entry.version), "v2");
+	f.query.transition = &transition;
+	f.query.version = PR_VERSION_NEW;
+	f.query.trial = true;
+	first = choose(&f, PR_PLACE_FOUND);
+	/* All hosts' parts together load it highly, and not beyond its slots.
+	 */
+	while (choose(&f, PR_PLACE_FOUND) == first)
+		first->in_flight++;
+	assert_true(first->in_flight * f.query.hosts > 64 / 2);
+	assert_true(first->in_flight * f.query.hosts <= 64 + f.query.hosts);
+	second = choose(&f, PR_PLACE_FOUND);
+	assert_string_equal(second->entry.version, "v2");
+	/* Other hosts, in other zones too, take the same one. */
+	first->in_flight = 0;
+	f.map.zone = "far";
+	f.map.region = "abroad";
+	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), first);
+	f.query.version = PR_VERSION_OLD;
+	assert_string_equal(choose(&f, PR_PLACE_FOUND)->entry.version, "v1");
+	pr_registry_finish(&f.registry);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -217,6 +255,8 @@
 		cmocka_unit_test(test_verdict_tells_why),
 		cmocka_unit_test(test_connections_are_bounded),
 		cmocka_unit_test(test_version_of_the_session),
+		cmocka_unit_test(
+			test_load_test_fills_one_upstream_after_the_other),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
