--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -112,11 +112,12 @@
 
 	if (now >= x->deadline) {
 		x->last_fault = "deadline";
+		/* A request that was sent may be running. */
+		if (x->outbound &&
+		    pr_outbound_stage(x->outbound) >= PR_STAGE_SENT)
+			x->runs++;
 		if (x->head_sent)
 			pr_exchange_give_up(x, "deadline");
-		else if (x->outbound &&
-			 pr_outbound_stage(x->outbound) >= PR_STAGE_SENT)
-			pr_exchange_answer(x, 504, "deadline");
 		else
 			pr_exchange_answer(x, x->runs ? 504 : 503, "deadline");
 		return;
@@ -217,7 +218,10 @@
 	x->attempt_began = pr_exchange_now(x);
 	x->progress_at = x->attempt_began;
 	x->status = 0;
-	x->sends++;
+	if (x->sends++)
+		pr_metric_add(x->edge->counters.repeats, 1);
+	if (x->head_sent)
+		pr_metric_add(x->edge->counters.resumes, 1);
 	pr_event("dispatch",
 		 "request=%s upstream=%s row=%llu version=%s load=%.2f "
 		 "failures=%u model=%s transition=%s session=%llx ms=%lld",
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -131,8 +131,10 @@
 	pr_caller_limits_t limits = limits_of(caller->edge);
 
 	pr_str_clear(&caller->body);
-	if (reader->parser.upgrade)
+	/* A caller may offer another protocol, which is not taken up. */
+	if (reader->parser.method == HTTP_CONNECT)
 		return false;
+	reader->parser.upgrade = 0;
 	if (reader->parser.flags & F_CONTENTLENGTH &&
 	    reader->parser.content_length > limits.body_bytes) {
 		refuse(caller, 413, "body_too_large");
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -222,6 +222,32 @@
     check("no hidden request runs", "hidden" not in fleet.runs)
 
 
+async def check_protocol(fleet):
+    answer = await Caller(fleet.routers[1].address).request(
+        "id-96", "/safe/x", **{"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c"})
+    check("an offer of another protocol is not taken up", answer.status == 200, answer.status)
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    for upstream in ledgers:
+        upstream.faults = {"hang": 1.0}
+    answer = await Caller(fleet.routers[1].address).request("id-97", "/once/x", budget_ms=1000)
+    for upstream in ledgers:
+        upstream.faults = {}
+    # At its deadline a request that was sent is never called not run.
+    check("the verdict at the deadline is true", answer.status in (0, 504)
+          and b"not_run" not in answer.body, (answer.status, answer.body))
+
+
+async def check_settings(fleet):
+    path = f"{fleet.folder}/bad.yaml"
+    with open(path, "w", encoding="ascii") as out:
+        out.write(fleet.routers[0].settings().replace(":8080", ":0"))
+    process = await asyncio.create_subprocess_exec(
+        fleet.binary, "--check", "--settings", path, stderr=asyncio.subprocess.PIPE)
+    _, text = await process.communicate()
+    check("a bad setting is refused with its field", process.returncode == 3
+          and b"bad.yaml" in text and b"listen" in text, text)
+
+
 async def main():
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7))
     try:
@@ -231,6 +257,8 @@
         await check_faults(fleet, caller)
         await check_gone(fleet, Caller(fleet.routers[1].address))
         await check_smuggling(fleet)
+        await check_protocol(fleet)
+        await check_settings(fleet)
         await check_leaving(fleet, caller)
         await check_configuration(fleet, caller)
         await check_rollout(fleet, caller)
