--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -226,8 +226,7 @@
 		 "request=%s upstream=%s row=%llu version=%s load=%.2f "
 		 "failures=%u model=%s transition=%s session=%llx ms=%lld",
 		 x->id, upstream->entry.id, (unsigned long long)upstream->row,
-		 upstream->entry.version,
-		 pr_place_load(upstream, pr_edge_hosts(x->edge)),
+		 upstream->entry.version, pr_place_load(upstream),
 		 upstream->failures, pr_exchange_model(x),
 		 x->version == PR_VERSION_NEW ? "new" : "old",
 		 (unsigned long long)x->session, pr_exchange_age_ms(x));
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -65,7 +65,7 @@
 		uint64_t order_row;
 		pr_tallies_t tallies;
 	} transitions[PR_TRANSITIONS_MAX];
-	/** Its load on upstreams: msgpack-free fixed records. */
+	/** Its load on upstreams, as it reported last. */
 	struct {
 		uint32_t tag;
 		uint32_t in_flight;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -41,11 +41,10 @@
 	return NULL;
 }
 
-double pr_place_load(const pr_upstream_t *upstream, uint32_t hosts)
+double pr_place_load(const pr_upstream_t *upstream)
 {
 	double requests = upstream->in_flight + upstream->peers_in_flight;
 
-	(void)hosts;
 	return requests / (upstream->entry.slots ? upstream->entry.slots : 1);
 }
 
@@ -90,7 +89,7 @@
 static double cost(const pr_map_t *map, const pr_place_query_t *query,
 		   const pr_upstream_t *upstream, bool holds_prefix)
 {
-	double load = pr_place_load(upstream, query->hosts);
+	double load = pr_place_load(upstream);
 	double total = distance(map, upstream) + COST_FULL * load * load +
 		       upstream->waiting_ms + upstream->peers_waiting_ms;
 
@@ -149,7 +148,7 @@
 static bool is_full(const pr_place_query_t *query,
 		    const pr_upstream_t *upstream)
 {
-	return pr_place_load(upstream, query->hosts) >= LOAD_MAX ||
+	return pr_place_load(upstream) >= LOAD_MAX ||
 	       (pr_list_empty((pr_list_t *)(uintptr_t)&upstream->idle) &&
 		upstream->connections >= query->connections_max);
 }
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -62,8 +62,8 @@
 	PR_PLACE_BUSY,
 } pr_place_verdict_t;
 
-/** Load of an upstream relative to its slots, over all hosts. */
-double pr_place_load(const pr_upstream_t *upstream, uint32_t hosts);
+/** Requests of this host and of those that report theirs, relative to slots. */
+double pr_place_load(const pr_upstream_t *upstream);
 
 /** @param wait_ms expected delay before the upstream reads; may be NULL */
 pr_place_verdict_t pr_place_choose(const pr_registry_t *registry,
--- a/tests/faults/edge_path.sh
+++ b/tests/faults/edge_path.sh
@@ -3,4 +3,7 @@
 # published protocol. Each check names the failure that it guards against.
 # usage: edge_path.sh BUILD
 set -euo pipefail
+# Two runs on the same addresses would disturb each other.
+exec 9>"${TMPDIR:-/tmp}/pistachiorack-net-61.lock"
+flock -w 200 9
 exec python3 tests/edge/path.py "$1/pistachiorack-edge" 61
--- a/tests/faults/edge_soak.sh
+++ b/tests/faults/edge_soak.sh
@@ -4,6 +4,9 @@
 #   python3 tests/edge/soak.py BUILD/pistachiorack-edge 64 SEED SECONDS
 # usage: edge_soak.sh BUILD
 set -euo pipefail
+# Two runs on the same addresses would disturb each other.
+exec 9>"${TMPDIR:-/tmp}/pistachiorack-net-63.lock"
+flock -w 200 9
 cd "$(dirname "$0")/../.."
 binary=$1/pistachiorack-edge
 status=0
