Keep active sessions apart, and count a running request as activity

The table of active sessions had 1,024 seats for about 700 sessions of the fleet, so that half were forgotten; and a session was idle when its request ran for longer than the time of activity, since only its begin and end were noted.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -99,6 +99,8 @@
 	pr_sessions_t sessions;
 	/** Peers know what was seen up to here, store's clock in ms. */
 	int64_t sessions_told_ms;
+	/** Sessions of requests in work were noted last, the same clock. */
+	int64_t sessions_noted_ms;
 	/** Shared rows of transitions, which may come before their orders. */
 	struct {
 		char service[PR_UPSTREAM_NAME_SIZE];
@@ -124,7 +126,7 @@
 	uv_tcp_t front, ready, metrics_listener;
 	pr_list_t callers;
 	size_t exchanges;
-	pr_timer_t housekeeping, peers_timer, stop_timer;
+	pr_timer_t housekeeping, peers_timer, sessions_timer, stop_timer;
 	pr_metrics_t metrics;
 	pr_edge_metrics_t counters;
 	bool stopping;
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -9,11 +9,17 @@
 #include "base/event_log.h"
 #include "base/address.h"
 #include "base/msgmap.h"
+#include "edge/caller.h"
 #include "edge/edge.h"
 #include "pistachiorack/error.h"
 #include "platform/adapter.h"
 
 #define SEND_PERIOD (200 * PR_USEC_PER_MSEC)
+/* A session that two hosts use within this time, at the moment when it may
+ * move, can be on both versions; only sessions that were used are told. */
+#define SESSIONS_PERIOD (40 * PR_USEC_PER_MSEC)
+/* Sessions of requests in work are told again after this time, milliseconds. */
+#define RUNNING_NOTE_MS 2000
 /* A report older than this says nothing of the load any more. */
 #define REPORT_MAX_AGE (1500 * PR_USEC_PER_MSEC)
 #define DATAGRAM_MAX   1400
@@ -194,7 +200,7 @@
 	count = pr_sessions_list(&edge->sessions, PR_TRANSITION_FIRST_SHARE,
 				 after, seen, SESSIONS_MAX);
 	/* Told twice, since datagrams may be lost. */
-	edge->sessions_told_ms = now - SEND_PERIOD / PR_USEC_PER_MSEC - 50;
+	edge->sessions_told_ms = now - SESSIONS_PERIOD / PR_USEC_PER_MSEC - 10;
 	for (size_t i = 0; i < count && !rc; i++) {
 		uint64_t record[2] = { seen[i].hash,
 				       (uint64_t)seen[i].seen_ms };
@@ -431,10 +437,37 @@
 		if (edge->transitions[i]->state != PR_ROLLOUT_RUNNING)
 			continue;
 		send_transition(edge, edge->transitions[i]);
-		send_sessions(edge, edge->transitions[i]);
 	}
 }
 
+/* A session is active as long as a request of it is in work. */
+static void note_running(pr_edge_t *edge)
+{
+	int64_t now = pr_edge_store_now(edge);
+
+	if (now - edge->sessions_noted_ms < RUNNING_NOTE_MS)
+		return;
+	edge->sessions_noted_ms = now;
+	for (pr_list_t *at = edge->callers.next; at != &edge->callers;
+	     at = at->next) {
+		const pr_caller_t *caller = PR_OWNER(at, pr_caller_t, node);
+
+		if (caller->exchange.active &&
+		    caller->exchange.version == PR_VERSION_OLD)
+			pr_sessions_note(&edge->sessions,
+					 caller->exchange.session, now);
+	}
+}
+
+static void on_sessions(pr_timer_t *timer, pr_usec_t now)
+{
+	pr_edge_t *edge = timer->data;
+
+	note_running(edge);
+	for (size_t i = 0; i < edge->transitions_count; i++)
+		send_sessions(edge, edge->transitions[i]);
+}
+
 int pr_peering_start(pr_edge_t *edge)
 {
 	int rc;
@@ -451,12 +484,16 @@
 	edge->peers_timer.data = edge;
 	pr_timers_subscribe(&edge->timers, &edge->peers_timer, SEND_PERIOD,
 			    SEND_PERIOD, on_period);
+	edge->sessions_timer.data = edge;
+	pr_timers_subscribe(&edge->timers, &edge->sessions_timer,
+			    SESSIONS_PERIOD, SESSIONS_PERIOD, on_sessions);
 	return 0;
 }
 
 void pr_peering_finish(pr_edge_t *edge)
 {
 	pr_timers_unsubscribe(&edge->timers, &edge->peers_timer);
+	pr_timers_unsubscribe(&edge->timers, &edge->sessions_timer);
 	free(edge->hosts);
 	edge->hosts = NULL;
 	edge->hosts_count = 0;
--- a/src/transition/sessions.h
+++ b/src/transition/sessions.h
@@ -10,8 +10,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Sessions that are remembered; a power of two. */
-#define PR_SESSIONS_MAX 1024
+/**
+ * Sessions that are remembered; a power of two, many times the sessions that
+ * are active, since two of one seat displace each other.
+ */
+#define PR_SESSIONS_MAX 16384
 
 typedef struct pr_session_seen_t {
 	uint64_t hash;
--- a/tests/test_transition.c
+++ b/tests/test_transition.c
@@ -133,6 +133,29 @@
 			 PR_VERSION_NEW);
 }
 
+static uint64_t hash_of(uint64_t i)
+{
+	i = (i ^ (i >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	i = (i ^ (i >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return i ^ (i >> 31);
+}
+
+/* PINNED on a fleet of 58 hosts: the sessions that are active displaced each
+ * other, and those that were forgotten moved. */
+static void test_active_sessions_of_a_fleet_are_kept(void **state)
+{
+	static pr_sessions_t sessions;
+	const uint64_t active = 700;
+	uint64_t kept = 0;
+
+	memset(&sessions, 0, sizeof(sessions));
+	for (uint64_t i = 1; i <= active; i++)
+		pr_sessions_hear(&sessions, hash_of(i), 1000);
+	for (uint64_t i = 1; i <= active; i++)
+		kept += pr_sessions_active(&sessions, hash_of(i), 2000, 6500);
+	assert_true(kept >= active * 95 / 100);
+}
+
 /* A host tells of its own sessions only, or datagrams would go in circles. */
 static void test_only_own_candidates_are_told(void **state)
 {
@@ -286,6 +309,7 @@
 		cmocka_unit_test(test_share_grows_from_none_to_all),
 		cmocka_unit_test(test_session_active_elsewhere_stays),
 		cmocka_unit_test(test_sessions_outside_the_share_stay),
+		cmocka_unit_test(test_active_sessions_of_a_fleet_are_kept),
 		cmocka_unit_test(test_only_own_candidates_are_told),
 		cmocka_unit_test(test_bad_version_is_withdrawn),
 		cmocka_unit_test(test_peers_count_as_evidence),
