--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -103,10 +103,10 @@
 static bool on_head(void *owner, const pr_http_reader_t *reader)
 {
 	pr_exchange_t *x = owner;
+	bool sealed =
+		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_SEAL)).ptr;
 
 	x->status = (int)reader->parser.status_code;
-	x->sealed = pr_http_find(reader, pr_adapter_field_name(PR_FIELD_SEAL))
-			    .ptr != NULL;
 	x->event_stream = false;
 	x->progress_at = pr_exchange_now(x);
 	pr_str_clear(&x->body);
@@ -115,7 +115,7 @@
 		x->status = 0;
 		return true;
 	}
-	if ((x->status / 100 == 2 && !x->sealed) ||
+	if ((x->status / 100 == 2 && !sealed) ||
 	    pr_http_find(reader, "Content-Encoding").ptr) {
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
 					   "foreign_answer");
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -54,7 +54,6 @@
 	pr_events_t events;
 	/** Answer of the current attempt, until it is passed on. */
 	int status;
-	bool sealed;
 	bool event_stream;
 	pr_str_t head, body;
 	/** The caller has the head of an answer. */
