Give the sequential test of a rate a file of its own

The platform's transitions judge rates too; the header of the product's roll-outs would bring all their types along. No change of behaviour; test_rollout passes.

--- a/include/pistachiorack/rollout.h
+++ b/include/pistachiorack/rollout.h
@@ -17,6 +17,7 @@
 #define PISTACHIORACK_ROLLOUT_H
 
 #include "pistachiorack/config.h"
+#include "pistachiorack/sequential.h"
 #include "pistachiorack/timer.h"
 
 #define PR_ROLLOUT_NAME_MAX      64
@@ -225,11 +226,6 @@
 int pr_rollout_change_check(const pr_rollout_change_t *change,
 			    const pr_fleet_t *fleet);
 
-/** Log of the evidence that the bad rate is above p0. */
-double pr_evidence_worse(uint64_t trials, uint64_t bad, double p0);
-/** Log of the evidence that the bad rate is below p1. */
-double pr_evidence_better(uint64_t trials, uint64_t bad, double p1);
-
 /* Message `evidence` */
 
 #define PR_EVIDENCE_ITEMS 64
