--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -18,6 +18,8 @@
  * that do at its end. */
 #define PACE_EVENTS     10
 #define PACE_EVENTS_MIN 3
+/* Confidence of an answer that states none. */
+#define CONFIDENCE_NONE 100
 /* Longest answer that is held until it is complete. */
 #define ANSWER_MAX ((size_t)8 * 1024 * 1024)
 
@@ -33,13 +35,12 @@
  * The answer of a small model that doubts itself is dropped for a larger one
  * while the caller has nothing of it.
  */
-static bool escalate(pr_exchange_t *x, const pr_http_reader_t *reader)
+static bool escalate(pr_exchange_t *x)
 {
 	pr_cascade_input_t input = {
 		.models = x->route->models.count,
 		.model = x->model,
-		.confidence = (uint32_t)pr_exchange_number(
-			reader, PR_FIELD_CONFIDENCE, 100),
+		.confidence = x->confidence,
 		.target_ms = pr_exchange_target_ms(x),
 		.elapsed_ms = (double)pr_exchange_age_ms(x),
 	};
@@ -175,7 +176,9 @@
 					   "not_resumed");
 		return false;
 	}
-	if (x->event_stream && escalate(x, reader))
+	x->confidence = (uint32_t)pr_exchange_number(
+		reader, PR_FIELD_CONFIDENCE, CONFIDENCE_NONE);
+	if (x->event_stream && escalate(x))
 		return false;
 	if (!x->head_sent)
 		keep_head(x, reader);
@@ -307,7 +310,7 @@
 	pr_exchange_attempt_failed(x, verdict,
 				   verdict == PR_VERDICT_NOT_RUN
 					   ? "unreachable"
-					   : "connection_broken");
+					   : PR_FAULT_BROKEN);
 }
 
 const pr_outbound_ops_t pr_exchange_outbound_ops = { on_head, on_body, on_done,
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -55,6 +55,13 @@
 	       pr_transition_is_loaded(transition, pr_edge_store_now(x->edge));
 }
 
+/* A crash breaks the answers of all requests on an upstream at once. */
+static bool is_same_crash(pr_exchange_t *x, const char *fault)
+{
+	return x->upstream && !strcmp(fault, PR_FAULT_BROKEN) &&
+	       !pr_upstream_is_new_crash(x->upstream, pr_exchange_now(x));
+}
+
 /* An attempt came to nothing. */
 void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
 				const char *fault)
@@ -70,7 +77,8 @@
 		 pr_verdict_name(verdict), pr_exchange_age_ms(x),
 		 x->upstream ? x->upstream->failures : 0);
 	if (ran) {
-		pr_exchange_record(x, !is_expected(x, fault));
+		if (!is_same_crash(x, fault))
+			pr_exchange_record(x, !is_expected(x, fault));
 		x->runs++;
 	}
 	if (x->upstream && x->tried_count < PR_PLACE_TRIED_MAX)
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -120,7 +120,7 @@
 	pr_event(outcome,
 		 "request=%s route=%s workspace=%s status=%d ms=%lld "
 		 "first_ms=%lld sends=%u runs=%u events=%llu fault=%s "
-		 "code=%s routing=%llu",
+		 "code=%s model=%s confidence=%u routing=%llu",
 		 x->id, x->route ? x->route->name : "-",
 		 x->workspace ? x->workspace->name : "-", status,
 		 pr_exchange_age_ms(x),
@@ -129,6 +129,7 @@
 				  : -1,
 		 x->sends, x->runs, (unsigned long long)x->events.passed,
 		 x->last_fault ? x->last_fault : "-", x->code ? x->code : "-",
+		 x->route ? pr_exchange_model(x) : "-", x->confidence,
 		 x->routing ? (unsigned long long)x->routing->version : 0ULL);
 	pr_histogram_record(x->edge->counters.total,
 			    (double)(pr_exchange_now(x) - x->began));
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -31,6 +31,8 @@
 	/** The router names the model. */
 	bool picks_model;
 	size_t model;
+	/** Model's opinion of the latest answer, 0 to 100. */
+	uint32_t confidence;
 	/** The next send was taken from the budget of repeats already. */
 	bool repeat_paid;
 	pr_version_choice_t version;
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -35,6 +35,8 @@
 
 /** Fault of an attempt without an event or an answer for too long. */
 #define PR_FAULT_NO_PROGRESS "no_progress"
+/** Fault of an attempt whose connection ended before its answer did. */
+#define PR_FAULT_BROKEN "connection_broken"
 
 /* attempt.c */
 /** Choose an upstream and send, or wait, or give up. */
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -11,6 +11,9 @@
 #define EJECT_MAX  (2 * PR_USEC_PER_SEC)
 /* Failures in a row before an upstream is left out. */
 #define EJECT_AFTER 2
+/* Connections that break within this time of each other break for one reason.
+ */
+#define CRASH_TIME (5 * PR_USEC_PER_SEC)
 /* Discovery lags behind an upstream's own statement of its cold time. */
 #define COLD_MARGIN (500 * PR_USEC_PER_MSEC)
 /* Part of a cold upstream's rate that the hosts share out. */
@@ -156,6 +159,14 @@
 	upstream->ejected_until = 0;
 }
 
+bool pr_upstream_is_new_crash(pr_upstream_t *upstream, pr_usec_t now)
+{
+	bool fresh = now >= upstream->crash_until;
+
+	upstream->crash_until = now + CRASH_TIME;
+	return fresh;
+}
+
 void pr_upstream_chill(pr_upstream_t *upstream, pr_usec_t until)
 {
 	if (until > upstream->cold_until)
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -54,6 +54,8 @@
 	uint32_t connections;
 	uint32_t failures;
 	pr_usec_t ejected_until;
+	/** Broken connections until here belong to one crash. */
+	pr_usec_t crash_until;
 	/** Idle connections; owned by the connection pool. */
 	pr_list_t idle;
 	/** Host's seat in reports of load to peers. */
@@ -98,6 +100,13 @@
 /** Another upstream answers at the address, or nobody. */
 void pr_upstream_failed(pr_upstream_t *upstream, pr_usec_t now);
 void pr_upstream_succeeded(pr_upstream_t *upstream);
+/**
+ * A connection broke.
+ *
+ * @return false when it belongs to a crash that was reported already: all of an
+ *	   upstream's connections break with it
+ */
+bool pr_upstream_is_new_crash(pr_upstream_t *upstream, pr_usec_t now);
 /** Treat as cold, unless it is known to stay cold for longer. */
 void pr_upstream_chill(pr_upstream_t *upstream, pr_usec_t until);
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -134,6 +134,20 @@
 	assert_true(upstream.ejected_until <= SECOND);
 }
 
+/* scale-1 of bkw-tickets: five answers that broke with one crash each of three
+ * upstreams were taken for bad answers of their version. */
+static void test_connections_of_one_crash_are_reported_once(void **state)
+{
+	pr_upstream_t upstream = { 0 };
+	pr_usec_t now = 100 * SECOND;
+	int reported = 0;
+
+	for (int i = 0; i < 40; i++)
+		reported += pr_upstream_is_new_crash(&upstream, now + i * 1000);
+	assert_int_equal(reported, 1);
+	assert_true(pr_upstream_is_new_crash(&upstream, now + 10 * SECOND));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -143,6 +157,8 @@
 		cmocka_unit_test(test_outdated_row_is_ignored),
 		cmocka_unit_test(test_lapsed_entry_may_return),
 		cmocka_unit_test(test_failures_eject_and_success_readmits),
+		cmocka_unit_test(
+			test_connections_of_one_crash_are_reported_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
