--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -25,14 +25,34 @@
  * store's answers to two hosts are tens of milliseconds apart. */
 #define BEHIND_MAX (600 * PR_USEC_PER_MSEC)
 
-/* Changes gather for this long before the feed asks again, so that a series
- * costs few calls. The first change of a series is not delayed. */
-static const pr_usec_t gather[PR_TABLES_COUNT] = {
-	[PR_TABLE_ORDERS] = 250 * PR_USEC_PER_MSEC,
-	[PR_TABLE_UPSTREAMS] = 700 * PR_USEC_PER_MSEC,
-	[PR_TABLE_SHARED] = 700 * PR_USEC_PER_MSEC,
+/*
+ * Changes gather before the feed asks again, so that a series costs few calls.
+ * The first change of a series is not delayed. The pause grows with the number
+ * of hosts, which share the store's rate, up to a part of the time in which a
+ * change must be in force: 3 s for orders, and for an upstream that leaves.
+ */
+static const struct {
+	pr_usec_t least, per_host, most;
+} gather[PR_TABLES_COUNT] = {
+	[PR_TABLE_ORDERS] = { 250 * PR_USEC_PER_MSEC, 8 * PR_USEC_PER_MSEC,
+			      600 * PR_USEC_PER_MSEC },
+	[PR_TABLE_UPSTREAMS] = { 700 * PR_USEC_PER_MSEC, 25 * PR_USEC_PER_MSEC,
+				 1600 * PR_USEC_PER_MSEC },
+	[PR_TABLE_SHARED] = { 700 * PR_USEC_PER_MSEC, 25 * PR_USEC_PER_MSEC,
+			      1600 * PR_USEC_PER_MSEC },
 };
 
+static pr_usec_t gather_time(const pr_watch_t *watch)
+{
+	pr_usec_t time = gather[watch->table].per_host *
+			 (pr_usec_t)pr_edge_hosts(watch->edge);
+
+	if (time < gather[watch->table].least)
+		return gather[watch->table].least;
+	return time < gather[watch->table].most ? time
+						: gather[watch->table].most;
+}
+
 static void start(pr_watch_t *watch);
 
 static void on_due(pr_timer_t *timer, pr_usec_t now)
@@ -212,7 +232,7 @@
 	if (rows.version > watch->version)
 		watch->version = rows.version;
 	if (rows.count)
-		pause = gather[watch->table];
+		pause = gather_time(watch);
 	pr_store_rows_finish(&rows);
 	schedule(watch, pause);
 }
@@ -226,6 +246,8 @@
 
 	if (watch->call.busy)
 		return;
+	/* Being behind is normal while changes gather. */
+	watch->behind_since = 0;
 	if (at_once)
 		timeout = PROBE_TIMEOUT;
 	if (watch->complete)
