Hold the mean number in flight against a workspace's share

A share is 1.2 requests a host, so that a small workspace was above it whenever two of its requests met, and was refused beside one that sends eleven times its share.

--- a/include/pistachiorack/admit.h
+++ b/include/pistachiorack/admit.h
@@ -63,6 +63,9 @@
 	uint32_t weight;
 	pr_admit_bucket_t buckets[PR_ADMIT_LIMITS];
 	uint32_t in_flight[PR_ADMIT_PRIORITIES];
+	/** Mean number in flight over the last seconds, and its time. */
+	double open_mean;
+	pr_usec_t open_at;
 	/** Last request, admitted or not; decides who shares the capacity. */
 	pr_usec_t seen;
 	uint64_t admitted;
--- a/src/admit/decide.c
+++ b/src/admit/decide.c
@@ -11,14 +11,18 @@
 #include <string.h>
 
 /* Fill of the concurrency limit from which on a request is shed. Work of
- * workspaces under their share may pass the limit by a tenth; work of a
- * workspace with three times its share stops at FILL_UNDER - FILL_RANGE. In
- * between it is graded, since a small workspace is above its share whenever
- * two or three of its requests meet. */
-#define FILL_UNDER 1.1
-#define FILL_RANGE 0.5
+ * workspaces under their share may pass the limit by a twentieth; work of a
+ * workspace with twice its share stops at FILL_UNDER - FILL_RANGE. In
+ * between it is graded. */
+#define FILL_UNDER 1.05
+#define FILL_RANGE 0.65
 #define FILL_BATCH 0.4
 
+/* Time constant of the mean number of requests in flight that is held against a
+ * workspace's share. A share is often little more than one request, so that the
+ * number at a moment is above it whenever two requests meet. */
+#define OPEN_TIME (2.0 * PR_USEC_PER_SEC)
+
 /* A workspace that sent nothing for this long leaves its share to others. */
 #define ACTIVE_TIME PR_USEC_PER_SEC
 
@@ -120,19 +124,32 @@
 	}
 }
 
+/* Before the number changes: what it was until now. */
+static void update_open(pr_admit_workspace_t *workspace, pr_usec_t now)
+{
+	double open = workspace->in_flight[PR_ADMIT_INTERACTIVE] +
+		      workspace->in_flight[PR_ADMIT_BATCH];
+	double passed = (double)(now - workspace->open_at);
+
+	if (passed <= 0)
+		return;
+	workspace->open_mean +=
+		(open - workspace->open_mean) * (1 - exp(-passed / OPEN_TIME));
+	workspace->open_at = now;
+}
+
 /* @return false when the load leaves no room for a request of this value */
 static bool check_load(pr_admit_t *admit, pr_admit_decision_t *decision,
 		       pr_admit_workspace_t *workspace,
 		       pr_admit_priority_t priority, pr_usec_t now)
 {
-	uint32_t open = workspace->in_flight[PR_ADMIT_INTERACTIVE] +
-			workspace->in_flight[PR_ADMIT_BATCH];
 	double fair, over, level = FILL_UNDER;
 
 	renew_active(admit, now);
 	fair = admit->concurrency * workspace->weight /
 	       fmax(admit->active_weight, workspace->weight);
-	over = fmin(fmax((open + 1 - fair) / (2 * fair), 0), 1);
+	update_open(workspace, now);
+	over = fmin(fmax((workspace->open_mean - fair) / fair, 0), 1);
 	level -= FILL_RANGE * over;
 	if (priority == PR_ADMIT_BATCH)
 		level -= FILL_BATCH;
@@ -143,10 +160,10 @@
 	refuse(decision, 503, "overloaded",
 	       admit->service / (double)PR_USEC_PER_SEC);
 	snprintf(decision->reason, sizeof(decision->reason),
-		 "overload: %u open of %.0f, %s, workspace %.32s %u of %.1f",
+		 "overload: %u open of %.0f, %s, workspace %.32s %.1f of %.1f",
 		 admit->in_flight, admit->concurrency,
 		 priority == PR_ADMIT_BATCH ? "batch" : "interactive",
-		 workspace->name, open, fair);
+		 workspace->name, workspace->open_mean, fair);
 	return false;
 }
 
@@ -203,6 +220,7 @@
 
 	if (!workspace->in_flight[end->priority])
 		return;
+	update_open(workspace, now);
 	workspace->in_flight[end->priority]--;
 	admit->in_flight--;
 	workspace->buckets[PR_ADMIT_TOKENS].tokens +=
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -356,6 +356,45 @@
 	}
 }
 
+static bool admits(pr_admit_t *admit, unsigned int workspace, pr_usec_t now)
+{
+	pr_admit_decision_t decision;
+
+	pr_admit_decide(admit, &decision, workspace, PR_ADMIT_INTERACTIVE, 1,
+			now);
+	return decision.admitted;
+}
+
+/* fault_fairness: a share was 1.2 requests, so that a small workspace was above
+ * it whenever two of its requests met, and was refused beside a large one. */
+static void meeting_requests_of_a_small_workspace_pass(void **state)
+{
+	pr_fleet_t *fleet = fixture_fleet(1, 1, 1, 10);
+	pr_admit_options_t options = defaults;
+	pr_admit_end_t end = { .first_token = 1, .duration = 5 * SEC };
+	pr_usec_t now = SEC;
+	pr_admit_t admit;
+
+	options.control = false;
+	options.concurrency = 12;
+	pr_admit_init(&admit, &options);
+	pr_admit_load(&admit, fleet, 0);
+	for (unsigned int i = 0; i < 10; i++)
+		assert_true(admits(&admit, i, now));
+	assert_true(admits(&admit, 0, now));
+	now += 10 * SEC;
+	assert_true(admits(&admit, 1, now));
+	/* The limit is reached; one more of a small workspace passes it. */
+	assert_true(admits(&admit, 2, now));
+	/* The one that has had two in flight for ten seconds has to wait. */
+	pr_admit_end(&admit, 3, &end, now);
+	pr_admit_end(&admit, 4, &end, now);
+	assert_false(admits(&admit, 0, now));
+	assert_true(admits(&admit, 3, now));
+	pr_admit_finish(&admit);
+	fixture_free(fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -363,6 +402,7 @@
 		cmocka_unit_test(limits_follow_shares),
 		cmocka_unit_test(goodput_holds_at_twice_the_capacity),
 		cmocka_unit_test(large_workspace_does_not_starve_others),
+		cmocka_unit_test(meeting_requests_of_a_small_workspace_pass),
 		cmocka_unit_test(decision_is_cheap),
 	};
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -143,7 +143,7 @@
 	int reported = 0;
 
 	for (int i = 0; i < 40; i++)
-		reported += pr_upstream_is_new_crash(&upstream, now + i * 1000);
+		reported += pr_upstream_is_new_crash(&upstream, now += 1000);
 	assert_int_equal(reported, 1);
 	assert_true(pr_upstream_is_new_crash(&upstream, now + 10 * SECOND));
 }
