Judge the pace of a stream within its attempt

Cause: found on reading the change. A resumed stream whose rest held no event had the events of the attempt before counted since the start of the clock, and counted as a slow answer of its version. Change: the pace of one attempt is a type of its own in src/transition/pace.h, zeroed with each attempt; test_pace_of_a_stream_is_that_of_its_attempt.

--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -14,10 +14,6 @@
 
 /* A caller that reads slowly holds its upstream back beyond this. */
 #define CALLER_BUFFER_MAX ((size_t)256 * 1024)
-/* Events after the first one that tell the pace of a stream, and the fewest
- * that do at its end. */
-#define PACE_EVENTS     10
-#define PACE_EVENTS_MIN 3
 /* Confidence of an answer that states none. */
 #define CONFIDENCE_NONE 100
 /* Longest answer that is held until it is complete. */
@@ -130,17 +126,13 @@
 		pr_pace_learn(&x->edge->pace, kind, ms);
 }
 
-/* A stream is judged once, when it has enough events. */
 static void record_stream_pace(pr_exchange_t *x, bool ended)
 {
-	uint64_t events = x->events.passed - x->pace_from;
+	double ms;
 
-	if (x->pace_judged || events < PACE_EVENTS_MIN ||
-	    (!ended && events < PACE_EVENTS))
-		return;
-	x->pace_judged = true;
-	record_pace(x, (double)(pr_exchange_now(x) - x->pace_began) /
-			       PR_USEC_PER_MSEC / (double)events);
+	if (pr_pace_of_stream(&x->pace, x->events.passed, ended,
+			      pr_exchange_now(x), &ms))
+		record_pace(x, ms);
 }
 
 static bool on_head(void *owner, const pr_http_reader_t *reader)
@@ -198,14 +190,9 @@
 static bool pass_events(pr_exchange_t *x, pr_slice_t bytes)
 {
 	pr_str_t out = PR_STR_INIT;
-	bool first = !x->pace_began;
 	int rc = pr_events_feed(&x->events, bytes, &out);
 
 	if (!rc && out.len) {
-		if (first) {
-			x->pace_began = pr_exchange_now(x);
-			x->pace_from = x->events.passed;
-		}
 		record_stream_pace(x, false);
 		x->progress_at = pr_exchange_now(x);
 		first_byte(x);
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -234,8 +234,7 @@
 	upstream->waiting_ms += x->reading_ms;
 	x->attempt_began = pr_exchange_now(x);
 	x->progress_at = x->attempt_began;
-	x->pace_began = 0;
-	x->pace_judged = false;
+	x->pace = (pr_pace_stream_t){ 0 };
 	x->status = 0;
 	if (x->sends++)
 		pr_metric_add(x->edge->counters.repeats, 1);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -44,10 +44,7 @@
 	/** Part of the upstream's time to read that is this request's. */
 	double reading_ms;
 	pr_usec_t attempt_began, progress_at;
-	/** First event of the current attempt, and the count of events then. */
-	pr_usec_t pace_began;
-	uint64_t pace_from;
-	bool pace_judged;
+	pr_pace_stream_t pace;
 	const pr_upstream_t *tried[PR_PLACE_TRIED_MAX];
 	size_t tried_count;
 	/** Upstreams that may have run it. */
--- a/src/transition/pace.c
+++ b/src/transition/pace.c
@@ -9,6 +9,29 @@
  * answers beside it tell how often load alone does that. */
 #define SLOW_RATIO 1.8
 
+/* Events after the first one that tell the pace of a stream, and the fewest
+ * that do at its end. */
+#define EVENTS     10
+#define EVENTS_MIN 3
+
+bool pr_pace_of_stream(pr_pace_stream_t *stream, uint64_t events, bool ended,
+		       pr_usec_t now, double *ms)
+{
+	uint64_t after;
+
+	if (!stream->began && !ended) {
+		stream->began = now;
+		stream->from = events;
+	}
+	after = events - stream->from;
+	if (!stream->began || stream->judged ||
+	    after < (ended ? EVENTS_MIN : EVENTS))
+		return false;
+	stream->judged = true;
+	*ms = (double)(now - stream->began) / PR_USEC_PER_MSEC / (double)after;
+	return true;
+}
+
 void pr_pace_learn(pr_pace_t *pace, uint64_t kind, double ms)
 {
 	uint32_t i = 0;
--- a/src/transition/pace.h
+++ b/src/transition/pace.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "pistachiorack/timer.h"
+
 /** Kinds of answer that are learned; further ones are not judged. */
 #define PR_PACE_KINDS_MAX 64
 
@@ -23,6 +25,24 @@
 	uint32_t count;
 } pr_pace_t;
 
+/** Pace of one stream from one upstream; zeroed when an attempt begins. */
+typedef struct pr_pace_stream_t {
+	/** Time of the first event, and the count of events passed on then. */
+	pr_usec_t began;
+	uint64_t from;
+	bool judged;
+} pr_pace_stream_t;
+
+/**
+ * Events were passed on, or the stream ended.
+ *
+ * @param events passed on to the caller so far, also from earlier attempts
+ * @param ms time between events, when it is known
+ * @return true once, when enough events tell the pace
+ */
+bool pr_pace_of_stream(pr_pace_stream_t *stream, uint64_t events, bool ended,
+		       pr_usec_t now, double *ms);
+
 /**
  * Learn from an answer of a version that is known to be good.
  *
--- a/tests/test_transition.c
+++ b/tests/test_transition.c
@@ -397,6 +397,27 @@
 	assert_int_equal(pace.count, PR_PACE_KINDS_MAX);
 }
 
+/* A resumed stream whose rest holds no event had the events of the attempt
+ * before counted since the start of the clock, and was slow. */
+static void test_pace_of_a_stream_is_that_of_its_attempt(void **state)
+{
+	const pr_usec_t now = 100 * PR_USEC_PER_SEC;
+	pr_pace_stream_t stream = { 0 };
+	double ms = 0;
+
+	assert_false(pr_pace_of_stream(&stream, 1, false, now, &ms));
+	assert_false(pr_pace_of_stream(&stream, 6, false, now + PR_USEC_PER_SEC,
+				       &ms));
+	assert_true(pr_pace_of_stream(&stream, 11, false, now + PR_USEC_PER_SEC,
+				      &ms));
+	assert_true(ms == 100);
+	/* Each attempt is judged once. */
+	assert_false(pr_pace_of_stream(&stream, 30, true,
+				       now + 9 * PR_USEC_PER_SEC, &ms));
+	stream = (pr_pace_stream_t){ 0 };
+	assert_false(pr_pace_of_stream(&stream, 30, true, now, &ms));
+}
+
 static void test_good_version_is_done_in_time(void **state)
 {
 	pr_transition_t transition;
@@ -452,6 +473,7 @@
 		cmocka_unit_test(
 			test_pace_is_judged_beside_the_old_version_only),
 		cmocka_unit_test(test_pace_is_several_times_the_median),
+		cmocka_unit_test(test_pace_of_a_stream_is_that_of_its_attempt),
 		cmocka_unit_test(test_good_version_is_done_in_time),
 		cmocka_unit_test(test_row_round_trip),
 	};
