--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -15,17 +15,15 @@
 #define TELL_MS 1000
 /* A session counts as active a little longer than the platform says. */
 #define SESSION_SLACK_MS 500
+/* Sessions are pinned until this part of the order's time. */
+#define PINNED_TO 0.51
 /*
- * The new version is tested under load in this part of the order's time. In the
- * first half sessions are pinned; after it, a few upstreams reach a high load
- * in seconds, since any session may move to them.
+ * The new version is tested under load from there until this part. Any session
+ * may move by then, so that a few upstreams reach a high load in seconds.
  */
-#define LOAD_FROM 0.51
-#define LOAD_TO   0.74
+#define LOAD_TO 0.74
 /* A backlog that the load test left is answered in this time. */
 #define LOAD_SETTLE_MS 3000
-/* Sessions are pinned until this part of the order's time. */
-#define PINNED_TO 0.51
 /* All sessions use the new version from this part on. */
 #define MOVED_BY 0.79
 /* The new version is declared good after this part. */
@@ -156,23 +154,27 @@
 	       transition->began_ms && progress(transition, now_ms) < PINNED_TO;
 }
 
-bool pr_transition_keeps_moved(const pr_transition_t *transition,
-			       int64_t now_ms)
+/* The order runs, sessions are pinned no more, and a part is not reached yet.
+ */
+static bool is_unpinned_before(const pr_transition_t *transition,
+			       int64_t now_ms, double until)
 {
 	double at = progress(transition, now_ms);
 
 	return transition->state == PR_ROLLOUT_RUNNING &&
 	       transition->began_ms && !transition->condemned &&
-	       at >= LOAD_FROM && at < MOVED_BY;
+	       at >= PINNED_TO && at < until;
 }
 
-bool pr_transition_tests_load(const pr_transition_t *transition, int64_t now_ms)
+bool pr_transition_keeps_moved(const pr_transition_t *transition,
+			       int64_t now_ms)
 {
-	double at = progress(transition, now_ms);
+	return is_unpinned_before(transition, now_ms, MOVED_BY);
+}
 
-	return transition->state == PR_ROLLOUT_RUNNING &&
-	       transition->began_ms && !transition->condemned &&
-	       at >= LOAD_FROM && at < LOAD_TO;
+bool pr_transition_tests_load(const pr_transition_t *transition, int64_t now_ms)
+{
+	return is_unpinned_before(transition, now_ms, LOAD_TO);
 }
 
 bool pr_transition_is_loaded(const pr_transition_t *transition, int64_t now_ms)
