Let relays gather what hosts tell, and read the store for them

Change: src/relay is the membership of entry hosts. Every host ranks the hosts of a zone alike; the first two that answer are its relays. Hosts report to relays only; relays exchange sums, and one relay of a region reads the store and passes rows on. Sessions that lie below the share that moves on every host are no longer told. What a host may write is written by turns.

A relay now tells how long ago the store confirmed what it has, and hosts judge by that age.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -43,7 +43,9 @@
 
 uint32_t pr_edge_hosts(const pr_edge_t *edge)
 {
-	return edge->hosts_count ? (uint32_t)edge->hosts_count : 1;
+	size_t count = edge->peering.roster.count;
+
+	return count ? (uint32_t)count : 1;
 }
 
 pr_repeats_t *pr_edge_repeats(pr_edge_t *edge, const char *service)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,6 +8,8 @@
 
 #include "base/list.h"
 #include "edge/outbound.h"
+#include "edge/peer_messages.h"
+#include "edge/peering.h"
 #include "edge/settings.h"
 #include "routing/routing.h"
 #include "http/call.h"
@@ -22,11 +24,9 @@
 #include "upstream/upstream.h"
 
 /** Services in transition at once. */
-#define PR_TRANSITIONS_MAX 16
+#define PR_TRANSITIONS_MAX PR_GATHER_TRANSITIONS_MAX
 /** Services with a budget of repeats. */
 #define PR_SERVICES_MAX 64
-/** Hosts whose reports are kept. */
-#define PR_HOSTS_MAX 512
 
 typedef struct pr_edge_t pr_edge_t;
 
@@ -42,6 +42,10 @@
 	uint64_t newest;
 	/** The call under way was given up, since another host is ahead. */
 	bool restarting;
+	/** A relay reads the feed for this host. */
+	bool resting;
+	/** A removal before this time may be one that an outage caused. */
+	pr_usec_t settled_at;
 	/** Another host has had a newer row since this time; 0 when none has.
 	 */
 	pr_usec_t behind_since;
@@ -52,30 +56,8 @@
 	char *page;
 	uint32_t failures;
 	pr_usec_t failed_since;
-	/** End of the last outage that this watch saw. */
-	pr_usec_t restored_at;
 } pr_watch_t;
 
-/** Another host, as its row names it. */
-typedef struct pr_host_t {
-	char name[PR_UPSTREAM_NAME_SIZE];
-	char zone[PR_UPSTREAM_NAME_SIZE];
-	struct sockaddr_in address;
-	/** Counts of its transitions, one for each service. */
-	struct {
-		uint64_t order_row;
-		pr_tallies_t tallies;
-	} transitions[PR_TRANSITIONS_MAX];
-	/** Its load on upstreams, as it reported last. */
-	struct {
-		uint32_t tag;
-		uint32_t in_flight;
-		uint32_t waiting_ms;
-	} loads[128];
-	size_t loads_count;
-	pr_usec_t heard_at;
-} pr_host_t;
-
 typedef struct pr_edge_metrics_t {
 	pr_metric_t *requests, *answered, *refused, *failed, *gone, *repeats,
 		*escalations, *resumes, *not_found, *unauthorized, *malformed;
@@ -99,12 +81,14 @@
 	pr_pace_t pace;
 	pr_transition_t *transitions[PR_TRANSITIONS_MAX];
 	size_t transitions_count;
+	/** What this host would write of each transition, and since when by the
+	 * store's clock. */
+	struct {
+		pr_conclusion_t wanted;
+		int64_t since_ms;
+	} conclusions[PR_TRANSITIONS_MAX];
 	/** Sessions that used a version other than a transition's new one. */
 	pr_sessions_t sessions;
-	/** Peers know what was seen up to here, store's clock in ms. */
-	int64_t sessions_told_ms;
-	/** Sessions of requests in work were noted last, the same clock. */
-	int64_t sessions_noted_ms;
 	/** Shared rows of transitions, which may come before their orders. */
 	struct {
 		char service[PR_UPSTREAM_NAME_SIZE];
@@ -124,13 +108,11 @@
 	/** Store's clock minus this host's steady clock, milliseconds. */
 	int64_t store_clock;
 	bool has_store_clock;
-	pr_host_t *hosts;
-	size_t hosts_count;
-	uv_udp_t udp;
+	pr_peering_t peering;
 	uv_tcp_t front, ready, metrics_listener;
 	pr_list_t callers;
 	size_t exchanges;
-	pr_timer_t housekeeping, peers_timer, sessions_timer, stop_timer;
+	pr_timer_t housekeeping, stop_timer;
 	pr_metrics_t metrics;
 	pr_edge_metrics_t counters;
 	bool stopping;
@@ -153,8 +135,18 @@
 /* watch.c */
 int pr_watches_start(pr_edge_t *edge);
 void pr_watches_finish(pr_edge_t *edge);
+/** Every table was read as a whole. */
+bool pr_watches_complete(const pr_edge_t *edge);
+/** Time until entries that lapsed in an outage are back, milliseconds. */
+uint32_t pr_watches_unsettled_ms(pr_edge_t *edge);
+/** A relay says how long that is. */
+void pr_watches_settle(pr_edge_t *edge, uint32_t unsettled_ms);
+/** Read the feeds where no relay does it for this host. */
+void pr_watches_tick(pr_edge_t *edge);
 /** Another host has applied rows up to a version. */
 void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest);
+/** A relay passes rows on. */
+void pr_watch_take_rows(pr_edge_t *edge, const pr_message_rows_t *rows);
 
 /* orders.c: rows to state. */
 void pr_edge_row(pr_edge_t *edge, pr_store_table_t table,
@@ -162,14 +154,6 @@
 /** Judge transitions and write what has to be shared. */
 void pr_edge_conclude(pr_edge_t *edge);
 
-/* peers.c */
-int pr_peering_start(pr_edge_t *edge);
-void pr_peering_finish(pr_edge_t *edge);
-void pr_peering_host(pr_edge_t *edge, const char *name, pr_slice_t row,
-		     bool removed);
-/** Row that tells other hosts where this one is. */
-int pr_peering_row(const pr_edge_t *edge, pr_str_t *value);
-
 /* caller.c */
 int pr_callers_listen(pr_edge_t *edge);
 /** Close connections that have nothing to do. */
--- a/src/edge/orders.c
+++ b/src/edge/orders.c
@@ -13,8 +13,11 @@
 #define ROW_HOST       "host/"
 #define ROW_TRANSITION "transition/"
 #define WRITE_TIMEOUT  (2 * PR_USEC_PER_SEC)
-/* Hosts conclude one after the other, milliseconds apart. */
-#define TURN_MS 250
+/* Hosts write a conclusion one after the other, milliseconds apart, since the
+ * first one's row reaches the others in some 100 ms. The last ones do not wait
+ * for many that may be down. */
+#define TURN_MS	    100
+#define TURN_MAX_MS 1500
 /* Pause between two writes, in which the feed brings what the first did. */
 #define WRITE_PAUSE (700 * PR_USEC_PER_MSEC)
 /* Upstreams of a zone that was taken out may return cold. */
@@ -368,16 +371,26 @@
 	pr_str_finish(&request);
 }
 
-/* Position of this host among the hosts, by name. */
-static int64_t turn_of(const pr_edge_t *edge)
+/* Pause of this host before it writes what any host could write. */
+static int64_t turn_of(const pr_edge_t *edge,
+		       const pr_transition_t *transition)
 {
-	int64_t before = 0;
+	int64_t turn = TURN_MS * (int64_t)pr_roster_turn(&edge->peering.roster,
+							 transition->order_row);
 
-	for (size_t i = 0; i < edge->hosts_count; i++) {
-		if (strcmp(edge->hosts[i].name, edge->settings->host) < 0)
-			before++;
+	return turn < TURN_MAX_MS ? turn : TURN_MAX_MS;
+}
+
+/* What this host would write has stood for its turn. */
+static bool is_turn(pr_edge_t *edge, size_t index, pr_conclusion_t conclusion,
+		    int64_t now)
+{
+	if (edge->conclusions[index].wanted != conclusion) {
+		edge->conclusions[index].wanted = conclusion;
+		edge->conclusions[index].since_ms = now;
 	}
-	return before * TURN_MS;
+	return now - edge->conclusions[index].since_ms >=
+	       turn_of(edge, edge->transitions[index]);
 }
 
 static bool may_write(pr_edge_t *edge)
@@ -400,10 +413,10 @@
 			&edge->registry, &edge->map, transition->order.service,
 			transition->order.version, pr_edge_now(edge));
 		pr_conclusion_t conclusion = pr_transition_conclude(
-			transition, now, turn_of(edge), usable);
+			transition, now, 0, usable);
 
 		/* Rows of the table must be known before one is written. */
-		if (!may_write(edge) ||
+		if (!is_turn(edge, i, conclusion, now) || !may_write(edge) ||
 		    !edge->watches[PR_TABLE_SHARED].complete)
 			continue;
 		switch (conclusion) {
--- /dev/null
+++ b/src/edge/peer_messages.c
@@ -0,0 +1,333 @@
+/* Packing and reading of the datagrams between hosts. */
+#include "edge/peer_messages.h"
+
+#include <stdlib.h>
+
+#include "pistachiorack/error.h"
+
+/* A session's record: hash, time, version. */
+#define SESSION_RECORD 17
+
+static const char *const table_names[PR_TABLES_COUNT] = {
+	[PR_TABLE_ORDERS] = "orders",
+	[PR_TABLE_UPSTREAMS] = "upstreams",
+	[PR_TABLE_SHARED] = "shared",
+};
+
+static const char *const tally_fields[] = { "total", "bad",  "who",
+					    "timed", "slow", "slow_who" };
+#define TALLY_FIELDS (sizeof(tally_fields) / sizeof(tally_fields[0]))
+
+static int begin(msgpack_packer *packer, pr_str_t *out, const char *host,
+		 size_t fields)
+{
+	int rc;
+
+	pr_msgmap_packer(packer, out);
+	rc = msgpack_pack_map(packer, fields + 1);
+	if (!rc)
+		rc = pr_msgmap_pack_text(packer, "host", pr_slice_of(host));
+	return rc;
+}
+
+int pr_message_loads(pr_str_t *out, const char *host, const pr_loads_t *loads,
+		     const pr_feed_state_t *feeds)
+{
+	msgpack_packer packer;
+	int rc = begin(&packer, out, host,
+		       feeds ? 6 + PR_TABLES_COUNT : (size_t)1);
+
+	if (!rc)
+		rc = pr_msgmap_pack_text(
+			&packer, "loads",
+			pr_slice((const char *)loads->items,
+				 loads->count * sizeof(pr_load_t)));
+	if (rc || !feeds)
+		return rc;
+	rc = pr_msgmap_pack_number(&packer, "fed", feeds->fed);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "age", feeds->age_ms);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "reads", feeds->reads);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "clock",
+					   (uint64_t)feeds->clock_ms);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "unsettled",
+					   feeds->unsettled_ms);
+	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
+		rc = pr_msgmap_pack_number(&packer, table_names[i],
+					   feeds->newest[i]);
+	return rc;
+}
+
+int pr_message_read_loads(const pr_msgmap_t *map, pr_loads_t *loads,
+			  pr_feed_state_t *feeds, bool *has_feeds)
+{
+	pr_slice_t records;
+	uint64_t fed, age = 0, reads = 0, clock = 0, unsettled = 0;
+
+	if (pr_msgmap_text(map, &records, "loads"))
+		return PR_EPARSE;
+	loads->count = records.len / sizeof(pr_load_t);
+	if (loads->count > PR_LOADS_MAX)
+		loads->count = PR_LOADS_MAX;
+	memcpy(loads->items, records.ptr, loads->count * sizeof(pr_load_t));
+	memset(feeds, 0, sizeof(*feeds));
+	*has_feeds = !pr_msgmap_number(map, &fed, "fed") &&
+		     !pr_msgmap_number(map, &age, "age") &&
+		     !pr_msgmap_number(map, &reads, "reads") &&
+		     !pr_msgmap_number(map, &clock, "clock") &&
+		     !pr_msgmap_number(map, &unsettled, "unsettled");
+	if (!*has_feeds)
+		return 0;
+	feeds->fed = fed;
+	feeds->age_ms = (uint32_t)age;
+	feeds->reads = reads;
+	feeds->clock_ms = (int64_t)clock;
+	feeds->unsettled_ms = (uint32_t)unsettled;
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		if (pr_msgmap_number(map, &feeds->newest[i], table_names[i]))
+			feeds->newest[i] = 0;
+	}
+	return 0;
+}
+
+static void tally_name(char name[24], const char *prefix, size_t field)
+{
+	snprintf(name, 24, "%s_%s", prefix, tally_fields[field]);
+}
+
+static int pack_tally(msgpack_packer *packer, const char *prefix,
+		      const pr_tally_t *tally)
+{
+	const uint64_t values[TALLY_FIELDS] = {
+		tally->total, tally->bad,  tally->bad_upstreams,
+		tally->timed, tally->slow, tally->slow_upstreams,
+	};
+	char name[24];
+	int rc = 0;
+
+	for (size_t i = 0; i < TALLY_FIELDS && !rc; i++) {
+		tally_name(name, prefix, i);
+		rc = pr_msgmap_pack_number(packer, name, values[i]);
+	}
+	return rc;
+}
+
+static int read_tally(const pr_msgmap_t *map, const char *prefix,
+		      pr_tally_t *tally)
+{
+	uint64_t values[TALLY_FIELDS] = { 0 };
+	char name[24];
+
+	for (size_t i = 0; i < TALLY_FIELDS; i++) {
+		tally_name(name, prefix, i);
+		if (pr_msgmap_number(map, &values[i], name))
+			return PR_EPARSE;
+	}
+	*tally = (pr_tally_t){
+		.total = (uint32_t)values[0],
+		.bad = (uint32_t)values[1],
+		.bad_upstreams = values[2],
+		.timed = (uint32_t)values[3],
+		.slow = (uint32_t)values[4],
+		.slow_upstreams = values[5],
+	};
+	return 0;
+}
+
+int pr_message_tallies(pr_str_t *out, const char *host, const char *service,
+		       uint64_t order_row, const pr_tallies_t *tallies,
+		       bool all)
+{
+	msgpack_packer packer;
+	int rc = begin(&packer, out, host, 3 + 2 * TALLY_FIELDS);
+
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "service",
+					 pr_slice_of(service));
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "order", order_row);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "all", all);
+	if (!rc)
+		rc = pack_tally(&packer, "new", &tallies->fresh);
+	if (!rc)
+		rc = pack_tally(&packer, "old", &tallies->old);
+	return rc;
+}
+
+int pr_message_read_tallies(const pr_msgmap_t *map, pr_slice_t *service,
+			    uint64_t *order_row, pr_tallies_t *tallies,
+			    bool *all)
+{
+	uint64_t flag;
+
+	if (pr_msgmap_text(map, service, "service") ||
+	    pr_msgmap_number(map, order_row, "order") ||
+	    pr_msgmap_number(map, &flag, "all") ||
+	    read_tally(map, "new", &tallies->fresh) ||
+	    read_tally(map, "old", &tallies->old))
+		return PR_EPARSE;
+	*all = flag;
+	return 0;
+}
+
+int pr_message_sessions(pr_str_t *out, const char *host,
+			const pr_session_seen_t *seen, size_t count)
+{
+	char records[PR_SESSIONS_IN_DATAGRAM * SESSION_RECORD];
+	char *at = records;
+	msgpack_packer packer;
+	int rc;
+
+	for (size_t i = 0; i < count && i < PR_SESSIONS_IN_DATAGRAM; i++) {
+		memcpy(at, &seen[i].hash, 8);
+		memcpy(at + 8, &seen[i].seen_ms, 8);
+		at[16] = (char)seen[i].moved;
+		at += SESSION_RECORD;
+	}
+	rc = begin(&packer, out, host, 1);
+	if (!rc)
+		rc = pr_msgmap_pack_text(
+			&packer, "sessions",
+			pr_slice(records, (size_t)(at - records)));
+	return rc;
+}
+
+size_t pr_message_read_sessions(const pr_msgmap_t *map, pr_session_seen_t *out,
+				size_t max)
+{
+	pr_slice_t records;
+	size_t count = 0;
+
+	if (pr_msgmap_text(map, &records, "sessions"))
+		return 0;
+	for (const char *at = records.ptr;
+	     count < max && records.len >= SESSION_RECORD;
+	     at += SESSION_RECORD, records.len -= SESSION_RECORD) {
+		pr_session_seen_t *seen = &out[count++];
+
+		memset(seen, 0, sizeof(*seen));
+		memcpy(&seen->hash, at, 8);
+		memcpy(&seen->seen_ms, at + 8, 8);
+		seen->moved = at[16];
+	}
+	return count;
+}
+
+/* Room that a row takes beside its key and value: names of fields, numbers. */
+#define ROW_OVERHEAD 40
+#define HEAD_SIZE    200
+
+static void row_field(char name[16], const char *field, size_t index)
+{
+	snprintf(name, 16, "%s%zu", field, index);
+}
+
+static size_t rows_that_fit(const pr_store_row_t *rows, size_t count)
+{
+	size_t size = HEAD_SIZE;
+	size_t fit = 0;
+
+	while (fit < count && fit < PR_ROWS_IN_DATAGRAM) {
+		size += ROW_OVERHEAD + strlen(rows[fit].key) +
+			rows[fit].value.len;
+		if (size > PR_DATAGRAM_MAX)
+			break;
+		fit++;
+	}
+	return fit;
+}
+
+static int pack_row(msgpack_packer *packer, const pr_store_row_t *row,
+		    size_t index)
+{
+	char name[16];
+	int rc;
+
+	row_field(name, "key", index);
+	rc = pr_msgmap_pack_text(packer, name, pr_slice_of(row->key));
+	row_field(name, "version", index);
+	if (!rc)
+		rc = pr_msgmap_pack_number(packer, name, row->version);
+	row_field(name, "value", index);
+	if (!rc && !row->removed)
+		rc = pr_msgmap_pack_text(packer, name,
+					 pr_str_slice(&row->value));
+	return rc;
+}
+
+size_t pr_message_rows(pr_str_t *out, const char *host, pr_store_table_t table,
+		       uint64_t after, const pr_store_row_t *rows, size_t count)
+{
+	size_t fit = rows_that_fit(rows, count);
+	size_t fields = 2;
+	msgpack_packer packer;
+	int rc;
+
+	for (size_t i = 0; i < fit; i++)
+		fields += rows[i].removed ? 2 : 3;
+	rc = begin(&packer, out, host, fields);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "table", table);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "after", after);
+	for (size_t i = 0; i < fit && !rc; i++)
+		rc = pack_row(&packer, &rows[i], i);
+	return rc ? 0 : fit;
+}
+
+void pr_message_rows_finish(pr_message_rows_t *rows)
+{
+	for (size_t i = 0; i < rows->count; i++) {
+		free(rows->rows[i].key);
+		pr_str_finish(&rows->rows[i].value);
+	}
+	rows->count = 0;
+}
+
+/* @return PR_ENOTFOUND when there is no row of the index */
+static int read_row(const pr_msgmap_t *map, pr_store_row_t *row, size_t index)
+{
+	pr_slice_t key, value;
+	char name[16];
+
+	row_field(name, "key", index);
+	if (pr_msgmap_text(map, &key, name))
+		return PR_ENOTFOUND;
+	row_field(name, "version", index);
+	if (pr_msgmap_number(map, &row->version, name))
+		return PR_EPARSE;
+	row->key = strndup(key.ptr, key.len);
+	if (!row->key)
+		return PR_ENOMEM;
+	row_field(name, "value", index);
+	row->removed = pr_msgmap_text(map, &value, name);
+	if (row->removed || !pr_str_append(&row->value, value.ptr, value.len))
+		return 0;
+	free(row->key);
+	return PR_ENOMEM;
+}
+
+int pr_message_read_rows(const pr_msgmap_t *map, pr_message_rows_t *out)
+{
+	uint64_t table;
+	int rc = 0;
+
+	memset(out, 0, sizeof(*out));
+	if (pr_msgmap_number(map, &table, "table") ||
+	    pr_msgmap_number(map, &out->after, "after") ||
+	    table >= PR_TABLES_COUNT)
+		return PR_EPARSE;
+	out->table = (pr_store_table_t)table;
+	while (out->count < PR_ROWS_IN_DATAGRAM && !rc) {
+		rc = read_row(map, &out->rows[out->count], out->count);
+		out->count += !rc;
+	}
+	if (!rc || rc == PR_ENOTFOUND)
+		return 0;
+	pr_message_rows_finish(out);
+	return rc;
+}
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -52,6 +52,7 @@
 	ENDPOINT_FIELD(metrics),
 	ENDPOINT_FIELD(peer),
 	ENDPOINT_FIELD(store),
+	CYAML_FIELD_FLOAT("cores", OPTIONAL, pr_edge_settings_t, cores),
 	CYAML_FIELD_MAPPING("bounds", OPTIONAL, pr_edge_settings_t, bounds,
 			    bound_fields),
 	CYAML_FIELD_END,
@@ -91,6 +92,22 @@
 	return 0;
 }
 
+#define CORES_DEFAULT 1.0
+#define CORES_MAX     1024.0
+
+static int apply_cores(const char *path, pr_edge_settings_t *settings)
+{
+	if (settings->cores <= 0)
+		settings->cores = CORES_DEFAULT;
+	if (settings->cores > CORES_MAX)
+		return pr_error_set(
+			PR_EINVALID,
+			"%s: field cores: value %g: allowed above 0 to %g",
+			path, settings->cores, CORES_MAX);
+	settings->capacity_percent = (uint32_t)(settings->cores * 100);
+	return 0;
+}
+
 static int read_endpoints(const char *path, pr_edge_settings_t *settings)
 {
 	const struct {
@@ -130,6 +147,8 @@
 	if (rc)
 		goto cleanup;
 	rc = apply_bounds(path, &settings->bounds);
+	if (!rc)
+		rc = apply_cores(path, settings);
 	if (!rc)
 		rc = read_endpoints(path, settings);
 
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -43,6 +43,10 @@
 	struct {
 		struct sockaddr_in listen, ready, metrics, peer, store;
 	} at;
+	/** Cores that the host has; the part of one as a fraction. */
+	double cores;
+	/** The same in per cent, rounded down. */
+	uint32_t capacity_percent;
 	pr_bound_settings_t bounds;
 } pr_edge_settings_t;
 
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -13,7 +13,7 @@
 /* The store answers a feed without changes after this time, milliseconds. */
 #define FEED_WAIT_MS 10000
 /* An answer that is this late is not coming. */
-#define ANSWER_SLACK (1500 * PR_USEC_PER_MSEC)
+#define ANSWER_SLACK (800 * PR_USEC_PER_MSEC)
 #define READ_TIMEOUT (3 * PR_USEC_PER_SEC)
 /* After a failure a feed asks for an answer at once, which tells in a short
  * time whether the store is back. */
@@ -21,38 +21,30 @@
 /* Pause after a failure, doubled up to the maximum. */
 #define RETRY_BASE (100 * PR_USEC_PER_MSEC)
 #define RETRY_MAX  (800 * PR_USEC_PER_MSEC)
+/* The same for hosts that are no relays: there are many of them. */
+#define RETRY_MAX_ALONE (2400 * PR_USEC_PER_MSEC)
 /* A host that another one is ahead of for this long has lost its feed: the
  * store's answers to two hosts are tens of milliseconds apart. */
 #define BEHIND_MAX (600 * PR_USEC_PER_MSEC)
+/* Rows that a relay passes on come before its digest. */
+#define BEHIND_MAX_RESTING (250 * PR_USEC_PER_MSEC)
+/* The table whose answers show that the store is there, and how soon it answers
+ * a feed of it, milliseconds. */
+#define PROBE_TABLE   PR_TABLE_ORDERS
+#define PROBE_WAIT_MS 1000
 
 /*
  * Changes gather before the feed asks again, so that a series costs few calls.
- * The first change of a series is not delayed. The pause grows with the number
- * of hosts, which share the store's rate, up to a part of the time in which a
- * change must be in force: 3 s for orders, and for an upstream that leaves.
+ * The first change of a series is not delayed. The pause is a part of the time
+ * in which a change must be in force: 3 s for orders, and for an upstream that
+ * leaves.
  */
-static const struct {
-	pr_usec_t least, per_host, most;
-} gather[PR_TABLES_COUNT] = {
-	[PR_TABLE_ORDERS] = { 250 * PR_USEC_PER_MSEC, 8 * PR_USEC_PER_MSEC,
-			      600 * PR_USEC_PER_MSEC },
-	[PR_TABLE_UPSTREAMS] = { 700 * PR_USEC_PER_MSEC, 25 * PR_USEC_PER_MSEC,
-				 1600 * PR_USEC_PER_MSEC },
-	[PR_TABLE_SHARED] = { 700 * PR_USEC_PER_MSEC, 25 * PR_USEC_PER_MSEC,
-			      1600 * PR_USEC_PER_MSEC },
+static const pr_usec_t gather[PR_TABLES_COUNT] = {
+	[PR_TABLE_ORDERS] = 250 * PR_USEC_PER_MSEC,
+	[PR_TABLE_UPSTREAMS] = 700 * PR_USEC_PER_MSEC,
+	[PR_TABLE_SHARED] = 700 * PR_USEC_PER_MSEC,
 };
 
-static pr_usec_t gather_time(const pr_watch_t *watch)
-{
-	pr_usec_t time = gather[watch->table].per_host *
-			 (pr_usec_t)pr_edge_hosts(watch->edge);
-
-	if (time < gather[watch->table].least)
-		return gather[watch->table].least;
-	return time < gather[watch->table].most ? time
-						: gather[watch->table].most;
-}
-
 static void start(pr_watch_t *watch);
 
 static void on_due(pr_timer_t *timer, pr_usec_t now)
@@ -66,11 +58,24 @@
 			    on_due);
 }
 
+/* Without an answer to one feed, the connections of the others may be dead. */
+static void abort_others(pr_watch_t *probe)
+{
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		pr_watch_t *watch = &probe->edge->watches[i];
+
+		if (watch != probe && watch->complete)
+			pr_call_abort(&watch->call);
+	}
+}
+
 static void failed(pr_watch_t *watch, int status)
 {
 	pr_usec_t now = pr_edge_now(watch->edge);
-	uint32_t doublings = watch->failures < 3 ? watch->failures : 3;
+	uint32_t doublings = watch->failures < 6 ? watch->failures : 6;
 	pr_usec_t pause = RETRY_BASE << doublings;
+	pr_usec_t longest = watch->edge->peering.is_relay ? RETRY_MAX
+							  : RETRY_MAX_ALONE;
 
 	if (!watch->failures) {
 		watch->failed_since = now;
@@ -79,18 +84,26 @@
 			       (unsigned long long)watch->version);
 	}
 	watch->failures++;
-	schedule(watch, pause < RETRY_MAX ? pause : RETRY_MAX);
+	schedule(watch, pause < longest ? pause : longest);
+	if (watch->table == PROBE_TABLE && !status)
+		abort_others(watch);
 }
 
 static void recovered(pr_watch_t *watch)
 {
+	pr_edge_t *edge = watch->edge;
+	pr_usec_t now = pr_edge_now(edge);
+
 	if (!watch->failures)
 		return;
-	watch->restored_at = pr_edge_now(watch->edge);
 	pr_event_state("store_regained", "table=%d failures=%u ms=%lld",
 		       watch->table, watch->failures,
-		       (long long)((watch->restored_at - watch->failed_since) /
+		       (long long)((now - watch->failed_since) /
 				   PR_USEC_PER_MSEC));
+	for (int i = 0; i < PR_TABLES_COUNT; i++)
+		edge->watches[i].settled_at =
+			now + (pr_usec_t)(edge->settings->bounds.lapse_s *
+					  PR_USEC_PER_SEC);
 	watch->failures = 0;
 }
 
@@ -101,22 +114,17 @@
 }
 
 /* Removals that an outage may have caused take effect a little later. */
-static pr_usec_t lapse_time(const pr_watch_t *watch)
+static void apply_row(pr_watch_t *watch, const pr_store_row_t *row)
 {
-	pr_usec_t settled = watch->restored_at +
-			    (pr_usec_t)(watch->edge->settings->bounds.lapse_s *
-					PR_USEC_PER_SEC);
-
-	return watch->restored_at ? settled : 0;
+	pr_edge_row(watch->edge, watch->table, row, watch->settled_at);
+	if (row->version > watch->newest)
+		watch->newest = row->version;
 }
 
 static void apply(pr_watch_t *watch, const pr_store_rows_t *rows)
 {
 	for (size_t i = 0; i < rows->count; i++) {
-		pr_edge_row(watch->edge, watch->table, &rows->rows[i],
-			    lapse_time(watch));
-		if (rows->rows[i].version > watch->newest)
-			watch->newest = rows->rows[i].version;
+		apply_row(watch, &rows->rows[i]);
 		if (!watch->complete)
 			pr_names_add(&watch->seen, rows->rows[i].key);
 	}
@@ -158,7 +166,7 @@
 		at = at->next;
 		if (!was_seen(watch, upstream->entry.id))
 			pr_edge_row(watch->edge, watch->table, &row,
-				    lapse_time(watch));
+				    watch->settled_at);
 	}
 }
 
@@ -174,6 +182,8 @@
 	}
 	recovered(watch);
 	note_clock(watch->edge, rows.now_ms);
+	if (watch->table == PROBE_TABLE)
+		pr_peering_confirmed(watch->edge);
 	if (!watch->page)
 		watch->version = rows.version;
 	apply(watch, &rows);
@@ -207,6 +217,7 @@
 	pr_watch_t *watch = call->owner;
 	pr_store_rows_t rows;
 	pr_usec_t pause = 0;
+	uint64_t after;
 
 	if (status == 410) {
 		pr_event_state("history_lost", "table=%d version=%llu",
@@ -228,24 +239,52 @@
 	}
 	recovered(watch);
 	note_clock(watch->edge, rows.now_ms);
+	if (watch->table == PROBE_TABLE)
+		pr_peering_confirmed(watch->edge);
+	after = watch->newest;
 	apply(watch, &rows);
 	if (rows.version > watch->version)
 		watch->version = rows.version;
-	if (rows.count)
-		pause = gather_time(watch);
+	if (rows.count) {
+		pause = gather[watch->table];
+		pr_peering_pass_rows(watch->edge, watch->table, after,
+				     rows.rows, rows.count);
+	}
 	pr_store_rows_finish(&rows);
 	schedule(watch, pause);
 }
 
+/* A feed that this host does not need to read. While the store does not answer,
+ * one table tells when it is back. */
+static bool may_rest(const pr_watch_t *watch)
+{
+	const pr_edge_t *edge = watch->edge;
+
+	if (!watch->complete || watch->restarting)
+		return false;
+	/* A starting host looks for others first. */
+	if (watch->table != PR_TABLE_SHARED && !edge->peering.roster.count)
+		return true;
+	if (watch->table != PROBE_TABLE && edge->watches[PROBE_TABLE].failures)
+		return true;
+	return !watch->failures && !pr_peering_reads(edge);
+}
+
 static void start(pr_watch_t *watch)
 {
-	pr_usec_t timeout = FEED_WAIT_MS * PR_USEC_PER_MSEC + ANSWER_SLACK;
+	uint32_t wait_ms = watch->table == PROBE_TABLE ? PROBE_WAIT_MS
+						       : FEED_WAIT_MS;
+	pr_usec_t timeout =
+		(pr_usec_t)wait_ms * PR_USEC_PER_MSEC + ANSWER_SLACK;
 	bool at_once = watch->failures || watch->restarting;
 	pr_str_t request = PR_STR_INIT;
 	int rc;
 
 	if (watch->call.busy)
 		return;
+	watch->resting = may_rest(watch);
+	if (watch->resting)
+		return;
 	/* Being behind is normal while changes gather. */
 	watch->behind_since = 0;
 	if (at_once)
@@ -253,7 +292,7 @@
 	if (watch->complete)
 		rc = pr_adapter_store_feed(&request, watch->table,
 					   watch->version,
-					   at_once ? 0 : FEED_WAIT_MS);
+					   at_once ? 0 : wait_ms);
 	else
 		rc = pr_adapter_store_read(&request, watch->table,
 					   pr_slice_of(watch->page));
@@ -272,6 +311,17 @@
 	pr_str_finish(&request);
 }
 
+/* Ask at once for what this host lacks. */
+static void catch_up(pr_watch_t *watch)
+{
+	watch->behind_since = 0;
+	watch->restarting = true;
+	if (watch->call.busy)
+		pr_call_abort(&watch->call);
+	else
+		start(watch);
+}
+
 void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest)
 {
 	pr_watch_t *watch = &edge->watches[table];
@@ -284,15 +334,80 @@
 	}
 	if (!watch->behind_since)
 		watch->behind_since = now;
-	if (now - watch->behind_since < BEHIND_MAX || watch->failures ||
-	    !watch->call.busy)
+	if (now - watch->behind_since <
+		    (watch->resting ? BEHIND_MAX_RESTING : BEHIND_MAX) ||
+	    watch->failures)
 		return;
 	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
 		       (unsigned long long)watch->newest,
 		       (unsigned long long)newest);
-	watch->behind_since = 0;
-	watch->restarting = true;
-	pr_call_abort(&watch->call);
+	catch_up(watch);
+}
+
+void pr_watch_take_rows(pr_edge_t *edge, const pr_message_rows_t *rows)
+{
+	pr_watch_t *watch = &edge->watches[rows->table];
+	bool follows = watch->newest >= rows->after ||
+		       watch->version >= rows->after;
+
+	/* A call under way brings the same rows. */
+	if (!watch->complete || watch->call.busy)
+		return;
+	if (!follows || !rows->count) {
+		if (watch->resting)
+			catch_up(watch);
+		return;
+	}
+	if (rows->rows[rows->count - 1].version <= watch->newest)
+		return;
+	for (size_t i = 0; i < rows->count; i++) {
+		if (rows->rows[i].version > watch->newest)
+			apply_row(watch, &rows->rows[i]);
+	}
+	if (watch->newest > watch->version)
+		watch->version = watch->newest;
+	pr_peering_pass_rows(edge, rows->table, rows->after, rows->rows,
+			     rows->count);
+}
+
+bool pr_watches_complete(const pr_edge_t *edge)
+{
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		if (!edge->watches[i].complete)
+			return false;
+	}
+	return true;
+}
+
+uint32_t pr_watches_unsettled_ms(pr_edge_t *edge)
+{
+	pr_usec_t now = pr_edge_now(edge);
+	pr_usec_t left = 0;
+
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		if (edge->watches[i].settled_at - now > left)
+			left = edge->watches[i].settled_at - now;
+	}
+	return (uint32_t)(left / PR_USEC_PER_MSEC);
+}
+
+void pr_watches_settle(pr_edge_t *edge, uint32_t unsettled_ms)
+{
+	pr_usec_t settled =
+		pr_edge_now(edge) + (pr_usec_t)unsettled_ms * PR_USEC_PER_MSEC;
+
+	for (int i = 0; i < PR_TABLES_COUNT && unsettled_ms; i++) {
+		if (settled > edge->watches[i].settled_at)
+			edge->watches[i].settled_at = settled;
+	}
+}
+
+void pr_watches_tick(pr_edge_t *edge)
+{
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		if (edge->watches[i].resting)
+			start(&edge->watches[i]);
+	}
 }
 
 int pr_watches_start(pr_edge_t *edge)
--- /dev/null
+++ b/src/relay/gather.c
@@ -0,0 +1,146 @@
+/* Sums of reports. */
+#include "relay/gather.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A report older than this says nothing of the load any more. */
+#define LOADS_AGE_MAX (1500 * PR_USEC_PER_MSEC)
+
+pr_host_report_t *pr_gather_report(pr_host_t *host)
+{
+	if (!host->report)
+		host->report = calloc(1, sizeof(*host->report));
+	return host->report;
+}
+
+static uint16_t saturating(uint32_t sum)
+{
+	return sum < UINT16_MAX ? (uint16_t)sum : UINT16_MAX;
+}
+
+void pr_loads_add(pr_loads_t *loads, const pr_load_t *load)
+{
+	size_t least = 0;
+
+	for (size_t i = 0; i < loads->count; i++) {
+		pr_load_t *item = &loads->items[i];
+
+		if (item->tag == load->tag) {
+			item->in_flight = saturating((uint32_t)item->in_flight +
+						     load->in_flight);
+			item->waiting = saturating((uint32_t)item->waiting +
+						   load->waiting);
+			return;
+		}
+		if (item->in_flight < loads->items[least].in_flight)
+			least = i;
+	}
+	if (loads->count < PR_LOADS_MAX)
+		loads->items[loads->count++] = *load;
+	else if (load->in_flight > loads->items[least].in_flight)
+		loads->items[least] = *load;
+}
+
+static void add_report(pr_loads_t *out, const pr_host_t *host, pr_usec_t now)
+{
+	const pr_host_report_t *report = host->report;
+
+	if (!report || now - report->loads_at > LOADS_AGE_MAX)
+		return;
+	for (size_t i = 0; i < report->loads.count; i++)
+		pr_loads_add(out, &report->loads.items[i]);
+}
+
+void pr_gather_zone_loads(pr_loads_t *out, const pr_roster_t *roster,
+			  const char *zone, pr_usec_t now)
+{
+	for (size_t i = 0; i < roster->count; i++) {
+		if (!strcmp(roster->hosts[i]->zone, zone))
+			add_report(out, roster->hosts[i], now);
+	}
+}
+
+void pr_gather_add_loads(pr_loads_t *out, const pr_roster_t *roster,
+			 const char *zone, pr_usec_t now)
+{
+	for (size_t i = 0; i < roster->count; i++) {
+		const pr_host_t *host = roster->hosts[i];
+
+		if (strcmp(host->zone, zone) != 0 || !host->report ||
+		    !pr_roster_answers(host, now))
+			continue;
+		add_report(out, host, now);
+		return;
+	}
+}
+
+static const pr_tallies_t *tallies_of(const pr_host_t *host, size_t index,
+				      uint64_t order_row)
+{
+	if (!host->report ||
+	    host->report->transitions[index].order_row != order_row)
+		return NULL;
+	return &host->report->transitions[index].tallies;
+}
+
+static void add(pr_tallies_t *sum, const pr_tallies_t *part)
+{
+	pr_tally_add(&sum->fresh, &part->fresh);
+	pr_tally_add(&sum->old, &part->old);
+}
+
+void pr_gather_zone_tallies(pr_tallies_t *out, const pr_roster_t *roster,
+			    const char *zone, size_t index, uint64_t order_row)
+{
+	for (size_t i = 0; i < roster->count; i++) {
+		const pr_host_t *host = roster->hosts[i];
+		const pr_tallies_t *part = tallies_of(host, index, order_row);
+
+		if (part && !strcmp(host->zone, zone))
+			add(out, part);
+	}
+}
+
+void pr_gather_add_tallies(pr_tallies_t *out, const pr_roster_t *roster,
+			   const char *zone, size_t index, uint64_t order_row)
+{
+	const pr_tallies_t *most = NULL;
+
+	for (size_t i = 0; i < roster->count; i++) {
+		const pr_host_t *host = roster->hosts[i];
+		const pr_tallies_t *part = tallies_of(host, index, order_row);
+
+		if (!part || strcmp(host->zone, zone) != 0)
+			continue;
+		if (!most || part->fresh.total + part->old.total >
+				     most->fresh.total + most->old.total)
+			most = part;
+	}
+	if (most)
+		add(out, most);
+}
+
+static uint32_t less(uint32_t all, uint32_t own)
+{
+	return all > own ? all - own : 0;
+}
+
+static pr_tally_t others(const pr_tally_t *all, const pr_tally_t *own)
+{
+	pr_tally_t tally = *all;
+
+	tally.total = less(all->total, own->total);
+	tally.bad = less(all->bad, own->bad);
+	tally.timed = less(all->timed, own->timed);
+	tally.slow = less(all->slow, own->slow);
+	return tally;
+}
+
+pr_tallies_t pr_gather_others(const pr_tallies_t *all, const pr_tallies_t *own)
+{
+	return (pr_tallies_t){
+		.fresh = others(&all->fresh, &own->fresh),
+		.old = others(&all->old, &own->old),
+	};
+}
--- /dev/null
+++ b/src/relay/roster.c
@@ -0,0 +1,195 @@
+/* Hosts by name and by zone, and the choice of relays. */
+#include "relay/roster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "pistachiorack/hash.h"
+
+#define SEATS ((size_t)PR_ROSTER_MAX * 2)
+/* A relay sends five digests in this time; they may be lost. */
+#define ANSWER_MAX PR_USEC_PER_SEC
+/* A relay that did not answer is tried again after this time. */
+#define TRY_AGAIN (5 * PR_USEC_PER_SEC)
+/* A host reports five times in a second; after this one it has another relay
+ * or is gone. */
+#define FOLLOW_MAX (2 * PR_USEC_PER_SEC)
+
+int pr_roster_init(pr_roster_t *roster, const char *self)
+{
+	memset(roster, 0, sizeof(*roster));
+	roster->self = self;
+	roster->seats = calloc(SEATS, sizeof(pr_host_t *));
+	return roster->seats ? 0 : -1;
+}
+
+void pr_roster_finish(pr_roster_t *roster)
+{
+	for (size_t i = 0; i < roster->count; i++) {
+		free(roster->hosts[i]->report);
+		free(roster->hosts[i]);
+	}
+	free((void *)roster->hosts);
+	free((void *)roster->seats);
+	memset(roster, 0, sizeof(*roster));
+}
+
+static size_t seat_of(const pr_roster_t *roster, pr_slice_t name)
+{
+	size_t seat = pr_hash64(name.ptr, name.len, 0) & (SEATS - 1);
+
+	while (roster->seats[seat] &&
+	       !pr_slice_equal(name, pr_slice_of(roster->seats[seat]->name)))
+		seat = (seat + 1) & (SEATS - 1);
+	return seat;
+}
+
+pr_host_t *pr_roster_find(const pr_roster_t *roster, pr_slice_t name)
+{
+	return roster->seats[seat_of(roster, name)];
+}
+
+bool pr_roster_is_self(const pr_roster_t *roster, const pr_host_t *host)
+{
+	return !strcmp(host->name, roster->self);
+}
+
+/* Hosts with more of a core come first, since a relay does more work. */
+static int compare(const pr_host_t *a, const pr_host_t *b)
+{
+	int zones = strcmp(a->zone, b->zone);
+
+	if (zones)
+		return zones;
+	if (a->capacity != b->capacity)
+		return a->capacity > b->capacity ? -1 : 1;
+	return a->hash < b->hash ? -1 : a->hash > b->hash;
+}
+
+/* Move a host whose zone or capacity changed to its place. */
+static void settle(pr_roster_t *roster, pr_host_t *host)
+{
+	size_t at = 0;
+
+	while (roster->hosts[at] != host)
+		at++;
+	for (; at && compare(roster->hosts[at - 1], host) > 0; at--)
+		roster->hosts[at] = roster->hosts[at - 1];
+	for (; at + 1 < roster->count &&
+	       compare(host, roster->hosts[at + 1]) > 0;
+	     at++)
+		roster->hosts[at] = roster->hosts[at + 1];
+	roster->hosts[at] = host;
+}
+
+static pr_host_t *add(pr_roster_t *roster, pr_slice_t name)
+{
+	pr_host_t **grown;
+	pr_host_t *host;
+
+	if (roster->count == PR_ROSTER_MAX)
+		return NULL;
+	grown = (pr_host_t **)realloc((void *)roster->hosts,
+				      (roster->count + 1) *
+					      sizeof(pr_host_t *));
+	if (!grown)
+		return NULL;
+	roster->hosts = grown;
+	host = calloc(1, sizeof(*host));
+	if (!host)
+		return NULL;
+	if (pr_slice_copy(host->name, sizeof(host->name), name)) {
+		free(host);
+		return NULL;
+	}
+	host->hash = pr_hash64(name.ptr, name.len, 1);
+	roster->hosts[roster->count++] = host;
+	roster->seats[seat_of(roster, name)] = host;
+	return host;
+}
+
+pr_host_t *pr_roster_apply(pr_roster_t *roster, pr_slice_t name,
+			   pr_slice_t zone, uint32_t capacity,
+			   const struct sockaddr_in *address)
+{
+	pr_host_t *host = pr_roster_find(roster, name);
+
+	if (!host)
+		host = add(roster, name);
+	if (!host)
+		return NULL;
+	pr_slice_copy(host->zone, sizeof(host->zone), zone);
+	host->capacity = capacity;
+	host->address = *address;
+	settle(roster, host);
+	return host;
+}
+
+void pr_roster_heard(pr_host_t *relay, bool fed, bool reads, pr_usec_t now)
+{
+	relay->heard_at = now;
+	relay->fed = fed;
+	relay->reads = reads;
+	relay->tried_at = 0;
+}
+
+void pr_roster_reported(pr_host_t *host, pr_usec_t now)
+{
+	host->reported_at = now;
+}
+
+bool pr_roster_follows(const pr_host_t *host, pr_usec_t now)
+{
+	return host->reported_at && now - host->reported_at < FOLLOW_MAX;
+}
+
+bool pr_roster_answers(const pr_host_t *relay, pr_usec_t now)
+{
+	return relay->heard_at && now - relay->heard_at < ANSWER_MAX;
+}
+
+/* Not heard of: it is tried for the time of an answer, and again later. */
+static bool is_tried(pr_host_t *host, pr_usec_t now)
+{
+	if (!host->tried_at || now - host->tried_at >= TRY_AGAIN)
+		host->tried_at = now;
+	return now - host->tried_at < ANSWER_MAX;
+}
+
+size_t pr_roster_relays(pr_roster_t *roster, const char *zone, bool fed,
+			pr_usec_t now, pr_host_t *out[PR_RELAYS_MAX])
+{
+	size_t count = 0;
+	size_t good = 0;
+
+	for (size_t i = 0; i < roster->count && good < PR_RELAYS_WANTED &&
+			   count < PR_RELAYS_MAX;
+	     i++) {
+		pr_host_t *host = roster->hosts[i];
+		bool self = pr_roster_is_self(roster, host);
+
+		if (strcmp(host->zone, zone) != 0)
+			continue;
+		if (self || pr_roster_answers(host, now)) {
+			out[count++] = host;
+			good += self ? fed : host->fed;
+		} else if (is_tried(host, now)) {
+			out[count++] = host;
+		}
+	}
+	return count;
+}
+
+uint32_t pr_roster_turn(const pr_roster_t *roster, uint64_t subject)
+{
+	uint64_t own = pr_hash64(roster->self, strlen(roster->self), subject);
+	uint32_t before = 0;
+
+	for (size_t i = 0; i < roster->count; i++) {
+		const char *name = roster->hosts[i]->name;
+
+		if (pr_hash64(name, strlen(name), subject) < own)
+			before++;
+	}
+	return before;
+}
--- a/src/transition/sessions.c
+++ b/src/transition/sessions.c
@@ -6,14 +6,17 @@
 	return hash & (PR_SESSIONS_MAX - 1);
 }
 
-static void see(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
+static bool see(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
 		bool own, bool moved)
 {
 	pr_session_seen_t *seat = &sessions->seats[seat_of(hash)];
+	bool known = seat->hash == hash && seat->seen_ms == seen_ms &&
+		     seat->moved == moved;
 
-	if (!hash || seat->seen_ms > seen_ms)
-		return;
+	if (!hash || known || seat->seen_ms > seen_ms)
+		return false;
 	*seat = (pr_session_seen_t){ hash, seen_ms, own, moved };
+	return true;
 }
 
 void pr_sessions_note(pr_sessions_t *sessions, uint64_t hash, int64_t now_ms)
@@ -26,10 +29,10 @@
 	see(sessions, hash, now_ms, true, true);
 }
 
-void pr_sessions_hear(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
+bool pr_sessions_hear(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
 		      bool moved)
 {
-	see(sessions, hash, seen_ms, false, moved);
+	return see(sessions, hash, seen_ms, false, moved);
 }
 
 static bool seen_on(const pr_sessions_t *sessions, uint64_t hash,
@@ -64,6 +67,7 @@
 
 		if (seat->own && seat->moved == filter->moved &&
 		    seat->seen_ms > filter->after_ms &&
+		    !pr_sessions_below(seat->hash, filter->from) &&
 		    pr_sessions_below(seat->hash, filter->share))
 			out[count++] = *seat;
 	}
--- a/src/transition/sessions.h
+++ b/src/transition/sessions.h
@@ -35,8 +35,13 @@
 void pr_sessions_note(pr_sessions_t *sessions, uint64_t hash, int64_t now_ms);
 /** The same on a transition's new version. */
 void pr_sessions_move(pr_sessions_t *sessions, uint64_t hash, int64_t now_ms);
-/** Another host did. @param moved on the new version */
-void pr_sessions_hear(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
+/**
+ * Another host did.
+ *
+ * @param moved on the new version
+ * @return true when this host did not know it
+ */
+bool pr_sessions_hear(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
 		      bool moved);
 /** @return true when it was on the new version within the time */
 bool pr_sessions_moved(const pr_sessions_t *sessions, uint64_t hash,
@@ -52,6 +57,8 @@
 	double share;
 	/** Seen after this time, milliseconds. */
 	int64_t after_ms;
+	/** Hash from this share on. */
+	double from;
 } pr_sessions_filter_t;
 
 /** @return number of entries in out, at most max */
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -50,6 +50,9 @@
 	/** The same, as the other hosts report. */
 	uint32_t peers_in_flight;
 	double peers_waiting_ms;
+	/** What this host last reported of itself. */
+	uint32_t told_in_flight;
+	double told_waiting_ms;
 	/** Open connections of this host. */
 	uint32_t connections;
 	uint32_t failures;
--- a/tests/test_transition.c
+++ b/tests/test_transition.c
@@ -168,7 +168,7 @@
 static void test_only_own_candidates_are_told(void **state)
 {
 	static pr_sessions_t sessions;
-	pr_sessions_filter_t filter = { false, 0.07, 0 };
+	pr_sessions_filter_t filter = { false, 0.07, 0, 0 };
 	pr_session_seen_t out[8];
 
 	memset(&sessions, 0, sizeof(sessions));
