Keep the counts of a transition within one datagram's fields

Change: the flag becomes the name of the service's field. Messages move to src/relay, where a test packs and reads the largest of each kind; it also found that a digest of 160 upstreams outgrew a datagram.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,7 +8,7 @@
 
 #include "base/list.h"
 #include "edge/outbound.h"
-#include "edge/peer_messages.h"
+#include "relay/message.h"
 #include "edge/peering.h"
 #include "edge/settings.h"
 #include "routing/routing.h"
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -7,7 +7,7 @@
 #include "base/event_log.h"
 #include "edge/caller.h"
 #include "edge/edge.h"
-#include "edge/peer_messages.h"
+#include "relay/message.h"
 #include "pistachiorack/error.h"
 
 #define SEND_PERIOD (200 * PR_USEC_PER_MSEC)
--- a/src/relay/gather.h
+++ b/src/relay/gather.h
@@ -13,7 +13,7 @@
 #include "transition/transition.h"
 
 /** Upstreams in one report; they fill a datagram. */
-#define PR_LOADS_MAX 160
+#define PR_LOADS_MAX 144
 /** Services in transition at once. */
 #define PR_GATHER_TRANSITIONS_MAX 16
 /** Unit of pr_load_t.waiting, milliseconds. */
--- a/src/edge/peer_messages.c
+++ b/src/relay/message.c
@@ -1,5 +1,5 @@
 /* Packing and reading of the datagrams between hosts. */
-#include "edge/peer_messages.h"
+#include "relay/message.h"
 
 #include <stdlib.h>
 
@@ -137,20 +137,21 @@
 	return 0;
 }
 
+/* Field of the service, by whether the counts are those of all hosts. */
+static const char *const service_fields[] = { "service", "fleet_service" };
+
 int pr_message_tallies(pr_str_t *out, const char *host, const char *service,
 		       uint64_t order_row, const pr_tallies_t *tallies,
 		       bool all)
 {
 	msgpack_packer packer;
-	int rc = begin(&packer, out, host, 3 + 2 * TALLY_FIELDS);
+	int rc = begin(&packer, out, host, 2 + 2 * TALLY_FIELDS);
 
 	if (!rc)
-		rc = pr_msgmap_pack_text(&packer, "service",
+		rc = pr_msgmap_pack_text(&packer, service_fields[all],
 					 pr_slice_of(service));
 	if (!rc)
 		rc = pr_msgmap_pack_number(&packer, "order", order_row);
-	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "all", all);
 	if (!rc)
 		rc = pack_tally(&packer, "new", &tallies->fresh);
 	if (!rc)
@@ -162,15 +163,12 @@
 			    uint64_t *order_row, pr_tallies_t *tallies,
 			    bool *all)
 {
-	uint64_t flag;
-
-	if (pr_msgmap_text(map, service, "service") ||
+	*all = !pr_msgmap_text(map, service, service_fields[true]);
+	if ((!*all && pr_msgmap_text(map, service, service_fields[false])) ||
 	    pr_msgmap_number(map, order_row, "order") ||
-	    pr_msgmap_number(map, &flag, "all") ||
 	    read_tally(map, "new", &tallies->fresh) ||
 	    read_tally(map, "old", &tallies->old))
 		return PR_EPARSE;
-	*all = flag;
 	return 0;
 }
 
--- a/src/edge/peer_messages.h
+++ b/src/relay/message.h
@@ -2,8 +2,8 @@
  * Datagrams between hosts: flat msgpack maps with the sender's name. Only
  * translation; what a message means for the receiver is decided in peers.c.
  */
-#ifndef PR_EDGE_PEER_MESSAGES_H
-#define PR_EDGE_PEER_MESSAGES_H
+#ifndef PR_RELAY_MESSAGE_H
+#define PR_RELAY_MESSAGE_H
 
 #include "base/msgmap.h"
 #include "relay/gather.h"
--- /dev/null
+++ b/tests/test_relay_message.c
@@ -0,0 +1,230 @@
+/*
+ * Tests of src/relay/message: what one host packs, another one reads. They guard
+ * against a datagram that outgrows what a reader accepts, which would silence a
+ * whole kind of message.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "relay/message.h"
+
+static void read_map(pr_msgmap_t *map, const pr_str_t *bytes)
+{
+	assert_true(bytes->len <= PR_DATAGRAM_MAX);
+	assert_int_equal(pr_msgmap_init(map, pr_str_slice(bytes)), 0);
+}
+
+static void test_largest_digest(void **state)
+{
+	pr_loads_t loads = { .count = PR_LOADS_MAX }, read;
+	pr_feed_state_t feeds = {
+		.age_ms = UINT32_MAX,
+		.reads = true,
+		.fed = true,
+		.newest = { UINT64_MAX, 5, UINT64_MAX },
+		.clock_ms = INT64_MAX,
+		.unsettled_ms = UINT32_MAX,
+	};
+	pr_str_t bytes = PR_STR_INIT;
+	pr_feed_state_t read_feeds;
+	pr_msgmap_t map;
+	bool has_feeds;
+
+	for (uint32_t i = 0; i < PR_LOADS_MAX; i++)
+		loads.items[i] =
+			(pr_load_t){ UINT32_MAX - i, UINT16_MAX, (uint16_t)i };
+	assert_int_equal(
+		pr_message_loads(&bytes, "front-kota-kinabalu-123", &loads,
+				 &feeds),
+		0);
+	read_map(&map, &bytes);
+	assert_int_equal(
+		pr_message_read_loads(&map, &read, &read_feeds, &has_feeds), 0);
+	assert_true(has_feeds);
+	assert_int_equal(read.count, PR_LOADS_MAX);
+	assert_memory_equal(read.items, loads.items, sizeof(loads.items));
+	assert_int_equal(read_feeds.age_ms, feeds.age_ms);
+	assert_true(read_feeds.reads && read_feeds.fed);
+	assert_int_equal(read_feeds.newest[2], UINT64_MAX);
+	assert_int_equal(read_feeds.clock_ms, INT64_MAX);
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
+static void test_report_is_no_digest(void **state)
+{
+	pr_loads_t loads = { .count = 0 }, read;
+	pr_str_t bytes = PR_STR_INIT;
+	pr_feed_state_t feeds;
+	pr_msgmap_t map;
+	bool has_feeds = true;
+
+	assert_int_equal(pr_message_loads(&bytes, "a", &loads, NULL), 0);
+	read_map(&map, &bytes);
+	assert_int_equal(
+		pr_message_read_loads(&map, &read, &feeds, &has_feeds), 0);
+	assert_false(has_feeds);
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
+static void check_tallies(bool all)
+{
+	pr_tallies_t tallies = {
+		.fresh = { 1, 2, UINT64_MAX, 4, 5, UINT64_MAX },
+		.old = { UINT32_MAX, 7, 8, 9, 10, 11 },
+	};
+	pr_tallies_t read = { 0 };
+	pr_str_t bytes = PR_STR_INIT;
+	pr_slice_t service;
+	pr_msgmap_t map;
+	uint64_t order;
+	bool read_all;
+
+	assert_int_equal(pr_message_tallies(&bytes, "host", "model", 99,
+					    &tallies, all),
+			 0);
+	read_map(&map, &bytes);
+	assert_int_equal(pr_message_read_tallies(&map, &service, &order, &read,
+						 &read_all),
+			 0);
+	assert_true(pr_slice_equal(service, PR_SLICE("model")));
+	assert_int_equal(order, 99);
+	assert_int_equal(read_all, all);
+	assert_memory_equal(&read, &tallies, sizeof(read));
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
+static void test_tallies(void **state)
+{
+	check_tallies(false);
+	check_tallies(true);
+}
+
+static void test_sessions(void **state)
+{
+	pr_session_seen_t seen[PR_SESSIONS_IN_DATAGRAM] = { 0 };
+	pr_session_seen_t read[PR_SESSIONS_IN_DATAGRAM];
+	pr_str_t bytes = PR_STR_INIT;
+	pr_msgmap_t map;
+
+	for (uint64_t i = 0; i < PR_SESSIONS_IN_DATAGRAM; i++) {
+		seen[i].hash = UINT64_MAX - i;
+		seen[i].seen_ms = (int64_t)i;
+		seen[i].moved = i & 1;
+	}
+	assert_int_equal(pr_message_sessions(&bytes, "host", seen,
+					     PR_SESSIONS_IN_DATAGRAM),
+			 0);
+	read_map(&map, &bytes);
+	assert_int_equal(
+		pr_message_read_sessions(&map, read, PR_SESSIONS_IN_DATAGRAM),
+		PR_SESSIONS_IN_DATAGRAM);
+	for (size_t i = 0; i < PR_SESSIONS_IN_DATAGRAM; i++) {
+		assert_true(read[i].hash == seen[i].hash);
+		assert_int_equal(read[i].seen_ms, seen[i].seen_ms);
+		assert_int_equal(read[i].moved, seen[i].moved);
+	}
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
+/* Rows of a series go in several datagrams, each naming the row before it. */
+static void test_rows_in_several_datagrams(void **state)
+{
+	static char long_value[PR_DATAGRAM_MAX];
+	pr_store_row_t rows[6] = { 0 };
+	size_t at = 0, datagrams = 0;
+	uint64_t after = 10;
+
+	memset(long_value, 'x', sizeof(long_value));
+	for (size_t i = 0; i < 6; i++) {
+		rows[i].key = "an-upstream";
+		rows[i].version = 11 + i;
+		rows[i].removed = i == 2;
+		if (!rows[i].removed)
+			assert_int_equal(
+				pr_str_append(&rows[i].value, long_value, 300),
+				0);
+	}
+	while (at < 6) {
+		pr_str_t bytes = PR_STR_INIT;
+		pr_message_rows_t read;
+		pr_msgmap_t map;
+		size_t packed = pr_message_rows(&bytes, "host",
+						PR_TABLE_UPSTREAMS, after,
+						&rows[at], 6 - at);
+
+		assert_true(packed > 0);
+		read_map(&map, &bytes);
+		assert_int_equal(pr_message_read_rows(&map, &read), 0);
+		assert_int_equal(read.table, PR_TABLE_UPSTREAMS);
+		assert_int_equal(read.after, after);
+		assert_int_equal(read.count, packed);
+		for (size_t i = 0; i < packed; i++) {
+			assert_string_equal(read.rows[i].key, "an-upstream");
+			assert_int_equal(read.rows[i].version,
+					 rows[at + i].version);
+			assert_int_equal(read.rows[i].removed,
+					 rows[at + i].removed);
+			assert_int_equal(read.rows[i].value.len,
+					 rows[at + i].value.len);
+		}
+		at += packed;
+		after = rows[at - 1].version;
+		datagrams++;
+		pr_message_rows_finish(&read);
+		pr_msgmap_finish(&map);
+		pr_str_finish(&bytes);
+	}
+	assert_int_equal(datagrams, 2);
+	for (size_t i = 0; i < 6; i++)
+		pr_str_finish(&rows[i].value);
+}
+
+/* A long document says only that there is something to read. */
+static void test_row_that_does_not_fit(void **state)
+{
+	static char long_value[PR_DATAGRAM_MAX];
+	pr_store_row_t row = { .key = "document", .version = 5 };
+	pr_str_t bytes = PR_STR_INIT;
+	pr_message_rows_t read;
+	pr_msgmap_t map;
+
+	memset(long_value, 'x', sizeof(long_value));
+	assert_int_equal(pr_str_append(&row.value, long_value,
+				       sizeof(long_value)),
+			 0);
+	assert_int_equal(pr_message_rows(&bytes, "host", PR_TABLE_ORDERS, 4,
+					 &row, 1),
+			 0);
+	read_map(&map, &bytes);
+	assert_int_equal(pr_message_read_rows(&map, &read), 0);
+	assert_int_equal(read.count, 0);
+	assert_int_equal(read.after, 4);
+	pr_message_rows_finish(&read);
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+	pr_str_finish(&row.value);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_largest_digest),
+		cmocka_unit_test(test_report_is_no_digest),
+		cmocka_unit_test(test_tallies),
+		cmocka_unit_test(test_sessions),
+		cmocka_unit_test(test_rows_in_several_datagrams),
+		cmocka_unit_test(test_row_that_does_not_fit),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
