Divide a cold upstream's rate among few hosts of its region

Cause: the rate was divided among all hosts; with 295 of them a host had one request in 40 s for a cold upstream, which idled until it was warm.

Change: eight hosts of its region at most, by rendezvous hashing of the upstream's incarnation; fewer where the rate gives less than a request a second to each.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -26,6 +26,12 @@
 /* A pause this many per cent of the one that is on time ends an attempt. */
 #define GAP_PERCENT    150
 #define GAP_DEFAULT_MS 2000
+/* Hosts that a cold upstream's rate is divided among at most: with more of them
+ * a host's share falls below the requests that it has for the upstream, and what
+ * hosts send in one second by chance grows over the rate. */
+#define COLD_HOSTS_MAX 8
+/* Zones of one region that are told apart. */
+#define ZONES_OF_REGION_MAX 16
 /* The other hosts' repeats are not seen here, so each keeps a reserve. */
 #define REPEATS_SHARE 0.85
 
@@ -158,6 +164,56 @@
 			    due > now ? due - now : 0, 0, on_timer);
 }
 
+/*
+ * A cold upstream's rate is divided among a few hosts of its region, so that each
+ * has whole requests of it.
+ */
+static void find_cold_hosts(pr_edge_t *edge, pr_upstream_t *upstream,
+			    double rate)
+{
+	const pr_roster_t *roster = &edge->peering.roster;
+	const pr_zone_t *own = pr_map_zone(&edge->map, upstream->entry.zone);
+	const char *zones[ZONES_OF_REGION_MAX];
+	size_t zones_count = 0;
+	uint32_t wanted = rate >= 1 ? (uint32_t)rate : 1;
+
+	for (size_t i = 0; i < edge->map.count && own; i++) {
+		if (zones_count < ZONES_OF_REGION_MAX &&
+		    !strcmp(edge->map.zones[i].region, own->region))
+			zones[zones_count++] = edge->map.zones[i].name;
+	}
+	if (wanted > COLD_HOSTS_MAX)
+		wanted = COLD_HOSTS_MAX;
+	upstream->cold_elsewhere = !pr_roster_has_part(
+		roster, zones, zones_count, upstream->tag, wanted,
+		&upstream->cold_hosts);
+	upstream->cold_known = roster->count;
+	if (upstream->cold_hosts)
+		return;
+	/* No host is known there: all share it. */
+	upstream->cold_elsewhere = false;
+	upstream->cold_hosts = pr_edge_hosts(edge);
+}
+
+static void find_all_cold_hosts(pr_exchange_t *x)
+{
+	const pr_service_t *service =
+		pr_routing_service(x->edge->routing, x->service);
+	pr_usec_t now = pr_exchange_now(x);
+
+	for (pr_list_t *at = x->edge->registry.upstreams.next;
+	     at != &x->edge->registry.upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+
+		if (upstream->cold_until > now &&
+		    !strcmp(upstream->entry.service, x->service) &&
+		    (!upstream->cold_hosts ||
+		     upstream->cold_known != x->edge->peering.roster.count))
+			find_cold_hosts(x->edge, upstream,
+					service ? service->cold_per_s : 0);
+	}
+}
+
 static void make_query(pr_exchange_t *x, pr_place_query_t *query)
 {
 	const pr_service_t *service =
@@ -165,6 +221,7 @@
 	uint32_t hosts = pr_edge_hosts(x->edge);
 
 	memset(query, 0, sizeof(*query));
+	find_all_cold_hosts(x);
 	query->service = x->service;
 	query->route_regions = &x->route->regions;
 	query->workspace_regions = x->workspace ? &x->workspace->regions : NULL;
@@ -306,7 +363,7 @@
 	if (upstream->cold_until > pr_exchange_now(x) &&
 	    !pr_upstream_cold_permit(
 		    upstream, service ? service->cold_per_s : 0,
-		    pr_edge_hosts(x->edge), pr_exchange_now(x))) {
+		    upstream->cold_hosts, pr_exchange_now(x))) {
 		park(x, PR_PLACE_COLD);
 		return;
 	}
--- a/src/edge/orders.c
+++ b/src/edge/orders.c
@@ -16,7 +16,7 @@
 /* Hosts write a conclusion one after the other, milliseconds apart, since the
  * first one's row reaches the others in some 100 ms. The last ones do not wait
  * for many that may be down. */
-#define TURN_MS	    100
+#define TURN_MS     100
 #define TURN_MAX_MS 1500
 /* Pause between two writes, in which the feed brings what the first did. */
 #define WRITE_PAUSE (700 * PR_USEC_PER_MSEC)
@@ -372,8 +372,7 @@
 }
 
 /* Pause of this host before it writes what any host could write. */
-static int64_t turn_of(const pr_edge_t *edge,
-		       const pr_transition_t *transition)
+static int64_t turn_of(const pr_edge_t *edge, const pr_transition_t *transition)
 {
 	int64_t turn = TURN_MS * (int64_t)pr_roster_turn(&edge->peering.roster,
 							 transition->order_row);
@@ -412,8 +411,8 @@
 		uint32_t usable = pr_place_usable(
 			&edge->registry, &edge->map, transition->order.service,
 			transition->order.version, pr_edge_now(edge));
-		pr_conclusion_t conclusion = pr_transition_conclude(
-			transition, now, 0, usable);
+		pr_conclusion_t conclusion =
+			pr_transition_conclude(transition, now, 0, usable);
 
 		/* Rows of the table must be known before one is written. */
 		if (!is_turn(edge, i, conclusion, now) || !may_write(edge) ||
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -24,7 +24,8 @@
 #define DISTANT_PERIODS 5
 /* The fleet's counts of the relay with fewer are taken after this time. */
 #define TOTALS_AGE_MAX PR_USEC_PER_SEC
-/* A relay's clock of the store is taken beyond this difference, milliseconds. */
+/* A relay's clock of the store is taken beyond this difference, milliseconds.
+ */
 #define CLOCK_TOLERANCE 50
 
 typedef struct send_t {
@@ -87,8 +88,8 @@
 /* Take a word from the front of a text. */
 static pr_slice_t next_word(pr_slice_t *text)
 {
-	const char *space = text->len ? memchr(text->ptr, ' ', text->len)
-				      : NULL;
+	const char *space =
+		text->len ? memchr(text->ptr, ' ', text->len) : NULL;
 	pr_slice_t word = *text;
 
 	if (space)
@@ -245,12 +246,12 @@
 		view.earlier_reads |= !later && host->fed && host->reads;
 	}
 	if (pr_reader_update(&peering->reader, &view, now) != was_reading)
-		pr_event_state(was_reading ? "reading_ended" : "reading_began",
-			       "relay=%d before=%u age_ms=%lld",
-			       peering->is_relay, view.before,
-			       (long long)((now -
-					    peering->reader.confirmed_at) /
-					   PR_USEC_PER_MSEC));
+		pr_event_state(
+			was_reading ? "reading_ended" : "reading_began",
+			"relay=%d before=%u age_ms=%lld", peering->is_relay,
+			view.before,
+			(long long)((now - peering->reader.confirmed_at) /
+				    PR_USEC_PER_MSEC));
 }
 
 static bool is_current(pr_edge_t *edge)
@@ -299,9 +300,8 @@
 	if (!is_ahead(edge, state))
 		pr_reader_confirm(&edge->peering.reader,
 				  now - (pr_usec_t)state->age_ms *
-						PR_USEC_PER_MSEC);
-	if (!is_in_zone(edge, relay) || !state->fed ||
-	    pr_peering_reads(edge))
+						  PR_USEC_PER_MSEC);
+	if (!is_in_zone(edge, relay) || !state->fed || pr_peering_reads(edge))
 		return;
 	pr_watches_settle(edge, state->unsettled_ms);
 	if (edge->has_store_clock &&
@@ -337,9 +337,9 @@
 		return;
 	while (at < count) {
 		pr_str_t bytes = PR_STR_INIT;
-		size_t packed = pr_message_rows(&bytes, edge->settings->host,
-						table, after, &rows[at],
-						count - at);
+		size_t packed =
+			pr_message_rows(&bytes, edge->settings->host, table,
+					after, &rows[at], count - at);
 
 		send_to_followers(edge, &bytes);
 		if (reads)
@@ -357,7 +357,7 @@
 
 static uint16_t saturating(double value)
 {
-	return value <= 0	    ? 0
+	return value <= 0           ? 0
 	       : value < UINT16_MAX ? (uint16_t)value
 				    : UINT16_MAX;
 }
@@ -399,7 +399,7 @@
 				: 0;
 		upstream->peers_waiting_ms =
 			load ? load->waiting * PR_LOAD_WAITING_UNIT -
-				       upstream->told_waiting_ms
+					upstream->told_waiting_ms
 			     : 0;
 		if (upstream->peers_waiting_ms < 0)
 			upstream->peers_waiting_ms = 0;
@@ -462,8 +462,9 @@
 	take_load_sum(edge, &loads);
 }
 
-static void take_loads(pr_edge_t *edge, pr_host_t *host, const pr_loads_t *loads,
-		       const pr_feed_state_t *state, bool from_relay)
+static void take_loads(pr_edge_t *edge, pr_host_t *host,
+		       const pr_loads_t *loads, const pr_feed_state_t *state,
+		       bool from_relay)
 {
 	if (from_relay)
 		take_feed_state(edge, host, state);
@@ -594,8 +595,8 @@
 			  const pr_msgmap_t *map)
 {
 	pr_session_seen_t seen[PR_SESSIONS_IN_DATAGRAM];
-	size_t count = pr_message_read_sessions(map, seen,
-						PR_SESSIONS_IN_DATAGRAM);
+	size_t count =
+		pr_message_read_sessions(map, seen, PR_SESSIONS_IN_DATAGRAM);
 
 	for (size_t i = 0; i < count; i++) {
 		if (pr_sessions_hear(&edge->sessions, seen[i].hash,
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -74,8 +74,8 @@
 	pr_usec_t now = pr_edge_now(watch->edge);
 	uint32_t doublings = watch->failures < 6 ? watch->failures : 6;
 	pr_usec_t pause = RETRY_BASE << doublings;
-	pr_usec_t longest = watch->edge->peering.is_relay ? RETRY_MAX
-							  : RETRY_MAX_ALONE;
+	pr_usec_t longest =
+		watch->edge->peering.is_relay ? RETRY_MAX : RETRY_MAX_ALONE;
 
 	if (!watch->failures) {
 		watch->failed_since = now;
@@ -96,10 +96,10 @@
 
 	if (!watch->failures)
 		return;
-	pr_event_state("store_regained", "table=%d failures=%u ms=%lld",
-		       watch->table, watch->failures,
-		       (long long)((now - watch->failed_since) /
-				   PR_USEC_PER_MSEC));
+	pr_event_state(
+		"store_regained", "table=%d failures=%u ms=%lld", watch->table,
+		watch->failures,
+		(long long)((now - watch->failed_since) / PR_USEC_PER_MSEC));
 	for (int i = 0; i < PR_TABLES_COUNT; i++)
 		edge->watches[i].settled_at =
 			now + (pr_usec_t)(edge->settings->bounds.lapse_s *
@@ -272,8 +272,8 @@
 
 static void start(pr_watch_t *watch)
 {
-	uint32_t wait_ms = watch->table == PROBE_TABLE ? PROBE_WAIT_MS
-						       : FEED_WAIT_MS;
+	uint32_t wait_ms =
+		watch->table == PROBE_TABLE ? PROBE_WAIT_MS : FEED_WAIT_MS;
 	pr_usec_t timeout =
 		(pr_usec_t)wait_ms * PR_USEC_PER_MSEC + ANSWER_SLACK;
 	bool at_once = watch->failures || watch->restarting;
@@ -347,8 +347,8 @@
 void pr_watch_take_rows(pr_edge_t *edge, const pr_message_rows_t *rows)
 {
 	pr_watch_t *watch = &edge->watches[rows->table];
-	bool follows = watch->newest >= rows->after ||
-		       watch->version >= rows->after;
+	bool follows =
+		watch->newest >= rows->after || watch->version >= rows->after;
 
 	/* A call under way brings the same rows. */
 	if (!watch->complete || watch->call.busy)
--- a/src/relay/gather.h
+++ b/src/relay/gather.h
@@ -3,8 +3,8 @@
  *
  * A host reports to the relays of its zone. A relay sums the reports of its
  * zone, exchanges the sums with the relays of other zones, and sends the sum of
- * all back to the hosts. Counts are cumulative, so a lost datagram costs nothing
- * but time.
+ * all back to the hosts. Counts are cumulative, so a lost datagram costs
+ * nothing but time.
  */
 #ifndef PR_RELAY_GATHER_H
 #define PR_RELAY_GATHER_H
--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -41,7 +41,7 @@
 		reader->reading = !view->is_fed;
 	else
 		reader->reading =
-			age >= ALONE_AFTER +
-				       (pr_usec_t)(view->spread * ALONE_SPREAD);
+			age >=
+			ALONE_AFTER + (pr_usec_t)(view->spread * ALONE_SPREAD);
 	return reader->reading;
 }
--- a/src/relay/roster.c
+++ b/src/relay/roster.c
@@ -75,8 +75,8 @@
 		at++;
 	for (; at && compare(roster->hosts[at - 1], host) > 0; at--)
 		roster->hosts[at] = roster->hosts[at - 1];
-	for (; at + 1 < roster->count &&
-	       compare(host, roster->hosts[at + 1]) > 0;
+	for (;
+	     at + 1 < roster->count && compare(host, roster->hosts[at + 1]) > 0;
 	     at++)
 		roster->hosts[at] = roster->hosts[at + 1];
 	roster->hosts[at] = host;
@@ -180,6 +180,39 @@
 	return count;
 }
 
+static bool is_listed(const char *const *zones, size_t count, const char *zone)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (!strcmp(zones[i], zone))
+			return true;
+	}
+	return false;
+}
+
+bool pr_roster_has_part(const pr_roster_t *roster, const char *const *zones,
+			size_t zones_count, uint64_t subject, uint32_t wanted,
+			uint32_t *count)
+{
+	uint64_t own = pr_hash64(roster->self, strlen(roster->self), subject);
+	uint32_t before = 0, total = 0;
+	bool listed = false;
+
+	for (size_t i = 0; i < roster->count; i++) {
+		const pr_host_t *host = roster->hosts[i];
+
+		if (!is_listed(zones, zones_count, host->zone))
+			continue;
+		total++;
+		if (pr_roster_is_self(roster, host))
+			listed = true;
+		else if (pr_hash64(host->name, strlen(host->name), subject) <
+			 own)
+			before++;
+	}
+	*count = total < wanted ? total : wanted;
+	return listed && before < wanted;
+}
+
 uint32_t pr_roster_turn(const pr_roster_t *roster, uint64_t subject)
 {
 	uint64_t own = pr_hash64(roster->self, strlen(roster->self), subject);
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -88,8 +88,8 @@
 void pr_roster_reported(pr_host_t *host, pr_usec_t now);
 
 /**
- * Relays of a zone to report to: those that answer and, until they have had time
- * to answer, those that would come before them.
+ * Relays of a zone to report to: those that answer and, until they have had
+ *time to answer, those that would come before them.
  *
  * @param fed this host is current with the store
  * @return number of entries in out, at most PR_RELAYS_MAX; this host may be
@@ -101,6 +101,17 @@
 bool pr_roster_follows(const pr_host_t *host, pr_usec_t now);
 /** @return true when a digest of the relay came lately */
 bool pr_roster_answers(const pr_host_t *relay, pr_usec_t now);
+/**
+ * Hosts of some zones that a subject falls to, by rendezvous hashing: the same on
+ * every host that knows the same hosts.
+ *
+ * @param wanted number of hosts that it falls to
+ * @param count set to their number, fewer where there are fewer hosts
+ * @return true when this host is one of them
+ */
+bool pr_roster_has_part(const pr_roster_t *roster, const char *const *zones,
+			size_t zones_count, uint64_t subject, uint32_t wanted,
+			uint32_t *count);
 /** @return number of hosts before this one in an order for a subject */
 uint32_t pr_roster_turn(const pr_roster_t *roster, uint64_t subject);
 
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -175,7 +175,7 @@
 
 bool pr_upstream_cold_ready(const pr_upstream_t *upstream, pr_usec_t now)
 {
-	return now >= upstream->cold_next;
+	return !upstream->cold_elsewhere && now >= upstream->cold_next;
 }
 
 bool pr_upstream_cold_permit(pr_upstream_t *upstream, double rate,
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -42,6 +42,12 @@
 	pr_usec_t cold_until;
 	/** Next time this host may send to it while cold. */
 	pr_usec_t cold_next;
+	/** Hosts that share its rate while cold; 0 when not known yet. */
+	uint32_t cold_hosts;
+	/** They are other hosts than this one. */
+	bool cold_elsewhere;
+	/** Hosts that were known when that was found. */
+	size_t cold_known;
 	/** Requests of this host in work. */
 	uint32_t in_flight;
 	/** Time to read the prompts of this host's requests that have no first
@@ -115,7 +121,7 @@
 
 /**
  * Take a permit for one request to a cold upstream. All hosts together stay
- * below the rate, since each has its share of it and no burst.
+ * below the rate, since each that sends has its share of it and no burst.
  *
  * @param rate requests a second that it bears
  * @param hosts number of hosts that may send to it
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,7 +1,7 @@
 /*
- * Tests of src/relay: who is a relay, who reads the store, and what that costs a
- * host as the fleet grows. A fleet of hosts is played without a network: in each
- * period every host reports to its relays and every relay answers. Guards
+ * Tests of src/relay: who is a relay, who reads the store, and what that costs
+ * a host as the fleet grows. A fleet of hosts is played without a network: in
+ * each period every host reports to its relays and every relay answers. Guards
  * against control traffic in proportion to the number of hosts, and against
  * hosts that keep following a relay that is gone or was cut off from the store.
  */
@@ -19,10 +19,10 @@
 #include "relay/reader.h"
 #include "relay/roster.h"
 
-#define ZONES	6
-#define HOSTS	480
-#define PERIOD	(200 * PR_USEC_PER_MSEC)
-#define SECONDS(n) ((int)((n) * PR_USEC_PER_SEC / PERIOD))
+#define ZONES      6
+#define HOSTS      480
+#define PERIOD     (200 * PR_USEC_PER_MSEC)
+#define SECONDS(n) ((int)((n)*PR_USEC_PER_SEC / PERIOD))
 /* Every second the reading relay asks the store. */
 #define PERIODS_A_CALL 5
 
@@ -66,8 +66,8 @@
 		member->zone = i % ZONES;
 		member->alive = member->has_store = true;
 		member->reader.confirmed_at = fleet->now;
-		assert_int_equal(
-			pr_roster_init(&member->roster, member->name), 0);
+		assert_int_equal(pr_roster_init(&member->roster, member->name),
+				 0);
 	}
 	for (int i = 0; i < count; i++) {
 		for (int j = 0; j < count; j++) {
@@ -101,8 +101,7 @@
 /* A digest of a relay arrives. */
 static void hear(fleet_t *fleet, const member_t *relay, member_t *to)
 {
-	pr_host_t *host =
-		pr_roster_find(&to->roster, pr_slice_of(relay->name));
+	pr_host_t *host = pr_roster_find(&to->roster, pr_slice_of(relay->name));
 
 	if (!to->alive)
 		return;
@@ -119,11 +118,11 @@
 		is_current(fleet, member), fleet->now, member->relays);
 	member->is_relay = false;
 	for (size_t i = 0; i < member->relays_count; i++)
-		member->is_relay |= pr_roster_is_self(&member->roster,
-						      member->relays[i]);
+		member->is_relay |=
+			pr_roster_is_self(&member->roster, member->relays[i]);
 	for (size_t i = 0; i < member->roster.count; i++)
-		member->is_relay |= pr_roster_follows(member->roster.hosts[i],
-						      fleet->now);
+		member->is_relay |=
+			pr_roster_follows(member->roster.hosts[i], fleet->now);
 }
 
 static void report(fleet_t *fleet, member_t *member)
@@ -247,8 +246,9 @@
 	return fleet->now - oldest_at;
 }
 
-/* Two relays a zone, which have more of a core; one reader a region; a host that
- * is no relay exchanges as many messages in a fleet of 480 as in one of 30. */
+/* Two relays a zone, which have more of a core; one reader a region; a host
+ * that is no relay exchanges as many messages in a fleet of 480 as in one
+ * of 30. */
 static void test_cost_of_a_host_does_not_grow(void **state)
 {
 	static const int sizes[] = { 30, 120, HOSTS };
@@ -375,8 +375,9 @@
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	static const struct {
 		const char *name, *zone;
-	} hosts[] = { { "a1", "a" }, { "a2", "a" }, { "b1", "b" },
-		      { "b2", "b" } };
+	} hosts[] = {
+		{ "a1", "a" }, { "a2", "a" }, { "b1", "b" }, { "b2", "b" }
+	};
 	pr_usec_t now = PR_USEC_PER_SEC;
 	pr_loads_t loads = { .count = 0 };
 	pr_tallies_t sum = { 0 }, own = { .fresh.total = 4 };
@@ -432,6 +433,41 @@
 	assert_int_equal(least, PR_LOADS_MAX + 1);
 }
 
+/* The rate of a cold upstream falls to a few hosts of its region, whatever the
+ * size of the fleet; divided among all, a host would have one request in 40 s. */
+static void test_cold_rate_falls_to_few_hosts(void **state)
+{
+	static const int sizes[] = { 30, HOSTS };
+	static const char *const zones[] = { "a", "c", "e" };
+	static fleet_t fleet;
+
+	for (size_t s = 0; s < sizeof(sizes) / sizeof(sizes[0]); s++) {
+		start(&fleet, sizes[s]);
+		for (uint64_t subject = 1; subject <= 20; subject++) {
+			uint32_t parts = 0, count = 0;
+
+			for (int i = 0; i < fleet.count; i++)
+				parts += pr_roster_has_part(
+					&fleet.members[i].roster, zones, 3,
+					subject, 8, &count);
+			assert_int_equal(count, 8);
+			assert_int_equal(parts, 8);
+		}
+		finish(&fleet);
+	}
+	/* Fewer hosts than wanted share it among themselves. */
+	start(&fleet, 12);
+	for (int i = 0; i < fleet.count; i++) {
+		uint32_t count;
+		bool part = pr_roster_has_part(&fleet.members[i].roster, zones,
+					       3, 1, 8, &count);
+
+		assert_int_equal(count, 6);
+		assert_int_equal(part, fleet.members[i].zone % 2 == 0);
+	}
+	finish(&fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -440,6 +476,7 @@
 		cmocka_unit_test(test_relay_without_the_store_is_replaced),
 		cmocka_unit_test(test_outage_is_probed_by_few),
 		cmocka_unit_test(test_returned_relay_is_tried_again),
+		cmocka_unit_test(test_cold_rate_falls_to_few_hosts),
 		cmocka_unit_test(test_sums),
 		cmocka_unit_test(test_least_work_is_left_out),
 	};
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -1,7 +1,7 @@
 /*
- * Tests of src/relay/message: what one host packs, another one reads. They guard
- * against a datagram that outgrows what a reader accepts, which would silence a
- * whole kind of message.
+ * Tests of src/relay/message: what one host packs, another one reads. They
+ * guard against a datagram that outgrows what a reader accepts, which would
+ * silence a whole kind of message.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -39,10 +39,9 @@
 	for (uint32_t i = 0; i < PR_LOADS_MAX; i++)
 		loads.items[i] =
 			(pr_load_t){ UINT32_MAX - i, UINT16_MAX, (uint16_t)i };
-	assert_int_equal(
-		pr_message_loads(&bytes, "front-kota-kinabalu-123", &loads,
-				 &feeds),
-		0);
+	assert_int_equal(pr_message_loads(&bytes, "front-kota-kinabalu-123",
+					  &loads, &feeds),
+			 0);
 	read_map(&map, &bytes);
 	assert_int_equal(
 		pr_message_read_loads(&map, &read, &read_feeds, &has_feeds), 0);
@@ -67,8 +66,8 @@
 
 	assert_int_equal(pr_message_loads(&bytes, "a", &loads, NULL), 0);
 	read_map(&map, &bytes);
-	assert_int_equal(
-		pr_message_read_loads(&map, &read, &feeds, &has_feeds), 0);
+	assert_int_equal(pr_message_read_loads(&map, &read, &feeds, &has_feeds),
+			 0);
 	assert_false(has_feeds);
 	pr_msgmap_finish(&map);
 	pr_str_finish(&bytes);
@@ -87,9 +86,9 @@
 	uint64_t order;
 	bool read_all;
 
-	assert_int_equal(pr_message_tallies(&bytes, "host", "model", 99,
-					    &tallies, all),
-			 0);
+	assert_int_equal(
+		pr_message_tallies(&bytes, "host", "model", 99, &tallies, all),
+		0);
 	read_map(&map, &bytes);
 	assert_int_equal(pr_message_read_tallies(&map, &service, &order, &read,
 						 &read_all),
@@ -158,9 +157,9 @@
 		pr_str_t bytes = PR_STR_INIT;
 		pr_message_rows_t read;
 		pr_msgmap_t map;
-		size_t packed = pr_message_rows(&bytes, "host",
-						PR_TABLE_UPSTREAMS, after,
-						&rows[at], 6 - at);
+		size_t packed =
+			pr_message_rows(&bytes, "host", PR_TABLE_UPSTREAMS,
+					after, &rows[at], 6 - at);
 
 		assert_true(packed > 0);
 		read_map(&map, &bytes);
@@ -199,12 +198,11 @@
 	pr_msgmap_t map;
 
 	memset(long_value, 'x', sizeof(long_value));
-	assert_int_equal(pr_str_append(&row.value, long_value,
-				       sizeof(long_value)),
-			 0);
-	assert_int_equal(pr_message_rows(&bytes, "host", PR_TABLE_ORDERS, 4,
-					 &row, 1),
-			 0);
+	assert_int_equal(
+		pr_str_append(&row.value, long_value, sizeof(long_value)), 0);
+	assert_int_equal(
+		pr_message_rows(&bytes, "host", PR_TABLE_ORDERS, 4, &row, 1),
+		0);
 	read_map(&map, &bytes);
 	assert_int_equal(pr_message_read_rows(&map, &read), 0);
 	assert_int_equal(read.count, 0);
