--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -219,6 +219,7 @@
 		XXH64(edge->settings->host, strlen(edge->settings->host), 0);
 	pr_timers_init(&edge->timers, (pr_usec_t)(uv_hrtime() / 1000));
 	pr_event_log_tick(edge->timers.now);
+	edge->started_at = edge->timers.now;
 	pr_registry_init(&edge->registry);
 	init_metrics(edge);
 	edge->pool = (pr_outbound_pool_t){
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -115,6 +115,7 @@
 	pr_timer_t housekeeping, stop_timer;
 	pr_metrics_t metrics;
 	pr_edge_metrics_t counters;
+	pr_usec_t started_at;
 	bool stopping;
 	pr_usec_t stop_began;
 	/** This host's row was written. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -27,6 +27,10 @@
  * order of magnitude slower. */
 #define PROMPT_PER_TOKEN         50
 #define PROMPT_PER_TOKEN_LARGEST 4
+/* The tables of a host that starts are read in this time: three calls at once,
+ * with several round trips between regions, or one lost packet. */
+#define READY_WAIT (500 * PR_USEC_PER_MSEC)
+#define READY_POLL (5 * PR_USEC_PER_MSEC)
 /* Time that a stream and any other request needs before a stop. */
 #define STREAM_TIME (5 * PR_USEC_PER_SEC)
 #define CALL_TIME   (2 * PR_USEC_PER_SEC)
@@ -226,10 +230,6 @@
 		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_KEY));
 	const char *mark;
 
-	if (!pr_edge_is_ready(x->edge)) {
-		pr_exchange_answer(x, 503, "not_ready");
-		return false;
-	}
 	mark = host.len ? memchr(host.ptr, ':', host.len) : NULL;
 	if (mark)
 		host.len = (size_t)(mark - host.ptr);
@@ -334,11 +334,49 @@
 		x->model = x->route->models.count - 1;
 }
 
+/* Route, upstream and first attempt. */
+static void begin(pr_exchange_t *x)
+{
+	pr_repeats_t *budget;
+
+	if (!admit(x))
+		return;
+	read_request(x);
+	x->service = pr_route_service(x->route, x->hash);
+	if (!x->service) {
+		pr_exchange_answer(x, 503, "no_service");
+		return;
+	}
+	budget = pr_edge_repeats(x->edge, x->service);
+	if (budget)
+		pr_repeats_request(budget, pr_exchange_now(x));
+	choose_version(x);
+	pr_exchange_dispatch(x);
+}
+
+/* A host that has just started knows its tables in a moment. */
+static void await_ready(pr_exchange_t *x);
+
+static void on_ready_poll(pr_timer_t *timer, pr_usec_t now)
+{
+	await_ready(timer->data);
+}
+
+static void await_ready(pr_exchange_t *x)
+{
+	if (pr_edge_is_ready(x->edge))
+		begin(x);
+	else if (pr_exchange_now(x) - x->edge->started_at < READY_WAIT)
+		pr_timers_subscribe(&x->edge->timers, &x->timer, READY_POLL, 0,
+				    on_ready_poll);
+	else
+		pr_exchange_answer(x, 503, "not_ready");
+}
+
 void pr_exchange_start(pr_exchange_t *x, pr_edge_t *edge, pr_caller_t *caller)
 {
 	pr_slice_t id = pr_http_find(
 		&caller->reader, pr_adapter_field_name(PR_FIELD_REQUEST_ID));
-	pr_repeats_t *budget;
 
 	memset(x, 0, sizeof(*x));
 	x->edge = edge;
@@ -353,19 +391,7 @@
 		pr_slice_copy(x->id, sizeof(x->id), id);
 	x->hash = XXH64(x->id, strlen(x->id), 0);
 	pr_metric_add(edge->counters.requests, 1);
-	if (!admit(x))
-		return;
-	read_request(x);
-	x->service = pr_route_service(x->route, x->hash);
-	if (!x->service) {
-		pr_exchange_answer(x, 503, "no_service");
-		return;
-	}
-	budget = pr_edge_repeats(edge, x->service);
-	if (budget)
-		pr_repeats_request(budget, pr_exchange_now(x));
-	choose_version(x);
-	pr_exchange_dispatch(x);
+	await_ready(x);
 }
 
 void pr_exchange_abandon(pr_exchange_t *x)
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -187,6 +187,36 @@
     check("and serves", answer.status == 200, answer.status)
 
 
+async def check_starting(fleet):
+    """A host that has just started must not refuse what it can serve in a moment."""
+    router = fleet.routers[0]
+    router.signal(signal.SIGKILL)
+    await router.process.wait()
+    fleet.store.slow = 0.08
+    await router.start()
+    answer = None
+    for _ in range(100):
+        answer = await Caller(router.address).request("id-92", "/safe/x")
+        if answer.status:
+            break
+        await asyncio.sleep(0.005)
+    check("a starting host holds a request until it is ready", answer.status == 200,
+          answer.status)
+    fleet.store.slow = 0.0
+    router.signal(signal.SIGKILL)
+    await router.process.wait()
+    fleet.store.mode = "busy"
+    await router.start()
+    await asyncio.sleep(0.2)
+    began = time.monotonic()
+    answer = await Caller(router.address).request("id-93", "/safe/x")
+    took = time.monotonic() - began
+    fleet.store.mode = "ok"
+    check("without the store it refuses soon", answer.status == 503 and took < 1.0
+          and b"not_run" in answer.body, (answer.status, took))
+    await router.wait_ready()
+
+
 async def check_gone(fleet, caller):
     models = [u for u in fleet.upstreams if u.service == "model"]
     for upstream in models:
@@ -265,6 +295,7 @@
         status, _, text = await get(fleet.routers[0].address, 8082, "/metrics")
         check("metrics are served", status == 200 and b"edge_requests_total" in text)
         await check_stop(fleet)
+        await check_starting(fleet)
     finally:
         await fleet.stop()
     if FAILURES:
