Charge upstreams for the answers that failed, as all hosts saw them

Change: answers and failures of the last seconds are counted for each upstream, summed by the relays, and raise the expected cost beyond the usual rate. The tests of src/place name the pattern and failed before.

--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -248,6 +248,8 @@
 		record_pace(x, (double)(pr_exchange_now(x) - x->attempt_began) /
 				       PR_USEC_PER_MSEC);
 	pr_upstream_succeeded(x->upstream);
+	pr_outcomes_add(&x->upstream->outcomes, x->status >= 500,
+			pr_exchange_now(x));
 	x->runs++;
 	pr_exchange_log_end(x, good ? "answered" : "passed_failure", x->status);
 	pr_metric_add(good ? x->edge->counters.answered
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -27,8 +27,8 @@
 #define GAP_PERCENT    150
 #define GAP_DEFAULT_MS 2000
 /* Hosts that a cold upstream's rate is divided among at most: with more of them
- * a host's share falls below the requests that it has for the upstream, and what
- * hosts send in one second by chance grows over the rate. */
+ * a host's share falls below the requests that it has for the upstream, and
+ * what hosts send in one second by chance grows over the rate. */
 #define COLD_HOSTS_MAX 8
 /* Zones of one region that are told apart. */
 #define ZONES_OF_REGION_MAX 16
@@ -82,6 +82,9 @@
 		 x->upstream ? x->upstream->entry.version : "-", fault,
 		 pr_verdict_name(verdict), pr_exchange_age_ms(x),
 		 x->upstream ? x->upstream->failures : 0);
+	if (ran && x->upstream && strcmp(fault, PR_FAULT_NO_PROGRESS) != 0)
+		pr_outcomes_add(&x->upstream->outcomes, true,
+				pr_exchange_now(x));
 	if (ran) {
 		if (!is_same_crash(x, fault))
 			pr_exchange_record(x, !is_expected(x, fault));
@@ -165,8 +168,8 @@
 }
 
 /*
- * A cold upstream's rate is divided among a few hosts of its region, so that each
- * has whole requests of it.
+ * A cold upstream's rate is divided among a few hosts of its region, so that
+ * each has whole requests of it.
  */
 static void find_cold_hosts(pr_edge_t *edge, pr_upstream_t *upstream,
 			    double rate)
@@ -184,9 +187,9 @@
 	}
 	if (wanted > COLD_HOSTS_MAX)
 		wanted = COLD_HOSTS_MAX;
-	upstream->cold_elsewhere = !pr_roster_has_part(
-		roster, zones, zones_count, upstream->tag, wanted,
-		&upstream->cold_hosts);
+	upstream->cold_elsewhere =
+		!pr_roster_has_part(roster, zones, zones_count, upstream->tag,
+				    wanted, &upstream->cold_hosts);
 	upstream->cold_known = roster->count;
 	if (upstream->cold_hosts)
 		return;
--- /dev/null
+++ b/src/edge/peer_reports.c
@@ -0,0 +1,290 @@
+/*
+ * Reports on upstreams and transitions, and the sums that relays make of them.
+ */
+#include <math.h>
+
+#include "edge/edge.h"
+#include "edge/peer_parts.h"
+
+/* The fleet's counts of the relay with fewer are taken after this time. */
+#define TOTALS_AGE_MAX PR_USEC_PER_SEC
+
+/* Upstreams */
+
+static uint16_t saturating(double value)
+{
+	return value <= 0           ? 0
+	       : value < UINT16_MAX ? (uint16_t)value
+				    : UINT16_MAX;
+}
+
+static bool own_load(pr_upstream_t *upstream, pr_count_t *out)
+{
+	out->in_flight = saturating(upstream->in_flight);
+	out->waiting = saturating(upstream->waiting_ms / PR_WAITING_UNIT);
+	upstream->told_in_flight = out->in_flight;
+	upstream->told_waiting_ms = out->waiting * PR_WAITING_UNIT;
+	return out->in_flight;
+}
+
+/* Work of the other hosts: the sum without what this one told of itself. */
+static void take_load(pr_upstream_t *upstream, const pr_count_t *sum,
+		      pr_usec_t now)
+{
+	double waiting_ms = sum->waiting * PR_WAITING_UNIT;
+
+	upstream->peers_in_flight =
+		sum->in_flight > upstream->told_in_flight
+			? sum->in_flight - upstream->told_in_flight
+			: 0;
+	upstream->peers_waiting_ms =
+		fmax(waiting_ms - upstream->told_waiting_ms, 0);
+}
+
+static bool own_outcomes(pr_upstream_t *upstream, pr_count_t *out)
+{
+	out->answered =
+		saturating(upstream->outcomes.answered / PR_OUTCOME_UNIT);
+	out->failed = saturating(upstream->outcomes.failed / PR_OUTCOME_UNIT);
+	upstream->told_outcomes = upstream->outcomes;
+	return out->answered;
+}
+
+static void take_outcomes(pr_upstream_t *upstream, const pr_count_t *sum,
+			  pr_usec_t now)
+{
+	const pr_outcomes_t *told = &upstream->told_outcomes;
+	pr_outcomes_t *others = &upstream->peers_outcomes;
+
+	others->answered =
+		fmax(sum->answered * PR_OUTCOME_UNIT - told->answered, 0);
+	others->failed = fmax(sum->failed * PR_OUTCOME_UNIT - told->failed, 0);
+	others->at = now;
+}
+
+static const struct {
+	/** What this host reports; false when there is nothing to say. */
+	bool (*own)(pr_upstream_t *upstream, pr_count_t *out);
+	/** The fleet's sum came. */
+	void (*take)(pr_upstream_t *upstream, const pr_count_t *sum,
+		     pr_usec_t now);
+} count_kinds[PR_COUNT_KINDS] = {
+	[PR_COUNT_LOAD] = { own_load, take_load },
+	[PR_COUNT_OUTCOMES] = { own_outcomes, take_outcomes },
+};
+
+static void own_counts(pr_edge_t *edge, pr_count_kind_t kind, pr_counts_t *out)
+{
+	pr_usec_t now = pr_edge_now(edge);
+
+	for (pr_list_t *at = edge->registry.upstreams.next;
+	     at != &edge->registry.upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+		pr_count_t count = { .tag = upstream->tag };
+
+		pr_outcomes_fade(&upstream->outcomes, now);
+		if (count_kinds[kind].own(upstream, &count))
+			pr_counts_add(out, &count);
+	}
+}
+
+static void take_sum(pr_edge_t *edge, pr_count_kind_t kind,
+		     const pr_counts_t *sum)
+{
+	pr_usec_t now = pr_edge_now(edge);
+
+	for (pr_list_t *at = edge->registry.upstreams.next;
+	     at != &edge->registry.upstreams; at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+		pr_count_t none = { .tag = upstream->tag };
+		const pr_count_t *found = &none;
+
+		for (size_t i = 0; i < sum->count; i++) {
+			if (sum->items[i].tag == upstream->tag)
+				found = &sum->items[i];
+		}
+		count_kinds[kind].take(upstream, found, now);
+	}
+}
+
+static void keep_counts(pr_edge_t *edge, pr_host_t *host, pr_count_kind_t kind,
+			const pr_counts_t *counts)
+{
+	pr_host_report_t *report = pr_gather_report(host);
+
+	if (!report)
+		return;
+	report->upstreams[kind].counts = *counts;
+	report->upstreams[kind].at = pr_edge_now(edge);
+}
+
+void pr_peers_report_counts(pr_edge_t *edge, pr_count_kind_t kind)
+{
+	pr_counts_t counts = { .count = 0 };
+	pr_str_t bytes = PR_STR_INIT;
+	pr_host_t *self = pr_peers_self(edge);
+
+	own_counts(edge, kind, &counts);
+	if (self && edge->peering.is_relay)
+		keep_counts(edge, self, kind, &counts);
+	if (!pr_message_counts(&bytes, edge->settings->host, kind, &counts,
+			       NULL))
+		pr_peers_send_own_relays(edge, &bytes);
+	pr_str_finish(&bytes);
+}
+
+/* A relay's sums: of its zone for the relays of the region, of the region for
+ * the hosts that report to it. */
+void pr_peers_send_digest(pr_edge_t *edge, pr_count_kind_t kind)
+{
+	const pr_roster_t *roster = &edge->peering.roster;
+	const char *host = edge->settings->host;
+	pr_usec_t now = pr_edge_now(edge);
+	pr_feed_state_t state = pr_peers_feed_state(edge);
+	pr_str_t bytes = PR_STR_INIT;
+	pr_counts_t counts = { .count = 0 };
+
+	pr_gather_zone_counts(&counts, roster, edge->settings->zone, kind, now);
+	if (!pr_message_counts(&bytes, host, kind, &counts, &state))
+		pr_peers_send_relays(edge, PR_DISTANCE_REGION, &bytes);
+	for (size_t i = 0; i < edge->map.count; i++) {
+		const char *zone = edge->map.zones[i].name;
+
+		if (strcmp(zone, edge->settings->zone) != 0 &&
+		    pr_peers_in_region(edge, zone))
+			pr_gather_add_counts(&counts, roster, zone, kind, now);
+	}
+	pr_str_clear(&bytes);
+	if (!pr_message_counts(&bytes, host, kind, &counts, &state))
+		pr_peers_send_followers(edge, &bytes);
+	pr_str_finish(&bytes);
+	take_sum(edge, kind, &counts);
+}
+
+/* Upstreams of another region are not in common; rows of the store are. */
+void pr_peers_send_distant_digest(pr_edge_t *edge)
+{
+	pr_feed_state_t state = pr_peers_feed_state(edge);
+	pr_counts_t none = { .count = 0 };
+	pr_str_t bytes = PR_STR_INIT;
+
+	if (!pr_message_counts(&bytes, edge->settings->host, PR_COUNT_LOAD,
+			       &none, &state))
+		pr_peers_send_relays(edge, PR_DISTANCE_OTHER_REGION, &bytes);
+	pr_str_finish(&bytes);
+}
+
+void pr_peers_take_counts(pr_edge_t *edge, pr_host_t *host,
+			  pr_count_kind_t kind, const pr_counts_t *counts,
+			  const pr_feed_state_t *state, bool from_relay)
+{
+	if (from_relay)
+		pr_peers_take_feed_state(edge, host, state);
+	if (from_relay && pr_peers_in_zone(edge, host)) {
+		if (!edge->peering.is_relay)
+			take_sum(edge, kind, counts);
+		return;
+	}
+	if (!from_relay)
+		pr_roster_reported(host, pr_edge_now(edge));
+	keep_counts(edge, host, kind, counts);
+}
+
+/* Counts of transitions */
+
+static void keep_tallies(pr_host_t *host, size_t index, uint64_t order_row,
+			 const pr_tallies_t *tallies)
+{
+	pr_host_report_t *report = pr_gather_report(host);
+
+	if (!report)
+		return;
+	report->transitions[index].order_row = order_row;
+	report->transitions[index].tallies = *tallies;
+}
+
+void pr_peers_send_tallies(pr_edge_t *edge, size_t index)
+{
+	pr_transition_t *transition = edge->transitions[index];
+	pr_peering_t *peering = &edge->peering;
+	const pr_roster_t *roster = &peering->roster;
+	const char *host = edge->settings->host;
+	const char *service = transition->order.service;
+	uint64_t order = transition->order_row;
+	pr_tallies_t sum = { 0 };
+	pr_str_t bytes = PR_STR_INIT;
+	pr_host_t *self = pr_peers_self(edge);
+
+	peering->told[index] = transition->own;
+	if (!pr_message_tallies(&bytes, host, service, order, &transition->own,
+				false))
+		pr_peers_send_own_relays(edge, &bytes);
+	if (!self || !peering->is_relay)
+		goto cleanup;
+	keep_tallies(self, index, order, &transition->own);
+	pr_gather_zone_tallies(&sum, roster, edge->settings->zone, index,
+			       order);
+	pr_str_clear(&bytes);
+	if (!pr_message_tallies(&bytes, host, service, order, &sum, false)) {
+		pr_peers_send_relays(edge, PR_DISTANCE_REGION, &bytes);
+		pr_peers_send_relays(edge, PR_DISTANCE_OTHER_REGION, &bytes);
+	}
+	for (size_t i = 0; i < edge->map.count; i++) {
+		const char *zone = edge->map.zones[i].name;
+
+		if (strcmp(zone, edge->settings->zone) != 0)
+			pr_gather_add_tallies(&sum, roster, zone, index, order);
+	}
+	transition->peers = pr_gather_others(&sum, &transition->own);
+	pr_str_clear(&bytes);
+	if (!pr_message_tallies(&bytes, host, service, order, &sum, true))
+		pr_peers_send_followers(edge, &bytes);
+
+cleanup:
+	pr_str_finish(&bytes);
+}
+
+static uint32_t total_of(const pr_tallies_t *tallies)
+{
+	return tallies->fresh.total + tallies->old.total;
+}
+
+/* Of two relays the one that has heard of more answers counts. */
+static void take_totals(pr_edge_t *edge, size_t index, const pr_tallies_t *all)
+{
+	pr_peering_t *peering = &edge->peering;
+	pr_usec_t now = pr_edge_now(edge);
+
+	if (peering->is_relay ||
+	    (total_of(all) < total_of(&peering->totals[index].all) &&
+	     now - peering->totals[index].heard_at < TOTALS_AGE_MAX))
+		return;
+	peering->totals[index].all = *all;
+	peering->totals[index].heard_at = now;
+	edge->transitions[index]->peers =
+		pr_gather_others(all, &peering->told[index]);
+}
+
+void pr_peers_take_tallies(pr_edge_t *edge, pr_host_t *host,
+			   const pr_msgmap_t *map)
+{
+	pr_tallies_t tallies;
+	pr_slice_t service;
+	uint64_t order;
+	bool all;
+
+	if (pr_message_read_tallies(map, &service, &order, &tallies, &all))
+		return;
+	for (size_t i = 0; i < edge->transitions_count; i++) {
+		pr_transition_t *transition = edge->transitions[i];
+
+		if (order != transition->order_row ||
+		    !pr_slice_equal(service,
+				    pr_slice_of(transition->order.service)))
+			continue;
+		if (all)
+			take_totals(edge, i, &tallies);
+		else
+			keep_tallies(host, i, order, &tallies);
+	}
+}
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -50,7 +50,8 @@
 	int64_t sessions_told_ms;
 	/** Sessions of requests in work were noted last, the same clock. */
 	int64_t sessions_noted_ms;
-	uint32_t ticks;
+	/** Expiries of either timer. */
+	uint32_t periods, ticks;
 	uint64_t sent, sent_bytes;
 } pr_peering_t;
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -21,6 +21,11 @@
 #define COST_FULL 400.0
 /* Going to an upstream that failed last time. */
 #define COST_SUSPECT 300.0
+/* Going to one that fails all requests: the time of the attempt, and that of
+ * the next one. */
+#define COST_FAILING 3000.0
+/* Rate of failures that few answers and faults of the network may show. */
+#define FAILURE_RATE_USUAL 0.2
 /* A cold upstream is used when others are this much slower. */
 #define COST_COLD 1500.0
 /* Beyond this load an upstream queues requests. */
@@ -89,6 +94,19 @@
 						  : COST_OTHER_REGION;
 }
 
+/* An upstream that fails at once has little work in hand, and would get the
+ * more requests the more it fails. */
+static double failure_cost(const pr_upstream_t *upstream, pr_usec_t now)
+{
+	double rate = pr_outcomes_failure_rate(&upstream->outcomes,
+					       &upstream->peers_outcomes, now);
+
+	if (rate <= FAILURE_RATE_USUAL)
+		return 0;
+	return COST_FAILING * (rate - FAILURE_RATE_USUAL) /
+	       (1 - FAILURE_RATE_USUAL);
+}
+
 static double cost(const pr_map_t *map, const pr_place_query_t *query,
 		   const pr_upstream_t *upstream, bool holds_prefix)
 {
@@ -102,6 +120,7 @@
 		total += query->cached_ms;
 	if (upstream->failures)
 		total += COST_SUSPECT;
+	total += failure_cost(upstream, query->now);
 	if (upstream->cold_until > query->now)
 		total += COST_COLD;
 	return total;
--- a/src/relay/gather.c
+++ b/src/relay/gather.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A report older than this says nothing of the load any more. */
-#define LOADS_AGE_MAX (1500 * PR_USEC_PER_MSEC)
+/* A report older than this says nothing of an upstream any more. */
+#define COUNTS_AGE_MAX (1500 * PR_USEC_PER_MSEC)
 
 pr_host_report_t *pr_gather_report(pr_host_t *host)
 {
@@ -14,55 +14,58 @@
 	return host->report;
 }
 
-static uint16_t saturating(uint32_t sum)
+static uint16_t saturating_sum(uint16_t a, uint16_t b)
 {
+	uint32_t sum = (uint32_t)a + b;
+
 	return sum < UINT16_MAX ? (uint16_t)sum : UINT16_MAX;
 }
 
-void pr_loads_add(pr_loads_t *loads, const pr_load_t *load)
+void pr_counts_add(pr_counts_t *counts, const pr_count_t *count)
 {
 	size_t least = 0;
 
-	for (size_t i = 0; i < loads->count; i++) {
-		pr_load_t *item = &loads->items[i];
+	for (size_t i = 0; i < counts->count; i++) {
+		pr_count_t *item = &counts->items[i];
 
-		if (item->tag == load->tag) {
-			item->in_flight = saturating((uint32_t)item->in_flight +
-						     load->in_flight);
-			item->waiting = saturating((uint32_t)item->waiting +
-						   load->waiting);
+		if (item->tag == count->tag) {
+			for (int j = 0; j < 2; j++)
+				item->values[j] = saturating_sum(
+					item->values[j], count->values[j]);
 			return;
 		}
-		if (item->in_flight < loads->items[least].in_flight)
+		if (item->values[0] < counts->items[least].values[0])
 			least = i;
 	}
-	if (loads->count < PR_LOADS_MAX)
-		loads->items[loads->count++] = *load;
-	else if (load->in_flight > loads->items[least].in_flight)
-		loads->items[least] = *load;
+	if (counts->count < PR_COUNTS_MAX)
+		counts->items[counts->count++] = *count;
+	else if (count->values[0] > counts->items[least].values[0])
+		counts->items[least] = *count;
 }
 
-static void add_report(pr_loads_t *out, const pr_host_t *host, pr_usec_t now)
+static void add_report(pr_counts_t *out, const pr_host_t *host,
+		       pr_count_kind_t kind, pr_usec_t now)
 {
 	const pr_host_report_t *report = host->report;
 
-	if (!report || now - report->loads_at > LOADS_AGE_MAX)
+	if (!report || now - report->upstreams[kind].at > COUNTS_AGE_MAX)
 		return;
-	for (size_t i = 0; i < report->loads.count; i++)
-		pr_loads_add(out, &report->loads.items[i]);
+	for (size_t i = 0; i < report->upstreams[kind].counts.count; i++)
+		pr_counts_add(out, &report->upstreams[kind].counts.items[i]);
 }
 
-void pr_gather_zone_loads(pr_loads_t *out, const pr_roster_t *roster,
-			  const char *zone, pr_usec_t now)
+void pr_gather_zone_counts(pr_counts_t *out, const pr_roster_t *roster,
+			   const char *zone, pr_count_kind_t kind,
+			   pr_usec_t now)
 {
 	for (size_t i = 0; i < roster->count; i++) {
 		if (!strcmp(roster->hosts[i]->zone, zone))
-			add_report(out, roster->hosts[i], now);
+			add_report(out, roster->hosts[i], kind, now);
 	}
 }
 
-void pr_gather_add_loads(pr_loads_t *out, const pr_roster_t *roster,
-			 const char *zone, pr_usec_t now)
+void pr_gather_add_counts(pr_counts_t *out, const pr_roster_t *roster,
+			  const char *zone, pr_count_kind_t kind, pr_usec_t now)
 {
 	for (size_t i = 0; i < roster->count; i++) {
 		const pr_host_t *host = roster->hosts[i];
@@ -70,7 +73,7 @@
 		if (strcmp(host->zone, zone) != 0 || !host->report ||
 		    !pr_roster_answers(host, now))
 			continue;
-		add_report(out, host, now);
+		add_report(out, host, kind, now);
 		return;
 	}
 }
--- a/src/relay/gather.h
+++ b/src/relay/gather.h
@@ -13,30 +13,52 @@
 #include "transition/transition.h"
 
 /** Upstreams in one report; they fill a datagram. */
-#define PR_LOADS_MAX 144
+#define PR_COUNTS_MAX 144
 /** Services in transition at once. */
 #define PR_GATHER_TRANSITIONS_MAX 16
-/** Unit of pr_load_t.waiting, milliseconds. */
-#define PR_LOAD_WAITING_UNIT 10.0
+/** Unit of the time to read prompts, milliseconds. */
+#define PR_WAITING_UNIT 10.0
+/** Parts of an answer in a count of outcomes, which fade with time. */
+#define PR_OUTCOME_UNIT (1.0 / 16)
 
-/** Work of one or more hosts on an upstream, as datagrams carry it. */
-typedef struct pr_load_t {
+/** What is counted of each upstream. */
+typedef enum pr_count_kind_t {
+	/** Requests in work; time to read prompts that have no event yet. */
+	PR_COUNT_LOAD,
+	/** Answers of the last seconds, good or not; failures among them. */
+	PR_COUNT_OUTCOMES,
+	PR_COUNT_KINDS,
+} pr_count_kind_t;
+
+/** Two counts of one upstream, as datagrams carry them. */
+typedef struct pr_count_t {
 	/** Hash of the upstream's incarnation. */
 	uint32_t tag;
-	uint16_t in_flight;
-	/** Time to read the prompts that have no first event yet. */
-	uint16_t waiting;
-} pr_load_t;
+	union {
+		struct {
+			uint16_t in_flight;
+			/** In units of PR_WAITING_UNIT. */
+			uint16_t waiting;
+		};
+		struct {
+			/** In units of PR_OUTCOME_UNIT. */
+			uint16_t answered, failed;
+		};
+		uint16_t values[2];
+	};
+} pr_count_t;
 
-typedef struct pr_loads_t {
-	pr_load_t items[PR_LOADS_MAX];
+typedef struct pr_counts_t {
+	pr_count_t items[PR_COUNTS_MAX];
 	size_t count;
-} pr_loads_t;
+} pr_counts_t;
 
 /** Latest report of a host, or of a relay for its zone. */
 typedef struct pr_host_report_t {
-	pr_loads_t loads;
-	pr_usec_t loads_at;
+	struct {
+		pr_counts_t counts;
+		pr_usec_t at;
+	} upstreams[PR_COUNT_KINDS];
 	struct {
 		uint64_t order_row;
 		pr_tallies_t tallies;
@@ -47,17 +69,19 @@
 pr_host_report_t *pr_gather_report(pr_host_t *host);
 
 /**
- * Add work on an upstream; beyond PR_LOADS_MAX upstreams the least work is left
- * out.
+ * Add the counts of an upstream; beyond PR_COUNTS_MAX upstreams the one with
+ * the least is left out.
  */
-void pr_loads_add(pr_loads_t *loads, const pr_load_t *load);
+void pr_counts_add(pr_counts_t *counts, const pr_count_t *count);
 
 /** Sum of the hosts of this zone that report to this one. */
-void pr_gather_zone_loads(pr_loads_t *out, const pr_roster_t *roster,
-			  const char *zone, pr_usec_t now);
+void pr_gather_zone_counts(pr_counts_t *out, const pr_roster_t *roster,
+			   const char *zone, pr_count_kind_t kind,
+			   pr_usec_t now);
 /** Add what the first relay that answers says of another zone. */
-void pr_gather_add_loads(pr_loads_t *out, const pr_roster_t *roster,
-			 const char *zone, pr_usec_t now);
+void pr_gather_add_counts(pr_counts_t *out, const pr_roster_t *roster,
+			  const char *zone, pr_count_kind_t kind,
+			  pr_usec_t now);
 
 /** Sum of the reports of a zone's hosts on a transition. */
 void pr_gather_zone_tallies(pr_tallies_t *out, const pr_roster_t *roster,
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -30,8 +30,14 @@
 	return rc;
 }
 
-int pr_message_loads(pr_str_t *out, const char *host, const pr_loads_t *loads,
-		     const pr_feed_state_t *feeds)
+/* Field with the counts of each kind. */
+static const char *const count_fields[PR_COUNT_KINDS] = {
+	[PR_COUNT_LOAD] = "loads",
+	[PR_COUNT_OUTCOMES] = "outcomes",
+};
+
+int pr_message_counts(pr_str_t *out, const char *host, pr_count_kind_t kind,
+		      const pr_counts_t *counts, const pr_feed_state_t *feeds)
 {
 	msgpack_packer packer;
 	int rc = begin(&packer, out, host,
@@ -39,9 +45,9 @@
 
 	if (!rc)
 		rc = pr_msgmap_pack_text(
-			&packer, "loads",
-			pr_slice((const char *)loads->items,
-				 loads->count * sizeof(pr_load_t)));
+			&packer, count_fields[kind],
+			pr_slice((const char *)counts->items,
+				 counts->count * sizeof(pr_count_t)));
 	if (rc || !feeds)
 		return rc;
 	rc = pr_msgmap_pack_number(&packer, "fed", feeds->fed);
@@ -61,18 +67,23 @@
 	return rc;
 }
 
-int pr_message_read_loads(const pr_msgmap_t *map, pr_loads_t *loads,
-			  pr_feed_state_t *feeds, bool *has_feeds)
+int pr_message_read_counts(const pr_msgmap_t *map, pr_count_kind_t *kind,
+			   pr_counts_t *counts, pr_feed_state_t *feeds,
+			   bool *has_feeds)
 {
 	pr_slice_t records;
 	uint64_t fed, age = 0, reads = 0, clock = 0, unsettled = 0;
 
-	if (pr_msgmap_text(map, &records, "loads"))
+	*kind = PR_COUNT_LOAD;
+	while (*kind < PR_COUNT_KINDS &&
+	       pr_msgmap_text(map, &records, count_fields[*kind]))
+		(*kind)++;
+	if (*kind == PR_COUNT_KINDS)
 		return PR_EPARSE;
-	loads->count = records.len / sizeof(pr_load_t);
-	if (loads->count > PR_LOADS_MAX)
-		loads->count = PR_LOADS_MAX;
-	memcpy(loads->items, records.ptr, loads->count * sizeof(pr_load_t));
+	counts->count = records.len / sizeof(pr_count_t);
+	if (counts->count > PR_COUNTS_MAX)
+		counts->count = PR_COUNTS_MAX;
+	memcpy(counts->items, records.ptr, counts->count * sizeof(pr_count_t));
 	memset(feeds, 0, sizeof(*feeds));
 	*has_feeds = !pr_msgmap_number(map, &fed, "fed") &&
 		     !pr_msgmap_number(map, &age, "age") &&
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -33,12 +33,13 @@
 	uint32_t unsettled_ms;
 } pr_feed_state_t;
 
-/** Load report; a relay's digest has the state of its feeds. */
-int pr_message_loads(pr_str_t *out, const char *host, const pr_loads_t *loads,
-		     const pr_feed_state_t *feeds);
+/** Report on upstreams; a relay's digest has the state of its feeds. */
+int pr_message_counts(pr_str_t *out, const char *host, pr_count_kind_t kind,
+		      const pr_counts_t *counts, const pr_feed_state_t *feeds);
 /** @return 0 or PR_EPARSE when it is another kind of message */
-int pr_message_read_loads(const pr_msgmap_t *map, pr_loads_t *loads,
-			  pr_feed_state_t *feeds, bool *has_feeds);
+int pr_message_read_counts(const pr_msgmap_t *map, pr_count_kind_t *kind,
+			   pr_counts_t *counts, pr_feed_state_t *feeds,
+			   bool *has_feeds);
 
 /** Counts of a transition. @param all of all hosts, from a relay */
 int pr_message_tallies(pr_str_t *out, const char *host, const char *service,
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -102,8 +102,8 @@
 /** @return true when a digest of the relay came lately */
 bool pr_roster_answers(const pr_host_t *relay, pr_usec_t now);
 /**
- * Hosts of some zones that a subject falls to, by rendezvous hashing: the same on
- * every host that knows the same hosts.
+ * Hosts of some zones that a subject falls to, by rendezvous hashing: the same
+ * on every host that knows the same hosts.
  *
  * @param wanted number of hosts that it falls to
  * @param count set to their number, fewer where there are fewer hosts
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -11,6 +11,7 @@
 
 #include "base/list.h"
 #include "pistachiorack/timer.h"
+#include "upstream/outcomes.h"
 
 #define PR_UPSTREAM_NAME_SIZE 96
 
@@ -59,6 +60,9 @@
 	/** What this host last reported of itself. */
 	uint32_t told_in_flight;
 	double told_waiting_ms;
+	/** Answers to this host, to the others as they report, and of the first
+	 *  what this host last reported. */
+	pr_outcomes_t outcomes, peers_outcomes, told_outcomes;
 	/** Open connections of this host. */
 	uint32_t connections;
 	uint32_t failures;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -285,9 +285,69 @@
 	pr_registry_finish(&f.registry);
 }
 
+/*
+ * Pattern: an engine answers each request with a failure at once, so that it
+ * has less work in hand than any other. 20 requests a second over six engines
+ * that need 0.5 s for each.
+ */
+static void test_failing_upstream_does_not_draw_requests(void **state)
+{
+	fixture_t f;
+	int to_failing = 0;
+
+	start(&f);
+	f.upstreams[0]->peers_in_flight = 0;
+	for (int i = 1; i < UPSTREAMS; i++)
+		f.upstreams[i]->in_flight = 10;
+	for (int i = 0; i < 100; i++) {
+		pr_upstream_t *chosen = choose(&f, PR_PLACE_FOUND);
+
+		pr_outcomes_add(&chosen->outcomes, chosen == f.upstreams[0],
+				f.query.now);
+		to_failing += chosen == f.upstreams[0];
+		f.query.now += 50 * PR_USEC_PER_MSEC;
+	}
+	assert_true(to_failing <= 5);
+	/* It recovers, and is asked again. */
+	f.query.now += 40 * PR_USEC_PER_SEC;
+	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[0]);
+	pr_registry_finish(&f.registry);
+}
+
+/* Failures that all upstreams have alike do not move requests about. */
+static void test_usual_failures_cost_nothing(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	f.upstreams[1]->in_flight = f.upstreams[2]->in_flight = 1;
+	for (int i = 0; i < 100; i++)
+		pr_outcomes_add(&f.upstreams[0]->outcomes, i % 10 == 0,
+				f.query.now);
+	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[0]);
+	pr_registry_finish(&f.registry);
+}
+
+/* What other hosts saw counts as well: each sees a small part of the answers.
+ */
+static void test_failures_of_other_hosts_count(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	f.upstreams[1]->in_flight = f.upstreams[2]->in_flight = 5;
+	f.upstreams[0]->peers_outcomes =
+		(pr_outcomes_t){ .answered = 30, .failed = 28, .at = NOW };
+	assert_ptr_not_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[0]);
+	pr_registry_finish(&f.registry);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_failing_upstream_does_not_draw_requests),
+		cmocka_unit_test(test_usual_failures_cost_nothing),
+		cmocka_unit_test(test_failures_of_other_hosts_count),
 		cmocka_unit_test(test_same_prefix_goes_to_one_upstream),
 		cmocka_unit_test(test_hot_prefix_spills_to_neighbours),
 		cmocka_unit_test(test_prefix_is_held_once_in_a_region),
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -357,14 +357,14 @@
 }
 
 static void add_report(pr_roster_t *roster, const char *name,
-		       const pr_load_t *load, uint32_t total, pr_usec_t now)
+		       const pr_count_t *load, uint32_t total, pr_usec_t now)
 {
 	pr_host_t *host = pr_roster_find(roster, pr_slice_of(name));
 	pr_host_report_t *report_of = pr_gather_report(host);
 
-	report_of->loads.items[0] = *load;
-	report_of->loads.count = 1;
-	report_of->loads_at = now;
+	report_of->upstreams[PR_COUNT_LOAD].counts.items[0] = *load;
+	report_of->upstreams[PR_COUNT_LOAD].counts.count = 1;
+	report_of->upstreams[PR_COUNT_LOAD].at = now;
 	report_of->transitions[0].order_row = 7;
 	report_of->transitions[0].tallies.fresh.total = total;
 }
@@ -379,7 +379,7 @@
 		{ "a1", "a" }, { "a2", "a" }, { "b1", "b" }, { "b2", "b" }
 	};
 	pr_usec_t now = PR_USEC_PER_SEC;
-	pr_loads_t loads = { .count = 0 };
+	pr_counts_t loads = { .count = 0 };
 	pr_tallies_t sum = { 0 }, own = { .fresh.total = 4 };
 	pr_roster_t roster;
 
@@ -387,18 +387,18 @@
 	for (size_t i = 0; i < 4; i++)
 		pr_roster_apply(&roster, pr_slice_of(hosts[i].name),
 				pr_slice_of(hosts[i].zone), 50, &address);
-	add_report(&roster, "a1", &(pr_load_t){ 1, 2, 3 }, 4, now);
-	add_report(&roster, "a2", &(pr_load_t){ 1, 5, 6 }, 10, now);
+	add_report(&roster, "a1", &(pr_count_t){ 1, { { 2, 3 } } }, 4, now);
+	add_report(&roster, "a2", &(pr_count_t){ 1, { { 5, 6 } } }, 10, now);
 	/* Two relays of zone b tell of the same hosts. */
-	add_report(&roster, "b1", &(pr_load_t){ 1, 100, 0 }, 100, now);
-	add_report(&roster, "b2", &(pr_load_t){ 1, 100, 0 }, 90, now);
+	add_report(&roster, "b1", &(pr_count_t){ 1, { { 100, 0 } } }, 100, now);
+	add_report(&roster, "b2", &(pr_count_t){ 1, { { 100, 0 } } }, 90, now);
 	pr_roster_heard(pr_roster_find(&roster, PR_SLICE("b1")), true, true,
 			now);
 	pr_roster_heard(pr_roster_find(&roster, PR_SLICE("b2")), true, true,
 			now);
 
-	pr_gather_zone_loads(&loads, &roster, "a", now);
-	pr_gather_add_loads(&loads, &roster, "b", now);
+	pr_gather_zone_counts(&loads, &roster, "a", PR_COUNT_LOAD, now);
+	pr_gather_add_counts(&loads, &roster, "b", PR_COUNT_LOAD, now);
 	assert_int_equal(loads.count, 1);
 	assert_int_equal(loads.items[0].in_flight, 107);
 	assert_int_equal(loads.items[0].waiting, 9);
@@ -412,7 +412,8 @@
 	assert_int_equal(sum.fresh.total, 0);
 	/* Reports of load get old, counts do not. */
 	loads.count = 0;
-	pr_gather_zone_loads(&loads, &roster, "a", now + 5 * PR_USEC_PER_SEC);
+	pr_gather_zone_counts(&loads, &roster, "a", PR_COUNT_LOAD,
+			      now + 5 * PR_USEC_PER_SEC);
 	assert_int_equal(loads.count, 0);
 	pr_roster_finish(&roster);
 }
@@ -420,21 +421,23 @@
 /* With more upstreams than a datagram holds, the busiest are told. */
 static void test_least_work_is_left_out(void **state)
 {
-	pr_loads_t loads = { .count = 0 };
+	pr_counts_t loads = { .count = 0 };
 	uint32_t least = UINT16_MAX;
 
-	for (uint32_t i = 0; i < 2 * PR_LOADS_MAX; i++)
-		pr_loads_add(&loads, &(pr_load_t){ i, (uint16_t)(i + 1), 0 });
-	assert_int_equal(loads.count, PR_LOADS_MAX);
+	for (uint32_t i = 0; i < 2 * PR_COUNTS_MAX; i++)
+		pr_counts_add(&loads,
+			      &(pr_count_t){ i, { { (uint16_t)(i + 1), 0 } } });
+	assert_int_equal(loads.count, PR_COUNTS_MAX);
 	for (size_t i = 0; i < loads.count; i++)
 		least = loads.items[i].in_flight < least
 				? loads.items[i].in_flight
 				: least;
-	assert_int_equal(least, PR_LOADS_MAX + 1);
+	assert_int_equal(least, PR_COUNTS_MAX + 1);
 }
 
 /* The rate of a cold upstream falls to a few hosts of its region, whatever the
- * size of the fleet; divided among all, a host would have one request in 40 s. */
+ * size of the fleet; divided among all, a host would have one request in 40 s.
+ */
 static void test_cold_rate_falls_to_few_hosts(void **state)
 {
 	static const int sizes[] = { 30, HOSTS };
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -20,9 +20,10 @@
 	assert_int_equal(pr_msgmap_init(map, pr_str_slice(bytes)), 0);
 }
 
-static void test_largest_digest(void **state)
+static void check_largest_digest(pr_count_kind_t kind)
 {
-	pr_loads_t loads = { .count = PR_LOADS_MAX }, read;
+	pr_count_kind_t read_kind;
+	pr_counts_t loads = { .count = PR_COUNTS_MAX }, read;
 	pr_feed_state_t feeds = {
 		.age_ms = UINT32_MAX,
 		.reads = true,
@@ -36,17 +37,20 @@
 	pr_msgmap_t map;
 	bool has_feeds;
 
-	for (uint32_t i = 0; i < PR_LOADS_MAX; i++)
-		loads.items[i] =
-			(pr_load_t){ UINT32_MAX - i, UINT16_MAX, (uint16_t)i };
-	assert_int_equal(pr_message_loads(&bytes, "front-kota-kinabalu-123",
-					  &loads, &feeds),
+	for (uint32_t i = 0; i < PR_COUNTS_MAX; i++)
+		loads.items[i] = (pr_count_t){ .tag = UINT32_MAX - i,
+					       .in_flight = UINT16_MAX,
+					       .waiting = (uint16_t)i };
+	assert_int_equal(pr_message_counts(&bytes, "front-kota-kinabalu-123",
+					   kind, &loads, &feeds),
 			 0);
 	read_map(&map, &bytes);
-	assert_int_equal(
-		pr_message_read_loads(&map, &read, &read_feeds, &has_feeds), 0);
+	assert_int_equal(pr_message_read_counts(&map, &read_kind, &read,
+						&read_feeds, &has_feeds),
+			 0);
 	assert_true(has_feeds);
-	assert_int_equal(read.count, PR_LOADS_MAX);
+	assert_int_equal(read_kind, kind);
+	assert_int_equal(read.count, PR_COUNTS_MAX);
 	assert_memory_equal(read.items, loads.items, sizeof(loads.items));
 	assert_int_equal(read_feeds.age_ms, feeds.age_ms);
 	assert_true(read_feeds.reads && read_feeds.fed);
@@ -56,18 +60,27 @@
 	pr_str_finish(&bytes);
 }
 
+static void test_largest_digest(void **state)
+{
+	check_largest_digest(PR_COUNT_LOAD);
+	check_largest_digest(PR_COUNT_OUTCOMES);
+}
+
 static void test_report_is_no_digest(void **state)
 {
-	pr_loads_t loads = { .count = 0 }, read;
+	pr_count_kind_t kind;
+	pr_counts_t loads = { .count = 0 }, read;
 	pr_str_t bytes = PR_STR_INIT;
 	pr_feed_state_t feeds;
 	pr_msgmap_t map;
 	bool has_feeds = true;
 
-	assert_int_equal(pr_message_loads(&bytes, "a", &loads, NULL), 0);
+	assert_int_equal(
+		pr_message_counts(&bytes, "a", PR_COUNT_LOAD, &loads, NULL), 0);
 	read_map(&map, &bytes);
-	assert_int_equal(pr_message_read_loads(&map, &read, &feeds, &has_feeds),
-			 0);
+	assert_int_equal(
+		pr_message_read_counts(&map, &kind, &read, &feeds, &has_feeds),
+		0);
 	assert_false(has_feeds);
 	pr_msgmap_finish(&map);
 	pr_str_finish(&bytes);
