Let failures of an upstream fade in 3 s

Cause: with 10 s engines that were well again stayed unused for 25 s, and the others were overloaded from second 18 on.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -23,7 +23,7 @@
 #define COST_SUSPECT 300.0
 /* Going to one that fails all requests: the time of the attempt, and that of
  * the next one. */
-#define COST_FAILING 3000.0
+#define COST_FAILING 1500.0
 /* Rate of failures that few answers and faults of the network may show. */
 #define FAILURE_RATE_USUAL 0.2
 /* A cold upstream is used when others are this much slower. */
--- a/src/upstream/outcomes.c
+++ b/src/upstream/outcomes.c
@@ -4,8 +4,8 @@
 #include <math.h>
 
 /* Time constant: an upstream that failed all of 20 requests is asked again
- * after some 25 s, one that failed two of three after some seconds. */
-#define FADE_TIME (10.0 * PR_USEC_PER_SEC)
+ * after some 10 s, one that failed two of five after some 5 s. */
+#define FADE_TIME (3.0 * PR_USEC_PER_SEC)
 /* Good answers that are assumed before any is seen. */
 #define ASSUMED_GOOD 2.0
 
