--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -18,6 +18,10 @@
 #define CONFIDENCE_NONE 100
 /* Longest answer that is held until it is complete. */
 #define ANSWER_MAX ((size_t)8 * 1024 * 1024)
+/* All answers that are held, together: a part of the memory of a small host. An
+ * answer up to the free size is not refused for the others' sake. */
+#define HELD_MAX  ((size_t)12 * 1024 * 1024)
+#define HELD_FREE ((size_t)256 * 1024)
 
 static bool is_streaming_type(const pr_http_reader_t *reader)
 {
@@ -191,11 +195,14 @@
 static bool pass_events(pr_exchange_t *x, pr_slice_t bytes)
 {
 	pr_str_t out = PR_STR_INIT;
+	uint64_t numbered = x->events.numbered;
 	int rc = pr_events_feed(&x->events, bytes, &out);
 
 	if (!rc && out.len) {
 		record_stream_pace(x, false);
-		x->progress_at = pr_exchange_now(x);
+		/* Comments and parts of events are no progress. */
+		if (x->events.numbered > numbered || !x->events.has_id)
+			x->progress_at = pr_exchange_now(x);
 		first_byte(x);
 		if (!x->head_sent)
 			pr_caller_head(x->caller, x->status,
@@ -215,16 +222,35 @@
 	return true;
 }
 
+/* Bytes of the answers that this host holds until they are complete. */
+static size_t held_bytes(const pr_edge_t *edge)
+{
+	size_t held = 0;
+
+	for (const pr_list_t *at = edge->callers.next; at != &edge->callers;
+	     at = at->next)
+		held += PR_OWNER(at, pr_caller_t, node)->exchange.body.len;
+	return held;
+}
+
+static bool may_hold(const pr_exchange_t *x, size_t more)
+{
+	size_t len = x->body.len + more;
+
+	if (len <= HELD_FREE)
+		return true;
+	return len <= ANSWER_MAX && held_bytes(x->edge) + more <= HELD_MAX;
+}
+
 static bool on_body(void *owner, pr_slice_t bytes)
 {
 	pr_exchange_t *x = owner;
 
-	x->progress_at = pr_exchange_now(x);
 	if (!x->status)
 		return true;
 	if (x->event_stream)
 		return pass_events(x, bytes);
-	if (x->body.len + bytes.len <= ANSWER_MAX &&
+	if (may_hold(x, bytes.len) &&
 	    !pr_str_append(&x->body, bytes.ptr, bytes.len))
 		return true;
 	pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
--- a/src/events/events.c
+++ b/src/events/events.c
@@ -81,6 +81,7 @@
 				(unsigned long long)events->last_id);
 		events->has_id = true;
 		events->last_id = id;
+		events->numbered++;
 	}
 	events->passed++;
 	return pr_str_append(out, bytes, len);
--- a/src/events/events.h
+++ b/src/events/events.h
@@ -21,6 +21,8 @@
 	uint64_t last_id;
 	bool has_id;
 	uint64_t passed;
+	/** Those of them with a number. */
+	uint64_t numbered;
 } pr_events_t;
 
 void pr_events_init(pr_events_t *events);
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -10,7 +10,7 @@
 import time
 
 from fleet import Caller, Fleet, get
-from standins import P, event_of, events_of, whole_answer
+from standins import ENDLESS, P, event_of, events_of, whole_answer
 
 FAILURES = []
 
@@ -187,6 +187,56 @@
     check("and serves", answer.status == 200, answer.status)
 
 
+def peak_memory_kb(process):
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+
+
+async def check_endless(fleet):
+    """An upstream that sends bytes without end must not hold a caller or memory."""
+    router = fleet.routers[1]
+    for fault in ENDLESS:
+        path = "/stream/x" if fault in ("endless_event", "endless_comments", "drip") else "/safe/x"
+        service = "model" if path == "/stream/x" else "ledger"
+        upstreams = [u for u in fleet.upstreams if u.service == service]
+        # Two answers of whichever upstreams, so that the third attempt is sound.
+        left = [2]
+        for upstream in upstreams:
+            upstream.faults = {fault: 1.0}
+            upstream.endless_left = left
+        began = time.monotonic()
+        idents = [f"endless-{fault}-{n}" for n in range(6)]
+        answers = await asyncio.gather(
+            *(Caller(router.address).request(i, path, budget_ms=8000) for i in idents))
+        took = time.monotonic() - began
+        for upstream in upstreams:
+            upstream.faults = {}
+        whole = [a.status == 200 and a.complete for a in answers]
+        check(f"{fault}: callers get whole answers of other upstreams", all(whole),
+              [(a.status, a.complete, a.body[:60]) for a in answers])
+        # A pause of 1.8 s at most, after 1.25 of the objective of a second.
+        check(f"{fault}: in time", took < 5.0, took)
+        check(f"{fault}: came to a caller", left[0] <= 0, left[0])
+        await asyncio.sleep(0.1)
+        check(f"{fault}: the connection is closed", not any(u.never_closed for u in upstreams))
+    # What may not be repeated ends as a failure that may have run; many at once
+    # must not take the memory of the smallest hosts, 88 MB.
+    for upstream in fleet.upstreams:
+        if upstream.service == "ledger":
+            upstream.faults = {"endless_chunks": 1.0}
+            upstream.endless_left = [1 << 30]
+    answers = await asyncio.gather(
+        *(Caller(router.address).request(f"endless-once-{n}", "/once/x", budget_ms=4000)
+          for n in range(16)))
+    for upstream in fleet.upstreams:
+        upstream.faults = {}
+    check("endless answers to what may run once are failures",
+          all(a.status in (0, 502, 504) for a in answers), [a.status for a in answers])
+    check("memory stays bounded", peak_memory_kb(router.process) < 65536,
+          peak_memory_kb(router.process))
+    await asyncio.sleep(2.5)
+
+
 async def check_starting(fleet):
     """A host that has just started must not refuse what it can serve in a moment."""
     router = fleet.routers[0]
@@ -287,6 +337,7 @@
         await check_faults(fleet, caller)
         await check_gone(fleet, Caller(fleet.routers[1].address))
         await check_smuggling(fleet)
+        await check_endless(fleet)
         await check_protocol(fleet)
         await check_settings(fleet)
         await check_leaving(fleet, caller)
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -215,6 +215,11 @@
 
 
 FAULTS = ("error", "shed", "reset", "lost", "cut", "cut_reset", "garbage", "extra", "hang")
+# Bytes without end, until the other side closes: in a head, between heads, in a
+# body, behind a refusal, under another request's id, and in a stream without
+# events, or without an event that says anything.
+ENDLESS = ("endless_head", "endless_interim", "endless_length", "endless_chunks", "endless_trailer",
+           "endless_refusal", "endless_crossed", "endless_event", "endless_comments", "drip")
 
 
 class Upstream(Server):
@@ -232,6 +237,9 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.failing = 0.0
+        # Endless answers that are left, shared by upstreams.
+        self.endless_left = [1 << 30]
+        self.never_closed = []
 
     def entry(self, state="ready"):
         self.sequence += 1
@@ -248,7 +256,7 @@
         }
 
     def draw(self):
-        for fault in FAULTS:
+        for fault in FAULTS + ENDLESS:
             if self.random.random() < self.faults.get(fault, 0):
                 return fault
         return None
@@ -280,6 +288,9 @@
             if fault == "error" or self.random.random() < self.failing:
                 self.plain(writer, 500, ident, b"failed")
                 continue
+            if fault in ENDLESS and self.endless_left[0] > 0:
+                await self.endless(writer, fields, ident, fault)
+                return
             if not await self.answer(writer, line, fields, body, ident, fault):
                 return
 
@@ -305,6 +316,42 @@
             self.plain(writer, 200, "someone-else", b"not yours")
         return True
 
+    async def endless(self, writer, fields, ident, fault):
+        """Write until the connection is closed, at most ten seconds long."""
+        chunked = "Transfer-Encoding: chunked\r\n"
+        events = "Content-Type: text/event-stream\r\n" + chunked
+        begin = {
+            "endless_head": b"HTTP/1.1 200 X\r\n",
+            "endless_interim": b"",
+            "endless_length": self.head(200, ident, f"Content-Length: {1 << 40}\r\n"),
+            "endless_chunks": self.head(200, ident, chunked),
+            "endless_trailer": self.head(200, ident, chunked) + b"0\r\n",
+            "endless_refusal": self.head(503, ident, f"{P}Not-Executed: 1\r\n" + chunked, False),
+            "endless_crossed": self.head(200, "someone-else", chunked),
+            "endless_event": self.head(200, ident, events),
+            "endless_comments": self.head(200, ident, events),
+            "drip": self.head(200, ident, events),
+        }[fault]
+        first = int(fields.get("last-event-id", 0)) + 1
+        if fault in ("endless_comments", "drip"):
+            begin += chunk(event_of(ident, first))
+        more = {
+            "endless_head": b"X-More: " + b"y" * 2000 + b"\r\n",
+            "endless_interim": b"HTTP/1.1 102 Processing\r\n\r\n" * 50,
+            "endless_length": b"z" * 16384,
+            "endless_trailer": b"X-More: " + b"y" * 2000 + b"\r\n",
+            "endless_comments": chunk(b": still here\n\n"),
+            "drip": chunk(b"d"),
+        }.get(fault, chunk(b"z" * 16384))
+        self.endless_left[0] -= 1
+        writer.write(begin)
+        end = time.monotonic() + 10
+        while time.monotonic() < end:
+            writer.write(more)
+            await writer.drain()
+            await asyncio.sleep(0.1 if fault in ("endless_comments", "drip") else 0.0005)
+        self.never_closed.append(fault)
+
     async def stream(self, writer, fields, ident, fault):
         last = int(fields.get("last-event-id", 0))
         count = events_of(ident)
