Keep relays from taking over a reading relay that is current

Change: the reader asks every 600 ms; a relay neither begins nor goes on reading while one before it has an answer younger than 1.7 s. Confirmations of another region do not count, since its rows do not come here.

--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -232,7 +232,8 @@
 			continue;
 		view.is_fed |= host->fed && pr_peers_in_zone(edge, host);
 		view.before += !later;
-		view.earlier_reads |= !later && host->fed && host->reads;
+		if (!later && host->read_at > view.earlier_read_at)
+			view.earlier_read_at = host->read_at;
 	}
 	if (pr_reader_update(&peering->reader, &view, now) != was_reading)
 		pr_event_state(
@@ -281,12 +282,16 @@
 			      const pr_feed_state_t *state)
 {
 	pr_usec_t now = pr_edge_now(edge);
+	pr_usec_t confirmed_at =
+		now - (pr_usec_t)state->age_ms * PR_USEC_PER_MSEC;
 	int64_t ahead = state->clock_ms - pr_edge_store_now(edge);
 
-	pr_roster_heard(relay, state->fed, state->reads, now);
+	pr_roster_heard(relay, state->fed, state->reads ? confirmed_at : 0,
+			now);
 	for (int i = 0; i < PR_TABLES_COUNT; i++)
 		pr_watch_peer(edge, (pr_store_table_t)i, state->newest[i]);
-	if (!is_ahead(edge, state))
+	/* Each region has a reader, whose rows do not go to other regions. */
+	if (!is_ahead(edge, state) && pr_peers_in_region(edge, relay->zone))
 		pr_reader_confirm(&edge->peering.reader,
 				  now - (pr_usec_t)state->age_ms *
 						  PR_USEC_PER_MSEC);
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -31,7 +31,7 @@
 /* The table whose answers show that the store is there, and how soon it answers
  * a feed of it, milliseconds. */
 #define PROBE_TABLE   PR_TABLE_ORDERS
-#define PROBE_WAIT_MS 1000
+#define PROBE_WAIT_MS 600
 
 /*
  * Changes gather before the feed asks again, so that a series costs few calls.
--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -1,8 +1,8 @@
 /* Who reads the store's feeds. */
 #include "relay/reader.h"
 
-/* The reading relay asks the store every second, and its digest is at most two
- * periods of 200 ms old. */
+/* The store answers the reading relay every 600 ms, and later by 250 ms when
+ * there are changes; a relay has that from digests every 200 ms. */
 #define READ_AFTER (1700 * PR_USEC_PER_MSEC)
 /* Relays take over one after the other, so that one call to the store and its
  * digest can keep the next from it. */
@@ -33,10 +33,11 @@
 	pr_usec_t age = now - reader->confirmed_at;
 	uint32_t steps = view->before < STEPS_MAX ? view->before : STEPS_MAX;
 
-	if (view->is_relay && reader->reading)
-		reader->reading = !view->earlier_reads;
+	if (view->is_relay && view->earlier_read_at &&
+	    now - view->earlier_read_at < READ_AFTER)
+		reader->reading = false;
 	else if (view->is_relay)
-		reader->reading = age >= READ_AFTER + steps * READ_STEP;
+		reader->reading |= age >= READ_AFTER + steps * READ_STEP;
 	else if (reader->reading)
 		reader->reading = !view->is_fed;
 	else
--- a/src/relay/reader.h
+++ b/src/relay/reader.h
@@ -25,8 +25,9 @@
 /** What a host sees of the others. */
 typedef struct pr_reader_view_t {
 	bool is_relay;
-	/** A relay of the region that comes before this one reads. */
-	bool earlier_reads;
+	/** Last answer of the store to a relay of the region that reads and
+	 *  comes before this one; 0 where none does. */
+	pr_usec_t earlier_read_at;
 	/** Relays of the region that answer and come before this one. */
 	uint32_t before;
 	/** A relay of this zone is current. */
--- a/src/relay/roster.c
+++ b/src/relay/roster.c
@@ -125,11 +125,12 @@
 	return host;
 }
 
-void pr_roster_heard(pr_host_t *relay, bool fed, bool reads, pr_usec_t now)
+void pr_roster_heard(pr_host_t *relay, bool fed, pr_usec_t read_at,
+		     pr_usec_t now)
 {
 	relay->heard_at = now;
 	relay->fed = fed;
-	relay->reads = reads;
+	relay->read_at = read_at;
 	relay->tried_at = 0;
 }
 
--- a/src/relay/roster.h
+++ b/src/relay/roster.h
@@ -39,8 +39,11 @@
 	uint64_t hash;
 	/** Last digest from it as a relay; 0 for none. */
 	pr_usec_t heard_at;
-	/** It was current with the store, and read the feeds itself. */
-	bool fed, reads;
+	/** It was current with the store. */
+	bool fed;
+	/** It reads the feeds itself, and the store answered it last at this
+	 *  time; 0 for a relay that does not. */
+	pr_usec_t read_at;
 	/** First report to it that it has not answered; 0 for none. */
 	pr_usec_t tried_at;
 	/** Its last report to this host; 0 for none. */
@@ -81,9 +84,11 @@
  * A digest came from a relay.
  *
  * @param fed it is current with the store
- * @param reads it reads the feeds itself
+ * @param read_at the store answered it last, when it reads the feeds itself; or
+ * 0
  */
-void pr_roster_heard(pr_host_t *relay, bool fed, bool reads, pr_usec_t now);
+void pr_roster_heard(pr_host_t *relay, bool fed, pr_usec_t read_at,
+		     pr_usec_t now);
 /** A report came from a host of this zone. */
 void pr_roster_reported(pr_host_t *host, pr_usec_t now);
 
