Pass long rows on in parts, and measure lag by the newest row of all hosts

A host's position in the feed stood at its last row, beyond the store's history, which makes a call a whole read.

Change: rows up to 35 KB go in parts; digests carry the version up to which a relay has all rows.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,6 +8,7 @@
 
 #include "base/list.h"
 #include "edge/outbound.h"
+#include "relay/lag.h"
 #include "relay/message.h"
 #include "edge/peering.h"
 #include "edge/settings.h"
@@ -46,14 +47,15 @@
 	bool resting;
 	/** A removal before this time may be one that an outage caused. */
 	pr_usec_t settled_at;
-	/** Another host has had a newer row since this time; 0 when none has.
-	 */
-	pr_usec_t behind_since;
+	/** Rows that other hosts have and this one lacks. */
+	pr_lag_t lag;
 	/** Whole reads are needed until one succeeded. */
 	bool complete;
 	/** Keys seen by the whole read under way. */
 	pr_names_t seen;
 	char *page;
+	/** A long row that a relay passes on. */
+	pr_parts_t parts;
 	uint32_t failures;
 	pr_usec_t failed_since;
 } pr_watch_t;
@@ -144,10 +146,17 @@
 void pr_watches_settle(pr_edge_t *edge, uint32_t unsettled_ms);
 /** Read the feeds where no relay does it for this host. */
 void pr_watches_tick(pr_edge_t *edge);
-/** Another host has applied rows up to a version. */
-void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest);
+/**
+ * What a relay has of a table.
+ *
+ * @param newest its newest row
+ * @param version of the store up to which it has all rows
+ */
+void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest,
+		   uint64_t version);
 /** A relay passes rows on. */
 void pr_watch_take_rows(pr_edge_t *edge, const pr_message_rows_t *rows);
+void pr_watch_take_part(pr_edge_t *edge, const pr_message_part_t *part);
 
 /* orders.c: rows to state. */
 void pr_edge_row(pr_edge_t *edge, pr_store_table_t table,
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -262,8 +262,10 @@
 		.unsettled_ms = pr_watches_unsettled_ms(edge),
 	};
 
-	for (int i = 0; i < PR_TABLES_COUNT; i++)
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
 		state.newest[i] = edge->watches[i].newest;
+		state.version[i] = edge->watches[i].version;
+	}
 	return state;
 }
 
@@ -289,12 +291,11 @@
 	pr_roster_heard(relay, state->fed, state->reads ? confirmed_at : 0,
 			now);
 	for (int i = 0; i < PR_TABLES_COUNT; i++)
-		pr_watch_peer(edge, (pr_store_table_t)i, state->newest[i]);
+		pr_watch_peer(edge, (pr_store_table_t)i, state->newest[i],
+			      state->version[i]);
 	/* Each region has a reader, whose rows do not go to other regions. */
 	if (!is_ahead(edge, state) && pr_peers_in_region(edge, relay->zone))
-		pr_reader_confirm(&edge->peering.reader,
-				  now - (pr_usec_t)state->age_ms *
-						  PR_USEC_PER_MSEC);
+		pr_reader_confirm(&edge->peering.reader, confirmed_at);
 	if (!pr_peers_in_zone(edge, relay) || !state->fed ||
 	    pr_peering_reads(edge))
 		return;
@@ -304,12 +305,14 @@
 		edge->store_clock += ahead;
 }
 
-/* The first fed relay of a zone passes rows on; the digests of the others tell
- * a host that it missed some. */
+/* The relay that reads passes rows on, and the first fed one of each other
+ * zone; the digests of the others tell a host that it missed some. */
 static bool passes_rows(pr_edge_t *edge)
 {
 	pr_peering_t *peering = &edge->peering;
 
+	if (pr_peering_reads(edge))
+		return peering->is_relay;
 	for (size_t i = 0; i < peering->relays_count; i++) {
 		pr_host_t *relay = peering->relays[i];
 
@@ -321,29 +324,70 @@
 	return peering->is_relay;
 }
 
+/* To the hosts that this relay feeds; rows that it read itself go to the relays
+ * of the region, too. */
+static void send_fed(pr_edge_t *edge, const pr_str_t *bytes)
+{
+	pr_peers_send_followers(edge, bytes);
+	if (pr_peering_reads(edge))
+		pr_peers_send_relays(edge, PR_DISTANCE_REGION, bytes);
+}
+
+/* @return false for a row that each host has to read itself */
+static bool pass_long_row(pr_edge_t *edge, pr_store_table_t table,
+			  uint64_t after, const pr_store_row_t *row)
+{
+	pr_message_part_t part = {
+		.table = table,
+		.after = after,
+		.key = pr_slice_of(row->key),
+		.version = row->version,
+		.parts = (uint32_t)((row->value.len + PR_PART_SIZE - 1) /
+				    PR_PART_SIZE),
+	};
+
+	if (row->removed || !part.parts || part.parts > PR_PARTS_MAX)
+		return false;
+	for (; part.part < part.parts; part.part++) {
+		size_t from = (size_t)part.part * PR_PART_SIZE;
+		size_t left = row->value.len - from;
+		pr_str_t bytes = PR_STR_INIT;
+
+		part.bytes =
+			pr_slice(row->value.ptr + from,
+				 left < PR_PART_SIZE ? left : PR_PART_SIZE);
+		if (!pr_message_part(&bytes, edge->settings->host, &part))
+			send_fed(edge, &bytes);
+		pr_str_finish(&bytes);
+	}
+	return true;
+}
+
 void pr_peering_pass_rows(pr_edge_t *edge, pr_store_table_t table,
 			  uint64_t after, const pr_store_row_t *rows,
 			  size_t count)
 {
-	bool reads = pr_peering_reads(edge);
 	size_t at = 0;
 
 	if (!passes_rows(edge))
 		return;
 	while (at < count) {
 		pr_str_t bytes = PR_STR_INIT;
-		size_t packed =
+		size_t passed =
 			pr_message_rows(&bytes, edge->settings->host, table,
 					after, &rows[at], count - at);
 
-		pr_peers_send_followers(edge, &bytes);
-		if (reads)
-			pr_peers_send_relays(edge, PR_DISTANCE_REGION, &bytes);
+		if (!passed)
+			passed = pass_long_row(edge, table, after, &rows[at]);
+		else
+			send_fed(edge, &bytes);
+		/* Without rows it tells the hosts to read by themselves. */
+		if (!passed)
+			send_fed(edge, &bytes);
 		pr_str_finish(&bytes);
-		/* A long row is read by each host, with what follows it. */
-		if (!packed)
+		if (!passed)
 			return;
-		at += packed;
+		at += passed;
 		after = rows[at - 1].version;
 	}
 }
@@ -352,6 +396,7 @@
 
 static void take(pr_edge_t *edge, pr_slice_t bytes)
 {
+	pr_message_part_t part;
 	pr_message_rows_t rows;
 	pr_feed_state_t state;
 	pr_count_kind_t kind;
@@ -376,6 +421,8 @@
 				    &from_relay)) {
 		pr_peers_take_counts(edge, host, kind, &counts, &state,
 				     from_relay);
+	} else if (!pr_message_read_part(&map, &part)) {
+		pr_watch_take_part(edge, &part);
 	} else if (!pr_message_read_rows(&map, &rows)) {
 		pr_watch_take_rows(edge, &rows);
 		pr_message_rows_finish(&rows);
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -26,8 +26,9 @@
 /* A host that another one is ahead of for this long has lost its feed: the
  * store's answers to two hosts are tens of milliseconds apart. */
 #define BEHIND_MAX (600 * PR_USEC_PER_MSEC)
-/* Rows that a relay passes on come before its digest. */
-#define BEHIND_MAX_RESTING (250 * PR_USEC_PER_MSEC)
+/* Rows that a relay passes on come before its digest; those that another region
+ * has read come when the changes here have gathered. */
+#define BEHIND_MAX_RESTING (500 * PR_USEC_PER_MSEC)
 /* The table whose answers show that the store is there, and how soon it answers
  * a feed of it, milliseconds. */
 #define PROBE_TABLE   PR_TABLE_ORDERS
@@ -286,7 +287,7 @@
 	if (watch->resting)
 		return;
 	/* Being behind is normal while changes gather. */
-	watch->behind_since = 0;
+	watch->lag.since = 0;
 	if (at_once)
 		timeout = PROBE_TIMEOUT;
 	if (watch->complete)
@@ -314,7 +315,7 @@
 /* Ask at once for what this host lacks. */
 static void catch_up(pr_watch_t *watch)
 {
-	watch->behind_since = 0;
+	watch->lag.since = 0;
 	watch->restarting = true;
 	if (watch->call.busy)
 		pr_call_abort(&watch->call);
@@ -322,20 +323,28 @@
 		start(watch);
 }
 
-void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest)
+/* With the same rows this host is as far as the relay; from an older version
+ * the store may have no history any more. */
+static void advance(pr_watch_t *watch, uint64_t newest, uint64_t version)
+{
+	if (watch->resting && newest == watch->newest &&
+	    version > watch->version)
+		watch->version = version;
+}
+
+void pr_watch_peer(pr_edge_t *edge, pr_store_table_t table, uint64_t newest,
+		   uint64_t version)
 {
 	pr_watch_t *watch = &edge->watches[table];
 	pr_usec_t now = pr_edge_now(edge);
+	uint64_t have;
+	pr_usec_t lag;
 
+	advance(watch, newest, version);
 	/* The feed's position also covers rows that were removed. */
-	if (newest <= watch->newest || newest <= watch->version) {
-		watch->behind_since = 0;
-		return;
-	}
-	if (!watch->behind_since)
-		watch->behind_since = now;
-	if (now - watch->behind_since <
-		    (watch->resting ? BEHIND_MAX_RESTING : BEHIND_MAX) ||
+	have = watch->newest > watch->version ? watch->newest : watch->version;
+	lag = pr_lag_hear(&watch->lag, newest, have, now);
+	if (lag < (watch->resting ? BEHIND_MAX_RESTING : BEHIND_MAX) ||
 	    watch->failures)
 		return;
 	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
@@ -370,6 +379,25 @@
 			     rows->count);
 }
 
+void pr_watch_take_part(pr_edge_t *edge, const pr_message_part_t *part)
+{
+	pr_watch_t *watch = &edge->watches[part->table];
+	pr_message_rows_t rows = { .table = part->table, .after = part->after };
+	pr_store_row_t *row = &rows.rows[0];
+
+	if (part->version <= watch->newest ||
+	    !pr_parts_take(&watch->parts, part))
+		return;
+	row->key = strndup(part->key.ptr, part->key.len);
+	row->version = part->version;
+	rows.count = row->key && !pr_str_append(&row->value, watch->parts.bytes,
+						watch->parts.len);
+	if (rows.count)
+		pr_watch_take_rows(edge, &rows);
+	free(row->key);
+	pr_str_finish(&row->value);
+}
+
 bool pr_watches_complete(const pr_edge_t *edge)
 {
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -14,6 +14,12 @@
 	[PR_TABLE_SHARED] = "shared",
 };
 
+static const char *const version_names[PR_TABLES_COUNT] = {
+	[PR_TABLE_ORDERS] = "orders_to",
+	[PR_TABLE_UPSTREAMS] = "upstreams_to",
+	[PR_TABLE_SHARED] = "shared_to",
+};
+
 static const char *const tally_fields[] = { "total", "bad",  "who",
 					    "timed", "slow", "slow_who" };
 #define TALLY_FIELDS (sizeof(tally_fields) / sizeof(tally_fields[0]))
@@ -41,7 +47,7 @@
 {
 	msgpack_packer packer;
 	int rc = begin(&packer, out, host,
-		       feeds ? 6 + PR_TABLES_COUNT : (size_t)1);
+		       feeds ? 6 + 2 * PR_TABLES_COUNT : (size_t)1);
 
 	if (!rc)
 		rc = pr_msgmap_pack_text(
@@ -64,6 +70,9 @@
 	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
 		rc = pr_msgmap_pack_number(&packer, table_names[i],
 					   feeds->newest[i]);
+	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
+		rc = pr_msgmap_pack_number(&packer, version_names[i],
+					   feeds->version[i]);
 	return rc;
 }
 
@@ -98,8 +107,9 @@
 	feeds->clock_ms = (int64_t)clock;
 	feeds->unsettled_ms = (uint32_t)unsettled;
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		if (pr_msgmap_number(map, &feeds->newest[i], table_names[i]))
-			feeds->newest[i] = 0;
+		if (pr_msgmap_number(map, &feeds->newest[i], table_names[i]) ||
+		    pr_msgmap_number(map, &feeds->version[i], version_names[i]))
+			feeds->newest[i] = feeds->version[i] = 0;
 	}
 	return 0;
 }
@@ -288,6 +298,70 @@
 	return rc ? 0 : fit;
 }
 
+int pr_message_part(pr_str_t *out, const char *host,
+		    const pr_message_part_t *part)
+{
+	msgpack_packer packer;
+	int rc = begin(&packer, out, host, 7);
+
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "long_table", part->table);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "after", part->after);
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "key", part->key);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "version", part->version);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "part", part->part);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "parts", part->parts);
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "bytes", part->bytes);
+	return rc;
+}
+
+int pr_message_read_part(const pr_msgmap_t *map, pr_message_part_t *out)
+{
+	uint64_t table, part, parts;
+
+	if (pr_msgmap_number(map, &table, "long_table") ||
+	    pr_msgmap_number(map, &out->after, "after") ||
+	    pr_msgmap_text(map, &out->key, "key") ||
+	    pr_msgmap_number(map, &out->version, "version") ||
+	    pr_msgmap_number(map, &part, "part") ||
+	    pr_msgmap_number(map, &parts, "parts") ||
+	    pr_msgmap_text(map, &out->bytes, "bytes") ||
+	    table >= PR_TABLES_COUNT || !parts || parts > PR_PARTS_MAX ||
+	    part >= parts || out->bytes.len > PR_PART_SIZE ||
+	    (part + 1 < parts && out->bytes.len != PR_PART_SIZE))
+		return PR_EPARSE;
+	out->table = (pr_store_table_t)table;
+	out->part = (uint32_t)part;
+	out->parts = (uint32_t)parts;
+	return 0;
+}
+
+bool pr_parts_take(pr_parts_t *parts, const pr_message_part_t *part)
+{
+	uint32_t all = UINT32_MAX >> (PR_PARTS_MAX - part->parts);
+	bool was_whole;
+
+	if (parts->version != part->version || parts->parts != part->parts) {
+		parts->version = part->version;
+		parts->parts = part->parts;
+		parts->have = 0;
+	}
+	was_whole = parts->have == all;
+	memcpy(parts->bytes + (size_t)part->part * PR_PART_SIZE,
+	       part->bytes.ptr, part->bytes.len);
+	parts->have |= UINT32_C(1) << part->part;
+	if (part->part + 1 == part->parts)
+		parts->len =
+			(size_t)part->part * PR_PART_SIZE + part->bytes.len;
+	return !was_whole && parts->have == all;
+}
+
 void pr_message_rows_finish(pr_message_rows_t *rows)
 {
 	for (size_t i = 0; i < rows->count; i++) {
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -25,8 +25,9 @@
 	bool reads;
 	/** It feeds other hosts. */
 	bool fed;
-	/** Newest row of each table that it applied. */
-	uint64_t newest[PR_TABLES_COUNT];
+	/** Newest row of each table that it applied, and the version of the
+	 *  store up to which it has all rows of the table. */
+	uint64_t newest[PR_TABLES_COUNT], version[PR_TABLES_COUNT];
 	/** The store's clock, milliseconds. */
 	int64_t clock_ms;
 	/** Time until entries that lapsed in an outage are back, ms. */
@@ -66,6 +67,41 @@
 	size_t count;
 } pr_message_rows_t;
 
+/** Bytes of a long row in one datagram. */
+#define PR_PART_SIZE 1100
+/** Datagrams that one row is split into; a longer row is not passed on. */
+#define PR_PARTS_MAX 32
+
+/** A part of the value of a row that is too long for one datagram. */
+typedef struct pr_message_part_t {
+	pr_store_table_t table;
+	/** Newest row that the receiver must have. */
+	uint64_t after;
+	pr_slice_t key;
+	/** Version of the row. */
+	uint64_t version;
+	uint32_t part, parts;
+	pr_slice_t bytes;
+} pr_message_part_t;
+
+int pr_message_part(pr_str_t *out, const char *host,
+		    const pr_message_part_t *part);
+/** @return 0 or PR_EPARSE; slices stay valid as long as the map's bytes */
+int pr_message_read_part(const pr_msgmap_t *map, pr_message_part_t *out);
+
+/** The parts of one row, as they come. Zeroed before first use. */
+typedef struct pr_parts_t {
+	uint64_t version;
+	uint32_t parts;
+	/** Bit set of the parts that came. */
+	uint32_t have;
+	size_t len;
+	char bytes[PR_PART_SIZE * PR_PARTS_MAX];
+} pr_parts_t;
+
+/** @return true when the row is whole; its value is in bytes, of length len */
+bool pr_parts_take(pr_parts_t *parts, const pr_message_part_t *part);
+
 /** @return rows that were packed, from the first on */
 size_t pr_message_rows(pr_str_t *out, const char *host, pr_store_table_t table,
 		       uint64_t after, const pr_store_row_t *rows,
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -16,6 +16,7 @@
 #include <cmocka.h>
 
 #include "relay/gather.h"
+#include "relay/lag.h"
 #include "relay/reader.h"
 #include "relay/roster.h"
 
@@ -439,6 +440,27 @@
 	assert_int_equal(least, PR_COUNTS_MAX + 1);
 }
 
+/*
+ * Two relays answer by turns, and one of them lags as well. A host that took
+ * the last one's word would never notice that it lacks a row (CONFIG, small
+ * twin of trouble-1 of the large site).
+ */
+static void test_lagging_relay_hides_nothing(void **state)
+{
+	pr_lag_t lag = { 0 };
+	pr_usec_t longest = 0;
+
+	for (int i = 0; i < SECONDS(1); i++) {
+		pr_usec_t behind =
+			pr_lag_hear(&lag, i % 2 ? 10 : 11, 10, 1 + i * PERIOD);
+
+		longest = behind > longest ? behind : longest;
+	}
+	assert_true(longest >= 600 * PR_USEC_PER_MSEC);
+	assert_int_equal(pr_lag_hear(&lag, 10, 11, PR_USEC_PER_SEC), 0);
+	assert_int_equal(pr_lag_hear(&lag, 12, 11, 2 * PR_USEC_PER_SEC), 0);
+}
+
 /* The rate of a cold upstream falls to a few hosts of its region, whatever the
  * size of the fleet; divided among all, a host would have one request in 40 s.
  */
@@ -483,6 +505,7 @@
 		cmocka_unit_test(test_relay_without_the_store_is_replaced),
 		cmocka_unit_test(test_outage_is_probed_by_few),
 		cmocka_unit_test(test_returned_relay_is_tried_again),
+		cmocka_unit_test(test_lagging_relay_hides_nothing),
 		cmocka_unit_test(test_cold_rate_falls_to_few_hosts),
 		cmocka_unit_test(test_sums),
 		cmocka_unit_test(test_least_work_is_left_out),
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -29,6 +29,7 @@
 		.reads = true,
 		.fed = true,
 		.newest = { UINT64_MAX, 5, UINT64_MAX },
+		.version = { UINT64_MAX, UINT64_MAX, 6 },
 		.clock_ms = INT64_MAX,
 		.unsettled_ms = UINT32_MAX,
 	};
@@ -55,6 +56,7 @@
 	assert_int_equal(read_feeds.age_ms, feeds.age_ms);
 	assert_true(read_feeds.reads && read_feeds.fed);
 	assert_int_equal(read_feeds.newest[2], UINT64_MAX);
+	assert_int_equal(read_feeds.version[2], 6);
 	assert_int_equal(read_feeds.clock_ms, INT64_MAX);
 	pr_msgmap_finish(&map);
 	pr_str_finish(&bytes);
@@ -226,6 +228,57 @@
 	pr_str_finish(&row.value);
 }
 
+#define LONG_ROW (3 * PR_PART_SIZE + 17)
+
+/* A long document in parts, in any order; a lost part leaves it incomplete, and
+ * a newer version begins anew. */
+static void test_long_row_in_parts(void **state)
+{
+	static const uint32_t order[] = { 2, 0, 3, 0, 1, 1 };
+	static char value[LONG_ROW];
+	static pr_parts_t parts;
+	pr_message_part_t part = {
+		.table = PR_TABLE_ORDERS,
+		.after = 4,
+		.key = PR_SLICE("config"),
+		.version = 5,
+		.parts = 4,
+	};
+
+	for (size_t i = 0; i < LONG_ROW; i++)
+		value[i] = (char)(i * 7);
+	/* Version 5 lacks a part; of version 6 all come. */
+	for (int version = 5; version <= 6; version++) {
+		for (size_t i = 0; i < 6; i++) {
+			size_t from = (size_t)order[i] * PR_PART_SIZE;
+			size_t left = LONG_ROW - from;
+			pr_str_t bytes = PR_STR_INIT;
+			pr_message_part_t read;
+			pr_msgmap_t map;
+
+			if (version == 5 && order[i] == 1)
+				continue;
+			part.version = (uint64_t)version;
+			part.part = order[i];
+			part.bytes = pr_slice(
+				value + from,
+				left < PR_PART_SIZE ? left : PR_PART_SIZE);
+			assert_int_equal(pr_message_part(&bytes, "host", &part),
+					 0);
+			read_map(&map, &bytes);
+			assert_int_equal(pr_message_read_part(&map, &read), 0);
+			assert_int_equal(read.after, 4);
+			/* Whole once, with the first copy of the last part. */
+			assert_int_equal(pr_parts_take(&parts, &read),
+					 version == 6 && i == 4);
+			pr_msgmap_finish(&map);
+			pr_str_finish(&bytes);
+		}
+	}
+	assert_int_equal(parts.len, LONG_ROW);
+	assert_memory_equal(parts.bytes, value, LONG_ROW);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -235,6 +288,7 @@
 		cmocka_unit_test(test_sessions),
 		cmocka_unit_test(test_rows_in_several_datagrams),
 		cmocka_unit_test(test_row_that_does_not_fit),
+		cmocka_unit_test(test_long_row_in_parts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
