--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -192,6 +192,8 @@
 		{ &counters->not_found, "edge_not_found_total" },
 		{ &counters->unauthorized, "edge_unauthorized_total" },
 		{ &counters->malformed, "edge_malformed_total" },
+		{ &counters->datagrams, "edge_datagrams_sent_total" },
+		{ &counters->datagram_bytes, "edge_datagram_bytes_total" },
 	};
 
 	pr_metrics_init(&edge->metrics, SERIES_MAX);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -62,7 +62,8 @@
 
 typedef struct pr_edge_metrics_t {
 	pr_metric_t *requests, *answered, *refused, *failed, *gone, *repeats,
-		*escalations, *resumes, *not_found, *unauthorized, *malformed;
+		*escalations, *resumes, *not_found, *unauthorized, *malformed,
+		*datagrams, *datagram_bytes;
 	pr_histogram_t *first_byte, *total;
 } pr_edge_metrics_t;
 
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -52,7 +52,6 @@
 	int64_t sessions_noted_ms;
 	/** Expiries of either timer. */
 	uint32_t periods, ticks;
-	uint64_t sent, sent_bytes;
 } pr_peering_t;
 
 int pr_peering_start(struct pr_edge_t *edge);
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -43,8 +43,9 @@
 	const struct sockaddr *to = (const struct sockaddr *)&host->address;
 	send_t *send;
 
-	peering->sent++;
-	peering->sent_bytes += bytes->len;
+	pr_metric_add(peering->edge->counters.datagrams, 1);
+	pr_metric_add(peering->edge->counters.datagram_bytes,
+		      (double)bytes->len);
 	if (uv_udp_try_send(&peering->udp, &buf, 1, to) >= 0)
 		return;
 	send = calloc(1, sizeof(*send));
