Read long rows from relays, and do not give up an arriving answer

On the link of 60 Mbit/s the answers took longer than 1.5 s, calls ended at that time-out and asked for the same answer again.

Change: a relay keeps the latest rows that it forwarded, compressed, and hosts that lack rows read them from it over TCP; the store is asked only when the relay does not have them. A call whose answer arrives goes on, and is not replaced by another one. The fragments in datagrams, which had no repair, go.

--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -1,5 +1,5 @@
-/* HTTP server for the readiness checks of the balancer and for the metrics in
- * the Prometheus text format. */
+/* HTTP server for the readiness checks of the balancer, for the metrics in the
+ * Prometheus text format, and for hosts that read rows from this relay. */
 #include <stdlib.h>
 
 #include "base/event_log.h"
@@ -9,11 +9,15 @@
 #include "pistachiorack/error.h"
 
 #define HEAD_BYTES_MAX 8192
+/* All hosts of a zone read a long row from their relay at the same time. */
+#define BACKLOG 512
 
 typedef struct admin_t {
 	pr_link_t link;
 	pr_http_reader_t reader;
 	pr_edge_t *edge;
+	/** Accepted on the address for other hosts. */
+	bool from_peer;
 } admin_t;
 
 static admin_t *admin_of(pr_link_t *link)
@@ -58,16 +62,56 @@
 	pr_str_finish(&text);
 }
 
+/* Remove a number and the slash before it from a path. */
+static bool next_number(pr_slice_t *path, uint64_t *out)
+{
+	const char *end;
+	pr_slice_t number;
+
+	if (!path->len || path->ptr[0] != '/')
+		return false;
+	number = pr_slice(path->ptr + 1, path->len - 1);
+	end = memchr(number.ptr, '/', number.len);
+	if (end)
+		number.len = (size_t)(end - number.ptr);
+	path->ptr += 1 + number.len;
+	path->len -= 1 + number.len;
+	return pr_slice_number(number, out);
+}
+
+/* Send the rows of a table that changed after a version. The path is
+ * /TABLE/VERSION. */
+static void reply_rows(admin_t *admin, pr_slice_t path)
+{
+	pr_row_cache_t *caches = admin->edge->peering.row_caches;
+	pr_str_t rows = PR_STR_INIT;
+	uint64_t table, after;
+
+	if (!next_number(&path, &table) || !next_number(&path, &after) ||
+	    path.len || table >= PR_TABLES_COUNT)
+		reply(admin, 400, pr_slice("", 0));
+	else if (pr_row_cache_pack(&caches[table], after, &rows))
+		reply(admin, 404, pr_slice("", 0));
+	else
+		reply(admin, 200, pr_str_slice(&rows));
+	pr_str_finish(&rows);
+}
+
 static void on_message(pr_http_reader_t *reader)
 {
 	admin_t *admin = reader->owner;
 	pr_slice_t target = pr_http_target(reader);
+	pr_slice_t rows = PR_SLICE("/rows");
 	bool ready = pr_edge_is_ready(admin->edge) && !admin->edge->stopping;
 
 	if (pr_slice_equal(target, PR_SLICE("/ready")))
 		reply(admin, ready ? 200 : 503, pr_slice("", 0));
 	else if (pr_slice_equal(target, PR_SLICE("/metrics")))
 		reply_metrics(admin);
+	else if (admin->from_peer && target.len > rows.len &&
+		 !memcmp(target.ptr, rows.ptr, rows.len))
+		reply_rows(admin, pr_slice(target.ptr + rows.len,
+					   target.len - rows.len));
 	else
 		reply(admin, 404, pr_slice("", 0));
 	if (!http_should_keep_alive(&reader->parser))
@@ -128,6 +172,7 @@
 		return;
 	}
 	admin->edge = edge;
+	admin->from_peer = listener == (uv_stream_t *)&edge->peer_listener;
 	pr_http_reader_init(&admin->reader, true, HEAD_BYTES_MAX, &reader_ops,
 			    admin);
 	if (pr_link_accept(&admin->link, listener))
@@ -143,7 +188,7 @@
 	listener->data = edge;
 	rc = uv_tcp_bind(listener, (const struct sockaddr *)address, 0);
 	if (!rc)
-		rc = uv_listen((uv_stream_t *)listener, 64, on_connection);
+		rc = uv_listen((uv_stream_t *)listener, BACKLOG, on_connection);
 	return rc ? pr_error_set(PR_EIO, "cannot listen on port %u: %s",
 				 ntohs(address->sin_port), uv_strerror(rc))
 		  : 0;
@@ -157,5 +202,8 @@
 	if (!rc)
 		rc = listen_on(edge, &edge->metrics_listener,
 			       &edge->settings->addresses.metrics);
+	if (!rc)
+		rc = listen_on(edge, &edge->peer_listener,
+			       &edge->settings->addresses.peer);
 	return rc;
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -60,8 +60,8 @@
 	pr_names_t seen_keys;
 	/** First key of the next page of a full read; NULL for the first. */
 	char *page_key;
-	/** Reassembly of a row that a relay sends in several fragments. */
-	pr_reassembly_t parts;
+	/** Call that reads missing rows from a relay. */
+	pr_call_t relay_call;
 	/** Failed calls since the last success, and the time of the first. */
 	uint32_t failures;
 	pr_usec_t failed_since;
@@ -128,7 +128,8 @@
 	int64_t store_clock_offset_ms;
 	bool has_store_clock;
 	pr_peering_t peering;
-	uv_tcp_t caller_listener, ready_listener, metrics_listener;
+	uv_tcp_t caller_listener, ready_listener, metrics_listener,
+		peer_listener;
 	pr_list_t callers;
 	/** Active exchanges. */
 	size_t exchanges_count;
@@ -172,17 +173,18 @@
  * Compare a table with the state that a relay reported, and request the missing
  * rows when this host has lacked some for too long.
  *
+ * @param relay relay of this region that can send the rows; NULL to read them
+ *	  from the store
  * @param newest version of the relay's newest row
  * @param version version of the store up to which the relay has all rows
  */
 void pr_watch_compare_peer(pr_edge_t *edge, pr_store_table_t table,
-			   uint64_t newest, uint64_t version);
+			   const pr_host_t *relay, uint64_t newest,
+			   uint64_t version);
 /** Apply rows that a relay forwarded, and forward them if this host is a relay
- *  too. */
-void pr_watch_receive_rows(pr_edge_t *edge, const pr_message_rows_t *rows);
-/** Collect a fragment of a long row; the last one applies the row. */
-void pr_watch_receive_fragment(pr_edge_t *edge,
-			       const pr_message_fragment_t *part);
+ *  too. Rows that do not follow this host's rows are read from the relay. */
+void pr_watch_receive_rows(pr_edge_t *edge, const pr_host_t *relay,
+			   const pr_message_rows_t *rows);
 
 /* store_rows.c */
 /**
@@ -204,8 +206,8 @@
 void pr_callers_abort_exchanges(pr_edge_t *edge);
 
 /* admin.c */
-/** Listen for readiness checks and for reads of the metrics. @return 0 or
- * PR_EIO
+/** Listen for readiness checks, reads of the metrics, and hosts that read rows.
+ * @return 0 or PR_EIO
  */
 int pr_admin_listen(pr_edge_t *edge);
 
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -12,6 +12,7 @@
 #include "relay/aggregate.h"
 #include "relay/reader.h"
 #include "relay/roster.h"
+#include "relay/row_cache.h"
 #include "store/store.h"
 #include "transition/sessions.h"
 
@@ -34,6 +35,8 @@
 	bool is_relay;
 	/** Whether this host reads the store's feeds itself. */
 	pr_reader_t reader;
+	/** Recent rows of each table while this host is a relay. */
+	pr_row_cache_t row_caches[PR_TABLES_COUNT];
 	/** Counts that this host last reported to the relays. */
 	pr_tallies_t reported[PR_AGGREGATE_TRANSITIONS_MAX];
 	/** Counts of all hosts as a relay last sent them. */
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -303,15 +303,17 @@
 	pr_usec_t confirmed_at =
 		now - (pr_usec_t)state->age_ms * PR_USEC_PER_MSEC;
 	int64_t clock_lead_ms = state->clock_ms - pr_edge_store_now(edge);
+	bool near = pr_peers_in_region(edge, relay->zone);
 
 	pr_roster_note_digest(relay, state->current,
 			      state->reads_store ? confirmed_at : 0, now);
 	for (int i = 0; i < PR_TABLES_COUNT; i++)
 		pr_watch_compare_peer(edge, (pr_store_table_t)i,
-				      state->newest[i], state->version[i]);
+				      near ? relay : NULL, state->newest[i],
+				      state->version[i]);
 	/* Each region has its own reader, and rows are not forwarded to other
 	 * regions. */
-	if (!is_ahead(edge, state) && pr_peers_in_region(edge, relay->zone))
+	if (!is_ahead(edge, state) && near)
 		pr_reader_confirm(&edge->peering.reader, confirmed_at);
 	if (!pr_peers_in_zone(edge, relay) || !state->current ||
 	    pr_peering_reads_store(edge))
@@ -352,44 +354,18 @@
 		pr_peers_send_relays(edge, PR_DISTANCE_REGION, bytes);
 }
 
-/* Forward a row that needs several datagrams. @return false for a row that each
- * host has to read itself, since it is removed, empty or too long */
-static bool forward_long_row(pr_edge_t *edge, pr_store_table_t table,
-			     uint64_t after, const pr_store_row_t *row)
-{
-	pr_message_fragment_t part = {
-		.table = table,
-		.after = after,
-		.key = pr_slice_of(row->key),
-		.version = row->version,
-		.parts = (uint32_t)((row->value.len + PR_FRAGMENT_SIZE - 1) /
-				    PR_FRAGMENT_SIZE),
-	};
-
-	if (row->removed || !part.parts || part.parts > PR_FRAGMENTS_MAX)
-		return false;
-	for (; part.part < part.parts; part.part++) {
-		size_t from = (size_t)part.part * PR_FRAGMENT_SIZE;
-		size_t left = row->value.len - from;
-		pr_str_t bytes = PR_STR_INIT;
-
-		part.bytes = pr_slice(
-			row->value.ptr + from,
-			left < PR_FRAGMENT_SIZE ? left : PR_FRAGMENT_SIZE);
-		if (!pr_message_pack_fragment(&bytes, edge->settings->host,
-					      &part))
-			forward_datagram(edge, &bytes);
-		pr_str_finish(&bytes);
-	}
-	return true;
-}
-
 void pr_peering_forward_rows(pr_edge_t *edge, pr_store_table_t table,
 			     uint64_t after, const pr_store_row_t *rows,
 			     size_t count)
 {
+	pr_peering_t *peering = &edge->peering;
 	size_t at = 0;
 
+	if (!peering->is_relay)
+		return;
+	if (pr_row_cache_add(&peering->row_caches[table], after, rows, count))
+		pr_event("rows_not_cached", "table=%d error=\"out of memory\"",
+			 table);
 	if (!forwards_rows(edge))
 		return;
 	while (at < count) {
@@ -398,15 +374,9 @@
 			&bytes, edge->settings->host, table, after, &rows[at],
 			count - at);
 
-		if (!passed)
-			passed =
-				forward_long_row(edge, table, after, &rows[at]);
-		else
-			forward_datagram(edge, &bytes);
-		/* A message without rows makes the hosts read the feed
-		 * themselves. */
-		if (!passed)
-			forward_datagram(edge, &bytes);
+		/* A message without rows makes the hosts read the rest from
+		 * this host's cache. */
+		forward_datagram(edge, &bytes);
 		pr_str_finish(&bytes);
 		if (!passed)
 			return;
@@ -419,7 +389,6 @@
 
 static void receive_datagram(pr_edge_t *edge, pr_slice_t bytes)
 {
-	pr_message_fragment_t part;
 	pr_message_rows_t rows;
 	pr_feed_state_t state;
 	pr_count_kind_t kind;
@@ -444,10 +413,8 @@
 				    &from_relay)) {
 		pr_peers_receive_counts(edge, host, kind, &counts, &state,
 					from_relay);
-	} else if (!pr_message_read_fragment(&map, &part)) {
-		pr_watch_receive_fragment(edge, &part);
 	} else if (!pr_message_read_rows(&map, &rows)) {
-		pr_watch_receive_rows(edge, &rows);
+		pr_watch_receive_rows(edge, host, &rows);
 		pr_message_rows_finish(&rows);
 	} else {
 		pr_peers_receive_sessions(edge, host, &map);
@@ -487,6 +454,8 @@
 			pr_roster_is_self(roster, peering->relays[i]);
 	for (size_t i = 0; i < roster->count && !peering->is_relay; i++)
 		peering->is_relay = is_follower(edge, roster->hosts[i]);
+	for (int i = 0; i < PR_TABLES_COUNT && !peering->is_relay; i++)
+		pr_row_cache_finish(&peering->row_caches[i]);
 	if (was_relay != peering->is_relay)
 		pr_event_state(peering->is_relay ? "relay_began"
 						 : "relay_ended",
@@ -564,5 +533,7 @@
 {
 	pr_timers_unsubscribe(&edge->timers, &edge->peering.report_timer);
 	pr_timers_unsubscribe(&edge->timers, &edge->peering.sessions_timer);
+	for (int i = 0; i < PR_TABLES_COUNT; i++)
+		pr_row_cache_finish(&edge->peering.row_caches[i]);
 	pr_roster_finish(&edge->peering.roster);
 }
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -4,7 +4,9 @@
  * lost the history after that version, the table is read as a whole again, and
  * upstreams whose rows are not in it count as removed.
  *
- * Where a relay forwards the rows, the host's own feed is paused.
+ * Where a relay forwards the rows, the host's own feed is paused. Rows that are
+ * too long for a datagram, or that were lost, are then read from the relay, and
+ * from the store only when the relay does not have them.
  */
 #include <stdlib.h>
 
@@ -19,11 +21,14 @@
 /* A feed call times out this long after the time at which the store should have
  * responded. */
 #define RESPONSE_SLACK (800 * PR_USEC_PER_MSEC)
-/* Time-out of a call for one page of a full read. */
+/* Time-out of a call for one page of a full read, until its first byte. */
 #define READ_TIMEOUT (3 * PR_USEC_PER_SEC)
 /* Time-out of calls that request an immediate response: after a failure, to
  * find out soon whether the store is back, and when this host lacks rows. */
 #define PROBE_TIMEOUT (1500 * PR_USEC_PER_MSEC)
+/* Time-out of a call to a relay until the first byte of its response: such a
+ * call stays within the region. */
+#define RELAY_TIMEOUT (800 * PR_USEC_PER_MSEC)
 /* Delay of the next call after a failure; it doubles up to the maximum. */
 #define RETRY_BASE (100 * PR_USEC_PER_MSEC)
 #define RETRY_MAX  (800 * PR_USEC_PER_MSEC)
@@ -328,10 +333,12 @@
 	pr_str_finish(&request);
 }
 
-/* Request immediately from the store the rows that this host lacks. */
-static void request_missing_rows(pr_watch_t *watch)
+/* Request immediately from the store the rows that this host lacks. A response
+ * that is arriving brings them. */
+static void request_from_store(pr_watch_t *watch)
 {
-	watch->lag.since = 0;
+	if (pr_call_is_receiving(&watch->call))
+		return;
 	watch->restarting = true;
 	if (watch->call.busy)
 		pr_call_abort(&watch->call);
@@ -339,6 +346,74 @@
 		start_call(watch);
 }
 
+/* Version up to which this host has all rows. The feed's version also covers
+ * rows that were removed since. */
+static uint64_t complete_version(const pr_watch_t *watch)
+{
+	return watch->newest > watch->version ? watch->newest : watch->version;
+}
+
+/* Apply those of the rows that this host lacks, and forward all of them.
+ *
+ * @param after version of the row before the first one
+ */
+static void apply_relayed_rows(pr_watch_t *watch, uint64_t after,
+			       const pr_store_row_t *rows, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (rows[i].version > watch->newest)
+			apply_row(watch, &rows[i]);
+	}
+	if (watch->newest > watch->version)
+		watch->version = watch->newest;
+	pr_peering_forward_rows(watch->edge, watch->table, after, rows, count);
+}
+
+static void on_relay_rows(pr_call_t *call, int status, pr_slice_t body)
+{
+	pr_watch_t *watch = call->owner;
+	uint64_t have = complete_version(watch);
+	pr_store_rows_t rows = { 0 };
+
+	if (status != 200 || pr_row_cache_read(&rows, body) ||
+	    rows.version <= have) {
+		pr_event_state("relay_lacks_rows", "table=%d status=%d",
+			       watch->table, status);
+		if (have < watch->lag.newest)
+			request_from_store(watch);
+	} else {
+		pr_event_state("rows_from_relay",
+			       "table=%d rows=%zu bytes=%zu version=%llu",
+			       watch->table, rows.count, body.len,
+			       (unsigned long long)rows.version);
+		apply_relayed_rows(watch, have, rows.rows, rows.count);
+	}
+	pr_store_rows_finish(&rows);
+}
+
+/* Request the rows that this host lacks from a relay, or from the store when
+ * the relay is NULL or does not have them. */
+static void request_missing_rows(pr_watch_t *watch, const pr_host_t *relay)
+{
+	pr_str_t request = PR_STR_INIT;
+
+	watch->lag.since = 0;
+	if (watch->relay_call.busy)
+		return;
+	if (!relay ||
+	    pr_str_appendf(
+		    &request, "GET /rows/%d/%llu HTTP/1.1\r\nHost: %s\r\n\r\n",
+		    watch->table, (unsigned long long)complete_version(watch),
+		    relay->name)) {
+		request_from_store(watch);
+	} else {
+		pr_call_set_address(&watch->relay_call, &relay->address);
+		pr_call_start(&watch->relay_call, pr_str_slice(&request),
+			      RELAY_TIMEOUT, on_relay_rows);
+	}
+	pr_str_finish(&request);
+}
+
 /* When this host has the same rows as the relay, take over the relay's version:
  * the store may no longer have the history after an older one. */
 static void advance_version(pr_watch_t *watch, uint64_t newest,
@@ -350,7 +425,8 @@
 }
 
 void pr_watch_compare_peer(pr_edge_t *edge, pr_store_table_t table,
-			   uint64_t newest, uint64_t version)
+			   const pr_host_t *relay, uint64_t newest,
+			   uint64_t version)
 {
 	pr_watch_t *watch = &edge->watches[table];
 	pr_usec_t now = pr_edge_now(edge);
@@ -358,18 +434,19 @@
 	pr_usec_t lag;
 
 	advance_version(watch, newest, version);
-	/* The feed's version also covers rows that were removed since. */
-	have = watch->newest > watch->version ? watch->newest : watch->version;
+	have = complete_version(watch);
 	lag = pr_lag_update(&watch->lag, newest, have, now);
 	if (lag < (watch->paused ? LAG_MAX_PAUSED : LAG_MAX) || watch->failures)
 		return;
 	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
 		       (unsigned long long)watch->newest,
 		       (unsigned long long)newest);
-	request_missing_rows(watch);
+	request_missing_rows(watch,
+			     watch->paused && newest > have ? relay : NULL);
 }
 
-void pr_watch_receive_rows(pr_edge_t *edge, const pr_message_rows_t *rows)
+void pr_watch_receive_rows(pr_edge_t *edge, const pr_host_t *relay,
+			   const pr_message_rows_t *rows)
 {
 	pr_watch_t *watch = &edge->watches[rows->table];
 	bool follows =
@@ -380,39 +457,11 @@
 		return;
 	if (!follows || !rows->count) {
 		if (watch->paused)
-			request_missing_rows(watch);
+			request_missing_rows(watch, relay);
 		return;
 	}
-	if (rows->rows[rows->count - 1].version <= watch->newest)
-		return;
-	for (size_t i = 0; i < rows->count; i++) {
-		if (rows->rows[i].version > watch->newest)
-			apply_row(watch, &rows->rows[i]);
-	}
-	if (watch->newest > watch->version)
-		watch->version = watch->newest;
-	pr_peering_forward_rows(edge, rows->table, rows->after, rows->rows,
-				rows->count);
-}
-
-void pr_watch_receive_fragment(pr_edge_t *edge,
-			       const pr_message_fragment_t *part)
-{
-	pr_watch_t *watch = &edge->watches[part->table];
-	pr_message_rows_t rows = { .table = part->table, .after = part->after };
-	pr_store_row_t *row = &rows.rows[0];
-
-	if (part->version <= watch->newest ||
-	    !pr_reassembly_add(&watch->parts, part))
-		return;
-	row->key = strndup(part->key.ptr, part->key.len);
-	row->version = part->version;
-	rows.count = row->key && !pr_str_append(&row->value, watch->parts.bytes,
-						watch->parts.len);
-	if (rows.count)
-		pr_watch_receive_rows(edge, &rows);
-	free(row->key);
-	pr_str_finish(&row->value);
+	if (rows->rows[rows->count - 1].version > watch->newest)
+		apply_relayed_rows(watch, rows->after, rows->rows, rows->count);
 }
 
 bool pr_watches_synced(const pr_edge_t *edge)
@@ -467,6 +516,8 @@
 		watch->timer.data = watch;
 		pr_call_init(&watch->call, edge->loop, &edge->timers, address,
 			     watch);
+		pr_call_init(&watch->relay_call, edge->loop, &edge->timers,
+			     address, watch);
 		start_call(watch);
 	}
 	pr_call_init(&edge->writer, edge->loop, &edge->timers, address, edge);
@@ -481,6 +532,7 @@
 		pr_timers_unsubscribe(&edge->timers, &watch->timer);
 		clear_read_state(watch);
 		pr_call_finish(&watch->call);
+		pr_call_finish(&watch->relay_call);
 	}
 	pr_call_finish(&edge->writer);
 }
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -11,6 +11,11 @@
 #define HEAD_MAX   16384
 /* Several round trips between regions. */
 #define CONNECT_TIMEOUT (600 * PR_USEC_PER_MSEC)
+/* An answer of which no further byte arrives for this long is given up. Lost
+ * packets are sent again within this time. */
+#define STALL_TIMEOUT (1500 * PR_USEC_PER_MSEC)
+/* An answer that has not ended this long after its first byte is given up. */
+#define ANSWER_TIMEOUT (15 * PR_USEC_PER_SEC)
 
 typedef struct pr_call_link_t {
 	pr_link_t link;
@@ -84,6 +89,25 @@
 	pr_str_finish(&body);
 }
 
+static void on_timeout(pr_timer_t *timer, pr_usec_t now)
+{
+	fail(timer->data);
+}
+
+/* The answer is arriving: wait for the rest of it. */
+static void extend_timeout(pr_call_t *call)
+{
+	pr_usec_t now = call->timers->now;
+	pr_usec_t until = now + STALL_TIMEOUT;
+
+	if (!call->answer_until)
+		call->answer_until = now + ANSWER_TIMEOUT;
+	if (until > call->answer_until)
+		until = call->answer_until;
+	pr_timers_subscribe(call->timers, &call->timer,
+			    until > now ? until - now : 0, 0, on_timeout);
+}
+
 static void on_read(pr_link_t *base, const char *bytes, size_t len)
 {
 	pr_call_link_t *link = of(base);
@@ -95,6 +119,7 @@
 		drop_link(link->call);
 		return;
 	}
+	extend_timeout(link->call);
 	used = pr_http_reader_feed(&link->reader, bytes, len);
 	if (link->reader.fault || (link->reader.complete && used < len))
 		fail(link->call);
@@ -114,11 +139,6 @@
 		fail(link->call);
 }
 
-static void on_timeout(pr_timer_t *timer, pr_usec_t now)
-{
-	fail(timer->data);
-}
-
 static void on_connect(pr_link_t *base, int rc)
 {
 	pr_call_link_t *link = of(base);
@@ -161,6 +181,21 @@
 	call->timer.data = call;
 }
 
+void pr_call_set_address(pr_call_t *call, const struct sockaddr_in *address)
+{
+	if (call->address.sin_addr.s_addr == address->sin_addr.s_addr &&
+	    call->address.sin_port == address->sin_port)
+		return;
+	if (!call->busy)
+		drop_link(call);
+	call->address = *address;
+}
+
+bool pr_call_is_receiving(const pr_call_t *call)
+{
+	return call->busy && call->answer_until;
+}
+
 void pr_call_finish(pr_call_t *call)
 {
 	pr_timers_unsubscribe(call->timers, &call->timer);
@@ -199,6 +234,7 @@
 	call->done = done;
 	pr_str_clear(&call->request);
 	call->timeout = timeout;
+	call->answer_until = 0;
 	pr_timers_subscribe(call->timers, &call->timer,
 			    call->link ? timeout : CONNECT_TIMEOUT, 0,
 			    on_timeout);
--- a/src/http/call.h
+++ b/src/http/call.h
@@ -23,6 +23,9 @@
 	struct pr_call_link_t *link;
 	pr_timer_t timer;
 	pr_usec_t timeout;
+	/** Time at which the call ends even if the answer is still arriving;
+	 *  0 before its first byte. */
+	pr_usec_t answer_until;
 	pr_call_done_fn done;
 	void *owner;
 	pr_str_t request;
@@ -31,6 +34,10 @@
 
 void pr_call_init(pr_call_t *call, uv_loop_t *loop, pr_timers_t *timers,
 		  const struct sockaddr_in *address, void *owner);
+/** Use another address from the next call on. */
+void pr_call_set_address(pr_call_t *call, const struct sockaddr_in *address);
+/** @return true when a part of the answer has come */
+bool pr_call_is_receiving(const pr_call_t *call);
 /** Drop the connection; a call under way gets no answer. */
 void pr_call_finish(pr_call_t *call);
 /** End the call under way without an answer, which its owner hears of. */
@@ -42,7 +49,12 @@
  * that the next call finds a service that has returned meanwhile.
  *
  * @param request whole HTTP request, copied
- * @param timeout longest time for the whole answer, once connected
+ * Once the first byte of the answer has come, the call goes on for as long as
+ * further bytes arrive: a long answer over a slow or shared link may take
+ * longer than the timeout.
+ *
+ * @param timeout longest time until the first byte of the answer, once
+ * connected
  */
 void pr_call_start(pr_call_t *call, pr_slice_t request, pr_usec_t timeout,
 		   pr_call_done_fn done);
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -79,53 +79,11 @@
 	/** Newest row that the receiver must have. */
 	uint64_t after;
 	pr_store_row_t rows[PR_ROWS_IN_DATAGRAM];
-	/** 0 when the next row is too long for a datagram. */
+	/** 0 when the next row is too long for a datagram; the receiver reads
+	 * it from the sender. */
 	size_t count;
 } pr_message_rows_t;
 
-/** Bytes of a long row's value in one datagram. */
-#define PR_FRAGMENT_SIZE 1100
-/** Most fragments of a row; a longer row is not passed on. */
-#define PR_FRAGMENTS_MAX 32
-
-/** A fragment of the value of a row that is too long for one datagram. */
-typedef struct pr_message_fragment_t {
-	pr_store_table_t table;
-	/** Newest row that the receiver must have. */
-	uint64_t after;
-	pr_slice_t key;
-	/** Version of the row. */
-	uint64_t version;
-	/** Index of the fragment from 0, and number of fragments of the row. */
-	uint32_t part, parts;
-	pr_slice_t bytes;
-} pr_message_fragment_t;
-
-int pr_message_pack_fragment(pr_str_t *out, const char *host,
-			     const pr_message_fragment_t *fragment);
-/** @return 0 or PR_EPARSE; slices stay valid as long as the map's buffer */
-int pr_message_read_fragment(const pr_msgmap_t *map,
-			     pr_message_fragment_t *out);
-
-/** Reassembly of one row from its fragments. Zeroed before first use. */
-typedef struct pr_reassembly_t {
-	uint64_t version;
-	uint32_t parts;
-	/** Bit set of the fragments received. */
-	uint32_t received;
-	size_t len;
-	char bytes[PR_FRAGMENT_SIZE * PR_FRAGMENTS_MAX];
-} pr_reassembly_t;
-
-/**
- * Add a fragment; one of another version starts the reassembly anew.
- *
- * @return true once, when the last missing fragment came; the value is then in
- *	   bytes, of length len
- */
-bool pr_reassembly_add(pr_reassembly_t *reassembly,
-		       const pr_message_fragment_t *fragment);
-
 /** @return number of rows that were packed, counted from the first one */
 size_t pr_message_pack_rows(pr_str_t *out, const char *host,
 			    pr_store_table_t table, uint64_t after,
