Let streams of the old version go on at the new one at the end of a roll-out

At the end of a roll-out the old upstreams stop at once. A stream that still ran on one of them asked for another upstream of the old version, found none for an eighth of its objective, and its caller was reset.

Change: once the new version has replaced the old one, every permitted upstream is of the preferred version.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -210,13 +210,13 @@
 }
 
 /* Whether the upstream runs the version that the query prefers; true without a
- * transition. */
+ * transition, and after it for requests that began on the old version. */
 static bool is_preferred_version(const pr_place_query_t *query,
 				 const pr_upstream_t *upstream)
 {
 	bool is_new;
 
-	if (!query->transition)
+	if (!query->transition || query->transition->state == PR_ROLLOUT_DONE)
 		return true;
 	is_new = pr_transition_is_new(query->transition,
 				      upstream->entry.version);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -209,6 +209,30 @@
 	pr_registry_finish(&f.registry);
 }
 
+/* Guards against streams that are reset at the end of a roll-out (LOST): the
+ * old upstreams stop at once, and a stream of theirs has to go on at a new one.
+ */
+static void test_new_version_takes_over_when_done(void **state)
+{
+	pr_rollout_order_t order = { "model", "v2", 20000 };
+	pr_transition_row_t row = { 1, PR_ROLLOUT_RUNNING, 1000, "" };
+	static pr_transition_t transition;
+	fixture_t f;
+
+	set_up(&f);
+	pr_transition_init(&transition, &order, 1);
+	pr_transition_apply(&transition, &row, 2);
+	snprintf(f.upstreams[1]->entry.version,
+		 sizeof(f.upstreams[1]->entry.version), "v2");
+	f.query.transition = &transition;
+	f.query.version = PR_VERSION_OLD;
+	assert_ptr_not_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[1]);
+	row.state = PR_ROLLOUT_DONE;
+	pr_transition_apply(&transition, &row, 3);
+	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[1]);
+	pr_registry_finish(&f.registry);
+}
+
 static pr_transition_t *start_load_test(fixture_t *f, int new_upstreams)
 {
 	pr_rollout_order_t order = { "model", "v2", 24000 };
@@ -451,6 +475,7 @@
 		cmocka_unit_test(test_verdict_states_why_none_is_available),
 		cmocka_unit_test(test_connections_are_bounded),
 		cmocka_unit_test(test_version_of_the_session_is_preferred),
+		cmocka_unit_test(test_new_version_takes_over_when_done),
 		cmocka_unit_test(
 			test_load_test_fills_one_upstream_after_the_other),
 		cmocka_unit_test(test_load_test_uses_at_most_two_upstreams),
