Keep waiting for a stalled stream when no repeat may be spent

Change: the repeat is taken before the attempt is given up; without one the attempt goes on, and is checked again every 100 ms.

No test of its own yet.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -29,6 +29,9 @@
  * that the route allows between events, in per cent. */
 #define EVENT_GAP_PERCENT    150
 #define EVENT_GAP_DEFAULT_MS 2000
+/* Time after which an attempt without progress that could not be replaced,
+ * since the repeat budget was used up, is checked again. */
+#define STALL_RECHECK_PERIOD (100 * PR_USEC_PER_MSEC)
 /* Most hosts that share the request rate of a cold upstream. With more hosts,
  * the share of one falls below the requests that it has for the upstream, and
  * the random peaks of all hosts in one second exceed the rate. */
@@ -112,6 +115,11 @@
 	pr_exchange_dispatch(x);
 }
 
+static pr_usec_t later(pr_usec_t a, pr_usec_t b)
+{
+	return a > b ? a : b;
+}
+
 /* Time at which the attempt fails without further progress; PR_USEC_NEVER when
  * the request cannot be sent to another upstream. */
 static pr_usec_t progress_deadline(const pr_exchange_t *x)
@@ -126,10 +134,14 @@
 	    x->runs + 1 >= x->route->max_upstreams)
 		return PR_USEC_NEVER;
 	if (x->stream && x->events.passed && x->progress_at > x->attempt_began)
-		return x->progress_at + gap * EVENT_GAP_PERCENT / 100;
+		return later(x->progress_at + gap * EVENT_GAP_PERCENT / 100,
+			     x->stalled_until);
 	if (x->stream)
-		return x->attempt_began + target * FIRST_EVENT_PERCENT / 100;
-	return x->attempt_began + target * RESPONSE_PERCENT / 100;
+		return later(x->attempt_began +
+				     target * FIRST_EVENT_PERCENT / 100,
+			     x->stalled_until);
+	return later(x->attempt_began + target * RESPONSE_PERCENT / 100,
+		     x->stalled_until);
 }
 
 static void on_timer(pr_timer_t *timer, pr_usec_t now)
@@ -153,6 +165,13 @@
 		return;
 	}
 	if (now >= progress_deadline(x)) {
+		/* Without another attempt, waiting is better than giving up. */
+		if (!pr_exchange_take_repeat(x)) {
+			x->stalled_until = now + STALL_RECHECK_PERIOD;
+			pr_exchange_set_timer(x);
+			return;
+		}
+		x->repeat_charged = true;
 		if (x->upstream && !is_load_test_delay(x, PR_FAULT_NO_PROGRESS))
 			pr_upstream_record_failure(x->upstream, now);
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
@@ -311,6 +330,7 @@
 	x->attempt_began = pr_exchange_now(x);
 	x->progress_at = x->attempt_began;
 	x->events_of_attempt = 0;
+	x->stalled_until = 0;
 	x->pace = (pr_pace_stream_t){ 0 };
 	x->status = 0;
 	if (x->sends++)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -56,6 +56,9 @@
 	/** Start of the current attempt, and its last progress: the head or an
 	 *  event of the response. */
 	pr_usec_t attempt_began, progress_at;
+	/** The attempt makes no progress, but no other one may be made before
+	 *  this time. */
+	pr_usec_t stalled_until;
 	/** Longest time between two events of one attempt. */
 	pr_usec_t longest_pause;
 	/** Events of the current attempt. */
