Bound the cache of rows, and continue it after rows of a relay

Cause: the cache kept each key that was ever removed, and a relay that read rows from another one noted them after a version that no row has, so that its cache began anew and did not answer hosts with older rows.

Change: 1,024 rows at most, the oldest go; rows are noted after the newest row before them.

--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -386,7 +386,8 @@
 			       "table=%d rows=%zu bytes=%zu version=%llu",
 			       watch->table, rows.count, body.len,
 			       (unsigned long long)rows.version);
-		apply_relayed_rows(watch, have, rows.rows, rows.count);
+		/* There is no row between the newest one and version have. */
+		apply_relayed_rows(watch, watch->newest, rows.rows, rows.count);
 	}
 	pr_store_rows_finish(&rows);
 }
--- a/src/relay/row_cache.c
+++ b/src/relay/row_cache.c
@@ -48,19 +48,30 @@
 	return rc;
 }
 
+static void remove_row(pr_row_cache_t *cache, size_t index)
+{
+	cached_row_finish(&cache->rows[index]);
+	cache->count--;
+	memmove(&cache->rows[index], &cache->rows[index + 1],
+		(cache->count - index) * sizeof(cache->rows[0]));
+}
+
 static void remove_key(pr_row_cache_t *cache, const char *key)
 {
 	for (size_t i = 0; i < cache->count; i++) {
-		if (strcmp(cache->rows[i].row.key, key) != 0)
-			continue;
-		cached_row_finish(&cache->rows[i]);
-		cache->count--;
-		memmove(&cache->rows[i], &cache->rows[i + 1],
-			(cache->count - i) * sizeof(cache->rows[0]));
-		return;
+		if (!strcmp(cache->rows[i].row.key, key)) {
+			remove_row(cache, i);
+			return;
+		}
 	}
 }
 
+static void remove_oldest(pr_row_cache_t *cache)
+{
+	cache->complete_after = cache->rows[0].row.version;
+	remove_row(cache, 0);
+}
+
 static int add_row(pr_row_cache_t *cache, const pr_store_row_t *row)
 {
 	pr_cached_row_t cached;
@@ -78,6 +89,8 @@
 	if (cached_row_init(&cached, row))
 		return PR_ENOMEM;
 	remove_key(cache, row->key);
+	if (cache->count == PR_ROW_CACHE_MAX)
+		remove_oldest(cache);
 	cache->rows[cache->count++] = cached;
 	cache->newest = row->version;
 	return 0;
--- a/src/relay/row_cache.h
+++ b/src/relay/row_cache.h
@@ -4,14 +4,18 @@
  * when all hosts of a region read a long row from the store at the same time,
  * they fill the link between the regions for seconds.
  *
- * The cache holds the latest row of each key, so its size is bounded by the
- * table. Long values are kept and sent compressed.
+ * The cache holds the latest row of each key. Long values are kept and sent
+ * compressed.
  */
 #ifndef PR_RELAY_ROW_CACHE_H
 #define PR_RELAY_ROW_CACHE_H
 
 #include "store/store.h"
 
+/** Most rows in a cache; the oldest ones are dropped. Removed rows count too,
+ * so a table in which keys come and go would fill the memory otherwise. */
+#define PR_ROW_CACHE_MAX 1024
+
 typedef struct pr_cached_row_t {
 	/** The value may be compressed. */
 	pr_store_row_t row;
--- a/tests/test_row_cache.c
+++ b/tests/test_row_cache.c
@@ -120,6 +120,26 @@
 	pr_row_cache_finish(&cache);
 }
 
+/* Guards against memory that grows with each upstream that came and went, and
+ * against a response without the rows that were dropped for it. */
+static void test_size_is_bounded(void **state)
+{
+	pr_row_cache_t cache = { 0 };
+	pr_store_rows_t rows;
+	char key[32];
+
+	for (uint64_t i = 1; i <= PR_ROW_CACHE_MAX + 10; i++) {
+		snprintf(key, sizeof(key), "upstream-%d", (int)i);
+		add_row(&cache, i, key, NULL, i + 1);
+	}
+	assert_int_equal(cache.count, PR_ROW_CACHE_MAX);
+	assert_int_equal(pack_result(&cache, 10), PR_ENOTFOUND);
+	read_rows(&cache, 11, &rows);
+	assert_int_equal(rows.count, PR_ROW_CACHE_MAX);
+	pr_store_rows_finish(&rows);
+	pr_row_cache_finish(&cache);
+}
+
 /* Damaged responses are refused, whatever byte they are cut at. */
 static void test_damaged_response(void **state)
 {
@@ -232,6 +252,7 @@
 		cmocka_unit_test(test_latest_rows),
 		cmocka_unit_test(test_gap),
 		cmocka_unit_test(test_overlap),
+		cmocka_unit_test(test_size_is_bounded),
 		cmocka_unit_test(test_damaged_response),
 		cmocka_unit_test(test_long_configuration),
 	};
