Reword comments that a second reading stumbled over

Cause: the doc of pr_call_start() ran into its parameters; two constants gave no clear reason; two older comments used contract wording. Change: comments only.

--- a/src/cascade/cascade.c
+++ b/src/cascade/cascade.c
@@ -35,8 +35,8 @@
 #define WAIT_LOW  0.1
 #define WAIT_HIGH 0.5
 /* The same for the prefill time as a fraction of the gap that the route allows
- * between events, at the full weight of pauses; from the second one on, no
- * request is escalated. */
+ * between events. At the full weight of pauses the threshold falls to 0, so
+ * that from PAUSE_HIGH on no request is escalated. */
 #define PAUSE_LOW  0.5
 #define PAUSE_HIGH 1.0
 
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -165,7 +165,7 @@
 		return;
 	}
 	if (now >= progress_deadline(x)) {
-		/* Without another attempt, waiting is better than giving up. */
+		/* Without a repeat, giving up would reset the caller. */
 		if (!pr_exchange_take_repeat(x)) {
 			x->stalled_until = now + STALL_RECHECK_PERIOD;
 			pr_exchange_set_timer(x);
--- a/src/grant/grant.c
+++ b/src/grant/grant.c
@@ -234,8 +234,8 @@
 	uint32_t fallback = pr_grants_fallback(grants, resource);
 
 	/*
-	 * An amount above 125% of the demand is reduced to that and thereby
-	 * returned to the owner with this request.
+	 * An amount above 125% of the demand is reduced to that; the rest
+	 * returns to the owner with this request.
 	 */
 	if (grant->amount > total + total / 4)
 		grant->amount = (uint32_t)(total + total / 4);
--- a/src/http/call.h
+++ b/src/http/call.h
@@ -48,11 +48,11 @@
  * A connection that does not come up within a second counts as no answer, so
  * that the next call finds a service that has returned meanwhile.
  *
- * @param request whole HTTP request, copied
- * Once the first byte of the answer has come, the call goes on for as long as
- * further bytes arrive: a long answer over a slow or shared link may take
- * longer than the timeout.
+ * Once the first byte of the answer has come, the call goes on while further
+ * bytes arrive, for 15 s at most: a long answer over a slow or shared link may
+ * take longer than the timeout.
  *
+ * @param request whole HTTP request, copied
  * @param timeout longest time until the first byte of the answer, once
  * connected
  */
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -38,8 +38,9 @@
 /* Delay for each unit of load above LOAD_QUEUEING, milliseconds. */
 #define COST_QUEUEING_MS 3000.0
 /* Added for each running stream that the prefill would pause for the gap that
- * the route allows between events, milliseconds. From this part of the gap on,
- * a pause costs something, since two prefills may overlap unseen. */
+ * the route allows between events, milliseconds. Pauses up to PAUSE_FREE_PART
+ * of the gap cost nothing; longer ones do, since another host's prefill may add
+ * to them before its report arrives. */
 #define COST_PAUSED_STREAM_MS 100.0
 #define PAUSE_FREE_PART       0.5
 /* Load that the shares of all hosts in a load test add up to. Above 1, since
--- a/src/router/poll_task.c
+++ b/src/router/poll_task.c
@@ -301,7 +301,8 @@
 	polls->events.budget = EVENTS_BUDGET;
 	polls->events.events = true;
 	polls->tick.data = router;
-	/* Hosts that start together shall not poll together. */
+	/* A random delay keeps hosts that start together from polling together.
+	 */
 	pr_timers_subscribe(&router->timers, &polls->tick,
 			    pr_rand_below(&router->rand, TICK_EVERY),
 			    TICK_EVERY, on_tick);
