Extend the soak by crashing prompts, silence and overlapping signals

The soak knew single signals, faults of the store and faults of single answers.

Callers now keep a connection until the process is gone.

New checks: lost (a request that was read has an answer), silence, crash budget, beside crashes, retry-after, leaving, ended (a host that ends by itself). The stand-ins draw numbers for the new faults only while these are in use, so path.py sees the same sequence.

--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import tempfile
+import time
 
 from standins import P, Closed, Proxy, Store, Upstream, read_body, read_head
 
@@ -26,6 +27,8 @@
         route("once", "unsafe", "ledger", **{"max-attempts": 1}),
         route("stream", "streaming", "model", **{"stream-resume": True, "gap-aim-ms": 1200}),
     ]
+    routes.append(route("prompt", "streaming", "model", **{
+        "stream-resume": True, "gap-aim-ms": 1200, "session-affinity": True}))
     routes += [route(name, "safe", "ledger") for name in extra_routes]
     service = {"health-path": "/health", "max-connections": 400, "cold-start-s": 0.5, "cold-per-s": 20}
     return {
@@ -48,6 +51,8 @@
         self.name = f"host-{index}"
         self.address = f"127.{fleet.net}.0.{index + 1}"
         self.process = None
+        self.began = 0.0
+        self.session_s = 3
         self.log = open(os.path.join(fleet.folder, self.name + ".log"), "ab")
 
     def settings(self):
@@ -56,13 +61,18 @@
         for field, port in (("listen", 8080), ("ready", 8081), ("metrics", 8082), ("peer", 8083)):
             lines.append(f'{field}: "{self.address}:{port}"')
         lines.append(f'store: "127.0.0.1:{self.fleet.store_proxies[self.index].port}"')
-        lines += ["bounds:", "  grace_s: 6", "  repeats_ratio: 0.9", "  repeats_slack: 56", "  session_s: 3"]
+        lines += ["bounds:", "  grace_s: 6", "  repeats_ratio: 0.9", "  repeats_slack: 56", f"  session_s: {self.session_s}"]
         return "\n".join(lines) + "\n"
 
-    async def start(self):
+    def write_settings(self):
         path = os.path.join(self.fleet.folder, self.name + ".yaml")
         with open(path, "w", encoding="ascii") as out:
             out.write(self.settings())
+        return path
+
+    async def start(self):
+        path = self.write_settings()
+        self.began = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(
             self.fleet.binary, "--settings", path, stdout=self.log, stderr=self.log
         )
@@ -108,6 +118,10 @@
         self.store_proxies = []
         self.upstreams = []
         self.runs = {}
+        # Shared by the upstreams.
+        self.harmed, self.deadly = set(), set()
+        # (time, upstream) of crashes by a part of a prompt, and the restarts.
+        self.crashes, self.restarts = [], set()
         self.routers = []
         self.hosts, self.per_zone = hosts, per_zone
         self.version = 1
@@ -135,11 +149,36 @@
     async def add_upstream(self, service, zone, version="v1"):
         name = f"u-{len(self.upstreams)}"
         upstream = Upstream(name, service, zone, self.random, self.runs, version)
+        upstream.harmed, upstream.deadly = self.harmed, self.deadly
+        upstream.on_crash = self.crash
         await upstream.start()
         self.upstreams.append(upstream)
         await self.store.put("servers", name, upstream.entry())
         return upstream
 
+    def crash(self, upstream):
+        """The upstream is gone at once and comes back after about three seconds."""
+        if self.restart(upstream, away=3.0):
+            self.crashes.append((time.monotonic(), upstream.name))
+
+    def restart(self, upstream, away):
+        """Returns False when the upstream is gone already."""
+        if not upstream.server.is_serving():
+            return False
+        upstream.end()
+        task = asyncio.create_task(self._begin(upstream, away))
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+        return True
+
+    async def _begin(self, upstream, away):
+        # Its entry lapses meanwhile.
+        await asyncio.sleep(away / 2)
+        await self.store.put("servers", upstream.name, None)
+        await asyncio.sleep(away / 2)
+        await upstream.begin()
+        await self.store.put("servers", upstream.name, upstream.entry())
+
     async def apply(self, **changes):
         """Write a new routing document; returns the time it was acknowledged."""
         self.version += 1
@@ -157,11 +196,12 @@
 
 
 class Answer:
-    """What a caller got."""
+    """What a caller got; `sent` is when the request was written, or None."""
 
-    def __init__(self, status=0, fields=None, body=b"", complete=False):
-        self.status, self.fields = status, fields or {}
-        self.body, self.complete = body, complete
+    def __init__(self):
+        self.status, self.fields, self.body = 0, {}, b""
+        self.complete = self.timed_out = False
+        self.sent, self.ended = None, 0.0
 
 
 class Caller:
@@ -172,15 +212,20 @@
         self.reader = self.writer = None
 
     async def request(self, ident, path, body=b"", key="key-1", budget_ms=5000, **more):
+        answer = Answer()
         try:
-            return await asyncio.wait_for(
-                self._request(ident, path, body, key, budget_ms, more), budget_ms / 1000
+            await asyncio.wait_for(
+                self._request(answer, ident, path, body, key, budget_ms, more), budget_ms / 1000
             )
-        except (OSError, Closed, asyncio.TimeoutError):
+        except asyncio.TimeoutError:
+            answer.timed_out = True
+            self.close()
+        except (OSError, Closed):
             self.close()
-            return Answer()
+        answer.ended = time.monotonic()
+        return answer
 
-    async def _request(self, ident, path, body, key, budget_ms, more):
+    async def _request(self, answer, ident, path, body, key, budget_ms, more):
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(
                 self.address, self.port, limit=1 << 20
@@ -191,22 +236,25 @@
         }
         head = f"POST {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items())
         self.writer.write(head.encode() + b"\r\n" + body)
+        answer.sent = time.monotonic()
         line, got = await read_head(self.reader)
-        answer = Answer(int(line.split(" ")[1]), got)
-        try:
-            await self._read_body(answer)
-        except Closed:
-            self.close()
-            return answer
+        answer.status, answer.fields = int(line.split(" ")[1]), got
+        await self._read_body(answer)
         if got.get("connection", "") == "close":
             self.close()
-        return answer
 
     async def _read_body(self, answer):
-        if answer.fields.get("transfer-encoding") != "chunked":
+        if answer.fields.get("transfer-encoding") == "chunked":
+            await self._read_chunks(answer)
+        elif "content-length" in answer.fields:
             answer.body = await read_body(self.reader, answer.fields)
-            answer.complete = True
-            return
+        else:
+            while data := await self.reader.read(65536):
+                answer.body += data
+            self.close()
+        answer.complete = True
+
+    async def _read_chunks(self, answer):
         while True:
             try:
                 size = int(await self.reader.readuntil(b"\r\n"), 16)
@@ -214,7 +262,6 @@
             except (asyncio.IncompleteReadError, ConnectionError) as error:
                 raise Closed from error
             if not size:
-                answer.complete = True
                 return
             answer.body += data[:-2]
 
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -215,6 +215,10 @@
 
 
 FAULTS = ("error", "shed", "reset", "lost", "cut", "cut_reset", "garbage", "extra", "hang")
+# Further ones, which draw from the random numbers only while they are in use.
+RARE = ("later", "again", "unframed", "unframed_cut")
+# Faults after which the upstream has broken its answer off, or gives none.
+BREAKING = ("reset", "lost", "cut", "cut_reset", "garbage", "hang", "unframed_cut")
 # Bytes without end, until the other side closes: in a head, between heads, in a
 # body, behind a refusal, under another request's id, and in a stream without
 # events, or without an event that says anything.
@@ -224,7 +228,13 @@
 
 class Upstream(Server):
     """An upstream. Each request id's runs are counted; faults come with the
-    probabilities in `faults`, by the names in FAULTS."""
+    probabilities in `faults`, by the names in FAULTS, ENDLESS and RARE.
+
+    later: refuses with Retry-After, and everything until that time has passed;
+    again: writes the connection's last refusal once more before its answer;
+    unframed: an answer without length or chunks, which ends with its connection;
+    unframed_cut: such an answer that is broken off.
+    """
 
     def __init__(self, name, service, zone, random, runs, version="v1"):
         super().__init__()
@@ -240,6 +250,59 @@
         # Endless answers that are left, shared by upstreams.
         self.endless_left = [1 << 30]
         self.never_closed = []
+        # Requests in progress by connection, and those whose answer was broken
+        # off by an upstream; the latter is shared by upstreams.
+        self.current = {}
+        self.harmed = set()
+        # The upstream writes nothing until this time. Requests that it held
+        # meanwhile, and those that the router let go: (id, time, age).
+        self.silent_until = 0.0
+        self.held, self.let_go = set(), []
+        # Prompt parts that crash the upstream (shared by upstreams), and what
+        # to do then.
+        self.deadly = set()
+        self.on_crash = None
+        # Refusals with Retry-After: (time, id, end). Requests are refused
+        # until refuse_until.
+        self.refuse_until = 0.0
+        self.refusals = []
+        # Answers state that the upstream is about to leave; those that did:
+        # (time, id).
+        self.leaving = False
+        self.said_leaving = []
+
+    def drop_connections(self):
+        self.harmed.update(self.current.values())
+        super().drop_connections()
+
+    def end(self):
+        """The process is gone, with its listener and all connections."""
+        self.drop_connections()
+        self.server.close()
+
+    async def begin(self):
+        """Start again at the same address, as a process that knows nothing."""
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self.leaving, self.faults = False, {}
+        self.silent_until = self.refuse_until = 0.0
+        while True:
+            try:
+                return await self.start(port=self.port)
+            except OSError:
+                # A connection has the port as its local one.
+                await asyncio.sleep(0.1)
+
+    async def hold(self, reader, ident):
+        """Wait until the upstream is no longer silent."""
+        began = time.monotonic()
+        if began < self.silent_until:
+            self.held.add(ident)
+        while time.monotonic() < self.silent_until:
+            await asyncio.sleep(0.02)
+            if reader.at_eof() or reader.exception():
+                now = time.monotonic()
+                self.let_go.append((ident, now, now - began))
+                raise Closed
 
     def entry(self, state="ready"):
         self.sequence += 1
@@ -256,13 +319,33 @@
         }
 
     def draw(self):
-        for fault in FAULTS + ENDLESS:
+        rare = tuple(fault for fault in RARE if fault in self.faults)
+        for fault in FAULTS + ENDLESS + rare:
             if self.random.random() < self.faults.get(fault, 0):
                 return fault
         return None
 
+    def parts(self, fields):
+        listed = fields.get((P + "Prompt-Prefix").lower(), "")
+        return [part.split(":")[0] for part in listed.split(",")]
+
+    def refuse(self, writer, ident, more=""):
+        """Returns the bytes of the refusal."""
+        more += f"{P}Not-Executed: 1\r\nContent-Length: 0\r\n"
+        refusal = self.head(503, ident, more, sealed=False)
+        writer.write(refusal)
+        return refusal
+
     async def serve(self, reader, writer):
+        try:
+            await self.serve_requests(reader, writer)
+        finally:
+            self.current.pop(writer, None)
+
+    async def serve_requests(self, reader, writer):
+        refusal = b""
         while True:
+            self.current.pop(writer, None)
             line, fields = await read_head(reader)
             body = await read_body(reader, fields)
             fault = self.draw()
@@ -270,14 +353,32 @@
             if fields.get((P + "Expect-Instance").lower()) != self.name:
                 self.plain(writer, 421, ident, b"", sealed=False)
                 continue
-            self.arrivals.append((time.monotonic(), ident, line))
+            now = time.monotonic()
+            self.arrivals.append((now, ident, line))
+            self.current[writer] = ident
+            if fault in BREAKING:
+                self.harmed.add(ident)
             if fault == "reset":
                 reset(writer)
                 return
-            if fault == "shed":
-                self.plain(writer, 503, ident, b"", more=f"{P}Not-Executed: 1\r\n", sealed=False)
+            if fault == "later" and now >= self.refuse_until:
+                self.refuse_until = now + self.random.uniform(1, 3)
+            if now < self.refuse_until:
+                self.refusals.append((now, ident, self.refuse_until))
+                refusal = self.refuse(
+                    writer, ident, f"Retry-After: {self.refuse_until - now:.2f}\r\n")
+                continue
+            if fault == "shed" or (fault == "again" and not refusal):
+                refusal = self.refuse(writer, ident)
                 continue
             self.runs.setdefault(ident, []).append((self.name, line, fields, body))
+            if self.deadly.intersection(self.parts(fields)):
+                self.harmed.add(ident)
+                await asyncio.sleep(0.01)
+                self.on_crash(self)
+                return
+            if fault == "again":
+                writer.write(refusal)
             if fault == "hang":
                 # Until the caller lets go, as an engine that stalls.
                 await reader.read(1)
@@ -291,18 +392,26 @@
             if fault in ENDLESS and self.endless_left[0] > 0:
                 await self.endless(writer, fields, ident, fault)
                 return
-            if not await self.answer(writer, line, fields, body, ident, fault):
+            if not await self.answer(reader, writer, line, fields, body, ident, fault):
                 return
 
-    async def answer(self, writer, line, fields, body, ident, fault):
+    async def answer(self, reader, writer, line, fields, body, ident, fault):
         """Returns False when the connection has ended."""
         if fault == "garbage":
             writer.write(b"\x00\x01 this is not an answer\r\n\r\n")
             return False
-        if "/stream/" in line:
-            return await self.stream(writer, fields, ident, fault)
+        if "/stream/" in line or "/prompt/" in line:
+            return await self.stream(reader, writer, fields, ident, fault)
         await asyncio.sleep(self.random.uniform(0.002, 0.02))
+        await self.hold(reader, ident)
         content = whole_answer(ident, body)
+        if fault in ("unframed", "unframed_cut"):
+            whole = len(content) if fault == "unframed" else len(content) // 2
+            writer.write(self.head(200, ident, "Connection: close\r\n") + content[:whole])
+            await writer.drain()
+            if fault == "unframed_cut":
+                reset(writer)
+            return False
         if fault in ("cut", "cut_reset"):
             # Without a length, so that only the end tells whole from cut.
             length = f"Content-Length: {len(content)}\r\n" if fault == "cut" else ""
@@ -352,28 +461,37 @@
             await asyncio.sleep(0.1 if fault in ("endless_comments", "drip") else 0.0005)
         self.never_closed.append(fault)
 
-    async def stream(self, writer, fields, ident, fault):
+    async def stream(self, reader, writer, fields, ident, fault):
         last = int(fields.get("last-event-id", 0))
         count = events_of(ident)
-        writer.write(
-            self.head(200, ident, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
-        )
-        stop = self.random.randint(last, count) if fault in ("cut", "cut_reset") else count + 1
+        framed = fault not in ("unframed", "unframed_cut")
+        framing = "Transfer-Encoding: chunked\r\n" if framed else "Connection: close\r\n"
+        frame = chunk if framed else bytes
+        await self.hold(reader, ident)
+        writer.write(self.head(200, ident, "Content-Type: text/event-stream\r\n" + framing))
+        cut = fault in ("cut", "cut_reset", "unframed_cut")
+        stop = self.random.randint(last, count) if cut else count + 1
         for number in range(last + 1, count + 1):
             event = event_of(ident, number)
+            await self.hold(reader, ident)
             if number >= stop:
-                writer.write(chunk(event[: len(event) // 2]))
+                writer.write(frame(event[: len(event) // 2]))
                 await writer.drain()
                 if fault == "cut_reset":
                     reset(writer)
                 return False
-            writer.write(chunk(event))
+            writer.write(frame(event))
             await asyncio.sleep(0.01)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if framed:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return framed
 
     def head(self, status, ident, more, sealed=True):
         text = f"HTTP/1.1 {status} X\r\n{P}Request-Attempt: {ident}\r\n"
+        if self.leaving:
+            text += "Server-Leaving: 1\r\n"
+            self.said_leaving.append((time.monotonic(), ident))
         if sealed:
             text += f"{P}Server-Seal: {self.name}.{ident}\r\n"
         return (text + more + "\r\n").encode()
