Log the shared prompt parts of a failed attempt

Cause: when upstreams crash one after the other, the log does not tell which requests had begun on them and what these have in common.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -79,19 +79,42 @@
 	       !pr_upstream_record_disconnect(x->upstream, pr_exchange_now(x));
 }
 
+/* Format the ids of a prompt's shared parts; those beyond the buffer are left
+ * out. */
+static const char *format_parts(const pr_prompt_t *prompt, char *out,
+				size_t size)
+{
+	size_t len = 0;
+
+	snprintf(out, size, "-");
+	for (uint32_t i = 0; i < prompt->parts_count; i++) {
+		int added = snprintf(out + len, size - len, "%s%llx",
+				     i ? "," : "",
+				     (unsigned long long)prompt->parts[i]);
+
+		if (added < 0 || len + (size_t)added >= size)
+			break;
+		len += (size_t)added;
+	}
+	return out;
+}
+
 void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
 				const char *fault)
 {
 	bool ran = verdict != PR_VERDICT_NOT_RUN;
+	char parts[160];
 
 	x->last_fault = fault;
 	pr_event("attempt_failed",
 		 "request=%s upstream=%s version=%s fault=%s verdict=%s "
-		 "ms=%lld failures=%u",
+		 "ms=%lld failures=%u events=%llu parts=%s",
 		 x->id, x->upstream ? x->upstream->entry.id : "-",
 		 x->upstream ? x->upstream->entry.version : "-", fault,
 		 pr_verdict_name(verdict), pr_exchange_age_ms(x),
-		 x->upstream ? x->upstream->failures : 0);
+		 x->upstream ? x->upstream->failures : 0,
+		 (unsigned long long)x->events_of_attempt,
+		 format_parts(&x->prompt, parts, sizeof(parts)));
 	if (ran && x->upstream && strcmp(fault, PR_FAULT_NO_PROGRESS) != 0)
 		pr_outcomes_add(&x->upstream->outcomes, true,
 				pr_exchange_now(x));
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -130,6 +130,12 @@
 	assert_int_equal(a.shared_tokens, 1210);
 	/* The last part is the request's own. */
 	assert_true(a.shared_hash && a.shared_hash == b.shared_hash);
+	assert_int_equal(a.parts_count, 2);
+	assert_int_equal(a.parts[0], 0x5c1e);
+	assert_int_equal(a.parts[1], 0x91bd);
+	assert_int_equal(a.own_part, 0xe440);
+	pr_adapter_prompt(&a, PR_SLICE(""), PR_SLICE(""), PR_SLICE("5c1e:800"));
+	assert_true(!a.parts_count && a.own_part == 0x5c1e);
 	pr_adapter_prompt(&a, PR_SLICE(""), PR_SLICE(""), PR_SLICE(""));
 	assert_true(!a.tokens && !a.shared_hash);
 	pr_adapter_prompt(&a, PR_SLICE("x"), PR_SLICE("-1"), PR_SLICE(",,:,"));
