Quarantine prompt parts that crash upstreams

Cause: a request whose prompt holds one certain part crashes every upstream that begins to answer it. Failures were counted for upstreams and versions, not for what requests have in common, so such a request was repeated on the next upstream, and the next one with the part was sent as if nothing had happened. No host sees more than a few of the crashes.

Change: src/quarantine keeps, for each shared part of requests that broke off before an answer, the requests and upstreams as bit sets; every answer on a part clears it. Hosts send the changes to the relays, relays to each other and to their hosts. A part is quarantined on crashes of several requests and upstreams, if other requests of the service were answered meanwhile; other parts of the same requests are cleared. Requests with the part are refused at once as not run.

Why it works: all hosts reach the verdict from the union of what they saw, a second or two after the evidence suffices, and the evidence needs answers to be missing in the whole fleet, so that parts which sound requests share are cleared by these.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -88,9 +88,9 @@
 
 	snprintf(out, size, "-");
 	for (uint32_t i = 0; i < prompt->parts_count; i++) {
-		int added = snprintf(out + len, size - len, "%s%llx",
-				     i ? "," : "",
-				     (unsigned long long)prompt->parts[i]);
+		int added =
+			snprintf(out + len, size - len, "%s%llx", i ? "," : "",
+				 (unsigned long long)prompt->parts[i]);
 
 		if (added < 0 || len + (size_t)added >= size)
 			break;
@@ -99,6 +99,18 @@
 	return out;
 }
 
+/* A part of the prompt may have crashed the upstream. */
+static void record_crash(pr_exchange_t *x, const char *fault)
+{
+	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
+
+	if (x->upstream && !strcmp(fault, PR_FAULT_BROKEN) &&
+	    x->events_of_attempt < PR_ANSWER_BEGUN)
+		pr_quarantine_record_crash(&x->edge->quarantine, &prompt,
+					   x->upstream->tag,
+					   pr_edge_store_now(x->edge));
+}
+
 void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
 				const char *fault)
 {
@@ -118,6 +130,7 @@
 	if (ran && x->upstream && strcmp(fault, PR_FAULT_NO_PROGRESS) != 0)
 		pr_outcomes_add(&x->upstream->outcomes, true,
 				pr_exchange_now(x));
+	record_crash(x, fault);
 	if (ran) {
 		if (!is_same_crash(x, fault))
 			pr_exchange_count_response(
@@ -403,12 +416,33 @@
 							  : "no_upstream");
 }
 
+/* Whether the prompt has a part that crashes upstreams. Sets the time at which
+ * the request may be sent again. */
+static bool is_quarantined(pr_exchange_t *x)
+{
+	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
+	int64_t now_ms = pr_edge_store_now(x->edge);
+	int64_t until_ms;
+
+	if (!pr_quarantine_has(&x->edge->quarantine, &prompt, now_ms,
+			       &until_ms))
+		return false;
+	x->retry_at =
+		pr_exchange_now(x) + (until_ms - now_ms) * PR_USEC_PER_MSEC;
+	pr_metric_add(x->edge->counters.quarantined, 1);
+	return true;
+}
+
 void pr_exchange_dispatch(pr_exchange_t *x)
 {
 	pr_upstream_t *upstream;
 	pr_place_verdict_t verdict;
 	const pr_service_t *service;
 
+	if (is_quarantined(x)) {
+		pr_exchange_give_up(x, "quarantined_part");
+		return;
+	}
 	if (x->deadline - pr_exchange_now(x) < ATTEMPT_MIN) {
 		pr_exchange_give_up(x, "deadline");
 		return;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -207,6 +207,7 @@
 		{ &counters->malformed, "edge_malformed_total" },
 		{ &counters->datagrams, "edge_datagrams_sent_total" },
 		{ &counters->datagram_bytes, "edge_datagram_bytes_total" },
+		{ &counters->quarantined, "edge_quarantined_total" },
 	};
 
 	pr_metrics_init(&edge->metrics, SERIES_MAX);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -20,6 +20,7 @@
 #include "pistachiorack/metrics.h"
 #include "place/place.h"
 #include "place/prefill.h"
+#include "quarantine/quarantine.h"
 #include "store/store.h"
 #include "transition/pace.h"
 #include "transition/sessions.h"
@@ -71,7 +72,7 @@
 typedef struct pr_edge_metrics_t {
 	pr_metric_t *requests, *answered, *refused, *failed, *callers_gone,
 		*repeats, *escalations, *resumes, *not_found, *unauthorized,
-		*malformed, *datagrams, *datagram_bytes;
+		*malformed, *datagrams, *datagram_bytes, *quarantined;
 	pr_histogram_t *first_byte, *total;
 } pr_edge_metrics_t;
 
@@ -97,6 +98,13 @@
 	pr_pauses_t pauses;
 	/** Usual pace of responses, learned by service and kind of response. */
 	pr_pace_t pace;
+	/** Prompt parts that crash upstreams. */
+	pr_quarantine_t quarantine;
+	/** Version of the row with the quarantined parts; 0 for none. */
+	uint64_t quarantine_row;
+	/** Time since which the row has not been up to date, by the store's
+	 *  clock; 0 when it is. */
+	int64_t quarantine_unsaved_ms;
 	pr_transition_t *transitions[PR_TRANSITIONS_MAX];
 	size_t transitions_count;
 	/** Conclusion of this host about each transition, and the time since
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -145,20 +145,33 @@
 			    (double)(pr_exchange_now(x) - x->began));
 }
 
-/* Seconds after which a refused caller should try again; spread over callers
- * and limited by the time until the deadline. */
+/* Seconds after which a refused caller should try again: until the request can
+ * be served, if that is known; otherwise spread over callers and limited by the
+ * time until the deadline. */
 static double retry_after_s(pr_exchange_t *x)
 {
-	double left = (double)(x->caller_deadline - pr_exchange_now(x)) /
-		      PR_USEC_PER_SEC;
+	pr_usec_t now = pr_exchange_now(x);
+	double left = (double)(x->caller_deadline - now) / PR_USEC_PER_SEC;
 	double pause = RETRY_BASE_S +
 		       RETRY_SPREAD_S * (double)(x->hash % 1000) / 1000.0;
 
+	if (x->retry_at > now)
+		return (double)(x->retry_at - now) / PR_USEC_PER_SEC;
 	if (pause > left * RETRY_MAX_PART)
 		pause = left * RETRY_MAX_PART;
 	return pause > 0.05 ? pause : 0.05;
 }
 
+pr_quarantine_prompt_t pr_exchange_suspect_prompt(const pr_exchange_t *x)
+{
+	return (pr_quarantine_prompt_t){
+		.service = (uint32_t)XXH64(x->service, strlen(x->service), 0),
+		.parts = x->prompt.parts,
+		.parts_count = x->prompt.parts_count,
+		.request = x->hash,
+	};
+}
+
 void pr_exchange_respond(pr_exchange_t *x, int status, const char *code)
 {
 	bool not_run = !x->runs;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -72,6 +72,9 @@
 	uint32_t runs;
 	/** Attempts, without those that could not reach their upstream. */
 	uint32_t sends;
+	/** Earliest time at which the request could be served, for a refusal; 0
+	 *  when unknown. */
+	pr_usec_t retry_at;
 	/** Start of the wait for a usable upstream; 0 when not waiting. */
 	pr_usec_t wait_began;
 	/** Fault of the last failed attempt, for the log; NULL without one. */
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -35,6 +35,8 @@
 void pr_exchange_finish(pr_exchange_t *x);
 /** Log the outcome; @param status HTTP status sent, or 0 for none */
 void pr_exchange_log_end(pr_exchange_t *x, const char *outcome, int status);
+/** @return the prompt, as the quarantine needs it; valid as long as x */
+pr_quarantine_prompt_t pr_exchange_suspect_prompt(const pr_exchange_t *x);
 /** Send an error response made by the router itself and end the exchange. */
 void pr_exchange_respond(pr_exchange_t *x, int status, const char *code);
 /**
@@ -52,6 +54,10 @@
 /** Fault of an attempt whose connection ended before the response did. */
 #define PR_FAULT_BROKEN "connection_broken"
 
+/** Progress of an attempt (see events_of_attempt) from which on its upstream
+ *  has begun to answer without a crash. */
+#define PR_ANSWER_BEGUN 2
+
 /* attempt.c */
 /** Choose an upstream and send the request, or wait for one, or give up. */
 void pr_exchange_dispatch(pr_exchange_t *x);
--- a/src/edge/peer_parts.h
+++ b/src/edge/peer_parts.h
@@ -54,6 +54,13 @@
 void pr_peers_receive_tallies(pr_edge_t *edge, pr_host_t *host,
 			      const pr_msgmap_t *map);
 
+/* peer_suspects.c */
+/** Merge what another host knows of prompt parts that crash upstreams. */
+void pr_peers_receive_suspects(pr_edge_t *edge, const pr_host_t *host,
+			       const pr_msgmap_t *map);
+/** Judge the suspected parts, and send what changed to other hosts. */
+void pr_peers_update_suspects(pr_edge_t *edge);
+
 /* peer_sessions.c */
 /** Note the sessions that another host reports; a relay forwards new ones. */
 void pr_peers_receive_sessions(pr_edge_t *edge, const pr_host_t *host,
--- /dev/null
+++ b/src/edge/peer_suspects.c
@@ -0,0 +1,93 @@
+/* Prompt parts that crash upstreams: what this host knows of them goes to the
+ * other hosts. */
+#include "base/event_log.h"
+#include "edge/edge.h"
+#include "edge/peer_parts.h"
+
+/* Subject whose ranks are the order in which hosts release a part. */
+#define RELEASE_ORDER 0
+
+/* Report periods between two refreshes of quarantined parts. */
+#define REFRESH_PERIODS 10
+
+void pr_peers_receive_suspects(pr_edge_t *edge, const pr_host_t *host,
+			       const pr_msgmap_t *map)
+{
+	pr_suspect_t suspects[PR_SUSPECTS_IN_DATAGRAM];
+	size_t count = pr_message_read_suspects(map, suspects,
+						PR_SUSPECTS_IN_DATAGRAM);
+
+	for (size_t i = 0; i < count; i++)
+		pr_quarantine_merge(&edge->quarantine, &suspects[i],
+				    edge->peering.is_relay &&
+					    pr_peers_in_zone(edge, host));
+}
+
+static void log_changes(pr_edge_t *edge, int64_t now)
+{
+	const pr_suspect_t *suspect;
+	bool in_force;
+
+	while ((suspect = pr_quarantine_next_change(&edge->quarantine, now,
+						    &in_force)))
+		pr_event_state(
+			in_force ? "part_quarantined" : "part_released",
+			"part=%llx requests=%d upstreams=%d suspected_ms=%lld "
+			"answer_age_ms=%lld cleared_age_ms=%lld times=%u",
+			(unsigned long long)suspect->part,
+			__builtin_popcountll(suspect->requests),
+			__builtin_popcountll(suspect->upstreams),
+			(long long)(now - suspect->since_ms),
+			suspect->answer_ms
+				? (long long)(now - suspect->answer_ms)
+				: -1LL,
+			suspect->cleared_ms
+				? (long long)(now - suspect->cleared_ms)
+				: -1LL,
+			suspect->quarantines);
+}
+
+static void send_to_relays(pr_edge_t *edge, const pr_str_t *bytes)
+{
+	pr_peers_send_zone_relays(edge, bytes);
+	if (!edge->peering.is_relay)
+		return;
+	pr_peers_send_relays(edge, PR_DISTANCE_REGION, bytes);
+	pr_peers_send_relays(edge, PR_DISTANCE_OTHER_REGION, bytes);
+}
+
+static void (*const send_to[PR_AUDIENCES_COUNT])(pr_edge_t *edge,
+						 const pr_str_t *bytes) = {
+	[PR_AUDIENCE_RELAYS] = send_to_relays,
+	[PR_AUDIENCE_FOLLOWERS] = pr_peers_send_followers,
+};
+
+static void send_changes(pr_edge_t *edge, pr_audience_t audience)
+{
+	pr_suspect_t suspects[PR_SUSPECTS_IN_DATAGRAM];
+	size_t count = pr_quarantine_take_changes(
+		&edge->quarantine, audience, suspects, PR_SUSPECTS_IN_DATAGRAM);
+	pr_str_t bytes = PR_STR_INIT;
+
+	if (count && !pr_message_pack_suspects(&bytes, edge->settings->host,
+					       suspects, count))
+		send_to[audience](edge, &bytes);
+	pr_str_finish(&bytes);
+}
+
+void pr_peers_update_suspects(pr_edge_t *edge)
+{
+	int64_t now = pr_edge_store_now(edge);
+
+	/* The times of suspects are by the store's clock. */
+	if (!edge->has_store_clock || !edge->quarantine.count)
+		return;
+	edge->quarantine.rank =
+		pr_roster_rank(&edge->peering.roster, RELEASE_ORDER);
+	pr_quarantine_judge(&edge->quarantine, now);
+	log_changes(edge, now);
+	if (!(edge->peering.report_periods % REFRESH_PERIODS))
+		pr_quarantine_refresh(&edge->quarantine, now);
+	for (int i = 0; i < PR_AUDIENCES_COUNT; i++)
+		send_changes(edge, (pr_audience_t)i);
+}
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -205,6 +205,15 @@
 			    (double)(x->first_byte_at - x->began));
 }
 
+/* The upstream answers the request: no part of its prompt crashes it. */
+static void record_answer(pr_exchange_t *x)
+{
+	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
+
+	pr_quarantine_record_answer(&x->edge->quarantine, &prompt,
+				    pr_edge_store_now(x->edge));
+}
+
 /* Note the time of an event, and the pause before it. */
 static void record_progress(pr_exchange_t *x)
 {
@@ -213,6 +222,8 @@
 	if (x->events_of_attempt++ && now - x->progress_at > x->longest_pause)
 		x->longest_pause = now - x->progress_at;
 	x->progress_at = now;
+	if (x->events_of_attempt == PR_ANSWER_BEGUN)
+		record_answer(x);
 }
 
 static bool forward_events(pr_exchange_t *x, pr_slice_t bytes)
@@ -302,6 +313,8 @@
 	else if (good)
 		record_pace(x, (double)(pr_exchange_now(x) - x->attempt_began) /
 				       PR_USEC_PER_MSEC);
+	if (good && x->events_of_attempt < PR_ANSWER_BEGUN)
+		record_answer(x);
 	pr_upstream_record_success(x->upstream);
 	pr_outcomes_add(&x->upstream->outcomes, x->status >= 500,
 			pr_exchange_now(x));
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -7,6 +7,7 @@
 
 #include "base/event_log.h"
 #include "edge/edge.h"
+#include "edge/quarantine_row.h"
 #include "pistachiorack/error.h"
 #include "platform/adapter.h"
 
@@ -252,7 +253,8 @@
 			pr_str_slice(&row->value), row->removed);
 		return;
 	}
-	if (!pr_slice_starts_with(key, PR_SLICE(TRANSITION_KEY_PREFIX)) ||
+	if (pr_quarantine_row_apply(edge, row) ||
+	    !pr_slice_starts_with(key, PR_SLICE(TRANSITION_KEY_PREFIX)) ||
 	    row->removed)
 		return;
 	save_transition_row(edge, service, row);
@@ -416,6 +418,13 @@
 	if (!edge->registered && edge->watches[PR_TABLE_SHARED].synced &&
 	    can_write(edge))
 		register_host(edge);
+	if (pr_quarantine_row_is_due(edge) && can_write(edge) &&
+	    edge->watches[PR_TABLE_SHARED].synced) {
+		if (pr_quarantine_row_write(edge))
+			pr_event_state("quarantine_not_written", "error=\"%s\"",
+				       pr_error_last());
+		edge->next_write_at = pr_edge_now(edge) + WRITE_PAUSE;
+	}
 	for (size_t i = 0; i < edge->transitions_count; i++) {
 		pr_transition_t *transition = edge->transitions[i];
 		uint32_t usable = pr_place_count_usable(
--- /dev/null
+++ b/src/quarantine/quarantine.h
@@ -0,0 +1,176 @@
+/**
+ * Quarantine of prompt parts that crash upstreams.
+ *
+ * A part of a prompt may crash every upstream that starts to answer on it.
+ * Requests with such a part come to many hosts, each of which sees few of the
+ * crashes. So hosts exchange what they know: which parts were in requests that
+ * broke off before they had an answer, and on which parts answers began. Both
+ * can be merged in any order and any number of times with the same result.
+ *
+ * A part is quarantined when different requests with it crashed several
+ * upstreams and no answer on it began, while other requests of the service were
+ * answered. Other parts of the same requests are then no longer suspected, and
+ * every answer on a part clears it. After the quarantine one host after the
+ * other sends requests with the part again; the next crash puts it back.
+ */
+#ifndef PR_QUARANTINE_QUARANTINE_H
+#define PR_QUARANTINE_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Most parts that are under suspicion or in quarantine. */
+#define PR_QUARANTINE_MAX 1024
+/** Parts whose last answer is remembered; a power of two. */
+#define PR_QUARANTINE_ANSWERED_MAX 4096
+
+/** What is known of a part; all times by the store's clock, milliseconds. */
+typedef struct pr_suspect_t {
+	uint64_t part;
+	/** Hash of the service whose upstreams crashed. */
+	uint32_t service;
+	/** Position in the prompt, from 0. */
+	uint32_t position;
+	/** Requests that crashed an upstream, and those upstreams, while the
+	 *  part has been suspected: bit sets by hash. */
+	uint64_t requests, upstreams;
+	/** First crash while the part has been suspected, and the newest. */
+	int64_t since_ms, crash_ms;
+	/** Evidence up to this time does not count: an answer on the part
+	 *  began, or another part of the same requests is quarantined. */
+	int64_t cleared_ms;
+	/** Newest answer on the part that a host reported; 0 for none. */
+	int64_t answer_ms;
+	/** Begin of the last quarantine, and the number of quarantines. */
+	int64_t quarantined_ms;
+	uint32_t quarantines;
+} pr_suspect_t;
+
+/** Hosts that are told of a change. */
+typedef enum pr_audience_t {
+	/** The relays: they get what this host, or a host that reports to it,
+	 *  observed or decided. */
+	PR_AUDIENCE_RELAYS,
+	/** The hosts that report to this relay: they get every change. */
+	PR_AUDIENCE_FOLLOWERS,
+	PR_AUDIENCES_COUNT,
+} pr_audience_t;
+
+/** A suspect on this host. */
+typedef struct pr_quarantine_entry_t {
+	pr_suspect_t suspect;
+	/** Answers to other requests of the service while the part has been
+	 *  suspected, and the time of the first of them. */
+	uint32_t other_answers;
+	int64_t other_since_ms;
+	/** How often the suspect is still to be sent, by audience. */
+	uint32_t sends_left[PR_AUDIENCES_COUNT];
+	/** Begin of the quarantine that the saved list has for the part; 0 when
+	 *  it lacks the part. */
+	int64_t saved_ms;
+	/** The part was in quarantine at the last pr_quarantine_next_change().
+	 */
+	bool was_in_force;
+} pr_quarantine_entry_t;
+
+/** Zeroed before first use. */
+typedef struct pr_quarantine_t {
+	pr_quarantine_entry_t entries[PR_QUARANTINE_MAX];
+	size_t count;
+	/** Rank of this host, from 0, in the order in which hosts release
+	 *  parts. */
+	uint32_t rank;
+	/** Index of the entry that was refreshed last. */
+	size_t refresh_at;
+	/** Last answers on parts; parts with the same slot displace each
+	 *  other. */
+	struct {
+		uint64_t part;
+		int64_t ms;
+	} answered[PR_QUARANTINE_ANSWERED_MAX];
+} pr_quarantine_t;
+
+/** The prompt of a request. */
+typedef struct pr_quarantine_prompt_t {
+	/** Hash of the service. */
+	uint32_t service;
+	/** Shared parts. */
+	const uint64_t *parts;
+	size_t parts_count;
+	/** Hash of the request. */
+	uint64_t request;
+} pr_quarantine_prompt_t;
+
+/**
+ * Record that an upstream broke a request off before its answer had begun.
+ *
+ * @param upstream tag of the upstream's incarnation
+ */
+void pr_quarantine_record_crash(pr_quarantine_t *quarantine,
+				const pr_quarantine_prompt_t *prompt,
+				uint32_t upstream, int64_t now_ms);
+/** Record that an upstream began to answer a request. */
+void pr_quarantine_record_answer(pr_quarantine_t *quarantine,
+				 const pr_quarantine_prompt_t *prompt,
+				 int64_t now_ms);
+/**
+ * Merge what another host knows of a part.
+ *
+ * @param tell_relays the other host reports to this relay, which has to tell
+ *	  the other relays
+ */
+void pr_quarantine_merge(pr_quarantine_t *quarantine,
+			 const pr_suspect_t *suspect, bool tell_relays);
+/** Quarantine the parts against which the evidence suffices. */
+void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms);
+/**
+ * Find a part whose quarantine began or ended on this host, for the log. Call
+ * it until it returns NULL.
+ *
+ * @param in_force set to true when the quarantine began
+ */
+const pr_suspect_t *pr_quarantine_next_change(pr_quarantine_t *quarantine,
+					      int64_t now_ms, bool *in_force);
+/**
+ * @param until_ms set to the end of the quarantine when a part of the prompt is
+ *	  in it; may be NULL
+ * @return true when a part of the prompt is in quarantine
+ */
+bool pr_quarantine_has(const pr_quarantine_t *quarantine,
+		       const pr_quarantine_prompt_t *prompt, int64_t now_ms,
+		       int64_t *until_ms);
+/** Mark some of the quarantined parts as changed, in rotation, for hosts that
+ *  started after the verdict. */
+void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms);
+/**
+ * List suspects that changed and have not been sent to the audience often
+ * enough: first the quarantined ones, then those that were cleared, then those
+ * with the most evidence.
+ *
+ * @return number of suspects in out
+ */
+size_t pr_quarantine_take_changes(pr_quarantine_t *quarantine,
+				  pr_audience_t audience, pr_suspect_t *out,
+				  size_t max);
+
+/**
+ * List the parts in quarantine, to save them: a fleet that starts as a whole
+ * would have to learn them again from crashes.
+ *
+ * @return number of suspects in out; beyond max, the newest quarantines
+ */
+size_t pr_quarantine_list(const pr_quarantine_t *quarantine, int64_t now_ms,
+			  pr_suspect_t *out, size_t max);
+/** Merge the saved list, and note what it has. */
+void pr_quarantine_load(pr_quarantine_t *quarantine,
+			const pr_suspect_t *suspects, size_t count);
+/**
+ * @param max as for pr_quarantine_list()
+ * @return false when the saved list lacks a part, or has one that was released
+ *	   by an answer
+ */
+bool pr_quarantine_is_saved(const pr_quarantine_t *quarantine, int64_t now_ms,
+			    size_t max);
+
+#endif
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -242,6 +242,84 @@
 	return count;
 }
 
+/* Record of a suspect, in the byte order of the host. */
+typedef struct suspect_record_t {
+	uint64_t part, requests, upstreams;
+	int64_t since_ms, crash_ms, cleared_ms, answer_ms, quarantined_ms;
+	uint32_t service;
+	uint16_t position, quarantines;
+} suspect_record_t;
+
+static uint16_t to_u16(uint32_t value)
+{
+	return value < UINT16_MAX ? (uint16_t)value : UINT16_MAX;
+}
+
+int pr_message_pack_suspects(pr_str_t *out, const char *host,
+			     const pr_suspect_t *suspects, size_t count)
+{
+	suspect_record_t records[PR_SUSPECTS_IN_DATAGRAM];
+	msgpack_packer packer;
+	int rc;
+
+	if (count > PR_SUSPECTS_IN_DATAGRAM)
+		count = PR_SUSPECTS_IN_DATAGRAM;
+	for (size_t i = 0; i < count; i++) {
+		const pr_suspect_t *suspect = &suspects[i];
+
+		records[i] = (suspect_record_t){
+			.part = suspect->part,
+			.requests = suspect->requests,
+			.upstreams = suspect->upstreams,
+			.since_ms = suspect->since_ms,
+			.crash_ms = suspect->crash_ms,
+			.cleared_ms = suspect->cleared_ms,
+			.answer_ms = suspect->answer_ms,
+			.quarantined_ms = suspect->quarantined_ms,
+			.service = suspect->service,
+			.position = to_u16(suspect->position),
+			.quarantines = to_u16(suspect->quarantines),
+		};
+	}
+	rc = begin(&packer, out, host, 1);
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "suspects",
+					 pr_slice((const char *)records,
+						  count * sizeof(records[0])));
+	return rc;
+}
+
+size_t pr_message_read_suspects(const pr_msgmap_t *map, pr_suspect_t *out,
+				size_t max)
+{
+	pr_slice_t bytes;
+	size_t count = 0;
+
+	if (pr_msgmap_text(map, &bytes, "suspects"))
+		return 0;
+	while (count < max && bytes.len >= sizeof(suspect_record_t)) {
+		suspect_record_t record;
+
+		memcpy(&record, bytes.ptr, sizeof(record));
+		out[count++] = (pr_suspect_t){
+			.part = record.part,
+			.service = record.service,
+			.position = record.position,
+			.requests = record.requests,
+			.upstreams = record.upstreams,
+			.since_ms = record.since_ms,
+			.crash_ms = record.crash_ms,
+			.cleared_ms = record.cleared_ms,
+			.answer_ms = record.answer_ms,
+			.quarantined_ms = record.quarantined_ms,
+			.quarantines = record.quarantines,
+		};
+		bytes.ptr += sizeof(record);
+		bytes.len -= sizeof(record);
+	}
+	return count;
+}
+
 /* Bytes of a row beside its key and value (field names and numbers), and of the
  * map's other fields. */
 #define ROW_OVERHEAD 40
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -6,6 +6,7 @@
 #define PR_RELAY_MESSAGE_H
 
 #include "base/msgmap.h"
+#include "quarantine/quarantine.h"
 #include "relay/aggregate.h"
 #include "store/store.h"
 #include "transition/sessions.h"
@@ -73,6 +74,17 @@
 size_t pr_message_read_sessions(const pr_msgmap_t *map,
 				pr_recent_session_t *out, size_t max);
 
+/** Most suspects in one datagram. */
+#define PR_SUSPECTS_IN_DATAGRAM 16
+
+/** Encode what this host knows of prompt parts that crash upstreams. */
+int pr_message_pack_suspects(pr_str_t *out, const char *host,
+			     const pr_suspect_t *suspects, size_t count);
+/** @return number of suspects in out, at most max; 0 for another kind of
+ *	   message */
+size_t pr_message_read_suspects(const pr_msgmap_t *map, pr_suspect_t *out,
+				size_t max);
+
 /** Consecutive rows of a table, without a gap after a known version. */
 typedef struct pr_message_rows_t {
 	pr_store_table_t table;
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -233,6 +233,40 @@
 	pr_str_finish(&row.value);
 }
 
+static void test_suspects(void **state)
+{
+	pr_suspect_t suspects[PR_SUSPECTS_IN_DATAGRAM];
+	pr_suspect_t read[PR_SUSPECTS_IN_DATAGRAM];
+	pr_str_t bytes = PR_STR_INIT;
+	pr_msgmap_t map;
+
+	memset(suspects, 0, sizeof(suspects));
+	for (uint32_t i = 0; i < PR_SUSPECTS_IN_DATAGRAM; i++) {
+		suspects[i].part = UINT64_MAX - i;
+		suspects[i].service = UINT32_MAX - i;
+		suspects[i].position = i;
+		suspects[i].requests = UINT64_MAX;
+		suspects[i].upstreams = i;
+		suspects[i].since_ms = INT64_MAX;
+		suspects[i].crash_ms = INT64_MAX - 1;
+		suspects[i].cleared_ms = 2;
+		suspects[i].answer_ms = 3;
+		suspects[i].quarantined_ms = INT64_MAX;
+		suspects[i].quarantines = 4;
+	}
+	assert_int_equal(pr_message_pack_suspects(&bytes, "host", suspects,
+						  PR_SUSPECTS_IN_DATAGRAM),
+			 0);
+	read_map(&map, &bytes);
+	memset(read, 0, sizeof(read));
+	assert_int_equal(
+		pr_message_read_suspects(&map, read, PR_SUSPECTS_IN_DATAGRAM),
+		PR_SUSPECTS_IN_DATAGRAM);
+	assert_memory_equal(read, suspects, sizeof(read));
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -242,6 +276,7 @@
 		cmocka_unit_test(test_sessions),
 		cmocka_unit_test(test_rows_in_several_datagrams),
 		cmocka_unit_test(test_row_too_long_for_a_datagram),
+		cmocka_unit_test(test_suspects),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
