Read the feeds while no other host can read for this one

Hosts that cannot write their row to the store never learned of a change at all.

Cause: a host pauses its feeds when other hosts read for it. A host that had read the list of hosts without finding one paused all three feeds, the list included, until it counted as alone 2.7 to 3.2 s later, and the feeds of orders and upstreams even then, until the list had a first row. Whether the first read found a row depended on a few milliseconds between the starts of the processes, which is why a busy machine showed it and a single run rarely did.

Evidence: in the logs of the failing runs each late host has "table_read table=2 rows=0" at its start, "reading_began" 2.8 to 3.0 s later, then the first "host" lines, and the change later still.

Change: the list is read until this host's own row is in it, since no other host forwards rows to a host that it does not know. The other feeds pause only when another host reads.

The bound is 3 s.

--- a/src/edge/peer_parts.h
+++ b/src/edge/peer_parts.h
@@ -21,7 +21,7 @@
 /** @return true when a zone is in the region of this host */
 bool pr_peers_in_region(const pr_edge_t *edge, const char *zone);
 /** @return this host, or NULL before its row is known */
-pr_host_t *pr_peers_self(pr_edge_t *edge);
+pr_host_t *pr_peers_self(const pr_edge_t *edge);
 /** Send a datagram to the hosts that report to this relay. */
 void pr_peers_send_followers(pr_edge_t *edge, const pr_str_t *bytes);
 /** Send it to the relays of other zones, either of this region or of others. */
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -71,6 +71,8 @@
 int pr_peering_write_host_row(const struct pr_edge_t *edge, pr_str_t *value);
 /** @return true while this host reads the store's feeds by itself */
 bool pr_peering_reads_store(const struct pr_edge_t *edge);
+/** @return true when this host has read its own row of the shared table */
+bool pr_peering_is_listed(const struct pr_edge_t *edge);
 /** Note that the store just confirmed that this host has all orders. */
 void pr_peering_confirm(struct pr_edge_t *edge);
 /**
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -202,12 +202,17 @@
 	}
 }
 
-pr_host_t *pr_peers_self(pr_edge_t *edge)
+pr_host_t *pr_peers_self(const pr_edge_t *edge)
 {
 	return pr_roster_find(&edge->peering.roster,
 			      pr_slice_of(edge->settings->host));
 }
 
+bool pr_peering_is_listed(const pr_edge_t *edge)
+{
+	return pr_peers_self(edge);
+}
+
 /* Feeds */
 
 bool pr_peering_reads_store(const pr_edge_t *edge)
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -283,12 +283,12 @@
 
 	if (!watch->synced || watch->restarting)
 		return false;
-	/* A host that starts reads the shared table first, to find other hosts
-	 * that may read for it. */
-	if (watch->table != PR_TABLE_SHARED && !edge->peering.roster.count)
-		return true;
 	if (watch->table != PROBE_TABLE && edge->watches[PROBE_TABLE].failures)
 		return true;
+	/* Other hosts read for this one once they have found it in the shared
+	 * table, where this one finds them. */
+	if (watch->table == PR_TABLE_SHARED && !pr_peering_is_listed(edge))
+		return false;
 	return !watch->failures && !pr_peering_reads_store(edge);
 }
 
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -317,6 +317,48 @@
           and b"not_run" not in answer.body, (answer.status, answer.body))
 
 
+async def time_to_learn(fleet, seconds):
+    """Add a route; returns the longest time until a host serves it."""
+    acked = await fleet.apply(extra_routes=["added"])
+    unaware = list(fleet.routers)
+    number = 0
+    while unaware and time.monotonic() < acked + seconds:
+        number += 1
+        answer = await Caller(unaware[0].address).request(f"learn-{number}", "/added/x")
+        if answer.status == 200:
+            unaware.pop(0)
+        else:
+            await asyncio.sleep(0.05)
+    return time.monotonic() - acked, [router.name for router in unaware]
+
+
+async def check_start_together(binary, net):
+    """Hosts that start together learned of a change seconds late: none of them
+    found another one to read the store's feeds for it, and each waited."""
+    fleet = Fleet(binary, net, random.Random(8))
+    try:
+        await fleet.start()
+        took, unaware = await time_to_learn(fleet, 6)
+        check("hosts that start together learn of a change in time", took < 3.0, (took, unaware))
+    finally:
+        await fleet.stop()
+
+
+async def check_unlisted(binary, net):
+    """Hosts that could not add themselves to the list of hosts never learned of
+    a change: they read the list alone and waited for others to read the rest."""
+    fleet = Fleet(binary, net, random.Random(9))
+    fleet.store.refuse_writes = True
+    try:
+        await fleet.start()
+        await asyncio.sleep(4)
+        took, unaware = await time_to_learn(fleet, 6)
+        check("hosts without a list of hosts learn of a change in time", took < 3.0,
+              (took, unaware))
+    finally:
+        await fleet.stop()
+
+
 async def check_settings(fleet):
     path = f"{fleet.folder}/bad.yaml"
     with open(path, "w", encoding="ascii") as out:
@@ -349,6 +391,8 @@
         await check_starting(fleet)
     finally:
         await fleet.stop()
+    for check_start in (check_start_together, check_unlisted):
+        await check_start(sys.argv[1], int(sys.argv[2]))
     if FAILURES:
         print(f"logs: {fleet.folder}")
     print(f"{len(FAILURES)} failed")
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -111,6 +111,8 @@
         self.mode = "ok"
         self.lose = 0.0
         self.slow = 0.0
+        # Refuse the hosts' writes, as when there are too many.
+        self.refuse_writes = False
         self.changed = asyncio.Condition()
         self.calls = 0
 
@@ -162,7 +164,9 @@
         url = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
         if method == "POST" and url.path == "/rows-tx":
-            status, answer = await self.transact(json.loads(body))
+            status, answer = 429, {}
+            if not self.refuse_writes:
+                status, answer = await self.transact(json.loads(body))
             if self.random.random() < self.lose:
                 await asyncio.sleep(3600)
         elif url.path == "/rows-get":
