Do not count as up to date when the first host is found

What callers saw: a change was in force over 3 s late at hosts that found each other late, and at others of their region.

Cause: a host that read the first row of the list of hosts noted that the store had just confirmed its orders, to leave a relay the time to report. The store had confirmed nothing, so the host waited another 1.7 to 3.2 s before it read the orders. As the age is part of a relay's digest, hosts that heard of it put off their own read as well.

Change: the age of the last confirmation stays what it is. A host whose confirmation is older than the limits reads at its next period, 200 ms, and stops when a relay is current.

The bound is 3 s.

--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -127,10 +127,8 @@
 		edge->registered = true;
 	/* The first known host may be a relay that reads the feeds for this
 	 * host. */
-	if (!edge->peering.roster.count) {
+	if (!edge->peering.roster.count)
 		edge->peering.reader.reading = false;
-		pr_peering_confirm(edge);
-	}
 	if (!pr_roster_upsert(&edge->peering.roster, pr_slice_of(name), zone,
 			      (uint32_t)capacity, &address)) {
 		pr_event_state("host_dropped", "host=%s known=%zu", name,
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -359,6 +359,27 @@
         await fleet.stop()
 
 
+async def check_listed_late(binary, net):
+    """Hosts that had just found each other counted as up to date, and put off
+    the read of a change that was made before."""
+    fleet = Fleet(binary, net, random.Random(10))
+    fleet.store.refuse_writes = True
+    try:
+        await fleet.start()
+        await asyncio.sleep(0.7)
+        task = asyncio.create_task(time_to_learn(fleet, 6))
+        # Before a host that knows no other reads everything itself.
+        await asyncio.sleep(1.8)
+        for router in fleet.routers:
+            row = f"{router.address}:8083 {router.zone} 100"
+            await fleet.store.put("status", f"host/{router.name}", row.encode())
+        took, unaware = await task
+        check("hosts that find each other late learn of a change in time", took < 3.0,
+              (took, unaware))
+    finally:
+        await fleet.stop()
+
+
 async def check_settings(fleet):
     path = f"{fleet.folder}/bad.yaml"
     with open(path, "w", encoding="ascii") as out:
@@ -391,7 +412,7 @@
         await check_starting(fleet)
     finally:
         await fleet.stop()
-    for check_start in (check_start_together, check_unlisted):
+    for check_start in (check_start_together, check_unlisted, check_listed_late):
         await check_start(sys.argv[1], int(sys.argv[2]))
     if FAILURES:
         print(f"logs: {fleet.folder}")
