Test that a silence ends no answer when the budget is used up

Guards, which had no test: callers of streams and of calls on an upstream that stopped writing for 2.5 s were reset, or got a 502, as soon as the host's part of the repeat budget was used up.

The stand-in upstream can fall silent at an event, keeps its connections open and goes on. The deployment's bounds can be set per test and by SIGHUP.

--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -56,13 +56,17 @@
         for field, port in (("listen", 8080), ("ready", 8081), ("metrics", 8082), ("peer", 8083)):
             lines.append(f'{field}: "{self.address}:{port}"')
         lines.append(f'store: "127.0.0.1:{self.fleet.store_proxies[self.index].port}"')
-        lines += ["bounds:", "  grace_s: 6", "  repeats_ratio: 0.9", "  repeats_slack: 56", "  session_s: 3"]
+        lines += ["bounds:"] + [f"  {k}: {v}" for k, v in self.fleet.bounds.items()]
         return "\n".join(lines) + "\n"
 
-    async def start(self):
+    def write_settings(self):
         path = os.path.join(self.fleet.folder, self.name + ".yaml")
         with open(path, "w", encoding="ascii") as out:
             out.write(self.settings())
+        return path
+
+    async def start(self):
+        path = self.write_settings()
         self.process = await asyncio.create_subprocess_exec(
             self.fleet.binary, "--settings", path, stdout=self.log, stderr=self.log
         )
@@ -111,6 +115,7 @@
         self.routers = []
         self.hosts, self.per_zone = hosts, per_zone
         self.version = 1
+        self.bounds = {"grace_s": 6, "repeats_ratio": 0.9, "repeats_slack": 56, "session_s": 3}
 
     async def start(self):
         await self.store.start()
--- /dev/null
+++ b/tests/edge/silence.py
@@ -0,0 +1,154 @@
+"""Sound upstreams that fall silent for a while, with real processes. Such a
+silence must never end an answer before the request's deadline.
+
+usage: silence.py BINARY NET
+"""
+
+import asyncio
+import random
+import signal
+import sys
+import time
+
+from fleet import Caller, Fleet
+from standins import event_of, events_of, whole_answer
+
+FAILURES = []
+# The route allows 1.2 s between events, and a stream is given up after 1.5
+# times as long; before its first event after 1.25 times the objective of a
+# second, and a call after 0.6 times.
+PAUSE_S = 2.5
+NO_REPEATS = {"repeats_ratio": 0.0001, "repeats_slack": 0.0001}
+MANY_REPEATS = {"repeats_ratio": 0.9, "repeats_slack": 56}
+# What the silence interrupts: path and event at which it begins.
+MOMENTS = {"a stream": ("/stream/x", 3), "a stream before its first event": ("/stream/x", 1),
+           "a call": ("/safe/x", 0)}
+
+
+def check(name, good, detail=""):
+    print(("ok   " if good else "FAIL ") + name + ("" if good else f": {detail}"), flush=True)
+    if not good:
+        FAILURES.append(name)
+
+
+def check_runs(scene, name, ident, path, answer, runs):
+    """Check a whole answer that began at the upstream that fell silent."""
+    names = [run[0] for run in scene.fleet.runs.get(ident, [])]
+    check(name, whole(ident, path, answer) and len(names) == runs and names[0] == scene.near.name,
+          (answer.status, answer.complete, answer.body[-80:], names))
+
+
+def whole(ident, path, answer):
+    body = (b"".join(event_of(ident, n) for n in range(1, events_of(ident) + 1))
+            if path.startswith("/stream/") else whole_answer(ident, b""))
+    return answer.status == 200 and answer.complete and answer.body == body
+
+
+def seen(fleet, ident, answer):
+    return answer.status, answer.complete, answer.body[-80:], [r[0] for r in fleet.runs.get(ident, [])]
+
+
+class Scene:
+    """One router, with the upstream that is nearest to it and the others."""
+
+    def __init__(self, fleet, path):
+        service = "model" if path.startswith("/stream/") else "ledger"
+        upstreams = [u for u in fleet.upstreams if u.service == service]
+        self.fleet = fleet
+        self.near = next(u for u in upstreams if u.zone == "east")
+        self.others = [u for u in upstreams if u is not self.near]
+
+    async def set_bounds(self, bounds):
+        router = self.fleet.routers[0]
+        self.fleet.bounds.update(bounds)
+        router.write_settings()
+        router.signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+
+    async def list_all(self, upstreams, state, born=0):
+        for upstream in upstreams:
+            upstream.born += born
+            await self.fleet.store.put("servers", upstream.name, upstream.entry(state))
+        await asyncio.sleep(1)
+
+    async def restore(self):
+        for upstream in [self.near, *self.others]:
+            upstream.faults = {}
+            upstream.silent_until = 0.0
+            upstream.silence_at = None
+        # New instances, of which the router knows no failure; in the time
+        # they become warm, and the window of the budget passes.
+        await self.list_all([self.near, *self.others], "ready", born=1)
+        await asyncio.sleep(1.2)
+
+
+async def ask(fleet, ident, path, budget_ms=8000):
+    return await Caller(fleet.routers[0].address).request(ident, path, budget_ms=budget_ms)
+
+
+async def check_no_budget(fleet):
+    """LOST of a grown site: without a repeat, callers of silent streams were reset."""
+    for name, (path, event) in MOMENTS.items():
+        scene = Scene(fleet, path)
+        await scene.set_bounds(NO_REPEATS)
+        scene.near.silence_at = (event, PAUSE_S)
+        ident = f"no-budget-{event}"
+        answer = await ask(fleet, ident, path)
+        check_runs(scene, f"{name} goes on after a silence when no repeat may be spent",
+                   ident, path, answer, 1)
+        await scene.restore()
+
+
+async def check_silent_for_good(fleet):
+    """Waiting for a silent upstream must not replace the change to a sound one."""
+    for name, (path, event) in MOMENTS.items():
+        scene = Scene(fleet, path)
+        await scene.set_bounds(MANY_REPEATS)
+        scene.near.silence_at = (event, 30)
+        ident = f"for-good-{event}"
+        began = time.monotonic()
+        answer = await ask(fleet, ident, path)
+        took = time.monotonic() - began
+        check_runs(scene, f"{name} is moved from an upstream that stays silent",
+                   ident, path, answer, 2)
+        check("it is moved in time", took < 3.0, took)
+        await scene.restore()
+
+
+async def check_all_silent(fleet):
+    """At the deadline the verdict is true, and no upstream gets it twice over."""
+    for name, (path, event) in MOMENTS.items():
+        scene = Scene(fleet, path)
+        await scene.set_bounds(MANY_REPEATS)
+        for upstream in [scene.near, *scene.others]:
+            upstream.silence_at = (event, 30)
+        ident = f"all-silent-{event}"
+        began = time.monotonic()
+        answer = await asyncio.wait_for(
+            Caller(fleet.routers[0].address)._request(ident, path, b"", "key-1", 6000, {}), 8)
+        took = time.monotonic() - began
+        check(f"{name} is held until its deadline and not longer",
+              not answer.complete or answer.status == 504, seen(fleet, ident, answer))
+        check("the wait ends at the deadline", 5.8 < took < 6.5, took)
+        check("no more attempts than the route allows", len(fleet.runs[ident]) <= 3,
+              len(fleet.runs[ident]))
+        await scene.restore()
+
+
+async def main():
+    fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1)
+    fleet.bounds["repeats_window_s"] = 2
+    try:
+        await fleet.start()
+        await check_no_budget(fleet)
+        await check_silent_for_good(fleet)
+        await check_all_silent(fleet)
+    finally:
+        await fleet.stop()
+    if FAILURES:
+        print(f"logs: {fleet.folder}")
+    print(f"{len(FAILURES)} failed")
+    return bool(FAILURES)
+
+
+sys.exit(asyncio.run(main()))
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -240,6 +240,11 @@
         # Endless answers that are left, shared by upstreams.
         self.endless_left = [1 << 30]
         self.never_closed = []
+        # While silent it writes nothing and keeps its connections open.
+        self.silent_until = 0.0
+        # (event, seconds): the next stream that comes to this event makes it
+        # silent for so long; event 0 stands for an answer that is no stream.
+        self.silence_at = None
 
     def entry(self, state="ready"):
         self.sequence += 1
@@ -255,6 +260,14 @@
             "born": self.born,
         }
 
+    async def hold_silence(self, number):
+        """Wait until the upstream writes again."""
+        if self.silence_at and self.silence_at[0] == number:
+            self.silent_until = time.monotonic() + self.silence_at[1]
+            self.silence_at = None
+        while time.monotonic() < self.silent_until:
+            await asyncio.sleep(0.01)
+
     def draw(self):
         for fault in FAULTS + ENDLESS:
             if self.random.random() < self.faults.get(fault, 0):
@@ -302,6 +315,7 @@
         if "/stream/" in line:
             return await self.stream(writer, fields, ident, fault)
         await asyncio.sleep(self.random.uniform(0.002, 0.02))
+        await self.hold_silence(0)
         content = whole_answer(ident, body)
         if fault in ("cut", "cut_reset"):
             # Without a length, so that only the end tells whole from cut.
@@ -360,6 +374,7 @@
         )
         stop = self.random.randint(last, count) if fault in ("cut", "cut_reset") else count + 1
         for number in range(last + 1, count + 1):
+            await self.hold_silence(number)
             event = event_of(ident, number)
             if number >= stop:
                 writer.write(chunk(event[: len(event) // 2]))
