Wait for a replacement once an attempt was ended for its silence

Callers saw: an upstream stopped writing for 2.5 s while no other one could be used (all others draining, tried, busy or cold, or the next one refused and the budget was used up). Streams were reset after two events, streams before their first event and calls got 502 no_upstream or refused_by_upstream, seconds before their deadline, although the upstream was sound and went on (LOST).

Cause: the router ended the live attempt first and looked for another upstream only then. That search ends after an eighth of the objective, twice that for a stream, or at once when the budget is used up.

Change: an attempt without progress is ended only when another upstream is found and the repeat is charged; else it goes on and the search is repeated every 100 ms. A request of which the router itself ended a live attempt waits for a place and for the budget until its deadline, or until an event of the replacement was sent. Budget, max-attempts and the order "close, then send again" are as before. Requests whose upstream failed still end at once.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -29,9 +29,9 @@
  * that the route allows between events, in per cent. */
 #define EVENT_GAP_PERCENT    150
 #define EVENT_GAP_DEFAULT_MS 2000
-/* Time after which an attempt without progress that could not be replaced,
- * since the repeat budget was used up, is checked again. */
-#define STALL_RECHECK_PERIOD (100 * PR_USEC_PER_MSEC)
+/* Period of the search for a replacement of an attempt without progress. Longer
+ * than UPSTREAM_POLL_PERIOD, since the search may last until the deadline. */
+#define REPLACEMENT_POLL_PERIOD (100 * PR_USEC_PER_MSEC)
 /* Most hosts that share the request rate of a cold upstream. With more hosts,
  * the share of one falls below the requests that it has for the upstream, and
  * the random peaks of all hosts in one second exceed the rate. */
@@ -42,13 +42,18 @@
  * part of the repeat budget and keeps the rest in reserve. */
 #define REPEATS_LOCAL_SHARE 0.85
 
+static bool has_attempts_left(const pr_exchange_t *x)
+{
+	return !x->runs || x->runs < x->route->max_upstreams;
+}
+
 bool pr_exchange_take_repeat(pr_exchange_t *x)
 {
 	pr_repeat_budget_t *budget = pr_edge_repeat_budget(x->edge, x->service);
 	const pr_bound_settings_t *bounds = &x->edge->settings->bounds;
 	uint32_t hosts = pr_edge_hosts_count(x->edge);
 
-	if (x->runs >= x->route->max_upstreams && x->runs)
+	if (!has_attempts_left(x))
 		return false;
 	return !budget ||
 	       pr_repeat_budget_take(
@@ -103,6 +108,8 @@
 	}
 	if (x->upstream && x->tried_count < PR_PLACE_TRIED_MAX)
 		x->tried[x->tried_count++] = x->upstream;
+	if (!has_attempts_left(x))
+		x->replacing = false;
 	pr_exchange_cancel_attempt(x);
 	pr_sse_filter_restart(&x->events);
 	pr_str_clear(&x->body);
@@ -144,6 +151,34 @@
 		     x->stalled_until);
 }
 
+/*
+ * Find out whether another upstream can take over the current attempt, and
+ * charge the repeat.
+ */
+static bool reserve_replacement(pr_exchange_t *x)
+{
+	pr_upstream_t *upstream;
+	pr_place_verdict_t verdict;
+	size_t tried = x->tried_count;
+
+	if (x->deadline - pr_exchange_now(x) < ATTEMPT_MIN)
+		return false;
+	if (tried < PR_PLACE_TRIED_MAX)
+		x->tried[x->tried_count++] = x->upstream;
+	verdict = pr_exchange_choose_upstream(x, &upstream, NULL);
+	x->tried_count = tried;
+	if (verdict != PR_PLACE_FOUND) {
+		/* An upstream that failed earlier may have recovered. */
+		x->tried_count = 0;
+		return false;
+	}
+	if (!pr_exchange_take_repeat(x))
+		return false;
+	x->repeat_charged = true;
+	x->replacing = true;
+	return true;
+}
+
 static void on_timer(pr_timer_t *timer, pr_usec_t now)
 {
 	pr_exchange_t *x = timer->data;
@@ -165,13 +200,12 @@
 		return;
 	}
 	if (now >= progress_deadline(x)) {
-		/* Without a repeat, giving up would reset the caller. */
-		if (!pr_exchange_take_repeat(x)) {
-			x->stalled_until = now + STALL_RECHECK_PERIOD;
+		/* A sound upstream may be silent for a while. */
+		if (!reserve_replacement(x)) {
+			x->stalled_until = now + REPLACEMENT_POLL_PERIOD;
 			pr_exchange_set_timer(x);
 			return;
 		}
-		x->repeat_charged = true;
 		if (x->upstream && !is_load_test_delay(x, PR_FAULT_NO_PROGRESS))
 			pr_upstream_record_failure(x->upstream, now);
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
@@ -186,11 +220,13 @@
 	pr_usec_t now = pr_exchange_now(x);
 	pr_usec_t due = x->deadline;
 	pr_usec_t limit = progress_deadline(x);
+	pr_usec_t poll =
+		x->replacing ? REPLACEMENT_POLL_PERIOD : UPSTREAM_POLL_PERIOD;
 
 	if (limit < due)
 		due = limit;
-	if (!x->outbound && now + UPSTREAM_POLL_PERIOD < due)
-		due = now + UPSTREAM_POLL_PERIOD;
+	if (!x->outbound && now + poll < due)
+		due = now + poll;
 	pr_timers_subscribe(&x->edge->timers, &x->timer,
 			    due > now ? due - now : 0, 0, on_timer);
 }
@@ -353,7 +389,8 @@
 /*
  * Wait for a usable upstream for a part of the latency objective, then give up.
  * When no upstream is listed that the request may use and none was
- * tried, give up at once.
+ * tried, give up at once. The search for a replacement continues until the
+ * deadline.
  */
 static void wait_for_upstream(pr_exchange_t *x, pr_place_verdict_t verdict)
 {
@@ -369,7 +406,8 @@
 		return;
 	}
 	/* An upstream that failed earlier may have recovered. */
-	if (x->tried_count && x->idempotent && x->runs && x->head_sent) {
+	if (x->replacing ||
+	    (x->tried_count && x->idempotent && x->runs && x->head_sent)) {
 		x->tried_count = 0;
 		x->wait_began = now;
 		pr_exchange_set_timer(x);
@@ -387,7 +425,10 @@
 	const pr_service_t *service;
 
 	if (x->deadline - pr_exchange_now(x) < ATTEMPT_MIN) {
-		pr_exchange_give_up(x, "deadline");
+		if (x->replacing)
+			pr_exchange_set_timer(x);
+		else
+			pr_exchange_give_up(x, "deadline");
 		return;
 	}
 	verdict = pr_exchange_choose_upstream(x, &upstream, NULL);
@@ -396,6 +437,10 @@
 		return;
 	}
 	if (x->sends && !x->repeat_charged && !pr_exchange_take_repeat(x)) {
+		if (x->replacing) {
+			pr_exchange_set_timer(x);
+			return;
+		}
 		pr_exchange_give_up(x, x->last_fault ? x->last_fault
 						     : "no_repeat");
 		return;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -43,6 +43,10 @@
 	uint32_t confidence;
 	/** The next attempt is already charged to the repeat budget. */
 	bool repeat_charged;
+	/** The router itself ended an attempt that had not failed, and no later
+	 *  one has sent an event yet. The request waits for a replacement until
+	 *  its deadline. */
+	bool replacing;
 	pr_version_choice_t version;
 	/** The request is part of the load test of the new version. */
 	bool is_load_test;
@@ -56,8 +60,8 @@
 	/** Start of the current attempt, and its last progress: the head or an
 	 *  event of the response. */
 	pr_usec_t attempt_began, progress_at;
-	/** The attempt makes no progress, but no other one may be made before
-	 *  this time. */
+	/** The attempt makes no progress, but could not be replaced; this is
+	 *  checked again at this time. */
 	pr_usec_t stalled_until;
 	/** Longest time between two events of one attempt. */
 	pr_usec_t longest_pause;
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -77,6 +77,7 @@
 	pr_exchange_count_response(x, false);
 	x->runs++;
 	x->repeat_charged = true;
+	x->replacing = true;
 	/* The prefill of the larger model takes too long for the load test. */
 	x->is_load_test = false;
 	pr_exchange_cancel_attempt(x);
@@ -227,6 +228,7 @@
 		if (x->events.numbered > numbered || !x->events.has_id)
 			record_progress(x);
 		record_first_byte(x);
+		x->replacing = false;
 		if (!x->head_sent)
 			pr_caller_send_head(x->caller, x->status,
 					    pr_str_slice(&x->head), -1);
--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -19,6 +19,8 @@
 # second, and a call after 0.6 times.
 PAUSE_S = 2.5
 NO_REPEATS = {"repeats_ratio": 0.0001, "repeats_slack": 0.0001}
+# One repeat in a window of the budget, of which a host uses 85 %.
+ONE_REPEAT = {"repeats_ratio": 0.0001, "repeats_slack": 1.3}
 MANY_REPEATS = {"repeats_ratio": 0.9, "repeats_slack": 56}
 # What the silence interrupts: path and event at which it begins.
 MOMENTS = {"a stream": ("/stream/x", 3), "a stream before its first event": ("/stream/x", 1),
@@ -99,6 +101,45 @@
         await scene.restore()
 
 
+async def check_no_place(fleet):
+    """An attempt on a silent upstream was given up while there was no other one to use."""
+    for name, (path, event) in MOMENTS.items():
+        scene = Scene(fleet, path)
+        await scene.set_bounds(MANY_REPEATS)
+        await scene.list_all(scene.others, "draining")
+        scene.near.silence_at = (event, PAUSE_S)
+        ident = f"no-place-{event}"
+        task = asyncio.create_task(ask(fleet, ident, path))
+        await asyncio.sleep(0.1)
+        # Its own request may end there, but it takes no new one.
+        await scene.list_all([scene.near], "draining")
+        answer = await task
+        check_runs(scene, f"{name} goes on after a silence when no other upstream may be used",
+                   ident, path, answer, 1)
+        await scene.restore()
+
+
+async def check_refused(fleet):
+    """After a silence the next upstream refused, and the request ended with the budget."""
+    for name, (path, event) in MOMENTS.items():
+        scene = Scene(fleet, path)
+        await scene.set_bounds(ONE_REPEAT)
+        for upstream in scene.others:
+            upstream.faults = {"shed": 1.0}
+        scene.near.silence_at = (event, 30)
+        ident = f"refused-{event}"
+        task = asyncio.create_task(ask(fleet, ident, path))
+        await asyncio.sleep(3.5)
+        refusals = sum(a[1] == ident for u in scene.others for a in u.arrivals)
+        for upstream in scene.others:
+            upstream.faults = {}
+        answer = await task
+        check_runs(scene, f"{name} finds another upstream after a silence and a refusal",
+                   ident, path, answer, 2)
+        check("the refusals stay within the budget", 1 <= refusals <= 3, refusals)
+        await scene.restore()
+
+
 async def check_silent_for_good(fleet):
     """Waiting for a silent upstream must not replace the change to a sound one."""
     for name, (path, event) in MOMENTS.items():
@@ -141,6 +182,8 @@
     try:
         await fleet.start()
         await check_no_budget(fleet)
+        await check_no_place(fleet)
+        await check_refused(fleet)
         await check_silent_for_good(fleet)
         await check_all_silent(fleet)
     finally:
