--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -52,7 +52,8 @@
         self.address = f"127.{fleet.net}.0.{index + 1}"
         self.process = None
         self.began = 0.0
-        self.session_s = 3
+        # Beside those of the fleet.
+        self.bounds = {}
         self.log = open(os.path.join(fleet.folder, self.name + ".log"), "ab")
 
     def settings(self):
@@ -61,7 +62,8 @@
         for field, port in (("listen", 8080), ("ready", 8081), ("metrics", 8082), ("peer", 8083)):
             lines.append(f'{field}: "{self.address}:{port}"')
         lines.append(f'store: "127.0.0.1:{self.fleet.store_proxies[self.index].port}"')
-        lines += ["bounds:", "  grace_s: 6", "  repeats_ratio: 0.9", "  repeats_slack: 56", f"  session_s: {self.session_s}"]
+        bounds = {**self.fleet.bounds, **self.bounds}
+        lines += ["bounds:"] + [f"  {k}: {v}" for k, v in bounds.items()]
         return "\n".join(lines) + "\n"
 
     def write_settings(self):
@@ -125,6 +127,7 @@
         self.routers = []
         self.hosts, self.per_zone = hosts, per_zone
         self.version = 1
+        self.bounds = {"grace_s": 6, "repeats_ratio": 0.9, "repeats_slack": 56, "session_s": 3}
 
     async def start(self):
         await self.store.start()
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -420,7 +420,7 @@
         count = self.random.randint(1, 5)
         self.note(f"reload {router.name} {count} times")
         for _ in range(count):
-            router.session_s = self.random.choice((2, 3, 4))
+            router.bounds["session_s"] = self.random.choice((2, 3, 4))
             router.write_settings()
             if self.random.random() < 0.8:
                 self.reload(router)
