Reject responses without an id on kept connections

Callers were told "not run, try again" for a request that an upstream was running, such a request ran at a second upstream, or a caller got the response of an earlier request.

Cause: a response that states no request id was taken as the response to the current request. On a connection that carried an earlier request it may be a second copy of that one's response, so that a refusal without id proves nothing. Bytes that arrived before the request was sent were read as its response, too.

Change: without an id, only the response to the first request of a connection is accepted; otherwise the connection fails and the request may have run. A request without an id gets a new connection. An idle connection with unread input is closed and not reused; bytes that arrive before the request is sent fail the attempt, which proves that it did not run.

Evidence: tests/edge/answers.py, started by path.py. Copies that state the id of another request were skipped before, too: together with the response, before it, split, behind it and while idle. A refusal without id on a new connection is still believed.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -1,12 +1,15 @@
 /*
- * Connections to upstreams. A response that states the id of another request is
- * skipped: upstreams may send a second response to an earlier request late,
- * where the response to the current one is expected.
+ * Connections to upstreams. An upstream may send a second response to an
+ * earlier request late, where the response to the current one is expected.
+ * A response that states the id of another request is skipped, and one that
+ * states no id is accepted only as the response to the first request of a
+ * connection.
  */
 #include "edge/outbound.h"
 
 #include <stdlib.h>
 
+#include "base/event_log.h"
 #include "pistachiorack/error.h"
 #include "platform/adapter.h"
 
@@ -32,6 +35,8 @@
 	/** Bytes of the request until they are sent, and the request id. */
 	pr_str_t request;
 	char id[96];
+	/** Requests carried, the current one included. */
+	uint64_t carried_count;
 	pr_timer_t timer;
 	pr_attempt_stage_t stage;
 	/** The current response states the id of another request. */
@@ -70,6 +75,13 @@
 
 	if (!outbound->owner)
 		return false;
+	if (!id.ptr && outbound->carried_count > 1) {
+		pr_event("response_without_id",
+			 "request=%s upstream=%s status=%d", outbound->id,
+			 outbound->upstream->entry.id,
+			 (int)reader->parser.status_code);
+		return false;
+	}
 	outbound->mismatched =
 		id.ptr && !pr_slice_equal(id, pr_slice_of(outbound->id));
 	if (outbound->mismatched)
@@ -146,6 +158,12 @@
 		close_outbound(outbound);
 		return;
 	}
+	/* Bytes that arrive before the request is sent belong to another one.
+	 */
+	if (outbound->stage < PR_STAGE_SENT) {
+		fail_connection(outbound);
+		return;
+	}
 	while (used < len && !link->closing) {
 		used += pr_http_reader_feed(&outbound->reader, bytes + used,
 					    len - used);
@@ -260,20 +278,28 @@
 	return 0;
 }
 
+/* Take an idle connection that can carry the request, or NULL. Without an id,
+ * the response cannot be told from that to an earlier request. */
 static pr_outbound_t *take_idle(pr_outbound_pool_t *pool,
-				pr_upstream_t *upstream, bool needs_fresh)
+				pr_upstream_t *upstream,
+				const pr_outbound_request_t *request)
 {
-	while (!pr_list_empty(&upstream->idle)) {
-		pr_outbound_t *outbound =
-			PR_OWNER(upstream->idle.next, pr_outbound_t, node);
+	pr_list_t *at = upstream->idle.next;
+
+	while (at != &upstream->idle && request->id.len) {
+		pr_outbound_t *outbound = PR_OWNER(at, pr_outbound_t, node);
 		pr_usec_t idle = pool->timers->now - outbound->idle_since;
 
-		if (needs_fresh && idle >= IDLE_MAX_FRESH)
+		at = at->next;
+		if (request->needs_fresh && idle >= IDLE_MAX_FRESH)
 			return NULL;
-		pr_list_remove(&outbound->node);
-		if (idle < outbound->idle_max)
+		if (idle >= outbound->idle_max ||
+		    pr_link_has_input(&outbound->link)) {
+			close_outbound(outbound);
+		} else {
+			pr_list_remove(&outbound->node);
 			return outbound;
-		close_outbound(outbound);
+		}
 	}
 	return NULL;
 }
@@ -283,8 +309,7 @@
 		      const pr_outbound_request_t *request,
 		      const pr_outbound_ops_t *ops, void *owner)
 {
-	pr_outbound_t *outbound =
-		take_idle(pool, upstream, request->needs_fresh);
+	pr_outbound_t *outbound = take_idle(pool, upstream, request);
 	int rc = 0;
 
 	if (!outbound)
@@ -297,6 +322,7 @@
 	outbound->is_head = request->is_head;
 	outbound->reader.no_body = request->is_head;
 	pr_slice_copy(outbound->id, sizeof(outbound->id), request->id);
+	outbound->carried_count++;
 	pr_str_clear(&outbound->request);
 	rc = pr_str_append(&outbound->request, request->bytes.ptr,
 			   request->bytes.len);
--- a/src/edge/outbound.h
+++ b/src/edge/outbound.h
@@ -43,7 +43,8 @@
 typedef struct pr_outbound_request_t {
 	/** Complete HTTP request; it is copied. */
 	pr_slice_t bytes;
-	/** Request id; a response that states another one is skipped. */
+	/** Request id; a response that states another one is skipped. Without
+	 *  an id, the request gets a new connection. */
 	pr_slice_t id;
 	/** The method is HEAD, so that the response has no body. */
 	bool is_head;
--- a/src/http/link.c
+++ b/src/http/link.c
@@ -4,6 +4,7 @@
  */
 #include "http/link.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -75,6 +76,17 @@
 	       !recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
+bool pr_link_has_input(const pr_link_t *link)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd))
+		return true;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	pr_link_t *link = stream->data;
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -171,16 +171,16 @@
         self.address, self.port = address, port
         self.reader = self.writer = None
 
-    async def request(self, ident, path, body=b"", key="key-1", budget_ms=5000, **more):
+    async def request(self, ident, path, body=b"", key="key-1", budget_ms=5000, method="POST", **more):
         try:
             return await asyncio.wait_for(
-                self._request(ident, path, body, key, budget_ms, more), budget_ms / 1000
+                self._request(ident, path, body, key, budget_ms, method, more), budget_ms / 1000
             )
         except (OSError, Closed, asyncio.TimeoutError):
             self.close()
             return Answer()
 
-    async def _request(self, ident, path, body, key, budget_ms, more):
+    async def _request(self, ident, path, body, key, budget_ms, method, more):
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(
                 self.address, self.port, limit=1 << 20
@@ -189,10 +189,13 @@
             "Host": HOST, P + "Request-Attempt": ident, P + "Deadline-Ms": str(budget_ms),
             P + "Credential": key, "Content-Length": str(len(body)), **more,
         }
-        head = f"POST {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+        head = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items())
         self.writer.write(head.encode() + b"\r\n" + body)
         line, got = await read_head(self.reader)
         answer = Answer(int(line.split(" ")[1]), got)
+        if method == "HEAD":
+            answer.complete = True
+            return answer
         try:
             await self._read_body(answer)
         except Closed:
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -9,20 +9,10 @@
 import sys
 import time
 
+from answers import check_second_copies
+from checks import FAILURES, check
 from fleet import Caller, Fleet, get
-from standins import ENDLESS, P, event_of, events_of, whole_answer
-
-FAILURES = []
-
-
-def check(name, good, detail=""):
-    print(("ok   " if good else "FAIL ") + name + ("" if good else f": {detail}"))
-    if not good:
-        FAILURES.append(name)
-
-
-def stream_of(ident):
-    return b"".join(event_of(ident, n) for n in range(1, events_of(ident) + 1))
+from standins import ENDLESS, P, stream_of, whole_answer
 
 
 async def check_answers(fleet, caller):
@@ -335,6 +325,7 @@
         caller = Caller(fleet.routers[0].address)
         await check_answers(fleet, caller)
         await check_faults(fleet, caller)
+        await check_second_copies(fleet)
         await check_gone(fleet, Caller(fleet.routers[1].address))
         await check_smuggling(fleet)
         await check_endless(fleet)
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -222,6 +222,26 @@
            "endless_refusal", "endless_crossed", "endless_event", "endless_comments", "drip")
 
 
+class Request:
+    """One request at an upstream, for scripts."""
+
+    def __init__(self, upstream, writer, line, fields, body, ident):
+        self.upstream, self.writer, self.line = upstream, writer, line
+        self.fields, self.body, self.ident = fields, body, ident
+
+    def run(self):
+        self.upstream.runs.setdefault(self.ident, []).append(
+            (self.upstream.name, self.line, self.fields, self.body))
+
+    async def write(self, *parts, pause=0.0):
+        """Write the parts, with a pause behind each."""
+        for part in parts:
+            self.writer.write(part)
+            await self.writer.drain()
+            if pause:
+                await asyncio.sleep(pause)
+
+
 class Upstream(Server):
     """An upstream. Each request id's runs are counted; faults come with the
     probabilities in `faults`, by the names in FAULTS."""
@@ -237,6 +257,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.failing = 0.0
+        # Called with each request in place of the faults; see serve().
+        self.script = None
         # Endless answers that are left, shared by upstreams.
         self.endless_left = [1 << 30]
         self.never_closed = []
@@ -271,6 +293,13 @@
                 self.plain(writer, 421, ident, b"", sealed=False)
                 continue
             self.arrivals.append((time.monotonic(), ident, line))
+            if self.script is not None:
+                # True keeps the connection, False ends it, None answers as usual.
+                keep = await self.script(Request(self, writer, line, fields, body, ident))
+                if keep is False:
+                    return
+                if keep:
+                    continue
             if fault == "reset":
                 reset(writer)
                 return
@@ -400,6 +429,11 @@
     return f"id: {number}\ndata: {ident}-{number}\n\n".encode()
 
 
+def stream_of(ident):
+    """The whole stream of a request."""
+    return b"".join(event_of(ident, n) for n in range(1, events_of(ident) + 1))
+
+
 class Proxy(Server):
     """Passes a port on, and can delay, cut one way, silence or reset."""
 
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -75,7 +75,11 @@
 	fd = accept(listener, NULL, NULL);
 	while (!peer->link.connected)
 		uv_run(&loop, UV_RUN_ONCE);
+	/* Input that was not read yet shows that a kept connection cannot carry
+	 * another request. */
+	assert_false(pr_link_has_input(&peer->link));
 	assert_int_equal(send(fd, "bytes", 5, 0), 5);
+	assert_true(pr_link_has_input(&peer->link));
 	if (reset)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 	close(fd);
