Never carry a request twice on one upstream connection

Callers were told "not run, try again" for a request that an upstream was running, or it ran at up to three upstreams.

Cause: a request that an upstream had refused could come to it again on the same kept connection, by a caller that sends an id again or by an exchange that has tried all upstreams. A second copy of its earlier refusal states its own id there and was taken for the answer, while the upstream ran it.

Change: a connection keeps hashes of the ids of its last 16 requests, and a request whose id is among them uses another connection. On that one, any refusal that states the id is the answer to this request.

Evidence: check_copies_of_own() in tests/edge/answers.py refuses a request, then sends it again, on a route whose requests may be repeated and one whose may not, for 503, 429, 421 and 400.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -1,14 +1,16 @@
 /*
  * Connections to upstreams. An upstream may send a second response to an
  * earlier request late, where the response to the current one is expected.
- * A response that states the id of another request is skipped, and one that
- * states no id is accepted only as the response to the first request of a
- * connection.
+ * A response that states the id of another request is skipped, one that states
+ * no id is accepted only as the response to the first request of a connection,
+ * and a connection never carries the same request twice.
  */
 #include "edge/outbound.h"
 
 #include <stdlib.h>
 
+#include <xxhash.h>
+
 #include "base/event_log.h"
 #include "pistachiorack/error.h"
 #include "platform/adapter.h"
@@ -21,6 +23,8 @@
 /* Longest idle time of a connection that may carry a request that needs a fresh
  * one. */
 #define IDLE_MAX_FRESH (1500 * PR_USEC_PER_MSEC)
+/* Most recent requests of a connection whose ids are kept. */
+#define CARRIED_MAX 16
 
 struct pr_outbound_t {
 	pr_link_t link;
@@ -35,7 +39,9 @@
 	/** Bytes of the request until they are sent, and the request id. */
 	pr_str_t request;
 	char id[96];
-	/** Requests carried, the current one included. */
+	/** Hashes of the ids of recent requests, the current one included; a
+	 *  ring with the number of all requests. */
+	uint64_t carried[CARRIED_MAX];
 	uint64_t carried_count;
 	pr_timer_t timer;
 	pr_attempt_stage_t stage;
@@ -278,11 +284,22 @@
 	return 0;
 }
 
+static bool has_carried(const pr_outbound_t *outbound, uint64_t id_hash)
+{
+	for (size_t i = 0; i < CARRIED_MAX && i < outbound->carried_count;
+	     i++) {
+		if (outbound->carried[i] == id_hash)
+			return true;
+	}
+	return false;
+}
+
 /* Take an idle connection that can carry the request, or NULL. Without an id,
  * the response cannot be told from that to an earlier request. */
 static pr_outbound_t *take_idle(pr_outbound_pool_t *pool,
 				pr_upstream_t *upstream,
-				const pr_outbound_request_t *request)
+				const pr_outbound_request_t *request,
+				uint64_t id_hash)
 {
 	pr_list_t *at = upstream->idle.next;
 
@@ -296,7 +313,7 @@
 		if (idle >= outbound->idle_max ||
 		    pr_link_has_input(&outbound->link)) {
 			close_outbound(outbound);
-		} else {
+		} else if (!has_carried(outbound, id_hash)) {
 			pr_list_remove(&outbound->node);
 			return outbound;
 		}
@@ -309,7 +326,8 @@
 		      const pr_outbound_request_t *request,
 		      const pr_outbound_ops_t *ops, void *owner)
 {
-	pr_outbound_t *outbound = take_idle(pool, upstream, request);
+	uint64_t id_hash = XXH64(request->id.ptr, request->id.len, 0);
+	pr_outbound_t *outbound = take_idle(pool, upstream, request, id_hash);
 	int rc = 0;
 
 	if (!outbound)
@@ -322,7 +340,7 @@
 	outbound->is_head = request->is_head;
 	outbound->reader.no_body = request->is_head;
 	pr_slice_copy(outbound->id, sizeof(outbound->id), request->id);
-	outbound->carried_count++;
+	outbound->carried[outbound->carried_count++ % CARRIED_MAX] = id_hash;
 	pr_str_clear(&outbound->request);
 	rc = pr_str_append(&outbound->request, request->bytes.ptr,
 			   request->bytes.len);
--- a/tests/edge/answers.py
+++ b/tests/edge/answers.py
@@ -114,6 +114,29 @@
                   good and script.copies, (answer.status, answer.body[:40], runs, script.copies))
 
 
+async def check_copies_of_own(fleet, address):
+    """A request that is sent again on the connection that refused it could get its
+    own earlier refusal once more, although it runs this time."""
+    for kind in EARLIER[:4]:
+        async def write(request, _, kind=kind):
+            await request.write(earlier_answer(kind, request.ident), own_answer(request),
+                                pause=LATER_S)
+            return True
+
+        for path in ("/once/x", "/safe/x"):
+            script = SecondCopies(write, same_id=True)
+            set_script(ledgers_of(fleet), script)
+            ident = f"again-{kind[0]}-{path[1:3]}"
+            script.refuse = ident
+            refused = await ask(address, ident, path)
+            script.refuse = "earlier"
+            answer = await ask(address, ident, path)
+            check(f"own earlier {kind[0]} is not taken for the answer on {path}",
+                  refused.status == 503 and answer.status == 200
+                  and answer.body == whole_answer(ident, b"") and len(fleet.runs[ident]) == 1,
+                  (refused.status, answer.status, len(fleet.runs.get(ident, []))))
+
+
 async def check_copies_with_id(fleet, address):
     """A copy that states the earlier request's id is skipped wherever it comes."""
     async def together(request, before):
@@ -221,6 +244,7 @@
     address = fleet.routers[1].address
     await check_new_connections(fleet, address)
     await check_copies_without_id(fleet, address)
+    await check_copies_of_own(fleet, address)
     await check_copies_with_id(fleet, address)
     await check_copies_on_reuse(fleet, address)
     set_script(ledgers_of(fleet), None)
