Read skipped responses by their own framing beside HEAD

A caller got 502 for a request that an upstream answered, when a second copy of an earlier response came first and one of the two requests was HEAD.

Cause: whether a response has a body follows from its request's method. A skipped response to another request was read by the current method: the body behind it was parsed as the next head, or the real answer was swallowed as the body of a copied response to HEAD.

Change: a connection that carried HEAD is not reused, so every skipped response has the body that its head states.

Evidence: check_copies_beside_head() in tests/edge/answers.py; both of its checks got 502 on the commit before, 200 now.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -90,8 +90,12 @@
 	}
 	outbound->mismatched =
 		id.ptr && !pr_slice_equal(id, pr_slice_of(outbound->id));
-	if (outbound->mismatched)
+	if (outbound->mismatched) {
+		/* Connections that carried HEAD are not reused, so the skipped
+		 * response has a body whatever the current method is. */
+		reader->no_body = false;
 		return true;
+	}
 	outbound->stage = PR_STAGE_HEAD;
 	return outbound->ops->on_head(outbound->owner, reader);
 }
@@ -139,6 +143,7 @@
 {
 	void *owner = outbound->owner;
 	bool keep = at_boundary && !outbound->link.unsent &&
+		    !outbound->is_head &&
 		    http_should_keep_alive(&outbound->reader.parser);
 
 	outbound->idle_max = idle_timeout(&outbound->reader);
--- a/tests/edge/answers.py
+++ b/tests/edge/answers.py
@@ -240,11 +240,49 @@
           answer.status == 200 and len(fleet.runs["unnamed-one"]) == 1, answer.status)
 
 
+async def check_copies_beside_head(fleet, address):
+    """The body of a skipped answer does not follow from the current method."""
+    async def write(request, before):
+        await request.write(earlier_answer(EARLIER[0], before) + own_answer(request)[:-len(
+            whole_answer(request.ident, b""))])
+        return True
+
+    script = SecondCopies(write)
+    set_script(ledgers_of(fleet), script)
+    await ask(address, "earlier-head", "/once/x")
+    answer = await ask(address, "head-1", "/once/x", method="HEAD")
+    check("HEAD behind the copy of an answer with a body",
+          answer.status == 200 and script.copies, (answer.status, script.copies))
+
+    async def answer_head(request):
+        before = writers.setdefault(request.writer, [])
+        before.append(request.ident)
+        own = own_answer(request)
+        if request.line.startswith("HEAD"):
+            await request.write(own.split(b"\r\n\r\n")[0] + b"\r\n\r\n")
+        elif len(before) > 1:
+            copy = head(200, before[0], "Content-Length: 300\r\n")
+            await request.write(copy + own)
+        else:
+            await request.write(own)
+        request.run()
+        return True
+
+    writers = {}
+    set_script(ledgers_of(fleet), answer_head)
+    await ask(address, "head-2", "/once/x", method="HEAD")
+    answer = await ask(address, "head-3", "/once/x")
+    check("the copy of an answer to HEAD swallows nothing",
+          answer.status == 200 and answer.body == whole_answer("head-3", b""),
+          (answer.status, answer.body[:40]))
+
+
 async def check_second_copies(fleet):
     address = fleet.routers[1].address
     await check_new_connections(fleet, address)
     await check_copies_without_id(fleet, address)
     await check_copies_of_own(fleet, address)
     await check_copies_with_id(fleet, address)
+    await check_copies_beside_head(fleet, address)
     await check_copies_on_reuse(fleet, address)
     set_script(ledgers_of(fleet), None)
