Answer 502 for refusals that do not prove that nothing ran

A caller of a request that may run once could get 408, 429 or 503 from an upstream that had run it. Callers read these statuses as "not run" and send the request again, so that it runs twice.

Cause: a response without the statement that the request did not run was forwarded with its status, whatever the status was.

Change: for requests that may not be repeated, such a response with 408, 429 or 503 counts as "may have run"; the caller gets 502 of the router, without the upstream's seal.

--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -92,6 +92,13 @@
 		       .ptr;
 }
 
+/* Whether callers read the status as a promise that the request did not run.
+ * With 421 it is proven, see is_not_run(). */
+static bool is_promise(int status)
+{
+	return status == 408 || status == 429 || status == 503;
+}
+
 static void save_head(pr_exchange_t *x, const pr_http_reader_t *reader)
 {
 	pr_str_clear(&x->head);
@@ -339,6 +346,11 @@
 		pr_exchange_attempt_failed(x, PR_VERDICT_RAN, "upstream_error");
 		return;
 	}
+	if (!x->idempotent && is_promise(x->status)) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+					   "unproven_refusal");
+		return;
+	}
 	forward_response(x);
 }
 
--- a/tests/edge/answers.py
+++ b/tests/edge/answers.py
@@ -277,8 +277,27 @@
           (answer.status, answer.body[:40]))
 
 
+async def check_unproven_refusals(fleet, address):
+    """Callers read 408, 429 and 503 as "not run"; an upstream that answers so after
+    a run must not make the router promise it."""
+    for status in (408, 429, 503):
+        async def refuse(request, status=status):
+            request.run()
+            await request.write(earlier_answer((status, "", True), request.ident))
+            return True
+
+        set_script(ledgers_of(fleet), refuse)
+        ident = f"unproven-{status}"
+        answer = await ask(address, ident, "/once/x")
+        check(f"a {status} after a run is not passed on as a promise",
+              answer.status == 502 and len(fleet.runs[ident]) == 1
+              and (P + "Server-Seal").lower() not in answer.fields,
+              (answer.status, answer.fields))
+
+
 async def check_second_copies(fleet):
     address = fleet.routers[1].address
+    await check_unproven_refusals(fleet, address)
     await check_new_connections(fleet, address)
     await check_copies_without_id(fleet, address)
     await check_copies_of_own(fleet, address)
