Forward the events before an invalid one of a resumed stream

A caller's stream lacked events in its middle and ended as complete, after it had broken off and an upstream continued it with a gap in its ids.

Cause: the events before the gap that arrived in the same read were counted as passed on, but only forwarded when the whole read was valid. The next attempt continued behind them.

Change: the valid events are forwarded, then the attempt fails.

--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -228,7 +228,8 @@
 	uint64_t numbered = x->events.numbered;
 	int rc = pr_sse_filter_feed(&x->events, bytes, &out);
 
-	if (!rc && out.len) {
+	/* The events before an invalid one count as passed on. */
+	if (out.len) {
 		record_stream_pace(x, false);
 		/* Comments and incomplete events do not count as progress. */
 		if (x->events.numbered > numbered || !x->events.has_id)
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -25,6 +25,7 @@
         route("safe", "safe", "ledger"),
         route("once", "unsafe", "ledger", **{"max-attempts": 1}),
         route("stream", "streaming", "model", **{"stream-resume": True, "gap-aim-ms": 1200}),
+        route("live", "streaming", "model", **{"max-attempts": 1}),
     ]
     routes += [route(name, "safe", "ledger") for name in extra_routes]
     service = {"health-path": "/health", "max-connections": 400, "cold-start-s": 0.5, "cold-per-s": 20}
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -91,6 +91,18 @@
 	stop(&f);
 }
 
+/* The events before an invalid one are valid. */
+static void test_events_before_an_error_are_passed(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_not_equal(feed(&f, "id: 1\n\nid: 2\n\nid: 4\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out), "id: 1\n\nid: 2\n\n");
+	assert_int_equal(f.filter.last_id, 2);
+	stop(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -98,6 +110,7 @@
 		cmocka_unit_test(test_partial_event_is_dropped_on_resume),
 		cmocka_unit_test(test_events_already_passed_are_dropped),
 		cmocka_unit_test(test_gap_in_ids_is_an_error),
+		cmocka_unit_test(test_events_before_an_error_are_passed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
