Accept a resumed stream only from its first id on

A caller found the error of the next upstream in the middle of its stream, and the stream then ended as if it were complete.

Cause: an event without an id was forwarded wherever it came. Where a stream is resumed after an event with an id, nothing shows that an event without one continues it: it may be an error or the output of another run.

Change: until a resumed stream has sent its first new id, data without an id fails the attempt, and comments are dropped; among events that the attempt repeats from before, events without an id are repeats as well. First attempts and streams without ids pass unchanged.

Evidence: tests/edge/streams.py ("no_ids"): three checks failed on the commit before, among them a stream to an HTTP/1.0 caller that ended without a reset; test_events: two of its new tests failed. All pass now.

--- a/src/events/sse_filter.c
+++ b/src/events/sse_filter.c
@@ -22,6 +22,8 @@
 {
 	pr_str_clear(&filter->partial);
 	filter->scanned = 0;
+	filter->resuming = filter->has_id && filter->passed;
+	filter->repeating = false;
 }
 
 /* Reads the numeric id of an event; returns false when it has none. */
@@ -51,6 +53,39 @@
 	return false;
 }
 
+static bool has_data(const char *event, size_t len)
+{
+	const char *end = event + len;
+
+	for (const char *line = event; line && end - line >= 4;) {
+		if (!memcmp(line, "data", 4))
+			return true;
+		line = memchr(line, '\n', (size_t)(end - line));
+		if (line)
+			line++;
+	}
+	return false;
+}
+
+/*
+ * Decides about an event without an id. Where a stream is resumed, nothing
+ * shows that it continues the events before: it may be the error of the next
+ * upstream.
+ *
+ * @param pass set when the event is to be passed on
+ */
+static int check_unnumbered(const pr_sse_filter_t *filter, const char *bytes,
+			    size_t len, bool *pass)
+{
+	*pass = !filter->resuming;
+	if (*pass || filter->repeating || !has_data(bytes, len))
+		return 0;
+	return pr_error_set(PR_EPARSE,
+			    "event without an id follows event id "
+			    "%llu in a resumed stream",
+			    (unsigned long long)filter->last_id);
+}
+
 /*
  * Finds the end of the first event in the buffer, after its blank line.
  *
@@ -78,10 +113,14 @@
 		      pr_str_t *out)
 {
 	uint64_t id;
+	bool pass = true;
+	int rc;
 
 	if (find_id(bytes, len, &id)) {
-		if (filter->has_id && id <= filter->last_id)
+		if (filter->has_id && id <= filter->last_id) {
+			filter->repeating = true;
 			return 0;
+		}
 		if (filter->has_id && id != filter->last_id + 1)
 			return pr_error_set(
 				PR_EPARSE,
@@ -92,6 +131,11 @@
 		filter->has_id = true;
 		filter->last_id = id;
 		filter->numbered++;
+		filter->resuming = false;
+	} else {
+		rc = check_unnumbered(filter, bytes, len, &pass);
+		if (rc || !pass)
+			return rc;
 	}
 	filter->passed++;
 	return pr_str_append(out, bytes, len);
--- a/src/events/sse_filter.h
+++ b/src/events/sse_filter.h
@@ -23,6 +23,11 @@
 	/** Id of the last event with an id; valid when has_id is set. */
 	uint64_t last_id;
 	bool has_id;
+	/** The stream broke off after an event with an id, and the current
+	 *  attempt has sent no event after that one yet. */
+	bool resuming;
+	/** While resuming: the attempt repeats events from before. */
+	bool repeating;
 	/** Number of events passed on. */
 	uint64_t passed;
 	/** Number of events passed on that had a numeric id. */
@@ -38,10 +43,12 @@
 void pr_sse_filter_restart(pr_sse_filter_t *filter);
 /**
  * Process the next bytes of the stream. Complete events are appended to out
- * unchanged; an event with an id up to the last id is dropped.
+ * unchanged; an event with an id up to the last id is dropped. On an error, out
+ * has the events before the invalid one.
  *
- * @return 0, PR_EPARSE when an id is not the last id plus one or an event is
- *	   longer than PR_SSE_FILTER_EVENT_MAX, or PR_ENOMEM
+ * @return 0, PR_EPARSE when an id is not the last id plus one, a resumed stream
+ *	   begins with data without an id or an event is longer than
+ *	   PR_SSE_FILTER_EVENT_MAX, or PR_ENOMEM
  */
 int pr_sse_filter_feed(pr_sse_filter_t *filter, pr_slice_t bytes,
 		       pr_str_t *out);
--- a/tests/edge/streams.py
+++ b/tests/edge/streams.py
@@ -91,6 +91,12 @@
     return True
 
 
+async def no_ids(request, last):
+    await request.write(head(200, request.ident, CHUNKED)
+                        + chunk(b"event: error\ndata: overloaded\n\n") + b"0\r\n\r\n")
+    return True
+
+
 async def garbage(request, last):
     await request.write(b"\x00\x01 this is not an answer\r\n\r\n")
     return False
@@ -137,7 +143,7 @@
 
 # Answers that do not continue the stream, or not to its end, and those that do.
 FAILED = (error_500, refused_503, refused_429, refused_421, refused_without_proof, other_type,
-          no_content, no_seal, encoded, gap, far_ids, garbage, ends_inside_event,
+          no_content, no_seal, encoded, gap, far_ids, no_ids, garbage, ends_inside_event,
           reset_behind_event)
 CONTINUED = (from_the_start, ends_with_connection, interim, crossed)
 
@@ -229,7 +235,7 @@
               clean and body == stream_of(ident) and b"chunked" not in first.lower(),
               (first, body[-60:], clean))
     plan = {long_ident(f"old-{a.__name__}"): a
-            for a in (error_500, refused_503, other_type, ends_inside_event)}
+            for a in (error_500, refused_503, other_type, no_ids, ends_inside_event)}
     set_script(models, BrokenStreams(plan, count=1 << 30))
     answers = await asyncio.gather(
         *(raw(address, ident, "/stream/x", version="1.0") for ident in plan))
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -91,6 +91,54 @@
 	stop(&f);
 }
 
+/* Guards against a stream whose second part is an error of the next upstream,
+ * or the output of another run: without an id, an event continues nothing. */
+static void test_resumed_stream_begins_with_an_id(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: 1\ndata: a\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_not_equal(feed(&f, "event: error\ndata: busy\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_not_equal(feed(&f, "data\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_equal(feed(&f, ": comment\n\nid: 2\n\ndata: b\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out),
+			    "id: 1\ndata: a\n\nid: 2\n\ndata: b\n\n");
+	stop(&f);
+}
+
+/* Events without an id between those that a resumed stream repeats are repeats
+ * as well. */
+static void test_repeated_events_without_id_are_dropped(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: 1\n\ndata: a\n\nid: 2\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_equal(feed(&f, "id: 1\n\ndata: a\n\nid: 2\n\nid: 3\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out),
+			    "id: 1\n\ndata: a\n\nid: 2\n\nid: 3\n\n");
+	stop(&f);
+}
+
+/* A stream without ids cannot be resumed, but passes unchanged, as does the
+ * first attempt of a caller that resumes one. */
+static void test_first_attempt_may_lack_ids(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	f.filter.has_id = true;
+	f.filter.last_id = 4;
+	assert_int_equal(feed(&f, "data: a\n\nid: 5\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out), "data: a\n\nid: 5\n\n");
+	stop(&f);
+}
+
 /* The events before an invalid one are valid. */
 static void test_events_before_an_error_are_passed(void **state)
 {
@@ -110,6 +158,9 @@
 		cmocka_unit_test(test_partial_event_is_dropped_on_resume),
 		cmocka_unit_test(test_events_already_passed_are_dropped),
 		cmocka_unit_test(test_gap_in_ids_is_an_error),
+		cmocka_unit_test(test_resumed_stream_begins_with_an_id),
+		cmocka_unit_test(test_repeated_events_without_id_are_dropped),
+		cmocka_unit_test(test_first_attempt_may_lack_ids),
 		cmocka_unit_test(test_events_before_an_error_are_passed),
 	};
 
