Send no chunk behind the head of a streamed answer to HEAD

A caller that sent HEAD for a stream got five bytes behind the head, the final chunk, which belong to no response.

Cause: the body of a response to HEAD was left out, its last chunk was not.

Change: the last chunk is left out as well.

Evidence: tests/edge/streams.py (check_head_of_stream) found "0 CR LF CR LF" behind the head on the commit before, nothing now.

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -389,7 +389,7 @@
 
 void pr_caller_end_response(pr_caller_t *caller)
 {
-	if (caller->chunked)
+	if (caller->chunked && caller->reader.parser.method != HTTP_HEAD)
 		pr_link_write(&caller->link, "0\r\n\r\n", 5);
 	caller->chunked = false;
 	caller->idle_since = pr_edge_now(caller->edge);
--- a/tests/edge/streams.py
+++ b/tests/edge/streams.py
@@ -269,9 +269,25 @@
                   and b" 200 " in first, (first, body[-60:], clean))
 
 
+async def check_head_of_stream(fleet, address, models):
+    """The answer to HEAD has no body, also where the answer to GET is a stream."""
+    async def only_head(request):
+        request.run()
+        await request.write(head(200, request.ident, CHUNKED))
+        return True
+
+    set_script(models, only_head)
+    for version in ("1.0", "1.1"):
+        first, body, clean = await raw(address, f"head-stream-{version}", "/stream/x", "HEAD",
+                                       version)
+        check(f"HEAD of a stream has no body, HTTP/{version}",
+              b" 200 " in first and body == b"" and clean, (first, body, clean))
+
+
 async def check_streams(fleet):
     address = fleet.routers[1].address
     models = [u for u in fleet.upstreams if u.service == "model"]
+    await check_head_of_stream(fleet, address, models)
     await check_next_answers(fleet, address, models)
     await check_without_chunks(fleet, address, models)
     await check_not_resumable(fleet, address, models)
