Stop using an upstream whose answers say that it leaves

An upstream that shuts down says so in all its answers (header Server-Leaving), possibly before discovery does. Requests went on to it until its row changed.

Cause: the header was not read.

A marked instance is not chosen for requests, repeats, resumed streams and load tests, is not counted as usable, and its idle connections are closed. Its row cannot undo the mark; a new start time does. The registry keeps the last 64 removed instances, so that the mark outlives an entry that lapses and is renewed, also when the answer came in between.

New tests in test_upstream, test_place and test_adapter.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -73,6 +73,26 @@
 		outbound->ops->on_failed(owner, outbound->stage);
 }
 
+/* Note what the response states about the upstream, whichever request it
+ * belongs to. */
+static void note_upstream(pr_outbound_t *outbound,
+			  const pr_http_reader_t *reader)
+{
+	pr_upstream_t *upstream = outbound->upstream;
+	uint64_t leaving;
+
+	if (pr_slice_number(pr_http_find(reader, pr_adapter_field_name(
+							 PR_FIELD_LEAVING)),
+			    &leaving) &&
+	    leaving && pr_upstream_mark_leaving(upstream)) {
+		pr_event_state("upstream_leaving", "id=%s service=%s status=%d",
+			       upstream->entry.id, upstream->entry.service,
+			       (int)reader->parser.status_code);
+		pr_outbound_close_idle(upstream, outbound->pool->timers->now,
+				       true);
+	}
+}
+
 static bool on_head(pr_http_reader_t *reader)
 {
 	pr_outbound_t *outbound = reader->owner;
@@ -81,6 +101,7 @@
 
 	if (!outbound->owner)
 		return false;
+	note_upstream(outbound, reader);
 	if (!id.ptr && outbound->carried_count > 1) {
 		pr_event("response_without_id",
 			 "request=%s upstream=%s status=%d", outbound->id,
@@ -144,6 +165,7 @@
 	void *owner = outbound->owner;
 	bool keep = at_boundary && !outbound->link.unsent &&
 		    !outbound->is_head &&
+		    !pr_upstream_is_leaving(outbound->upstream) &&
 		    http_should_keep_alive(&outbound->reader.parser);
 
 	outbound->idle_max = idle_timeout(&outbound->reader);
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -102,7 +102,7 @@
 	const pr_zone_t *zone = pr_zone_find(map, upstream->entry.zone);
 
 	if (strcmp(upstream->entry.service, query->service) != 0 ||
-	    upstream->entry.draining || !zone || zone->evacuated)
+	    pr_upstream_is_leaving(upstream) || !zone || zone->evacuated)
 		return false;
 	if (query->route_regions &&
 	    !pr_names_allow(query->route_regions, zone->region))
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -19,12 +19,16 @@
 /* Added to the cold time, microseconds, since discovery lags behind the
  * upstream. */
 #define COLD_MARGIN (500 * PR_USEC_PER_MSEC)
+/* Most removed upstreams that are kept. */
+#define REMOVED_MAX 64
 /* Fraction of a cold upstream's rate that is divided among the hosts. */
 #define COLD_SHARE 0.8
 
 void pr_registry_init(pr_registry_t *registry)
 {
 	pr_list_init(&registry->upstreams);
+	pr_list_init(&registry->removed);
+	registry->removed_count = 0;
 	registry->initial_read_done = false;
 }
 
@@ -40,23 +44,37 @@
 		free(upstream);
 }
 
-static void unlist(pr_upstream_t *upstream)
+static pr_upstream_t *first_of(pr_list_t *list)
+{
+	return PR_OWNER(list->next, pr_upstream_t, node);
+}
+
+static void drop(pr_upstream_t *upstream)
 {
 	upstream->listed = false;
 	pr_list_remove(&upstream->node);
 	pr_upstream_unref(upstream);
 }
 
-void pr_registry_finish(pr_registry_t *registry)
+/* Remove an upstream from the list, and keep it among the removed ones. */
+static void unlist(pr_registry_t *registry, pr_upstream_t *upstream)
 {
-	pr_list_t *at = registry->upstreams.next;
-
-	while (at != &registry->upstreams) {
-		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+	upstream->listed = false;
+	pr_list_remove(&upstream->node);
+	pr_list_append(&registry->removed, &upstream->node);
+	if (registry->removed_count == REMOVED_MAX)
+		drop(first_of(&registry->removed));
+	else
+		registry->removed_count++;
+}
 
-		at = at->next;
-		unlist(upstream);
-	}
+void pr_registry_finish(pr_registry_t *registry)
+{
+	while (!pr_list_empty(&registry->upstreams))
+		drop(first_of(&registry->upstreams));
+	while (!pr_list_empty(&registry->removed))
+		drop(first_of(&registry->removed));
+	registry->removed_count = 0;
 }
 
 pr_upstream_t *pr_registry_find(const pr_registry_t *registry, const char *id)
@@ -71,11 +89,39 @@
 	return NULL;
 }
 
+/* Take the instance of the entry back from the removed ones, without what other
+ * hosts reported about it. An entry without a start time names no instance. */
+static pr_upstream_t *take_removed(pr_registry_t *registry,
+				   const pr_upstream_entry_t *entry)
+{
+	for (pr_list_t *at = registry->removed.next; at != &registry->removed;
+	     at = at->next) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+
+		if (!entry->born || upstream->entry.born != entry->born ||
+		    strcmp(upstream->entry.id, entry->id) != 0)
+			continue;
+		pr_list_remove(&upstream->node);
+		registry->removed_count--;
+		upstream->listed = true;
+		upstream->peers_in_flight = 0;
+		upstream->peers_prefill_ms = 0;
+		memset(&upstream->peers_outcomes, 0,
+		       sizeof(upstream->peers_outcomes));
+		pr_list_append(&registry->upstreams, &upstream->node);
+		return upstream;
+	}
+	return NULL;
+}
+
 static pr_upstream_t *add(pr_registry_t *registry,
 			  const pr_upstream_entry_t *entry)
 {
-	pr_upstream_t *upstream = calloc(1, sizeof(*upstream));
+	pr_upstream_t *upstream = take_removed(registry, entry);
 
+	if (upstream)
+		return upstream;
+	upstream = calloc(1, sizeof(*upstream));
 	if (!upstream)
 		return NULL;
 	upstream->refs = 1;
@@ -99,7 +145,7 @@
 		return NULL;
 	if (upstream && upstream->entry.born != entry->born) {
 		/* A restarted instance keeps no state of the one before. */
-		unlist(upstream);
+		unlist(registry, upstream);
 		is_new = true;
 	}
 	if (is_new)
@@ -125,7 +171,7 @@
 	if (!upstream || row < upstream->row)
 		return;
 	if (remove_at <= now)
-		unlist(upstream);
+		unlist(registry, upstream);
 	else if (!upstream->remove_at)
 		upstream->remove_at = remove_at;
 }
@@ -139,7 +185,7 @@
 
 		at = at->next;
 		if (upstream->remove_at && upstream->remove_at <= now)
-			unlist(upstream);
+			unlist(registry, upstream);
 	}
 }
 
@@ -170,6 +216,19 @@
 	return is_new;
 }
 
+bool pr_upstream_mark_leaving(pr_upstream_t *upstream)
+{
+	bool is_first = !upstream->leaving;
+
+	upstream->leaving = true;
+	return is_first;
+}
+
+bool pr_upstream_is_leaving(const pr_upstream_t *upstream)
+{
+	return upstream->entry.draining || upstream->leaving;
+}
+
 void pr_upstream_mark_cold(pr_upstream_t *upstream, pr_usec_t until)
 {
 	if (until > upstream->cold_until)
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -43,6 +43,9 @@
 	uint64_t row;
 	/** It is in the registry. */
 	bool listed;
+	/** It stated in a response that it is shutting down. This holds for as
+	 *  long as the instance runs, whatever its entry states. */
+	bool leaving;
 	/** Time at which it is removed, because its entry expired while the
 	 * store was unreachable; 0 for never. */
 	pr_usec_t remove_at;
@@ -92,6 +95,10 @@
 /** All listed upstreams. */
 typedef struct pr_registry_t {
 	pr_list_t upstreams;
+	/** Upstreams that were removed last. An entry that lapsed may be
+	 *  renewed; the instance is still the same then. */
+	pr_list_t removed;
+	size_t removed_count;
 	/** The first full read of discovery is complete: upstreams that appear
 	 *  later have just started, those before were running already. */
 	bool initial_read_done;
@@ -126,7 +133,7 @@
 			pr_usec_t remove_at, pr_usec_t now);
 /** Remove the upstreams whose delayed removal is due. */
 void pr_registry_expire(pr_registry_t *registry, pr_usec_t now);
-/** @return the upstream with the id, or NULL */
+/** @return the listed upstream with the id, or NULL */
 pr_upstream_t *pr_registry_find(const pr_registry_t *registry, const char *id);
 
 pr_upstream_t *pr_upstream_ref(pr_upstream_t *upstream);
@@ -142,6 +149,14 @@
  *	   all connections of an upstream break when it crashes
  */
 bool pr_upstream_record_disconnect(pr_upstream_t *upstream, pr_usec_t now);
+/**
+ * Note that the upstream stated that it is shutting down.
+ *
+ * @return true for the first time
+ */
+bool pr_upstream_mark_leaving(pr_upstream_t *upstream);
+/** @return true when it is shutting down by its entry or its responses */
+bool pr_upstream_is_leaving(const pr_upstream_t *upstream);
 /** Treat the upstream as cold at least until the time. */
 void pr_upstream_mark_cold(pr_upstream_t *upstream, pr_usec_t until);
 
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -153,6 +153,8 @@
 				 PR_FIELD_RESERVED);
 	assert_int_equal(pr_adapter_field(PR_SLICE("transfer-encoding")),
 			 PR_FIELD_HOP);
+	assert_int_equal(pr_adapter_field(PR_SLICE("server-leaving")),
+			 PR_FIELD_LEAVING);
 	assert_int_equal(pr_adapter_field(PR_SLICE("Accept")), PR_FIELD_OTHER);
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -488,6 +488,33 @@
 	assert_true(simulate_late_share(false) > 0.01);
 }
 
+/* Guards against requests, repeats and load tests that reach an upstream after
+ * it stated in a response that it is shutting down. */
+static void test_upstream_that_leaves_gets_no_requests(void **state)
+{
+	fixture_t f;
+
+	set_up(&f);
+	for (int i = 0; i < UPSTREAMS; i++) {
+		assert_int_equal(pr_place_count_usable(&f.registry, &f.map,
+						       "model", "v1", NOW),
+				 UPSTREAMS - i);
+		pr_upstream_mark_leaving(choose(&f, PR_PLACE_FOUND));
+	}
+	choose(&f, PR_PLACE_NONE);
+	pr_registry_finish(&f.registry);
+
+	set_up(&f);
+	start_load_test(&f, 2);
+	pr_upstream_mark_leaving(choose(&f, PR_PLACE_FOUND));
+	assert_true(pr_place_has_load_test_room(&f.registry, &f.map, &f.query));
+	pr_upstream_mark_leaving(choose(&f, PR_PLACE_FOUND));
+	assert_false(
+		pr_place_has_load_test_room(&f.registry, &f.map, &f.query));
+	assert_string_equal(choose(&f, PR_PLACE_FOUND)->entry.version, "v1");
+	pr_registry_finish(&f.registry);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -512,6 +539,7 @@
 			test_load_test_fills_one_upstream_after_the_other),
 		cmocka_unit_test(test_load_test_uses_at_most_two_upstreams),
 		cmocka_unit_test(test_load_test_of_many_hosts),
+		cmocka_unit_test(test_upstream_that_leaves_gets_no_requests),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -124,6 +124,63 @@
 	pr_registry_finish(&registry);
 }
 
+/* Guards against requests to an upstream that stated that it is shutting down,
+ * after a row that was written before, or after its entry lapsed and was
+ * renewed: only a new instance is used again. */
+static void test_leaving_lasts_as_long_as_the_instance(void **state)
+{
+	pr_upstream_entry_t entry = entry_of("a", 1), next = entry_of("a", 2);
+	pr_registry_t registry;
+	pr_upstream_t *upstream;
+
+	pr_registry_init(&registry);
+	upstream = pr_registry_apply(&registry, &entry, 1, 0, SECOND);
+	assert_true(pr_upstream_mark_leaving(upstream));
+	assert_false(pr_upstream_mark_leaving(upstream));
+	upstream = pr_registry_apply(&registry, &entry, 2, 0, SECOND);
+	assert_true(pr_upstream_is_leaving(upstream));
+	pr_registry_remove(&registry, "a", 3, SECOND, SECOND);
+	assert_null(pr_registry_find(&registry, "a"));
+	upstream = pr_registry_apply(&registry, &entry, 4, 0, SECOND);
+	assert_true(upstream->listed && pr_upstream_is_leaving(upstream));
+	upstream = pr_registry_apply(&registry, &next, 5, 0, SECOND);
+	assert_false(pr_upstream_is_leaving(upstream));
+	pr_registry_finish(&registry);
+}
+
+/* A response may arrive after the entry lapsed. */
+static void test_leaving_is_noted_while_not_listed(void **state)
+{
+	pr_upstream_entry_t entry = entry_of("a", 1);
+	pr_registry_t registry;
+	pr_upstream_t *upstream;
+
+	pr_registry_init(&registry);
+	upstream = pr_upstream_ref(
+		pr_registry_apply(&registry, &entry, 1, 0, SECOND));
+	pr_registry_remove(&registry, "a", 2, SECOND, SECOND);
+	pr_upstream_mark_leaving(upstream);
+	pr_upstream_unref(upstream);
+	upstream = pr_registry_apply(&registry, &entry, 3, 0, SECOND);
+	assert_true(pr_upstream_is_leaving(upstream));
+	pr_registry_finish(&registry);
+}
+
+/* A fleet that is replaced again and again must not fill the memory. */
+static void test_removed_upstreams_are_bounded(void **state)
+{
+	pr_registry_t registry;
+
+	pr_registry_init(&registry);
+	for (uint64_t i = 1; i <= 1000; i++) {
+		pr_upstream_entry_t entry = entry_of("a", (int64_t)i);
+
+		pr_registry_apply(&registry, &entry, i, 0, SECOND);
+		assert_true(registry.removed_count <= 64);
+	}
+	pr_registry_finish(&registry);
+}
+
 static void test_failures_eject_and_success_readmits(void **state)
 {
 	pr_upstream_t upstream;
@@ -162,6 +219,9 @@
 		cmocka_unit_test(test_new_incarnation_replaces_the_old),
 		cmocka_unit_test(test_outdated_row_is_ignored),
 		cmocka_unit_test(test_expired_entry_may_be_renewed),
+		cmocka_unit_test(test_leaving_lasts_as_long_as_the_instance),
+		cmocka_unit_test(test_leaving_is_noted_while_not_listed),
+		cmocka_unit_test(test_removed_upstreams_are_bounded),
 		cmocka_unit_test(test_failures_eject_and_success_readmits),
 		cmocka_unit_test(
 			test_connections_of_one_crash_are_reported_once),
