Send nothing to an upstream that refuses with Retry-After

An upstream that refuses with 503 may state for how long it wants no requests of a host. Requests went on to it at once.

Cause: the header was not read.

Change: the instance is paused for the stated seconds, fractions included, at most PR_UPSTREAM_PAUSE_MAX; a shorter time later, a success or a renewed entry does not end the pause. A paused upstream counts as busy in every choice, and a request that was waiting for its connection is not sent. When all upstreams that a request may use are paused for longer than it may wait, it is refused at once, with a Retry-After of the router until the first of them returns, spread over callers and bounded by the caller's deadline. Neither a refusal nor a request held back counts as a failure.

New tests in test_upstream, test_place and test_base.

--- a/src/base/number.c
+++ b/src/base/number.c
@@ -17,3 +17,28 @@
 	*out = value;
 	return true;
 }
+
+bool pr_slice_seconds(pr_slice_t text, pr_usec_t *out)
+{
+	pr_usec_t seconds = 0, fraction = 0, unit = PR_USEC_PER_SEC;
+	size_t i = 0;
+
+	for (; i < text.len && isdigit((unsigned char)text.ptr[i]); i++) {
+		seconds = seconds * 10 + (text.ptr[i] - '0');
+		if (seconds > PR_SECONDS_MAX)
+			seconds = PR_SECONDS_MAX;
+	}
+	if (!i)
+		return false;
+	if (i < text.len && text.ptr[i] == '.') {
+		for (i++; i < text.len && isdigit((unsigned char)text.ptr[i]);
+		     i++) {
+			unit /= 10;
+			fraction += unit * (text.ptr[i] - '0');
+		}
+	}
+	if (i < text.len)
+		return false;
+	*out = seconds * PR_USEC_PER_SEC + fraction;
+	return true;
+}
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -350,10 +350,25 @@
 	return 0;
 }
 
+/* Whether every upstream that the request may use has asked for no requests
+ * until a time that is too late for this one. */
+static bool is_paused_beyond(pr_exchange_t *x, pr_usec_t limit)
+{
+	pr_place_query_t query;
+	pr_place_return_t next;
+
+	init_query(x, &query);
+	next = pr_place_next_return(&x->edge->registry, &x->edge->map, &query);
+	if (next.untried <= limit)
+		return false;
+	x->retry_at = next.any;
+	return true;
+}
+
 /*
  * Wait for a usable upstream for a part of the latency objective, then give up.
  * When no upstream is listed that the request may use and none was
- * tried, give up at once.
+ * tried, or all of them are paused for longer, give up at once.
  */
 static void wait_for_upstream(pr_exchange_t *x, pr_place_verdict_t verdict)
 {
@@ -363,6 +378,12 @@
 
 	if (!x->wait_began)
 		x->wait_began = now;
+	/* A stream that broke off waits for as long as it can be resumed. */
+	if (is_paused_beyond(x, x->head_sent ? x->deadline - ATTEMPT_MIN
+					     : x->wait_began + wait)) {
+		pr_exchange_give_up(x, "upstreams_paused");
+		return;
+	}
 	if (now - x->wait_began < wait &&
 	    (verdict != PR_PLACE_NONE || x->tried_count)) {
 		pr_exchange_set_timer(x);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -149,11 +149,13 @@
  * and limited by the time until the deadline. */
 static double retry_after_s(pr_exchange_t *x)
 {
-	double left = (double)(x->caller_deadline - pr_exchange_now(x)) /
-		      PR_USEC_PER_SEC;
-	double pause = RETRY_BASE_S +
-		       RETRY_SPREAD_S * (double)(x->hash % 1000) / 1000.0;
+	pr_usec_t now = pr_exchange_now(x);
+	double left = (double)(x->caller_deadline - now) / PR_USEC_PER_SEC;
+	double pause = RETRY_BASE_S;
 
+	if (x->retry_at > now)
+		pause = (double)(x->retry_at - now) / PR_USEC_PER_SEC;
+	pause += RETRY_SPREAD_S * (double)(x->hash % 1000) / 1000.0;
 	if (pause > left * RETRY_MAX_PART)
 		pause = left * RETRY_MAX_PART;
 	return pause > 0.05 ? pause : 0.05;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -74,6 +74,9 @@
 	uint32_t sends;
 	/** Start of the wait for a usable upstream; 0 when not waiting. */
 	pr_usec_t wait_began;
+	/** Earliest time at which the request could be served, for a refusal; 0
+	 *  when unknown. */
+	pr_usec_t retry_at;
 	/** Fault of the last failed attempt, for the log; NULL without one. */
 	const char *last_fault;
 	/** Error code of a final response that the router made itself. */
--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -56,6 +56,15 @@
 	return PR_OWNER(link, pr_outbound_t, link);
 }
 
+/* The clock of the timers stands still while the loop polls. */
+static pr_usec_t current_time(const pr_outbound_t *outbound)
+{
+	pr_usec_t now = (pr_usec_t)(uv_hrtime() / 1000);
+	pr_usec_t timers_now = outbound->pool->timers->now;
+
+	return now > timers_now ? now : timers_now;
+}
+
 static void close_outbound(pr_outbound_t *outbound)
 {
 	pr_list_remove(&outbound->node);
@@ -79,6 +88,8 @@
 			  const pr_http_reader_t *reader)
 {
 	pr_upstream_t *upstream = outbound->upstream;
+	pr_usec_t now = current_time(outbound);
+	pr_usec_t pause;
 	uint64_t leaving;
 
 	if (pr_slice_number(pr_http_find(reader, pr_adapter_field_name(
@@ -88,9 +99,17 @@
 		pr_event_state("upstream_leaving", "id=%s service=%s status=%d",
 			       upstream->entry.id, upstream->entry.service,
 			       (int)reader->parser.status_code);
-		pr_outbound_close_idle(upstream, outbound->pool->timers->now,
-				       true);
+		pr_outbound_close_idle(upstream, now, true);
 	}
+	if (reader->parser.status_code == 503 &&
+	    pr_slice_seconds(
+		    pr_http_find(reader,
+				 pr_adapter_field_name(PR_FIELD_RETRY_AFTER)),
+		    &pause) &&
+	    pr_upstream_pause(upstream, pause, now))
+		pr_event("upstream_paused", "id=%s service=%s ms=%lld",
+			 upstream->entry.id, upstream->entry.service,
+			 (long long)(pause / PR_USEC_PER_MSEC));
 }
 
 static bool on_head(pr_http_reader_t *reader)
@@ -233,6 +252,11 @@
 
 static void send_request(pr_outbound_t *outbound)
 {
+	/* It may have asked for no requests since it was chosen. */
+	if (pr_upstream_is_paused(outbound->upstream, current_time(outbound))) {
+		fail_connection(outbound);
+		return;
+	}
 	outbound->stage = PR_STAGE_SENT;
 	if (pr_link_write(&outbound->link, outbound->request.ptr,
 			  outbound->request.len))
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -359,14 +359,18 @@
 {
 	pr_exchange_t *x = owner;
 	pr_verdict_t verdict = pr_verdict_of_failure(stage, false);
+	/* A request that was held back shows no failure of the upstream. */
+	bool held_back = verdict == PR_VERDICT_NOT_RUN && x->upstream &&
+			 pr_upstream_is_paused(x->upstream, pr_exchange_now(x));
 
 	x->outbound = NULL;
-	if (x->upstream)
+	if (x->upstream && !held_back)
 		pr_upstream_record_failure(x->upstream, pr_exchange_now(x));
 	if (verdict == PR_VERDICT_NOT_RUN)
 		x->sends--;
 	pr_exchange_attempt_failed(x, verdict,
-				   verdict == PR_VERDICT_NOT_RUN
+				   held_back ? "upstream_paused"
+				   : verdict == PR_VERDICT_NOT_RUN
 					   ? "unreachable"
 					   : PR_FAULT_BROKEN);
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -229,6 +229,13 @@
 	return true;
 }
 
+/* Ejected after failures, or paused as it asked. */
+static bool is_suspended(const pr_upstream_t *upstream, pr_usec_t now)
+{
+	return upstream->ejected_until > now ||
+	       pr_upstream_is_paused(upstream, now);
+}
+
 static bool is_full(const pr_place_query_t *query,
 		    const pr_upstream_t *upstream)
 {
@@ -315,7 +322,7 @@
 		    (!any_version && !is_preferred_version(query, upstream)) ||
 		    was_tried(query, upstream))
 			continue;
-		if (upstream->ejected_until > query->now ||
+		if (is_suspended(upstream, query->now) ||
 		    is_full(query, upstream)) {
 			if (verdict == PR_PLACE_NONE)
 				verdict = PR_PLACE_BUSY;
@@ -367,13 +374,12 @@
 	return choose_among(registry, map, query, NULL, any_version, out);
 }
 
-/* Not available for a load test: ejected, full, tried already, or cold. */
+/* Not available for a load test: suspended, full, tried already, or cold. */
 static bool is_unavailable(const pr_place_query_t *query,
 			   const pr_upstream_t *upstream)
 {
-	return upstream->ejected_until > query->now ||
-	       is_full(query, upstream) || was_tried(query, upstream) ||
-	       upstream->cold_until > query->now;
+	return is_suspended(upstream, query->now) || is_full(query, upstream) ||
+	       was_tried(query, upstream) || upstream->cold_until > query->now;
 }
 
 /*
@@ -471,6 +477,41 @@
 	return verdict;
 }
 
+static pr_usec_t earlier(pr_usec_t a, pr_usec_t b)
+{
+	return a < b ? a : b;
+}
+
+pr_place_return_t pr_place_next_return(const pr_registry_t *registry,
+				       const pr_zone_map_t *map,
+				       const pr_place_query_t *query)
+{
+	bool any_version =
+		query->transition && query->version == PR_VERSION_NEW;
+	pr_usec_t untried = PR_USEC_NEVER, all = PR_USEC_NEVER;
+
+	for (pr_list_t *at = registry->upstreams.next;
+	     at != &registry->upstreams; at = at->next) {
+		const pr_upstream_t *upstream =
+			PR_OWNER(at, pr_upstream_t, node);
+		pr_usec_t until = pr_upstream_is_paused(upstream, query->now)
+					  ? upstream->paused_until
+					  : 0;
+
+		if (!is_permitted(map, query, upstream) ||
+		    (!any_version && !is_preferred_version(query, upstream)))
+			continue;
+		all = earlier(all, until);
+		if (!was_tried(query, upstream))
+			untried = earlier(untried, until);
+	}
+	if (all == PR_USEC_NEVER)
+		all = 0;
+	return (pr_place_return_t){
+		.any = all, .untried = untried == PR_USEC_NEVER ? all : untried
+	};
+}
+
 uint32_t pr_place_count_usable(const pr_registry_t *registry,
 			       const pr_zone_map_t *map, const char *service,
 			       const char *version, pr_usec_t now)
@@ -485,7 +526,7 @@
 
 		if (is_permitted(map, &query, upstream) &&
 		    !strcmp(upstream->entry.version, version) &&
-		    upstream->ejected_until <= now)
+		    !is_suspended(upstream, now))
 			usable++;
 	}
 	return usable;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -81,8 +81,8 @@
 	/** No upstream is available, and at least one that the request may use
 	 *  is cold and has no permit left for this host now. */
 	PR_PLACE_COLD,
-	/** Every untried upstream that the request may use is full or
-	 *  ejected. */
+	/** Every untried upstream that the request may use is full, ejected or
+	 *  paused. */
 	PR_PLACE_BUSY,
 } pr_place_verdict_t;
 
@@ -107,8 +107,22 @@
 bool pr_place_has_load_test_room(const pr_registry_t *registry,
 				 const pr_zone_map_t *map,
 				 const pr_place_query_t *query);
+/** Earliest ends of the pauses of the upstreams that a request may use; 0 when
+ *  one of them is not paused, or there is none. */
+typedef struct pr_place_return_t {
+	/** Of all upstreams. */
+	pr_usec_t any;
+	/** Of those that the request was not sent to, or of all when it was
+	 *  sent to each. */
+	pr_usec_t untried;
+} pr_place_return_t;
+
+/** @return when upstreams that asked for no requests take them again */
+pr_place_return_t pr_place_next_return(const pr_registry_t *registry,
+				       const pr_zone_map_t *map,
+				       const pr_place_query_t *query);
 /** @return number of upstreams of the service and version that are neither
- *	   draining, ejected nor in an evacuated zone */
+ *	   leaving, ejected, paused nor in an evacuated zone */
 uint32_t pr_place_count_usable(const pr_registry_t *registry,
 			       const pr_zone_map_t *map, const char *service,
 			       const char *version, pr_usec_t now);
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -229,6 +229,24 @@
 	return upstream->entry.draining || upstream->leaving;
 }
 
+bool pr_upstream_pause(pr_upstream_t *upstream, pr_usec_t duration,
+		       pr_usec_t now)
+{
+	bool is_first = !pr_upstream_is_paused(upstream, now);
+	pr_usec_t until = now + (duration < PR_UPSTREAM_PAUSE_MAX
+					 ? duration
+					 : PR_UPSTREAM_PAUSE_MAX);
+
+	if (until > upstream->paused_until)
+		upstream->paused_until = until;
+	return is_first;
+}
+
+bool pr_upstream_is_paused(const pr_upstream_t *upstream, pr_usec_t now)
+{
+	return upstream->paused_until > now;
+}
+
 void pr_upstream_mark_cold(pr_upstream_t *upstream, pr_usec_t until)
 {
 	if (until > upstream->cold_until)
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -14,6 +14,9 @@
 #include "upstream/outcomes.h"
 
 #define PR_UPSTREAM_NAME_SIZE 96
+/** Longest time for which an upstream can ask for no requests. An instance that
+ *  states nonsense is used again after it. */
+#define PR_UPSTREAM_PAUSE_MAX (300 * PR_USEC_PER_SEC)
 
 /** Decoded discovery entry of an upstream. */
 typedef struct pr_upstream_entry_t {
@@ -82,6 +85,8 @@
 	uint32_t failures;
 	/** It is not used until this time, after repeated failures. */
 	pr_usec_t ejected_until;
+	/** It asked for no requests of this host until this time. */
+	pr_usec_t paused_until;
 	/** Connections that break before this time count as part of the last
 	 *  crash. */
 	pr_usec_t crash_until;
@@ -157,6 +162,16 @@
 bool pr_upstream_mark_leaving(pr_upstream_t *upstream);
 /** @return true when it is shutting down by its entry or its responses */
 bool pr_upstream_is_leaving(const pr_upstream_t *upstream);
+/**
+ * Send the upstream no requests for the time that it asked for, at most
+ * PR_UPSTREAM_PAUSE_MAX. A pause that ends later stays as it is.
+ *
+ * @return true when it was not paused before
+ */
+bool pr_upstream_pause(pr_upstream_t *upstream, pr_usec_t duration,
+		       pr_usec_t now);
+/** @return true while it asked for no requests */
+bool pr_upstream_is_paused(const pr_upstream_t *upstream, pr_usec_t now);
 /** Treat the upstream as cold at least until the time. */
 void pr_upstream_mark_cold(pr_upstream_t *upstream, pr_usec_t until);
 
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -13,7 +13,7 @@
 from checks import FAILURES, check
 from fleet import Caller, Fleet, get
 from standins import ENDLESS, P, stream_of, whole_answer
-from states import check_leaving_answers
+from states import check_upstream_states
 from streams import check_streams
 
 
@@ -329,7 +329,7 @@
         await check_faults(fleet, caller)
         await check_second_copies(fleet)
         await check_streams(fleet)
-        await check_leaving_answers(fleet)
+        await check_upstream_states(fleet)
         await check_gone(fleet, Caller(fleet.routers[1].address))
         await check_smuggling(fleet)
         await check_endless(fleet)
--- a/tests/edge/states.py
+++ b/tests/edge/states.py
@@ -1,6 +1,7 @@
 """What upstreams state about themselves in their answers."""
 
 import asyncio
+import time
 
 from answers import NOT_RUN, ask, earlier_answer, head, own_answer, set_script
 from checks import check
@@ -91,3 +92,109 @@
         told = sum("event=upstream_leaving" in line for line in log)
     check("each leaving is logged once", told == 5, told)
     await asyncio.sleep(2.1)
+
+
+def refusal(request, pause):
+    return earlier_answer((503, f"{NOT_RUN}Retry-After: {pause}\r\n", False), request.ident)
+
+
+class Pauses:
+    """Script of engines: refuses the first requests, each with its own Retry-After."""
+
+    def __init__(self, *pauses):
+        self.pauses = list(pauses)
+        self.refused_at = []
+
+    async def __call__(self, request):
+        if not self.pauses:
+            return None
+        pause = self.pauses.pop(0)
+        await asyncio.sleep(0.02)
+        self.refused_at.append(time.monotonic())
+        await request.write(refusal(request, pause))
+        return True
+
+
+async def load(router, name, seconds):
+    """Requests one after the other on four connections."""
+    end = time.monotonic() + seconds
+    answers = []
+
+    async def calls(part):
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            answers.append(await ask(router.address, f"{name}-{part}-{number}",
+                                     "/once/x" if part % 2 else "/safe/x"))
+            await asyncio.sleep(0.01)
+
+    await asyncio.gather(*(calls(part) for part in range(4)))
+    return answers
+
+
+async def check_pauses(fleet):
+    """An upstream that refuses with Retry-After gets no requests for that long, and
+    is used again afterwards."""
+    router = fleet.routers[1]
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    near = next(u for u in ledgers if u.zone == router.zone)
+    for name, pauses in (("whole", ("2",)), ("fraction", ("1.75",)),
+                         ("shorter later", ("2", "0.1", "0", "0.3")),
+                         ("longer later", ("0.2", "2"))):
+        near.script = script = Pauses(*pauses)
+        task = asyncio.create_task(load(router, f"pause-{name[:6]}-{pauses[0]}", 3.5))
+        answers = await task
+        check(f"pause, {name}: refused as planned", not script.pauses, script.pauses)
+        longest = max(zip(map(float, pauses), script.refused_at))
+        begin, end = longest[1] + 0.5, longest[1] + longest[0]
+        inside = sum(begin < at < end for at, _, _ in near.arrivals)
+        after = sum(at >= end for at, _, _ in near.arrivals)
+        check(f"pause, {name}: no request until its end", inside == 0, inside)
+        check(f"pause, {name}: used afterwards", after > 0)
+        check(f"pause, {name}: other upstreams serve",
+              answers and all(a.status == 200 for a in answers), [a.status for a in answers][:9])
+    near.script = Pauses("Sat, 05 Dec 2026 00:00:00 GMT", "-3", "soon")
+    await load(router, "pause-no-time", 0.5)
+    before = len(near.arrivals)
+    await load(router, "pause-no-time-after", 0.5)
+    check("pause: what states no seconds is ignored", len(near.arrivals) > before)
+    near.script = None
+
+
+async def check_all_paused(fleet):
+    """A request that no upstream takes in time is refused at once, and told when the
+    first of them returns."""
+    router = fleet.routers[1]
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    for upstream, pause in zip(ledgers, ("5.33", "4.33", "3.33")):
+        upstream.script = Pauses(pause)
+    told = await ask(router.address, "all-paused-first", "/once/x", budget_ms=30000)
+    began = time.monotonic()
+    before = sum(len(u.arrivals) for u in ledgers)
+    for path in ("/once/x", "/safe/x"):
+        for budget_ms, least, most in ((30000, 2.0, 4.4), (4000, 0.9, 1.0)):
+            name = f"all-paused-{path[1:3]}-{budget_ms}"
+            at = time.monotonic()
+            answer = await ask(router.address, name, path, budget_ms=budget_ms)
+            took = time.monotonic() - at
+            wait = float(answer.fields.get("retry-after", 0))
+            check(f"all paused, {path}, {budget_ms} ms: refused at once", answer.status == 503
+                  and b"upstreams_paused" in answer.body and b"not_run" in answer.body
+                  and took < 0.1, (answer.status, answer.body, took))
+            check(f"all paused, {path}, {budget_ms} ms: told when to return",
+                  least <= wait <= most, wait)
+    check("all paused: the first is told as well", told.status == 503
+          and 3.0 < float(told.fields["retry-after"]) < 4.4, (told.status, told.fields))
+    check("all paused: no request reaches them",
+          sum(len(u.arrivals) for u in ledgers) == before)
+    await asyncio.sleep(3.6 - (time.monotonic() - began))
+    answer = await ask(router.address, "all-paused-back", "/once/x")
+    check("all paused: served after the first return", answer.status == 200, answer.status)
+    await asyncio.sleep(2.5)
+    set_script(ledgers, None)
+
+
+async def check_upstream_states(fleet):
+    await check_leaving_answers(fleet)
+    await check_pauses(fleet)
+    await check_all_paused(fleet)
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "base/number.h"
 #include "pistachiorack/error.h"
 #include "pistachiorack/hash.h"
 #include "pistachiorack/metrics.h"
@@ -26,6 +27,30 @@
 	pr_str_finish(&str);
 }
 
+/* Guards against a time to wait that is misread: it may be a fraction, a date,
+ * or so long that the arithmetic overflows. */
+static void seconds_are_read(void **state)
+{
+	static const char *const invalid[] = { "",     "-1",   ".5",
+					       "1,5",  "1.5s", "1e3",
+					       "soon", " 1",   "1.2.3" };
+	pr_usec_t time;
+
+	assert_true(pr_slice_seconds(PR_SLICE("2"), &time));
+	assert_int_equal(time, 2 * PR_USEC_PER_SEC);
+	assert_true(pr_slice_seconds(PR_SLICE("0.25"), &time));
+	assert_int_equal(time, 250 * PR_USEC_PER_MSEC);
+	assert_true(pr_slice_seconds(PR_SLICE("1.000000123456789"), &time));
+	assert_int_equal(time, PR_USEC_PER_SEC);
+	assert_true(
+		pr_slice_seconds(PR_SLICE("99999999999999999999999"), &time));
+	assert_int_equal(time, PR_SECONDS_MAX * PR_USEC_PER_SEC);
+	for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++)
+		assert_false(pr_slice_seconds(pr_slice_of(invalid[i]), &time));
+	assert_false(pr_slice_seconds(PR_SLICE("Sat, 05 Dec 2026 00:00:00 GMT"),
+				      &time));
+}
+
 static int expiries;
 
 static void count_expiry(pr_timer_t *timer, pr_usec_t now)
@@ -153,6 +178,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(str_grows),
+		cmocka_unit_test(seconds_are_read),
 		cmocka_unit_test(timers_skip_missed_periods),
 		cmocka_unit_test(verdict_follows_stage),
 		cmocka_unit_test(rendezvous_moves_only_lost_keys),
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -515,6 +515,68 @@
 	pr_registry_finish(&f.registry);
 }
 
+/* Guards against requests, repeats and load tests that reach an upstream while
+ * it asks for none. */
+static void test_paused_upstream_gets_no_requests(void **state)
+{
+	fixture_t f;
+
+	set_up(&f);
+	for (int i = 0; i < UPSTREAMS; i++) {
+		assert_int_equal(pr_place_count_usable(&f.registry, &f.map,
+						       "model", "v1", NOW),
+				 UPSTREAMS - i);
+		pr_upstream_pause(choose(&f, PR_PLACE_FOUND), PR_USEC_PER_SEC,
+				  NOW);
+	}
+	choose(&f, PR_PLACE_BUSY);
+	f.query.now = NOW + PR_USEC_PER_SEC;
+	choose(&f, PR_PLACE_FOUND);
+	pr_registry_finish(&f.registry);
+
+	set_up(&f);
+	start_load_test(&f, 1);
+	pr_upstream_pause(choose(&f, PR_PLACE_FOUND), PR_USEC_PER_SEC, NOW);
+	assert_false(
+		pr_place_has_load_test_room(&f.registry, &f.map, &f.query));
+	assert_string_equal(choose(&f, PR_PLACE_FOUND)->entry.version, "v1");
+	pr_registry_finish(&f.registry);
+}
+
+/* A refusal states when the first upstream that the request may use takes
+ * requests again, and only while all of them are paused. */
+static void test_next_return_of_paused_upstreams(void **state)
+{
+	char *home[] = { "home" };
+	pr_names_t regions = { .items = home, .count = 1 };
+	fixture_t f;
+
+	set_up(&f);
+	f.query.route_regions = &regions;
+	for (int i = 0; i < 3; i++) {
+		assert_int_equal(
+			pr_place_next_return(&f.registry, &f.map, &f.query).any,
+			0);
+		pr_upstream_pause(f.upstreams[i], (4 - i) * PR_USEC_PER_SEC,
+				  NOW);
+	}
+	assert_int_equal(
+		pr_place_next_return(&f.registry, &f.map, &f.query).any,
+		NOW + 2 * PR_USEC_PER_SEC);
+	/* Those that it was sent to are left to the caller's next attempt. */
+	f.query.tried[f.query.tried_count++] = f.upstreams[2];
+	assert_int_equal(
+		pr_place_next_return(&f.registry, &f.map, &f.query).any,
+		NOW + 2 * PR_USEC_PER_SEC);
+	assert_int_equal(
+		pr_place_next_return(&f.registry, &f.map, &f.query).untried,
+		NOW + 3 * PR_USEC_PER_SEC);
+	f.query.service = "other";
+	assert_int_equal(
+		pr_place_next_return(&f.registry, &f.map, &f.query).any, 0);
+	pr_registry_finish(&f.registry);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -540,6 +602,8 @@
 		cmocka_unit_test(test_load_test_uses_at_most_two_upstreams),
 		cmocka_unit_test(test_load_test_of_many_hosts),
 		cmocka_unit_test(test_upstream_that_leaves_gets_no_requests),
+		cmocka_unit_test(test_paused_upstream_gets_no_requests),
+		cmocka_unit_test(test_next_return_of_paused_upstreams),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -181,6 +181,39 @@
 	pr_registry_finish(&registry);
 }
 
+/* Guards against requests to an upstream before the time that it stated: a
+ * later refusal may state a shorter one, and its entry may lapse meanwhile. */
+static void test_pause_is_not_shortened(void **state)
+{
+	pr_upstream_entry_t entry = entry_of("a", 1);
+	pr_registry_t registry;
+	pr_upstream_t *upstream;
+
+	pr_registry_init(&registry);
+	upstream = pr_registry_apply(&registry, &entry, 1, 0, SECOND);
+	assert_true(pr_upstream_pause(upstream, 3 * SECOND, SECOND));
+	assert_false(pr_upstream_pause(upstream, SECOND, 2 * SECOND));
+	pr_upstream_record_success(upstream);
+	pr_registry_remove(&registry, "a", 2, 2 * SECOND, 2 * SECOND);
+	upstream = pr_registry_apply(&registry, &entry, 3, 0, 2 * SECOND);
+	assert_true(pr_upstream_is_paused(upstream, 4 * SECOND - 1));
+	assert_false(pr_upstream_is_paused(upstream, 4 * SECOND));
+	assert_int_equal(upstream->failures, 0);
+	/* The next one is a pause of its own. */
+	assert_true(pr_upstream_pause(upstream, SECOND, 5 * SECOND));
+	assert_true(pr_upstream_is_paused(upstream, 5 * SECOND));
+	pr_registry_finish(&registry);
+}
+
+static void test_pause_is_bounded(void **state)
+{
+	pr_upstream_t upstream = { 0 };
+
+	pr_upstream_pause(&upstream, 1000000 * SECOND, SECOND);
+	assert_false(pr_upstream_is_paused(&upstream,
+					   SECOND + PR_UPSTREAM_PAUSE_MAX));
+}
+
 static void test_failures_eject_and_success_readmits(void **state)
 {
 	pr_upstream_t upstream;
@@ -222,6 +255,8 @@
 		cmocka_unit_test(test_leaving_lasts_as_long_as_the_instance),
 		cmocka_unit_test(test_leaving_is_noted_while_not_listed),
 		cmocka_unit_test(test_removed_upstreams_are_bounded),
+		cmocka_unit_test(test_pause_is_not_shortened),
+		cmocka_unit_test(test_pause_is_bounded),
 		cmocka_unit_test(test_failures_eject_and_success_readmits),
 		cmocka_unit_test(
 			test_connections_of_one_crash_are_reported_once),
