--- a/tests/edge/states.py
+++ b/tests/edge/states.py
@@ -60,7 +60,6 @@
     for script in (leave_with_answer, leave_with_refusal, leave_with_421, leave_with_error,
                    leave_broken_off):
         name = script.__name__
-        await renew(fleet, near, 1)
         for number in range(4):
             await ask(router.address, f"{name}-before-{number}", "/safe/x")
         kept = len(near.writers)
