Keep only upstream connections whose answers state their request

A request that may run once got 502 at every second attempt to an upstream that answers without ids, since an answer without an id is not believed on a connection that carried a request before.

Cause: such connections were kept for the next request, whose answer could not be told from a late one.

Change: a connection is kept only when its last answer stated its request.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -39,10 +39,12 @@
 	/** Bytes of the request until they are sent, and the request id. */
 	pr_str_t request;
 	char id[96];
-	/** Hashes of the ids of recent requests, the current one included; a
-	 *  ring with the number of all requests. */
+	/** Hashes of the ids of recent requests, the current one included: a
+	 *  ring, and the number of all requests so far. */
 	uint64_t carried[CARRIED_MAX];
 	uint64_t carried_count;
+	/** The current response states its request. */
+	bool states_id;
 	pr_timer_t timer;
 	pr_attempt_stage_t stage;
 	/** The current response states the id of another request. */
@@ -136,6 +138,7 @@
 		reader->no_body = false;
 		return true;
 	}
+	outbound->states_id = id.ptr;
 	outbound->stage = PR_STAGE_HEAD;
 	return outbound->ops->on_head(outbound->owner, reader);
 }
@@ -178,12 +181,12 @@
 }
 
 /* The response is complete: keep the connection idle if nothing is left to be
- * read or written on it. */
+ * read or written on it, and later responses can be told apart. */
 static void finish_response(pr_outbound_t *outbound, bool at_boundary)
 {
 	void *owner = outbound->owner;
 	bool keep = at_boundary && !outbound->link.unsent &&
-		    !outbound->is_head &&
+		    outbound->states_id && !outbound->is_head &&
 		    !pr_upstream_is_leaving(outbound->upstream) &&
 		    http_should_keep_alive(&outbound->reader.parser);
 
--- a/tests/edge/answers.py
+++ b/tests/edge/answers.py
@@ -240,6 +240,25 @@
           answer.status == 200 and len(fleet.runs["unnamed-one"]) == 1, answer.status)
 
 
+async def check_answers_without_ids(fleet, address):
+    """An upstream that never states ids is served on new connections only."""
+    async def unnamed(request):
+        request.run()
+        body = whole_answer(request.ident, request.body)
+        await request.write(head(200, None, f"Content-Length: {len(body)}\r\n") + body)
+        return True
+
+    for upstream in ledgers_of(fleet):
+        upstream.drop_connections()
+    await asyncio.sleep(0.1)
+    set_script(ledgers_of(fleet), unnamed)
+    for path in ("/once/x", "/safe/x"):
+        answers = [await ask(address, f"unnamed-{path[1:3]}-{n}", path) for n in range(6)]
+        check(f"answers without ids are the answers on new connections, {path}",
+              all(a.status == 200 and a.body == whole_answer(f"unnamed-{path[1:3]}-{n}", b"")
+                  for n, a in enumerate(answers)), [a.status for a in answers])
+
+
 async def check_copies_beside_head(fleet, address):
     """The body of a skipped answer does not follow from the current method."""
     async def write(request, before):
@@ -299,6 +318,7 @@
     address = fleet.routers[1].address
     await check_unproven_refusals(fleet, address)
     await check_new_connections(fleet, address)
+    await check_answers_without_ids(fleet, address)
     await check_copies_without_id(fleet, address)
     await check_copies_of_own(fleet, address)
     await check_copies_with_id(fleet, address)
