Read upstream connections again that a slow caller paused

A request that may run once got no answer until its deadline, and one that may be repeated waited for over a second, although its upstream answered at once.

Cause: reading from an upstream pauses while a slow caller has more than 256 KB of a stream to read. When the stream ended with the bytes that caused the pause, its connection was kept while paused, and nothing read the response to the next request on it, or the end of the connection.

Change: a connection that is kept is read again.

Evidence: check_slow_callers() in tests/edge/streams.py: streams of 2 to 6 MB to callers that begin to read late, then requests on the kept connections.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -200,6 +200,8 @@
 		 * first, so that the others can time out. */
 		pr_list_append(outbound->upstream->idle.next, &outbound->node);
 		pr_http_reader_next(&outbound->reader);
+		/* The owner may have paused it with the last bytes. */
+		pr_link_resume(&outbound->link);
 	}
 	outbound->ops->on_done(owner);
 }
--- a/tests/edge/streams.py
+++ b/tests/edge/streams.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import socket
 
 from answers import NOT_RUN, ask, earlier_answer, head, set_script
 from checks import check
@@ -284,6 +285,62 @@
               b" 200 " in first and body == b"" and clean, (first, body, clean))
 
 
+async def read_late(address, ident, pause):
+    """Begin to read a stream after a pause, with a small buffer until then."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    got = b""
+    try:
+        await loop.sock_connect(sock, (address, 8080))
+        await loop.sock_sendall(sock, (
+            f"POST /live/x HTTP/1.1\r\nHost: {HOST}\r\n{P}Request-Attempt: {ident}\r\n"
+            f"{P}Deadline-Ms: {BUDGET_MS}\r\n{P}Credential: key-1\r\n\r\n").encode())
+        await asyncio.sleep(pause)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        while not got.endswith(b"0\r\n\r\n"):
+            data = await asyncio.wait_for(loop.sock_recv(sock, 1 << 18), BUDGET_MS / 1000)
+            if not data:
+                break
+            got = (got + data)[-8:]
+    except (OSError, asyncio.TimeoutError):
+        pass
+    sock.close()
+    return got.endswith(b"0\r\n\r\n")
+
+
+async def check_slow_callers(fleet, models):
+    """Reading from an upstream pauses for a caller that reads slowly. When the answer
+    ends just then, the next request on that connection must be read all the same."""
+    address = fleet.routers[2].address
+
+    async def large(request):
+        if not request.ident.startswith("large"):
+            return None
+        count = int(request.ident.split("-")[1])
+        request.run()
+        await request.write(head(200, request.ident, CHUNKED))
+        for number in range(1, count + 1):
+            event = f"id: {number}\ndata: ".encode() + b"z" * 250000 + b"\n\n"
+            end = b"0\r\n\r\n" if number == count else b""
+            await request.write(chunk(event) + end, pause=0.002)
+        return True
+
+    set_script(models, large)
+    whole, answers = [], []
+    for part in range(4):
+        # Of these sizes, one or two pass what the buffers hold with their last event.
+        whole += await asyncio.gather(
+            *(read_late(address, f"large-{count}-{part}", 0.7) for count in range(8, 24)))
+        answers += await asyncio.gather(
+            *(ask(address, f"after-large-{part}-{n}", "/live/x", budget_ms=2000)
+              for n in range(24)))
+    check("streams to callers that read late are whole", all(whole), whole.count(False))
+    check("connections are read after a slow caller", all(a.complete for a in answers),
+          sum(not a.complete for a in answers))
+
+
 async def check_streams(fleet):
     address = fleet.routers[1].address
     models = [u for u in fleet.upstreams if u.service == "model"]
@@ -291,5 +348,6 @@
     await check_next_answers(fleet, address, models)
     await check_without_chunks(fleet, address, models)
     await check_not_resumable(fleet, address, models)
+    await check_slow_callers(fleet, models)
     set_script(models, None)
     await asyncio.sleep(2.1)
