Merge the matching of responses and the states of upstreams

A request whose attempt the router itself ended waits for paused upstreams until its deadline, as a stream that broke off does.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -152,11 +152,11 @@
 {
 	pr_usec_t now = pr_exchange_now(x);
 	double left = (double)(x->caller_deadline - now) / PR_USEC_PER_SEC;
-	double pause = RETRY_BASE_S +
-		       RETRY_SPREAD_S * (double)(x->hash % 1000) / 1000.0;
+	double spread = RETRY_SPREAD_S * (double)(x->hash % 1000) / 1000.0;
+	double pause = RETRY_BASE_S + spread;
 
 	if (x->retry_at > now)
-		return (double)(x->retry_at - now) / PR_USEC_PER_SEC;
+		return (double)(x->retry_at - now) / PR_USEC_PER_SEC + spread;
 	if (pause > left * RETRY_MAX_PART)
 		pause = left * RETRY_MAX_PART;
 	return pause > 0.05 ? pause : 0.05;
--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -1,12 +1,17 @@
 /*
- * Connections to upstreams. A response that states the id of another request is
- * skipped: upstreams may send a second response to an earlier request late,
- * where the response to the current one is expected.
+ * Connections to upstreams. An upstream may send a second response to an
+ * earlier request late, where the response to the current one is expected.
+ * A response that states the id of another request is skipped, one that states
+ * no id is accepted only as the response to the first request of a connection,
+ * and a connection never carries the same request twice.
  */
 #include "edge/outbound.h"
 
 #include <stdlib.h>
 
+#include <xxhash.h>
+
+#include "base/event_log.h"
 #include "pistachiorack/error.h"
 #include "platform/adapter.h"
 
@@ -18,6 +23,8 @@
 /* Longest idle time of a connection that may carry a request that needs a fresh
  * one. */
 #define IDLE_MAX_FRESH (1500 * PR_USEC_PER_MSEC)
+/* Most recent requests of a connection whose ids are kept. */
+#define CARRIED_MAX 16
 
 struct pr_outbound_t {
 	pr_link_t link;
@@ -32,6 +39,12 @@
 	/** Bytes of the request until they are sent, and the request id. */
 	pr_str_t request;
 	char id[96];
+	/** Hashes of the ids of recent requests, the current one included: a
+	 *  ring, and the number of all requests so far. */
+	uint64_t carried[CARRIED_MAX];
+	uint64_t carried_count;
+	/** The current response states its request. */
+	bool states_id;
 	pr_timer_t timer;
 	pr_attempt_stage_t stage;
 	/** The current response states the id of another request. */
@@ -45,6 +58,15 @@
 	return PR_OWNER(link, pr_outbound_t, link);
 }
 
+/* The clock of the timers stands still while the loop polls. */
+static pr_usec_t current_time(const pr_outbound_t *outbound)
+{
+	pr_usec_t now = (pr_usec_t)(uv_hrtime() / 1000);
+	pr_usec_t timers_now = outbound->pool->timers->now;
+
+	return now > timers_now ? now : timers_now;
+}
+
 static void close_outbound(pr_outbound_t *outbound)
 {
 	pr_list_remove(&outbound->node);
@@ -62,6 +84,36 @@
 		outbound->ops->on_failed(owner, outbound->stage);
 }
 
+/* Note what the response states about the upstream, whichever request it
+ * belongs to. */
+static void note_upstream(pr_outbound_t *outbound,
+			  const pr_http_reader_t *reader)
+{
+	pr_upstream_t *upstream = outbound->upstream;
+	pr_usec_t now = current_time(outbound);
+	pr_usec_t pause;
+	uint64_t leaving;
+
+	if (pr_slice_number(pr_http_find(reader, pr_adapter_field_name(
+							 PR_FIELD_LEAVING)),
+			    &leaving) &&
+	    leaving && pr_upstream_mark_leaving(upstream)) {
+		pr_event_state("upstream_leaving", "id=%s service=%s status=%d",
+			       upstream->entry.id, upstream->entry.service,
+			       (int)reader->parser.status_code);
+		pr_outbound_close_idle(upstream, now, true);
+	}
+	if (reader->parser.status_code == 503 &&
+	    pr_slice_seconds(
+		    pr_http_find(reader,
+				 pr_adapter_field_name(PR_FIELD_RETRY_AFTER)),
+		    &pause) &&
+	    pr_upstream_pause(upstream, pause, now))
+		pr_event("upstream_paused", "id=%s service=%s ms=%lld",
+			 upstream->entry.id, upstream->entry.service,
+			 (long long)(pause / PR_USEC_PER_MSEC));
+}
+
 static bool on_head(pr_http_reader_t *reader)
 {
 	pr_outbound_t *outbound = reader->owner;
@@ -70,10 +122,23 @@
 
 	if (!outbound->owner)
 		return false;
+	note_upstream(outbound, reader);
+	if (!id.ptr && outbound->carried_count > 1) {
+		pr_event("response_without_id",
+			 "request=%s upstream=%s status=%d", outbound->id,
+			 outbound->upstream->entry.id,
+			 (int)reader->parser.status_code);
+		return false;
+	}
 	outbound->mismatched =
 		id.ptr && !pr_slice_equal(id, pr_slice_of(outbound->id));
-	if (outbound->mismatched)
+	if (outbound->mismatched) {
+		/* Connections that carried HEAD are not reused, so the skipped
+		 * response has a body whatever the current method is. */
+		reader->no_body = false;
 		return true;
+	}
+	outbound->states_id = id.ptr;
 	outbound->stage = PR_STAGE_HEAD;
 	return outbound->ops->on_head(outbound->owner, reader);
 }
@@ -116,11 +181,13 @@
 }
 
 /* The response is complete: keep the connection idle if nothing is left to be
- * read or written on it. */
+ * read or written on it, and later responses can be told apart. */
 static void finish_response(pr_outbound_t *outbound, bool at_boundary)
 {
 	void *owner = outbound->owner;
 	bool keep = at_boundary && !outbound->link.unsent &&
+		    outbound->states_id && !outbound->is_head &&
+		    !pr_upstream_is_leaving(outbound->upstream) &&
 		    http_should_keep_alive(&outbound->reader.parser);
 
 	outbound->idle_max = idle_timeout(&outbound->reader);
@@ -133,6 +200,8 @@
 		 * first, so that the others can time out. */
 		pr_list_append(outbound->upstream->idle.next, &outbound->node);
 		pr_http_reader_next(&outbound->reader);
+		/* The owner may have paused it with the last bytes. */
+		pr_link_resume(&outbound->link);
 	}
 	outbound->ops->on_done(owner);
 }
@@ -146,6 +215,12 @@
 		close_outbound(outbound);
 		return;
 	}
+	/* Bytes that arrive before the request is sent belong to another one.
+	 */
+	if (outbound->stage < PR_STAGE_SENT) {
+		fail_connection(outbound);
+		return;
+	}
 	while (used < len && !link->closing) {
 		used += pr_http_reader_feed(&outbound->reader, bytes + used,
 					    len - used);
@@ -182,6 +257,11 @@
 
 static void send_request(pr_outbound_t *outbound)
 {
+	/* It may have asked for no requests since it was chosen. */
+	if (pr_upstream_is_paused(outbound->upstream, current_time(outbound))) {
+		fail_connection(outbound);
+		return;
+	}
 	outbound->stage = PR_STAGE_SENT;
 	if (pr_link_write(&outbound->link, outbound->request.ptr,
 			  outbound->request.len))
@@ -260,20 +340,39 @@
 	return 0;
 }
 
+static bool has_carried(const pr_outbound_t *outbound, uint64_t id_hash)
+{
+	for (size_t i = 0; i < CARRIED_MAX && i < outbound->carried_count;
+	     i++) {
+		if (outbound->carried[i] == id_hash)
+			return true;
+	}
+	return false;
+}
+
+/* Take an idle connection that can carry the request, or NULL. Without an id,
+ * the response cannot be told from that to an earlier request. */
 static pr_outbound_t *take_idle(pr_outbound_pool_t *pool,
-				pr_upstream_t *upstream, bool needs_fresh)
+				pr_upstream_t *upstream,
+				const pr_outbound_request_t *request,
+				uint64_t id_hash)
 {
-	while (!pr_list_empty(&upstream->idle)) {
-		pr_outbound_t *outbound =
-			PR_OWNER(upstream->idle.next, pr_outbound_t, node);
+	pr_list_t *at = upstream->idle.next;
+
+	while (at != &upstream->idle && request->id.len) {
+		pr_outbound_t *outbound = PR_OWNER(at, pr_outbound_t, node);
 		pr_usec_t idle = pool->timers->now - outbound->idle_since;
 
-		if (needs_fresh && idle >= IDLE_MAX_FRESH)
+		at = at->next;
+		if (request->needs_fresh && idle >= IDLE_MAX_FRESH)
 			return NULL;
-		pr_list_remove(&outbound->node);
-		if (idle < outbound->idle_max)
+		if (idle >= outbound->idle_max ||
+		    pr_link_has_input(&outbound->link)) {
+			close_outbound(outbound);
+		} else if (!has_carried(outbound, id_hash)) {
+			pr_list_remove(&outbound->node);
 			return outbound;
-		close_outbound(outbound);
+		}
 	}
 	return NULL;
 }
@@ -283,8 +382,8 @@
 		      const pr_outbound_request_t *request,
 		      const pr_outbound_ops_t *ops, void *owner)
 {
-	pr_outbound_t *outbound =
-		take_idle(pool, upstream, request->needs_fresh);
+	uint64_t id_hash = XXH64(request->id.ptr, request->id.len, 0);
+	pr_outbound_t *outbound = take_idle(pool, upstream, request, id_hash);
 	int rc = 0;
 
 	if (!outbound)
@@ -297,6 +396,7 @@
 	outbound->is_head = request->is_head;
 	outbound->reader.no_body = request->is_head;
 	pr_slice_copy(outbound->id, sizeof(outbound->id), request->id);
+	outbound->carried[outbound->carried_count++ % CARRIED_MAX] = id_hash;
 	pr_str_clear(&outbound->request);
 	rc = pr_str_append(&outbound->request, request->bytes.ptr,
 			   request->bytes.len);
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -93,6 +93,13 @@
 		       .ptr;
 }
 
+/* Whether callers read the status as a promise that the request did not run.
+ * With 421 it is proven, see is_not_run(). */
+static bool is_promise(int status)
+{
+	return status == 408 || status == 429 || status == 503;
+}
+
 static void save_head(pr_exchange_t *x, const pr_http_reader_t *reader)
 {
 	pr_str_clear(&x->head);
@@ -233,7 +240,8 @@
 	uint64_t numbered = x->events.numbered;
 	int rc = pr_sse_filter_feed(&x->events, bytes, &out);
 
-	if (!rc && out.len) {
+	/* The events before an invalid one count as passed on. */
+	if (out.len) {
 		record_stream_pace(x, false);
 		/* Comments and incomplete events do not count as progress. */
 		if (x->events.numbered > numbered || !x->events.has_id)
@@ -354,6 +362,11 @@
 		pr_exchange_attempt_failed(x, PR_VERDICT_RAN, "upstream_error");
 		return;
 	}
+	if (!x->idempotent && is_promise(x->status)) {
+		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
+					   "unproven_refusal");
+		return;
+	}
 	forward_response(x);
 }
 
@@ -361,14 +374,18 @@
 {
 	pr_exchange_t *x = owner;
 	pr_verdict_t verdict = pr_verdict_of_failure(stage, false);
+	/* A request that was held back shows no failure of the upstream. */
+	bool held_back = verdict == PR_VERDICT_NOT_RUN && x->upstream &&
+			 pr_upstream_is_paused(x->upstream, pr_exchange_now(x));
 
 	x->outbound = NULL;
-	if (x->upstream)
+	if (x->upstream && !held_back)
 		pr_upstream_record_failure(x->upstream, pr_exchange_now(x));
 	if (verdict == PR_VERDICT_NOT_RUN)
 		x->sends--;
 	pr_exchange_attempt_failed(x, verdict,
-				   verdict == PR_VERDICT_NOT_RUN
+				   held_back ? "upstream_paused"
+				   : verdict == PR_VERDICT_NOT_RUN
 					   ? "unreachable"
 					   : PR_FAULT_BROKEN);
 }
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -26,6 +26,7 @@
         route("safe", "safe", "ledger"),
         route("once", "unsafe", "ledger", **{"max-attempts": 1}),
         route("stream", "streaming", "model", **{"stream-resume": True, "gap-aim-ms": 1200}),
+        route("live", "streaming", "model", **{"max-attempts": 1}),
     ]
     routes.append(route("prompt", "streaming", "model", **{
         "stream-resume": True, "gap-aim-ms": 1200, "session-affinity": True}))
@@ -214,11 +215,12 @@
         self.address, self.port = address, port
         self.reader = self.writer = None
 
-    async def request(self, ident, path, body=b"", key="key-1", budget_ms=5000, **more):
+    async def request(self, ident, path, body=b"", key="key-1", budget_ms=5000, method="POST", **more):
         answer = Answer()
         try:
             await asyncio.wait_for(
-                self._request(answer, ident, path, body, key, budget_ms, more), budget_ms / 1000
+                self._request(answer, ident, path, body, key, budget_ms, method, more),
+                budget_ms / 1000
             )
         except asyncio.TimeoutError:
             answer.timed_out = True
@@ -228,7 +230,7 @@
         answer.ended = time.monotonic()
         return answer
 
-    async def _request(self, answer, ident, path, body, key, budget_ms, more):
+    async def _request(self, answer, ident, path, body, key, budget_ms, method, more):
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(
                 self.address, self.port, limit=1 << 20
@@ -237,12 +239,15 @@
             "Host": HOST, P + "Request-Attempt": ident, P + "Deadline-Ms": str(budget_ms),
             P + "Credential": key, "Content-Length": str(len(body)), **more,
         }
-        head = f"POST {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+        head = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items())
         self.writer.write(head.encode() + b"\r\n" + body)
         answer.sent = time.monotonic()
         line, got = await read_head(self.reader)
         answer.status, answer.fields = int(line.split(" ")[1]), got
-        await self._read_body(answer)
+        if method == "HEAD":
+            answer.complete = True
+        else:
+            await self._read_body(answer)
         if got.get("connection", "") == "close":
             self.close()
 
--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -170,7 +170,7 @@
         try:
             # Beyond the request's own deadline, to see when it ends.
             await asyncio.wait_for(
-                caller._request(answer, ident, path, b"", "key-1", 6000, {}), 8)
+                caller._request(answer, ident, path, b"", "key-1", 6000, "POST", {}), 8)
         except Closed:
             pass
         caller.close()
