Explain crashes by upstreams, and release a part with one request

Cause: crashes were explained by requests that two parts had in common. The requests that wait on an upstream have nothing in common with the one that crashes it, so the crash counted against their parts as well, and an upstream that only reset a connection counted as crashed. The upstreams were a set of 64 bits, in which four shared a bit. After a quarantine the first host let all requests through until the next verdict, repeats included.

Change: a suspect keeps the tags of the upstreams with the time of the crash and of a later answer, which refutes it, whichever host saw it. Upstreams that a quarantined part crashed do not count against others, and it goes on collecting them. Of several parts the one with most crashed upstreams is chosen. At a release one request is sent, without repeats, and all hosts await its outcome. An answer counts against a verdict only if it began in the 30 s before the first crash. Records in datagrams and in the store's row carry their size; times ahead of the store's clock are ignored. An empty stream, and one that ends inside its first event, count as broken off.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -109,7 +109,10 @@
 {
 	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
 
-	if (x->upstream && !strcmp(fault, PR_FAULT_BROKEN) &&
+	/* The times of suspects are by the store's clock. */
+	if (x->upstream && x->edge->has_store_clock &&
+	    (!strcmp(fault, PR_FAULT_BROKEN) ||
+	     !strcmp(fault, PR_FAULT_CUT_EVENT)) &&
 	    x->events_of_attempt < PR_ANSWER_BEGUN)
 		pr_quarantine_record_crash(&x->edge->quarantine, &prompt,
 					   x->upstream->tag,
@@ -385,6 +388,7 @@
 		.needs_fresh = !x->idempotent,
 	};
 	pr_str_t bytes = PR_STR_INIT;
+	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
 	int rc = pr_request_write(&bytes, x, upstream);
 
 	request.bytes = pr_str_slice(&bytes);
@@ -394,6 +398,8 @@
 	pr_str_finish(&bytes);
 	if (rc)
 		return rc;
+	pr_quarantine_note_sent(&x->edge->quarantine, &prompt,
+				pr_edge_store_now(x->edge));
 	x->upstream = pr_upstream_ref(upstream);
 	upstream->in_flight++;
 	x->prefill_ms = pr_prefill_ms(
@@ -485,8 +491,8 @@
 	int64_t now_ms = pr_edge_store_now(x->edge);
 	int64_t until_ms;
 
-	if (!pr_quarantine_has(&x->edge->quarantine, &prompt, now_ms,
-			       &until_ms))
+	if (pr_quarantine_admits(&x->edge->quarantine, &prompt, x->sends > 0,
+				 now_ms, &until_ms))
 		return false;
 	x->retry_at =
 		pr_exchange_now(x) + (until_ms - now_ms) * PR_USEC_PER_MSEC;
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -54,6 +54,8 @@
 /** Fault of an attempt whose connection ended before the response did. */
 #define PR_FAULT_BROKEN "connection_broken"
 
+/** Fault of a stream that ended inside an event. */
+#define PR_FAULT_CUT_EVENT "cut_event"
 /** Progress of an attempt (see events_of_attempt) from which on its upstream
  *  has begun to answer without a crash. */
 #define PR_ANSWER_BEGUN 2
--- a/src/edge/peer_suspects.c
+++ b/src/edge/peer_suspects.c
@@ -7,6 +7,9 @@
 /* Subject whose ranks are the order in which hosts release a part. */
 #define RELEASE_ORDER 0
 
+/* Times of another host that are later than this host's by more are ignored,
+ * milliseconds. */
+#define CLOCK_LEAD_MAX_MS 2000
 /* Report periods between two refreshes of quarantined parts. */
 #define REFRESH_PERIODS 10
 
@@ -16,11 +19,17 @@
 	pr_suspect_t suspects[PR_SUSPECTS_IN_DATAGRAM];
 	size_t count = pr_message_read_suspects(map, suspects,
 						PR_SUSPECTS_IN_DATAGRAM);
+	int64_t latest = pr_edge_store_now(edge) + CLOCK_LEAD_MAX_MS;
 
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count; i++) {
+		/* The sender's estimate of the store's clock may be wrong. */
+		if (suspects[i].crash_ms > latest ||
+		    suspects[i].quarantined_ms > latest)
+			continue;
 		pr_quarantine_merge(&edge->quarantine, &suspects[i],
 				    edge->peering.is_relay &&
 					    pr_peers_in_zone(edge, host));
+	}
 }
 
 static void log_changes(pr_edge_t *edge, int64_t now)
@@ -36,7 +45,7 @@
 			"answer_age_ms=%lld cleared_age_ms=%lld times=%u",
 			(unsigned long long)suspect->part,
 			__builtin_popcountll(suspect->requests),
-			__builtin_popcountll(suspect->upstreams),
+			(int)suspect->crashes_count,
 			(long long)(now - suspect->since_ms),
 			suspect->answer_ms
 				? (long long)(now - suspect->answer_ms)
@@ -67,12 +76,18 @@
 	pr_suspect_t suspects[PR_SUSPECTS_IN_DATAGRAM];
 	size_t count = pr_quarantine_take_changes(
 		&edge->quarantine, audience, suspects, PR_SUSPECTS_IN_DATAGRAM);
-	pr_str_t bytes = PR_STR_INIT;
+	size_t at = 0, packed;
 
-	if (count && !pr_message_pack_suspects(&bytes, edge->settings->host,
-					       suspects, count))
-		send_to[audience](edge, &bytes);
-	pr_str_finish(&bytes);
+	do {
+		pr_str_t bytes = PR_STR_INIT;
+
+		packed = pr_message_pack_suspects(&bytes, edge->settings->host,
+						  &suspects[at], count - at);
+		if (packed)
+			send_to[audience](edge, &bytes);
+		pr_str_finish(&bytes);
+		at += packed;
+	} while (packed && at < count);
 }
 
 void pr_peers_update_suspects(pr_edge_t *edge)
--- a/src/edge/quarantine_row.c
+++ b/src/edge/quarantine_row.c
@@ -5,11 +5,14 @@
 #include "base/event_log.h"
 #include "edge/edge.h"
 #include "edge/quarantine_row.h"
+#include "pistachiorack/error.h"
 #include "platform/adapter.h"
 
 #define ROW_KEY "quarantine"
-/* Most parts in the row. */
-#define ROW_PARTS_MAX PR_SUSPECTS_IN_DATAGRAM
+/* Most parts in the row, so that it fits a datagram as it is. */
+#define ROW_PARTS_MAX 8
+/* Most crashes of a part in the row. */
+#define ROW_CRASHES_MAX 4
 /* Time-out of a write to the store. */
 #define WRITE_TIMEOUT (2 * PR_USEC_PER_SEC)
 /* Each host waits this much longer than the one before it, milliseconds, so
@@ -57,10 +60,20 @@
 		.conditional = true,
 		.expected = edge->quarantine_row,
 	};
-	int rc = pr_message_pack_suspects(&value, edge->settings->host,
-					  suspects, count);
+	int rc;
 
+	/* The verdicts matter more than the crashes that led to them. */
+	for (size_t i = 0; i < count; i++) {
+		if (suspects[i].crashes_count > ROW_CRASHES_MAX)
+			suspects[i].crashes_count = ROW_CRASHES_MAX;
+	}
+	rc = count && !pr_message_pack_suspects(&value, edge->settings->host,
+						suspects, count)
+		     ? PR_ENOMEM
+		     : 0;
 	write.value = pr_str_slice(&value);
+	if (!write.value.ptr)
+		write.value = PR_SLICE("");
 	if (!rc)
 		rc = pr_adapter_store_write(&request, &write, 1);
 	if (!rc)
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -161,6 +161,15 @@
 		record_pace(x, ms);
 }
 
+/* The upstream has not crashed: it sends something. */
+static void record_alive(pr_exchange_t *x)
+{
+	if (x->upstream && x->edge->has_store_clock)
+		pr_quarantine_record_alive(&x->edge->quarantine,
+					   x->upstream->tag,
+					   pr_edge_store_now(x->edge));
+}
+
 static bool on_head(void *owner, const pr_http_reader_t *reader)
 {
 	pr_exchange_t *x = owner;
@@ -172,6 +181,7 @@
 	x->progress_at = pr_exchange_now(x);
 	pr_str_clear(&x->body);
 	note_cold(x, reader);
+	record_alive(x);
 	if (is_not_run(reader)) {
 		x->status = 0;
 		return true;
@@ -230,6 +240,7 @@
 	if (x->events_of_attempt++ && now - x->progress_at > x->longest_pause)
 		x->longest_pause = now - x->progress_at;
 	x->progress_at = now;
+	record_alive(x);
 	if (x->events_of_attempt == PR_ANSWER_BEGUN)
 		record_answer(x);
 }
@@ -352,9 +363,12 @@
 					   "refused_by_upstream");
 		return;
 	}
-	if (x->event_stream && !pr_sse_filter_complete(&x->events)) {
+	/* A stream whose end only the connection marks may have broken off
+	 * before its first event. */
+	if (x->event_stream &&
+	    (!pr_sse_filter_complete(&x->events) || !x->events.passed)) {
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
-					   "cut_event");
+					   PR_FAULT_CUT_EVENT);
 		return;
 	}
 	if (x->status >= 500 && x->idempotent &&
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -7,17 +7,19 @@
 
 #include <string.h>
 
-/* Requests that must have crashed on a part, and upstreams. One request that
- * was sent again after each crash proves nothing about its other parts, nor
- * does one upstream that crashes by itself. With more upstreams, fewer requests
- * are enough. */
+/* Requests that must have crashed on a part, and upstreams whose crashes no
+ * quarantined part explains. One request that was sent again after each crash
+ * proves nothing about its other parts, nor does one upstream that crashes by
+ * itself. With more upstreams, fewer requests are enough. */
 #define REQUESTS_MIN       3
 #define UPSTREAMS_MIN      4
 #define REQUESTS_MIN_FEW   2
 #define UPSTREAMS_MIN_MANY 5
-/* Both, for a part on which an answer is known from before: requests that wait
- * on an upstream are broken off too when another request crashes it. */
+/* Both, for a part on which an answer began not long before the first crash:
+ * requests that wait on an upstream are broken off too when another request
+ * crashes it. */
 #define CRASHES_MIN_ANSWERED 6
+#define ANSWERED_MS          INT64_C(30000)
 /* Time from the first crash, and from the first answer to another request after
  * it, until the verdict, milliseconds: answers on the part at other hosts are
  * known by then. The second one is for a part on which an answer is known from
@@ -35,11 +37,18 @@
 #define QUARANTINE_MS     INT64_C(30000)
 #define QUARANTINE_MAX_MS INT64_C(3600000)
 /* Time between the releases of a part on two hosts, milliseconds: the others
- * learn the outcome of the first host's request before they send one. */
-#define RELEASE_STEP_MS 10000
+ * learn of the first host's request before they send one. The maximum is for
+ * hosts that come late in the order. */
+#define RELEASE_STEP_MS INT64_C(5000)
+#define RELEASE_MAX_MS  INT64_C(60000)
+/* Time in which bytes that an upstream sent before it crashed still arrive at
+ * other hosts, whose clocks differ a little, milliseconds. */
+#define ON_THE_WAY_MS 500
+/* Time for which the outcome of a request after the quarantine is awaited,
+ * milliseconds. */
+#define PROBE_MS INT64_C(10000)
 /* Datagrams may be lost, so a change is sent this often. */
 #define SENDS 3
-
 /* Quarantined parts that are sent again at a time. */
 #define REFRESH_MAX 8
 
@@ -69,6 +78,16 @@
 	return suspect->quarantined_ms > suspect->cleared_ms;
 }
 
+static int64_t later(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static int64_t earlier(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
 /* End of the quarantine on this host. */
 static int64_t release_ms(const pr_quarantine_t *quarantine,
 			  const pr_suspect_t *suspect)
@@ -78,27 +97,98 @@
 	for (uint32_t i = 1;
 	     i < suspect->quarantines && length < QUARANTINE_MAX_MS; i++)
 		length *= 2;
-	if (length > QUARANTINE_MAX_MS)
-		length = QUARANTINE_MAX_MS;
-	return suspect->quarantined_ms + length +
-	       (int64_t)quarantine->rank * RELEASE_STEP_MS;
+	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS) +
+	       earlier(quarantine->rank * RELEASE_STEP_MS, RELEASE_MAX_MS);
 }
 
 static bool is_in_force(const pr_quarantine_t *quarantine,
-			const pr_suspect_t *suspect, int64_t now_ms)
+			const pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	return is_quarantined(&entry->suspect) && !entry->overruled &&
+	       now_ms < release_ms(quarantine, &entry->suspect);
+}
+
+/* Whether the upstream crashed indeed: one that sends something afterwards only
+ * broke the connection. */
+static bool is_crash(const pr_crash_t *crash)
+{
+	return crash->answer_ms <= crash->at_ms + ON_THE_WAY_MS;
+}
+
+static unsigned count_crashes(const pr_suspect_t *suspect)
+{
+	unsigned count = 0;
+
+	for (uint32_t i = 0; i < suspect->crashes_count; i++)
+		count += is_crash(&suspect->crashes[i]);
+	return count;
+}
+
+static pr_crash_t *find_crash(pr_suspect_t *suspect, uint32_t upstream)
+{
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		if (suspect->crashes[i].upstream == upstream)
+			return &suspect->crashes[i];
+	}
+	return NULL;
+}
+
+static bool has_crash(const pr_suspect_t *suspect, uint32_t upstream)
+{
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		if (suspect->crashes[i].upstream == upstream)
+			return true;
+	}
+	return false;
+}
+
+/* Merge a crash of an upstream. @return true when it was not known */
+static bool add_crash(pr_suspect_t *suspect, const pr_crash_t *crash)
+{
+	pr_crash_t *known = find_crash(suspect, crash->upstream);
+	pr_crash_t before;
+
+	if (!known && suspect->crashes_count < PR_SUSPECT_CRASHES_MAX) {
+		suspect->crashes[suspect->crashes_count++] = *crash;
+		return true;
+	}
+	if (!known) {
+		known = &suspect->crashes[0];
+		for (uint32_t i = 1; i < PR_SUSPECT_CRASHES_MAX; i++) {
+			if (suspect->crashes[i].at_ms < known->at_ms)
+				known = &suspect->crashes[i];
+		}
+		if (known->at_ms >= crash->at_ms)
+			return false;
+		*known = *crash;
+		return true;
+	}
+	before = *known;
+	known->at_ms = later(known->at_ms, crash->at_ms);
+	known->answer_ms = later(known->answer_ms, crash->answer_ms);
+	return is_crash(known) != is_crash(&before);
+}
+
+/* Whether an answer on the part began not long before the first crash. */
+static bool was_answered(const pr_suspect_t *suspect)
 {
-	return is_quarantined(suspect) &&
-	       now_ms < release_ms(quarantine, suspect);
+	return suspect->answer_ms &&
+	       suspect->since_ms - suspect->answer_ms < ANSWERED_MS;
 }
 
-/* Whether a is more likely than b to be the part that crashed the upstreams. Of
- * two parts that occur together, the later one occurs in fewer requests. */
+/* Whether a is more likely than b to be the part that crashed the upstreams: it
+ * crashed all of them. Of two parts that occur together, the later one occurs
+ * in fewer requests. */
 static bool is_likelier(const pr_suspect_t *a, const pr_suspect_t *b)
 {
+	unsigned a_crashes = count_crashes(a), b_crashes = count_crashes(b);
+
+	if (was_answered(a) != was_answered(b))
+		return was_answered(b);
+	if (a_crashes != b_crashes)
+		return a_crashes > b_crashes;
 	if (!a->answer_ms != !b->answer_ms)
 		return !a->answer_ms;
-	if (count_bits(a->requests) != count_bits(b->requests))
-		return count_bits(a->requests) > count_bits(b->requests);
 	if (a->position != b->position)
 		return a->position > b->position;
 	return a->part > b->part;
@@ -157,6 +247,20 @@
 		       : 0;
 }
 
+static size_t alive_slot(uint32_t upstream)
+{
+	return (size_t)(spread(upstream) >> 32) % PR_QUARANTINE_ALIVE_MAX;
+}
+
+static int64_t alive_ms(const pr_quarantine_t *quarantine, uint32_t upstream)
+{
+	size_t slot = alive_slot(upstream);
+
+	return quarantine->alive[slot].upstream == upstream
+		       ? quarantine->alive[slot].ms
+		       : 0;
+}
+
 static pr_quarantine_entry_t *add(pr_quarantine_t *quarantine, uint32_t service,
 				  uint64_t part)
 {
@@ -181,7 +285,7 @@
 static void drop_evidence(pr_quarantine_entry_t *entry)
 {
 	entry->suspect.requests = 0;
-	entry->suspect.upstreams = 0;
+	entry->suspect.crashes_count = 0;
 	entry->other_answers = 0;
 }
 
@@ -206,22 +310,48 @@
 	return false;
 }
 
-bool pr_quarantine_has(const pr_quarantine_t *quarantine,
-		       const pr_quarantine_prompt_t *prompt, int64_t now_ms,
-		       int64_t *until_ms)
+/* Whether the prompt has the part of an entry, which is or was quarantined. */
+static bool concerns(const pr_quarantine_entry_t *entry,
+		     const pr_quarantine_prompt_t *prompt)
+{
+	return is_quarantined(&entry->suspect) && !entry->overruled &&
+	       entry->suspect.service == prompt->service &&
+	       has_part(prompt, entry->suspect.part);
+}
+
+bool pr_quarantine_admits(const pr_quarantine_t *quarantine,
+			  const pr_quarantine_prompt_t *prompt, bool is_repeat,
+			  int64_t now_ms, int64_t *until_ms)
 {
 	for (size_t i = 0; i < quarantine->count; i++) {
-		const pr_suspect_t *suspect = &quarantine->entries[i].suspect;
+		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
+		int64_t until;
 
-		if (!is_in_force(quarantine, suspect, now_ms) ||
-		    suspect->service != prompt->service ||
-		    !has_part(prompt, suspect->part))
+		if (!concerns(entry, prompt))
+			continue;
+		until = later(release_ms(quarantine, &entry->suspect),
+			      entry->suspect.probe_ms + PROBE_MS);
+		if (now_ms >= until && !is_repeat)
 			continue;
 		if (until_ms)
-			*until_ms = release_ms(quarantine, suspect);
-		return true;
+			*until_ms = later(until, now_ms + PROBE_MS);
+		return false;
+	}
+	return true;
+}
+
+void pr_quarantine_note_sent(pr_quarantine_t *quarantine,
+			     const pr_quarantine_prompt_t *prompt,
+			     int64_t now_ms)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		if (!concerns(entry, prompt))
+			continue;
+		entry->suspect.probe_ms = now_ms;
+		mark_changed(entry, true);
 	}
-	return false;
 }
 
 /* Whether there is no evidence against a part that a further crash adds to.
@@ -234,36 +364,59 @@
 		now_ms - suspect->crash_ms > SUSPICION_MS);
 }
 
+static void record_crash(pr_quarantine_entry_t *entry,
+			 const pr_quarantine_prompt_t *prompt,
+			 const pr_crash_t *crash)
+{
+	pr_suspect_t *suspect = &entry->suspect;
+
+	if (is_stale(suspect, crash->at_ms)) {
+		drop_evidence(entry);
+		suspect->since_ms = crash->at_ms;
+	}
+	suspect->requests |= bit_of(prompt->request);
+	add_crash(suspect, crash);
+	suspect->crash_ms = crash->at_ms;
+	mark_changed(entry, true);
+}
+
 void pr_quarantine_record_crash(pr_quarantine_t *quarantine,
 				const pr_quarantine_prompt_t *prompt,
 				uint32_t upstream, int64_t now_ms)
 {
-	/* The quarantined part explains the crash. */
-	if (pr_quarantine_has(quarantine, prompt, now_ms, NULL))
-		return;
-	for (size_t i = 0; i < prompt->parts_count; i++) {
+	const pr_crash_t crash = { .upstream = upstream, .at_ms = now_ms };
+	bool explained = false;
+
+	/* A quarantined part explains the crash. */
+	for (size_t i = 0; i < quarantine->count; i++) {
+		pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		if (!concerns(entry, prompt))
+			continue;
+		record_crash(entry, prompt, &crash);
+		explained = true;
+	}
+	for (size_t i = 0; i < prompt->parts_count && !explained; i++) {
 		pr_quarantine_entry_t *entry =
 			find(quarantine, prompt->service, prompt->parts[i]);
-		pr_suspect_t *suspect;
 
 		if (!entry)
 			entry = add(quarantine, prompt->service,
 				    prompt->parts[i]);
-		suspect = &entry->suspect;
-		if (is_stale(suspect, now_ms)) {
-			drop_evidence(entry);
-			suspect->since_ms = now_ms;
-			suspect->answer_ms =
-				last_answer_ms(quarantine, suspect->part);
-		}
-		suspect->position = (uint32_t)i;
-		suspect->requests |= bit_of(prompt->request);
-		suspect->upstreams |= bit_of(upstream);
-		suspect->crash_ms = now_ms;
-		mark_changed(entry, true);
+		entry->suspect.position = (uint32_t)i;
+		record_crash(entry, prompt, &crash);
 	}
 }
 
+void pr_quarantine_record_alive(pr_quarantine_t *quarantine, uint32_t upstream,
+				int64_t now_ms)
+{
+	size_t slot = alive_slot(upstream);
+
+	quarantine->alive[slot].upstream = upstream;
+	quarantine->alive[slot].ms = now_ms;
+}
+
 void pr_quarantine_record_answer(pr_quarantine_t *quarantine,
 				 const pr_quarantine_prompt_t *prompt,
 				 int64_t now_ms)
@@ -291,56 +444,13 @@
 	}
 }
 
-/*
- * Whether a quarantined part explains the crashes of the requests with another
- * part. A verdict on the other part is reversed only when both fell at the same
- * time and on the same requests: the bit sets may also have bits in common by
- * chance.
- */
-static bool explains(const pr_suspect_t *quarantined, const pr_suspect_t *other)
-{
-	uint64_t rest = other->requests & ~quarantined->requests;
-	int64_t between_ms =
-		quarantined->quarantined_ms - other->quarantined_ms;
-
-	if (!is_likelier(quarantined, other) || !other->requests)
-		return false;
-	if (is_quarantined(other))
-		return !rest && between_ms < SETTLE_MS &&
-		       between_ms > -SETTLE_MS;
-	return is_suspected(other) && count_bits(rest) < REQUESTS_MIN &&
-	       2 * count_bits(rest) < count_bits(other->requests);
-}
-
-/* Clear the parts whose crashes a quarantined part explains. The time is that
- * of the verdict, so that all hosts clear the same evidence. */
-static void clear_explained(pr_quarantine_t *quarantine,
-			    const pr_suspect_t *quarantined)
-{
-	for (size_t i = 0; i < quarantine->count; i++) {
-		pr_quarantine_entry_t *entry = &quarantine->entries[i];
-		pr_suspect_t *other = &entry->suspect;
-
-		if (other == quarantined ||
-		    other->service != quarantined->service ||
-		    !explains(quarantined, other))
-			continue;
-		clear(entry, other->quarantined_ms > quarantined->quarantined_ms
-				     ? other->quarantined_ms
-				     : quarantined->quarantined_ms);
-	}
-}
-
-static int64_t later(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
-/* Merge the evidence against a part, both that of this host and of another. */
-static void merge_evidence(pr_quarantine_entry_t *entry,
+/* Merge the evidence of this host and of another. @return true when there is
+ * more or less of it than before */
+static bool merge_evidence(pr_quarantine_entry_t *entry,
 			   const pr_suspect_t *suspect)
 {
 	pr_suspect_t *own = &entry->suspect;
+	bool entry_changed = false;
 
 	if (!is_suspected(own))
 		drop_evidence(entry);
@@ -348,12 +458,14 @@
 		if (!own->requests || suspect->since_ms < own->since_ms)
 			own->since_ms = suspect->since_ms;
 		own->requests |= suspect->requests;
-		own->upstreams |= suspect->upstreams;
+		for (uint32_t i = 0; i < suspect->crashes_count; i++)
+			entry_changed |= add_crash(own, &suspect->crashes[i]);
 		own->position = suspect->position;
 	}
 	/* The other host's evidence may be from before this host's answer. */
 	own->since_ms = later(own->since_ms, own->cleared_ms);
 	own->crash_ms = later(own->crash_ms, suspect->crash_ms);
+	return entry_changed;
 }
 
 void pr_quarantine_merge(pr_quarantine_t *quarantine,
@@ -362,6 +474,7 @@
 	pr_quarantine_entry_t *entry =
 		find(quarantine, suspect->service, suspect->part);
 	pr_suspect_t *own, before;
+	bool changed;
 
 	if (!entry)
 		entry = add(quarantine, suspect->service, suspect->part);
@@ -371,12 +484,13 @@
 	own->answer_ms = later(own->answer_ms, suspect->answer_ms);
 	own->quarantined_ms =
 		later(own->quarantined_ms, suspect->quarantined_ms);
+	own->probe_ms = later(own->probe_ms, suspect->probe_ms);
 	if (suspect->quarantines > own->quarantines)
 		own->quarantines = suspect->quarantines;
-	merge_evidence(entry, suspect);
-	if (own->requests != before.requests ||
-	    own->upstreams != before.upstreams ||
+	changed = merge_evidence(entry, suspect);
+	if (changed || own->requests != before.requests ||
 	    own->quarantined_ms != before.quarantined_ms ||
+	    own->probe_ms != before.probe_ms ||
 	    !own->answer_ms != !before.answer_ms ||
 	    is_quarantined(own) != is_quarantined(&before))
 		mark_changed(entry, tell_relays);
@@ -385,12 +499,41 @@
 		mark_changed(entry, true);
 }
 
-static bool has_enough_crashes(const pr_suspect_t *suspect)
+/* Whether a part that is in quarantine, or was, crashed the upstream. */
+static bool is_explained(const pr_quarantine_t *quarantine,
+			 const pr_suspect_t *suspect, uint32_t upstream)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		if (&entry->suspect != suspect &&
+		    entry->suspect.service == suspect->service &&
+		    is_quarantined(&entry->suspect) && !entry->overruled &&
+		    has_crash(&entry->suspect, upstream))
+			return true;
+	}
+	return false;
+}
+
+static unsigned count_unexplained(const pr_quarantine_t *quarantine,
+				  const pr_suspect_t *suspect)
+{
+	unsigned count = 0;
+
+	for (uint32_t i = 0; i < suspect->crashes_count; i++)
+		count += is_crash(&suspect->crashes[i]) &&
+			 !is_explained(quarantine, suspect,
+				       suspect->crashes[i].upstream);
+	return count;
+}
+
+static bool has_enough_crashes(const pr_quarantine_t *quarantine,
+			       const pr_suspect_t *suspect)
 {
 	unsigned requests = count_bits(suspect->requests);
-	unsigned upstreams = count_bits(suspect->upstreams);
+	unsigned upstreams = count_unexplained(quarantine, suspect);
 
-	if (suspect->answer_ms)
+	if (was_answered(suspect))
 		return requests >= CRASHES_MIN_ANSWERED &&
 		       upstreams >= CRASHES_MIN_ANSWERED;
 	return (requests >= REQUESTS_MIN && upstreams >= UPSTREAMS_MIN) ||
@@ -398,18 +541,27 @@
 		upstreams >= UPSTREAMS_MIN_MANY);
 }
 
-static bool is_guilty(const pr_quarantine_entry_t *entry, int64_t now_ms)
+static bool is_guilty(const pr_quarantine_t *quarantine,
+		      const pr_quarantine_entry_t *entry, int64_t now_ms)
 {
 	const pr_suspect_t *suspect = &entry->suspect;
-	int64_t settle_ms = suspect->answer_ms ? SETTLE_ANSWERED_MS : SETTLE_MS;
-
-	return is_suspected(suspect) &&
-	       suspect->crash_ms > suspect->quarantined_ms &&
-	       has_enough_crashes(suspect) &&
-	       now_ms - suspect->since_ms >= settle_ms &&
+	int64_t settle_ms =
+		was_answered(suspect) ? SETTLE_ANSWERED_MS : SETTLE_MS;
+
+	/* A request that was under way when the quarantine began must not
+	 * extend it. */
+	if (!is_suspected(suspect) ||
+	    suspect->crash_ms <= suspect->quarantined_ms ||
+	    is_in_force(quarantine, entry, now_ms))
+		return false;
+	/* After the quarantine one crash is enough. */
+	if (is_quarantined(suspect) && !entry->overruled)
+		return suspect->crash_ms >= release_ms(quarantine, suspect);
+	return now_ms - suspect->since_ms >= settle_ms &&
 	       entry->other_answers >= OTHER_ANSWERS_MIN &&
 	       now_ms - entry->other_since_ms >= settle_ms &&
-	       suspect->crash_ms > entry->other_since_ms;
+	       suspect->crash_ms > entry->other_since_ms &&
+	       has_enough_crashes(quarantine, suspect);
 }
 
 /* @return the part with the most evidence, if that suffices; otherwise NULL */
@@ -421,30 +573,58 @@
 	for (size_t i = 0; i < quarantine->count; i++) {
 		pr_quarantine_entry_t *entry = &quarantine->entries[i];
 
-		/* A request that was under way when the quarantine began must
-		 * not extend it. */
-		if (is_guilty(entry, now_ms) &&
-		    !is_in_force(quarantine, &entry->suspect, now_ms) &&
+		if (is_guilty(quarantine, entry, now_ms) &&
 		    (!guilty || is_likelier(&entry->suspect, &guilty->suspect)))
 			guilty = entry;
 	}
 	return guilty;
 }
 
+/* Note which upstreams that are said to have crashed sent something since. */
+static void refute_crashes(const pr_quarantine_t *quarantine,
+			   pr_quarantine_entry_t *entry)
+{
+	for (uint32_t i = 0; i < entry->suspect.crashes_count; i++) {
+		pr_crash_t *crash = &entry->suspect.crashes[i];
+		bool was_crash = is_crash(crash);
+
+		crash->answer_ms = later(crash->answer_ms,
+					 alive_ms(quarantine, crash->upstream));
+		if (was_crash && !is_crash(crash))
+			mark_changed(entry, true);
+	}
+}
+
+/* Hosts may quarantine two parts of the same requests at the same time: the
+ * likelier one overrules the other, which crashed no other upstream. */
+static void overrule(pr_quarantine_t *quarantine, pr_quarantine_entry_t *entry)
+{
+	entry->overruled = false;
+	for (size_t i = 0; i < quarantine->count && !entry->overruled; i++) {
+		const pr_suspect_t *other = &quarantine->entries[i].suspect;
+
+		entry->overruled =
+			other != &entry->suspect && is_quarantined(other) &&
+			is_likelier(other, &entry->suspect) &&
+			!count_unexplained(quarantine, &entry->suspect);
+	}
+}
+
 void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms)
 {
 	pr_quarantine_entry_t *guilty;
 
+	for (size_t i = 0; i < quarantine->count; i++)
+		refute_crashes(quarantine, &quarantine->entries[i]);
 	for (size_t i = 0; i < quarantine->count; i++) {
 		if (is_quarantined(&quarantine->entries[i].suspect))
-			clear_explained(quarantine,
-					&quarantine->entries[i].suspect);
+			overrule(quarantine, &quarantine->entries[i]);
 	}
 	while ((guilty = find_guilty(quarantine, now_ms))) {
 		guilty->suspect.quarantined_ms = now_ms;
 		guilty->suspect.quarantines++;
+		guilty->overruled = false;
 		mark_changed(guilty, true);
-		clear_explained(quarantine, &guilty->suspect);
 	}
 }
 
@@ -454,7 +634,7 @@
 	for (size_t i = 0; i < quarantine->count; i++) {
 		pr_quarantine_entry_t *entry = &quarantine->entries[i];
 
-		*in_force = is_in_force(quarantine, &entry->suspect, now_ms);
+		*in_force = is_in_force(quarantine, entry, now_ms);
 		if (*in_force == entry->was_in_force)
 			continue;
 		entry->was_in_force = *in_force;
@@ -474,7 +654,7 @@
 		quarantine->refresh_at =
 			(quarantine->refresh_at + 1) % quarantine->count;
 		entry = &quarantine->entries[quarantine->refresh_at];
-		if (!is_in_force(quarantine, &entry->suspect, now_ms))
+		if (!is_in_force(quarantine, entry, now_ms))
 			continue;
 		refreshed++;
 		for (int j = 0; j < PR_AUDIENCES_COUNT; j++) {
@@ -533,10 +713,11 @@
 	size_t count = 0;
 
 	for (size_t i = 0; i < quarantine->count; i++) {
-		const pr_suspect_t *suspect = &quarantine->entries[i].suspect;
+		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
+		const pr_suspect_t *suspect = &entry->suspect;
 		size_t at = count < max ? count : max;
 
-		if (!is_in_force(quarantine, suspect, now_ms))
+		if (!is_in_force(quarantine, entry, now_ms))
 			continue;
 		while (at &&
 		       out[at - 1].quarantined_ms < suspect->quarantined_ms) {
@@ -574,7 +755,7 @@
 
 		if (entry->saved_ms && !is_quarantined(&entry->suspect))
 			return false;
-		if (!is_in_force(quarantine, &entry->suspect, now_ms))
+		if (!is_in_force(quarantine, entry, now_ms))
 			continue;
 		in_force++;
 		missing += entry->saved_ms < entry->suspect.quarantined_ms;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -9,9 +9,9 @@
  *
  * A part is quarantined when different requests with it crashed several
  * upstreams and no answer on it began, while other requests of the service were
- * answered. Other parts of the same requests are then no longer suspected, and
- * every answer on a part clears it. After the quarantine one host after the
- * other sends requests with the part again; the next crash puts it back.
+ * answered. The crashes that a quarantined part explains do not count against
+ * other parts, and every answer on a part clears it. After the quarantine one
+ * host after the other sends one request with the part; a crash puts it back.
  */
 #ifndef PR_QUARANTINE_QUARANTINE_H
 #define PR_QUARANTINE_QUARANTINE_H
@@ -21,9 +21,23 @@
 #include <stdint.h>
 
 /** Most parts that are under suspicion or in quarantine. */
-#define PR_QUARANTINE_MAX 1024
+#define PR_QUARANTINE_MAX 512
 /** Parts whose last answer is remembered; a power of two. */
 #define PR_QUARANTINE_ANSWERED_MAX 4096
+/** Upstreams whose last answer is remembered; a power of two. */
+#define PR_QUARANTINE_ALIVE_MAX 1024
+
+/** An upstream that broke off a request with a part. */
+typedef struct pr_crash_t {
+	/** Tag of its incarnation. */
+	uint32_t upstream;
+	/** Time of the crash, and of the newest answer of the upstream that a
+	 *  host reported: after a crash there is none. */
+	int64_t at_ms, answer_ms;
+} pr_crash_t;
+
+/** Most upstreams that are kept for a part; the oldest crashes are dropped. */
+#define PR_SUSPECT_CRASHES_MAX 16
 
 /** What is known of a part; all times by the store's clock, milliseconds. */
 typedef struct pr_suspect_t {
@@ -32,19 +46,24 @@
 	uint32_t service;
 	/** Position in the prompt, from 0. */
 	uint32_t position;
-	/** Requests that crashed an upstream, and those upstreams, while the
-	 *  part has been suspected: bit sets by hash. */
-	uint64_t requests, upstreams;
+	/** Requests that broke off while the part has been suspected: bit set
+	 *  by hash. */
+	uint64_t requests;
+	pr_crash_t crashes[PR_SUSPECT_CRASHES_MAX];
+	uint32_t crashes_count;
 	/** First crash while the part has been suspected, and the newest. */
 	int64_t since_ms, crash_ms;
 	/** Evidence up to this time does not count: an answer on the part
-	 *  began, or another part of the same requests is quarantined. */
+	 *  began. */
 	int64_t cleared_ms;
 	/** Newest answer on the part that a host reported; 0 for none. */
 	int64_t answer_ms;
 	/** Begin of the last quarantine, and the number of quarantines. */
 	int64_t quarantined_ms;
 	uint32_t quarantines;
+	/** When a host sent the last request after a quarantine, whose outcome
+	 *  the others await; 0 for none. */
+	int64_t probe_ms;
 } pr_suspect_t;
 
 /** Hosts that are told of a change. */
@@ -64,6 +83,9 @@
 	 *  suspected, and the time of the first of them. */
 	uint32_t other_answers;
 	int64_t other_since_ms;
+	/** Another quarantined part explains all crashes of this one, so its
+	 * own quarantine is not in force. */
+	bool overruled;
 	/** How often the suspect is still to be sent, by audience. */
 	uint32_t sends_left[PR_AUDIENCES_COUNT];
 	/** Begin of the quarantine that the saved list has for the part; 0 when
@@ -83,12 +105,16 @@
 	uint32_t rank;
 	/** Index of the entry that was refreshed last. */
 	size_t refresh_at;
-	/** Last answers on parts; parts with the same slot displace each
-	 *  other. */
+	/** Last answers on parts, and of upstreams; those with the same slot
+	 *  displace each other. */
 	struct {
 		uint64_t part;
 		int64_t ms;
 	} answered[PR_QUARANTINE_ANSWERED_MAX];
+	struct {
+		uint32_t upstream;
+		int64_t ms;
+	} alive[PR_QUARANTINE_ALIVE_MAX];
 } pr_quarantine_t;
 
 /** The prompt of a request. */
@@ -114,6 +140,10 @@
 void pr_quarantine_record_answer(pr_quarantine_t *quarantine,
 				 const pr_quarantine_prompt_t *prompt,
 				 int64_t now_ms);
+/** Record that an upstream sent anything, whatever it was: it has not crashed.
+ */
+void pr_quarantine_record_alive(pr_quarantine_t *quarantine, uint32_t upstream,
+				int64_t now_ms);
 /**
  * Merge what another host knows of a part.
  *
@@ -133,13 +163,22 @@
 const pr_suspect_t *pr_quarantine_next_change(pr_quarantine_t *quarantine,
 					      int64_t now_ms, bool *in_force);
 /**
- * @param until_ms set to the end of the quarantine when a part of the prompt is
- *	  in it; may be NULL
- * @return true when a part of the prompt is in quarantine
+ * Decide whether a request may be sent to an upstream. After the quarantine of
+ * a part one request with it may, and the next one only once the outcome is
+ * known or has not come for a time.
+ *
+ * @param is_repeat the request was sent before; it is no such request then
+ * @param until_ms set to the time at which a request with the part may be sent
+ *	  again when the result is false; may be NULL
+ * @return false when a part of the prompt is in quarantine
  */
-bool pr_quarantine_has(const pr_quarantine_t *quarantine,
-		       const pr_quarantine_prompt_t *prompt, int64_t now_ms,
-		       int64_t *until_ms);
+bool pr_quarantine_admits(const pr_quarantine_t *quarantine,
+			  const pr_quarantine_prompt_t *prompt, bool is_repeat,
+			  int64_t now_ms, int64_t *until_ms);
+/** Note that an admitted request was sent. */
+void pr_quarantine_note_sent(pr_quarantine_t *quarantine,
+			     const pr_quarantine_prompt_t *prompt,
+			     int64_t now_ms);
 /** Mark some of the quarantined parts as changed, in rotation, for hosts that
  *  started after the verdict. */
 void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms);
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -242,80 +242,160 @@
 	return count;
 }
 
-/* Record of a suspect, in the byte order of the host. */
+/* Record of a suspect, in the byte order of the host; its crashes follow. */
 typedef struct suspect_record_t {
-	uint64_t part, requests, upstreams;
-	int64_t since_ms, crash_ms, cleared_ms, answer_ms, quarantined_ms;
+	uint64_t part, requests;
+	int64_t since_ms, crash_ms, cleared_ms, answer_ms, quarantined_ms,
+		probe_ms;
 	uint32_t service;
 	uint16_t position, quarantines;
+	/** Bytes of the record with its crashes, and the number of these. */
+	uint16_t size, crashes_count;
+	uint32_t reserved;
 } suspect_record_t;
 
+/* Record of a crash. The times are relative to the newest crash of the part,
+ * milliseconds. */
+typedef struct crash_record_t {
+	uint32_t upstream;
+	int32_t at, answer;
+} crash_record_t;
+
+/* Time of an answer that is not known. */
+#define ANSWER_NONE INT32_MIN
+/* Bytes of the map beside the records. */
+#define SUSPECTS_HEADER_SIZE 150
+
 static uint16_t to_u16(uint32_t value)
 {
 	return value < UINT16_MAX ? (uint16_t)value : UINT16_MAX;
 }
 
-int pr_message_pack_suspects(pr_str_t *out, const char *host,
-			     const pr_suspect_t *suspects, size_t count)
+static int32_t to_i32(int64_t value)
 {
-	suspect_record_t records[PR_SUSPECTS_IN_DATAGRAM];
-	msgpack_packer packer;
-	int rc;
+	return value > INT32_MAX    ? INT32_MAX
+	       : value < -INT32_MAX ? -INT32_MAX
+				    : (int32_t)value;
+}
 
-	if (count > PR_SUSPECTS_IN_DATAGRAM)
-		count = PR_SUSPECTS_IN_DATAGRAM;
-	for (size_t i = 0; i < count; i++) {
-		const pr_suspect_t *suspect = &suspects[i];
-
-		records[i] = (suspect_record_t){
-			.part = suspect->part,
-			.requests = suspect->requests,
-			.upstreams = suspect->upstreams,
-			.since_ms = suspect->since_ms,
-			.crash_ms = suspect->crash_ms,
-			.cleared_ms = suspect->cleared_ms,
-			.answer_ms = suspect->answer_ms,
-			.quarantined_ms = suspect->quarantined_ms,
-			.service = suspect->service,
-			.position = to_u16(suspect->position),
-			.quarantines = to_u16(suspect->quarantines),
+static int append_suspect(pr_str_t *out, const pr_suspect_t *suspect)
+{
+	const suspect_record_t record = {
+		.part = suspect->part,
+		.requests = suspect->requests,
+		.since_ms = suspect->since_ms,
+		.crash_ms = suspect->crash_ms,
+		.cleared_ms = suspect->cleared_ms,
+		.answer_ms = suspect->answer_ms,
+		.quarantined_ms = suspect->quarantined_ms,
+		.probe_ms = suspect->probe_ms,
+		.service = suspect->service,
+		.position = to_u16(suspect->position),
+		.quarantines = to_u16(suspect->quarantines),
+		.size = (uint16_t)(sizeof(record) +
+				   suspect->crashes_count *
+					   sizeof(crash_record_t)),
+		.crashes_count = (uint16_t)suspect->crashes_count,
+	};
+	int rc = pr_str_append(out, (const char *)&record, sizeof(record));
+
+	for (uint32_t i = 0; i < suspect->crashes_count && !rc; i++) {
+		const pr_crash_t *crash = &suspect->crashes[i];
+		const crash_record_t crash_record = {
+			.upstream = crash->upstream,
+			.at = to_i32(crash->at_ms - suspect->crash_ms),
+			.answer = crash->answer_ms ? to_i32(crash->answer_ms -
+							    suspect->crash_ms)
+						   : ANSWER_NONE,
 		};
+
+		rc = pr_str_append(out, (const char *)&crash_record,
+				   sizeof(crash_record));
 	}
-	rc = begin(&packer, out, host, 1);
+	return rc;
+}
+
+size_t pr_message_pack_suspects(pr_str_t *out, const char *host,
+				const pr_suspect_t *suspects, size_t count)
+{
+	pr_str_t records = PR_STR_INIT;
+	msgpack_packer packer;
+	size_t packed = 0;
+	int rc = 0;
+
+	while (packed < count && packed < PR_SUSPECTS_IN_DATAGRAM && !rc) {
+		size_t size =
+			sizeof(suspect_record_t) +
+			suspects[packed].crashes_count * sizeof(crash_record_t);
+
+		if (SUSPECTS_HEADER_SIZE + records.len + size > PR_DATAGRAM_MAX)
+			break;
+		rc = append_suspect(&records, &suspects[packed++]);
+	}
+	if (!rc)
+		rc = begin(&packer, out, host, 1);
 	if (!rc)
 		rc = pr_msgmap_pack_text(&packer, "suspects",
-					 pr_slice((const char *)records,
-						  count * sizeof(records[0])));
-	return rc;
+					 pr_str_slice(&records));
+	pr_str_finish(&records);
+	return rc ? 0 : packed;
+}
+
+/* @return bytes of the record, or 0 when it is malformed */
+static size_t read_suspect(pr_slice_t bytes, pr_suspect_t *out)
+{
+	suspect_record_t record;
+
+	if (bytes.len < sizeof(record))
+		return 0;
+	memcpy(&record, bytes.ptr, sizeof(record));
+	if (record.size > bytes.len ||
+	    record.crashes_count > PR_SUSPECT_CRASHES_MAX ||
+	    record.size < sizeof(record) +
+				  record.crashes_count * sizeof(crash_record_t))
+		return 0;
+	*out = (pr_suspect_t){
+		.part = record.part,
+		.service = record.service,
+		.position = record.position,
+		.requests = record.requests,
+		.crashes_count = record.crashes_count,
+		.since_ms = record.since_ms,
+		.crash_ms = record.crash_ms,
+		.cleared_ms = record.cleared_ms,
+		.answer_ms = record.answer_ms,
+		.quarantined_ms = record.quarantined_ms,
+		.quarantines = record.quarantines,
+		.probe_ms = record.probe_ms,
+	};
+	for (uint32_t i = 0; i < out->crashes_count; i++) {
+		crash_record_t crash;
+
+		memcpy(&crash, bytes.ptr + sizeof(record) + i * sizeof(crash),
+		       sizeof(crash));
+		out->crashes[i] = (pr_crash_t){
+			.upstream = crash.upstream,
+			.at_ms = record.crash_ms + crash.at,
+			.answer_ms = crash.answer == ANSWER_NONE
+					     ? 0
+					     : record.crash_ms + crash.answer,
+		};
+	}
+	return record.size;
 }
 
 size_t pr_message_read_suspects(const pr_msgmap_t *map, pr_suspect_t *out,
 				size_t max)
 {
 	pr_slice_t bytes;
-	size_t count = 0;
+	size_t count = 0, size;
 
 	if (pr_msgmap_text(map, &bytes, "suspects"))
 		return 0;
-	while (count < max && bytes.len >= sizeof(suspect_record_t)) {
-		suspect_record_t record;
-
-		memcpy(&record, bytes.ptr, sizeof(record));
-		out[count++] = (pr_suspect_t){
-			.part = record.part,
-			.service = record.service,
-			.position = record.position,
-			.requests = record.requests,
-			.upstreams = record.upstreams,
-			.since_ms = record.since_ms,
-			.crash_ms = record.crash_ms,
-			.cleared_ms = record.cleared_ms,
-			.answer_ms = record.answer_ms,
-			.quarantined_ms = record.quarantined_ms,
-			.quarantines = record.quarantines,
-		};
-		bytes.ptr += sizeof(record);
-		bytes.len -= sizeof(record);
+	while (count < max && (size = read_suspect(bytes, &out[count]))) {
+		bytes.ptr += size;
+		bytes.len -= size;
+		count++;
 	}
 	return count;
 }
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -77,9 +77,14 @@
 /** Most suspects in one datagram. */
 #define PR_SUSPECTS_IN_DATAGRAM 16
 
-/** Encode what this host knows of prompt parts that crash upstreams. */
-int pr_message_pack_suspects(pr_str_t *out, const char *host,
-			     const pr_suspect_t *suspects, size_t count);
+/**
+ * Encode what this host knows of prompt parts that crash upstreams.
+ *
+ * @return number of suspects that were packed, counted from the first one, as
+ *	   many as fit in a datagram; 0 without memory
+ */
+size_t pr_message_pack_suspects(pr_str_t *out, const char *host,
+				const pr_suspect_t *suspects, size_t count);
 /** @return number of suspects in out, at most max; 0 for another kind of
  *	   message */
 size_t pr_message_read_suspects(const pr_msgmap_t *map, pr_suspect_t *out,
