Keep removed upstreams in a ring instead of a list

Cause: clang's analyzer does not see that an upstream leaves the list before it is released, so the linter reported memory used after it was freed. Change: an array of 64 places, the oldest is replaced; the test now checks by the reference counts that only these, and the listed one, are kept, and that all are released at the end. Nothing else changes.

--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -19,17 +19,13 @@
 /* Added to the cold time, microseconds, since discovery lags behind the
  * upstream. */
 #define COLD_MARGIN (500 * PR_USEC_PER_MSEC)
-/* Most removed upstreams that are kept. */
-#define REMOVED_MAX 64
 /* Fraction of a cold upstream's rate that is divided among the hosts. */
 #define COLD_SHARE 0.8
 
 void pr_registry_init(pr_registry_t *registry)
 {
+	memset(registry, 0, sizeof(*registry));
 	pr_list_init(&registry->upstreams);
-	pr_list_init(&registry->removed);
-	registry->removed_count = 0;
-	registry->initial_read_done = false;
 }
 
 pr_upstream_t *pr_upstream_ref(pr_upstream_t *upstream)
@@ -44,37 +40,38 @@
 		free(upstream);
 }
 
-static pr_upstream_t *first_of(pr_list_t *list)
+/* Keep an upstream in place of the one that was removed longest ago. */
+static void keep_removed(pr_registry_t *registry, pr_upstream_t *upstream)
 {
-	return PR_OWNER(list->next, pr_upstream_t, node);
-}
+	size_t i = registry->removed_next++ % PR_REGISTRY_REMOVED_MAX;
 
-static void drop(pr_upstream_t *upstream)
-{
-	upstream->listed = false;
-	pr_list_remove(&upstream->node);
-	pr_upstream_unref(upstream);
+	if (registry->removed[i])
+		pr_upstream_unref(registry->removed[i]);
+	registry->removed[i] = upstream;
 }
 
-/* Remove an upstream from the list, and keep it among the removed ones. */
 static void unlist(pr_registry_t *registry, pr_upstream_t *upstream)
 {
 	upstream->listed = false;
 	pr_list_remove(&upstream->node);
-	pr_list_append(&registry->removed, &upstream->node);
-	if (registry->removed_count == REMOVED_MAX)
-		drop(first_of(&registry->removed));
-	else
-		registry->removed_count++;
+	keep_removed(registry, upstream);
 }
 
 void pr_registry_finish(pr_registry_t *registry)
 {
-	while (!pr_list_empty(&registry->upstreams))
-		drop(first_of(&registry->upstreams));
-	while (!pr_list_empty(&registry->removed))
-		drop(first_of(&registry->removed));
-	registry->removed_count = 0;
+	pr_list_t *at = registry->upstreams.next;
+
+	while (at != &registry->upstreams) {
+		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+
+		at = at->next;
+		unlist(registry, upstream);
+	}
+	for (size_t i = 0; i < PR_REGISTRY_REMOVED_MAX; i++) {
+		if (registry->removed[i])
+			pr_upstream_unref(registry->removed[i]);
+		registry->removed[i] = NULL;
+	}
 }
 
 pr_upstream_t *pr_registry_find(const pr_registry_t *registry, const char *id)
@@ -94,15 +91,14 @@
 static pr_upstream_t *take_removed(pr_registry_t *registry,
 				   const pr_upstream_entry_t *entry)
 {
-	for (pr_list_t *at = registry->removed.next; at != &registry->removed;
-	     at = at->next) {
-		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
+	for (size_t i = 0; i < PR_REGISTRY_REMOVED_MAX; i++) {
+		pr_upstream_t *upstream = registry->removed[i];
 
-		if (!entry->born || upstream->entry.born != entry->born ||
+		if (!upstream || !entry->born ||
+		    upstream->entry.born != entry->born ||
 		    strcmp(upstream->entry.id, entry->id) != 0)
 			continue;
-		pr_list_remove(&upstream->node);
-		registry->removed_count--;
+		registry->removed[i] = NULL;
 		upstream->listed = true;
 		upstream->peers_in_flight = 0;
 		upstream->peers_prefill_ms = 0;
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -97,13 +97,17 @@
 	uint32_t tag;
 } pr_upstream_t;
 
+/** Most removed upstreams that are kept. */
+#define PR_REGISTRY_REMOVED_MAX 64
+
 /** All listed upstreams. */
 typedef struct pr_registry_t {
 	pr_list_t upstreams;
-	/** Upstreams that were removed last. An entry that lapsed may be
-	 *  renewed; the instance is still the same then. */
-	pr_list_t removed;
-	size_t removed_count;
+	/** Upstreams that were removed last, a ring with NULL for none. An
+	 *  entry that lapsed may be renewed; the instance is still the same
+	 *  then. */
+	pr_upstream_t *removed[PR_REGISTRY_REMOVED_MAX];
+	size_t removed_next;
 	/** The first full read of discovery is complete: upstreams that appear
 	 *  later have just started, those before were running already. */
 	bool initial_read_done;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -169,16 +169,25 @@
 /* A fleet that is replaced again and again must not fill the memory. */
 static void test_removed_upstreams_are_bounded(void **state)
 {
+	pr_upstream_t *upstreams[1000];
 	pr_registry_t registry;
+	int kept = 0;
 
 	pr_registry_init(&registry);
-	for (uint64_t i = 1; i <= 1000; i++) {
-		pr_upstream_entry_t entry = entry_of("a", (int64_t)i);
+	for (uint64_t i = 0; i < 1000; i++) {
+		pr_upstream_entry_t entry = entry_of("a", (int64_t)i + 1);
 
-		pr_registry_apply(&registry, &entry, i, 0, SECOND);
-		assert_true(registry.removed_count <= 64);
+		upstreams[i] = pr_upstream_ref(
+			pr_registry_apply(&registry, &entry, i + 1, 0, SECOND));
 	}
+	for (int i = 0; i < 1000; i++)
+		kept += upstreams[i]->refs > 1;
+	assert_int_equal(kept, 1 + PR_REGISTRY_REMOVED_MAX);
 	pr_registry_finish(&registry);
+	for (int i = 0; i < 1000; i++) {
+		assert_int_equal(upstreams[i]->refs, 1);
+		pr_upstream_unref(upstreams[i]);
+	}
 }
 
 /* Guards against requests to an upstream before the time that it stated: a
