--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -262,6 +262,10 @@
         # meanwhile, and those that the router let go: (id, time, age).
         self.silent_until = 0.0
         self.held, self.let_go = set(), []
+        # (event, seconds): the next stream that comes to this event makes the
+        # upstream silent for so long; event 0 stands for an answer that is no
+        # stream.
+        self.silence_at = None
         # Prompt parts that crash the upstream (shared by upstreams), and what
         # to do then.
         self.deadly = set()
@@ -296,8 +300,11 @@
                 # A connection has the port as its local one.
                 await asyncio.sleep(0.1)
 
-    async def hold(self, reader, ident):
+    async def hold(self, reader, ident, number):
         """Wait until the upstream is no longer silent."""
+        if self.silence_at and self.silence_at[0] == number:
+            self.silent_until = time.monotonic() + self.silence_at[1]
+            self.silence_at = None
         began = time.monotonic()
         if began < self.silent_until:
             self.held.add(ident)
@@ -407,7 +414,7 @@
         if "/stream/" in line or "/prompt/" in line:
             return await self.stream(reader, writer, fields, ident, fault)
         await asyncio.sleep(self.random.uniform(0.002, 0.02))
-        await self.hold(reader, ident)
+        await self.hold(reader, ident, 0)
         content = whole_answer(ident, body)
         if fault in ("unframed", "unframed_cut"):
             whole = len(content) if fault == "unframed" else len(content) // 2
@@ -471,13 +478,13 @@
         framed = fault not in ("unframed", "unframed_cut")
         framing = "Transfer-Encoding: chunked\r\n" if framed else "Connection: close\r\n"
         frame = chunk if framed else bytes
-        await self.hold(reader, ident)
+        await self.hold(reader, ident, None)
         writer.write(self.head(200, ident, "Content-Type: text/event-stream\r\n" + framing))
         cut = fault in ("cut", "cut_reset", "unframed_cut")
         stop = self.random.randint(last, count) if cut else count + 1
         for number in range(last + 1, count + 1):
             event = event_of(ident, number)
-            await self.hold(reader, ident)
+            await self.hold(reader, ident, number)
             if number >= stop:
                 writer.write(frame(event[: len(event) // 2]))
                 await writer.drain()
