Do not give up a silent stream that cannot be resumed

Callers saw: a stream on a resumable route that began with a comment, or whose events carry no id, was reset when its upstream was silent for 1.8 s, although the upstream went on.

Cause: such a stream counted as repeatable when its time without an event was limited, and as not repeatable when the next attempt was due.

Change: both ask the same function; what cannot be repeated is waited for until the deadline.

Result: the check of tests/edge/silence.py fails on the code before (the caller got only the comment) and passes now.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -84,6 +84,13 @@
 	       !pr_upstream_record_disconnect(x->upstream, pr_exchange_now(x));
 }
 
+/* Whether the request may be sent again after it ran. A stream of which the
+ * caller has a part can only be resumed after a known event. */
+static bool can_repeat(const pr_exchange_t *x)
+{
+	return x->idempotent && (!x->head_sent || x->events.has_id);
+}
+
 void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
 				const char *fault)
 {
@@ -115,7 +122,7 @@
 	pr_str_clear(&x->body);
 	if (!x->head_sent)
 		pr_str_clear(&x->head);
-	if (ran && (!x->idempotent || (x->head_sent && !x->events.has_id))) {
+	if (ran && !can_repeat(x)) {
 		pr_exchange_give_up(x, "upstream_failed");
 		return;
 	}
@@ -137,7 +144,7 @@
 						     : EVENT_GAP_DEFAULT_MS) *
 			PR_USEC_PER_MSEC;
 
-	if (!x->outbound || !x->idempotent ||
+	if (!x->outbound || !can_repeat(x) ||
 	    x->runs + 1 >= x->route->max_upstreams)
 		return PR_USEC_NEVER;
 	if (x->stream && x->events.passed && x->progress_at > x->attempt_began)
--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -78,6 +78,7 @@
             upstream.faults = {}
             upstream.silent_until = 0.0
             upstream.silence_at = None
+            upstream.comments = False
         # New instances, of which the router knows no failure; in the time
         # they become warm, and the window of the budget passes.
         await self.list_all([self.near, *self.others], "ready", born=1)
@@ -176,6 +177,19 @@
         await scene.restore()
 
 
+async def check_comment(fleet):
+    """A stream of which only a comment had come was reset, since it had no id to resume from."""
+    scene = Scene(fleet, "/stream/x")
+    await scene.set_bounds(MANY_REPEATS)
+    scene.near.comments = True
+    scene.near.silence_at = (1, PAUSE_S)
+    answer = await ask(fleet, "comment", "/stream/x")
+    check("a stream that began with a comment goes on after a silence",
+          answer.complete and answer.body.endswith(event_of("comment", events_of("comment"))),
+          seen(fleet, "comment", answer))
+    await scene.restore()
+
+
 async def main():
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1)
     fleet.bounds["repeats_window_s"] = 2
@@ -186,6 +200,7 @@
         await check_refused(fleet)
         await check_silent_for_good(fleet)
         await check_all_silent(fleet)
+        await check_comment(fleet)
     finally:
         await fleet.stop()
     if FAILURES:
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -245,6 +245,8 @@
         # (event, seconds): the next stream that comes to this event makes it
         # silent for so long; event 0 stands for an answer that is no stream.
         self.silence_at = None
+        # Streams begin with a comment, before their first event.
+        self.comments = False
 
     def entry(self, state="ready"):
         self.sequence += 1
@@ -372,6 +374,8 @@
         writer.write(
             self.head(200, ident, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
         )
+        if self.comments:
+            writer.write(chunk(b": begun\n\n"))
         stop = self.random.randint(last, count) if fault in ("cut", "cut_reset") else count + 1
         for number in range(last + 1, count + 1):
             await self.hold_silence(number)
