Read the sockets before late timers run

Callers saw: after a pause of the router's own process (stopped for 2.5 s, or without processor time) every stream and call in flight was taken for silent and sent to a second upstream, although its events or its answer were waiting in the socket. A request on a kept connection that came before the connection was due to be closed was dropped with it: in a stop the bytes were read and ignored, at the idle time-out they were reset.

Cause: due timers ran before the poll. A pause makes them late all at once.

Change: timers run after the poll. Late ones wait for one more poll without waiting, since a poll that was interrupted has read nothing.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -17,6 +17,8 @@
 /* Longest time for a connection to an upstream to be established: a round trip
  * between regions, and one more until the listener accepts the connection. */
 #define CONNECT_TIMEOUT (500 * PR_USEC_PER_MSEC)
+/* Timers that are later than this show that the process was paused. */
+#define TIMER_LATENESS_MAX (20 * PR_USEC_PER_MSEC)
 /* Period of the expiry of upstreams, the closing of idle connections and the
  * judgement of transitions. */
 #define HOUSEKEEPING_PERIOD (100 * PR_USEC_PER_MSEC)
@@ -85,7 +87,28 @@
 
 static void on_wake(uv_timer_t *timer)
 {
-	/* The timer only wakes the loop; on_prepare() runs the due timers. */
+	/* The timer only wakes the loop; on_check() runs the due timers. */
+}
+
+/*
+ * Due timers run after the sockets are read, so that what arrived during a
+ * pause of this process is not taken for missing. A poll that the pause
+ * interrupted has read nothing, so the loop polls once more before late timers
+ * run.
+ */
+static void on_check(uv_check_t *check)
+{
+	pr_edge_t *edge = check->data;
+	pr_usec_t now = pr_edge_now(edge);
+	bool late = now - pr_timers_next(&edge->timers) > TIMER_LATENESS_MAX;
+
+	if (late && !edge->timers_postponed) {
+		edge->timers_postponed = true;
+		return;
+	}
+	edge->timers_postponed = false;
+	pr_event_log_tick(now);
+	pr_timers_advance(&edge->timers, now);
 }
 
 static void on_prepare(uv_prepare_t *prepare)
@@ -96,7 +119,6 @@
 	uint64_t delay;
 
 	pr_event_log_tick(now);
-	pr_timers_advance(&edge->timers, now);
 	pr_event_log_flush();
 	next = pr_timers_next(&edge->timers);
 	if (next == PR_USEC_NEVER)
@@ -245,6 +267,9 @@
 	uv_prepare_init(loop, &edge->prepare);
 	edge->prepare.data = edge;
 	uv_prepare_start(&edge->prepare, on_prepare);
+	uv_check_init(loop, &edge->check);
+	edge->check.data = edge;
+	uv_check_start(&edge->check, on_check);
 	uv_timer_init(loop, &edge->wake_timer);
 	rc = init_map(edge);
 	if (!rc)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -78,8 +78,12 @@
 struct pr_edge_t {
 	uv_loop_t *loop;
 	pr_timers_t timers;
-	/** Runs the due timers and writes the log before the loop polls. */
+	/** Writes the log and sets the wake timer before the loop polls. */
 	uv_prepare_t prepare;
+	/** Runs the due timers after the loop has polled. */
+	uv_check_t check;
+	/** Due timers wait for one more poll. */
+	bool timers_postponed;
 	/** Ends a poll when the next timer is due. */
 	uv_timer_t wake_timer;
 	pr_edge_settings_t *settings;
--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -190,6 +190,43 @@
     await scene.restore()
 
 
+async def check_own_pause(fleet):
+    """After a pause of the router itself its timers ran before it read what had come."""
+    router = fleet.routers[0]
+    for name, (path, event) in MOMENTS.items():
+        scene = Scene(fleet, path)
+        await scene.set_bounds(MANY_REPEATS)
+        scene.near.silence_at = (event, 0.3)
+        ident = f"own-pause-{event}"
+        task = asyncio.create_task(ask(fleet, ident, path))
+        await asyncio.sleep(0.15)
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        router.signal(signal.SIGCONT)
+        check_runs(scene, f"{name} that came during a pause of the router is not repeated",
+                   ident, path, await task, 1)
+        await scene.restore()
+
+
+async def check_kept_connection(fleet, name, idle_s):
+    """A request that crossed a close of its kept connection by less than the pause was dropped."""
+    router = fleet.routers[0]
+    caller = Caller(router.address)
+    await caller.request(f"{name}-first", "/safe/x")
+    began = time.monotonic()
+    if name == "stop":
+        router.signal(signal.SIGTERM)
+    await asyncio.sleep(idle_s - 0.4)
+    router.signal(signal.SIGSTOP)
+    task = asyncio.create_task(caller.request(f"{name}-second", "/safe/x"))
+    await asyncio.sleep(0.8)
+    router.signal(signal.SIGCONT)
+    answer = await task
+    check(f"a request in time before a kept connection is closed is answered ({name})",
+          answer.status == 200 and answer.complete,
+          (answer.status, answer.body, time.monotonic() - began))
+
+
 async def main():
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1)
     fleet.bounds["repeats_window_s"] = 2
@@ -201,6 +238,11 @@
         await check_silent_for_good(fleet)
         await check_all_silent(fleet)
         await check_comment(fleet)
+        await check_own_pause(fleet)
+        # The idle time-out of the configuration is 5 s. A stopping host closes
+        # idle connections after 2.6 s.
+        await check_kept_connection(fleet, "idle", 5.0)
+        await check_kept_connection(fleet, "stop", 2.6)
     finally:
         await fleet.stop()
     if FAILURES:
