--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -145,10 +145,14 @@
         await self.store.put("servers", name, upstream.entry())
         return upstream
 
-    async def apply(self, **changes):
-        """Write a new routing document; returns the time it was acknowledged."""
+    async def apply(self, edit=None, **changes):
+        """Write a new routing document, after edit() has changed it; returns
+        the time it was acknowledged."""
         self.version += 1
-        return await self.store.put("op", "config", routing(self.version, **changes))
+        document = routing(self.version, **changes)
+        if edit:
+            edit(document)
+        return await self.store.put("op", "config", document)
 
     async def stop(self):
         for router in self.routers:
--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -208,6 +208,55 @@
         await scene.restore()
 
 
+def shorten_limits(document):
+    document["limits"].update({"idle-timeout-ms": 300, "header-timeout-ms": 300})
+
+
+def shorten_routes(document):
+    for route in document["routes"]:
+        route["timeout-ms"] = 400
+
+
+def swap_services(document):
+    for route in document["routes"]:
+        route["service"] = "model" if route["service"] == "ledger" else "ledger"
+
+
+def remove_all(document):
+    del document["routes"][:]
+    del document["services"][:]
+
+
+async def check_changes(fleet, name, number):
+    """A request in flight keeps the configuration that it began with."""
+    router = fleet.routers[0]
+    scenes = [Scene(fleet, path) for path in ("/stream/x", "/safe/x")]
+    await scenes[0].set_bounds(NO_REPEATS)
+    scenes[0].near.silence_at = (3, PAUSE_S)
+    scenes[1].near.silence_at = (0, PAUSE_S)
+    requests = [("/stream/x", f"{name}-stream"), ("/safe/x", f"{name}-call"),
+                ("/once/x", f"{name}-once")]
+    tasks = [asyncio.create_task(ask(fleet, ident, path)) for path, ident in requests]
+    await asyncio.sleep(0.3)
+    for edit in (shorten_limits, shorten_routes, swap_services, remove_all):
+        await fleet.apply(edit, keys=("key-2",))
+        router.signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+    if number:
+        router.signal(number)
+    for (path, ident), answer in zip(requests, await asyncio.gather(*tasks)):
+        check(f"{ident} goes on beside changes of the configuration",
+              whole(ident, path, answer) and len(fleet.runs[ident]) == 1,
+              seen(fleet, ident, answer))
+    await fleet.apply()
+    if number:
+        await router.process.wait()
+        await router.start()
+        await router.wait_ready()
+    for scene in scenes:
+        await scene.restore()
+
+
 async def check_kept_connection(fleet, name, idle_s):
     """A request that crossed a close of its kept connection by less than the pause was dropped."""
     router = fleet.routers[0]
@@ -239,6 +288,8 @@
         await check_all_silent(fleet)
         await check_comment(fleet)
         await check_own_pause(fleet)
+        await check_changes(fleet, "changes", None)
+        await check_changes(fleet, "changes-and-stop", signal.SIGTERM)
         # The idle time-out of the configuration is 5 s. A stopping host closes
         # idle connections after 2.6 s.
         await check_kept_connection(fleet, "idle", 5.0)
