--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -183,10 +183,14 @@
         await upstream.begin()
         await self.store.put("servers", upstream.name, upstream.entry())
 
-    async def apply(self, **changes):
-        """Write a new routing document; returns the time it was acknowledged."""
+    async def apply(self, edit=None, **changes):
+        """Write a new routing document, after edit() has changed it; returns
+        the time it was acknowledged."""
         self.version += 1
-        return await self.store.put("op", "config", routing(self.version, **changes))
+        document = routing(self.version, **changes)
+        if edit:
+            edit(document)
+        return await self.store.put("op", "config", document)
 
     async def stop(self):
         for router in self.routers:
--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -78,6 +78,7 @@
             upstream.faults = {}
             upstream.silent_until = 0.0
             upstream.silence_at = None
+            upstream.comments = False
         # New instances, of which the router knows no failure; in the time
         # they become warm, and the window of the budget passes.
         await self.list_all([self.near, *self.others], "ready", born=1)
@@ -183,6 +184,105 @@
         await scene.restore()
 
 
+async def check_comment(fleet):
+    """A stream of which only a comment had come was reset, since it had no id to resume from."""
+    scene = Scene(fleet, "/stream/x")
+    await scene.set_bounds(MANY_REPEATS)
+    scene.near.comments = True
+    scene.near.silence_at = (1, PAUSE_S)
+    answer = await ask(fleet, "comment", "/stream/x")
+    check("a stream that began with a comment goes on after a silence",
+          answer.complete and answer.body.endswith(event_of("comment", events_of("comment"))),
+          seen(fleet, "comment", answer))
+    await scene.restore()
+
+
+async def check_own_pause(fleet):
+    """After a pause of the router itself its timers ran before it read what had come."""
+    router = fleet.routers[0]
+    for name, (path, event) in MOMENTS.items():
+        scene = Scene(fleet, path)
+        await scene.set_bounds(MANY_REPEATS)
+        scene.near.silence_at = (event, 0.3)
+        ident = f"own-pause-{event}"
+        task = asyncio.create_task(ask(fleet, ident, path))
+        await asyncio.sleep(0.15)
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        router.signal(signal.SIGCONT)
+        check_runs(scene, f"{name} that came during a pause of the router is not repeated",
+                   ident, path, await task, 1)
+        await scene.restore()
+
+
+def shorten_limits(document):
+    document["limits"].update({"idle-timeout-ms": 300, "header-timeout-ms": 300})
+
+
+def shorten_routes(document):
+    for route in document["routes"]:
+        route["timeout-ms"] = 400
+
+
+def swap_services(document):
+    for route in document["routes"]:
+        route["service"] = "model" if route["service"] == "ledger" else "ledger"
+
+
+def remove_all(document):
+    del document["routes"][:]
+    del document["services"][:]
+
+
+async def check_changes(fleet, name, number):
+    """A request in flight keeps the configuration that it began with."""
+    router = fleet.routers[0]
+    scenes = [Scene(fleet, path) for path in ("/stream/x", "/safe/x")]
+    await scenes[0].set_bounds(NO_REPEATS)
+    scenes[0].near.silence_at = (3, PAUSE_S)
+    scenes[1].near.silence_at = (0, PAUSE_S)
+    requests = [("/stream/x", f"{name}-stream"), ("/safe/x", f"{name}-call"),
+                ("/once/x", f"{name}-once")]
+    tasks = [asyncio.create_task(ask(fleet, ident, path)) for path, ident in requests]
+    await asyncio.sleep(0.3)
+    for edit in (shorten_limits, shorten_routes, swap_services, remove_all):
+        await fleet.apply(edit, keys=("key-2",))
+        router.signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+    if number:
+        router.signal(number)
+    for (path, ident), answer in zip(requests, await asyncio.gather(*tasks)):
+        check(f"{ident} goes on beside changes of the configuration",
+              whole(ident, path, answer) and len(fleet.runs[ident]) == 1,
+              seen(fleet, ident, answer))
+    await fleet.apply()
+    if number:
+        await router.process.wait()
+        await router.start()
+        await router.wait_ready()
+    for scene in scenes:
+        await scene.restore()
+
+
+async def check_kept_connection(fleet, name, idle_s):
+    """A request that crossed a close of its kept connection by less than the pause was dropped."""
+    router = fleet.routers[0]
+    caller = Caller(router.address)
+    await caller.request(f"{name}-first", "/safe/x")
+    began = time.monotonic()
+    if name == "stop":
+        router.signal(signal.SIGTERM)
+    await asyncio.sleep(idle_s - 0.4)
+    router.signal(signal.SIGSTOP)
+    task = asyncio.create_task(caller.request(f"{name}-second", "/safe/x"))
+    await asyncio.sleep(0.8)
+    router.signal(signal.SIGCONT)
+    answer = await task
+    check(f"a request in time before a kept connection is closed is answered ({name})",
+          answer.status == 200 and answer.complete,
+          (answer.status, answer.body, time.monotonic() - began))
+
+
 async def main():
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1)
     fleet.bounds["repeats_window_s"] = 2
@@ -193,6 +293,14 @@
         await check_refused(fleet)
         await check_silent_for_good(fleet)
         await check_all_silent(fleet)
+        await check_comment(fleet)
+        await check_own_pause(fleet)
+        await check_changes(fleet, "changes", None)
+        await check_changes(fleet, "changes-and-stop", signal.SIGTERM)
+        # The idle time-out of the configuration is 5 s. A stopping host closes
+        # idle connections after 2.6 s.
+        await check_kept_connection(fleet, "idle", 5.0)
+        await check_kept_connection(fleet, "stop", 2.6)
     finally:
         await fleet.stop()
     if FAILURES:
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -288,6 +288,8 @@
         # upstream silent for so long; event 0 stands for an answer that is no
         # stream.
         self.silence_at = None
+        # Streams begin with a comment, before their first event.
+        self.comments = False
         # Prompt parts that crash the upstream (shared by upstreams), and what
         # to do then.
         self.deadly = set()
@@ -509,6 +511,8 @@
         frame = chunk if framed else bytes
         await self.hold(reader, ident, None)
         writer.write(self.head(200, ident, "Content-Type: text/event-stream\r\n" + framing))
+        if self.comments:
+            writer.write(frame(b": begun\n\n"))
         cut = fault in ("cut", "cut_reset", "unframed_cut")
         stop = self.random.randint(last, count) if cut else count + 1
         for number in range(last + 1, count + 1):
