Measure the pace of a stream without its pauses

Callers saw a new version several times slower completed and kept. The pace that roll-outs compare was the mean time between events.

Use the lower quartile of the intervals: a slow version generates every event slowly, and pauses are left out.

--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -123,7 +123,7 @@
  * Compare the pace of a response with the usual pace, and update the latter.
  * Responses of cold upstreams are left out, since they are slow.
  *
- * @param ms time between the events of a stream, or of a whole response
+ * @param ms pace as defined in transition/pace.h
  */
 static void record_pace(pr_exchange_t *x, double ms)
 {
@@ -134,7 +134,7 @@
 
 	if (!x->upstream || x->upstream->cold_until > x->attempt_began)
 		return;
-	if (running)
+	if (running && pr_pace_is_known(&x->edge->pace, kind))
 		pr_transition_record_pace(
 			transition, x->upstream->entry.version,
 			pr_pace_is_slow(&x->edge->pace, kind, ms),
--- a/src/transition/pace.h
+++ b/src/transition/pace.h
@@ -1,7 +1,10 @@
 /**
  * Normal pace of answers, by kind, to detect a version whose answers are
- * several times slower. The pace is the mean time between the events of a
- * stream, or the total time of an answer that is not a stream; milliseconds.
+ * several times slower. The pace is the lower quartile of the times between the
+ * events of a stream, or the total time of an answer that is not a stream;
+ * milliseconds. The quartile leaves out pauses in which the upstream reads the
+ * prompts of other requests; a version that is slow generates all events
+ * slowly.
  */
 #ifndef PR_TRANSITION_PACE_H
 #define PR_TRANSITION_PACE_H
@@ -12,8 +15,10 @@
 #include "pistachiorack/timer.h"
 
 /** Number of kinds of answers whose pace is learned; answers of further kinds
- *  never count as slow. */
-#define PR_PACE_KINDS_MAX 64
+ *  are not evaluated. */
+#define PR_PACE_KINDS_MAX 256
+/** Number of intervals from which the pace of a stream is measured. */
+#define PR_PACE_INTERVALS 10
 
 /** Learned pace by kind of answer. Must be zeroed before first use. */
 typedef struct pr_pace_t {
@@ -30,11 +35,14 @@
 /** Measures the pace of one attempt's stream; zeroed when the attempt begins.
  */
 typedef struct pr_pace_stream_t {
-	/** Time at which the first events were passed on; 0 before. */
-	pr_usec_t began;
+	/** Time at which events were last passed on; 0 before the first. */
+	pr_usec_t last;
 	/** Number of events passed on by then, with those of earlier attempts.
 	 */
-	uint64_t first_events;
+	uint64_t last_events;
+	/** Times between events, milliseconds. */
+	float intervals[PR_PACE_INTERVALS];
+	uint32_t count;
 	/** The pace was returned already. */
 	bool measured;
 } pr_pace_stream_t;
@@ -45,7 +53,7 @@
  * @param events number of events passed on to the caller so far, including
  *		 those of earlier attempts
  * @param ended the stream ended
- * @param ms mean time between events, milliseconds; set when true is returned
+ * @param ms pace, milliseconds; set when true is returned
  * @return true once for each attempt, when enough events were passed on
  */
 bool pr_pace_measure_stream(pr_pace_stream_t *stream, uint64_t events,
@@ -58,8 +66,10 @@
  * @param ms pace of the answer, milliseconds
  */
 void pr_pace_learn(pr_pace_t *pace, uint64_t kind, double ms);
-/** @return true when the pace is several times slower than normal; false also
- *	   while the normal pace is unknown */
+/** @return true when enough answers were measured to know the normal pace */
+bool pr_pace_is_known(const pr_pace_t *pace, uint64_t kind);
+/** @return true when the pace is clearly slower than normal; false also while
+ *	   the normal pace is unknown */
 bool pr_pace_is_slow(const pr_pace_t *pace, uint64_t kind, double ms);
 
 #endif
