Know the normal pace after eight answers

Take the median of the first eight samples, which one slow answer does not move, and the running median from there on. The first sample no longer needs larger steps after it.

--- a/src/transition/pace.c
+++ b/src/transition/pace.c
@@ -1,14 +1,11 @@
-/* Running medians by stochastic approximation, as in place/prefill.c. */
+/* Medians of the first samples, then running medians by stochastic
+ * approximation, as in place/prefill.c. */
 #include "transition/pace.h"
 
 #include <string.h>
 
-/* Fraction by which a sample moves the estimate, and what is added to it for
- * the first samples, divided by their number: the first one may be far off. */
-#define STEP_FRACTION       0.05
-#define STEP_FRACTION_FIRST 0.4
-/* Number of samples before the median is used. */
-#define SAMPLES_MIN 20
+/* Fraction by which a sample moves the running median. */
+#define STEP_FRACTION 0.05
 /* An answer is slow when its pace is more than this multiple of the median: a
  * version that takes twice as long on unloaded upstreams must exceed it,
  * whereas the median is that of loaded ones. Load alone can cause that; the
@@ -17,19 +14,22 @@
 /* Minimum number of intervals when a stream ends early. */
 #define INTERVALS_MIN 2
 
+static void insert_sorted(float *sorted, uint32_t count, float value)
+{
+	uint32_t at = count;
+
+	while (at && sorted[at - 1] > value)
+		at--;
+	memmove(&sorted[at + 1], &sorted[at], (count - at) * sizeof(sorted[0]));
+	sorted[at] = value;
+}
+
 static float lower_quartile(const pr_pace_stream_t *stream)
 {
 	float sorted[PR_PACE_INTERVALS];
 
-	for (uint32_t i = 0; i < stream->count; i++) {
-		uint32_t at = i;
-
-		while (at && sorted[at - 1] > stream->intervals[i])
-			at--;
-		memmove(&sorted[at + 1], &sorted[at],
-			(i - at) * sizeof(sorted[0]));
-		sorted[at] = stream->intervals[i];
-	}
+	for (uint32_t i = 0; i < stream->count; i++)
+		insert_sorted(sorted, i, stream->intervals[i]);
 	return sorted[stream->count / 4];
 }
 
@@ -63,42 +63,45 @@
 	return true;
 }
 
+static int64_t find_kind(const pr_pace_t *pace, uint64_t kind)
+{
+	for (uint32_t i = 0; i < pace->count; i++) {
+		if (pace->kinds[i].kind == kind)
+			return i;
+	}
+	return -1;
+}
+
 void pr_pace_learn(pr_pace_t *pace, uint64_t kind, double ms)
 {
-	double step;
-	uint32_t i = 0;
+	int64_t i = find_kind(pace, kind);
+	uint32_t samples;
 
-	while (i < pace->count && pace->kinds[i].kind != kind)
-		i++;
-	if (i == PR_PACE_KINDS_MAX)
-		return;
-	if (i == pace->count) {
-		pace->count++;
+	if (i < 0) {
+		if (pace->count == PR_PACE_KINDS_MAX)
+			return;
+		i = pace->count++;
 		pace->kinds[i].kind = kind;
-		pace->kinds[i].median = ms;
-		pace->kinds[i].samples = 1;
+	}
+	samples = pace->kinds[i].samples++;
+	if (samples < PR_PACE_SAMPLES_MIN) {
+		insert_sorted(pace->kinds[i].first, samples, (float)ms);
+		pace->kinds[i].median = pace->kinds[i].first[samples / 2];
 		return;
 	}
-	step = STEP_FRACTION + STEP_FRACTION_FIRST / ++pace->kinds[i].samples;
-	pace->kinds[i].median *=
-		ms > pace->kinds[i].median ? 1 + step : 1 - step;
+	pace->kinds[i].median *= ms > pace->kinds[i].median ? 1 + STEP_FRACTION
+							    : 1 - STEP_FRACTION;
 }
 
 bool pr_pace_is_known(const pr_pace_t *pace, uint64_t kind)
 {
-	for (uint32_t i = 0; i < pace->count; i++) {
-		if (pace->kinds[i].kind == kind)
-			return pace->kinds[i].samples >= SAMPLES_MIN;
-	}
-	return false;
+	int64_t i = find_kind(pace, kind);
+
+	return i >= 0 && pace->kinds[i].samples >= PR_PACE_SAMPLES_MIN;
 }
 
 bool pr_pace_is_slow(const pr_pace_t *pace, uint64_t kind, double ms)
 {
-	for (uint32_t i = 0; i < pace->count; i++) {
-		if (pace->kinds[i].kind == kind)
-			return pace->kinds[i].samples >= SAMPLES_MIN &&
-			       ms > SLOW_RATIO * pace->kinds[i].median;
-	}
-	return false;
+	return pr_pace_is_known(pace, kind) &&
+	       ms > SLOW_RATIO * pace->kinds[find_kind(pace, kind)].median;
 }
--- a/src/transition/pace.h
+++ b/src/transition/pace.h
@@ -17,6 +17,9 @@
 /** Number of kinds of answers whose pace is learned; answers of further kinds
  *  are not evaluated. */
 #define PR_PACE_KINDS_MAX 256
+/** Number of answers from which the normal pace of a kind is known. A host of a
+ *  large fleet may see one answer of a service in a second. */
+#define PR_PACE_SAMPLES_MIN 8
 /** Number of intervals from which the pace of a stream is measured. */
 #define PR_PACE_INTERVALS 10
 
@@ -28,6 +31,8 @@
 		/** Running median, milliseconds. */
 		double median;
 		uint32_t samples;
+		/** The first samples in ascending order, milliseconds. */
+		float first[PR_PACE_SAMPLES_MIN];
 	} kinds[PR_PACE_KINDS_MAX];
 	uint32_t count;
 } pr_pace_t;
