Do not take a stream without events for broken off after HEAD

A stream that ended before its first event counts as broken off since the quarantine judges crashes by it; the answer to HEAD has no events. The checks "HEAD of a stream has no body" of tests/edge/path.py failed on the merged code.

--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -372,6 +372,15 @@
 	pr_caller_end_response(caller);
 }
 
+/* Whether a stream ended inside an event, or before its first one: its end may
+ * be marked by that of the connection only. */
+static bool has_broken_off(const pr_exchange_t *x)
+{
+	if (x->caller->reader.parser.method == HTTP_HEAD)
+		return false;
+	return !pr_sse_filter_complete(&x->events) || !x->events.passed;
+}
+
 static void on_done(void *owner)
 {
 	pr_exchange_t *x = owner;
