Log why an attempt on a silent upstream was kept

The log could not tell a stream that waited for the repeat budget from one that waited for a place. attempt_stalled names the request, the upstream and the reason, once for each silence.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -197,18 +197,28 @@
 		     x->stalled_until);
 }
 
+/* Error code of a request for which no upstream is available. */
+static const char *place_fault(pr_place_verdict_t verdict)
+{
+	return verdict == PR_PLACE_COLD   ? "upstreams_cold"
+	       : verdict == PR_PLACE_BUSY ? "upstreams_busy"
+					  : "no_upstream";
+}
+
 /*
  * Find out whether another upstream can take over the current attempt, and
  * charge the repeat.
+ *
+ * @return NULL, or what prevents it
  */
-static bool reserve_replacement(pr_exchange_t *x)
+static const char *reserve_replacement(pr_exchange_t *x)
 {
 	pr_upstream_t *upstream;
 	pr_place_verdict_t verdict;
 	size_t tried = x->tried_count;
 
 	if (x->deadline - pr_exchange_now(x) < ATTEMPT_MIN)
-		return false;
+		return "deadline";
 	if (tried < PR_PLACE_TRIED_MAX)
 		x->tried[x->tried_count++] = x->upstream;
 	verdict = pr_exchange_choose_upstream(x, &upstream, NULL);
@@ -216,13 +226,29 @@
 	if (verdict != PR_PLACE_FOUND) {
 		/* An upstream that failed earlier may have recovered. */
 		x->tried_count = 0;
-		return false;
+		return place_fault(verdict);
 	}
 	if (!pr_exchange_take_repeat(x))
-		return false;
+		return "no_repeat";
 	x->repeat_charged = true;
 	x->replacing = true;
-	return true;
+	return NULL;
+}
+
+/* Keep an attempt without progress, since a sound upstream may be silent for a
+ * while, and try to replace it later. */
+static void keep_stalled(pr_exchange_t *x, const char *reason)
+{
+	pr_usec_t now = pr_exchange_now(x);
+
+	/* Once for each silence. */
+	if (x->stalled_until < x->progress_at)
+		pr_event("attempt_stalled",
+			 "request=%s upstream=%s reason=%s ms=%lld sends=%u",
+			 x->id, x->upstream->entry.id, reason,
+			 pr_exchange_age_ms(x), x->sends);
+	x->stalled_until = now + REPLACEMENT_POLL_PERIOD;
+	pr_exchange_set_timer(x);
 }
 
 static void on_timer(pr_timer_t *timer, pr_usec_t now)
@@ -246,10 +272,10 @@
 		return;
 	}
 	if (now >= progress_deadline(x)) {
-		/* A sound upstream may be silent for a while. */
-		if (!reserve_replacement(x)) {
-			x->stalled_until = now + REPLACEMENT_POLL_PERIOD;
-			pr_exchange_set_timer(x);
+		const char *reason = reserve_replacement(x);
+
+		if (reason) {
+			keep_stalled(x, reason);
 			return;
 		}
 		if (x->upstream && !is_load_test_delay(x, PR_FAULT_NO_PROGRESS))
@@ -485,9 +511,7 @@
 		pr_exchange_set_timer(x);
 		return;
 	}
-	pr_exchange_give_up(x, verdict == PR_PLACE_COLD   ? "upstreams_cold"
-			       : verdict == PR_PLACE_BUSY ? "upstreams_busy"
-							  : "no_upstream");
+	pr_exchange_give_up(x, place_fault(verdict));
 }
 
 /* Whether the prompt has a part that crashes upstreams. Sets the time at which
--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -40,6 +40,14 @@
           (answer.status, answer.complete, answer.body[-80:], names))
 
 
+def check_logged(scene, ident, reason):
+    """Check that the log tells why the silent attempt was kept."""
+    with open(f"{scene.fleet.folder}/host-0.log", encoding="ascii", errors="replace") as log:
+        lines = [line for line in log if "event=attempt_stalled" in line and ident in line]
+    check("the log tells why the attempt was kept",
+          len(lines) == 1 and f"reason={reason} " in lines[0], lines)
+
+
 def whole(ident, path, answer):
     body = (b"".join(event_of(ident, n) for n in range(1, events_of(ident) + 1))
             if path.startswith("/stream/") else whole_answer(ident, b""))
@@ -99,6 +107,7 @@
         answer = await ask(fleet, ident, path)
         check_runs(scene, f"{name} goes on after a silence when no repeat may be spent",
                    ident, path, answer, 1)
+        check_logged(scene, ident, "no_repeat")
         await scene.restore()
 
 
@@ -117,6 +126,7 @@
         answer = await task
         check_runs(scene, f"{name} goes on after a silence when no other upstream may be used",
                    ident, path, answer, 1)
+        check_logged(scene, ident, "no_upstream")
         await scene.restore()
 
 
