--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -251,6 +251,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.failing = 0.0
+        # Time between the events of a stream, seconds.
+        self.pace = 0.01
         # Endless answers that are left, shared by upstreams.
         self.endless_left = [1 << 30]
         self.never_closed = []
@@ -492,7 +494,7 @@
                     reset(writer)
                 return False
             writer.write(frame(event))
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.pace)
         if framed:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
