--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -127,10 +127,8 @@
 		edge->registered = true;
 	/* The first known host may be a relay that reads the feeds for this
 	 * host. */
-	if (!edge->peering.roster.count) {
+	if (!edge->peering.roster.count)
 		edge->peering.reader.reading = false;
-		pr_peering_confirm(edge);
-	}
 	if (!pr_roster_upsert(&edge->peering.roster, pr_slice_of(name), zone,
 			      (uint32_t)capacity, &address)) {
 		pr_event_state("host_dropped", "host=%s known=%zu", name,
@@ -202,12 +200,17 @@
 	}
 }
 
-pr_host_t *pr_peers_self(pr_edge_t *edge)
+pr_host_t *pr_peers_self(const pr_edge_t *edge)
 {
 	return pr_roster_find(&edge->peering.roster,
 			      pr_slice_of(edge->settings->host));
 }
 
+bool pr_peering_is_listed(const pr_edge_t *edge)
+{
+	return pr_peers_self(edge);
+}
+
 /* Feeds */
 
 bool pr_peering_reads_store(const pr_edge_t *edge)
@@ -418,6 +421,7 @@
 		pr_message_rows_finish(&rows);
 	} else {
 		pr_peers_receive_sessions(edge, host, &map);
+		pr_peers_receive_suspects(edge, host, &map);
 		pr_peers_receive_tallies(edge, host, &map);
 	}
 	pr_msgmap_finish(&map);
@@ -488,6 +492,7 @@
 		if (edge->transitions[i]->state == PR_ROLLOUT_RUNNING)
 			pr_peers_send_tallies(edge, i);
 	}
+	pr_peers_update_suspects(edge);
 	if (peering->is_relay) {
 		pr_peers_send_digest(edge, PR_COUNT_LOAD);
 		if (outcomes)
