--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -391,10 +391,7 @@
 					   "refused_by_upstream");
 		return;
 	}
-	/* A stream whose end only the connection marks may have broken off
-	 * before its first event. */
-	if (x->event_stream &&
-	    (!pr_sse_filter_complete(&x->events) || !x->events.passed)) {
+	if (x->event_stream && has_broken_off(x)) {
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
 					   PR_FAULT_CUT_EVENT);
 		return;
