Split the quarantine and its tests by duty

Evidence against one part (suspect), verdicts (verdict), what other hosts and the store get (share), and the rest.

--- /dev/null
+++ b/src/quarantine/internal.h
@@ -0,0 +1,27 @@
+/** Functions that the files of this folder share. */
+#ifndef PR_QUARANTINE_INTERNAL_H
+#define PR_QUARANTINE_INTERNAL_H
+
+#include "quarantine/quarantine.h"
+
+/** @return end of the quarantine of a part on this host */
+int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
+				 const pr_suspect_t *suspect);
+/** @return true while requests with the part are refused */
+bool pr_quarantine_is_in_force(const pr_quarantine_t *quarantine,
+			       const pr_quarantine_entry_t *entry,
+			       int64_t now_ms);
+/** @return the entry of a part, or NULL */
+pr_quarantine_entry_t *pr_quarantine_find(pr_quarantine_t *quarantine,
+					  uint32_t service, uint64_t part);
+/** @return time of the last answer of an upstream, or 0 */
+int64_t pr_quarantine_alive_ms(const pr_quarantine_t *quarantine,
+			       uint32_t upstream);
+/**
+ * Note that other hosts have to learn of an entry.
+ *
+ * @param tell_relays the relays too, not only the hosts that report to this one
+ */
+void pr_quarantine_mark_changed(pr_quarantine_entry_t *entry, bool tell_relays);
+
+#endif
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -1,34 +1,12 @@
 /*
- * Quarantine of prompt parts. The bit sets of requests and upstreams merge by
- * union, the times by their maximum, so that hosts need no agreement on who
- * reported what.
+ * Quarantine of prompt parts. The sets of requests and of crashed upstreams
+ * merge by union, the times by their maximum, so that hosts need no agreement
+ * on who reported what.
  */
-#include "quarantine/quarantine.h"
+#include "quarantine/internal.h"
 
 #include <string.h>
 
-/* Requests that must have crashed on a part, and upstreams whose crashes no
- * quarantined part explains. One request that was sent again after each crash
- * proves nothing about its other parts, nor does one upstream that crashes by
- * itself. With more upstreams, fewer requests are enough. */
-#define REQUESTS_MIN       3
-#define UPSTREAMS_MIN      4
-#define REQUESTS_MIN_FEW   2
-#define UPSTREAMS_MIN_MANY 5
-/* Both, for a part on which an answer began not long before the first crash:
- * requests that wait on an upstream are broken off too when another request
- * crashes it. */
-#define CRASHES_MIN_ANSWERED 6
-#define ANSWERED_MS          INT64_C(30000)
-/* Time from the first crash, and from the first answer to another request after
- * it, until the verdict, milliseconds: answers on the part at other hosts are
- * known by then. The second one is for a part on which an answer is known from
- * before. */
-#define SETTLE_MS          1500
-#define SETTLE_ANSWERED_MS 5000
-/* Answers to other requests of the service until the verdict. Without any, the
- * service is down rather than the part at fault. */
-#define OTHER_ANSWERS_MIN 5
 /* Time in which the evidence against a part lasts without a further crash,
  * milliseconds. */
 #define SUSPICION_MS INT64_C(600000)
@@ -41,21 +19,11 @@
  * hosts that come late in the order. */
 #define RELEASE_STEP_MS INT64_C(5000)
 #define RELEASE_MAX_MS  INT64_C(60000)
-/* Time in which bytes that an upstream sent before it crashed still arrive at
- * other hosts, whose clocks differ a little, milliseconds. */
-#define ON_THE_WAY_MS 500
 /* Time for which the outcome of a request after the quarantine is awaited,
  * milliseconds. */
 #define PROBE_MS INT64_C(10000)
 /* Datagrams may be lost, so a change is sent this often. */
 #define SENDS 3
-/* Quarantined parts that are sent again at a time. */
-#define REFRESH_MAX 8
-
-static unsigned count_bits(uint64_t bits)
-{
-	return (unsigned)__builtin_popcountll(bits);
-}
 
 /* Multiplicative hash; its upper bits depend on all bits of the key. */
 static uint64_t spread(uint64_t key)
@@ -68,16 +36,6 @@
 	return UINT64_C(1) << (spread(key) >> 58);
 }
 
-static bool is_suspected(const pr_suspect_t *suspect)
-{
-	return suspect->crash_ms > suspect->cleared_ms;
-}
-
-static bool is_quarantined(const pr_suspect_t *suspect)
-{
-	return suspect->quarantined_ms > suspect->cleared_ms;
-}
-
 static int64_t later(int64_t a, int64_t b)
 {
 	return a > b ? a : b;
@@ -88,9 +46,8 @@
 	return a < b ? a : b;
 }
 
-/* End of the quarantine on this host. */
-static int64_t release_ms(const pr_quarantine_t *quarantine,
-			  const pr_suspect_t *suspect)
+int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
+				 const pr_suspect_t *suspect)
 {
 	int64_t length = QUARANTINE_MS;
 
@@ -101,100 +58,16 @@
 	       earlier(quarantine->rank * RELEASE_STEP_MS, RELEASE_MAX_MS);
 }
 
-static bool is_in_force(const pr_quarantine_t *quarantine,
-			const pr_quarantine_entry_t *entry, int64_t now_ms)
-{
-	return is_quarantined(&entry->suspect) && !entry->overruled &&
-	       now_ms < release_ms(quarantine, &entry->suspect);
-}
-
-/* Whether the upstream crashed indeed: one that sends something afterwards only
- * broke the connection. */
-static bool is_crash(const pr_crash_t *crash)
-{
-	return crash->answer_ms <= crash->at_ms + ON_THE_WAY_MS;
-}
-
-static unsigned count_crashes(const pr_suspect_t *suspect)
-{
-	unsigned count = 0;
-
-	for (uint32_t i = 0; i < suspect->crashes_count; i++)
-		count += is_crash(&suspect->crashes[i]);
-	return count;
-}
-
-static pr_crash_t *find_crash(pr_suspect_t *suspect, uint32_t upstream)
+bool pr_quarantine_is_in_force(const pr_quarantine_t *quarantine,
+			       const pr_quarantine_entry_t *entry,
+			       int64_t now_ms)
 {
-	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
-		if (suspect->crashes[i].upstream == upstream)
-			return &suspect->crashes[i];
-	}
-	return NULL;
-}
-
-static bool has_crash(const pr_suspect_t *suspect, uint32_t upstream)
-{
-	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
-		if (suspect->crashes[i].upstream == upstream)
-			return true;
-	}
-	return false;
-}
-
-/* Merge a crash of an upstream. @return true when it was not known */
-static bool add_crash(pr_suspect_t *suspect, const pr_crash_t *crash)
-{
-	pr_crash_t *known = find_crash(suspect, crash->upstream);
-	pr_crash_t before;
-
-	if (!known && suspect->crashes_count < PR_SUSPECT_CRASHES_MAX) {
-		suspect->crashes[suspect->crashes_count++] = *crash;
-		return true;
-	}
-	if (!known) {
-		known = &suspect->crashes[0];
-		for (uint32_t i = 1; i < PR_SUSPECT_CRASHES_MAX; i++) {
-			if (suspect->crashes[i].at_ms < known->at_ms)
-				known = &suspect->crashes[i];
-		}
-		if (known->at_ms >= crash->at_ms)
-			return false;
-		*known = *crash;
-		return true;
-	}
-	before = *known;
-	known->at_ms = later(known->at_ms, crash->at_ms);
-	known->answer_ms = later(known->answer_ms, crash->answer_ms);
-	return is_crash(known) != is_crash(&before);
+	return pr_suspect_is_quarantined(&entry->suspect) &&
+	       !entry->overruled &&
+	       now_ms < pr_quarantine_release_ms(quarantine, &entry->suspect);
 }
 
-/* Whether an answer on the part began not long before the first crash. */
-static bool was_answered(const pr_suspect_t *suspect)
-{
-	return suspect->answer_ms &&
-	       suspect->since_ms - suspect->answer_ms < ANSWERED_MS;
-}
-
-/* Whether a is more likely than b to be the part that crashed the upstreams: it
- * crashed all of them. Of two parts that occur together, the later one occurs
- * in fewer requests. */
-static bool is_likelier(const pr_suspect_t *a, const pr_suspect_t *b)
-{
-	unsigned a_crashes = count_crashes(a), b_crashes = count_crashes(b);
-
-	if (was_answered(a) != was_answered(b))
-		return was_answered(b);
-	if (a_crashes != b_crashes)
-		return a_crashes > b_crashes;
-	if (!a->answer_ms != !b->answer_ms)
-		return !a->answer_ms;
-	if (a->position != b->position)
-		return a->position > b->position;
-	return a->part > b->part;
-}
-
-static void mark_changed(pr_quarantine_entry_t *entry, bool tell_relays)
+void pr_quarantine_mark_changed(pr_quarantine_entry_t *entry, bool tell_relays)
 {
 	entry->sends_left[PR_AUDIENCE_FOLLOWERS] = SENDS;
 	if (tell_relays)
@@ -215,13 +88,14 @@
 static bool is_less_important(const pr_quarantine_entry_t *a,
 			      const pr_quarantine_entry_t *b)
 {
-	if (is_quarantined(&a->suspect) != is_quarantined(&b->suspect))
-		return is_quarantined(&b->suspect);
+	if (pr_suspect_is_quarantined(&a->suspect) !=
+	    pr_suspect_is_quarantined(&b->suspect))
+		return pr_suspect_is_quarantined(&b->suspect);
 	return changed_ms(&a->suspect) < changed_ms(&b->suspect);
 }
 
-static pr_quarantine_entry_t *find(pr_quarantine_t *quarantine,
-				   uint32_t service, uint64_t part)
+pr_quarantine_entry_t *pr_quarantine_find(pr_quarantine_t *quarantine,
+					  uint32_t service, uint64_t part)
 {
 	for (size_t i = 0; i < quarantine->count; i++) {
 		pr_quarantine_entry_t *entry = &quarantine->entries[i];
@@ -252,7 +126,8 @@
 	return (size_t)(spread(upstream) >> 32) % PR_QUARANTINE_ALIVE_MAX;
 }
 
-static int64_t alive_ms(const pr_quarantine_t *quarantine, uint32_t upstream)
+int64_t pr_quarantine_alive_ms(const pr_quarantine_t *quarantine,
+			       uint32_t upstream)
 {
 	size_t slot = alive_slot(upstream);
 
@@ -293,11 +168,12 @@
 {
 	/* The other hosts have to know when suspicion ends. A later answer is
 	 * no news: they see answers themselves. */
-	if (is_suspected(&entry->suspect) || is_quarantined(&entry->suspect))
-		mark_changed(entry, true);
+	if (pr_suspect_is_suspected(&entry->suspect) ||
+	    pr_suspect_is_quarantined(&entry->suspect))
+		pr_quarantine_mark_changed(entry, true);
 	if (at_ms > entry->suspect.cleared_ms)
 		entry->suspect.cleared_ms = at_ms;
-	if (!is_suspected(&entry->suspect))
+	if (!pr_suspect_is_suspected(&entry->suspect))
 		drop_evidence(entry);
 }
 
@@ -314,8 +190,8 @@
 static bool concerns(const pr_quarantine_entry_t *entry,
 		     const pr_quarantine_prompt_t *prompt)
 {
-	return is_quarantined(&entry->suspect) && !entry->overruled &&
-	       entry->suspect.service == prompt->service &&
+	return pr_suspect_is_quarantined(&entry->suspect) &&
+	       !entry->overruled && entry->suspect.service == prompt->service &&
 	       has_part(prompt, entry->suspect.part);
 }
 
@@ -329,8 +205,9 @@
 
 		if (!concerns(entry, prompt))
 			continue;
-		until = later(release_ms(quarantine, &entry->suspect),
-			      entry->suspect.probe_ms + PROBE_MS);
+		until = later(
+			pr_quarantine_release_ms(quarantine, &entry->suspect),
+			entry->suspect.probe_ms + PROBE_MS);
 		if (now_ms >= until && !is_repeat)
 			continue;
 		if (until_ms)
@@ -350,7 +227,7 @@
 		if (!concerns(entry, prompt))
 			continue;
 		entry->suspect.probe_ms = now_ms;
-		mark_changed(entry, true);
+		pr_quarantine_mark_changed(entry, true);
 	}
 }
 
@@ -359,8 +236,8 @@
  * back. */
 static bool is_stale(const pr_suspect_t *suspect, int64_t now_ms)
 {
-	return !is_suspected(suspect) ||
-	       (!is_quarantined(suspect) &&
+	return !pr_suspect_is_suspected(suspect) ||
+	       (!pr_suspect_is_quarantined(suspect) &&
 		now_ms - suspect->crash_ms > SUSPICION_MS);
 }
 
@@ -375,9 +252,9 @@
 		suspect->since_ms = crash->at_ms;
 	}
 	suspect->requests |= bit_of(prompt->request);
-	add_crash(suspect, crash);
+	pr_suspect_add_crash(suspect, crash);
 	suspect->crash_ms = crash->at_ms;
-	mark_changed(entry, true);
+	pr_quarantine_mark_changed(entry, true);
 }
 
 void pr_quarantine_record_crash(pr_quarantine_t *quarantine,
@@ -397,8 +274,8 @@
 		explained = true;
 	}
 	for (size_t i = 0; i < prompt->parts_count && !explained; i++) {
-		pr_quarantine_entry_t *entry =
-			find(quarantine, prompt->service, prompt->parts[i]);
+		pr_quarantine_entry_t *entry = pr_quarantine_find(
+			quarantine, prompt->service, prompt->parts[i]);
 
 		if (!entry)
 			entry = add(quarantine, prompt->service,
@@ -434,7 +311,7 @@
 			continue;
 		if (has_part(prompt, entry->suspect.part)) {
 			if (!entry->suspect.answer_ms)
-				mark_changed(entry, true);
+				pr_quarantine_mark_changed(entry, true);
 			entry->suspect.answer_ms = now_ms;
 			clear(entry, now_ms);
 			continue;
@@ -452,14 +329,15 @@
 	pr_suspect_t *own = &entry->suspect;
 	bool entry_changed = false;
 
-	if (!is_suspected(own))
+	if (!pr_suspect_is_suspected(own))
 		drop_evidence(entry);
 	if (suspect->crash_ms > own->cleared_ms) {
 		if (!own->requests || suspect->since_ms < own->since_ms)
 			own->since_ms = suspect->since_ms;
 		own->requests |= suspect->requests;
 		for (uint32_t i = 0; i < suspect->crashes_count; i++)
-			entry_changed |= add_crash(own, &suspect->crashes[i]);
+			entry_changed |=
+				pr_suspect_add_crash(own, &suspect->crashes[i]);
 		own->position = suspect->position;
 	}
 	/* The other host's evidence may be from before this host's answer. */
@@ -472,7 +350,7 @@
 			 const pr_suspect_t *suspect, bool tell_relays)
 {
 	pr_quarantine_entry_t *entry =
-		find(quarantine, suspect->service, suspect->part);
+		pr_quarantine_find(quarantine, suspect->service, suspect->part);
 	pr_suspect_t *own, before;
 	bool changed;
 
@@ -492,274 +370,10 @@
 	    own->quarantined_ms != before.quarantined_ms ||
 	    own->probe_ms != before.probe_ms ||
 	    !own->answer_ms != !before.answer_ms ||
-	    is_quarantined(own) != is_quarantined(&before))
-		mark_changed(entry, tell_relays);
+	    pr_suspect_is_quarantined(own) !=
+		    pr_suspect_is_quarantined(&before))
+		pr_quarantine_mark_changed(entry, tell_relays);
 	/* This host knows that answers on the part began. */
 	if (own->answer_ms && !suspect->answer_ms)
-		mark_changed(entry, true);
-}
-
-/* Whether a part that is in quarantine, or was, crashed the upstream. */
-static bool is_explained(const pr_quarantine_t *quarantine,
-			 const pr_suspect_t *suspect, uint32_t upstream)
-{
-	for (size_t i = 0; i < quarantine->count; i++) {
-		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
-
-		if (&entry->suspect != suspect &&
-		    entry->suspect.service == suspect->service &&
-		    is_quarantined(&entry->suspect) && !entry->overruled &&
-		    has_crash(&entry->suspect, upstream))
-			return true;
-	}
-	return false;
-}
-
-static unsigned count_unexplained(const pr_quarantine_t *quarantine,
-				  const pr_suspect_t *suspect)
-{
-	unsigned count = 0;
-
-	for (uint32_t i = 0; i < suspect->crashes_count; i++)
-		count += is_crash(&suspect->crashes[i]) &&
-			 !is_explained(quarantine, suspect,
-				       suspect->crashes[i].upstream);
-	return count;
-}
-
-static bool has_enough_crashes(const pr_quarantine_t *quarantine,
-			       const pr_suspect_t *suspect)
-{
-	unsigned requests = count_bits(suspect->requests);
-	unsigned upstreams = count_unexplained(quarantine, suspect);
-
-	if (was_answered(suspect))
-		return requests >= CRASHES_MIN_ANSWERED &&
-		       upstreams >= CRASHES_MIN_ANSWERED;
-	return (requests >= REQUESTS_MIN && upstreams >= UPSTREAMS_MIN) ||
-	       (requests >= REQUESTS_MIN_FEW &&
-		upstreams >= UPSTREAMS_MIN_MANY);
-}
-
-static bool is_guilty(const pr_quarantine_t *quarantine,
-		      const pr_quarantine_entry_t *entry, int64_t now_ms)
-{
-	const pr_suspect_t *suspect = &entry->suspect;
-	int64_t settle_ms =
-		was_answered(suspect) ? SETTLE_ANSWERED_MS : SETTLE_MS;
-
-	/* A request that was under way when the quarantine began must not
-	 * extend it. */
-	if (!is_suspected(suspect) ||
-	    suspect->crash_ms <= suspect->quarantined_ms ||
-	    is_in_force(quarantine, entry, now_ms))
-		return false;
-	/* After the quarantine one crash is enough. */
-	if (is_quarantined(suspect) && !entry->overruled)
-		return suspect->crash_ms >= release_ms(quarantine, suspect);
-	return now_ms - suspect->since_ms >= settle_ms &&
-	       entry->other_answers >= OTHER_ANSWERS_MIN &&
-	       now_ms - entry->other_since_ms >= settle_ms &&
-	       suspect->crash_ms > entry->other_since_ms &&
-	       has_enough_crashes(quarantine, suspect);
-}
-
-/* @return the part with the most evidence, if that suffices; otherwise NULL */
-static pr_quarantine_entry_t *find_guilty(pr_quarantine_t *quarantine,
-					  int64_t now_ms)
-{
-	pr_quarantine_entry_t *guilty = NULL;
-
-	for (size_t i = 0; i < quarantine->count; i++) {
-		pr_quarantine_entry_t *entry = &quarantine->entries[i];
-
-		if (is_guilty(quarantine, entry, now_ms) &&
-		    (!guilty || is_likelier(&entry->suspect, &guilty->suspect)))
-			guilty = entry;
-	}
-	return guilty;
-}
-
-/* Note which upstreams that are said to have crashed sent something since. */
-static void refute_crashes(const pr_quarantine_t *quarantine,
-			   pr_quarantine_entry_t *entry)
-{
-	for (uint32_t i = 0; i < entry->suspect.crashes_count; i++) {
-		pr_crash_t *crash = &entry->suspect.crashes[i];
-		bool was_crash = is_crash(crash);
-
-		crash->answer_ms = later(crash->answer_ms,
-					 alive_ms(quarantine, crash->upstream));
-		if (was_crash && !is_crash(crash))
-			mark_changed(entry, true);
-	}
-}
-
-/* Hosts may quarantine two parts of the same requests at the same time: the
- * likelier one overrules the other, which crashed no other upstream. */
-static void overrule(pr_quarantine_t *quarantine, pr_quarantine_entry_t *entry)
-{
-	entry->overruled = false;
-	for (size_t i = 0; i < quarantine->count && !entry->overruled; i++) {
-		const pr_suspect_t *other = &quarantine->entries[i].suspect;
-
-		entry->overruled =
-			other != &entry->suspect && is_quarantined(other) &&
-			is_likelier(other, &entry->suspect) &&
-			!count_unexplained(quarantine, &entry->suspect);
-	}
-}
-
-void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms)
-{
-	pr_quarantine_entry_t *guilty;
-
-	for (size_t i = 0; i < quarantine->count; i++)
-		refute_crashes(quarantine, &quarantine->entries[i]);
-	for (size_t i = 0; i < quarantine->count; i++) {
-		if (is_quarantined(&quarantine->entries[i].suspect))
-			overrule(quarantine, &quarantine->entries[i]);
-	}
-	while ((guilty = find_guilty(quarantine, now_ms))) {
-		guilty->suspect.quarantined_ms = now_ms;
-		guilty->suspect.quarantines++;
-		guilty->overruled = false;
-		mark_changed(guilty, true);
-	}
-}
-
-const pr_suspect_t *pr_quarantine_next_change(pr_quarantine_t *quarantine,
-					      int64_t now_ms, bool *in_force)
-{
-	for (size_t i = 0; i < quarantine->count; i++) {
-		pr_quarantine_entry_t *entry = &quarantine->entries[i];
-
-		*in_force = is_in_force(quarantine, entry, now_ms);
-		if (*in_force == entry->was_in_force)
-			continue;
-		entry->was_in_force = *in_force;
-		return &entry->suspect;
-	}
-	return NULL;
-}
-
-void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms)
-{
-	size_t refreshed = 0;
-
-	for (size_t i = 0; i < quarantine->count && refreshed < REFRESH_MAX;
-	     i++) {
-		pr_quarantine_entry_t *entry;
-
-		quarantine->refresh_at =
-			(quarantine->refresh_at + 1) % quarantine->count;
-		entry = &quarantine->entries[quarantine->refresh_at];
-		if (!is_in_force(quarantine, entry, now_ms))
-			continue;
-		refreshed++;
-		for (int j = 0; j < PR_AUDIENCES_COUNT; j++) {
-			if (!entry->sends_left[j])
-				entry->sends_left[j] = 1;
-		}
-	}
-}
-
-/* Whether to send a rather than b to an audience. A clearance that comes late
- * leads to a false verdict, evidence that comes late only delays one. */
-static bool is_sent_before(const pr_quarantine_entry_t *a,
-			   const pr_quarantine_entry_t *b,
-			   pr_audience_t audience)
-{
-	const pr_suspect_t *x = &a->suspect, *y = &b->suspect;
-
-	if (a->sends_left[audience] != b->sends_left[audience])
-		return a->sends_left[audience] > b->sends_left[audience];
-	if (is_quarantined(x) != is_quarantined(y))
-		return is_quarantined(x);
-	if (is_suspected(x) != is_suspected(y))
-		return is_suspected(y);
-	return is_likelier(x, y);
-}
-
-size_t pr_quarantine_take_changes(pr_quarantine_t *quarantine,
-				  pr_audience_t audience, pr_suspect_t *out,
-				  size_t max)
-{
-	bool taken[PR_QUARANTINE_MAX] = { false };
-	size_t count = 0;
-
-	while (count < max) {
-		pr_quarantine_entry_t *first = NULL;
-
-		for (size_t i = 0; i < quarantine->count; i++) {
-			pr_quarantine_entry_t *entry = &quarantine->entries[i];
-
-			if (entry->sends_left[audience] && !taken[i] &&
-			    (!first || is_sent_before(entry, first, audience)))
-				first = entry;
-		}
-		if (!first)
-			break;
-		first->sends_left[audience]--;
-		taken[first - quarantine->entries] = true;
-		out[count++] = first->suspect;
-	}
-	return count;
-}
-
-size_t pr_quarantine_list(const pr_quarantine_t *quarantine, int64_t now_ms,
-			  pr_suspect_t *out, size_t max)
-{
-	size_t count = 0;
-
-	for (size_t i = 0; i < quarantine->count; i++) {
-		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
-		const pr_suspect_t *suspect = &entry->suspect;
-		size_t at = count < max ? count : max;
-
-		if (!is_in_force(quarantine, entry, now_ms))
-			continue;
-		while (at &&
-		       out[at - 1].quarantined_ms < suspect->quarantined_ms) {
-			if (at < max)
-				out[at] = out[at - 1];
-			at--;
-		}
-		if (at < max)
-			out[at] = *suspect;
-		if (count < max)
-			count++;
-	}
-	return count;
-}
-
-void pr_quarantine_load(pr_quarantine_t *quarantine,
-			const pr_suspect_t *suspects, size_t count)
-{
-	for (size_t i = 0; i < quarantine->count; i++)
-		quarantine->entries[i].saved_ms = 0;
-	for (size_t i = 0; i < count; i++) {
-		pr_quarantine_merge(quarantine, &suspects[i], false);
-		find(quarantine, suspects[i].service, suspects[i].part)
-			->saved_ms = suspects[i].quarantined_ms;
-	}
-}
-
-bool pr_quarantine_is_saved(const pr_quarantine_t *quarantine, int64_t now_ms,
-			    size_t max)
-{
-	size_t in_force = 0, missing = 0;
-
-	for (size_t i = 0; i < quarantine->count; i++) {
-		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
-
-		if (entry->saved_ms && !is_quarantined(&entry->suspect))
-			return false;
-		if (!is_in_force(quarantine, entry, now_ms))
-			continue;
-		in_force++;
-		missing += entry->saved_ms < entry->suspect.quarantined_ms;
-	}
-	/* More than max never fit. */
-	return !missing || (in_force > max && missing <= in_force - max);
+		pr_quarantine_mark_changed(entry, true);
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -16,9 +16,9 @@
 #ifndef PR_QUARANTINE_QUARANTINE_H
 #define PR_QUARANTINE_QUARANTINE_H
 
-#include <stdbool.h>
+#include "quarantine/suspect.h"
+
 #include <stddef.h>
-#include <stdint.h>
 
 /** Most parts that are under suspicion or in quarantine. */
 #define PR_QUARANTINE_MAX 512
@@ -27,45 +27,6 @@
 /** Upstreams whose last answer is remembered; a power of two. */
 #define PR_QUARANTINE_ALIVE_MAX 1024
 
-/** An upstream that broke off a request with a part. */
-typedef struct pr_crash_t {
-	/** Tag of its incarnation. */
-	uint32_t upstream;
-	/** Time of the crash, and of the newest answer of the upstream that a
-	 *  host reported: after a crash there is none. */
-	int64_t at_ms, answer_ms;
-} pr_crash_t;
-
-/** Most upstreams that are kept for a part; the oldest crashes are dropped. */
-#define PR_SUSPECT_CRASHES_MAX 16
-
-/** What is known of a part; all times by the store's clock, milliseconds. */
-typedef struct pr_suspect_t {
-	uint64_t part;
-	/** Hash of the service whose upstreams crashed. */
-	uint32_t service;
-	/** Position in the prompt, from 0. */
-	uint32_t position;
-	/** Requests that broke off while the part has been suspected: bit set
-	 *  by hash. */
-	uint64_t requests;
-	pr_crash_t crashes[PR_SUSPECT_CRASHES_MAX];
-	uint32_t crashes_count;
-	/** First crash while the part has been suspected, and the newest. */
-	int64_t since_ms, crash_ms;
-	/** Evidence up to this time does not count: an answer on the part
-	 *  began. */
-	int64_t cleared_ms;
-	/** Newest answer on the part that a host reported; 0 for none. */
-	int64_t answer_ms;
-	/** Begin of the last quarantine, and the number of quarantines. */
-	int64_t quarantined_ms;
-	uint32_t quarantines;
-	/** When a host sent the last request after a quarantine, whose outcome
-	 *  the others await; 0 for none. */
-	int64_t probe_ms;
-} pr_suspect_t;
-
 /** Hosts that are told of a change. */
 typedef enum pr_audience_t {
 	/** The relays: they get what this host, or a host that reports to it,
--- /dev/null
+++ b/src/quarantine/share.c
@@ -0,0 +1,129 @@
+/* What a host tells others of its suspects, and what the fleet saves of them.
+ */
+#include "quarantine/internal.h"
+
+/* Quarantined parts that are sent again at a time. */
+#define REFRESH_MAX 8
+
+void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms)
+{
+	size_t refreshed = 0;
+
+	for (size_t i = 0; i < quarantine->count && refreshed < REFRESH_MAX;
+	     i++) {
+		pr_quarantine_entry_t *entry;
+
+		quarantine->refresh_at =
+			(quarantine->refresh_at + 1) % quarantine->count;
+		entry = &quarantine->entries[quarantine->refresh_at];
+		if (!pr_quarantine_is_in_force(quarantine, entry, now_ms))
+			continue;
+		refreshed++;
+		for (int j = 0; j < PR_AUDIENCES_COUNT; j++) {
+			if (!entry->sends_left[j])
+				entry->sends_left[j] = 1;
+		}
+	}
+}
+
+/* Whether to send a rather than b to an audience. A clearance that comes late
+ * leads to a false verdict, evidence that comes late only delays one. */
+static bool is_sent_before(const pr_quarantine_entry_t *a,
+			   const pr_quarantine_entry_t *b,
+			   pr_audience_t audience)
+{
+	const pr_suspect_t *x = &a->suspect, *y = &b->suspect;
+
+	if (a->sends_left[audience] != b->sends_left[audience])
+		return a->sends_left[audience] > b->sends_left[audience];
+	if (pr_suspect_is_quarantined(x) != pr_suspect_is_quarantined(y))
+		return pr_suspect_is_quarantined(x);
+	if (pr_suspect_is_suspected(x) != pr_suspect_is_suspected(y))
+		return pr_suspect_is_suspected(y);
+	return pr_suspect_is_likelier(x, y);
+}
+
+size_t pr_quarantine_take_changes(pr_quarantine_t *quarantine,
+				  pr_audience_t audience, pr_suspect_t *out,
+				  size_t max)
+{
+	bool taken[PR_QUARANTINE_MAX] = { false };
+	size_t count = 0;
+
+	while (count < max) {
+		pr_quarantine_entry_t *first = NULL;
+
+		for (size_t i = 0; i < quarantine->count; i++) {
+			pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+			if (entry->sends_left[audience] && !taken[i] &&
+			    (!first || is_sent_before(entry, first, audience)))
+				first = entry;
+		}
+		if (!first)
+			break;
+		first->sends_left[audience]--;
+		taken[first - quarantine->entries] = true;
+		out[count++] = first->suspect;
+	}
+	return count;
+}
+
+size_t pr_quarantine_list(const pr_quarantine_t *quarantine, int64_t now_ms,
+			  pr_suspect_t *out, size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < quarantine->count; i++) {
+		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
+		const pr_suspect_t *suspect = &entry->suspect;
+		size_t at = count < max ? count : max;
+
+		if (!pr_quarantine_is_in_force(quarantine, entry, now_ms))
+			continue;
+		while (at &&
+		       out[at - 1].quarantined_ms < suspect->quarantined_ms) {
+			if (at < max)
+				out[at] = out[at - 1];
+			at--;
+		}
+		if (at < max)
+			out[at] = *suspect;
+		if (count < max)
+			count++;
+	}
+	return count;
+}
+
+void pr_quarantine_load(pr_quarantine_t *quarantine,
+			const pr_suspect_t *suspects, size_t count)
+{
+	for (size_t i = 0; i < quarantine->count; i++)
+		quarantine->entries[i].saved_ms = 0;
+	for (size_t i = 0; i < count; i++) {
+		pr_quarantine_merge(quarantine, &suspects[i], false);
+		pr_quarantine_find(quarantine, suspects[i].service,
+				   suspects[i].part)
+			->saved_ms = suspects[i].quarantined_ms;
+	}
+}
+
+bool pr_quarantine_is_saved(const pr_quarantine_t *quarantine, int64_t now_ms,
+			    size_t max)
+{
+	size_t in_force = 0, missing = 0;
+
+	for (size_t i = 0; i < quarantine->count; i++) {
+		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		if (entry->saved_ms &&
+		    !pr_suspect_is_quarantined(&entry->suspect))
+			return false;
+		if (!pr_quarantine_is_in_force(quarantine, entry, now_ms))
+			continue;
+		in_force++;
+		missing += entry->saved_ms < entry->suspect.quarantined_ms;
+	}
+	/* More than max never fit. */
+	return !missing || (in_force > max && missing <= in_force - max);
+}
--- /dev/null
+++ b/src/quarantine/suspect.c
@@ -0,0 +1,113 @@
+/* Evidence against one prompt part. */
+#include "quarantine/suspect.h"
+
+/* Age of the last answer on a part at its first crash, milliseconds, up to
+ * which the part counts as answered before. */
+#define ANSWERED_MS INT64_C(30000)
+/* Time in which bytes that an upstream sent before it crashed still arrive at
+ * other hosts, whose clocks differ a little, milliseconds. */
+#define ON_THE_WAY_MS 500
+
+static int64_t later(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+bool pr_suspect_is_suspected(const pr_suspect_t *suspect)
+{
+	return suspect->crash_ms > suspect->cleared_ms;
+}
+
+bool pr_suspect_is_quarantined(const pr_suspect_t *suspect)
+{
+	return suspect->quarantined_ms > suspect->cleared_ms;
+}
+
+bool pr_crash_is_real(const pr_crash_t *crash)
+{
+	return crash->answer_ms <= crash->at_ms + ON_THE_WAY_MS;
+}
+
+static unsigned count_crashes(const pr_suspect_t *suspect)
+{
+	unsigned count = 0;
+
+	for (uint32_t i = 0; i < suspect->crashes_count; i++)
+		count += pr_crash_is_real(&suspect->crashes[i]);
+	return count;
+}
+
+/* @return index of the upstream's crash, or crashes_count */
+static uint32_t find_crash(const pr_suspect_t *suspect, uint32_t upstream)
+{
+	uint32_t i = 0;
+
+	while (i < suspect->crashes_count &&
+	       suspect->crashes[i].upstream != upstream)
+		i++;
+	return i;
+}
+
+bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream)
+{
+	return find_crash(suspect, upstream) < suspect->crashes_count;
+}
+
+/* @return index of the oldest crash of a suspect that has some */
+static uint32_t oldest_crash(const pr_suspect_t *suspect)
+{
+	uint32_t oldest = 0;
+
+	for (uint32_t i = 1; i < suspect->crashes_count; i++) {
+		if (suspect->crashes[i].at_ms < suspect->crashes[oldest].at_ms)
+			oldest = i;
+	}
+	return oldest;
+}
+
+bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash)
+{
+	uint32_t i = find_crash(suspect, crash->upstream);
+	pr_crash_t *known = &suspect->crashes[i];
+	bool was_crash;
+
+	if (i == PR_SUSPECT_CRASHES_MAX) {
+		i = oldest_crash(suspect);
+		if (suspect->crashes[i].at_ms >= crash->at_ms)
+			return false;
+		suspect->crashes[i] = *crash;
+		return true;
+	}
+	if (i == suspect->crashes_count) {
+		suspect->crashes_count++;
+		*known = *crash;
+		return true;
+	}
+	was_crash = pr_crash_is_real(known);
+	known->at_ms = later(known->at_ms, crash->at_ms);
+	known->answer_ms = later(known->answer_ms, crash->answer_ms);
+	return pr_crash_is_real(known) != was_crash;
+}
+
+bool pr_suspect_was_answered(const pr_suspect_t *suspect)
+{
+	return suspect->answer_ms &&
+	       suspect->since_ms - suspect->answer_ms < ANSWERED_MS;
+}
+
+/* The part that crashed the upstreams crashed all of them. Of two parts that
+ * occur together, the later one occurs in fewer requests. */
+bool pr_suspect_is_likelier(const pr_suspect_t *a, const pr_suspect_t *b)
+{
+	unsigned a_crashes = count_crashes(a), b_crashes = count_crashes(b);
+
+	if (pr_suspect_was_answered(a) != pr_suspect_was_answered(b))
+		return pr_suspect_was_answered(b);
+	if (a_crashes != b_crashes)
+		return a_crashes > b_crashes;
+	if (!a->answer_ms != !b->answer_ms)
+		return !a->answer_ms;
+	if (a->position != b->position)
+		return a->position > b->position;
+	return a->part > b->part;
+}
--- /dev/null
+++ b/src/quarantine/suspect.h
@@ -0,0 +1,71 @@
+/**
+ * A prompt part that may crash upstreams: the evidence against it.
+ */
+#ifndef PR_QUARANTINE_SUSPECT_H
+#define PR_QUARANTINE_SUSPECT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** An upstream that broke off a request with a part. */
+typedef struct pr_crash_t {
+	/** Tag of its incarnation. */
+	uint32_t upstream;
+	/** Time of the crash, and of the newest answer of the upstream that a
+	 *  host reported: after a crash there is none. */
+	int64_t at_ms, answer_ms;
+} pr_crash_t;
+
+/** Most upstreams that are kept for a part; the oldest crashes are dropped. */
+#define PR_SUSPECT_CRASHES_MAX 16
+
+/** What is known of a part; all times by the store's clock, milliseconds. */
+typedef struct pr_suspect_t {
+	uint64_t part;
+	/** Hash of the service whose upstreams crashed. */
+	uint32_t service;
+	/** Position in the prompt, from 0. */
+	uint32_t position;
+	/** Requests that broke off while the part has been suspected: bit set
+	 *  by hash. */
+	uint64_t requests;
+	pr_crash_t crashes[PR_SUSPECT_CRASHES_MAX];
+	uint32_t crashes_count;
+	/** First crash while the part has been suspected, and the newest. */
+	int64_t since_ms, crash_ms;
+	/** Evidence up to this time does not count: an answer on the part
+	 *  began. */
+	int64_t cleared_ms;
+	/** Newest answer on the part that a host reported; 0 for none. */
+	int64_t answer_ms;
+	/** Begin of the last quarantine, and the number of quarantines. */
+	int64_t quarantined_ms;
+	uint32_t quarantines;
+	/** When a host sent the last request after a quarantine, whose outcome
+	 *  the others await; 0 for none. */
+	int64_t probe_ms;
+} pr_suspect_t;
+
+/** @return true when there is evidence since the last answer on the part */
+bool pr_suspect_is_suspected(const pr_suspect_t *suspect);
+/** @return true when no answer on the part began since its quarantine did; the
+ *	   quarantine may have ended */
+bool pr_suspect_is_quarantined(const pr_suspect_t *suspect);
+/** @return true when an answer on the part began not long before the first
+ *	   crash */
+bool pr_suspect_was_answered(const pr_suspect_t *suspect);
+/** @return true when the upstream crashed indeed: one that sends something
+ *	   afterwards only broke the connection */
+bool pr_crash_is_real(const pr_crash_t *crash);
+bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream);
+/**
+ * Merge a crash of an upstream, in place of the oldest when there is no room.
+ *
+ * @return true when the evidence changes
+ */
+bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash);
+/** @return true when a is more likely than b to be the part that crashed the
+ *	   upstreams */
+bool pr_suspect_is_likelier(const pr_suspect_t *a, const pr_suspect_t *b);
+
+#endif
--- /dev/null
+++ b/src/quarantine/verdict.c
@@ -0,0 +1,188 @@
+/*
+ * Verdicts on prompt parts: which one crashed the upstreams, judged by the
+ * evidence of all hosts.
+ */
+#include "quarantine/internal.h"
+
+/* Requests that must have crashed on a part, and upstreams whose crashes no
+ * quarantined part explains. One request that was sent again after each crash
+ * proves nothing about its other parts, nor does one upstream that crashes by
+ * itself. With more upstreams, fewer requests are enough. */
+#define REQUESTS_MIN       3
+#define UPSTREAMS_MIN      4
+#define REQUESTS_MIN_FEW   2
+#define UPSTREAMS_MIN_MANY 5
+/* Both, for a part on which an answer began not long before the first crash:
+ * requests that wait on an upstream are broken off too when another request
+ * crashes it. */
+#define CRASHES_MIN_ANSWERED 6
+/* Time from the first crash, and from the first answer to another request after
+ * it, until the verdict, milliseconds: answers on the part at other hosts are
+ * known by then. The second one is for a part on which an answer is known from
+ * before. */
+#define SETTLE_MS          1500
+#define SETTLE_ANSWERED_MS 5000
+/* Answers to other requests of the service until the verdict. Without any, the
+ * service is down rather than the part at fault. */
+#define OTHER_ANSWERS_MIN 5
+
+static unsigned count_bits(uint64_t bits)
+{
+	return (unsigned)__builtin_popcountll(bits);
+}
+
+static int64_t later(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/* Whether a part that is in quarantine, or was, crashed the upstream. */
+static bool is_explained(const pr_quarantine_t *quarantine,
+			 const pr_suspect_t *suspect, uint32_t upstream)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		if (&entry->suspect != suspect &&
+		    entry->suspect.service == suspect->service &&
+		    pr_suspect_is_quarantined(&entry->suspect) &&
+		    !entry->overruled &&
+		    pr_suspect_has_crash(&entry->suspect, upstream))
+			return true;
+	}
+	return false;
+}
+
+static unsigned count_unexplained(const pr_quarantine_t *quarantine,
+				  const pr_suspect_t *suspect)
+{
+	unsigned count = 0;
+
+	for (uint32_t i = 0; i < suspect->crashes_count; i++)
+		count += pr_crash_is_real(&suspect->crashes[i]) &&
+			 !is_explained(quarantine, suspect,
+				       suspect->crashes[i].upstream);
+	return count;
+}
+
+static bool has_enough_crashes(const pr_quarantine_t *quarantine,
+			       const pr_suspect_t *suspect)
+{
+	unsigned requests = count_bits(suspect->requests);
+	unsigned upstreams = count_unexplained(quarantine, suspect);
+
+	if (pr_suspect_was_answered(suspect))
+		return requests >= CRASHES_MIN_ANSWERED &&
+		       upstreams >= CRASHES_MIN_ANSWERED;
+	return (requests >= REQUESTS_MIN && upstreams >= UPSTREAMS_MIN) ||
+	       (requests >= REQUESTS_MIN_FEW &&
+		upstreams >= UPSTREAMS_MIN_MANY);
+}
+
+static bool is_guilty(const pr_quarantine_t *quarantine,
+		      const pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	const pr_suspect_t *suspect = &entry->suspect;
+	int64_t settle_ms = pr_suspect_was_answered(suspect)
+				    ? SETTLE_ANSWERED_MS
+				    : SETTLE_MS;
+
+	/* A request that was under way when the quarantine began must not
+	 * extend it. */
+	if (!pr_suspect_is_suspected(suspect) ||
+	    suspect->crash_ms <= suspect->quarantined_ms ||
+	    pr_quarantine_is_in_force(quarantine, entry, now_ms))
+		return false;
+	/* After the quarantine one crash is enough. */
+	if (pr_suspect_is_quarantined(suspect) && !entry->overruled)
+		return suspect->crash_ms >=
+		       pr_quarantine_release_ms(quarantine, suspect);
+	return now_ms - suspect->since_ms >= settle_ms &&
+	       entry->other_answers >= OTHER_ANSWERS_MIN &&
+	       now_ms - entry->other_since_ms >= settle_ms &&
+	       suspect->crash_ms > entry->other_since_ms &&
+	       has_enough_crashes(quarantine, suspect);
+}
+
+/* @return the part with the most evidence, if that suffices; otherwise NULL */
+static pr_quarantine_entry_t *find_guilty(pr_quarantine_t *quarantine,
+					  int64_t now_ms)
+{
+	pr_quarantine_entry_t *guilty = NULL;
+
+	for (size_t i = 0; i < quarantine->count; i++) {
+		pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		if (is_guilty(quarantine, entry, now_ms) &&
+		    (!guilty ||
+		     pr_suspect_is_likelier(&entry->suspect, &guilty->suspect)))
+			guilty = entry;
+	}
+	return guilty;
+}
+
+/* Note which upstreams that are said to have crashed sent something since. */
+static void refute_crashes(const pr_quarantine_t *quarantine,
+			   pr_quarantine_entry_t *entry)
+{
+	for (uint32_t i = 0; i < entry->suspect.crashes_count; i++) {
+		pr_crash_t *crash = &entry->suspect.crashes[i];
+		bool was_crash = pr_crash_is_real(crash);
+
+		crash->answer_ms = later(
+			crash->answer_ms,
+			pr_quarantine_alive_ms(quarantine, crash->upstream));
+		if (was_crash && !pr_crash_is_real(crash))
+			pr_quarantine_mark_changed(entry, true);
+	}
+}
+
+/* Hosts may quarantine two parts of the same requests at the same time: the
+ * likelier one overrules the other, which crashed no other upstream. */
+static void overrule(pr_quarantine_t *quarantine, pr_quarantine_entry_t *entry)
+{
+	entry->overruled = false;
+	for (size_t i = 0; i < quarantine->count && !entry->overruled; i++) {
+		const pr_suspect_t *other = &quarantine->entries[i].suspect;
+
+		entry->overruled =
+			other != &entry->suspect &&
+			pr_suspect_is_quarantined(other) &&
+			pr_suspect_is_likelier(other, &entry->suspect) &&
+			!count_unexplained(quarantine, &entry->suspect);
+	}
+}
+
+void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms)
+{
+	pr_quarantine_entry_t *guilty;
+
+	for (size_t i = 0; i < quarantine->count; i++)
+		refute_crashes(quarantine, &quarantine->entries[i]);
+	for (size_t i = 0; i < quarantine->count; i++) {
+		if (pr_suspect_is_quarantined(&quarantine->entries[i].suspect))
+			overrule(quarantine, &quarantine->entries[i]);
+	}
+	while ((guilty = find_guilty(quarantine, now_ms))) {
+		guilty->suspect.quarantined_ms = now_ms;
+		guilty->suspect.quarantines++;
+		guilty->overruled = false;
+		pr_quarantine_mark_changed(guilty, true);
+	}
+}
+
+const pr_suspect_t *pr_quarantine_next_change(pr_quarantine_t *quarantine,
+					      int64_t now_ms, bool *in_force)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		*in_force =
+			pr_quarantine_is_in_force(quarantine, entry, now_ms);
+		if (*in_force == entry->was_in_force)
+			continue;
+		entry->was_in_force = *in_force;
+		return &entry->suspect;
+	}
+	return NULL;
+}
