Judge a prompt part by the crashes that others do not explain

Change: only unexplained crashes count, also for the choice and for the wait. A part of which as many crashes are kept as fit explains older ones, too. Numbers of crashes that differ by a quarter count as equal. A part waits for the verdict on a likelier one of its requests, and is overruled only by one.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -270,7 +270,10 @@
 
 		if (!concerns(entry, prompt))
 			continue;
-		record_crash(entry, prompt, &crash);
+		/* Its requests stay those of the verdict; see verdict.c. */
+		pr_suspect_add_crash(&entry->suspect, &crash);
+		entry->suspect.crash_ms = now_ms;
+		pr_quarantine_mark_changed(entry, true);
 		explained = true;
 	}
 	for (size_t i = 0; i < prompt->parts_count && !explained; i++) {
--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -40,7 +40,7 @@
 		return pr_suspect_is_quarantined(x);
 	if (pr_suspect_is_suspected(x) != pr_suspect_is_suspected(y))
 		return pr_suspect_is_suspected(y);
-	return pr_suspect_is_likelier(x, y);
+	return pr_suspect_is_likelier(x, x->crashes_count, y, y->crashes_count);
 }
 
 size_t pr_quarantine_take_changes(pr_quarantine_t *quarantine,
--- a/src/quarantine/suspect.c
+++ b/src/quarantine/suspect.c
@@ -4,6 +4,9 @@
 /* Age of the last answer on a part at its first crash, milliseconds, up to
  * which the part counts as answered before. */
 #define ANSWERED_MS INT64_C(30000)
+/* Numbers of crashes that differ by less than this part count as equal: reports
+ * of other hosts arrive one after the other. */
+#define LAG_PART 4
 /* Time in which bytes that an upstream sent before it crashed still arrive at
  * other hosts, whose clocks differ a little, milliseconds. */
 #define ON_THE_WAY_MS 500
@@ -28,15 +31,6 @@
 	return crash->answer_ms <= crash->at_ms + ON_THE_WAY_MS;
 }
 
-static unsigned count_crashes(const pr_suspect_t *suspect)
-{
-	unsigned count = 0;
-
-	for (uint32_t i = 0; i < suspect->crashes_count; i++)
-		count += pr_crash_is_real(&suspect->crashes[i]);
-	return count;
-}
-
 /* @return index of the upstream's crash, or crashes_count */
 static uint32_t find_crash(const pr_suspect_t *suspect, uint32_t upstream)
 {
@@ -48,11 +42,6 @@
 	return i;
 }
 
-bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream)
-{
-	return find_crash(suspect, upstream) < suspect->crashes_count;
-}
-
 /* @return index of the oldest crash of a suspect that has some */
 static uint32_t oldest_crash(const pr_suspect_t *suspect)
 {
@@ -65,6 +54,20 @@
 	return oldest;
 }
 
+bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream)
+{
+	return find_crash(suspect, upstream) < suspect->crashes_count;
+}
+
+bool pr_suspect_explains(const pr_suspect_t *suspect, const pr_crash_t *crash)
+{
+	if (pr_suspect_has_crash(suspect, crash->upstream))
+		return true;
+	return suspect->crashes_count == PR_SUSPECT_CRASHES_MAX &&
+	       crash->at_ms >= suspect->since_ms &&
+	       crash->at_ms < suspect->crashes[oldest_crash(suspect)].at_ms;
+}
+
 bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash)
 {
 	uint32_t i = find_crash(suspect, crash->upstream);
@@ -97,13 +100,13 @@
 
 /* The part that crashed the upstreams crashed all of them. Of two parts that
  * occur together, the later one occurs in fewer requests. */
-bool pr_suspect_is_likelier(const pr_suspect_t *a, const pr_suspect_t *b)
+bool pr_suspect_is_likelier(const pr_suspect_t *a, unsigned a_crashes,
+			    const pr_suspect_t *b, unsigned b_crashes)
 {
-	unsigned a_crashes = count_crashes(a), b_crashes = count_crashes(b);
-
 	if (pr_suspect_was_answered(a) != pr_suspect_was_answered(b))
 		return pr_suspect_was_answered(b);
-	if (a_crashes != b_crashes)
+	if (a_crashes > b_crashes + b_crashes / LAG_PART + 1 ||
+	    b_crashes > a_crashes + a_crashes / LAG_PART + 1)
 		return a_crashes > b_crashes;
 	if (!a->answer_ms != !b->answer_ms)
 		return !a->answer_ms;
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -57,15 +57,22 @@
 /** @return true when the upstream crashed indeed: one that sends something
  *	   afterwards only broke the connection */
 bool pr_crash_is_real(const pr_crash_t *crash);
-bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream);
 /**
  * Merge a crash of an upstream, in place of the oldest when there is no room.
  *
  * @return true when the evidence changes
  */
 bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash);
-/** @return true when a is more likely than b to be the part that crashed the
- *	   upstreams */
-bool pr_suspect_is_likelier(const pr_suspect_t *a, const pr_suspect_t *b);
+bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream);
+/** @return true when the part crashed the upstream, or may have: crashes from
+ *	   before the oldest one that is kept are not known any more */
+bool pr_suspect_explains(const pr_suspect_t *suspect, const pr_crash_t *crash);
+/**
+ * @param a_crashes number of crashes that count against a
+ * @return true when a is more likely than b to be the part that crashed the
+ *	   upstreams
+ */
+bool pr_suspect_is_likelier(const pr_suspect_t *a, unsigned a_crashes,
+			    const pr_suspect_t *b, unsigned b_crashes);
 
 #endif
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -36,40 +36,64 @@
 	return a > b ? a : b;
 }
 
-/* Whether a part that is in quarantine, or was, crashed the upstream. */
+/* Whether a part that is in quarantine, or was, and is neither of the two
+ * explains the crash. */
 static bool is_explained(const pr_quarantine_t *quarantine,
-			 const pr_suspect_t *suspect, uint32_t upstream)
+			 const pr_suspect_t *suspect, const pr_suspect_t *other,
+			 const pr_crash_t *crash)
 {
 	for (size_t i = 0; i < quarantine->count; i++) {
 		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
 
-		if (&entry->suspect != suspect &&
+		if (&entry->suspect != suspect && &entry->suspect != other &&
 		    entry->suspect.service == suspect->service &&
 		    pr_suspect_is_quarantined(&entry->suspect) &&
 		    !entry->overruled &&
-		    pr_suspect_has_crash(&entry->suspect, upstream))
+		    pr_suspect_explains(&entry->suspect, crash))
 			return true;
 	}
 	return false;
 }
 
+/* @param other quarantined part whose explanation does not count; may be
+ * NULL */
 static unsigned count_unexplained(const pr_quarantine_t *quarantine,
-				  const pr_suspect_t *suspect)
+				  const pr_suspect_t *suspect,
+				  const pr_suspect_t *other)
 {
 	unsigned count = 0;
 
-	for (uint32_t i = 0; i < suspect->crashes_count; i++)
-		count += pr_crash_is_real(&suspect->crashes[i]) &&
-			 !is_explained(quarantine, suspect,
-				       suspect->crashes[i].upstream);
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		const pr_crash_t *crash = &suspect->crashes[i];
+
+		count += pr_crash_is_real(crash) &&
+			 !is_explained(quarantine, suspect, other, crash);
+	}
 	return count;
 }
 
+/* @return time of the first crash that no quarantined part explains, or the
+ * latest possible one */
+static int64_t first_unexplained_ms(const pr_quarantine_t *quarantine,
+				    const pr_suspect_t *suspect)
+{
+	int64_t first = INT64_MAX;
+
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		const pr_crash_t *crash = &suspect->crashes[i];
+
+		if (pr_crash_is_real(crash) && crash->at_ms < first &&
+		    !is_explained(quarantine, suspect, NULL, crash))
+			first = crash->at_ms;
+	}
+	return first;
+}
+
 static bool has_enough_crashes(const pr_quarantine_t *quarantine,
 			       const pr_suspect_t *suspect)
 {
 	unsigned requests = count_bits(suspect->requests);
-	unsigned upstreams = count_unexplained(quarantine, suspect);
+	unsigned upstreams = count_unexplained(quarantine, suspect, NULL);
 
 	if (pr_suspect_was_answered(suspect))
 		return requests >= CRASHES_MIN_ANSWERED &&
@@ -98,25 +122,57 @@
 		return suspect->crash_ms >=
 		       pr_quarantine_release_ms(quarantine, suspect);
 	return now_ms - suspect->since_ms >= settle_ms &&
+	       first_unexplained_ms(quarantine, suspect) <=
+		       now_ms - settle_ms &&
 	       entry->other_answers >= OTHER_ANSWERS_MIN &&
 	       now_ms - entry->other_since_ms >= settle_ms &&
 	       suspect->crash_ms > entry->other_since_ms &&
 	       has_enough_crashes(quarantine, suspect);
 }
 
+/* Whether a likelier part, which all of its requests share with the suspect,
+ * has the evidence already and only has to wait for its verdict. */
+static bool has_likelier(const pr_quarantine_t *quarantine,
+			 const pr_suspect_t *suspect, unsigned crashes)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		const pr_suspect_t *other = &quarantine->entries[i].suspect;
+
+		if (other != suspect && other->service == suspect->service &&
+		    pr_suspect_is_suspected(other) &&
+		    !pr_suspect_is_quarantined(other) &&
+		    !(other->requests & ~suspect->requests) &&
+		    has_enough_crashes(quarantine, other) &&
+		    pr_suspect_is_likelier(
+			    other, count_unexplained(quarantine, other, NULL),
+			    suspect, crashes))
+			return true;
+	}
+	return false;
+}
+
 /* @return the part with the most evidence, if that suffices; otherwise NULL */
 static pr_quarantine_entry_t *find_guilty(pr_quarantine_t *quarantine,
 					  int64_t now_ms)
 {
 	pr_quarantine_entry_t *guilty = NULL;
+	unsigned most = 0;
 
 	for (size_t i = 0; i < quarantine->count; i++) {
 		pr_quarantine_entry_t *entry = &quarantine->entries[i];
+		unsigned crashes;
 
-		if (is_guilty(quarantine, entry, now_ms) &&
-		    (!guilty ||
-		     pr_suspect_is_likelier(&entry->suspect, &guilty->suspect)))
-			guilty = entry;
+		if (!is_guilty(quarantine, entry, now_ms))
+			continue;
+		crashes = count_unexplained(quarantine, &entry->suspect, NULL);
+		if (!pr_suspect_is_quarantined(&entry->suspect) &&
+		    has_likelier(quarantine, &entry->suspect, crashes))
+			continue;
+		if (guilty && !pr_suspect_is_likelier(&entry->suspect, crashes,
+						      &guilty->suspect, most))
+			continue;
+		guilty = entry;
+		most = crashes;
 	}
 	return guilty;
 }
@@ -137,20 +193,40 @@
 	}
 }
 
-/* Hosts may quarantine two parts of the same requests at the same time: the
- * likelier one overrules the other, which crashed no other upstream. */
-static void overrule(pr_quarantine_t *quarantine, pr_quarantine_entry_t *entry)
+/* Whether a crashed all upstreams that b did. */
+static bool covers(const pr_suspect_t *a, const pr_suspect_t *b)
 {
-	entry->overruled = false;
-	for (size_t i = 0; i < quarantine->count && !entry->overruled; i++) {
+	for (uint32_t i = 0; i < b->crashes_count; i++) {
+		if (pr_crash_is_real(&b->crashes[i]) &&
+		    !pr_suspect_has_crash(a, b->crashes[i].upstream))
+			return false;
+	}
+	return b->crashes_count;
+}
+
+/*
+ * Hosts may quarantine two parts of the same requests at the same time. The
+ * likelier one overrules the other if all of its requests have the other part,
+ * too, and the other one crashed no other upstream.
+ */
+static bool is_overruled(const pr_quarantine_t *quarantine,
+			 const pr_suspect_t *suspect)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
 		const pr_suspect_t *other = &quarantine->entries[i].suspect;
 
-		entry->overruled =
-			other != &entry->suspect &&
-			pr_suspect_is_quarantined(other) &&
-			pr_suspect_is_likelier(other, &entry->suspect) &&
-			!count_unexplained(quarantine, &entry->suspect);
+		if (other != suspect && other->service == suspect->service &&
+		    pr_suspect_is_quarantined(other) &&
+		    !(other->requests & ~suspect->requests) &&
+		    covers(other, suspect) &&
+		    pr_suspect_is_likelier(
+			    other,
+			    count_unexplained(quarantine, other, suspect),
+			    suspect,
+			    count_unexplained(quarantine, suspect, other)))
+			return true;
 	}
+	return false;
 }
 
 void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms)
@@ -160,8 +236,10 @@
 	for (size_t i = 0; i < quarantine->count; i++)
 		refute_crashes(quarantine, &quarantine->entries[i]);
 	for (size_t i = 0; i < quarantine->count; i++) {
-		if (pr_suspect_is_quarantined(&quarantine->entries[i].suspect))
-			overrule(quarantine, &quarantine->entries[i]);
+		pr_quarantine_entry_t *entry = &quarantine->entries[i];
+
+		entry->overruled = pr_suspect_is_quarantined(&entry->suspect) &&
+				   is_overruled(quarantine, &entry->suspect);
 	}
 	while ((guilty = find_guilty(quarantine, now_ms))) {
 		guilty->suspect.quarantined_ms = now_ms;
--- a/tests/test_quarantine_verdict.c
+++ b/tests/test_quarantine_verdict.c
@@ -406,6 +406,111 @@
 	finish_fleet(&fleet);
 }
 
+/* A part crashes more upstreams in two seconds than are kept of it. Guards
+ * against a quarantine of the subject of these requests, of which older crashes
+ * are known. */
+static void test_more_crashes_than_are_kept(void **state)
+{
+	static const uint64_t deadly[] = { COMMON, RARE, DEADLY };
+	static const uint64_t sound[] = { COMMON, RARE };
+	fleet_t fleet;
+
+	start_fleet(&fleet, 84);
+	for (int i = 0; i < 5; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 30; i++) {
+		answer_sound(&fleet);
+		for (int j = 0; j < 4 && i < 10; j++) {
+			pr_quarantine_prompt_t prompt =
+				prompt_of(&fleet, deadly, 3);
+			pr_quarantine_prompt_t beside =
+				prompt_of(&fleet, sound, 2);
+			uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+			pr_quarantine_record_crash(&fleet.hosts[i * 4 + j],
+						   &prompt, upstream,
+						   fleet.now + j);
+			if (i < 2)
+				pr_quarantine_record_crash(&fleet.hosts[60 + j],
+							   &beside, upstream,
+							   fleet.now + j);
+		}
+		run_period(&fleet);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 84);
+	assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	finish_fleet(&fleet);
+}
+
+/* Two parts crash more upstreams than are kept, the second one earlier. Guards
+ * against a quarantine that the other part's later crashes end. */
+static void test_two_parts_in_a_storm(void **state)
+{
+	static const uint64_t first[] = { COMMON, DEADLY };
+	static const uint64_t second[] = { OTHER, DEADLY + 1 };
+	fleet_t fleet;
+
+	start_fleet(&fleet, 84);
+	for (int i = 0; i < 40; i++) {
+		answer_sound(&fleet);
+		for (int j = 0; j < 3; j++) {
+			if (i < 8)
+				crash(&fleet, (i * 3 + j) % 84, second, 2);
+			if (i >= 4 && i < 16)
+				crash(&fleet, (i * 5 + j) % 84, first, 2);
+		}
+		run_period(&fleet);
+		if (i >= 25) {
+			assert_int_equal(count_quarantining(&fleet, DEADLY),
+					 84);
+			assert_int_equal(count_quarantining(&fleet, DEADLY + 1),
+					 84);
+		}
+	}
+	finish_fleet(&fleet);
+}
+
+/* Two parts crash upstreams, and requests with the subject of the second wait
+ * on those of the first, too. Guards against a quarantine of the subject in
+ * place of the second part. */
+static void test_subject_beside_another_part(void **state)
+{
+	static const uint64_t first[] = { OTHER, DEADLY + 1 };
+	static const uint64_t second[] = { COMMON, RARE, DEADLY };
+	static const uint64_t sound[] = { COMMON, RARE };
+	fleet_t fleet;
+
+	start_fleet(&fleet, 9);
+	for (int i = 0; i < 5; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 30; i++) {
+		pr_quarantine_prompt_t prompt = prompt_of(&fleet, first, 2);
+		pr_quarantine_prompt_t beside = prompt_of(&fleet, sound, 2);
+		uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+		answer_sound(&fleet);
+		if (i < 12) {
+			pr_quarantine_record_crash(&fleet.hosts[i % 9], &prompt,
+						   upstream, fleet.now);
+			if (i % 2)
+				pr_quarantine_record_crash(
+					&fleet.hosts[(i + 4) % 9], &beside,
+					upstream, fleet.now);
+		}
+		if (i >= 6 && i < 14)
+			crash(&fleet, (i * 2) % 9, second, 3);
+		run_period(&fleet);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY + 1), 9);
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 9);
+	assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	finish_fleet(&fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -423,6 +528,9 @@
 		cmocka_unit_test(test_other_service),
 		cmocka_unit_test(test_upstreams_with_same_bit),
 		cmocka_unit_test(test_answered_part_begins_to_crash),
+		cmocka_unit_test(test_more_crashes_than_are_kept),
+		cmocka_unit_test(test_two_parts_in_a_storm),
+		cmocka_unit_test(test_subject_beside_another_part),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
