--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -270,7 +270,8 @@
 
 		if (!concerns(entry, prompt))
 			continue;
-		/* Its requests stay those of the verdict; see verdict.c. */
+		/* Its requests stay those of the verdict: a part overrules
+		 * another one only if all of them have both. */
 		pr_suspect_add_crash(&entry->suspect, &crash);
 		entry->suspect.crash_ms = now_ms;
 		pr_quarantine_mark_changed(entry, true);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -44,8 +44,9 @@
 	 *  suspected, and the time of the first of them. */
 	uint32_t other_answers;
 	int64_t other_since_ms;
-	/** Another quarantined part explains all crashes of this one, so its
-	 * own quarantine is not in force. */
+	/** A likelier quarantined part, which this one has all requests of,
+	 *  crashed all upstreams of this one: its own quarantine is not in
+	 *  force. */
 	bool overruled;
 	/** How often the suspect is still to be sent, by audience. */
 	uint32_t sends_left[PR_AUDIENCES_COUNT];
