--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -44,9 +44,8 @@
 	 *  suspected, and the time of the first of them. */
 	uint32_t other_answers;
 	int64_t other_since_ms;
-	/** A likelier quarantined part, which this one has all requests of,
-	 *  crashed all upstreams of this one: its own quarantine is not in
-	 *  force. */
+	/** The quarantine is not in force: a likelier part of the same requests
+	 *  is quarantined and crashed all upstreams that this one did. */
 	bool overruled;
 	/** How often the suspect is still to be sent, by audience. */
 	uint32_t sends_left[PR_AUDIENCES_COUNT];
