Send single requests with a part that crashed all upstreams

Cause: a verdict needs answers to other requests and a crash after them. Where the first requests crash all upstreams before another request is answered, there are none; every request that comes once upstreams are back is sent, and sent again, until 1.5 s after the first answer.

Change: such a part, if it was never answered and the service was up until the first crash, is on trial. One request of the fleet is sent at a time, without repeats; an answer clears the part, a crash beside answers to other requests quarantines it. An outage of all upstreams, which looks the same, costs a part that was never answered before the wait for this one request.

test_all_upstreams_crash_* at 9, 84 and 295 hosts failed before (more than three requests), and pass.

test_saved_list_full sets the number of quarantines, since 0 means a trial now; what it checks is the same.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -19,11 +19,19 @@
  * hosts that come late in the order. */
 #define RELEASE_STEP_MS INT64_C(5000)
 #define RELEASE_MAX_MS  INT64_C(60000)
+/* The same for a part whose quarantine has no length. A sound part may be in
+ * this state after an outage, so its requests wait for less. */
+#define TRIAL_STEP_MS INT64_C(500)
+#define TRIAL_MAX_MS  INT64_C(20000)
 /* Time for which the outcome of a request after the quarantine is awaited,
  * milliseconds. */
 #define PROBE_MS INT64_C(10000)
 /* Datagrams may be lost, so a change is sent this often. */
 #define SENDS 3
+/* Longest time between two answers of a service that is up, milliseconds, and
+ * the answers after which it counts as up. */
+#define SERVICE_PAUSE_MS    1500
+#define SERVICE_ANSWERS_MIN 5
 
 /* Multiplicative hash; its upper bits depend on all bits of the key. */
 static uint64_t spread(uint64_t key)
@@ -51,6 +59,9 @@
 {
 	int64_t length = QUARANTINE_MS;
 
+	if (!suspect->quarantines)
+		return suspect->quarantined_ms +
+		       earlier(quarantine->rank * TRIAL_STEP_MS, TRIAL_MAX_MS);
 	for (uint32_t i = 1;
 	     i < suspect->quarantines && length < QUARANTINE_MAX_MS; i++)
 		length *= 2;
@@ -136,6 +147,34 @@
 		       : 0;
 }
 
+static size_t service_slot(uint32_t service)
+{
+	return (size_t)(spread(service) >> 32) % PR_QUARANTINE_SERVICES_MAX;
+}
+
+static void count_service_answer(pr_quarantine_t *quarantine, uint32_t service,
+				 int64_t now_ms)
+{
+	size_t slot = service_slot(service);
+
+	if (quarantine->services[slot].service != service ||
+	    now_ms - quarantine->services[slot].ms > SERVICE_PAUSE_MS)
+		quarantine->services[slot].answers = 0;
+	quarantine->services[slot].service = service;
+	quarantine->services[slot].ms = now_ms;
+	quarantine->services[slot].answers++;
+}
+
+static bool is_service_up(const pr_quarantine_t *quarantine, uint32_t service,
+			  int64_t at_ms)
+{
+	size_t slot = service_slot(service);
+
+	return quarantine->services[slot].service == service &&
+	       quarantine->services[slot].answers >= SERVICE_ANSWERS_MIN &&
+	       at_ms - quarantine->services[slot].ms <= SERVICE_PAUSE_MS;
+}
+
 static pr_quarantine_entry_t *add(pr_quarantine_t *quarantine, uint32_t service,
 				  uint64_t part)
 {
@@ -162,6 +201,7 @@
 	entry->suspect.requests = 0;
 	entry->suspect.crashes_count = 0;
 	entry->other_answers = 0;
+	entry->was_service_up = false;
 }
 
 static void clear(pr_quarantine_entry_t *entry, int64_t at_ms)
@@ -241,7 +281,8 @@
 		now_ms - suspect->crash_ms > SUSPICION_MS);
 }
 
-static void record_crash(pr_quarantine_entry_t *entry,
+static void record_crash(const pr_quarantine_t *quarantine,
+			 pr_quarantine_entry_t *entry,
 			 const pr_quarantine_prompt_t *prompt,
 			 const pr_crash_t *crash)
 {
@@ -250,6 +291,8 @@
 	if (is_stale(suspect, crash->at_ms)) {
 		drop_evidence(entry);
 		suspect->since_ms = crash->at_ms;
+		entry->was_service_up = is_service_up(
+			quarantine, suspect->service, crash->at_ms);
 	}
 	suspect->requests |= bit_of(prompt->request);
 	pr_suspect_add_crash(suspect, crash);
@@ -285,7 +328,7 @@
 			entry = add(quarantine, prompt->service,
 				    prompt->parts[i]);
 		entry->suspect.position = (uint32_t)i;
-		record_crash(entry, prompt, &crash);
+		record_crash(quarantine, entry, prompt, &crash);
 	}
 }
 
@@ -302,6 +345,7 @@
 				 const pr_quarantine_prompt_t *prompt,
 				 int64_t now_ms)
 {
+	count_service_answer(quarantine, prompt->service, now_ms);
 	for (size_t i = 0; i < prompt->parts_count; i++) {
 		size_t slot = answered_slot(prompt->parts[i]);
 
@@ -327,7 +371,8 @@
 
 /* Merge the evidence of this host and of another. @return true when there is
  * more or less of it than before */
-static bool merge_evidence(pr_quarantine_entry_t *entry,
+static bool merge_evidence(const pr_quarantine_t *quarantine,
+			   pr_quarantine_entry_t *entry,
 			   const pr_suspect_t *suspect)
 {
 	pr_suspect_t *own = &entry->suspect;
@@ -336,6 +381,10 @@
 	if (!pr_suspect_is_suspected(own))
 		drop_evidence(entry);
 	if (suspect->crash_ms > own->cleared_ms) {
+		if (!own->requests)
+			entry->was_service_up =
+				is_service_up(quarantine, suspect->service,
+					      suspect->since_ms);
 		if (!own->requests || suspect->since_ms < own->since_ms)
 			own->since_ms = suspect->since_ms;
 		own->requests |= suspect->requests;
@@ -369,7 +418,7 @@
 	own->probe_ms = later(own->probe_ms, suspect->probe_ms);
 	if (suspect->quarantines > own->quarantines)
 		own->quarantines = suspect->quarantines;
-	changed = merge_evidence(entry, suspect);
+	changed = merge_evidence(quarantine, entry, suspect);
 	if (changed || own->requests != before.requests ||
 	    own->quarantined_ms != before.quarantined_ms ||
 	    own->probe_ms != before.probe_ms ||
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -12,6 +12,8 @@
  * answered. The crashes that a quarantined part explains do not count against
  * other parts, and every answer on a part clears it. After the quarantine one
  * host after the other sends one request with the part; a crash puts it back.
+ * Where the crashes left the service without any answers, the quarantine has no
+ * length: it goes on to those single requests at once.
  */
 #ifndef PR_QUARANTINE_QUARANTINE_H
 #define PR_QUARANTINE_QUARANTINE_H
@@ -26,6 +28,8 @@
 #define PR_QUARANTINE_ANSWERED_MAX 4096
 /** Upstreams whose last answer is remembered; a power of two. */
 #define PR_QUARANTINE_ALIVE_MAX 1024
+/** Services whose answers are counted; a power of two. */
+#define PR_QUARANTINE_SERVICES_MAX 64
 
 /** Hosts that are told of a change. */
 typedef enum pr_audience_t {
@@ -44,6 +48,8 @@
 	 *  suspected, and the time of the first of them. */
 	uint32_t other_answers;
 	int64_t other_since_ms;
+	/** The service answered requests until the part was suspected. */
+	bool was_service_up;
 	/** The quarantine is not in force: a likelier part of the same requests
 	 *  is quarantined and crashed all upstreams that this one did. */
 	bool overruled;
@@ -76,6 +82,13 @@
 		uint32_t upstream;
 		int64_t ms;
 	} alive[PR_QUARANTINE_ALIVE_MAX];
+	/** Answers of services without a long pause between them, and the time
+	 *  of the last one. */
+	struct {
+		uint32_t service;
+		uint32_t answers;
+		int64_t ms;
+	} services[PR_QUARANTINE_SERVICES_MAX];
 } pr_quarantine_t;
 
 /** The prompt of a request. */
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -38,7 +38,8 @@
 	int64_t cleared_ms;
 	/** Newest answer on the part that a host reported; 0 for none. */
 	int64_t answer_ms;
-	/** Begin of the last quarantine, and the number of quarantines. */
+	/** Begin of the last quarantine, and the number of quarantines; 0 for
+	 * one without length. */
 	int64_t quarantined_ms;
 	uint32_t quarantines;
 	/** When a host sent the last request after a quarantine, whose outcome
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -22,6 +22,9 @@
  * before. */
 #define SETTLE_MS          1500
 #define SETTLE_ANSWERED_MS 5000
+/* The same for a part that may have crashed all upstreams of its service; later
+ * than the verdict of hosts that see answers to other requests. */
+#define SETTLE_TRIAL_MS 2500
 /* Answers to other requests of the service until the verdict. Without any, the
  * service is down rather than the part at fault. */
 #define OTHER_ANSWERS_MIN 5
@@ -103,31 +106,72 @@
 		upstreams >= UPSTREAMS_MIN_MANY);
 }
 
-static bool is_guilty(const pr_quarantine_t *quarantine,
-		      const pr_quarantine_entry_t *entry, int64_t now_ms)
+/* Whether the evidence suffices and answers on the part at other hosts would be
+ * known by now. */
+static bool has_settled_evidence(const pr_quarantine_t *quarantine,
+				 const pr_suspect_t *suspect, int64_t settle_ms,
+				 int64_t now_ms)
+{
+	return now_ms - suspect->since_ms >= settle_ms &&
+	       first_unexplained_ms(quarantine, suspect) <=
+		       now_ms - settle_ms &&
+	       has_enough_crashes(quarantine, suspect);
+}
+
+static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
+{
+	return entry->other_answers >= OTHER_ANSWERS_MIN &&
+	       entry->suspect.crash_ms > entry->other_since_ms;
+}
+
+static bool is_confirmed(const pr_quarantine_t *quarantine,
+			 const pr_quarantine_entry_t *entry, int64_t now_ms)
 {
 	const pr_suspect_t *suspect = &entry->suspect;
 	int64_t settle_ms = pr_suspect_was_answered(suspect)
 				    ? SETTLE_ANSWERED_MS
 				    : SETTLE_MS;
 
+	return has_settled_evidence(quarantine, suspect, settle_ms, now_ms) &&
+	       crashed_beside_answers(entry) &&
+	       now_ms - entry->other_since_ms >= settle_ms;
+}
+
+static bool is_guilty(const pr_quarantine_t *quarantine,
+		      const pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	const pr_suspect_t *suspect = &entry->suspect;
+	bool quarantined =
+		pr_suspect_is_quarantined(suspect) && !entry->overruled;
+
+	if (!pr_suspect_is_suspected(suspect))
+		return false;
+	/* After the quarantine one crash is enough; without other answers it
+	 * shows nothing more than the first ones did. */
+	if (quarantined && suspect->crash_ms > suspect->quarantined_ms &&
+	    suspect->crash_ms >= pr_quarantine_release_ms(quarantine, suspect))
+		return suspect->quarantines || crashed_beside_answers(entry);
+	if (quarantined && !suspect->quarantines)
+		return is_confirmed(quarantine, entry, now_ms);
 	/* A request that was under way when the quarantine began must not
 	 * extend it. */
-	if (!pr_suspect_is_suspected(suspect) ||
-	    suspect->crash_ms <= suspect->quarantined_ms ||
-	    pr_quarantine_is_in_force(quarantine, entry, now_ms))
-		return false;
-	/* After the quarantine one crash is enough. */
-	if (pr_suspect_is_quarantined(suspect) && !entry->overruled)
-		return suspect->crash_ms >=
-		       pr_quarantine_release_ms(quarantine, suspect);
-	return now_ms - suspect->since_ms >= settle_ms &&
-	       first_unexplained_ms(quarantine, suspect) <=
-		       now_ms - settle_ms &&
-	       entry->other_answers >= OTHER_ANSWERS_MIN &&
-	       now_ms - entry->other_since_ms >= settle_ms &&
-	       suspect->crash_ms > entry->other_since_ms &&
-	       has_enough_crashes(quarantine, suspect);
+	return !quarantined && suspect->crash_ms > suspect->quarantined_ms &&
+	       is_confirmed(quarantine, entry, now_ms);
+}
+
+/* Whether the part may have crashed all upstreams of a service that was up, so
+ * that no other request is answered any more. An answer on it, as long as the
+ * service was up, speaks for an outage. */
+static bool is_on_trial(const pr_quarantine_t *quarantine,
+			const pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	const pr_suspect_t *suspect = &entry->suspect;
+
+	return pr_suspect_is_suspected(suspect) &&
+	       !pr_suspect_is_quarantined(suspect) &&
+	       !pr_suspect_was_answered(suspect) && entry->was_service_up &&
+	       has_settled_evidence(quarantine, suspect, SETTLE_TRIAL_MS,
+				    now_ms);
 }
 
 /* Whether a likelier part, which all of its requests share with the suspect,
@@ -151,9 +195,13 @@
 	return false;
 }
 
+typedef bool (*suffices_fn)(const pr_quarantine_t *quarantine,
+			    const pr_quarantine_entry_t *entry, int64_t now_ms);
+
 /* @return the part with the most evidence, if that suffices; otherwise NULL */
-static pr_quarantine_entry_t *find_guilty(pr_quarantine_t *quarantine,
-					  int64_t now_ms)
+static pr_quarantine_entry_t *find_likeliest(pr_quarantine_t *quarantine,
+					     suffices_fn suffices,
+					     int64_t now_ms)
 {
 	pr_quarantine_entry_t *guilty = NULL;
 	unsigned most = 0;
@@ -162,7 +210,7 @@
 		pr_quarantine_entry_t *entry = &quarantine->entries[i];
 		unsigned crashes;
 
-		if (!is_guilty(quarantine, entry, now_ms))
+		if (!suffices(quarantine, entry, now_ms))
 			continue;
 		crashes = count_unexplained(quarantine, &entry->suspect, NULL);
 		if (!pr_suspect_is_quarantined(&entry->suspect) &&
@@ -229,24 +277,30 @@
 	return false;
 }
 
+static void begin_quarantine(pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	entry->suspect.quarantined_ms = now_ms;
+	entry->overruled = false;
+	pr_quarantine_mark_changed(entry, true);
+}
+
 void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms)
 {
-	pr_quarantine_entry_t *guilty;
+	pr_quarantine_entry_t *entry;
 
 	for (size_t i = 0; i < quarantine->count; i++)
 		refute_crashes(quarantine, &quarantine->entries[i]);
 	for (size_t i = 0; i < quarantine->count; i++) {
-		pr_quarantine_entry_t *entry = &quarantine->entries[i];
-
+		entry = &quarantine->entries[i];
 		entry->overruled = pr_suspect_is_quarantined(&entry->suspect) &&
 				   is_overruled(quarantine, &entry->suspect);
 	}
-	while ((guilty = find_guilty(quarantine, now_ms))) {
-		guilty->suspect.quarantined_ms = now_ms;
-		guilty->suspect.quarantines++;
-		guilty->overruled = false;
-		pr_quarantine_mark_changed(guilty, true);
+	while ((entry = find_likeliest(quarantine, is_guilty, now_ms))) {
+		begin_quarantine(entry, now_ms);
+		entry->suspect.quarantines++;
 	}
+	while ((entry = find_likeliest(quarantine, is_on_trial, now_ms)))
+		begin_quarantine(entry, now_ms);
 }
 
 const pr_suspect_t *pr_quarantine_next_change(pr_quarantine_t *quarantine,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -109,7 +109,8 @@
 static void test_saved_list_full(void **state)
 {
 	pr_quarantine_t *quarantine = calloc(1, sizeof(*quarantine));
-	pr_suspect_t suspect = { .service = SERVICE }, saved[2];
+	pr_suspect_t suspect = { .service = SERVICE, .quarantines = 1 };
+	pr_suspect_t saved[2];
 
 	assert_non_null(quarantine);
 	for (int i = 0; i < 4; i++) {
--- a/tests/test_quarantine_verdict.c
+++ b/tests/test_quarantine_verdict.c
@@ -32,6 +32,86 @@
 	finish_fleet(&fleet);
 }
 
+/* Two requests crash all upstreams of a service before another one is answered.
+ * Guards against further crashes, more than three requests, once the upstreams
+ * are back. */
+static void check_all_upstreams_crash(int hosts)
+{
+	static const uint64_t parts[] = { COMMON, DEADLY };
+	fleet_t fleet;
+	int reached = 0;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 10; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 3; i++)
+		crash(&fleet, i * 2, parts, 2);
+	for (int i = 0; i < 30; i++)
+		run_period(&fleet);
+	for (int i = 0; i < 100; i++) {
+		answer_sound(&fleet);
+		reached += crash(&fleet, (i * 7) % hosts, parts, 2);
+		run_period(&fleet);
+	}
+	assert_true(reached >= 1 && reached <= 3);
+	assert_int_equal(count_quarantining(&fleet, DEADLY), hosts);
+	assert_int_equal(count_quarantining(&fleet, COMMON), 0);
+	finish_fleet(&fleet);
+}
+
+static void test_all_upstreams_crash_9_hosts(void **state)
+{
+	check_all_upstreams_crash(9);
+}
+
+static void test_all_upstreams_crash_84_hosts(void **state)
+{
+	check_all_upstreams_crash(84);
+}
+
+static void test_all_upstreams_crash_295_hosts(void **state)
+{
+	check_all_upstreams_crash(295);
+}
+
+/* A service that was up goes down, and breaks off requests with a part that was
+ * never answered. Guards against a quarantine of the part for longer than until
+ * one request with it is sent and answered. */
+static void test_outage_of_running_service(void **state)
+{
+	static const uint64_t parts[] = { COMMON, RARE };
+	fleet_t fleet;
+	int reached = 0;
+
+	start_fleet(&fleet, 9);
+	for (int i = 0; i < 10; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 40; i++) {
+		crash(&fleet, i % 9, parts, 2);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 60; i++) {
+		pr_quarantine_prompt_t prompt = prompt_of(&fleet, parts, 2);
+		int host = i % 9;
+
+		answer_sound(&fleet);
+		if (pr_quarantine_admits(&fleet.hosts[host], &prompt, false,
+					 fleet.now, NULL)) {
+			answer(&fleet, host, parts, 2);
+			reached++;
+		}
+		run_period(&fleet);
+	}
+	assert_true(reached);
+	assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	assert_int_equal(count_quarantining(&fleet, COMMON), 0);
+	finish_fleet(&fleet);
+}
+
 /* Requests with a sound part wait on upstreams that others crash: some are
  * broken off, and some are answered. */
 static void test_broken_off_beside(void **state)
@@ -515,6 +595,10 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_outage),
+		cmocka_unit_test(test_all_upstreams_crash_9_hosts),
+		cmocka_unit_test(test_all_upstreams_crash_84_hosts),
+		cmocka_unit_test(test_all_upstreams_crash_295_hosts),
+		cmocka_unit_test(test_outage_of_running_service),
 		cmocka_unit_test(test_broken_off_beside),
 		cmocka_unit_test(test_explained_crash),
 		cmocka_unit_test(test_two_parts),
