Order reports of sessions that have the same time

Relays could forward two reports to each other without end, which fills the links between hosts; configurations then come late, and requests end without an answer.

Cause: a slot of the table of sessions keeps the newer of two reports. Of two with the same time each replaced the other, and counted as new every time, so that a relay forwarded it again, to the relays of all zones and to its hosts, which did the same: two reports became hundreds of datagrams every 40 ms, up to the limit of the queue (1,024 reports).

Change: reports are in a total order of time, session and version, so that a slot only ever moves up in it and each relay forwards a report once.

--- a/src/transition/sessions.c
+++ b/src/transition/sessions.c
@@ -6,19 +6,31 @@
 	return hash & (PR_SESSIONS_MAX - 1);
 }
 
+/* @param own the request was sent by this host */
 static bool update(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
 		   bool own, bool moved)
 {
 	pr_recent_session_t *slot = &sessions->slots[slot_index(hash)];
-	bool known = slot->hash == hash && slot->seen_ms == seen_ms &&
-		     slot->moved == moved;
 
-	if (!hash || known || slot->seen_ms > seen_ms)
+	if (!hash || slot->seen_ms > seen_ms)
 		return false;
 	*slot = (pr_recent_session_t){ hash, seen_ms, own, moved };
 	return true;
 }
 
+/* Total order of reports. Without an order of those with equal times, relays
+ * that received two of them in different order would replace one by the other,
+ * and forward it, forever. */
+static bool is_newer(const pr_recent_session_t *slot, uint64_t hash,
+		     int64_t seen_ms, bool moved)
+{
+	if (slot->seen_ms != seen_ms)
+		return seen_ms > slot->seen_ms;
+	if (slot->hash != hash)
+		return hash > slot->hash;
+	return moved && !slot->moved;
+}
+
 void pr_sessions_record(pr_sessions_t *sessions, uint64_t hash, int64_t now_ms)
 {
 	update(sessions, hash, now_ms, true, false);
@@ -33,7 +45,9 @@
 bool pr_sessions_merge(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
 		       bool moved)
 {
-	return update(sessions, hash, seen_ms, false, moved);
+	return is_newer(&sessions->slots[slot_index(hash)], hash, seen_ms,
+			moved) &&
+	       update(sessions, hash, seen_ms, false, moved);
 }
 
 static bool is_recent(const pr_sessions_t *sessions, uint64_t hash,
