Refuse an empty settings file

A host crashed on SIGHUP when its settings file was just being rewritten, and empty: all of its requests ended without an answer (LOST).

Cause: libcyaml gives no error for an empty document but no value either, and the loader went on with the NULL; without any text libyaml aborts or crashes. The same held for a file with comments only, at the start, and for configurations of the fleet.

Change: such a document is refused with an error, so that the host keeps its settings.

--- a/src/base/yaml.c
+++ b/src/base/yaml.c
@@ -48,11 +48,16 @@
 	int rc = 0;
 
 	*out = NULL;
+	/* libyaml aborts or crashes without a text. */
+	if (!text.len)
+		return pr_error_set(PR_EPARSE, "%s: the file is empty", name);
 	err = cyaml_load_data((const uint8_t *)text.ptr, text.len, &config,
 			      schema, (cyaml_data_t **)out, NULL);
 	if (err != CYAML_OK)
 		rc = pr_error_set(PR_EPARSE, "%s: %s: %s", name,
 				  cyaml_strerror(err), pr_str_cstr(&log));
+	else if (!*out)
+		rc = pr_error_set(PR_EPARSE, "%s: the document is empty", name);
 	pr_str_finish(&log);
 	return rc;
 }
--- a/tests/edge/path.py
+++ b/tests/edge/path.py
@@ -461,6 +461,26 @@
           and b"bad.yaml" in text and b"listen" in text, text)
 
 
+async def check_empty_settings(fleet):
+    """LOST beside a change of the settings: the process crashed on a file that
+    was being rewritten, and empty, as it read it."""
+    router = fleet.routers[0]
+    process, caller = router.process, Caller(router.address)
+    for text in ("", "# no settings yet\n"):
+        with open(router.write_settings(), "w", encoding="ascii") as out:
+            out.write(text)
+        task = asyncio.create_task(caller.request(f"empty-{len(text)}", "/stream/x"))
+        await asyncio.sleep(0.05)
+        router.signal(signal.SIGHUP)
+        answer = await task
+        check("an empty settings file ends nothing", answer.status == 200 and answer.complete
+              and process.returncode is None, (answer.status, process.returncode))
+    router.write_settings()
+    if process.returncode is not None:
+        await router.start()
+        await router.wait_ready()
+
+
 async def main():
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7))
     try:
@@ -476,6 +496,7 @@
         await check_endless(fleet)
         await check_protocol(fleet)
         await check_settings(fleet)
+        await check_empty_settings(fleet)
         await check_leaving(fleet, caller)
         await check_configuration(fleet, caller)
         await check_rollout(fleet, caller)
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -66,6 +66,25 @@
 	assert_non_null(strstr(pr_error_last(), "line"));
 }
 
+/* Guards against a crash on a file that is empty while it is being rewritten.
+ */
+static void empty_documents_are_refused(void **state)
+{
+	static const char *const texts[] = { "", "\n", "# comment\n", "---\n" };
+	pr_fleet_t *fleet;
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		assert_int_equal(pr_fleet_parse(&fleet, "fleet.yaml",
+						pr_slice_of(texts[i])),
+				 PR_EPARSE);
+		assert_null(fleet);
+	}
+	assert_int_equal(
+		pr_fleet_parse(&fleet, "fleet.yaml", pr_slice(NULL, 0)),
+		PR_EPARSE);
+	assert_non_null(strstr(pr_error_last(), "fleet.yaml: "));
+}
+
 static const char faulty[] =
 	"format: 2\n"
 	"defaults: {models: [small, huge], quality_target: 1.5,\n"
@@ -208,6 +227,7 @@
 		cmocka_unit_test(numbers_are_printed_short),
 		cmocka_unit_test(lookups_follow_defaults_and_exceptions),
 		cmocka_unit_test(bad_documents_are_refused_with_place),
+		cmocka_unit_test(empty_documents_are_refused),
 		cmocka_unit_test(check_finds_every_fault),
 		cmocka_unit_test(diff_names_changes_and_clashes),
 	};
