Report sessions from their own entries

A host kept one time up to which its sessions were reported, for all orders together, and moved it on in each period in which any order was known: before the order began, and for orders that were done. Sessions last used earlier counted as reported when the order began. A log of all reports shows it: all 67 hosts made an empty report in the 0.1 s between the order and its beginning, and none of the 65 sessions that had ended 0.5 to 4.5 s before was ever reported. No datagram was cut off or dropped, as first suspected; but a lost one would not have been repeated, and a relay forwarded a session only once.

The state of a report is now part of the session's entry: the time by which its last use is later than what others know, and how often it is still to be sent to the relays and to the hosts behind this relay. So it does not matter when an order begins, how many run at once, whether all fits in one period, or whether this host became a relay meanwhile. Each report is sent twice on each way. A session in use is reported again after half of session-s, not at each use, which keeps the traffic bounded.

--- a/src/edge/peer_parts.h
+++ b/src/edge/peer_parts.h
@@ -3,6 +3,7 @@
 #define PR_EDGE_PEER_PARTS_H
 
 #include "edge/edge.h"
+#include "relay/audience.h"
 #include "relay/message.h"
 
 /* Period of the reports of sessions. A session that moves to the new version
@@ -20,6 +21,9 @@
 bool pr_peers_in_zone(const pr_edge_t *edge, const pr_host_t *host);
 /** @return true when a zone is in the region of this host */
 bool pr_peers_in_region(const pr_edge_t *edge, const char *zone);
+/** Send a datagram to an audience. */
+void pr_peers_send_audience(pr_edge_t *edge, pr_audience_t audience,
+			    const pr_str_t *bytes);
 /** @return this host, or NULL before its row is known */
 pr_host_t *pr_peers_self(const pr_edge_t *edge);
 /** Send a datagram to the hosts that report to this relay. */
--- a/src/edge/peer_suspects.c
+++ b/src/edge/peer_suspects.c
@@ -56,21 +56,6 @@
 			suspect->quarantines);
 }
 
-static void send_to_relays(pr_edge_t *edge, const pr_str_t *bytes)
-{
-	pr_peers_send_zone_relays(edge, bytes);
-	if (!edge->peering.is_relay)
-		return;
-	pr_peers_send_relays(edge, PR_DISTANCE_REGION, bytes);
-	pr_peers_send_relays(edge, PR_DISTANCE_OTHER_REGION, bytes);
-}
-
-static void (*const send_to[PR_AUDIENCES_COUNT])(pr_edge_t *edge,
-						 const pr_str_t *bytes) = {
-	[PR_AUDIENCE_RELAYS] = send_to_relays,
-	[PR_AUDIENCE_FOLLOWERS] = pr_peers_send_followers,
-};
-
 static void send_changes(pr_edge_t *edge, pr_audience_t audience)
 {
 	pr_suspect_t suspects[PR_SUSPECTS_IN_DATAGRAM];
@@ -84,7 +69,7 @@
 		packed = pr_message_pack_suspects(&bytes, edge->settings->host,
 						  &suspects[at], count - at);
 		if (packed)
-			send_to[audience](edge, &bytes);
+			pr_peers_send_audience(edge, audience, &bytes);
 		pr_str_finish(&bytes);
 		at += packed;
 	} while (packed && at < count);
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -14,14 +14,9 @@
 #include "relay/roster.h"
 #include "relay/row_cache.h"
 #include "store/store.h"
-#include "transition/sessions.h"
 
 struct pr_edge_t;
 
-/** Most sessions that wait to be forwarded; further ones are dropped and
- * counted. */
-#define PR_SESSION_QUEUE_MAX 1024
-
 typedef struct pr_peering_t {
 	struct pr_edge_t *edge;
 	uv_udp_t udp;
@@ -44,19 +39,8 @@
 		pr_tallies_t all;
 		pr_usec_t received_at;
 	} totals[PR_AGGREGATE_TRANSITIONS_MAX];
-	/** Sessions that this relay has to forward. */
-	struct {
-		pr_recent_session_t seen;
-		/** Reported by a host of this zone. */
-		bool local;
-	} session_queue[PR_SESSION_QUEUE_MAX];
-	size_t session_queue_count;
-	uint64_t session_queue_dropped;
-	/** Sessions last seen up to this time were reported, milliseconds of
-	 *  the store's clock. */
-	int64_t sessions_reported_ms;
-	/** Time at which the sessions of active requests were last noted, in
-	 * the same clock. */
+	/** Time at which the sessions of active requests were last noted,
+	 * milliseconds of the store's clock. */
 	int64_t sessions_noted_ms;
 	/** Number of expiries of the two timers. */
 	uint32_t report_periods, session_periods;
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -200,6 +200,27 @@
 	}
 }
 
+static void send_all_relays(pr_edge_t *edge, const pr_str_t *bytes)
+{
+	pr_peers_send_zone_relays(edge, bytes);
+	if (!edge->peering.is_relay)
+		return;
+	pr_peers_send_relays(edge, PR_DISTANCE_REGION, bytes);
+	pr_peers_send_relays(edge, PR_DISTANCE_OTHER_REGION, bytes);
+}
+
+static void (*const send_to[PR_AUDIENCES_COUNT])(pr_edge_t *edge,
+						 const pr_str_t *bytes) = {
+	[PR_AUDIENCE_RELAYS] = send_all_relays,
+	[PR_AUDIENCE_FOLLOWERS] = pr_peers_send_followers,
+};
+
+void pr_peers_send_audience(pr_edge_t *edge, pr_audience_t audience,
+			    const pr_str_t *bytes)
+{
+	send_to[audience](edge, bytes);
+}
+
 pr_host_t *pr_peers_self(const pr_edge_t *edge)
 {
 	return pr_roster_find(&edge->peering.roster,
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -19,6 +19,7 @@
 #define PR_QUARANTINE_QUARANTINE_H
 
 #include "quarantine/suspect.h"
+#include "relay/audience.h"
 
 #include <stddef.h>
 
@@ -31,16 +32,6 @@
 /** Services whose answers are counted; a power of two. */
 #define PR_QUARANTINE_SERVICES_MAX 64
 
-/** Hosts that are told of a change. */
-typedef enum pr_audience_t {
-	/** The relays: they get what this host, or a host that reports to it,
-	 *  observed or decided. */
-	PR_AUDIENCE_RELAYS,
-	/** The hosts that report to this relay: they get every change. */
-	PR_AUDIENCE_FOLLOWERS,
-	PR_AUDIENCES_COUNT,
-} pr_audience_t;
-
 /** A suspect on this host. */
 typedef struct pr_quarantine_entry_t {
 	pr_suspect_t suspect;
--- a/src/transition/sessions.c
+++ b/src/transition/sessions.c
@@ -1,19 +1,30 @@
-/* Recently active sessions in a hash table of small buckets. */
+/* Recently active sessions in a hash table of small buckets, and what is still
+ * to be sent of them. */
 #include "transition/sessions.h"
 
+#include <string.h>
+
 /* Slots of a bucket. A full one drops the session that was active least
  * recently. */
 #define BUCKET 4
+/* Times that a session is sent to an audience. A host gets each datagram from
+ * two relays. */
+#define SENDS 2
+/* A session that is used again is reported again after this part of the time
+ * for which other hosts count it as active. */
+#define REPORT_AGAIN_PART 2
+/* The other hosts do not know the session. */
+#define UNKNOWN_TO_OTHERS UINT32_MAX
 
 static size_t bucket_of(uint64_t hash)
 {
 	return hash & (PR_SESSIONS_MAX - BUCKET);
 }
 
-static const pr_recent_session_t *find(const pr_sessions_t *sessions,
-				       uint64_t hash)
+static const pr_session_slot_t *find(const pr_sessions_t *sessions,
+				     uint64_t hash)
 {
-	const pr_recent_session_t *bucket = &sessions->slots[bucket_of(hash)];
+	const pr_session_slot_t *bucket = &sessions->slots[bucket_of(hash)];
 
 	for (size_t i = 0; i < BUCKET; i++) {
 		if (bucket[i].hash == hash)
@@ -23,10 +34,10 @@
 }
 
 /* The slot of a session, or else the one that it takes over. */
-static pr_recent_session_t *slot_for(pr_sessions_t *sessions, uint64_t hash)
+static pr_session_slot_t *slot_for(pr_sessions_t *sessions, uint64_t hash)
 {
-	pr_recent_session_t *bucket = &sessions->slots[bucket_of(hash)];
-	pr_recent_session_t *oldest = bucket;
+	pr_session_slot_t *bucket = &sessions->slots[bucket_of(hash)];
+	pr_session_slot_t *oldest = bucket;
 
 	for (size_t i = 0; i < BUCKET; i++) {
 		if (bucket[i].hash == hash)
@@ -37,40 +48,60 @@
 	return oldest;
 }
 
-static bool update(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
-		   bool own, bool moved)
+static void record(pr_sessions_t *sessions, uint64_t hash, int64_t now_ms,
+		   bool moved)
 {
-	pr_recent_session_t *slot = slot_for(sessions, hash);
-	bool known = slot->hash == hash && slot->seen_ms == seen_ms &&
-		     slot->moved == moved;
-
-	if (!hash || known || slot->seen_ms > seen_ms)
-		return false;
-	*slot = (pr_recent_session_t){ hash, seen_ms, own, moved };
-	return true;
+	pr_session_slot_t *slot = slot_for(sessions, hash);
+	int64_t unreported;
+
+	if (!hash || slot->seen_ms > now_ms)
+		return;
+	unreported = slot->unreported_ms + (now_ms - slot->seen_ms);
+	if (slot->hash != hash || slot->moved != moved ||
+	    unreported > UNKNOWN_TO_OTHERS)
+		unreported = UNKNOWN_TO_OTHERS;
+	if (slot->hash != hash)
+		memset(slot, 0, sizeof(*slot));
+	slot->hash = hash;
+	slot->seen_ms = now_ms;
+	slot->moved = moved;
+	slot->unreported_ms = (uint32_t)unreported;
 }
 
 void pr_sessions_record(pr_sessions_t *sessions, uint64_t hash, int64_t now_ms)
 {
-	update(sessions, hash, now_ms, true, false);
+	record(sessions, hash, now_ms, false);
 }
 
 void pr_sessions_record_moved(pr_sessions_t *sessions, uint64_t hash,
 			      int64_t now_ms)
 {
-	update(sessions, hash, now_ms, true, true);
+	record(sessions, hash, now_ms, true);
 }
 
-bool pr_sessions_merge(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
-		       bool moved)
+void pr_sessions_merge(pr_sessions_t *sessions, const pr_recent_session_t *seen,
+		       bool to_relays)
 {
-	return update(sessions, hash, seen_ms, false, moved);
+	pr_session_slot_t *slot = slot_for(sessions, seen->hash);
+	bool known = slot->hash == seen->hash &&
+		     slot->seen_ms == seen->seen_ms &&
+		     slot->moved == seen->moved;
+
+	if (!seen->hash || known || slot->seen_ms > seen->seen_ms)
+		return;
+	*slot = (pr_session_slot_t){
+		.hash = seen->hash,
+		.seen_ms = seen->seen_ms,
+		.moved = seen->moved,
+		.sends_left = { [PR_AUDIENCE_RELAYS] = to_relays ? SENDS : 0,
+				[PR_AUDIENCE_FOLLOWERS] = SENDS },
+	};
 }
 
 static bool is_recent(const pr_sessions_t *sessions, uint64_t hash,
 		      int64_t now_ms, int64_t within_ms, bool moved)
 {
-	const pr_recent_session_t *slot = find(sessions, hash);
+	const pr_session_slot_t *slot = find(sessions, hash);
 
 	return slot && slot->moved == moved &&
 	       now_ms - slot->seen_ms <= within_ms;
@@ -88,21 +119,74 @@
 	return is_recent(sessions, hash, now_ms, within_ms, true);
 }
 
-size_t pr_sessions_list(const pr_sessions_t *sessions,
-			const pr_sessions_filter_t *filter,
-			pr_recent_session_t *out, size_t max)
+void pr_sessions_scope_init(pr_sessions_scope_t *scope, int64_t now_ms,
+			    uint32_t session_ms)
+{
+	*scope = (pr_sessions_scope_t){
+		.now_ms = now_ms,
+		.session_ms = session_ms,
+		.moved_beyond = 1,
+	};
+}
+
+bool pr_sessions_scope_is_empty(const pr_sessions_scope_t *scope)
+{
+	return scope->pinned_share <= 0 && scope->moved_beyond >= 1;
+}
+
+static bool is_in_scope(const pr_session_slot_t *slot,
+			const pr_sessions_scope_t *scope)
+{
+	if (!slot->hash || scope->now_ms - slot->seen_ms > scope->session_ms)
+		return false;
+	return slot->moved
+		       ? !pr_sessions_in_share(slot->hash, scope->moved_beyond)
+		       : pr_sessions_in_share(slot->hash, scope->pinned_share);
+}
+
+/* Whether this host's last use of the session has to be reported now. */
+static bool is_report_due(const pr_session_slot_t *slot,
+			  const pr_sessions_scope_t *scope)
+{
+	int64_t known_ms = slot->seen_ms - slot->unreported_ms;
+
+	return slot->unreported_ms &&
+	       scope->now_ms - known_ms >=
+		       scope->session_ms / REPORT_AGAIN_PART;
+}
+
+size_t pr_sessions_take_due(pr_sessions_t *sessions, pr_audience_t audience,
+			    const pr_sessions_scope_t *scope,
+			    pr_recent_session_t *out, size_t max)
 {
 	size_t count = 0;
+	size_t at = sessions->next[audience];
 
+	if (pr_sessions_scope_is_empty(scope))
+		return 0;
 	for (size_t i = 0; i < PR_SESSIONS_MAX && count < max; i++) {
-		const pr_recent_session_t *slot = &sessions->slots[i];
-
-		if (slot->own && slot->moved == filter->moved &&
-		    slot->seen_ms > filter->after_ms &&
-		    !pr_sessions_in_share(slot->hash, filter->share_from) &&
-		    pr_sessions_in_share(slot->hash, filter->share_below))
-			out[count++] = *slot;
+		pr_session_slot_t *slot = &sessions->slots[at];
+
+		at = (at + 1) & (PR_SESSIONS_MAX - 1);
+		if (!is_in_scope(slot, scope))
+			continue;
+		if (is_report_due(slot, scope)) {
+			memset(slot->sends_left, SENDS,
+			       sizeof(slot->sends_left));
+			slot->unreported_ms = 0;
+		}
+		if (!slot->sends_left[audience])
+			continue;
+		slot->sends_left[audience]--;
+		/* A repetition has the time of the first report, or
+		 * relays would take it for a new one. */
+		out[count++] = (pr_recent_session_t){
+			.hash = slot->hash,
+			.seen_ms = slot->seen_ms - slot->unreported_ms,
+			.moved = slot->moved,
+		};
 	}
+	sessions->next[audience] = at;
 	return count;
 }
 
--- a/src/transition/sessions.h
+++ b/src/transition/sessions.h
@@ -3,6 +3,10 @@
  * of a transition an active session stays on its version, so the hosts inform
  * each other which of the sessions that would move to the new version are
  * active.
+ *
+ * What is still to be sent is part of a session's entry. So a session that was
+ * last used before the hosts had to know of it is sent as soon as they do, and
+ * what does not fit in one period is sent in the next one.
  */
 #ifndef PR_TRANSITION_SESSIONS_H
 #define PR_TRANSITION_SESSIONS_H
@@ -11,6 +15,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "relay/audience.h"
+
 /**
  * Number of slots in the table; a power of two. It is many times the number of
  * active sessions, since those whose hashes share a bucket of a few slots may
@@ -18,22 +24,34 @@
  */
 #define PR_SESSIONS_MAX 16384
 
+/** A session as hosts report it to each other. */
 typedef struct pr_recent_session_t {
-	/** Hash of the session; 0 for an empty slot. */
 	uint64_t hash;
 	/** Time of its last request by the store's clock, milliseconds. */
 	int64_t seen_ms;
-	/** The request was sent by this host, which reports it to the others.
-	 */
-	bool own;
 	/** The request was sent to the new version of a transition. */
 	bool moved;
 } pr_recent_session_t;
 
+typedef struct pr_session_slot_t {
+	/** Hash of the session; 0 for an empty slot. */
+	uint64_t hash;
+	/** As in pr_recent_session_t. */
+	int64_t seen_ms;
+	/** Time by which seen_ms is later than the one that the other hosts
+	 *  know; UINT32_MAX when they do not know the session. */
+	uint32_t unreported_ms;
+	bool moved;
+	/** How often the session is still to be sent, by audience. */
+	uint8_t sends_left[PR_AUDIENCES_COUNT];
+} pr_session_slot_t;
+
 /** Hash table, zeroed before first use. It keeps the sessions that were active
  *  last. */
 typedef struct pr_sessions_t {
-	pr_recent_session_t slots[PR_SESSIONS_MAX];
+	pr_session_slot_t slots[PR_SESSIONS_MAX];
+	/** Slot at which the next search for sessions to send starts. */
+	size_t next[PR_AUDIENCES_COUNT];
 } pr_sessions_t;
 
 /**
@@ -50,11 +68,11 @@
 /**
  * Merge the report of another host that it sent a request of a session.
  *
- * @param moved the request was sent to the new version
- * @return true when the report was new to this host and is recorded
+ * @param to_relays this host is the relay of the one that reports, and has to
+ *	  inform the other relays
  */
-bool pr_sessions_merge(pr_sessions_t *sessions, uint64_t hash, int64_t seen_ms,
-		       bool moved);
+void pr_sessions_merge(pr_sessions_t *sessions, const pr_recent_session_t *seen,
+		       bool to_relays);
 /** @return true when the session's last request went to the new version, at
  *  most within_ms ago */
 bool pr_sessions_is_moved(const pr_sessions_t *sessions, uint64_t hash,
@@ -64,22 +82,35 @@
 bool pr_sessions_is_active(const pr_sessions_t *sessions, uint64_t hash,
 			   int64_t now_ms, int64_t within_ms);
 
-/** Selects the sessions of this host to report to other hosts. */
-typedef struct pr_sessions_filter_t {
-	/** Sessions on the new version, or else on another one. */
-	bool moved;
-	/** Upper bound of the hash, as a share of all sessions (0 to 1). */
-	double share_below;
-	/** Active after this time of the store's clock, milliseconds. */
-	int64_t after_ms;
-	/** Lower bound of the hash, as a share of all sessions. */
-	double share_from;
-} pr_sessions_filter_t;
+/** Selects the sessions of which all hosts have to know. */
+typedef struct pr_sessions_scope_t {
+	/** Time by the store's clock, and the time since its last request after
+	 *  which a session is no longer active, milliseconds. */
+	int64_t now_ms;
+	uint32_t session_ms;
+	/** Sessions on another version than the new one: those in this first
+	 *  share of the hash range. */
+	double pinned_share;
+	/** Sessions on the new version: those outside of this share. */
+	double moved_beyond;
+} pr_sessions_scope_t;
+
+/** Initialize a scope that selects no session. */
+void pr_sessions_scope_init(pr_sessions_scope_t *scope, int64_t now_ms,
+			    uint32_t session_ms);
+bool pr_sessions_scope_is_empty(const pr_sessions_scope_t *scope);
 
-/** @return number of sessions written to out, at most max */
-size_t pr_sessions_list(const pr_sessions_t *sessions,
-			const pr_sessions_filter_t *filter,
-			pr_recent_session_t *out, size_t max);
+/**
+ * List the sessions that are due to be sent to an audience. Each is listed in
+ * several calls, since datagrams may be lost. While a session is used on and
+ * on, it is listed again before it stops counting as active at other hosts.
+ *
+ * @return number of sessions written to out, at most max; the next call goes on
+ *	   after the last one
+ */
+size_t pr_sessions_take_due(pr_sessions_t *sessions, pr_audience_t audience,
+			    const pr_sessions_scope_t *scope,
+			    pr_recent_session_t *out, size_t max);
 /** @return true when a hash is in the first share (0 to 1) of the hash range;
  *  the sessions there move to a new version first */
 bool pr_sessions_in_share(uint64_t hash, double share);
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -267,6 +267,20 @@
 	return is_unpinned_before(transition, now_ms, ALL_MOVED_FROM);
 }
 
+void pr_transition_extend_scope(const pr_transition_t *transition,
+				pr_sessions_scope_t *scope)
+{
+	int64_t now_ms = scope->now_ms;
+
+	if (pr_transition_pins_sessions(transition, now_ms))
+		scope->pinned_share = PR_TRANSITION_PINNED_SHARE_MAX;
+	/* Every host moves the sessions in the share anyway. */
+	else if (pr_transition_keeps_moved_sessions(transition, now_ms))
+		scope->moved_beyond =
+			fmin(scope->moved_beyond,
+			     pr_transition_share(transition, now_ms));
+}
+
 bool pr_transition_is_load_testing(const pr_transition_t *transition,
 				   int64_t now_ms)
 {
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -139,6 +139,10 @@
  *	   stay there */
 bool pr_transition_keeps_moved_sessions(const pr_transition_t *transition,
 					int64_t now_ms);
+/** Extend a scope by the sessions of which all hosts have to know at its time,
+ *  so that they stay on their version. */
+void pr_transition_extend_scope(const pr_transition_t *transition,
+				pr_sessions_scope_t *scope);
 /**
  * @return true during the load test: a few upstreams of the new version get
  *	   suitable requests up to a high load, in addition to the share
--- a/tests/test_transition.c
+++ b/tests/test_transition.c
@@ -138,10 +138,11 @@
 	static pr_sessions_t sessions;
 	pr_transition_t transition;
 	int64_t now = at(0.2);
+	pr_recent_session_t elsewhere = { EARLY, now - 2000, false };
 
 	memset(&sessions, 0, sizeof(sessions));
 	begin(&transition);
-	pr_sessions_merge(&sessions, EARLY, now - 2000, false);
+	pr_sessions_merge(&sessions, &elsewhere, false);
 	assert_int_equal(choose(&transition, &sessions, EARLY, false, now),
 			 PR_VERSION_OLD);
 	/* The session stays while it is active, and moves afterwards. */
@@ -173,6 +174,7 @@
 {
 	static pr_sessions_t sessions, elsewhere;
 	pr_transition_t transition;
+	pr_recent_session_t moved = { LATE, at(0.6), true };
 
 	memset(&sessions, 0, sizeof(sessions));
 	memset(&elsewhere, 0, sizeof(elsewhere));
@@ -182,7 +184,7 @@
 	assert_int_equal(
 		choose(&transition, &sessions, LATE, false, at(0.6) + 4000),
 		PR_VERSION_NEW);
-	pr_sessions_merge(&elsewhere, LATE, at(0.6), true);
+	pr_sessions_merge(&elsewhere, &moved, false);
 	assert_int_equal(
 		choose(&transition, &elsewhere, LATE, false, at(0.6) + 1000),
 		PR_VERSION_NEW);
