Pin sessions that an earlier order moved

A session's entry says whether its last request went to the new version. That is the version of an order: what the first order moved is on the old version of the second, but hosts neither reported such sessions nor pinned them. A long request also noted its session as moved after a second order had begun.

A session counts as moved only if its last request is later than the order's beginning, and a request notes its session as moved only under the order for which its version was chosen.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -102,9 +102,14 @@
 
 void pr_exchange_note_session(pr_exchange_t *x)
 {
+	const pr_transition_t *transition =
+		x->service ? pr_edge_transition(x->edge, x->service) : NULL;
 	int64_t now = pr_edge_store_now(x->edge);
 
-	if (x->version == PR_VERSION_NEW)
+	/* For a later order, the new version of an earlier one is the old
+	 * version. */
+	if (x->version == PR_VERSION_NEW && transition &&
+	    transition->order_row == x->order_row)
 		pr_sessions_record_moved(&x->edge->sessions, x->session_hash,
 					 now);
 	else
@@ -347,6 +352,7 @@
 	request.load_test = pr_transition_is_load_testing(transition, now) &&
 			    is_output_heavy(x, PROMPT_PER_OUTPUT_TOKEN) &&
 			    pr_exchange_has_load_test_room(x);
+	x->order_row = transition->order_row;
 	x->version = pr_transition_choose(
 		transition, &x->edge->sessions, &request, now,
 		(uint32_t)(x->edge->settings->bounds.session_s * 1000));
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -48,6 +48,8 @@
 	 *  its deadline. */
 	bool replacing;
 	pr_version_choice_t version;
+	/** Row of the order for which it was chosen; 0 without one. */
+	uint64_t order_row;
 	/** The request is part of the load test of the new version. */
 	bool is_load_test;
 
--- a/src/transition/sessions.c
+++ b/src/transition/sessions.c
@@ -98,25 +98,25 @@
 	};
 }
 
-static bool is_recent(const pr_sessions_t *sessions, uint64_t hash,
-		      int64_t now_ms, int64_t within_ms, bool moved)
+static bool is_active_on(const pr_sessions_t *sessions, uint64_t hash,
+			 const pr_sessions_span_t *span, bool moved)
 {
 	const pr_session_slot_t *slot = find(sessions, hash);
 
-	return slot && slot->moved == moved &&
-	       now_ms - slot->seen_ms <= within_ms;
+	return slot && span->now_ms - slot->seen_ms <= span->active_ms &&
+	       (slot->moved && slot->seen_ms >= span->began_ms) == moved;
 }
 
-bool pr_sessions_is_active(const pr_sessions_t *sessions, uint64_t hash,
-			   int64_t now_ms, int64_t within_ms)
+bool pr_sessions_is_pinned(const pr_sessions_t *sessions, uint64_t hash,
+			   const pr_sessions_span_t *span)
 {
-	return is_recent(sessions, hash, now_ms, within_ms, false);
+	return is_active_on(sessions, hash, span, false);
 }
 
 bool pr_sessions_is_moved(const pr_sessions_t *sessions, uint64_t hash,
-			  int64_t now_ms, int64_t within_ms)
+			  const pr_sessions_span_t *span)
 {
-	return is_recent(sessions, hash, now_ms, within_ms, true);
+	return is_active_on(sessions, hash, span, true);
 }
 
 void pr_sessions_scope_init(pr_sessions_scope_t *scope, int64_t now_ms,
@@ -139,9 +139,11 @@
 {
 	if (!slot->hash || scope->now_ms - slot->seen_ms > scope->session_ms)
 		return false;
-	return slot->moved
-		       ? !pr_sessions_in_share(slot->hash, scope->moved_beyond)
-		       : pr_sessions_in_share(slot->hash, scope->pinned_share);
+	if (slot->moved &&
+	    !pr_sessions_in_share(slot->hash, scope->moved_beyond))
+		return true;
+	return (!slot->moved || slot->seen_ms < scope->pinned_from_ms) &&
+	       pr_sessions_in_share(slot->hash, scope->pinned_share);
 }
 
 /* Whether this host's last use of the session has to be reported now. */
--- a/src/transition/sessions.h
+++ b/src/transition/sessions.h
@@ -73,14 +73,27 @@
  */
 void pr_sessions_merge(pr_sessions_t *sessions, const pr_recent_session_t *seen,
 		       bool to_relays);
-/** @return true when the session's last request went to the new version, at
- *  most within_ms ago */
+
+/** A transition as the checks of one of its sessions need it. */
+typedef struct pr_sessions_span_t {
+	/** Start of the transition. A session that moved before did so in an
+	 *  earlier transition of the service, whose new version is now the old
+	 *  one. */
+	int64_t began_ms;
+	int64_t now_ms;
+	/** Time since its last request after which a session is no longer
+	 *  active. */
+	int64_t active_ms;
+} pr_sessions_span_t;
+
+/** @return true when an active session's last request went to the new version
+ */
 bool pr_sessions_is_moved(const pr_sessions_t *sessions, uint64_t hash,
-			  int64_t now_ms, int64_t within_ms);
-/** @return true when the session's last request went to another version, at
- *  most within_ms ago */
-bool pr_sessions_is_active(const pr_sessions_t *sessions, uint64_t hash,
-			   int64_t now_ms, int64_t within_ms);
+			  const pr_sessions_span_t *span);
+/** @return true when an active session's last request went to another version
+ */
+bool pr_sessions_is_pinned(const pr_sessions_t *sessions, uint64_t hash,
+			   const pr_sessions_span_t *span);
 
 /** Selects the sessions of which all hosts have to know. */
 typedef struct pr_sessions_scope_t {
@@ -89,8 +102,10 @@
 	int64_t now_ms;
 	uint32_t session_ms;
 	/** Sessions on another version than the new one: those in this first
-	 *  share of the hash range. */
+	 *  share of the hash range. Sessions that moved before pinned_from_ms
+	 *  did so in an earlier transition, and are among them. */
 	double pinned_share;
+	int64_t pinned_from_ms;
 	/** Sessions on the new version: those outside of this share. */
 	double moved_beyond;
 } pr_sessions_scope_t;
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -272,13 +272,16 @@
 {
 	int64_t now_ms = scope->now_ms;
 
-	if (pr_transition_pins_sessions(transition, now_ms))
+	if (pr_transition_pins_sessions(transition, now_ms)) {
 		scope->pinned_share = PR_TRANSITION_PINNED_SHARE_MAX;
-	/* Every host moves the sessions in the share anyway. */
-	else if (pr_transition_keeps_moved_sessions(transition, now_ms))
+		if (transition->began_ms > scope->pinned_from_ms)
+			scope->pinned_from_ms = transition->began_ms;
+	} else if (pr_transition_keeps_moved_sessions(transition, now_ms)) {
+		/* Every host moves the sessions in the share anyway. */
 		scope->moved_beyond =
 			fmin(scope->moved_beyond,
 			     pr_transition_share(transition, now_ms));
+	}
 }
 
 bool pr_transition_is_load_testing(const pr_transition_t *transition,
@@ -305,17 +308,20 @@
 	bool use_new = pr_sessions_in_share(session ? session : request->hash,
 					    share) ||
 		       request->load_test;
-	int64_t active_ms = (int64_t)session_ms + SESSION_SLACK_MS;
+	pr_sessions_span_t span = {
+		.began_ms = transition->began_ms,
+		.now_ms = now_ms,
+		.active_ms = (int64_t)session_ms + SESSION_SLACK_MS,
+	};
 
 	if (!session || transition->state != PR_ROLLOUT_RUNNING)
 		return use_new ? PR_VERSION_NEW : PR_VERSION_OLD;
 	if (pr_transition_pins_sessions(transition, now_ms)) {
-		if (use_new &&
-		    pr_sessions_is_active(sessions, session, now_ms, active_ms))
+		if (use_new && pr_sessions_is_pinned(sessions, session, &span))
 			use_new = false;
 	} else if (!use_new &&
 		   pr_transition_keeps_moved_sessions(transition, now_ms) &&
-		   pr_sessions_is_moved(sessions, session, now_ms, active_ms)) {
+		   pr_sessions_is_moved(sessions, session, &span)) {
 		/* A session that the load test moved stays on the new
 		 * version. */
 		use_new = true;
--- a/tests/sessions_fleet.h
+++ b/tests/sessions_fleet.h
@@ -166,11 +166,16 @@
 static inline int count_ignorant(fleet_t *fleet, uint64_t session,
 				 int64_t now_ms)
 {
+	pr_sessions_span_t span = {
+		.began_ms = fleet->transitions[TRANSITIONS - 1].began_ms,
+		.now_ms = now_ms,
+		.active_ms = SESSION_MS + SLACK_MS,
+	};
 	int count = 0;
 
 	for (int i = 0; i < fleet->count; i++)
-		count += !pr_sessions_is_active(&fleet->hosts[i], session,
-						now_ms, SESSION_MS + SLACK_MS);
+		count += !pr_sessions_is_pinned(&fleet->hosts[i], session,
+						&span);
 	return count;
 }
 
--- a/tests/test_transition_sessions.c
+++ b/tests/test_transition_sessions.c
@@ -14,6 +14,7 @@
 static void test_active_sessions_of_many_hosts_are_kept(void **state)
 {
 	static pr_sessions_t sessions;
+	const pr_sessions_span_t span = { 0, 2000, 6500 };
 	const uint64_t active = 700;
 
 	for (uint64_t fleet = 0; fleet < 100; fleet++) {
@@ -27,8 +28,8 @@
 			pr_sessions_merge(&sessions, &seen, false);
 		}
 		for (uint64_t i = 1; i <= active; i++)
-			kept += pr_sessions_is_active(&sessions, mix(first + i),
-						      2000, 6500);
+			kept += pr_sessions_is_pinned(&sessions, mix(first + i),
+						      &span);
 		assert_true(kept >= active - 1);
 	}
 }
@@ -157,6 +158,31 @@
 	}
 }
 
+/* Guards against sessions that move, in the first half of a second order, since
+ * only those on the version before the first one are reported. */
+static void test_sessions_that_an_earlier_order_moved_are_known(void **state)
+{
+	for (size_t i = 0; i < FLEET_SIZES; i++) {
+		fleet_t fleet;
+		uint64_t ignorant = 0;
+
+		start_fleet(&fleet, fleet_sizes[i]);
+		for (int host = 0; host < fleet.count; host++)
+			pr_sessions_record_moved(&fleet.hosts[host],
+						 early_session((uint64_t)host),
+						 START - 200 - 10 * host);
+		order(&fleet, 1);
+		set_state(&fleet, 1, PR_ROLLOUT_RUNNING);
+		run_until(&fleet, START + EXCHANGE_MS);
+		for (int host = 0; host < fleet.count; host++)
+			ignorant += (uint64_t)count_ignorant(
+				&fleet, early_session((uint64_t)host),
+				fleet.now);
+		assert_int_equal(ignorant, 0);
+		finish_fleet(&fleet);
+	}
+}
+
 /* Guards against sessions that move because a datagram about them was lost: one
  * in ten everywhere, or all at the beginning of the order. */
 static void test_sessions_are_known_though_datagrams_are_lost(void **state)
@@ -246,6 +272,8 @@
 		cmocka_unit_test(test_sessions_used_before_an_order_are_known),
 		cmocka_unit_test(
 			test_orders_of_two_services_do_not_hide_sessions),
+		cmocka_unit_test(
+			test_sessions_that_an_earlier_order_moved_are_known),
 		cmocka_unit_test(
 			test_sessions_are_known_though_datagrams_are_lost),
 		cmocka_unit_test(test_many_sessions_follow_in_later_periods),
