Keep an attempt whose request may not be repeated for its prompt

What callers saw: a stream whose upstream was silent before its first event, or whose model was not sure, ended with 502 "quarantined_part" although its upstream was at work, and would have answered.

The router looked for another upstream and charged the repeat, ended the live attempt, and only then asked the quarantine, which lets no request be sent again that has a quarantined part. An answer releases the part, so these attempts are the ones that show that it is sound.

Evidence: tests/edge/unfinished.py. Two prompts are at work at upstreams when their part is quarantined; one is silent for longer than 1.25 of its objective, the other answers with confidence 1 on a route that leaves the model to the router.

Change: a repeat is granted only if the quarantine admits it.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -51,9 +51,12 @@
 {
 	pr_repeat_budget_t *budget = pr_edge_repeat_budget(x->edge, x->service);
 	const pr_bound_settings_t *bounds = &x->edge->settings->bounds;
+	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
 	uint32_t hosts = pr_edge_hosts_count(x->edge);
 
-	if (!has_attempts_left(x))
+	if (!has_attempts_left(x) ||
+	    !pr_quarantine_admits(&x->edge->quarantine, &prompt, true,
+				  pr_edge_store_now(x->edge), NULL))
 		return false;
 	return !budget ||
 	       pr_repeat_budget_take(
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -72,7 +72,8 @@
 /**
  * Charge one more attempt to the repeat budget.
  *
- * @return false when the budget or the route's max_upstreams is used up
+ * @return false when the budget or the route's max_upstreams is used up, or a
+ *	   part of the prompt is in quarantine
  */
 bool pr_exchange_take_repeat(pr_exchange_t *x);
 /**
--- /dev/null
+++ b/tests/edge/unfinished.py
@@ -0,0 +1,111 @@
+"""Answers under way and requests in flight that the router must not end early,
+with real processes.
+
+usage: unfinished.py BINARY NET
+"""
+
+import asyncio
+import logging
+import random
+import sys
+import time
+
+from answers import ask, head, set_script
+from checks import FAILURES, check
+from fleet import Fleet
+from standins import P, chunk, stream_of
+from streams import events
+
+CHUNKED = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+DEADLY = "dead"
+# Latency objective of the prompts. A stream without an event is moved after 1.25
+# times as long.
+TARGET_S = 6.0
+
+
+def add_prompts(document):
+    """Routes for prompts with an objective that leaves time for a quarantine; one
+    of them leaves the model to the router."""
+    prompt = next(route for route in document["routes"] if route["name"] == "prompt")
+    for name, sizes in (("silent", None), ("sized", ["model-1", "model-2"])):
+        route = {**prompt, "name": name, "prefix": f"/{name}/", "timeout-ms": 12000,
+                 "target-latency-ms": int(TARGET_S * 1000)}
+        if sizes:
+            route["sizes"] = sizes
+        document["routes"].append(route)
+
+
+async def ask_prompt(fleet, ident, path, part, model="model-1"):
+    own = ident.encode().hex()
+    return await ask(fleet.routers[0].address, ident, path, budget_ms=12000, **{
+        P + "Model": model, P + "Token-Count": "500,20",
+        P + "Prompt-Prefix": f"{part}:400,{own}:100"})
+
+
+async def check_quarantined(fleet, models):
+    """A request of which a part was quarantined meanwhile was ended, with 502, as soon
+    as its upstream was slow or its model not sure."""
+    address = fleet.routers[0].address
+
+    async def late(request):
+        if request.ident not in ("silent", "sized"):
+            return None
+        request.run()
+        first = events(request.ident, 1, 1)
+        rest = stream_of(request.ident)[len(first):]
+        await asyncio.sleep(1.25 * TARGET_S + (0.4 if request.ident == "silent" else 0.6))
+        await request.write(head(200, request.ident, CHUNKED + P + "Confidence: 1\r\n"),
+                            chunk(first))
+        # Both first events come while the part is in quarantine.
+        await asyncio.sleep(0.5)
+        await request.write(chunk(rest) + b"0\r\n\r\n")
+        return True
+
+    await fleet.apply(add_prompts)
+    # The time in which a configuration takes effect.
+    await asyncio.sleep(3.0)
+    set_script(models, late)
+    tasks = [asyncio.create_task(ask_prompt(fleet, "silent", "/silent/x", DEADLY)),
+             asyncio.create_task(ask_prompt(fleet, "sized", "/sized/x", DEADLY, "*"))]
+    await asyncio.sleep(0.2)
+    for upstream in models:
+        if any(ident in ("silent", "sized") for _, ident, _ in upstream.arrivals):
+            await fleet.store.put("servers", upstream.name, upstream.entry("draining"))
+    await asyncio.sleep(1.0)
+    fleet.deadly.add(DEADLY)
+    refused = False
+    end = time.monotonic() + TARGET_S - 1.5
+    number = 0
+    while time.monotonic() < end and not refused:
+        number += 1
+        _, answer = await asyncio.gather(
+            ask(address, f"sound-{number}", "/stream/x"),
+            ask_prompt(fleet, f"crash-{number}", "/prompt/x", DEADLY))
+        refused = b"quarantined_part" in answer.body
+        await asyncio.sleep(0.1)
+    check("the part is quarantined meanwhile", refused, len(fleet.crashes))
+    for name, answer in zip(("silent", "sized"), await asyncio.gather(*tasks)):
+        check(f"a request with a quarantined part goes on where it runs, {name}",
+              answer.complete and answer.body == stream_of(name)
+              and len(fleet.runs.get(name, [])) == 1,
+              (answer.status, answer.body[:80], fleet.runs.get(name)))
+    set_script(models, None)
+
+
+async def main():
+    # Writes to connections that the other side has closed are no news.
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1, per_zone=3)
+    try:
+        await fleet.start()
+        models = [u for u in fleet.upstreams if u.service == "model"]
+        await check_quarantined(fleet, models)
+    finally:
+        await fleet.stop()
+    if FAILURES:
+        print(f"logs: {fleet.folder}")
+    print(f"{len(FAILURES)} failed")
+    return bool(FAILURES)
+
+
+sys.exit(asyncio.run(main()))
