Do not end a call whose answer is arriving

What callers saw: a call with a long answer on a slow path took three times as long as its answer, or reached its deadline. The upstreams ran it up to max-attempts times, and the repeats used up the budget of other requests.

The limit on the time without an answer was counted from the begin of the attempt, and held on while the answer arrived, so that a live attempt was ended and its part of the answer dropped.

Evidence: tests/edge/unfinished.py. An answer of eight pieces arrives within 1.6 s, on a route with an objective of 1 s.

Change: the head and each part of the body count as progress of a call, as events do for a stream.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -18,9 +18,9 @@
 #define UPSTREAM_POLL_PERIOD (25 * PR_USEC_PER_MSEC)
 /* A request waits for an upstream for its latency objective divided by this. */
 #define UPSTREAM_WAIT_DIVISOR 8
-/* An idempotent request without a response is sent to another upstream after
- * this part of its latency objective, in per cent. The rest is needed for the
- * second attempt. */
+/* An idempotent request of whose response nothing has arrived for this part of
+ * its latency objective, in per cent, is sent to another upstream. The rest is
+ * needed for the second attempt. */
 #define RESPONSE_PERCENT 60
 /* A stream without its first event is sent to another upstream after this part
  * of its latency objective, in per cent. */
@@ -196,7 +196,7 @@
 		return later(x->attempt_began +
 				     target * FIRST_EVENT_PERCENT / 100,
 			     x->stalled_until);
-	return later(x->attempt_began + target * RESPONSE_PERCENT / 100,
+	return later(x->progress_at + target * RESPONSE_PERCENT / 100,
 		     x->stalled_until);
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -57,8 +57,8 @@
 	/** Expected prefill time of the prompt, milliseconds, as added to the
 	 *  upstream's pending_prefill_ms; 0 once the prefill is over. */
 	double prefill_ms;
-	/** Start of the current attempt, and its last progress: the head or an
-	 *  event of the response. */
+	/** Start of the current attempt, and its last progress: the head, an
+	 *  event, or a part of the body of the response. */
 	pr_usec_t attempt_began, progress_at;
 	/** The attempt makes no progress, but could not be replaced; this is
 	 *  checked again at this time. */
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -325,6 +325,7 @@
 		return true;
 	if (x->event_stream)
 		return forward_events(x, bytes);
+	x->progress_at = pr_exchange_now(x);
 	if (can_buffer(x, bytes.len) &&
 	    !pr_str_append(&x->body, bytes.ptr, bytes.len))
 		return true;
--- a/tests/edge/unfinished.py
+++ b/tests/edge/unfinished.py
@@ -23,6 +23,24 @@
 TARGET_S = 6.0
 
 
+async def check_arriving(fleet, ledgers):
+    """A call whose answer was arriving was ended and run again at every upstream."""
+    async def in_pieces(request):
+        request.run()
+        # Longer than the time after which a call without an answer is moved.
+        await request.write(head(200, request.ident, "Content-Length: 800\r\n"),
+                            *[b"k" * 100] * 8, pause=0.2)
+        return True
+
+    set_script(ledgers, in_pieces)
+    answer = await ask(fleet.routers[0].address, "arriving", "/safe/x")
+    runs = len(fleet.runs["arriving"])
+    check("a call whose answer is arriving goes on",
+          answer.complete and answer.body == b"k" * 800 and runs == 1,
+          (answer.status, len(answer.body), runs))
+    set_script(ledgers, None)
+
+
 def add_prompts(document):
     """Routes for prompts with an objective that leaves time for a quarantine; one
     of them leaves the model to the router."""
@@ -98,7 +116,9 @@
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1, per_zone=3)
     try:
         await fleet.start()
+        ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
         models = [u for u in fleet.upstreams if u.service == "model"]
+        await check_arriving(fleet, ledgers)
         await check_quarantined(fleet, models)
     finally:
         await fleet.stop()
