Do not close a connection whose answer is still being read

What callers saw: the end of a long answer was missing for a caller that read it slowly, on a connection that was to be closed behind it, as all are in a stop, or with a short idle time-out. The answer was complete and counted as answered.

Cause: timers that act before what they wait for is certain. The time in which a caller may read the last answer of its connection, and the idle time, began when the answer had been queued, and the close dropped what was still queued.

Evidence: tests/edge/unfinished.py, answers of 7.5 MB.

Change: while bytes are queued, the timer goes on as long as the caller reads within the idle time-out; both times begin when all are sent.

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -120,12 +120,30 @@
 	       !caller->head_began && !pr_link_has_input(&caller->link);
 }
 
+/* Whether the caller is still reading the last response. One that reads nothing
+ * for the idle time-out is not. */
+static bool is_reading_response(pr_caller_t *caller, pr_usec_t now)
+{
+	size_t queued = pr_link_queued(&caller->link);
+
+	if (queued && queued != caller->queued)
+		caller->idle_since = now;
+	caller->queued = queued;
+	return queued && now - caller->idle_since <
+				 (pr_usec_t)limits_of(caller->edge).idle_ms *
+					 PR_USEC_PER_MSEC;
+}
+
 static void on_timer(pr_timer_t *timer, pr_usec_t now)
 {
 	pr_caller_t *caller = timer->data;
 
 	if (caller->exchange.active)
 		return;
+	if (!caller->head_began && is_reading_response(caller, now)) {
+		set_timer(caller);
+		return;
+	}
 	if (caller->lingering || is_idle(caller))
 		close_caller(caller, false);
 	else if (caller->head_began)
@@ -252,8 +270,12 @@
 {
 	pr_caller_t *caller = caller_of(link);
 
-	if (caller->exchange.active)
+	if (caller->exchange.active) {
 		pr_exchange_drained(&caller->exchange);
+		return;
+	}
+	caller->idle_since = pr_edge_now(caller->edge);
+	set_timer(caller);
 }
 
 static void on_closed(pr_link_t *link)
--- a/src/edge/caller.h
+++ b/src/edge/caller.h
@@ -23,6 +23,9 @@
 	/** Arrival of the first byte of the current head; 0 when idle. */
 	pr_usec_t head_began;
 	pr_usec_t idle_since;
+	/** Bytes of the last response that were not sent when the timer
+	 *  expired. */
+	size_t queued;
 	/** The body of the current response is sent in chunks. */
 	bool chunked;
 	/** Close the connection after the current response. */
--- a/src/http/link.c
+++ b/src/http/link.c
@@ -205,6 +205,11 @@
 	return 0;
 }
 
+size_t pr_link_queued(const pr_link_t *link)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&link->tcp);
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	pr_link_t *link = handle->data;
--- a/src/http/link.h
+++ b/src/http/link.h
@@ -43,6 +43,9 @@
 int pr_link_connect(pr_link_t *link, const struct sockaddr_in *address);
 /** Write a copy of the bytes. @return 0, PR_EIO or PR_ENOMEM */
 int pr_link_write(pr_link_t *link, const void *bytes, size_t len);
+/** @return bytes not yet accepted by the kernel. Unlike `unsent`, it also
+ *	   counts a write down that is under way. */
+size_t pr_link_queued(const pr_link_t *link);
 /** Stop reading, for back pressure. */
 void pr_link_pause(pr_link_t *link);
 void pr_link_resume(pr_link_t *link);
--- a/tests/edge/unfinished.py
+++ b/tests/edge/unfinished.py
@@ -7,16 +7,19 @@
 import asyncio
 import logging
 import random
+import socket
 import sys
 import time
 
 from answers import ask, head, set_script
 from checks import FAILURES, check
-from fleet import Fleet
+from fleet import HOST, Fleet
 from standins import P, chunk, stream_of
 from streams import events
 
 CHUNKED = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+# Length of an answer that is longer than what the buffers of sockets hold.
+LONG = 7500000
 DEADLY = "dead"
 # Latency objective of the prompts. A stream without an event is moved after 1.25
 # times as long.
@@ -41,6 +44,62 @@
     set_script(ledgers, None)
 
 
+def shorten_idle(document):
+    document["limits"]["idle-timeout-ms"] = 700
+
+
+async def read_slowly(address, ident, begin_s, fields):
+    """Begin to read an answer after begin_s, and take some seconds to read it.
+    Returns the length of the body that came."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 17)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    length, data = 0, b""
+    try:
+        await loop.sock_connect(sock, (address, 8080))
+        await loop.sock_sendall(sock, (
+            f"POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\n{P}Request-Attempt: {ident}\r\n"
+            f"{P}Credential: key-1\r\n{fields}\r\n").encode())
+        await asyncio.sleep(begin_s)
+        while b"\r\n\r\n" not in data:
+            data += await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), 3)
+        length = len(data.split(b"\r\n\r\n", 1)[1])
+        while data and length < LONG:
+            await asyncio.sleep(0.02)
+            data = await asyncio.wait_for(loop.sock_recv(sock, 1 << 16), 3)
+            length += len(data)
+    except (OSError, asyncio.TimeoutError):
+        pass
+    sock.close()
+    return length
+
+
+async def check_slow_readers(fleet, ledgers):
+    """A caller that was reading its answer got a part of it: the connection was closed
+    a second after the answer had ended, or as idle."""
+    address = fleet.routers[0].address
+
+    async def long_answer(request):
+        request.run()
+        await request.write(head(200, request.ident, f"Content-Length: {LONG}\r\n")
+                            + b"y" * LONG)
+        return True
+
+    set_script(ledgers, long_answer)
+    length = await read_slowly(address, "slow-close", 0, "Connection: close\r\n")
+    check("a slow caller gets the last answer of its connection", length == LONG, length)
+    length = await read_slowly(address, "late-close", 2, "Connection: close\r\n")
+    check("a late caller gets the last answer of its connection", length == LONG, length)
+    await fleet.apply(shorten_idle)
+    # The time in which a configuration takes effect.
+    await asyncio.sleep(3.0)
+    length = await read_slowly(address, "slow-kept", 0, "")
+    check("a caller that reads for longer than the idle time-out gets its answer",
+          length == LONG, length)
+    set_script(ledgers, None)
+
+
 def add_prompts(document):
     """Routes for prompts with an objective that leaves time for a quarantine; one
     of them leaves the model to the router."""
@@ -119,6 +178,7 @@
         ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
         models = [u for u in fleet.upstreams if u.service == "model"]
         await check_arriving(fleet, ledgers)
+        await check_slow_readers(fleet, ledgers)
         await check_quarantined(fleet, models)
     finally:
         await fleet.stop()
