Accept the empty rest of a stream that its caller resumes

What callers saw: a caller whose connection broke between the last event of a stream and its end asked for the rest, and got 502 after the upstreams had run the request max-attempts times.

Cause: a stream without events counts as broken off, since the end of its connection may be its only end. The rest behind the last event has none either.

Evidence: tests/edge/streams.py, "resumed behind its last event".

Change: where the caller stated its last event, an answer without events is complete if its framing says so. One that ends with its connection still counts as broken off.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -92,6 +92,9 @@
 	 *  header fields and body until they are forwarded. */
 	int status;
 	bool event_stream;
+	/** The response has neither a length nor chunks: it ends with its
+	 *  connection. */
+	bool unframed;
 	pr_str_t head, body;
 	/** The head of a response was sent to the caller. */
 	bool head_sent;
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -197,6 +197,7 @@
 
 	x->status = (int)reader->parser.status_code;
 	x->event_stream = false;
+	x->unframed = !(reader->parser.flags & (F_CHUNKED | F_CONTENTLENGTH));
 	x->progress_at = pr_exchange_now(x);
 	pr_str_clear(&x->body);
 	note_cold(x, reader);
@@ -373,13 +374,15 @@
 	pr_caller_end_response(caller);
 }
 
-/* Whether a stream ended inside an event, or before its first one: its end may
- * be marked by that of the connection only. */
+/* Whether a stream ended inside an event, or before its first one. A caller
+ * that has all events gets none, but then the end of the stream must be marked
+ * by more than that of the connection. */
 static bool has_broken_off(const pr_exchange_t *x)
 {
 	if (x->caller->reader.parser.method == HTTP_HEAD)
 		return false;
-	return !pr_sse_filter_complete(&x->events) || !x->events.passed;
+	return !pr_sse_filter_complete(&x->events) ||
+	       (!x->events.passed && (!x->events.has_id || x->unframed));
 }
 
 static void on_done(void *owner)
--- a/tests/edge/streams.py
+++ b/tests/edge/streams.py
@@ -270,6 +270,26 @@
                   and b" 200 " in first, (first, body[-60:], clean))
 
 
+async def check_resumed_at_end(fleet, address, models):
+    """A caller that has all events and not the end of its stream asks for the rest: an
+    answer without events was taken for broken off."""
+    async def rest(request):
+        request.run()
+        framed = request.ident.startswith("end-framed")
+        await request.write(head(200, request.ident, CHUNKED if framed else EVENTS)
+                            + (b"0\r\n\r\n" if framed else b""))
+        return framed
+
+    set_script(models, rest)
+    for ident in ("end-framed", "end-unframed"):
+        answer = await ask(address, ident, "/stream/x", budget_ms=2500,
+                           **{"Last-Event-Id": str(events_of(ident))})
+        runs = len(fleet.runs[ident])
+        check(f"a stream that is resumed behind its last event, {ident}",
+              (answer.status == 200 and answer.complete and not answer.body and runs == 1)
+              if ident == "end-framed" else answer.status != 200, (answer.status, runs))
+
+
 async def check_head_of_stream(fleet, address, models):
     """The answer to HEAD has no body, also where the answer to GET is a stream."""
     async def only_head(request):
@@ -345,6 +365,7 @@
     address = fleet.routers[1].address
     models = [u for u in fleet.upstreams if u.service == "model"]
     await check_head_of_stream(fleet, address, models)
+    await check_resumed_at_end(fleet, address, models)
     await check_next_answers(fleet, address, models)
     await check_without_chunks(fleet, address, models)
     await check_not_resumable(fleet, address, models)
