Do not count a wait for the caller as silence of its upstream

What callers saw: nothing; but a stream whose caller read late was run at a second upstream, as a repeat, and the first one was held to have failed.

Cause: the same class as the lost requests beside silent upstreams. Reading from the upstream pauses while the caller does not read, and the limit on the time without an event went on meanwhile.

Evidence: tests/edge/unfinished.py, a stream of 7.5 MB whose caller begins to read after 2.6 s.

Change: the limit holds only while the host reads from the upstream, and begins anew when it reads on.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -186,7 +186,7 @@
 						     : EVENT_GAP_DEFAULT_MS) *
 			PR_USEC_PER_MSEC;
 
-	if (!x->outbound || !can_repeat(x) ||
+	if (!x->outbound || x->reading_paused || !can_repeat(x) ||
 	    x->runs + 1 >= x->route->max_upstreams)
 		return PR_USEC_NEVER;
 	if (x->stream && x->events.passed && x->progress_at > x->attempt_began)
@@ -445,6 +445,7 @@
 	x->progress_at = x->attempt_began;
 	x->events_of_attempt = 0;
 	x->stalled_until = 0;
+	x->reading_paused = false;
 	x->pace = (pr_pace_stream_t){ 0 };
 	x->status = 0;
 	if (x->sends++)
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -428,8 +428,12 @@
 
 void pr_exchange_drained(pr_exchange_t *x)
 {
-	if (x->outbound)
-		pr_outbound_resume(x->outbound);
+	if (!x->outbound || !x->reading_paused)
+		return;
+	x->reading_paused = false;
+	x->progress_at = pr_exchange_now(x);
+	pr_outbound_resume(x->outbound);
+	pr_exchange_set_timer(x);
 }
 
 void pr_exchange_abort(pr_exchange_t *x)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -63,6 +63,8 @@
 	/** The attempt makes no progress, but could not be replaced; this is
 	 *  checked again at this time. */
 	pr_usec_t stalled_until;
+	/** Reading from the upstream waits for the caller to read. */
+	bool reading_paused;
 	/** Longest time between two events of one attempt. */
 	pr_usec_t longest_pause;
 	/** Events of the current attempt. */
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -284,8 +284,10 @@
 					    pr_str_slice(&x->head), -1);
 		x->head_sent = true;
 		pr_caller_send_body(x->caller, pr_str_slice(&out));
-		if (pr_caller_unsent(x->caller) > CALLER_UNSENT_MAX)
+		if (pr_caller_unsent(x->caller) > CALLER_UNSENT_MAX) {
+			x->reading_paused = true;
 			pr_outbound_pause(x->outbound);
+		}
 		pr_exchange_set_timer(x);
 	}
 	pr_str_finish(&out);
--- a/tests/edge/unfinished.py
+++ b/tests/edge/unfinished.py
@@ -48,7 +48,7 @@
     document["limits"]["idle-timeout-ms"] = 700
 
 
-async def read_slowly(address, ident, begin_s, fields):
+async def read_slowly(address, ident, begin_s, fields="", path="/safe/x"):
     """Begin to read an answer after begin_s, and take some seconds to read it.
     Returns the length of the body that came."""
     sock = socket.socket()
@@ -59,7 +59,7 @@
     try:
         await loop.sock_connect(sock, (address, 8080))
         await loop.sock_sendall(sock, (
-            f"POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\n{P}Request-Attempt: {ident}\r\n"
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{P}Request-Attempt: {ident}\r\n"
             f"{P}Credential: key-1\r\n{fields}\r\n").encode())
         await asyncio.sleep(begin_s)
         while b"\r\n\r\n" not in data:
@@ -94,12 +94,32 @@
     await fleet.apply(shorten_idle)
     # The time in which a configuration takes effect.
     await asyncio.sleep(3.0)
-    length = await read_slowly(address, "slow-kept", 0, "")
+    length = await read_slowly(address, "slow-kept", 0)
     check("a caller that reads for longer than the idle time-out gets its answer",
           length == LONG, length)
     set_script(ledgers, None)
 
 
+async def check_paused_stream(fleet, models):
+    """While reading from an upstream paused for a caller, the upstream counted as
+    silent, and the stream was moved to another one."""
+    async def long_stream(request):
+        request.run()
+        await request.write(head(200, request.ident, CHUNKED))
+        for number in range(1, 31):
+            event = f"id: {number}\ndata: ".encode() + b"z" * (LONG // 30) + b"\n\n"
+            await request.write(chunk(event), pause=0.002)
+        await request.write(b"0\r\n\r\n")
+        return True
+
+    set_script(models, long_stream)
+    # The route allows 1.2 s between events.
+    length = await read_slowly(fleet.routers[0].address, "paused", 2.6, path="/stream/x")
+    check("a stream that waits for its caller stays where it runs",
+          length >= LONG and len(fleet.runs["paused"]) == 1, (length, len(fleet.runs["paused"])))
+    set_script(models, None)
+
+
 def add_prompts(document):
     """Routes for prompts with an objective that leaves time for a quarantine; one
     of them leaves the model to the router."""
@@ -179,6 +199,7 @@
         models = [u for u in fleet.upstreams if u.service == "model"]
         await check_arriving(fleet, ledgers)
         await check_slow_readers(fleet, ledgers)
+        await check_paused_stream(fleet, models)
         await check_quarantined(fleet, models)
     finally:
         await fleet.stop()
