--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -18,9 +18,9 @@
 #define UPSTREAM_POLL_PERIOD (25 * PR_USEC_PER_MSEC)
 /* A request waits for an upstream for its latency objective divided by this. */
 #define UPSTREAM_WAIT_DIVISOR 8
-/* An idempotent request without a response is sent to another upstream after
- * this part of its latency objective, in per cent. The rest is needed for the
- * second attempt. */
+/* An idempotent request of whose response nothing has arrived for this part of
+ * its latency objective, in per cent, is sent to another upstream. The rest is
+ * needed for the second attempt. */
 #define RESPONSE_PERCENT 60
 /* A stream without its first event is sent to another upstream after this part
  * of its latency objective, in per cent. */
@@ -51,9 +51,12 @@
 {
 	pr_repeat_budget_t *budget = pr_edge_repeat_budget(x->edge, x->service);
 	const pr_bound_settings_t *bounds = &x->edge->settings->bounds;
+	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
 	uint32_t hosts = pr_edge_hosts_count(x->edge);
 
-	if (!has_attempts_left(x))
+	if (!has_attempts_left(x) ||
+	    !pr_quarantine_admits(&x->edge->quarantine, &prompt, true,
+				  pr_edge_store_now(x->edge), NULL))
 		return false;
 	return !budget ||
 	       pr_repeat_budget_take(
@@ -183,7 +186,7 @@
 						     : EVENT_GAP_DEFAULT_MS) *
 			PR_USEC_PER_MSEC;
 
-	if (!x->outbound || !can_repeat(x) ||
+	if (!x->outbound || x->reading_paused || !can_repeat(x) ||
 	    x->runs + 1 >= x->route->max_upstreams)
 		return PR_USEC_NEVER;
 	if (x->stream && x->events.passed && x->progress_at > x->attempt_began)
@@ -193,7 +196,7 @@
 		return later(x->attempt_began +
 				     target * FIRST_EVENT_PERCENT / 100,
 			     x->stalled_until);
-	return later(x->attempt_began + target * RESPONSE_PERCENT / 100,
+	return later(x->progress_at + target * RESPONSE_PERCENT / 100,
 		     x->stalled_until);
 }
 
@@ -442,6 +445,7 @@
 	x->progress_at = x->attempt_began;
 	x->events_of_attempt = 0;
 	x->stalled_until = 0;
+	x->reading_paused = false;
 	x->pace = (pr_pace_stream_t){ 0 };
 	x->status = 0;
 	if (x->sends++)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -59,12 +59,14 @@
 	/** Expected prefill time of the prompt, milliseconds, as added to the
 	 *  upstream's pending_prefill_ms; 0 once the prefill is over. */
 	double prefill_ms;
-	/** Start of the current attempt, and its last progress: the head or an
-	 *  event of the response. */
+	/** Start of the current attempt, and its last progress: the head, an
+	 *  event, or a part of the body of the response. */
 	pr_usec_t attempt_began, progress_at;
 	/** The attempt makes no progress, but could not be replaced; this is
 	 *  checked again at this time. */
 	pr_usec_t stalled_until;
+	/** Reading from the upstream waits for the caller to read. */
+	bool reading_paused;
 	/** Longest time between two events of one attempt. */
 	pr_usec_t longest_pause;
 	/** Events of the current attempt. */
@@ -94,6 +96,9 @@
 	 *  header fields and body until they are forwarded. */
 	int status;
 	bool event_stream;
+	/** The response has neither a length nor chunks: it ends with its
+	 *  connection. */
+	bool unframed;
 	pr_str_t head, body;
 	/** The head of a response was sent to the caller. */
 	bool head_sent;
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -197,6 +197,7 @@
 
 	x->status = (int)reader->parser.status_code;
 	x->event_stream = false;
+	x->unframed = !(reader->parser.flags & (F_CHUNKED | F_CONTENTLENGTH));
 	x->progress_at = pr_exchange_now(x);
 	pr_str_clear(&x->body);
 	note_cold(x, reader);
@@ -283,8 +284,10 @@
 					    pr_str_slice(&x->head), -1);
 		x->head_sent = true;
 		pr_caller_send_body(x->caller, pr_str_slice(&out));
-		if (pr_caller_unsent(x->caller) > CALLER_UNSENT_MAX)
+		if (pr_caller_unsent(x->caller) > CALLER_UNSENT_MAX) {
+			x->reading_paused = true;
 			pr_outbound_pause(x->outbound);
+		}
 		pr_exchange_set_timer(x);
 	}
 	pr_str_finish(&out);
@@ -325,6 +328,7 @@
 		return true;
 	if (x->event_stream)
 		return forward_events(x, bytes);
+	x->progress_at = pr_exchange_now(x);
 	if (can_buffer(x, bytes.len) &&
 	    !pr_str_append(&x->body, bytes.ptr, bytes.len))
 		return true;
@@ -372,13 +376,15 @@
 	pr_caller_end_response(caller);
 }
 
-/* Whether a stream ended inside an event, or before its first one: its end may
- * be marked by that of the connection only. */
+/* Whether a stream ended inside an event, or before its first one. A caller
+ * that has all events gets none, but then the end of the stream must be marked
+ * by more than that of the connection. */
 static bool has_broken_off(const pr_exchange_t *x)
 {
 	if (x->caller->reader.parser.method == HTTP_HEAD)
 		return false;
-	return !pr_sse_filter_complete(&x->events) || !x->events.passed;
+	return !pr_sse_filter_complete(&x->events) ||
+	       (!x->events.passed && (!x->events.has_id || x->unframed));
 }
 
 static void on_done(void *owner)
