Judge prompt parts by crashes that all hosts know of

A host knows crashes of its own requests at once and those of others after up to three report periods, so crashes count for a verdict only once they are 600 ms old.

test_crash_known_late at 9, 84 and 295 hosts fails without the change: all hosts quarantine the sound part.

--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -25,6 +25,11 @@
 /* The same for a part that may have crashed all upstreams of its service; later
  * than the verdict of hosts that see answers to other requests. */
 #define SETTLE_TRIAL_MS 2500
+/* Time until all hosts know of a crash, milliseconds: it is reported to the
+ * relays of the zone, then to the other relays, then to their hosts. Younger
+ * crashes do not count: a host would know those of its own requests, but not
+ * those of the requests that explain them. */
+#define REPORT_MS INT64_C(600)
 /* Answers to other requests of the service until the verdict. Without any, the
  * service is down rather than the part at fault. */
 #define OTHER_ANSWERS_MIN 5
@@ -58,18 +63,20 @@
 	return false;
 }
 
-/* @param other quarantined part whose explanation does not count; may be
- * NULL */
+/*
+ * @param other quarantined part whose explanation does not count; may be NULL
+ * @param until_ms time after which crashes do not count
+ */
 static unsigned count_unexplained(const pr_quarantine_t *quarantine,
 				  const pr_suspect_t *suspect,
-				  const pr_suspect_t *other)
+				  const pr_suspect_t *other, int64_t until_ms)
 {
 	unsigned count = 0;
 
 	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
 		const pr_crash_t *crash = &suspect->crashes[i];
 
-		count += pr_crash_is_real(crash) &&
+		count += crash->at_ms <= until_ms && pr_crash_is_real(crash) &&
 			 !is_explained(quarantine, suspect, other, crash);
 	}
 	return count;
@@ -92,11 +99,13 @@
 	return first;
 }
 
+/* @param until_ms time after which crashes do not count */
 static bool has_enough_crashes(const pr_quarantine_t *quarantine,
-			       const pr_suspect_t *suspect)
+			       const pr_suspect_t *suspect, int64_t until_ms)
 {
 	unsigned requests = count_bits(suspect->requests);
-	unsigned upstreams = count_unexplained(quarantine, suspect, NULL);
+	unsigned upstreams =
+		count_unexplained(quarantine, suspect, NULL, until_ms);
 
 	if (pr_suspect_was_answered(suspect))
 		return requests >= CRASHES_MIN_ANSWERED &&
@@ -115,7 +124,7 @@
 	return now_ms - suspect->since_ms >= settle_ms &&
 	       first_unexplained_ms(quarantine, suspect) <=
 		       now_ms - settle_ms &&
-	       has_enough_crashes(quarantine, suspect);
+	       has_enough_crashes(quarantine, suspect, now_ms - REPORT_MS);
 }
 
 static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
@@ -177,7 +186,8 @@
 /* Whether a likelier part, which all of its requests share with the suspect,
  * has the evidence already and only has to wait for its verdict. */
 static bool has_likelier(const pr_quarantine_t *quarantine,
-			 const pr_suspect_t *suspect, unsigned crashes)
+			 const pr_suspect_t *suspect, unsigned crashes,
+			 int64_t until_ms)
 {
 	for (size_t i = 0; i < quarantine->count; i++) {
 		const pr_suspect_t *other = &quarantine->entries[i].suspect;
@@ -186,10 +196,11 @@
 		    pr_suspect_is_suspected(other) &&
 		    !pr_suspect_is_quarantined(other) &&
 		    !(other->requests & ~suspect->requests) &&
-		    has_enough_crashes(quarantine, other) &&
-		    pr_suspect_is_likelier(
-			    other, count_unexplained(quarantine, other, NULL),
-			    suspect, crashes))
+		    has_enough_crashes(quarantine, other, until_ms) &&
+		    pr_suspect_is_likelier(other,
+					   count_unexplained(quarantine, other,
+							     NULL, until_ms),
+					   suspect, crashes))
 			return true;
 	}
 	return false;
@@ -204,6 +215,7 @@
 					     int64_t now_ms)
 {
 	pr_quarantine_entry_t *guilty = NULL;
+	int64_t until_ms = now_ms - REPORT_MS;
 	unsigned most = 0;
 
 	for (size_t i = 0; i < quarantine->count; i++) {
@@ -212,9 +224,11 @@
 
 		if (!suffices(quarantine, entry, now_ms))
 			continue;
-		crashes = count_unexplained(quarantine, &entry->suspect, NULL);
+		crashes = count_unexplained(quarantine, &entry->suspect, NULL,
+					    until_ms);
 		if (!pr_suspect_is_quarantined(&entry->suspect) &&
-		    has_likelier(quarantine, &entry->suspect, crashes))
+		    has_likelier(quarantine, &entry->suspect, crashes,
+				 until_ms))
 			continue;
 		if (guilty && !pr_suspect_is_likelier(&entry->suspect, crashes,
 						      &guilty->suspect, most))
@@ -269,9 +283,11 @@
 		    covers(other, suspect) &&
 		    pr_suspect_is_likelier(
 			    other,
-			    count_unexplained(quarantine, other, suspect),
+			    count_unexplained(quarantine, other, suspect,
+					      INT64_MAX),
 			    suspect,
-			    count_unexplained(quarantine, suspect, other)))
+			    count_unexplained(quarantine, suspect, other,
+					      INT64_MAX)))
 			return true;
 	}
 	return false;
--- /dev/null
+++ b/tests/test_quarantine_rivals.c
@@ -0,0 +1,72 @@
+/*
+ * Tests of src/quarantine/verdict: which of several suspected parts is
+ * quarantined. Guards against a verdict on a sound part while the evidence
+ * against the part that crashed the upstreams is still on its way.
+ */
+#include "quarantine_fleet.h"
+
+/* Two requests crash five upstreams, and three sound requests with a new part
+ * wait on four of these. The host of the last sound one knows the last crash of
+ * its own request before that of the other host's. Guards against a quarantine
+ * of the sound part in this time, which then explains the crashes of the other
+ * part. */
+static void check_crash_known_late(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	static const uint64_t sound[] = { COMMON + 1, RARE };
+	static const int sound_request[] = { 0, 0, -1, 1, 2 };
+	pr_quarantine_prompt_t crashing[2], waiting[3];
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 2; i++)
+		crashing[i] = prompt_of(&fleet, deadly, 2);
+	for (int i = 0; i < 3; i++)
+		waiting[i] = prompt_of(&fleet, sound, 2);
+	for (int i = 0; i < 35; i++) {
+		answer_sound(&fleet);
+		if (i >= 5 && i < 20 && i % 3 == 0) {
+			int crash = i / 3 - 2;
+			uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+			if (sound_request[crash] >= 0)
+				pr_quarantine_record_crash(
+					&fleet.hosts[0],
+					&waiting[sound_request[crash]],
+					upstream, fleet.now);
+			pr_quarantine_record_crash(&fleet.hosts[hosts - 1],
+						   &crashing[crash % 2],
+						   upstream, fleet.now);
+		}
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), hosts);
+	finish_fleet(&fleet);
+}
+
+static void test_crash_known_late_9_hosts(void **state)
+{
+	check_crash_known_late(9);
+}
+
+static void test_crash_known_late_84_hosts(void **state)
+{
+	check_crash_known_late(84);
+}
+
+static void test_crash_known_late_295_hosts(void **state)
+{
+	check_crash_known_late(295);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_crash_known_late_9_hosts),
+		cmocka_unit_test(test_crash_known_late_84_hosts),
+		cmocka_unit_test(test_crash_known_late_295_hosts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
