Let a part wait for the verdict on a likelier one

A sound part was quarantined beside the part that crashed the upstreams: the sound one had fewer crashes, but its first one was older, so that its evidence had settled while the other one's had 0.1 s to go.

A part waited only for likelier parts that all of their requests share with it. It waits now for any likelier part that has the evidence and that leaves it without enough crashes of its own. A part that occurs in all requests of the suspect and in others is no reason to wait.

test_likelier_part_with_later_first_crash fails without the change: the sound part is quarantined at nine hosts.

--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -99,13 +99,9 @@
 	return first;
 }
 
-/* @param until_ms time after which crashes do not count */
-static bool has_enough_crashes(const pr_quarantine_t *quarantine,
-			       const pr_suspect_t *suspect, int64_t until_ms)
+static bool is_enough(const pr_suspect_t *suspect, unsigned upstreams)
 {
 	unsigned requests = count_bits(suspect->requests);
-	unsigned upstreams =
-		count_unexplained(quarantine, suspect, NULL, until_ms);
 
 	if (pr_suspect_was_answered(suspect))
 		return requests >= CRASHES_MIN_ANSWERED &&
@@ -115,6 +111,32 @@
 		upstreams >= UPSTREAMS_MIN_MANY);
 }
 
+/* @param until_ms time after which crashes do not count */
+static bool has_enough_crashes(const pr_quarantine_t *quarantine,
+			       const pr_suspect_t *suspect, int64_t until_ms)
+{
+	return is_enough(suspect, count_unexplained(quarantine, suspect, NULL,
+						    until_ms));
+}
+
+/* Whether the evidence would suffice if the other part were quarantined. */
+static bool has_enough_beside(const pr_quarantine_t *quarantine,
+			      const pr_suspect_t *suspect,
+			      const pr_suspect_t *other, int64_t until_ms)
+{
+	unsigned upstreams = 0;
+
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		const pr_crash_t *crash = &suspect->crashes[i];
+
+		upstreams += crash->at_ms <= until_ms &&
+			     pr_crash_is_real(crash) &&
+			     !pr_suspect_explains(other, crash) &&
+			     !is_explained(quarantine, suspect, NULL, crash);
+	}
+	return is_enough(suspect, upstreams);
+}
+
 /* Whether the evidence suffices and answers on the part at other hosts would be
  * known by now. */
 static bool has_settled_evidence(const pr_quarantine_t *quarantine,
@@ -183,8 +205,14 @@
 				    now_ms);
 }
 
-/* Whether a likelier part, which all of its requests share with the suspect,
- * has the evidence already and only has to wait for its verdict. */
+/* Whether some of the requests with a lack b, and all with b have a. */
+static bool is_wider(const pr_suspect_t *a, const pr_suspect_t *b)
+{
+	return !(b->requests & ~a->requests) && (a->requests & ~b->requests);
+}
+
+/* Whether a likelier part has the evidence already, only has to wait for its
+ * verdict, and will then explain the crashes of the suspect. */
 static bool has_likelier(const pr_quarantine_t *quarantine,
 			 const pr_suspect_t *suspect, unsigned crashes,
 			 int64_t until_ms)
@@ -195,12 +223,13 @@
 		if (other != suspect && other->service == suspect->service &&
 		    pr_suspect_is_suspected(other) &&
 		    !pr_suspect_is_quarantined(other) &&
-		    !(other->requests & ~suspect->requests) &&
+		    !is_wider(other, suspect) &&
 		    has_enough_crashes(quarantine, other, until_ms) &&
 		    pr_suspect_is_likelier(other,
 					   count_unexplained(quarantine, other,
 							     NULL, until_ms),
-					   suspect, crashes))
+					   suspect, crashes) &&
+		    !has_enough_beside(quarantine, suspect, other, until_ms))
 			return true;
 	}
 	return false;
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -60,12 +60,54 @@
 	check_crash_known_late(295);
 }
 
+/* A part that crashed many upstreams waits for its verdict, since its first
+ * crash is recent. Guards against a quarantine of a part with fewer, but older
+ * crashes, most of which the first one explains. */
+static void test_likelier_part_with_later_first_crash(void **state)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	static const uint64_t sound[] = { COMMON + 1, RARE };
+	pr_quarantine_prompt_t first, second;
+	fleet_t fleet;
+
+	start_fleet(&fleet, 9);
+	for (int i = 0; i < 5; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	first = prompt_of(&fleet, sound, 2);
+	second = prompt_of(&fleet, sound, 2);
+	for (int i = 0; i < 30; i++) {
+		uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+		answer_sound(&fleet);
+		/* Two crashes have another cause, three are the part's. */
+		if (i < 10 && strchr("01679", '0' + i))
+			pr_quarantine_record_crash(&fleet.hosts[1],
+						   i < 8 ? &first : &second,
+						   upstream, fleet.now);
+		for (int j = 0; j < 2 && i >= 5 && i < 12; j++) {
+			pr_quarantine_prompt_t prompt =
+				prompt_of(&fleet, deadly, 2);
+
+			pr_quarantine_record_crash(&fleet.hosts[i % 9], &prompt,
+						   upstream, fleet.now);
+			upstream = (uint32_t)++fleet.upstreams * 77;
+		}
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 9);
+	finish_fleet(&fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_crash_known_late_9_hosts),
 		cmocka_unit_test(test_crash_known_late_84_hosts),
 		cmocka_unit_test(test_crash_known_late_295_hosts),
+		cmocka_unit_test(test_likelier_part_with_later_first_crash),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
