Let a subject wait for a part of its requests that explains them

A subject was quarantined for 0.6 s in place of the crashing part that two of its three requests had: all three broke off on the same four upstreams, one of them only beside another. The subject had the evidence (three requests, four upstreams), the part lacked a request or an upstream.

A part now also waits for a likelier one that occurs only in its own requests, in two of them or more, and that crashed all of its upstreams, although the evidence against that one doesn't suffice yet. A crash without it ends the wait.

test_subject_with_more_requests fails without the change: the subject is quarantined.

--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -205,14 +205,45 @@
 				    now_ms);
 }
 
+/*
+ * Whether a crashed all upstreams that b did.
+ *
+ * @param until_ms time after which crashes of b do not count
+ */
+static bool covers(const pr_suspect_t *a, const pr_suspect_t *b,
+		   int64_t until_ms)
+{
+	for (uint32_t i = 0; i < b->crashes_count; i++) {
+		if (b->crashes[i].at_ms <= until_ms &&
+		    pr_crash_is_real(&b->crashes[i]) &&
+		    !pr_suspect_has_crash(a, b->crashes[i].upstream))
+			return false;
+	}
+	return b->crashes_count;
+}
+
 /* Whether some of the requests with a lack b, and all with b have a. */
 static bool is_wider(const pr_suspect_t *a, const pr_suspect_t *b)
 {
 	return !(b->requests & ~a->requests) && (a->requests & ~b->requests);
 }
 
-/* Whether a likelier part has the evidence already, only has to wait for its
- * verdict, and will then explain the crashes of the suspect. */
+/* Whether the other part would explain the suspect's crashes: it has the
+ * evidence and only has to wait for its verdict, or it occurs in some of the
+ * suspect's requests, and these crashed all of the upstreams. */
+static bool may_explain(const pr_quarantine_t *quarantine,
+			const pr_suspect_t *other, const pr_suspect_t *suspect,
+			int64_t until_ms)
+{
+	if (has_enough_crashes(quarantine, other, until_ms))
+		return !is_wider(other, suspect) &&
+		       !has_enough_beside(quarantine, suspect, other, until_ms);
+	return !(other->requests & ~suspect->requests) &&
+	       count_bits(other->requests) >= REQUESTS_MIN_FEW &&
+	       covers(other, suspect, until_ms);
+}
+
+/* Whether the suspect has to wait until more is known of a likelier part. */
 static bool has_likelier(const pr_quarantine_t *quarantine,
 			 const pr_suspect_t *suspect, unsigned crashes,
 			 int64_t until_ms)
@@ -223,13 +254,11 @@
 		if (other != suspect && other->service == suspect->service &&
 		    pr_suspect_is_suspected(other) &&
 		    !pr_suspect_is_quarantined(other) &&
-		    !is_wider(other, suspect) &&
-		    has_enough_crashes(quarantine, other, until_ms) &&
+		    may_explain(quarantine, other, suspect, until_ms) &&
 		    pr_suspect_is_likelier(other,
 					   count_unexplained(quarantine, other,
 							     NULL, until_ms),
-					   suspect, crashes) &&
-		    !has_enough_beside(quarantine, suspect, other, until_ms))
+					   suspect, crashes))
 			return true;
 	}
 	return false;
@@ -284,17 +313,6 @@
 	}
 }
 
-/* Whether a crashed all upstreams that b did. */
-static bool covers(const pr_suspect_t *a, const pr_suspect_t *b)
-{
-	for (uint32_t i = 0; i < b->crashes_count; i++) {
-		if (pr_crash_is_real(&b->crashes[i]) &&
-		    !pr_suspect_has_crash(a, b->crashes[i].upstream))
-			return false;
-	}
-	return b->crashes_count;
-}
-
 /*
  * Hosts may quarantine two parts of the same requests at the same time. The
  * likelier one overrules the other if all of its requests have the other part,
@@ -309,7 +327,7 @@
 		if (other != suspect && other->service == suspect->service &&
 		    pr_suspect_is_quarantined(other) &&
 		    !(other->requests & ~suspect->requests) &&
-		    covers(other, suspect) &&
+		    covers(other, suspect, INT64_MAX) &&
 		    pr_suspect_is_likelier(
 			    other,
 			    count_unexplained(quarantine, other, suspect,
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -101,6 +101,44 @@
 	finish_fleet(&fleet);
 }
 
+/* Two requests with a subject and a crashing part crash four upstreams, and a
+ * sound request with the subject waits on one of them. Guards against a
+ * quarantine of the subject, which has the evidence with one crash fewer. */
+static void test_subject_with_more_requests(void **state)
+{
+	static const uint64_t deadly[] = { COMMON, RARE, DEADLY };
+	static const uint64_t sound[] = { COMMON, RARE };
+	pr_quarantine_prompt_t crashing[2], waiting;
+	fleet_t fleet;
+
+	start_fleet(&fleet, 9);
+	for (int i = 0; i < 5; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 2; i++)
+		crashing[i] = prompt_of(&fleet, deadly, 3);
+	waiting = prompt_of(&fleet, sound, 2);
+	for (int i = 0; i < 40; i++) {
+		uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+		answer_sound(&fleet);
+		if (i < 12 && i % 3 == 0)
+			pr_quarantine_record_crash(&fleet.hosts[4],
+						   &crashing[i % 2], upstream,
+						   fleet.now);
+		if (i == 6)
+			pr_quarantine_record_crash(&fleet.hosts[7], &waiting,
+						   upstream, fleet.now);
+		if (i == 20)
+			crash(&fleet, 5, deadly, 3);
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 9);
+	finish_fleet(&fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -108,6 +146,7 @@
 		cmocka_unit_test(test_crash_known_late_84_hosts),
 		cmocka_unit_test(test_crash_known_late_295_hosts),
 		cmocka_unit_test(test_likelier_part_with_later_first_crash),
+		cmocka_unit_test(test_subject_with_more_requests),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
