Keep the crashes of upstreams that start again under the same entry

While the store is away, an upstream that crashed starts again under the entry and tag that hosts know.

Only what an upstream sends within 2 s after the crash refutes it now; an upstream is back later than that.

test_same_entry at 9, 84 and 295 hosts fails without the change: no host quarantines the part.

--- a/src/quarantine/suspect.c
+++ b/src/quarantine/suspect.c
@@ -10,6 +10,9 @@
 /* Time in which bytes that an upstream sent before it crashed still arrive at
  * other hosts, whose clocks differ a little, milliseconds. */
 #define ON_THE_WAY_MS 500
+/* Time in which an upstream that crashed cannot have started again,
+ * milliseconds. */
+#define RESTART_MS 2000
 
 static int64_t later(int64_t a, int64_t b)
 {
@@ -31,6 +34,12 @@
 	return crash->answer_ms <= crash->at_ms + ON_THE_WAY_MS;
 }
 
+void pr_crash_note_alive(pr_crash_t *crash, int64_t alive_ms)
+{
+	if (alive_ms <= crash->at_ms + RESTART_MS)
+		crash->answer_ms = later(crash->answer_ms, alive_ms);
+}
+
 /* @return index of the upstream's crash, or crashes_count */
 static uint32_t find_crash(const pr_suspect_t *suspect, uint32_t upstream)
 {
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -11,8 +11,8 @@
 typedef struct pr_crash_t {
 	/** Tag of its incarnation. */
 	uint32_t upstream;
-	/** Time of the crash, and of the newest answer of the upstream that a
-	 *  host reported: after a crash there is none. */
+	/** Time of the crash, and of the newest answer of the upstream before
+	 *  it can have started again: after a crash there is none. */
 	int64_t at_ms, answer_ms;
 } pr_crash_t;
 
@@ -58,6 +58,9 @@
 /** @return true when the upstream crashed indeed: one that sends something
  *	   afterwards only broke the connection */
 bool pr_crash_is_real(const pr_crash_t *crash);
+/** Note that the upstream sent something. Long after the crash that shows
+ * nothing: one that starts again while the store is away keeps its tag. */
+void pr_crash_note_alive(pr_crash_t *crash, int64_t alive_ms);
 /**
  * Merge a crash of an upstream, in place of the oldest when there is no room.
  *
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -39,11 +39,6 @@
 	return (unsigned)__builtin_popcountll(bits);
 }
 
-static int64_t later(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
 /* Whether a part that is in quarantine, or was, and is neither of the two
  * explains the crash. */
 static bool is_explained(const pr_quarantine_t *quarantine,
@@ -305,8 +300,8 @@
 		pr_crash_t *crash = &entry->suspect.crashes[i];
 		bool was_crash = pr_crash_is_real(crash);
 
-		crash->answer_ms = later(
-			crash->answer_ms,
+		pr_crash_note_alive(
+			crash,
 			pr_quarantine_alive_ms(quarantine, crash->upstream));
 		if (was_crash && !pr_crash_is_real(crash))
 			pr_quarantine_mark_changed(entry, true);
--- a/tests/test_quarantine_verdict.c
+++ b/tests/test_quarantine_verdict.c
@@ -342,6 +342,50 @@
 	finish_fleet(&fleet);
 }
 
+/* The store is away, so upstreams that crashed start again under the same
+ * entry, and answer other requests. Guards against crashes that these answers
+ * refute, so that no verdict is reached. */
+static void check_same_entry(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	pr_quarantine_prompt_t crashing[2];
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 2; i++)
+		crashing[i] = prompt_of(&fleet, deadly, 2);
+	for (int i = 0; i < 60; i++) {
+		answer_sound(&fleet);
+		if (i < 12 && i % 3 == 0)
+			pr_quarantine_record_crash(
+				&fleet.hosts[i % hosts], &crashing[i % 2],
+				(uint32_t)++fleet.upstreams * 77, fleet.now);
+		for (uint32_t j = 1; j < 5 && i >= 30; j++)
+			pr_quarantine_record_alive(&fleet.hosts[i % hosts],
+						   j * 77, fleet.now);
+		if (i == 40)
+			crash(&fleet, 3, deadly, 2);
+		run_period(&fleet);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), hosts);
+	finish_fleet(&fleet);
+}
+
+static void test_same_entry_9_hosts(void **state)
+{
+	check_same_entry(9);
+}
+
+static void test_same_entry_84_hosts(void **state)
+{
+	check_same_entry(84);
+}
+
+static void test_same_entry_295_hosts(void **state)
+{
+	check_same_entry(295);
+}
+
 /* A part that one host answered long before is broken off beside crashes.
  * Guards against a verdict after the short wait. */
 static void test_answered_part_waits_longer(void **state)
@@ -606,6 +650,9 @@
 		cmocka_unit_test(test_subject_of_crashing_requests),
 		cmocka_unit_test(test_crash_after_verdict),
 		cmocka_unit_test(test_resetting_upstreams),
+		cmocka_unit_test(test_same_entry_9_hosts),
+		cmocka_unit_test(test_same_entry_84_hosts),
+		cmocka_unit_test(test_same_entry_295_hosts),
 		cmocka_unit_test(test_answered_part_waits_longer),
 		cmocka_unit_test(test_one_request),
 		cmocka_unit_test(test_one_upstream),
