Count the answers to other requests at all hosts

At few requests a host a part that crashes upstreams was quarantined late or not at all: each host waited until it had seen five answers to other requests of the service by itself.

A suspect now carries a set of the other requests that were answered, by hash, in four bytes that its record had in reserve. Sets merge by union. A host tells others only of parts whose crashes suffice otherwise, and only up to five answers.

test_few_answers at 295 hosts (20 answers/s of the fleet) fails without the change, with 50 late requests; 9 and 84 hosts pass on both.

--- a/src/quarantine/internal.h
+++ b/src/quarantine/internal.h
@@ -14,6 +14,9 @@
 /** @return the entry of a part, or NULL */
 pr_quarantine_entry_t *pr_quarantine_find(pr_quarantine_t *quarantine,
 					  uint32_t service, uint64_t part);
+/** @return true when the service answered enough other requests while the part
+ *	   has been suspected */
+bool pr_quarantine_has_others(const pr_quarantine_entry_t *entry);
 /** @return time of the last answer of an upstream, or 0 */
 int64_t pr_quarantine_alive_ms(const pr_quarantine_t *quarantine,
 			       uint32_t upstream);
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -118,6 +118,13 @@
 	return NULL;
 }
 
+bool pr_quarantine_has_others(const pr_quarantine_entry_t *entry)
+{
+	return entry->other_answers >= PR_QUARANTINE_OTHERS_MIN ||
+	       __builtin_popcount(entry->suspect.others) >=
+		       PR_QUARANTINE_OTHERS_MIN;
+}
+
 static size_t answered_slot(uint64_t part)
 {
 	return (size_t)(spread(part) >> 32) % PR_QUARANTINE_ANSWERED_MAX;
@@ -200,7 +207,10 @@
 {
 	entry->suspect.requests = 0;
 	entry->suspect.crashes_count = 0;
+	entry->suspect.others = 0;
 	entry->other_answers = 0;
+	entry->other_since_ms = 0;
+	entry->others_unsent = false;
 	entry->was_service_up = false;
 }
 
@@ -341,6 +351,20 @@
 	quarantine->alive[slot].ms = now_ms;
 }
 
+static void note_other_answer(pr_quarantine_entry_t *entry, uint64_t request,
+			      int64_t now_ms)
+{
+	uint32_t bit = UINT32_C(1) << (spread(request) >> 59);
+
+	entry->other_answers++;
+	if (!entry->other_since_ms)
+		entry->other_since_ms = now_ms;
+	if (entry->suspect.others & bit || pr_quarantine_has_others(entry))
+		return;
+	entry->suspect.others |= bit;
+	entry->others_unsent = true;
+}
+
 void pr_quarantine_record_answer(pr_quarantine_t *quarantine,
 				 const pr_quarantine_prompt_t *prompt,
 				 int64_t now_ms)
@@ -364,8 +388,7 @@
 			clear(entry, now_ms);
 			continue;
 		}
-		if (!entry->other_answers++)
-			entry->other_since_ms = now_ms;
+		note_other_answer(entry, prompt->request, now_ms);
 	}
 }
 
@@ -388,6 +411,7 @@
 		if (!own->requests || suspect->since_ms < own->since_ms)
 			own->since_ms = suspect->since_ms;
 		own->requests |= suspect->requests;
+		own->others |= suspect->others;
 		for (uint32_t i = 0; i < suspect->crashes_count; i++)
 			entry_changed |=
 				pr_suspect_add_crash(own, &suspect->crashes[i]);
@@ -420,6 +444,7 @@
 		own->quarantines = suspect->quarantines;
 	changed = merge_evidence(quarantine, entry, suspect);
 	if (changed || own->requests != before.requests ||
+	    own->others != before.others ||
 	    own->quarantined_ms != before.quarantined_ms ||
 	    own->probe_ms != before.probe_ms ||
 	    !own->answer_ms != !before.answer_ms ||
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -28,6 +28,9 @@
 #define PR_QUARANTINE_ANSWERED_MAX 4096
 /** Upstreams whose last answer is remembered; a power of two. */
 #define PR_QUARANTINE_ALIVE_MAX 1024
+/** Answers to other requests after which a service counts as up beside a
+ * suspected part. */
+#define PR_QUARANTINE_OTHERS_MIN 5
 /** Services whose answers are counted; a power of two. */
 #define PR_QUARANTINE_SERVICES_MAX 64
 
@@ -44,10 +47,13 @@
 /** A suspect on this host. */
 typedef struct pr_quarantine_entry_t {
 	pr_suspect_t suspect;
-	/** Answers to other requests of the service while the part has been
-	 *  suspected, and the time of the first of them. */
+	/** Answers of this host to other requests of the service while the
+	 *  part has been suspected, and the time from which this host has known
+	 *  of answers of any host; 0 for none. */
 	uint32_t other_answers;
 	int64_t other_since_ms;
+	/** The other hosts have not been told of all bits in suspect.others. */
+	bool others_unsent;
 	/** The service answered requests until the part was suspected. */
 	bool was_service_up;
 	/** The quarantine is not in force: a likelier part of the same requests
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -31,6 +31,9 @@
 	uint64_t requests;
 	pr_crash_t crashes[PR_SUSPECT_CRASHES_MAX];
 	uint32_t crashes_count;
+	/** Other requests of the service that were answered at any host while
+	 *  the part has been suspected: bit set by hash. */
+	uint32_t others;
 	/** First crash while the part has been suspected, and the newest. */
 	int64_t since_ms, crash_ms;
 	/** Evidence up to this time does not count: an answer on the part
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -30,9 +30,6 @@
  * crashes do not count: a host would know those of its own requests, but not
  * those of the requests that explain them. */
 #define REPORT_MS INT64_C(600)
-/* Answers to other requests of the service until the verdict. Without any, the
- * service is down rather than the part at fault. */
-#define OTHER_ANSWERS_MIN 5
 
 static unsigned count_bits(uint64_t bits)
 {
@@ -146,7 +143,7 @@
 
 static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
 {
-	return entry->other_answers >= OTHER_ANSWERS_MIN &&
+	return pr_quarantine_has_others(entry) &&
 	       entry->suspect.crash_ms > entry->other_since_ms;
 }
 
@@ -342,12 +339,32 @@
 	pr_quarantine_mark_changed(entry, true);
 }
 
+/*
+ * Without answers to other requests the service is down rather than the part at
+ * fault. One host of many may see few of them, so it tells the others, but only
+ * of parts whose verdict may wait for that.
+ */
+static void share_others(const pr_quarantine_t *quarantine,
+			 pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	if (entry->suspect.others && !entry->other_since_ms)
+		entry->other_since_ms = now_ms;
+	if (!entry->others_unsent ||
+	    !pr_suspect_is_suspected(&entry->suspect) ||
+	    !has_enough_crashes(quarantine, &entry->suspect, now_ms))
+		return;
+	entry->others_unsent = false;
+	pr_quarantine_mark_changed(entry, true);
+}
+
 void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms)
 {
 	pr_quarantine_entry_t *entry;
 
 	for (size_t i = 0; i < quarantine->count; i++)
 		refute_crashes(quarantine, &quarantine->entries[i]);
+	for (size_t i = 0; i < quarantine->count; i++)
+		share_others(quarantine, &quarantine->entries[i], now_ms);
 	for (size_t i = 0; i < quarantine->count; i++) {
 		entry = &quarantine->entries[i];
 		entry->overruled = pr_suspect_is_quarantined(&entry->suspect) &&
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -251,7 +251,7 @@
 	uint16_t position, quarantines;
 	/** Bytes of the record with its crashes, and the number of these. */
 	uint16_t size, crashes_count;
-	uint32_t reserved;
+	uint32_t others;
 } suspect_record_t;
 
 /* Record of a crash. The times are relative to the newest crash of the part,
@@ -296,6 +296,7 @@
 				   suspect->crashes_count *
 					   sizeof(crash_record_t)),
 		.crashes_count = (uint16_t)suspect->crashes_count,
+		.others = suspect->others,
 	};
 	int rc = pr_str_append(out, (const char *)&record, sizeof(record));
 
@@ -360,6 +361,7 @@
 		.position = record.position,
 		.requests = record.requests,
 		.crashes_count = record.crashes_count,
+		.others = record.others,
 		.since_ms = record.since_ms,
 		.crash_ms = record.crash_ms,
 		.cleared_ms = record.cleared_ms,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -60,6 +60,51 @@
 	check_crashing_part(295);
 }
 
+/* The fleet has 20 answers/s, whatever the number of hosts, so that one of
+ * many hosts has few by itself. Guards against a verdict that waits until a
+ * host has seen enough answers to other requests. */
+static void check_few_answers(int hosts)
+{
+	static const uint64_t parts[] = { COMMON, DEADLY };
+	static const uint64_t other[] = { OTHER };
+	fleet_t fleet;
+	int64_t fifth_at = 0;
+	int crashes = 0, late = 0;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 100; i++) {
+		for (int j = 0; j < 4; j++)
+			answer(&fleet, (i * 4 + j) * 7 % hosts, other, 1);
+		if (i % 3 == 0) {
+			int reached = crash(&fleet, (i * 31) % hosts, parts, 2);
+
+			crashes += reached;
+			if (!fifth_at && crashes >= 5)
+				fifth_at = fleet.now;
+			if (fifth_at && fleet.now > fifth_at + CONTACT)
+				late += reached;
+		}
+		run_period(&fleet);
+	}
+	assert_in_range(late, 0, 3);
+	finish_fleet(&fleet);
+}
+
+static void test_few_answers_9_hosts(void **state)
+{
+	check_few_answers(9);
+}
+
+static void test_few_answers_84_hosts(void **state)
+{
+	check_few_answers(84);
+}
+
+static void test_few_answers_295_hosts(void **state)
+{
+	check_few_answers(295);
+}
+
 /* A host that starts later knows nothing; the others tell it. */
 static void test_host_starts_later(void **state)
 {
@@ -304,6 +349,9 @@
 		cmocka_unit_test(test_crashing_part_9_hosts),
 		cmocka_unit_test(test_crashing_part_84_hosts),
 		cmocka_unit_test(test_crashing_part_295_hosts),
+		cmocka_unit_test(test_few_answers_9_hosts),
+		cmocka_unit_test(test_few_answers_84_hosts),
+		cmocka_unit_test(test_few_answers_295_hosts),
 		cmocka_unit_test(test_host_starts_later),
 		cmocka_unit_test(test_saved_list),
 		cmocka_unit_test(test_saved_list_full),
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -248,6 +248,7 @@
 	suspect.quarantined_ms = INT64_MAX;
 	suspect.quarantines = 4;
 	suspect.probe_ms = 5;
+	suspect.others = UINT32_MAX - 6;
 	suspect.crashes_count = number % (PR_SUSPECT_CRASHES_MAX + 1);
 	for (uint32_t i = 0; i < suspect.crashes_count; i++) {
 		suspect.crashes[i].upstream = UINT32_MAX - i;
