Release a prompt part on one host after the other without a limit

Hosts from the 13th in the order released a quarantined part at the same time, 60 s after the first one, and those from the 41st sent single requests with a part on trial at the same time. If the requests with the part come only at such hosts, for instance in one zone, each of them sends one before it learns of the others': simulated at 295 hosts, 255 requests reached upstreams in one release, and rule BUDGET allows three.

Each host now waits for its turn, 1 s after the one before it: news of a request takes up to 0.6 s. The turns begin again when the outcome of a request is not known in time.

test_release_of_last_hosts at 84 and 295 hosts fails without the change (84 and 296 requests in five minutes).

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -15,14 +15,9 @@
 #define QUARANTINE_MS     INT64_C(30000)
 #define QUARANTINE_MAX_MS INT64_C(3600000)
 /* Time between the releases of a part on two hosts, milliseconds: the others
- * learn of the first host's request before they send one. The maximum is for
- * hosts that come late in the order. */
-#define RELEASE_STEP_MS INT64_C(5000)
-#define RELEASE_MAX_MS  INT64_C(60000)
-/* The same for a part whose quarantine has no length. A sound part may be in
- * this state after an outage, so its requests wait for less. */
-#define TRIAL_STEP_MS INT64_C(500)
-#define TRIAL_MAX_MS  INT64_C(20000)
+ * learn of the first host's request before they send one. Also the last hosts
+ * in the order wait, since the requests may come only there. */
+#define RELEASE_STEP_MS INT64_C(1000)
 /* Time for which the outcome of a request after the quarantine is awaited,
  * milliseconds. */
 #define PROBE_MS INT64_C(10000)
@@ -54,19 +49,23 @@
 	return a < b ? a : b;
 }
 
+static int64_t release_delay_ms(const pr_quarantine_t *quarantine)
+{
+	return quarantine->rank * RELEASE_STEP_MS;
+}
+
 int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
 				 const pr_suspect_t *suspect)
 {
 	int64_t length = QUARANTINE_MS;
 
 	if (!suspect->quarantines)
-		return suspect->quarantined_ms +
-		       earlier(quarantine->rank * TRIAL_STEP_MS, TRIAL_MAX_MS);
+		return suspect->quarantined_ms + release_delay_ms(quarantine);
 	for (uint32_t i = 1;
 	     i < suspect->quarantines && length < QUARANTINE_MAX_MS; i++)
 		length *= 2;
 	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS) +
-	       earlier(quarantine->rank * RELEASE_STEP_MS, RELEASE_MAX_MS);
+	       release_delay_ms(quarantine);
 }
 
 bool pr_quarantine_is_in_force(const pr_quarantine_t *quarantine,
@@ -257,7 +256,8 @@
 			continue;
 		until = later(
 			pr_quarantine_release_ms(quarantine, &entry->suspect),
-			entry->suspect.probe_ms + PROBE_MS);
+			entry->suspect.probe_ms + PROBE_MS +
+				release_delay_ms(quarantine));
 		if (now_ms >= until && !is_repeat)
 			continue;
 		if (until_ms)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -283,6 +283,44 @@
 	finish_fleet(&fleet);
 }
 
+/* The requests come only at hosts that are late in the order of release.
+ * Guards against a release of many hosts at the same time, each of which sends
+ * a request before it learns of the others'. */
+static void check_release_of_last_hosts(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	fleet_t fleet;
+	int64_t end;
+	int reached = 0;
+
+	start_fleet(&fleet, hosts);
+	quarantine_deadly(&fleet);
+	end = fleet.now + 300000;
+	while (fleet.now < end) {
+		answer_sound(&fleet);
+		for (int host = hosts / 2; host < hosts; host++)
+			reached += crash(&fleet, host, deadly, 2);
+		run_period(&fleet);
+	}
+	assert_in_range(reached, 1, 3);
+	finish_fleet(&fleet);
+}
+
+static void test_release_of_last_hosts_9_hosts(void **state)
+{
+	check_release_of_last_hosts(9);
+}
+
+static void test_release_of_last_hosts_84_hosts(void **state)
+{
+	check_release_of_last_hosts(84);
+}
+
+static void test_release_of_last_hosts_295_hosts(void **state)
+{
+	check_release_of_last_hosts(295);
+}
+
 /* A suspect that a quarantined part explains is no news in each period. */
 static void test_explained_suspect_is_quiet(void **state)
 {
@@ -359,6 +397,9 @@
 		cmocka_unit_test(test_flood),
 		cmocka_unit_test(test_merge_order),
 		cmocka_unit_test(test_release_sends_one_request),
+		cmocka_unit_test(test_release_of_last_hosts_9_hosts),
+		cmocka_unit_test(test_release_of_last_hosts_84_hosts),
+		cmocka_unit_test(test_release_of_last_hosts_295_hosts),
 		cmocka_unit_test(test_explained_suspect_is_quiet),
 		cmocka_unit_test(test_reports_of_all_zones),
 	};
