Let an answer shortly before a verdict end the quarantine

A subject stayed in quarantine although a request with it had been answered 0.3 s before the verdict: its host did not know of the answer yet, and the hosts that did took the later verdict over.

An answer of up to 600 ms before a verdict, the time that it takes to reach all hosts, now ends the quarantine like one after it. A part that crashes upstreams has no answers, so this releases none of these.

test_answer_known_late at 9, 84 and 295 hosts fails without the change: all hosts keep the part in quarantine.

--- a/src/quarantine/suspect.c
+++ b/src/quarantine/suspect.c
@@ -26,7 +26,8 @@
 
 bool pr_suspect_is_quarantined(const pr_suspect_t *suspect)
 {
-	return suspect->quarantined_ms > suspect->cleared_ms;
+	return suspect->quarantined_ms >
+	       (suspect->cleared_ms ? suspect->cleared_ms + PR_REPORT_MS : 0);
 }
 
 bool pr_crash_is_real(const pr_crash_t *crash)
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -7,6 +7,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Time until all hosts know what one host observed, milliseconds: it is
+ * reported to the relays of the zone, then to the other relays, then to their
+ * hosts. */
+#define PR_REPORT_MS INT64_C(600)
+
 /** An upstream that broke off a request with a part. */
 typedef struct pr_crash_t {
 	/** Tag of its incarnation. */
@@ -52,8 +57,9 @@
 
 /** @return true when there is evidence since the last answer on the part */
 bool pr_suspect_is_suspected(const pr_suspect_t *suspect);
-/** @return true when no answer on the part began since its quarantine did; the
- *	   quarantine may have ended */
+/** @return true when no answer on the part began since its quarantine did, or
+ *	   shortly before, so that the host of the verdict did not know of it;
+ *	   the quarantine may have ended */
 bool pr_suspect_is_quarantined(const pr_suspect_t *suspect);
 /** @return true when an answer on the part began not long before the first
  *	   crash */
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -25,11 +25,6 @@
 /* The same for a part that may have crashed all upstreams of its service; later
  * than the verdict of hosts that see answers to other requests. */
 #define SETTLE_TRIAL_MS 2500
-/* Time until all hosts know of a crash, milliseconds: it is reported to the
- * relays of the zone, then to the other relays, then to their hosts. Younger
- * crashes do not count: a host would know those of its own requests, but not
- * those of the requests that explain them. */
-#define REPORT_MS INT64_C(600)
 
 static unsigned count_bits(uint64_t bits)
 {
@@ -135,10 +130,12 @@
 				 const pr_suspect_t *suspect, int64_t settle_ms,
 				 int64_t now_ms)
 {
+	/* A host knows the crashes of its own requests at once, but not those
+	 * of the requests that explain them. */
 	return now_ms - suspect->since_ms >= settle_ms &&
 	       first_unexplained_ms(quarantine, suspect) <=
 		       now_ms - settle_ms &&
-	       has_enough_crashes(quarantine, suspect, now_ms - REPORT_MS);
+	       has_enough_crashes(quarantine, suspect, now_ms - PR_REPORT_MS);
 }
 
 static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
@@ -265,7 +262,7 @@
 					     int64_t now_ms)
 {
 	pr_quarantine_entry_t *guilty = NULL;
-	int64_t until_ms = now_ms - REPORT_MS;
+	int64_t until_ms = now_ms - PR_REPORT_MS;
 	unsigned most = 0;
 
 	for (size_t i = 0; i < quarantine->count; i++) {
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -139,6 +139,42 @@
 	finish_fleet(&fleet);
 }
 
+/* A host has the evidence against a part in the moment in which another host
+ * gets an answer on it. Guards against a verdict that outlasts this answer. */
+static void check_answer_known_late(int hosts)
+{
+	static const uint64_t rare[] = { COMMON, RARE };
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 30; i++) {
+		answer_sound(&fleet);
+		for (int j = 0; j < 2 && i < 6 && i % 2 == 0; j++)
+			crash(&fleet, i, rare, 2);
+		/* The period of the verdict; the first host decides first. */
+		if (i == 8)
+			answer(&fleet, hosts - 1, rare, 2);
+		run_period(&fleet);
+	}
+	assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	finish_fleet(&fleet);
+}
+
+static void test_answer_known_late_9_hosts(void **state)
+{
+	check_answer_known_late(9);
+}
+
+static void test_answer_known_late_84_hosts(void **state)
+{
+	check_answer_known_late(84);
+}
+
+static void test_answer_known_late_295_hosts(void **state)
+{
+	check_answer_known_late(295);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -147,6 +183,9 @@
 		cmocka_unit_test(test_crash_known_late_295_hosts),
 		cmocka_unit_test(test_likelier_part_with_later_first_crash),
 		cmocka_unit_test(test_subject_with_more_requests),
+		cmocka_unit_test(test_answer_known_late_9_hosts),
+		cmocka_unit_test(test_answer_known_late_84_hosts),
+		cmocka_unit_test(test_answer_known_late_295_hosts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
