Keep the first crashes of a prompt part in a storm

A part that crashed more than sixteen upstreams in 1.5 s was never quarantined: only its sixteen newest crashes were kept, so the evidence against it seemed to be new all the time.

The first eight crashes are kept now, and the eight newest ones; those between count as explained, as those before the newest did. A part with a full list is compared by all of its crashes, since those that were dropped are older than the newest ones.

test_storm at 9, 84 and 295 hosts fails without the change: subjects are quarantined, the part is not.

--- a/src/quarantine/suspect.c
+++ b/src/quarantine/suspect.c
@@ -7,6 +7,9 @@
 /* Numbers of crashes that differ by less than this part count as equal: reports
  * of other hosts arrive one after the other. */
 #define LAG_PART 4
+/* Crashes that are kept however many follow; without them, the evidence of a
+ * storm would always be new. */
+#define FIRST_MAX (PR_SUSPECT_CRASHES_MAX / 2)
 /* Time in which bytes that an upstream sent before it crashed still arrive at
  * other hosts, whose clocks differ a little, milliseconds. */
 #define ON_THE_WAY_MS 500
@@ -52,16 +55,29 @@
 	return i;
 }
 
-/* @return index of the oldest crash of a suspect that has some */
-static uint32_t oldest_crash(const pr_suspect_t *suspect)
+/* @return number of kept crashes that are older */
+static uint32_t rank_crash(const pr_suspect_t *suspect, const pr_crash_t *crash)
 {
-	uint32_t oldest = 0;
+	uint32_t rank = 0;
 
-	for (uint32_t i = 1; i < suspect->crashes_count; i++) {
-		if (suspect->crashes[i].at_ms < suspect->crashes[oldest].at_ms)
-			oldest = i;
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		const pr_crash_t *other = &suspect->crashes[i];
+
+		rank += other->at_ms < crash->at_ms ||
+			(other->at_ms == crash->at_ms &&
+			 other->upstream < crash->upstream);
 	}
-	return oldest;
+	return rank;
+}
+
+/* @return the crash of a suspect that has more */
+static pr_crash_t *find_rank(pr_suspect_t *suspect, uint32_t rank)
+{
+	uint32_t i = 0;
+
+	while (rank_crash(suspect, &suspect->crashes[i]) != rank)
+		i++;
+	return &suspect->crashes[i];
 }
 
 bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream)
@@ -74,8 +90,20 @@
 	if (pr_suspect_has_crash(suspect, crash->upstream))
 		return true;
 	return suspect->crashes_count == PR_SUSPECT_CRASHES_MAX &&
-	       crash->at_ms >= suspect->since_ms &&
-	       crash->at_ms < suspect->crashes[oldest_crash(suspect)].at_ms;
+	       rank_crash(suspect, crash) == FIRST_MAX;
+}
+
+/* Keep the first crashes and the newest ones of a suspect that has no room for
+ * another. */
+static bool replace_crash(pr_suspect_t *suspect, const pr_crash_t *crash)
+{
+	uint32_t rank = rank_crash(suspect, crash);
+
+	if (rank == FIRST_MAX)
+		return false;
+	*find_rank(suspect, rank < FIRST_MAX ? FIRST_MAX - 1 : FIRST_MAX) =
+		*crash;
+	return true;
 }
 
 bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash)
@@ -84,13 +112,8 @@
 	pr_crash_t *known = &suspect->crashes[i];
 	bool was_crash;
 
-	if (i == PR_SUSPECT_CRASHES_MAX) {
-		i = oldest_crash(suspect);
-		if (suspect->crashes[i].at_ms >= crash->at_ms)
-			return false;
-		suspect->crashes[i] = *crash;
-		return true;
-	}
+	if (i == PR_SUSPECT_CRASHES_MAX)
+		return replace_crash(suspect, crash);
 	if (i == suspect->crashes_count) {
 		suspect->crashes_count++;
 		*known = *crash;
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -21,7 +21,8 @@
 	int64_t at_ms, answer_ms;
 } pr_crash_t;
 
-/** Most upstreams that are kept for a part; the oldest crashes are dropped. */
+/** Most upstreams that are kept for a part: those that crashed first, and the
+ * newest ones. */
 #define PR_SUSPECT_CRASHES_MAX 16
 
 /** What is known of a part; all times by the store's clock, milliseconds. */
@@ -71,14 +72,15 @@
  * nothing: one that starts again while the store is away keeps its tag. */
 void pr_crash_note_alive(pr_crash_t *crash, int64_t alive_ms);
 /**
- * Merge a crash of an upstream, in place of the oldest when there is no room.
+ * Merge a crash of an upstream, in place of one between the first and the
+ * newest ones when there is no room.
  *
  * @return true when the evidence changes
  */
 bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash);
 bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream);
-/** @return true when the part crashed the upstream, or may have: crashes from
- *	   before the oldest one that is kept are not known any more */
+/** @return true when the part crashed the upstream, or may have: of many
+ *	   crashes those between the first and the newest ones are not kept */
 bool pr_suspect_explains(const pr_suspect_t *suspect, const pr_crash_t *crash);
 /**
  * @param a_crashes number of crashes that count against a
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -60,6 +60,9 @@
 {
 	unsigned count = 0;
 
+	/* The crashes that were not kept are older than the newest ones. */
+	if (suspect->crashes_count == PR_SUSPECT_CRASHES_MAX)
+		until_ms = INT64_MAX;
 	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
 		const pr_crash_t *crash = &suspect->crashes[i];
 
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -175,6 +175,51 @@
 	check_answer_known_late(295);
 }
 
+/* Requests with two subjects and a crashing part crash so many upstreams that
+ * those of 1.5 s are more than are kept of the part, but not of one of the
+ * subjects. Guards against a quarantine of the subjects, since the evidence
+ * against the part seems to be new all the time. */
+static void check_storm(int hosts)
+{
+	static const uint64_t often[] = { COMMON, RARE, DEADLY };
+	static const uint64_t seldom[] = { COMMON, RARE + 1, DEADLY };
+	fleet_t fleet;
+	int64_t first_at = 0;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 40; i++) {
+		answer_sound(&fleet);
+		for (int j = 0; j < 4 && i >= 5; j++) {
+			if (!first_at)
+				first_at = fleet.now;
+			crash(&fleet, (i * 4 + j) * 7 % hosts,
+			      j ? often : seldom, 3);
+		}
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+		assert_int_equal(count_quarantining(&fleet, RARE + 1), 0);
+		if (first_at && fleet.now >= first_at + CONTACT)
+			assert_int_equal(count_quarantining(&fleet, DEADLY),
+					 hosts);
+	}
+	finish_fleet(&fleet);
+}
+
+static void test_storm_9_hosts(void **state)
+{
+	check_storm(9);
+}
+
+static void test_storm_84_hosts(void **state)
+{
+	check_storm(84);
+}
+
+static void test_storm_295_hosts(void **state)
+{
+	check_storm(295);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -186,6 +231,9 @@
 		cmocka_unit_test(test_answer_known_late_9_hosts),
 		cmocka_unit_test(test_answer_known_late_84_hosts),
 		cmocka_unit_test(test_answer_known_late_295_hosts),
+		cmocka_unit_test(test_storm_9_hosts),
+		cmocka_unit_test(test_storm_84_hosts),
+		cmocka_unit_test(test_storm_295_hosts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
