Bound the estimate of the store's clock by the time of the request

Each response of the store set the host's estimate to the time that it states. A response that was under way for long, or that a frozen host read after it woke, moved the estimate back by that time until the next one. A crash that was recorded meanwhile got a time from before answers of the same upstream, which refuted it, and news of other hosts were taken to be from the future.

The store formed a response between the sending of its request and the reading, so the estimate is now moved only as far as that demands.

test_store_clock fails with the former rule (long poll, drift, a host frozen for 4 s whose crash was refuted).

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -110,7 +110,7 @@
 	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
 
 	/* The times of suspects are by the store's clock. */
-	if (x->upstream && x->edge->has_store_clock &&
+	if (x->upstream && x->edge->store_clock.is_known &&
 	    (!strcmp(fault, PR_FAULT_BROKEN) ||
 	     !strcmp(fault, PR_FAULT_CUT_EVENT)) &&
 	    x->events_of_attempt < PR_ANSWER_BEGUN)
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -44,7 +44,7 @@
 
 int64_t pr_edge_store_now(pr_edge_t *edge)
 {
-	return edge->store_clock_offset_ms +
+	return edge->store_clock.offset_ms +
 	       pr_edge_now(edge) / PR_USEC_PER_MSEC;
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,6 +21,7 @@
 #include "place/place.h"
 #include "place/prefill.h"
 #include "quarantine/quarantine.h"
+#include "store/clock.h"
 #include "store/store.h"
 #include "transition/pace.h"
 #include "transition/sessions.h"
@@ -40,6 +41,8 @@
 	pr_store_table_t table;
 	pr_call_t call;
 	pr_timer_t timer;
+	/** Time at which the current call was started. */
+	pr_usec_t called_at;
 	/** Version of the store from which the next feed call continues. */
 	uint64_t version;
 	/** Version of the newest row that was applied. */
@@ -139,9 +142,8 @@
 	pr_watch_t watches[PR_TABLES_COUNT];
 	/** Call that writes to the shared table; one at a time. */
 	pr_call_t writer;
-	/** Store's clock minus this host's monotonic clock, milliseconds. */
-	int64_t store_clock_offset_ms;
-	bool has_store_clock;
+	/** By this host's monotonic clock. */
+	pr_store_clock_t store_clock;
 	pr_peering_t peering;
 	uv_tcp_t caller_listener, ready_listener, metrics_listener,
 		peer_listener;
--- a/src/edge/peer_suspects.c
+++ b/src/edge/peer_suspects.c
@@ -95,7 +95,7 @@
 	int64_t now = pr_edge_store_now(edge);
 
 	/* The times of suspects are by the store's clock. */
-	if (!edge->has_store_clock || !edge->quarantine.count)
+	if (!edge->store_clock.is_known || !edge->quarantine.count)
 		return;
 	edge->quarantine.rank =
 		pr_roster_rank(&edge->peering.roster, RELEASE_ORDER);
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -322,9 +322,9 @@
 	    pr_peering_reads_store(edge))
 		return;
 	pr_watches_extend_outage_grace(edge, state->unsettled_ms);
-	if (edge->has_store_clock && (clock_lead_ms > CLOCK_TOLERANCE_MS ||
-				      clock_lead_ms < -CLOCK_TOLERANCE_MS))
-		edge->store_clock_offset_ms += clock_lead_ms;
+	if (edge->store_clock.is_known && (clock_lead_ms > CLOCK_TOLERANCE_MS ||
+					   clock_lead_ms < -CLOCK_TOLERANCE_MS))
+		edge->store_clock.offset_ms += clock_lead_ms;
 }
 
 /* Whether this host has to forward rows: it is the relay that reads the feeds,
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -177,7 +177,7 @@
 /* The upstream has not crashed: it sends something. */
 static void record_alive(pr_exchange_t *x)
 {
-	if (x->upstream && x->edge->has_store_clock)
+	if (x->upstream && x->edge->store_clock.is_known)
 		pr_quarantine_record_alive(&x->edge->quarantine,
 					   x->upstream->tag,
 					   pr_edge_store_now(x->edge));
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -417,7 +417,7 @@
 {
 	int64_t now = pr_edge_store_now(edge);
 
-	if (!edge->has_store_clock)
+	if (!edge->store_clock.is_known)
 		return;
 	if (!edge->registered && edge->watches[PR_TABLE_SHARED].synced &&
 	    can_write(edge))
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -122,11 +122,11 @@
 	watch->failures = 0;
 }
 
-static void update_store_clock(pr_edge_t *edge, int64_t now_ms)
+static void update_store_clock(pr_watch_t *watch, int64_t store_ms)
 {
-	edge->store_clock_offset_ms =
-		now_ms - pr_edge_now(edge) / PR_USEC_PER_MSEC;
-	edge->has_store_clock = true;
+	pr_store_clock_note(&watch->edge->store_clock, store_ms,
+			    watch->called_at / PR_USEC_PER_MSEC,
+			    pr_edge_now(watch->edge) / PR_USEC_PER_MSEC);
 }
 
 /* Removals that an outage of the store may have caused take effect at the end
@@ -199,7 +199,7 @@
 		return;
 	}
 	handle_recovery(watch);
-	update_store_clock(watch->edge, rows.now_ms);
+	update_store_clock(watch, rows.now_ms);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
 	if (!watch->page_key)
@@ -259,7 +259,7 @@
 		return;
 	}
 	handle_recovery(watch);
-	update_store_clock(watch->edge, rows.now_ms);
+	update_store_clock(watch, rows.now_ms);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
 	after = watch->newest;
@@ -324,6 +324,7 @@
 		handle_failure(watch, 0);
 		return;
 	}
+	watch->called_at = pr_edge_now(watch->edge);
 	if (watch->synced)
 		pr_call_start(&watch->call, pr_str_slice(&request), timeout,
 			      on_feed);
