Tell hosts that start of released prompt parts too

A host that started after a quarantine had ended, or while the requests with a part were sent one at a time because all upstreams had crashed, learned nothing of the part: only parts whose requests are refused were sent again, and the store's row never has one of the second kind. It sent the next request with the part, and repeated it after each crash.

Parts are now sent again until a request with them is answered, or for ten minutes after the last crash.

test_start_after_release at 9, 84 and 295 hosts fails without the change: the host repeats the request.

--- a/src/quarantine/internal.h
+++ b/src/quarantine/internal.h
@@ -4,6 +4,10 @@
 
 #include "quarantine/quarantine.h"
 
+/** Time in which the evidence against a part lasts without a further crash,
+ *  milliseconds. */
+#define PR_SUSPICION_MS INT64_C(600000)
+
 /** @return end of the quarantine of a part on this host */
 int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
 				 const pr_suspect_t *suspect);
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -7,9 +7,6 @@
 
 #include <string.h>
 
-/* Time in which the evidence against a part lasts without a further crash,
- * milliseconds. */
-#define SUSPICION_MS INT64_C(600000)
 /* Length of the first quarantine of a part, milliseconds; each one is twice as
  * long as the one before, up to the maximum. */
 #define QUARANTINE_MS     INT64_C(30000)
@@ -288,7 +285,7 @@
 {
 	return !pr_suspect_is_suspected(suspect) ||
 	       (!pr_suspect_is_quarantined(suspect) &&
-		now_ms - suspect->crash_ms > SUSPICION_MS);
+		now_ms - suspect->crash_ms > PR_SUSPICION_MS);
 }
 
 static void record_crash(const pr_quarantine_t *quarantine,
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -159,8 +159,8 @@
 void pr_quarantine_note_sent(pr_quarantine_t *quarantine,
 			     const pr_quarantine_prompt_t *prompt,
 			     int64_t now_ms);
-/** Mark some of the quarantined parts as changed, in rotation, for hosts that
- *  started after the verdict. */
+/** Mark some of the parts that are or were in quarantine as changed, in
+ *  rotation, for hosts that started after the verdict. */
 void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms);
 /**
  * List suspects that changed and have not been sent to the audience often
--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -5,6 +5,15 @@
 /* Quarantined parts that are sent again at a time. */
 #define REFRESH_MAX 8
 
+/* After the release too, hosts that start have to know that requests with the
+ * part are sent one at a time. */
+static bool is_refreshed(const pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	return pr_suspect_is_quarantined(&entry->suspect) &&
+	       !entry->overruled &&
+	       now_ms - entry->suspect.crash_ms <= PR_SUSPICION_MS;
+}
+
 void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms)
 {
 	size_t refreshed = 0;
@@ -16,7 +25,7 @@
 		quarantine->refresh_at =
 			(quarantine->refresh_at + 1) % quarantine->count;
 		entry = &quarantine->entries[quarantine->refresh_at];
-		if (!pr_quarantine_is_in_force(quarantine, entry, now_ms))
+		if (!is_refreshed(entry, now_ms))
 			continue;
 		refreshed++;
 		for (int j = 0; j < PR_AUDIENCES_COUNT; j++) {
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -120,6 +120,45 @@
 	finish_fleet(&fleet);
 }
 
+/* A host starts when the quarantine has ended, but no request with the part was
+ * answered yet. Guards against repeats of the next one at this host. */
+static void check_start_after_release(int hosts)
+{
+	static const uint64_t parts[] = { COMMON, DEADLY };
+	fleet_t fleet;
+	pr_quarantine_prompt_t prompt;
+
+	start_fleet(&fleet, hosts);
+	quarantine_deadly(&fleet);
+	fleet.now += 30000 + hosts * 1000;
+	memset(&fleet.hosts[hosts - 1], 0, sizeof(fleet.hosts[0]));
+	for (int i = 0; i < 20; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	prompt = prompt_of(&fleet, parts, 2);
+	assert_true(pr_quarantine_admits(&fleet.hosts[hosts - 1], &prompt,
+					 false, fleet.now, NULL));
+	assert_false(pr_quarantine_admits(&fleet.hosts[hosts - 1], &prompt,
+					  true, fleet.now, NULL));
+	finish_fleet(&fleet);
+}
+
+static void test_start_after_release_9_hosts(void **state)
+{
+	check_start_after_release(9);
+}
+
+static void test_start_after_release_84_hosts(void **state)
+{
+	check_start_after_release(84);
+}
+
+static void test_start_after_release_295_hosts(void **state)
+{
+	check_start_after_release(295);
+}
+
 /* All hosts start again at once: the saved list has the parts, and an answer
  * removes a part from it. */
 static void test_saved_list(void **state)
@@ -391,6 +430,9 @@
 		cmocka_unit_test(test_few_answers_84_hosts),
 		cmocka_unit_test(test_few_answers_295_hosts),
 		cmocka_unit_test(test_host_starts_later),
+		cmocka_unit_test(test_start_after_release_9_hosts),
+		cmocka_unit_test(test_start_after_release_84_hosts),
+		cmocka_unit_test(test_start_after_release_295_hosts),
 		cmocka_unit_test(test_saved_list),
 		cmocka_unit_test(test_saved_list_full),
 		cmocka_unit_test(test_release),
