Bound the news of suspected prompt parts by the report period

A relay now sends its hosts one suspect in a report period, and a host its relays four, quarantined ones and those with the most evidence first.

test_storm_traffic at 9, 84 and 295 hosts fails without the change (18.7 to 20.4 KB/s).

--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -164,8 +164,8 @@
 void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms);
 /**
  * List suspects that changed and have not been sent to the audience often
- * enough: first the quarantined ones, then those that were cleared, then those
- * with the most evidence.
+ * enough, as many as may be sent at a time: first the quarantined
+ * ones, then those that were cleared, then those with the most evidence.
  *
  * @return number of suspects in out
  */
--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -2,6 +2,13 @@
  */
 #include "quarantine/internal.h"
 
+/* Most suspects that are sent to an audience at a time. This bounds what a
+ * storm of crashes adds to the control traffic: a host is told by each relay of
+ * its zone. */
+static const size_t changes_max[PR_AUDIENCES_COUNT] = {
+	[PR_AUDIENCE_RELAYS] = 4,
+	[PR_AUDIENCE_FOLLOWERS] = 1,
+};
 /* Quarantined parts that are sent again at a time. */
 #define REFRESH_MAX 8
 
@@ -59,6 +66,8 @@
 	bool taken[PR_QUARANTINE_MAX] = { false };
 	size_t count = 0;
 
+	if (max > changes_max[audience])
+		max = changes_max[audience];
 	while (count < max) {
 		pr_quarantine_entry_t *first = NULL;
 
--- a/tests/quarantine_fleet.h
+++ b/tests/quarantine_fleet.h
@@ -37,6 +37,8 @@
 	int64_t now;
 	uint64_t requests, upstreams;
 	uint32_t datagrams_max;
+	/** Bytes that the last host was sent. */
+	size_t bytes;
 } fleet_t;
 
 static inline void start_fleet(fleet_t *fleet, int count)
@@ -61,6 +63,22 @@
 	return host < ZONES;
 }
 
+/* @return bytes of the datagrams, with the headers of IP and UDP */
+static inline size_t datagram_bytes(const pr_suspect_t *suspects, size_t count)
+{
+	size_t bytes = 0, at = 0;
+
+	while (at < count) {
+		pr_str_t datagram = PR_STR_INIT;
+
+		at += pr_message_pack_suspects(&datagram, "host-of-a-zone-17",
+					       &suspects[at], count - at);
+		bytes += datagram.len + 28;
+		pr_str_finish(&datagram);
+	}
+	return bytes;
+}
+
 static inline uint32_t send_changes(fleet_t *fleet, int from,
 				    pr_audience_t audience)
 {
@@ -80,6 +98,8 @@
 		if (to == from || !gets)
 			continue;
 		sent++;
+		if (to == fleet->count - 1)
+			fleet->bytes += datagram_bytes(suspects, count);
 		for (size_t i = 0; i < count; i++)
 			pr_quarantine_merge(&fleet->hosts[to], &suspects[i],
 					    is_relay(to) && same_zone);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -420,6 +420,64 @@
 	finish_fleet(&fleet);
 }
 
+/*
+ * Each crash breaks off twenty sound requests, so most of what hosts tell each
+ * other is about parts of these. Guards against control traffic of more than
+ * 3 KB/s in a storm at a host that is no relay, and against a verdict that
+ * waits behind it.
+ */
+static void check_storm_traffic(int hosts)
+{
+	fleet_t fleet;
+	uint64_t parts[] = { COMMON, DEADLY };
+	int64_t began;
+
+	start_fleet(&fleet, hosts);
+	began = fleet.now;
+	for (int i = 0; i < 60; i++) {
+		answer_sound(&fleet);
+		if (i % 2 == 0) {
+			uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+			crash(&fleet, i * 31 % hosts, parts, 2);
+			for (uint64_t j = 0; j < 20; j++) {
+				uint64_t sound[] = { COMMON + j % 5,
+						     0x1000 + j * 53 % 400 +
+							     (uint64_t)i };
+				pr_quarantine_prompt_t prompt =
+					prompt_of(&fleet, sound, 2);
+
+				pr_quarantine_record_crash(
+					&fleet.hosts[(int)j * 17 % hosts],
+					&prompt, upstream, fleet.now);
+			}
+		}
+		run_period(&fleet);
+		if (i == 20)
+			assert_int_equal(count_quarantining(&fleet, DEADLY),
+					 hosts);
+	}
+	/* A zone has two relays, each of which tells the host everything. */
+	assert_in_range(2 * fleet.bytes * 1000 / (uint64_t)(fleet.now - began),
+			0, 3000);
+	finish_fleet(&fleet);
+}
+
+static void test_storm_traffic_9_hosts(void **state)
+{
+	check_storm_traffic(9);
+}
+
+static void test_storm_traffic_84_hosts(void **state)
+{
+	check_storm_traffic(84);
+}
+
+static void test_storm_traffic_295_hosts(void **state)
+{
+	check_storm_traffic(295);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -443,6 +501,9 @@
 		cmocka_unit_test(test_release_of_last_hosts_84_hosts),
 		cmocka_unit_test(test_release_of_last_hosts_295_hosts),
 		cmocka_unit_test(test_explained_suspect_is_quiet),
+		cmocka_unit_test(test_storm_traffic_9_hosts),
+		cmocka_unit_test(test_storm_traffic_84_hosts),
+		cmocka_unit_test(test_storm_traffic_295_hosts),
 		cmocka_unit_test(test_reports_of_all_zones),
 	};
 
