--- a/src/quarantine/internal.h
+++ b/src/quarantine/internal.h
@@ -4,6 +4,10 @@
 
 #include "quarantine/quarantine.h"
 
+/** Time in which the evidence against a part lasts without a further crash,
+ *  milliseconds. */
+#define PR_SUSPICION_MS INT64_C(600000)
+
 /** @return end of the quarantine of a part on this host */
 int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
 				 const pr_suspect_t *suspect);
@@ -14,6 +18,9 @@
 /** @return the entry of a part, or NULL */
 pr_quarantine_entry_t *pr_quarantine_find(pr_quarantine_t *quarantine,
 					  uint32_t service, uint64_t part);
+/** @return true when the service answered enough other requests while the part
+ *	   has been suspected */
+bool pr_quarantine_has_others(const pr_quarantine_entry_t *entry);
 /** @return time of the last answer of an upstream, or 0 */
 int64_t pr_quarantine_alive_ms(const pr_quarantine_t *quarantine,
 			       uint32_t upstream);
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -7,22 +7,14 @@
 
 #include <string.h>
 
-/* Time in which the evidence against a part lasts without a further crash,
- * milliseconds. */
-#define SUSPICION_MS INT64_C(600000)
 /* Length of the first quarantine of a part, milliseconds; each one is twice as
  * long as the one before, up to the maximum. */
 #define QUARANTINE_MS     INT64_C(30000)
 #define QUARANTINE_MAX_MS INT64_C(3600000)
 /* Time between the releases of a part on two hosts, milliseconds: the others
- * learn of the first host's request before they send one. The maximum is for
- * hosts that come late in the order. */
-#define RELEASE_STEP_MS INT64_C(5000)
-#define RELEASE_MAX_MS  INT64_C(60000)
-/* The same for a part whose quarantine has no length. A sound part may be in
- * this state after an outage, so its requests wait for less. */
-#define TRIAL_STEP_MS INT64_C(500)
-#define TRIAL_MAX_MS  INT64_C(20000)
+ * learn of the first host's request before they send one. Also the last hosts
+ * in the order wait, since the requests may come only there. */
+#define RELEASE_STEP_MS INT64_C(1000)
 /* Time for which the outcome of a request after the quarantine is awaited,
  * milliseconds. */
 #define PROBE_MS INT64_C(10000)
@@ -54,19 +46,23 @@
 	return a < b ? a : b;
 }
 
+static int64_t release_delay_ms(const pr_quarantine_t *quarantine)
+{
+	return quarantine->rank * RELEASE_STEP_MS;
+}
+
 int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
 				 const pr_suspect_t *suspect)
 {
 	int64_t length = QUARANTINE_MS;
 
 	if (!suspect->quarantines)
-		return suspect->quarantined_ms +
-		       earlier(quarantine->rank * TRIAL_STEP_MS, TRIAL_MAX_MS);
+		return suspect->quarantined_ms + release_delay_ms(quarantine);
 	for (uint32_t i = 1;
 	     i < suspect->quarantines && length < QUARANTINE_MAX_MS; i++)
 		length *= 2;
 	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS) +
-	       earlier(quarantine->rank * RELEASE_STEP_MS, RELEASE_MAX_MS);
+	       release_delay_ms(quarantine);
 }
 
 bool pr_quarantine_is_in_force(const pr_quarantine_t *quarantine,
@@ -118,6 +114,13 @@
 	return NULL;
 }
 
+bool pr_quarantine_has_others(const pr_quarantine_entry_t *entry)
+{
+	return entry->other_answers >= PR_QUARANTINE_OTHERS_MIN ||
+	       __builtin_popcount(entry->suspect.others) >=
+		       PR_QUARANTINE_OTHERS_MIN;
+}
+
 static size_t answered_slot(uint64_t part)
 {
 	return (size_t)(spread(part) >> 32) % PR_QUARANTINE_ANSWERED_MAX;
@@ -200,7 +203,10 @@
 {
 	entry->suspect.requests = 0;
 	entry->suspect.crashes_count = 0;
+	entry->suspect.others = 0;
 	entry->other_answers = 0;
+	entry->other_since_ms = 0;
+	entry->others_unsent = false;
 	entry->was_service_up = false;
 }
 
@@ -247,7 +253,8 @@
 			continue;
 		until = later(
 			pr_quarantine_release_ms(quarantine, &entry->suspect),
-			entry->suspect.probe_ms + PROBE_MS);
+			entry->suspect.probe_ms + PROBE_MS +
+				release_delay_ms(quarantine));
 		if (now_ms >= until && !is_repeat)
 			continue;
 		if (until_ms)
@@ -278,7 +285,7 @@
 {
 	return !pr_suspect_is_suspected(suspect) ||
 	       (!pr_suspect_is_quarantined(suspect) &&
-		now_ms - suspect->crash_ms > SUSPICION_MS);
+		now_ms - suspect->crash_ms > PR_SUSPICION_MS);
 }
 
 static void record_crash(const pr_quarantine_t *quarantine,
@@ -341,6 +348,20 @@
 	quarantine->alive[slot].ms = now_ms;
 }
 
+static void note_other_answer(pr_quarantine_entry_t *entry, uint64_t request,
+			      int64_t now_ms)
+{
+	uint32_t bit = UINT32_C(1) << (spread(request) >> 59);
+
+	entry->other_answers++;
+	if (!entry->other_since_ms)
+		entry->other_since_ms = now_ms;
+	if (entry->suspect.others & bit || pr_quarantine_has_others(entry))
+		return;
+	entry->suspect.others |= bit;
+	entry->others_unsent = true;
+}
+
 void pr_quarantine_record_answer(pr_quarantine_t *quarantine,
 				 const pr_quarantine_prompt_t *prompt,
 				 int64_t now_ms)
@@ -364,8 +385,7 @@
 			clear(entry, now_ms);
 			continue;
 		}
-		if (!entry->other_answers++)
-			entry->other_since_ms = now_ms;
+		note_other_answer(entry, prompt->request, now_ms);
 	}
 }
 
@@ -388,6 +408,7 @@
 		if (!own->requests || suspect->since_ms < own->since_ms)
 			own->since_ms = suspect->since_ms;
 		own->requests |= suspect->requests;
+		own->others |= suspect->others;
 		for (uint32_t i = 0; i < suspect->crashes_count; i++)
 			entry_changed |=
 				pr_suspect_add_crash(own, &suspect->crashes[i]);
@@ -420,6 +441,7 @@
 		own->quarantines = suspect->quarantines;
 	changed = merge_evidence(quarantine, entry, suspect);
 	if (changed || own->requests != before.requests ||
+	    own->others != before.others ||
 	    own->quarantined_ms != before.quarantined_ms ||
 	    own->probe_ms != before.probe_ms ||
 	    !own->answer_ms != !before.answer_ms ||
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -29,16 +29,22 @@
 #define PR_QUARANTINE_ANSWERED_MAX 4096
 /** Upstreams whose last answer is remembered; a power of two. */
 #define PR_QUARANTINE_ALIVE_MAX 1024
+/** Answers to other requests after which a service counts as up beside a
+ * suspected part. */
+#define PR_QUARANTINE_OTHERS_MIN 5
 /** Services whose answers are counted; a power of two. */
 #define PR_QUARANTINE_SERVICES_MAX 64
 
 /** A suspect on this host. */
 typedef struct pr_quarantine_entry_t {
 	pr_suspect_t suspect;
-	/** Answers to other requests of the service while the part has been
-	 *  suspected, and the time of the first of them. */
+	/** Answers of this host to other requests of the service while the
+	 *  part has been suspected, and the time from which this host has known
+	 *  of answers of any host; 0 for none. */
 	uint32_t other_answers;
 	int64_t other_since_ms;
+	/** The other hosts have not been told of all bits in suspect.others. */
+	bool others_unsent;
 	/** The service answered requests until the part was suspected. */
 	bool was_service_up;
 	/** The quarantine is not in force: a likelier part of the same requests
@@ -144,13 +150,13 @@
 void pr_quarantine_note_sent(pr_quarantine_t *quarantine,
 			     const pr_quarantine_prompt_t *prompt,
 			     int64_t now_ms);
-/** Mark some of the quarantined parts as changed, in rotation, for hosts that
- *  started after the verdict. */
+/** Mark some of the parts that are or were in quarantine as changed, in
+ *  rotation, for hosts that started after the verdict. */
 void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms);
 /**
  * List suspects that changed and have not been sent to the audience often
- * enough: first the quarantined ones, then those that were cleared, then those
- * with the most evidence.
+ * enough, as many as may be sent at a time: first the quarantined
+ * ones, then those that were cleared, then those with the most evidence.
  *
  * @return number of suspects in out
  */
--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -2,9 +2,25 @@
  */
 #include "quarantine/internal.h"
 
+/* Most suspects that are sent to an audience at a time. This bounds what a
+ * storm of crashes adds to the control traffic: a host is told by each relay of
+ * its zone. */
+static const size_t changes_max[PR_AUDIENCES_COUNT] = {
+	[PR_AUDIENCE_RELAYS] = 4,
+	[PR_AUDIENCE_FOLLOWERS] = 1,
+};
 /* Quarantined parts that are sent again at a time. */
 #define REFRESH_MAX 8
 
+/* After the release too, hosts that start have to know that requests with the
+ * part are sent one at a time. */
+static bool is_refreshed(const pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	return pr_suspect_is_quarantined(&entry->suspect) &&
+	       !entry->overruled &&
+	       now_ms - entry->suspect.crash_ms <= PR_SUSPICION_MS;
+}
+
 void pr_quarantine_refresh(pr_quarantine_t *quarantine, int64_t now_ms)
 {
 	size_t refreshed = 0;
@@ -16,7 +32,7 @@
 		quarantine->refresh_at =
 			(quarantine->refresh_at + 1) % quarantine->count;
 		entry = &quarantine->entries[quarantine->refresh_at];
-		if (!pr_quarantine_is_in_force(quarantine, entry, now_ms))
+		if (!is_refreshed(entry, now_ms))
 			continue;
 		refreshed++;
 		for (int j = 0; j < PR_AUDIENCES_COUNT; j++) {
@@ -50,6 +66,8 @@
 	bool taken[PR_QUARANTINE_MAX] = { false };
 	size_t count = 0;
 
+	if (max > changes_max[audience])
+		max = changes_max[audience];
 	while (count < max) {
 		pr_quarantine_entry_t *first = NULL;
 
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -7,16 +7,22 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Time until all hosts know what one host observed, milliseconds: it is
+ * reported to the relays of the zone, then to the other relays, then to their
+ * hosts. */
+#define PR_REPORT_MS INT64_C(600)
+
 /** An upstream that broke off a request with a part. */
 typedef struct pr_crash_t {
 	/** Tag of its incarnation. */
 	uint32_t upstream;
-	/** Time of the crash, and of the newest answer of the upstream that a
-	 *  host reported: after a crash there is none. */
+	/** Time of the crash, and of the newest answer of the upstream before
+	 *  it can have started again: after a crash there is none. */
 	int64_t at_ms, answer_ms;
 } pr_crash_t;
 
-/** Most upstreams that are kept for a part; the oldest crashes are dropped. */
+/** Most upstreams that are kept for a part: those that crashed first, and the
+ * newest ones. */
 #define PR_SUSPECT_CRASHES_MAX 16
 
 /** What is known of a part; all times by the store's clock, milliseconds. */
@@ -31,6 +37,9 @@
 	uint64_t requests;
 	pr_crash_t crashes[PR_SUSPECT_CRASHES_MAX];
 	uint32_t crashes_count;
+	/** Other requests of the service that were answered at any host while
+	 *  the part has been suspected: bit set by hash. */
+	uint32_t others;
 	/** First crash while the part has been suspected, and the newest. */
 	int64_t since_ms, crash_ms;
 	/** Evidence up to this time does not count: an answer on the part
@@ -49,8 +58,9 @@
 
 /** @return true when there is evidence since the last answer on the part */
 bool pr_suspect_is_suspected(const pr_suspect_t *suspect);
-/** @return true when no answer on the part began since its quarantine did; the
- *	   quarantine may have ended */
+/** @return true when no answer on the part began since its quarantine did, or
+ *	   shortly before, so that the host of the verdict did not know of it;
+ *	   the quarantine may have ended */
 bool pr_suspect_is_quarantined(const pr_suspect_t *suspect);
 /** @return true when an answer on the part began not long before the first
  *	   crash */
@@ -58,15 +68,19 @@
 /** @return true when the upstream crashed indeed: one that sends something
  *	   afterwards only broke the connection */
 bool pr_crash_is_real(const pr_crash_t *crash);
+/** Note that the upstream sent something. Long after the crash that shows
+ * nothing: one that starts again while the store is away keeps its tag. */
+void pr_crash_note_alive(pr_crash_t *crash, int64_t alive_ms);
 /**
- * Merge a crash of an upstream, in place of the oldest when there is no room.
+ * Merge a crash of an upstream, in place of one between the first and the
+ * newest ones when there is no room.
  *
  * @return true when the evidence changes
  */
 bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash);
 bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream);
-/** @return true when the part crashed the upstream, or may have: crashes from
- *	   before the oldest one that is kept are not known any more */
+/** @return true when the part crashed the upstream, or may have: of many
+ *	   crashes those between the first and the newest ones are not kept */
 bool pr_suspect_explains(const pr_suspect_t *suspect, const pr_crash_t *crash);
 /**
  * @param a_crashes number of crashes that count against a
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -25,20 +25,12 @@
 /* The same for a part that may have crashed all upstreams of its service; later
  * than the verdict of hosts that see answers to other requests. */
 #define SETTLE_TRIAL_MS 2500
-/* Answers to other requests of the service until the verdict. Without any, the
- * service is down rather than the part at fault. */
-#define OTHER_ANSWERS_MIN 5
 
 static unsigned count_bits(uint64_t bits)
 {
 	return (unsigned)__builtin_popcountll(bits);
 }
 
-static int64_t later(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
 /* Whether a part that is in quarantine, or was, and is neither of the two
  * explains the crash. */
 static bool is_explained(const pr_quarantine_t *quarantine,
@@ -58,18 +50,23 @@
 	return false;
 }
 
-/* @param other quarantined part whose explanation does not count; may be
- * NULL */
+/*
+ * @param other quarantined part whose explanation does not count; may be NULL
+ * @param until_ms time after which crashes do not count
+ */
 static unsigned count_unexplained(const pr_quarantine_t *quarantine,
 				  const pr_suspect_t *suspect,
-				  const pr_suspect_t *other)
+				  const pr_suspect_t *other, int64_t until_ms)
 {
 	unsigned count = 0;
 
+	/* The crashes that were not kept are older than the newest ones. */
+	if (suspect->crashes_count == PR_SUSPECT_CRASHES_MAX)
+		until_ms = INT64_MAX;
 	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
 		const pr_crash_t *crash = &suspect->crashes[i];
 
-		count += pr_crash_is_real(crash) &&
+		count += crash->at_ms <= until_ms && pr_crash_is_real(crash) &&
 			 !is_explained(quarantine, suspect, other, crash);
 	}
 	return count;
@@ -92,11 +89,9 @@
 	return first;
 }
 
-static bool has_enough_crashes(const pr_quarantine_t *quarantine,
-			       const pr_suspect_t *suspect)
+static bool is_enough(const pr_suspect_t *suspect, unsigned upstreams)
 {
 	unsigned requests = count_bits(suspect->requests);
-	unsigned upstreams = count_unexplained(quarantine, suspect, NULL);
 
 	if (pr_suspect_was_answered(suspect))
 		return requests >= CRASHES_MIN_ANSWERED &&
@@ -106,21 +101,49 @@
 		upstreams >= UPSTREAMS_MIN_MANY);
 }
 
+/* @param until_ms time after which crashes do not count */
+static bool has_enough_crashes(const pr_quarantine_t *quarantine,
+			       const pr_suspect_t *suspect, int64_t until_ms)
+{
+	return is_enough(suspect, count_unexplained(quarantine, suspect, NULL,
+						    until_ms));
+}
+
+/* Whether the evidence would suffice if the other part were quarantined. */
+static bool has_enough_beside(const pr_quarantine_t *quarantine,
+			      const pr_suspect_t *suspect,
+			      const pr_suspect_t *other, int64_t until_ms)
+{
+	unsigned upstreams = 0;
+
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		const pr_crash_t *crash = &suspect->crashes[i];
+
+		upstreams += crash->at_ms <= until_ms &&
+			     pr_crash_is_real(crash) &&
+			     !pr_suspect_explains(other, crash) &&
+			     !is_explained(quarantine, suspect, NULL, crash);
+	}
+	return is_enough(suspect, upstreams);
+}
+
 /* Whether the evidence suffices and answers on the part at other hosts would be
  * known by now. */
 static bool has_settled_evidence(const pr_quarantine_t *quarantine,
 				 const pr_suspect_t *suspect, int64_t settle_ms,
 				 int64_t now_ms)
 {
+	/* A host knows the crashes of its own requests at once, but not those
+	 * of the requests that explain them. */
 	return now_ms - suspect->since_ms >= settle_ms &&
 	       first_unexplained_ms(quarantine, suspect) <=
 		       now_ms - settle_ms &&
-	       has_enough_crashes(quarantine, suspect);
+	       has_enough_crashes(quarantine, suspect, now_ms - PR_REPORT_MS);
 }
 
 static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
 {
-	return entry->other_answers >= OTHER_ANSWERS_MIN &&
+	return pr_quarantine_has_others(entry) &&
 	       entry->suspect.crash_ms > entry->other_since_ms;
 }
 
@@ -174,10 +197,48 @@
 				    now_ms);
 }
 
-/* Whether a likelier part, which all of its requests share with the suspect,
- * has the evidence already and only has to wait for its verdict. */
+/*
+ * Whether a crashed all upstreams that b did.
+ *
+ * @param until_ms time after which crashes of b do not count
+ */
+static bool covers(const pr_suspect_t *a, const pr_suspect_t *b,
+		   int64_t until_ms)
+{
+	for (uint32_t i = 0; i < b->crashes_count; i++) {
+		if (b->crashes[i].at_ms <= until_ms &&
+		    pr_crash_is_real(&b->crashes[i]) &&
+		    !pr_suspect_has_crash(a, b->crashes[i].upstream))
+			return false;
+	}
+	return b->crashes_count;
+}
+
+/* Whether some of the requests with a lack b, and all with b have a. */
+static bool is_wider(const pr_suspect_t *a, const pr_suspect_t *b)
+{
+	return !(b->requests & ~a->requests) && (a->requests & ~b->requests);
+}
+
+/* Whether the other part would explain the suspect's crashes: it has the
+ * evidence and only has to wait for its verdict, or it occurs in some of the
+ * suspect's requests, and these crashed all of the upstreams. */
+static bool may_explain(const pr_quarantine_t *quarantine,
+			const pr_suspect_t *other, const pr_suspect_t *suspect,
+			int64_t until_ms)
+{
+	if (has_enough_crashes(quarantine, other, until_ms))
+		return !is_wider(other, suspect) &&
+		       !has_enough_beside(quarantine, suspect, other, until_ms);
+	return !(other->requests & ~suspect->requests) &&
+	       count_bits(other->requests) >= REQUESTS_MIN_FEW &&
+	       covers(other, suspect, until_ms);
+}
+
+/* Whether the suspect has to wait until more is known of a likelier part. */
 static bool has_likelier(const pr_quarantine_t *quarantine,
-			 const pr_suspect_t *suspect, unsigned crashes)
+			 const pr_suspect_t *suspect, unsigned crashes,
+			 int64_t until_ms)
 {
 	for (size_t i = 0; i < quarantine->count; i++) {
 		const pr_suspect_t *other = &quarantine->entries[i].suspect;
@@ -185,11 +246,11 @@
 		if (other != suspect && other->service == suspect->service &&
 		    pr_suspect_is_suspected(other) &&
 		    !pr_suspect_is_quarantined(other) &&
-		    !(other->requests & ~suspect->requests) &&
-		    has_enough_crashes(quarantine, other) &&
-		    pr_suspect_is_likelier(
-			    other, count_unexplained(quarantine, other, NULL),
-			    suspect, crashes))
+		    may_explain(quarantine, other, suspect, until_ms) &&
+		    pr_suspect_is_likelier(other,
+					   count_unexplained(quarantine, other,
+							     NULL, until_ms),
+					   suspect, crashes))
 			return true;
 	}
 	return false;
@@ -204,6 +265,7 @@
 					     int64_t now_ms)
 {
 	pr_quarantine_entry_t *guilty = NULL;
+	int64_t until_ms = now_ms - PR_REPORT_MS;
 	unsigned most = 0;
 
 	for (size_t i = 0; i < quarantine->count; i++) {
@@ -212,9 +274,11 @@
 
 		if (!suffices(quarantine, entry, now_ms))
 			continue;
-		crashes = count_unexplained(quarantine, &entry->suspect, NULL);
+		crashes = count_unexplained(quarantine, &entry->suspect, NULL,
+					    until_ms);
 		if (!pr_suspect_is_quarantined(&entry->suspect) &&
-		    has_likelier(quarantine, &entry->suspect, crashes))
+		    has_likelier(quarantine, &entry->suspect, crashes,
+				 until_ms))
 			continue;
 		if (guilty && !pr_suspect_is_likelier(&entry->suspect, crashes,
 						      &guilty->suspect, most))
@@ -233,25 +297,14 @@
 		pr_crash_t *crash = &entry->suspect.crashes[i];
 		bool was_crash = pr_crash_is_real(crash);
 
-		crash->answer_ms = later(
-			crash->answer_ms,
+		pr_crash_note_alive(
+			crash,
 			pr_quarantine_alive_ms(quarantine, crash->upstream));
 		if (was_crash && !pr_crash_is_real(crash))
 			pr_quarantine_mark_changed(entry, true);
 	}
 }
 
-/* Whether a crashed all upstreams that b did. */
-static bool covers(const pr_suspect_t *a, const pr_suspect_t *b)
-{
-	for (uint32_t i = 0; i < b->crashes_count; i++) {
-		if (pr_crash_is_real(&b->crashes[i]) &&
-		    !pr_suspect_has_crash(a, b->crashes[i].upstream))
-			return false;
-	}
-	return b->crashes_count;
-}
-
 /*
  * Hosts may quarantine two parts of the same requests at the same time. The
  * likelier one overrules the other if all of its requests have the other part,
@@ -266,12 +319,14 @@
 		if (other != suspect && other->service == suspect->service &&
 		    pr_suspect_is_quarantined(other) &&
 		    !(other->requests & ~suspect->requests) &&
-		    covers(other, suspect) &&
+		    covers(other, suspect, INT64_MAX) &&
 		    pr_suspect_is_likelier(
 			    other,
-			    count_unexplained(quarantine, other, suspect),
+			    count_unexplained(quarantine, other, suspect,
+					      INT64_MAX),
 			    suspect,
-			    count_unexplained(quarantine, suspect, other)))
+			    count_unexplained(quarantine, suspect, other,
+					      INT64_MAX)))
 			return true;
 	}
 	return false;
@@ -284,12 +339,32 @@
 	pr_quarantine_mark_changed(entry, true);
 }
 
+/*
+ * Without answers to other requests the service is down rather than the part at
+ * fault. One host of many may see few of them, so it tells the others, but only
+ * of parts whose verdict may wait for that.
+ */
+static void share_others(const pr_quarantine_t *quarantine,
+			 pr_quarantine_entry_t *entry, int64_t now_ms)
+{
+	if (entry->suspect.others && !entry->other_since_ms)
+		entry->other_since_ms = now_ms;
+	if (!entry->others_unsent ||
+	    !pr_suspect_is_suspected(&entry->suspect) ||
+	    !has_enough_crashes(quarantine, &entry->suspect, now_ms))
+		return;
+	entry->others_unsent = false;
+	pr_quarantine_mark_changed(entry, true);
+}
+
 void pr_quarantine_judge(pr_quarantine_t *quarantine, int64_t now_ms)
 {
 	pr_quarantine_entry_t *entry;
 
 	for (size_t i = 0; i < quarantine->count; i++)
 		refute_crashes(quarantine, &quarantine->entries[i]);
+	for (size_t i = 0; i < quarantine->count; i++)
+		share_others(quarantine, &quarantine->entries[i], now_ms);
 	for (size_t i = 0; i < quarantine->count; i++) {
 		entry = &quarantine->entries[i];
 		entry->overruled = pr_suspect_is_quarantined(&entry->suspect) &&
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -60,6 +60,51 @@
 	check_crashing_part(295);
 }
 
+/* The fleet has 20 answers/s, whatever the number of hosts, so that one of
+ * many hosts has few by itself. Guards against a verdict that waits until a
+ * host has seen enough answers to other requests. */
+static void check_few_answers(int hosts)
+{
+	static const uint64_t parts[] = { COMMON, DEADLY };
+	static const uint64_t other[] = { OTHER };
+	fleet_t fleet;
+	int64_t fifth_at = 0;
+	int crashes = 0, late = 0;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 100; i++) {
+		for (int j = 0; j < 4; j++)
+			answer(&fleet, (i * 4 + j) * 7 % hosts, other, 1);
+		if (i % 3 == 0) {
+			int reached = crash(&fleet, (i * 31) % hosts, parts, 2);
+
+			crashes += reached;
+			if (!fifth_at && crashes >= 5)
+				fifth_at = fleet.now;
+			if (fifth_at && fleet.now > fifth_at + CONTACT)
+				late += reached;
+		}
+		run_period(&fleet);
+	}
+	assert_in_range(late, 0, 3);
+	finish_fleet(&fleet);
+}
+
+static void test_few_answers_9_hosts(void **state)
+{
+	check_few_answers(9);
+}
+
+static void test_few_answers_84_hosts(void **state)
+{
+	check_few_answers(84);
+}
+
+static void test_few_answers_295_hosts(void **state)
+{
+	check_few_answers(295);
+}
+
 /* A host that starts later knows nothing; the others tell it. */
 static void test_host_starts_later(void **state)
 {
@@ -75,6 +120,45 @@
 	finish_fleet(&fleet);
 }
 
+/* A host starts when the quarantine has ended, but no request with the part was
+ * answered yet. Guards against repeats of the next one at this host. */
+static void check_start_after_release(int hosts)
+{
+	static const uint64_t parts[] = { COMMON, DEADLY };
+	fleet_t fleet;
+	pr_quarantine_prompt_t prompt;
+
+	start_fleet(&fleet, hosts);
+	quarantine_deadly(&fleet);
+	fleet.now += 30000 + hosts * 1000;
+	memset(&fleet.hosts[hosts - 1], 0, sizeof(fleet.hosts[0]));
+	for (int i = 0; i < 20; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	prompt = prompt_of(&fleet, parts, 2);
+	assert_true(pr_quarantine_admits(&fleet.hosts[hosts - 1], &prompt,
+					 false, fleet.now, NULL));
+	assert_false(pr_quarantine_admits(&fleet.hosts[hosts - 1], &prompt,
+					  true, fleet.now, NULL));
+	finish_fleet(&fleet);
+}
+
+static void test_start_after_release_9_hosts(void **state)
+{
+	check_start_after_release(9);
+}
+
+static void test_start_after_release_84_hosts(void **state)
+{
+	check_start_after_release(84);
+}
+
+static void test_start_after_release_295_hosts(void **state)
+{
+	check_start_after_release(295);
+}
+
 /* All hosts start again at once: the saved list has the parts, and an answer
  * removes a part from it. */
 static void test_saved_list(void **state)
@@ -238,6 +322,44 @@
 	finish_fleet(&fleet);
 }
 
+/* The requests come only at hosts that are late in the order of release.
+ * Guards against a release of many hosts at the same time, each of which sends
+ * a request before it learns of the others'. */
+static void check_release_of_last_hosts(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	fleet_t fleet;
+	int64_t end;
+	int reached = 0;
+
+	start_fleet(&fleet, hosts);
+	quarantine_deadly(&fleet);
+	end = fleet.now + 300000;
+	while (fleet.now < end) {
+		answer_sound(&fleet);
+		for (int host = hosts / 2; host < hosts; host++)
+			reached += crash(&fleet, host, deadly, 2);
+		run_period(&fleet);
+	}
+	assert_in_range(reached, 1, 3);
+	finish_fleet(&fleet);
+}
+
+static void test_release_of_last_hosts_9_hosts(void **state)
+{
+	check_release_of_last_hosts(9);
+}
+
+static void test_release_of_last_hosts_84_hosts(void **state)
+{
+	check_release_of_last_hosts(84);
+}
+
+static void test_release_of_last_hosts_295_hosts(void **state)
+{
+	check_release_of_last_hosts(295);
+}
+
 /* A suspect that a quarantined part explains is no news in each period. */
 static void test_explained_suspect_is_quiet(void **state)
 {
@@ -298,20 +420,90 @@
 	finish_fleet(&fleet);
 }
 
+/*
+ * Each crash breaks off twenty sound requests, so most of what hosts tell each
+ * other is about parts of these. Guards against control traffic of more than
+ * 3 KB/s in a storm at a host that is no relay, and against a verdict that
+ * waits behind it.
+ */
+static void check_storm_traffic(int hosts)
+{
+	fleet_t fleet;
+	uint64_t parts[] = { COMMON, DEADLY };
+	int64_t began;
+
+	start_fleet(&fleet, hosts);
+	began = fleet.now;
+	for (int i = 0; i < 60; i++) {
+		answer_sound(&fleet);
+		if (i % 2 == 0) {
+			uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+			crash(&fleet, i * 31 % hosts, parts, 2);
+			for (uint64_t j = 0; j < 20; j++) {
+				uint64_t sound[] = { COMMON + j % 5,
+						     0x1000 + j * 53 % 400 +
+							     (uint64_t)i };
+				pr_quarantine_prompt_t prompt =
+					prompt_of(&fleet, sound, 2);
+
+				pr_quarantine_record_crash(
+					&fleet.hosts[(int)j * 17 % hosts],
+					&prompt, upstream, fleet.now);
+			}
+		}
+		run_period(&fleet);
+		if (i == 20)
+			assert_int_equal(count_quarantining(&fleet, DEADLY),
+					 hosts);
+	}
+	/* A zone has two relays, each of which tells the host everything. */
+	assert_in_range(2 * fleet.bytes * 1000 / (uint64_t)(fleet.now - began),
+			0, 3000);
+	finish_fleet(&fleet);
+}
+
+static void test_storm_traffic_9_hosts(void **state)
+{
+	check_storm_traffic(9);
+}
+
+static void test_storm_traffic_84_hosts(void **state)
+{
+	check_storm_traffic(84);
+}
+
+static void test_storm_traffic_295_hosts(void **state)
+{
+	check_storm_traffic(295);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_crashing_part_9_hosts),
 		cmocka_unit_test(test_crashing_part_84_hosts),
 		cmocka_unit_test(test_crashing_part_295_hosts),
+		cmocka_unit_test(test_few_answers_9_hosts),
+		cmocka_unit_test(test_few_answers_84_hosts),
+		cmocka_unit_test(test_few_answers_295_hosts),
 		cmocka_unit_test(test_host_starts_later),
+		cmocka_unit_test(test_start_after_release_9_hosts),
+		cmocka_unit_test(test_start_after_release_84_hosts),
+		cmocka_unit_test(test_start_after_release_295_hosts),
 		cmocka_unit_test(test_saved_list),
 		cmocka_unit_test(test_saved_list_full),
 		cmocka_unit_test(test_release),
 		cmocka_unit_test(test_flood),
 		cmocka_unit_test(test_merge_order),
 		cmocka_unit_test(test_release_sends_one_request),
+		cmocka_unit_test(test_release_of_last_hosts_9_hosts),
+		cmocka_unit_test(test_release_of_last_hosts_84_hosts),
+		cmocka_unit_test(test_release_of_last_hosts_295_hosts),
 		cmocka_unit_test(test_explained_suspect_is_quiet),
+		cmocka_unit_test(test_storm_traffic_9_hosts),
+		cmocka_unit_test(test_storm_traffic_84_hosts),
+		cmocka_unit_test(test_storm_traffic_295_hosts),
 		cmocka_unit_test(test_reports_of_all_zones),
 	};
 
--- /dev/null
+++ b/tests/test_quarantine_rivals.c
@@ -0,0 +1,240 @@
+/*
+ * Tests of src/quarantine/verdict: which of several suspected parts is
+ * quarantined. Guards against a verdict on a sound part while the evidence
+ * against the part that crashed the upstreams is still on its way.
+ */
+#include "quarantine_fleet.h"
+
+/* Two requests crash five upstreams, and three sound requests with a new part
+ * wait on four of these. The host of the last sound one knows the last crash of
+ * its own request before that of the other host's. Guards against a quarantine
+ * of the sound part in this time, which then explains the crashes of the other
+ * part. */
+static void check_crash_known_late(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	static const uint64_t sound[] = { COMMON + 1, RARE };
+	static const int sound_request[] = { 0, 0, -1, 1, 2 };
+	pr_quarantine_prompt_t crashing[2], waiting[3];
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 2; i++)
+		crashing[i] = prompt_of(&fleet, deadly, 2);
+	for (int i = 0; i < 3; i++)
+		waiting[i] = prompt_of(&fleet, sound, 2);
+	for (int i = 0; i < 35; i++) {
+		answer_sound(&fleet);
+		if (i >= 5 && i < 20 && i % 3 == 0) {
+			int crash = i / 3 - 2;
+			uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+			if (sound_request[crash] >= 0)
+				pr_quarantine_record_crash(
+					&fleet.hosts[0],
+					&waiting[sound_request[crash]],
+					upstream, fleet.now);
+			pr_quarantine_record_crash(&fleet.hosts[hosts - 1],
+						   &crashing[crash % 2],
+						   upstream, fleet.now);
+		}
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), hosts);
+	finish_fleet(&fleet);
+}
+
+static void test_crash_known_late_9_hosts(void **state)
+{
+	check_crash_known_late(9);
+}
+
+static void test_crash_known_late_84_hosts(void **state)
+{
+	check_crash_known_late(84);
+}
+
+static void test_crash_known_late_295_hosts(void **state)
+{
+	check_crash_known_late(295);
+}
+
+/* A part that crashed many upstreams waits for its verdict, since its first
+ * crash is recent. Guards against a quarantine of a part with fewer, but older
+ * crashes, most of which the first one explains. */
+static void test_likelier_part_with_later_first_crash(void **state)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	static const uint64_t sound[] = { COMMON + 1, RARE };
+	pr_quarantine_prompt_t first, second;
+	fleet_t fleet;
+
+	start_fleet(&fleet, 9);
+	for (int i = 0; i < 5; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	first = prompt_of(&fleet, sound, 2);
+	second = prompt_of(&fleet, sound, 2);
+	for (int i = 0; i < 30; i++) {
+		uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+		answer_sound(&fleet);
+		/* Two crashes have another cause, three are the part's. */
+		if (i < 10 && strchr("01679", '0' + i))
+			pr_quarantine_record_crash(&fleet.hosts[1],
+						   i < 8 ? &first : &second,
+						   upstream, fleet.now);
+		for (int j = 0; j < 2 && i >= 5 && i < 12; j++) {
+			pr_quarantine_prompt_t prompt =
+				prompt_of(&fleet, deadly, 2);
+
+			pr_quarantine_record_crash(&fleet.hosts[i % 9], &prompt,
+						   upstream, fleet.now);
+			upstream = (uint32_t)++fleet.upstreams * 77;
+		}
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 9);
+	finish_fleet(&fleet);
+}
+
+/* Two requests with a subject and a crashing part crash four upstreams, and a
+ * sound request with the subject waits on one of them. Guards against a
+ * quarantine of the subject, which has the evidence with one crash fewer. */
+static void test_subject_with_more_requests(void **state)
+{
+	static const uint64_t deadly[] = { COMMON, RARE, DEADLY };
+	static const uint64_t sound[] = { COMMON, RARE };
+	pr_quarantine_prompt_t crashing[2], waiting;
+	fleet_t fleet;
+
+	start_fleet(&fleet, 9);
+	for (int i = 0; i < 5; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 2; i++)
+		crashing[i] = prompt_of(&fleet, deadly, 3);
+	waiting = prompt_of(&fleet, sound, 2);
+	for (int i = 0; i < 40; i++) {
+		uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+		answer_sound(&fleet);
+		if (i < 12 && i % 3 == 0)
+			pr_quarantine_record_crash(&fleet.hosts[4],
+						   &crashing[i % 2], upstream,
+						   fleet.now);
+		if (i == 6)
+			pr_quarantine_record_crash(&fleet.hosts[7], &waiting,
+						   upstream, fleet.now);
+		if (i == 20)
+			crash(&fleet, 5, deadly, 3);
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 9);
+	finish_fleet(&fleet);
+}
+
+/* A host has the evidence against a part in the moment in which another host
+ * gets an answer on it. Guards against a verdict that outlasts this answer. */
+static void check_answer_known_late(int hosts)
+{
+	static const uint64_t rare[] = { COMMON, RARE };
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 30; i++) {
+		answer_sound(&fleet);
+		for (int j = 0; j < 2 && i < 6 && i % 2 == 0; j++)
+			crash(&fleet, i, rare, 2);
+		/* The period of the verdict; the first host decides first. */
+		if (i == 8)
+			answer(&fleet, hosts - 1, rare, 2);
+		run_period(&fleet);
+	}
+	assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	finish_fleet(&fleet);
+}
+
+static void test_answer_known_late_9_hosts(void **state)
+{
+	check_answer_known_late(9);
+}
+
+static void test_answer_known_late_84_hosts(void **state)
+{
+	check_answer_known_late(84);
+}
+
+static void test_answer_known_late_295_hosts(void **state)
+{
+	check_answer_known_late(295);
+}
+
+/* Requests with two subjects and a crashing part crash so many upstreams that
+ * those of 1.5 s are more than are kept of the part, but not of one of the
+ * subjects. Guards against a quarantine of the subjects, since the evidence
+ * against the part seems to be new all the time. */
+static void check_storm(int hosts)
+{
+	static const uint64_t often[] = { COMMON, RARE, DEADLY };
+	static const uint64_t seldom[] = { COMMON, RARE + 1, DEADLY };
+	fleet_t fleet;
+	int64_t first_at = 0;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 40; i++) {
+		answer_sound(&fleet);
+		for (int j = 0; j < 4 && i >= 5; j++) {
+			if (!first_at)
+				first_at = fleet.now;
+			crash(&fleet, (i * 4 + j) * 7 % hosts,
+			      j ? often : seldom, 3);
+		}
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+		assert_int_equal(count_quarantining(&fleet, RARE + 1), 0);
+		if (first_at && fleet.now >= first_at + CONTACT)
+			assert_int_equal(count_quarantining(&fleet, DEADLY),
+					 hosts);
+	}
+	finish_fleet(&fleet);
+}
+
+static void test_storm_9_hosts(void **state)
+{
+	check_storm(9);
+}
+
+static void test_storm_84_hosts(void **state)
+{
+	check_storm(84);
+}
+
+static void test_storm_295_hosts(void **state)
+{
+	check_storm(295);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_crash_known_late_9_hosts),
+		cmocka_unit_test(test_crash_known_late_84_hosts),
+		cmocka_unit_test(test_crash_known_late_295_hosts),
+		cmocka_unit_test(test_likelier_part_with_later_first_crash),
+		cmocka_unit_test(test_subject_with_more_requests),
+		cmocka_unit_test(test_answer_known_late_9_hosts),
+		cmocka_unit_test(test_answer_known_late_84_hosts),
+		cmocka_unit_test(test_answer_known_late_295_hosts),
+		cmocka_unit_test(test_storm_9_hosts),
+		cmocka_unit_test(test_storm_84_hosts),
+		cmocka_unit_test(test_storm_295_hosts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
