Report sessions only for the coming step, and later reports once

Only sessions that may move soon have to be known: those in the share of the time at which a report has arrived. And when a session in use is reported again, the report before it still counts for a while, so one send is enough.

The sessions of the fleet tests are now those of the first step. The test of the second step fails when hosts report only for the current one, that of the cost when later reports are sent twice.

--- a/src/transition/sessions.c
+++ b/src/transition/sessions.c
@@ -7,9 +7,13 @@
 /* Slots of a bucket. A full one drops the session that was active least
  * recently. */
 #define BUCKET 4
-/* Times that a session is sent to an audience. A host gets each datagram from
- * two relays. */
-#define SENDS 2
+/* Times that the first report of a session is sent to an audience; a host gets
+ * it from two relays each time. Later reports are sent once, since the one
+ * before still counts for a while. */
+#define FIRST_SENDS 2
+/* A report that comes later after the one before is a first one, milliseconds.
+ */
+#define LATER_REPORT_MS 10000
 /* A session that is used again is reported again after this part of the time
  * for which other hosts count it as active. */
 #define REPORT_AGAIN_PART 2
@@ -79,6 +83,12 @@
 	record(sessions, hash, now_ms, true);
 }
 
+/* @param gap_ms time from the use that was reported before to this one */
+static uint8_t sends_after(int64_t gap_ms)
+{
+	return gap_ms > LATER_REPORT_MS ? FIRST_SENDS : 1;
+}
+
 void pr_sessions_merge(pr_sessions_t *sessions, const pr_recent_session_t *seen,
 		       bool to_relays)
 {
@@ -86,15 +96,19 @@
 	bool known = slot->hash == seen->hash &&
 		     slot->seen_ms == seen->seen_ms &&
 		     slot->moved == seen->moved;
+	uint8_t sends;
 
 	if (!seen->hash || known || slot->seen_ms > seen->seen_ms)
 		return;
+	sends = slot->hash == seen->hash && slot->moved == seen->moved
+			? sends_after(seen->seen_ms - slot->seen_ms)
+			: FIRST_SENDS;
 	*slot = (pr_session_slot_t){
 		.hash = seen->hash,
 		.seen_ms = seen->seen_ms,
 		.moved = seen->moved,
-		.sends_left = { [PR_AUDIENCE_RELAYS] = to_relays ? SENDS : 0,
-				[PR_AUDIENCE_FOLLOWERS] = SENDS },
+		.sends_left = { [PR_AUDIENCE_RELAYS] = to_relays ? sends : 0,
+				[PR_AUDIENCE_FOLLOWERS] = sends },
 	};
 }
 
@@ -173,7 +187,8 @@
 		if (!is_in_scope(slot, scope))
 			continue;
 		if (is_report_due(slot, scope)) {
-			memset(slot->sends_left, SENDS,
+			memset(slot->sends_left,
+			       sends_after(slot->unreported_ms),
 			       sizeof(slot->sends_left));
 			slot->unreported_ms = 0;
 		}
--- a/src/transition/sessions.h
+++ b/src/transition/sessions.h
@@ -116,8 +116,8 @@
 bool pr_sessions_scope_is_empty(const pr_sessions_scope_t *scope);
 
 /**
- * List the sessions that are due to be sent to an audience. Each is listed in
- * several calls, since datagrams may be lost. While a session is used on and
+ * List the sessions that are due to be sent to an audience. A new one is listed
+ * in several calls, since datagrams may be lost. While a session is used on and
  * on, it is listed again before it stops counting as active at other hosts.
  *
  * @return number of sessions written to out, at most max; the next call goes on
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -273,7 +273,12 @@
 	int64_t now_ms = scope->now_ms;
 
 	if (pr_transition_pins_sessions(transition, now_ms)) {
-		scope->pinned_share = PR_TRANSITION_PINNED_SHARE_MAX;
+		/* The share of the time at which the report has arrived. */
+		double share = pr_transition_share(
+			transition, now_ms + SESSIONS_EXCHANGE_MS);
+
+		share = fmin(share, PR_TRANSITION_PINNED_SHARE_MAX);
+		scope->pinned_share = fmax(scope->pinned_share, share);
 		if (transition->began_ms > scope->pinned_from_ms)
 			scope->pinned_from_ms = transition->began_ms;
 	} else if (pr_transition_keeps_moved_sessions(transition, now_ms)) {
--- a/tests/sessions_fleet.h
+++ b/tests/sessions_fleet.h
@@ -28,6 +28,8 @@
 #define START       1000000
 #define IN_PERIOD   (8 * PR_SESSIONS_IN_DATAGRAM)
 #define TRANSITIONS 2
+/* Time at which the second step of a transition begins. */
+#define SECOND_MS (DURATION_MS / 5)
 
 typedef struct fleet_t {
 	pr_sessions_t *hosts;
@@ -48,10 +50,16 @@
 	return i ^ (i >> 31);
 }
 
-/* Hash of a session that moves in the first half of a transition. */
+/* Hashes of sessions that move in the first and in the second step of a
+ * transition. */
 static inline uint64_t early_session(uint64_t i)
 {
-	return mix(i + 1) / 16;
+	return mix(i + 1) / 20;
+}
+
+static inline uint64_t second_session(uint64_t i)
+{
+	return UINT64_MAX / 20 + mix(i + 1) / 20;
 }
 
 static inline void start_fleet(fleet_t *fleet, int count)
--- a/tests/test_transition.c
+++ b/tests/test_transition.c
@@ -154,29 +154,6 @@
 		PR_VERSION_NEW);
 }
 
-/* Guards against moving an active session in the first half of a second order
- * (rule PINNED) because the first one had moved it, to what is now the old
- * version. */
-static void test_session_moved_by_an_earlier_order_stays(void **state)
-{
-	static pr_sessions_t sessions;
-	pr_transition_t transition;
-	pr_recent_session_t elsewhere = { EARLY, BEGAN_MS - 100, true };
-
-	memset(&sessions, 0, sizeof(sessions));
-	begin(&transition);
-	pr_sessions_merge(&sessions, &elsewhere, false);
-	assert_int_equal(choose(&transition, &sessions, EARLY, false, at(0.2)),
-			 PR_VERSION_OLD);
-	/* One that this order moved stays on the new version. */
-	assert_int_equal(
-		choose(&transition, &sessions, EARLY + 1, false, at(0.2)),
-		PR_VERSION_NEW);
-	assert_int_equal(
-		choose(&transition, &sessions, EARLY + 1, false, at(0.3)),
-		PR_VERSION_NEW);
-}
-
 static void test_sessions_outside_the_share_stay(void **state)
 {
 	static pr_sessions_t sessions;
@@ -685,7 +662,6 @@
 		cmocka_unit_test(test_older_row_is_ignored),
 		cmocka_unit_test(test_share_grows_from_none_to_all),
 		cmocka_unit_test(test_session_active_elsewhere_stays),
-		cmocka_unit_test(test_session_moved_by_an_earlier_order_stays),
 		cmocka_unit_test(test_sessions_outside_the_share_stay),
 		cmocka_unit_test(test_bad_version_is_withdrawn),
 		cmocka_unit_test(test_counts_of_other_hosts_are_added),
--- a/tests/test_transition_sessions.c
+++ b/tests/test_transition_sessions.c
@@ -183,6 +183,61 @@
 	}
 }
 
+static pr_version_choice_t choose(fleet_t *fleet, uint64_t session,
+				  int64_t now_ms)
+{
+	pr_transition_request_t request = { .session = session, .hash = 1 };
+
+	return pr_transition_choose(&fleet->transitions[0], &fleet->hosts[0],
+				    &request, now_ms, SESSION_MS);
+}
+
+/* Guards against moving an active session in the first half of a second order
+ * (rule PINNED) because the first one had moved it, to what is now the old
+ * version. */
+static void test_session_moved_by_an_earlier_order_stays(void **state)
+{
+	pr_recent_session_t elsewhere = { EARLY, START - 100, true };
+	fleet_t fleet;
+
+	start_fleet(&fleet, 1);
+	order(&fleet, 0);
+	set_state(&fleet, 0, PR_ROLLOUT_RUNNING);
+	pr_sessions_merge(&fleet.hosts[0], &elsewhere, false);
+	assert_int_equal(choose(&fleet, EARLY, START + 4000), PR_VERSION_OLD);
+	/* One that this order moved stays on the new version. */
+	assert_int_equal(choose(&fleet, EARLY + 1, START + 4000),
+			 PR_VERSION_NEW);
+	assert_int_equal(choose(&fleet, EARLY + 1, START + 6000),
+			 PR_VERSION_NEW);
+	finish_fleet(&fleet);
+}
+
+/* Guards against sessions of the second step that move since other hosts learn
+ * of them only when the step begins. */
+static void test_sessions_are_known_before_their_step(void **state)
+{
+	for (size_t i = 0; i < FLEET_SIZES; i++) {
+		fleet_t fleet;
+		uint64_t sessions;
+
+		start_fleet(&fleet, fleet_sizes[i]);
+		sessions = (uint64_t)fleet.count;
+		order(&fleet, 0);
+		set_state(&fleet, 0, PR_ROLLOUT_RUNNING);
+		for (uint64_t j = 0; j < sessions; j++)
+			pr_sessions_record(&fleet.hosts[j], second_session(j),
+					   START + (int64_t)(mix(j) % 3000));
+		run_until(&fleet, START + SECOND_MS);
+		for (uint64_t j = 0; j < sessions; j++)
+			assert_int_equal(count_ignorant(&fleet,
+							second_session(j),
+							fleet.now),
+					 0);
+		finish_fleet(&fleet);
+	}
+}
+
 /* Guards against sessions that move because a datagram about them was lost: one
  * in ten everywhere, or all at the beginning of the order. */
 static void test_sessions_are_known_though_datagrams_are_lost(void **state)
@@ -254,9 +309,10 @@
 								fleet.now),
 						 0);
 		}
-		/* Each report comes twice from each of two relays. */
+		/* The first report comes twice from each of two relays, the
+		 * later ones once. */
 		assert_true(fleet.received <=
-			    4 * (used_ms / (SESSION_MS / 2) + 1));
+			    4 + 2 * (used_ms / (SESSION_MS / 2)));
 		run_until(&fleet, last_ms + SESSION_MS - PERIOD);
 		assert_int_equal(
 			count_ignorant(&fleet, EARLY, last_ms + SESSION_MS), 0);
@@ -272,8 +328,10 @@
 		cmocka_unit_test(test_sessions_used_before_an_order_are_known),
 		cmocka_unit_test(
 			test_orders_of_two_services_do_not_hide_sessions),
+		cmocka_unit_test(test_session_moved_by_an_earlier_order_stays),
 		cmocka_unit_test(
 			test_sessions_that_an_earlier_order_moved_are_known),
+		cmocka_unit_test(test_sessions_are_known_before_their_step),
 		cmocka_unit_test(
 			test_sessions_are_known_though_datagrams_are_lost),
 		cmocka_unit_test(test_many_sessions_follow_in_later_periods),
