Give callers that read nothing for a while their answers

What callers saw: a caller that read nothing for 3 s, while more was sent than the buffers of its socket hold, got a reset and a part of its answer.

Cause: a timer that acts before what it waits for is certain. The user time-out of TCP, set to 3 s to find peers that are gone, also counts the time in which a peer is there, acknowledges the probes and reads nothing.

Evidence: tests/edge/unfinished.py, an answer of 7.5 MB that is read after 4 s.

Change: accepted connections have a time-out of 30 s. A caller that is gone costs little: its request ends by its deadline, reading from the upstream pauses, and idle connections are probed as before. Connections to upstreams, stores and peers keep the 3 s.

--- a/src/http/link.c
+++ b/src/http/link.c
@@ -22,6 +22,9 @@
 #define PROBE_INTERVAL_S  1
 #define PROBE_COUNT       2
 #define UNACKNOWLEDGED_MS 3000
+/* Replaces UNACKNOWLEDGED_MS for accepted connections. The kernel does not tell
+ * a peer that is gone from one that reads nothing for a while. */
+#define UNREAD_MS 30000
 
 typedef struct write_t {
 	uv_write_t request;
@@ -41,11 +44,10 @@
 	return 0;
 }
 
-static void set_options(pr_link_t *link)
+static void set_options(pr_link_t *link, unsigned int unacknowledged)
 {
 	int interval = PROBE_INTERVAL_S;
 	int count = PROBE_COUNT;
-	unsigned int unacknowledged = UNACKNOWLEDGED_MS;
 	uv_os_fd_t fd;
 
 	uv_tcp_nodelay(&link->tcp, 1);
@@ -128,7 +130,7 @@
 	if (rc)
 		return pr_error_set(PR_EIO, "accept: %s", uv_strerror(rc));
 	link->connected = true;
-	set_options(link);
+	set_options(link, UNREAD_MS);
 	pr_link_resume(link);
 	return 0;
 }
@@ -141,7 +143,7 @@
 		return;
 	if (!status) {
 		link->connected = true;
-		set_options(link);
+		set_options(link, UNACKNOWLEDGED_MS);
 		pr_link_resume(link);
 	}
 	link->ops->on_connect(link, status);
--- a/tests/edge/unfinished.py
+++ b/tests/edge/unfinished.py
@@ -91,6 +91,8 @@
     check("a slow caller gets the last answer of its connection", length == LONG, length)
     length = await read_slowly(address, "late-close", 2, "Connection: close\r\n")
     check("a late caller gets the last answer of its connection", length == LONG, length)
+    length = await read_slowly(address, "unread", 4)
+    check("a caller that reads nothing for some seconds gets its answer", length == LONG, length)
     await fleet.apply(shorten_idle)
     # The time in which a configuration takes effect.
     await asyncio.sleep(3.0)
