Weigh the evidence of each suspected prompt part once a judgement

With 512 suspects a host was blocked for seconds: each pair of suspects was compared by counting crashes anew, and each crash was looked up in all suspects.

Each suspect is now weighed once in a judgement and again after each verdict, crashes are looked up only in the few parts that are or were in quarantine, and a part is compared with all others only if it would be chosen.

--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -59,6 +59,11 @@
 	/** The quarantine is not in force: a likelier part of the same requests
 	 *  is quarantined and crashed all upstreams that this one did. */
 	bool overruled;
+	/** Evidence as of the last judgement: crashes that no quarantined part
+	 *  explains and that all hosts know of, and the time of the first one
+	 *  without an explanation. */
+	unsigned crashes;
+	int64_t first_ms;
 	/** How often the suspect is still to be sent, by audience. */
 	uint32_t sends_left[PR_AUDIENCES_COUNT];
 	/** Begin of the quarantine that the saved list has for the part; 0 when
@@ -73,6 +78,9 @@
 typedef struct pr_quarantine_t {
 	pr_quarantine_entry_t entries[PR_QUARANTINE_MAX];
 	size_t count;
+	/** Indexes of the entries that explain crashes, for a judgement. */
+	uint16_t explaining[PR_QUARANTINE_MAX];
+	size_t explaining_count;
 	/** Rank of this host, from 0, in the order in which hosts release
 	 *  parts. */
 	uint32_t rank;
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -31,18 +31,30 @@
 	return (unsigned)__builtin_popcountll(bits);
 }
 
+/* The crashes of hundreds of suspects are compared with those of the parts that
+ * are or were in quarantine, which are few. */
+static void list_explaining(pr_quarantine_t *quarantine)
+{
+	quarantine->explaining_count = 0;
+	for (size_t i = 0; i < quarantine->count; i++) {
+		if (pr_suspect_is_quarantined(&quarantine->entries[i].suspect))
+			quarantine->explaining[quarantine->explaining_count++] =
+				(uint16_t)i;
+	}
+}
+
 /* Whether a part that is in quarantine, or was, and is neither of the two
  * explains the crash. */
 static bool is_explained(const pr_quarantine_t *quarantine,
 			 const pr_suspect_t *suspect, const pr_suspect_t *other,
 			 const pr_crash_t *crash)
 {
-	for (size_t i = 0; i < quarantine->count; i++) {
-		const pr_quarantine_entry_t *entry = &quarantine->entries[i];
+	for (size_t i = 0; i < quarantine->explaining_count; i++) {
+		const pr_quarantine_entry_t *entry =
+			&quarantine->entries[quarantine->explaining[i]];
 
 		if (&entry->suspect != suspect && &entry->suspect != other &&
 		    entry->suspect.service == suspect->service &&
-		    pr_suspect_is_quarantined(&entry->suspect) &&
 		    !entry->overruled &&
 		    pr_suspect_explains(&entry->suspect, crash))
 			return true;
@@ -50,45 +62,23 @@
 	return false;
 }
 
-/*
- * @param other quarantined part whose explanation does not count; may be NULL
- * @param until_ms time after which crashes do not count
- */
+/* @param other quarantined part whose explanation does not count; may be
+ * NULL */
 static unsigned count_unexplained(const pr_quarantine_t *quarantine,
 				  const pr_suspect_t *suspect,
-				  const pr_suspect_t *other, int64_t until_ms)
+				  const pr_suspect_t *other)
 {
 	unsigned count = 0;
 
-	/* The crashes that were not kept are older than the newest ones. */
-	if (suspect->crashes_count == PR_SUSPECT_CRASHES_MAX)
-		until_ms = INT64_MAX;
 	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
 		const pr_crash_t *crash = &suspect->crashes[i];
 
-		count += crash->at_ms <= until_ms && pr_crash_is_real(crash) &&
+		count += pr_crash_is_real(crash) &&
 			 !is_explained(quarantine, suspect, other, crash);
 	}
 	return count;
 }
 
-/* @return time of the first crash that no quarantined part explains, or the
- * latest possible one */
-static int64_t first_unexplained_ms(const pr_quarantine_t *quarantine,
-				    const pr_suspect_t *suspect)
-{
-	int64_t first = INT64_MAX;
-
-	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
-		const pr_crash_t *crash = &suspect->crashes[i];
-
-		if (pr_crash_is_real(crash) && crash->at_ms < first &&
-		    !is_explained(quarantine, suspect, NULL, crash))
-			first = crash->at_ms;
-	}
-	return first;
-}
-
 static bool is_enough(const pr_suspect_t *suspect, unsigned upstreams)
 {
 	unsigned requests = count_bits(suspect->requests);
@@ -101,14 +91,6 @@
 		upstreams >= UPSTREAMS_MIN_MANY);
 }
 
-/* @param until_ms time after which crashes do not count */
-static bool has_enough_crashes(const pr_quarantine_t *quarantine,
-			       const pr_suspect_t *suspect, int64_t until_ms)
-{
-	return is_enough(suspect, count_unexplained(quarantine, suspect, NULL,
-						    until_ms));
-}
-
 /* Whether the evidence would suffice if the other part were quarantined. */
 static bool has_enough_beside(const pr_quarantine_t *quarantine,
 			      const pr_suspect_t *suspect,
@@ -127,18 +109,48 @@
 	return is_enough(suspect, upstreams);
 }
 
+static void weigh_entry(const pr_quarantine_t *quarantine,
+			pr_quarantine_entry_t *entry, int64_t until_ms)
+{
+	const pr_suspect_t *suspect = &entry->suspect;
+
+	entry->crashes = 0;
+	entry->first_ms = INT64_MAX;
+	/* The crashes that were not kept are older than the newest ones. */
+	if (suspect->crashes_count == PR_SUSPECT_CRASHES_MAX)
+		until_ms = INT64_MAX;
+	for (uint32_t i = 0; i < suspect->crashes_count; i++) {
+		const pr_crash_t *crash = &suspect->crashes[i];
+
+		if (!pr_crash_is_real(crash) ||
+		    is_explained(quarantine, suspect, NULL, crash))
+			continue;
+		entry->crashes += crash->at_ms <= until_ms;
+		if (crash->at_ms < entry->first_ms)
+			entry->first_ms = crash->at_ms;
+	}
+}
+
+/* A host knows the crashes of its own requests at once, but not those of the
+ * requests that explain them, so the newest crashes do not count yet. */
+static void weigh(pr_quarantine_t *quarantine, int64_t now_ms)
+{
+	list_explaining(quarantine);
+	for (size_t i = 0; i < quarantine->count; i++) {
+		if (pr_suspect_is_suspected(&quarantine->entries[i].suspect))
+			weigh_entry(quarantine, &quarantine->entries[i],
+				    now_ms - PR_REPORT_MS);
+	}
+}
+
 /* Whether the evidence suffices and answers on the part at other hosts would be
  * known by now. */
-static bool has_settled_evidence(const pr_quarantine_t *quarantine,
-				 const pr_suspect_t *suspect, int64_t settle_ms,
-				 int64_t now_ms)
+static bool has_settled_evidence(const pr_quarantine_entry_t *entry,
+				 int64_t settle_ms, int64_t now_ms)
 {
-	/* A host knows the crashes of its own requests at once, but not those
-	 * of the requests that explain them. */
-	return now_ms - suspect->since_ms >= settle_ms &&
-	       first_unexplained_ms(quarantine, suspect) <=
-		       now_ms - settle_ms &&
-	       has_enough_crashes(quarantine, suspect, now_ms - PR_REPORT_MS);
+	return now_ms - entry->suspect.since_ms >= settle_ms &&
+	       entry->first_ms <= now_ms - settle_ms &&
+	       is_enough(&entry->suspect, entry->crashes);
 }
 
 static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
@@ -147,15 +159,14 @@
 	       entry->suspect.crash_ms > entry->other_since_ms;
 }
 
-static bool is_confirmed(const pr_quarantine_t *quarantine,
-			 const pr_quarantine_entry_t *entry, int64_t now_ms)
+static bool is_confirmed(const pr_quarantine_entry_t *entry, int64_t now_ms)
 {
 	const pr_suspect_t *suspect = &entry->suspect;
 	int64_t settle_ms = pr_suspect_was_answered(suspect)
 				    ? SETTLE_ANSWERED_MS
 				    : SETTLE_MS;
 
-	return has_settled_evidence(quarantine, suspect, settle_ms, now_ms) &&
+	return has_settled_evidence(entry, settle_ms, now_ms) &&
 	       crashed_beside_answers(entry) &&
 	       now_ms - entry->other_since_ms >= settle_ms;
 }
@@ -175,11 +186,11 @@
 	    suspect->crash_ms >= pr_quarantine_release_ms(quarantine, suspect))
 		return suspect->quarantines || crashed_beside_answers(entry);
 	if (quarantined && !suspect->quarantines)
-		return is_confirmed(quarantine, entry, now_ms);
+		return is_confirmed(entry, now_ms);
 	/* A request that was under way when the quarantine began must not
 	 * extend it. */
 	return !quarantined && suspect->crash_ms > suspect->quarantined_ms &&
-	       is_confirmed(quarantine, entry, now_ms);
+	       is_confirmed(entry, now_ms);
 }
 
 /* Whether the part may have crashed all upstreams of a service that was up, so
@@ -193,8 +204,7 @@
 	return pr_suspect_is_suspected(suspect) &&
 	       !pr_suspect_is_quarantined(suspect) &&
 	       !pr_suspect_was_answered(suspect) && entry->was_service_up &&
-	       has_settled_evidence(quarantine, suspect, SETTLE_TRIAL_MS,
-				    now_ms);
+	       has_settled_evidence(entry, SETTLE_TRIAL_MS, now_ms);
 }
 
 /*
@@ -224,33 +234,41 @@
  * evidence and only has to wait for its verdict, or it occurs in some of the
  * suspect's requests, and these crashed all of the upstreams. */
 static bool may_explain(const pr_quarantine_t *quarantine,
-			const pr_suspect_t *other, const pr_suspect_t *suspect,
-			int64_t until_ms)
+			const pr_quarantine_entry_t *other,
+			const pr_suspect_t *suspect, int64_t until_ms)
+{
+	if (is_enough(&other->suspect, other->crashes))
+		return !is_wider(&other->suspect, suspect) &&
+		       !has_enough_beside(quarantine, suspect, &other->suspect,
+					  until_ms);
+	return !(other->suspect.requests & ~suspect->requests) &&
+	       count_bits(other->suspect.requests) >= REQUESTS_MIN_FEW &&
+	       covers(&other->suspect, suspect, until_ms);
+}
+
+static bool is_likelier(const pr_quarantine_entry_t *a,
+			const pr_quarantine_entry_t *b)
 {
-	if (has_enough_crashes(quarantine, other, until_ms))
-		return !is_wider(other, suspect) &&
-		       !has_enough_beside(quarantine, suspect, other, until_ms);
-	return !(other->requests & ~suspect->requests) &&
-	       count_bits(other->requests) >= REQUESTS_MIN_FEW &&
-	       covers(other, suspect, until_ms);
+	return pr_suspect_is_likelier(&a->suspect, a->crashes, &b->suspect,
+				      b->crashes);
 }
 
 /* Whether the suspect has to wait until more is known of a likelier part. */
 static bool has_likelier(const pr_quarantine_t *quarantine,
-			 const pr_suspect_t *suspect, unsigned crashes,
-			 int64_t until_ms)
+			 const pr_quarantine_entry_t *entry, int64_t now_ms)
 {
-	for (size_t i = 0; i < quarantine->count; i++) {
-		const pr_suspect_t *other = &quarantine->entries[i].suspect;
+	const pr_suspect_t *suspect = &entry->suspect;
 
-		if (other != suspect && other->service == suspect->service &&
-		    pr_suspect_is_suspected(other) &&
-		    !pr_suspect_is_quarantined(other) &&
-		    may_explain(quarantine, other, suspect, until_ms) &&
-		    pr_suspect_is_likelier(other,
-					   count_unexplained(quarantine, other,
-							     NULL, until_ms),
-					   suspect, crashes))
+	for (size_t i = 0; i < quarantine->count; i++) {
+		const pr_quarantine_entry_t *other = &quarantine->entries[i];
+
+		if (other != entry &&
+		    other->suspect.service == suspect->service &&
+		    pr_suspect_is_suspected(&other->suspect) &&
+		    !pr_suspect_is_quarantined(&other->suspect) &&
+		    is_likelier(other, entry) &&
+		    may_explain(quarantine, other, suspect,
+				now_ms - PR_REPORT_MS))
 			return true;
 	}
 	return false;
@@ -265,26 +283,17 @@
 					     int64_t now_ms)
 {
 	pr_quarantine_entry_t *guilty = NULL;
-	int64_t until_ms = now_ms - PR_REPORT_MS;
-	unsigned most = 0;
 
 	for (size_t i = 0; i < quarantine->count; i++) {
 		pr_quarantine_entry_t *entry = &quarantine->entries[i];
-		unsigned crashes;
 
-		if (!suffices(quarantine, entry, now_ms))
+		if (!suffices(quarantine, entry, now_ms) ||
+		    (guilty && !is_likelier(entry, guilty)))
 			continue;
-		crashes = count_unexplained(quarantine, &entry->suspect, NULL,
-					    until_ms);
 		if (!pr_suspect_is_quarantined(&entry->suspect) &&
-		    has_likelier(quarantine, &entry->suspect, crashes,
-				 until_ms))
-			continue;
-		if (guilty && !pr_suspect_is_likelier(&entry->suspect, crashes,
-						      &guilty->suspect, most))
+		    has_likelier(quarantine, entry, now_ms))
 			continue;
 		guilty = entry;
-		most = crashes;
 	}
 	return guilty;
 }
@@ -322,21 +331,22 @@
 		    covers(other, suspect, INT64_MAX) &&
 		    pr_suspect_is_likelier(
 			    other,
-			    count_unexplained(quarantine, other, suspect,
-					      INT64_MAX),
+			    count_unexplained(quarantine, other, suspect),
 			    suspect,
-			    count_unexplained(quarantine, suspect, other,
-					      INT64_MAX)))
+			    count_unexplained(quarantine, suspect, other)))
 			return true;
 	}
 	return false;
 }
 
-static void begin_quarantine(pr_quarantine_entry_t *entry, int64_t now_ms)
+static void begin_quarantine(pr_quarantine_t *quarantine,
+			     pr_quarantine_entry_t *entry, int64_t now_ms)
 {
 	entry->suspect.quarantined_ms = now_ms;
 	entry->overruled = false;
 	pr_quarantine_mark_changed(entry, true);
+	/* The part explains crashes now. */
+	weigh(quarantine, now_ms);
 }
 
 /*
@@ -351,7 +361,8 @@
 		entry->other_since_ms = now_ms;
 	if (!entry->others_unsent ||
 	    !pr_suspect_is_suspected(&entry->suspect) ||
-	    !has_enough_crashes(quarantine, &entry->suspect, now_ms))
+	    !is_enough(&entry->suspect,
+		       count_unexplained(quarantine, &entry->suspect, NULL)))
 		return;
 	entry->others_unsent = false;
 	pr_quarantine_mark_changed(entry, true);
@@ -363,6 +374,7 @@
 
 	for (size_t i = 0; i < quarantine->count; i++)
 		refute_crashes(quarantine, &quarantine->entries[i]);
+	list_explaining(quarantine);
 	for (size_t i = 0; i < quarantine->count; i++)
 		share_others(quarantine, &quarantine->entries[i], now_ms);
 	for (size_t i = 0; i < quarantine->count; i++) {
@@ -370,12 +382,13 @@
 		entry->overruled = pr_suspect_is_quarantined(&entry->suspect) &&
 				   is_overruled(quarantine, &entry->suspect);
 	}
+	weigh(quarantine, now_ms);
 	while ((entry = find_likeliest(quarantine, is_guilty, now_ms))) {
-		begin_quarantine(entry, now_ms);
+		begin_quarantine(quarantine, entry, now_ms);
 		entry->suspect.quarantines++;
 	}
 	while ((entry = find_likeliest(quarantine, is_on_trial, now_ms)))
-		begin_quarantine(entry, now_ms);
+		begin_quarantine(quarantine, entry, now_ms);
 }
 
 const pr_suspect_t *pr_quarantine_next_change(pr_quarantine_t *quarantine,
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -3,6 +3,8 @@
  * quarantined. Guards against a verdict on a sound part while the evidence
  * against the part that crashed the upstreams is still on its way.
  */
+#include <time.h>
+
 #include "quarantine_fleet.h"
 
 /* Two requests crash five upstreams, and three sound requests with a new part
@@ -220,6 +222,46 @@
 	check_storm(295);
 }
 
+/* An attacker's sixteen requests, each sent three times, have all the parts
+ * that are kept, and crash upstreams. Guards against a judgement that blocks
+ * the host for seconds, in which others take it for dead. */
+static void test_time_of_judgement(void **state)
+{
+	pr_quarantine_t *quarantine = calloc(1, sizeof(*quarantine));
+	uint64_t parts[32], other = OTHER, part = 0x1000;
+	fleet_t fleet = { .now = START };
+	clock_t began;
+	int in_force = 0;
+
+	assert_non_null(quarantine);
+	for (uint32_t group = 0; group < PR_QUARANTINE_MAX / 32; group++) {
+		for (int i = 0; i < 32; i++)
+			parts[i] = part++;
+		for (uint32_t i = 0; i < 16; i++) {
+			pr_quarantine_prompt_t prompt =
+				prompt_of(&fleet, parts, 32);
+
+			pr_quarantine_record_crash(quarantine, &prompt,
+						   (uint32_t)++fleet.upstreams *
+							   77,
+						   START + i * 50);
+		}
+	}
+	for (int i = 0; i < 10; i++) {
+		pr_quarantine_prompt_t prompt = prompt_of(&fleet, &other, 1);
+
+		pr_quarantine_record_answer(quarantine, &prompt, START + 100);
+	}
+	began = clock();
+	pr_quarantine_judge(quarantine, START + 3000);
+	assert_in_range((clock() - began) * 1000 / CLOCKS_PER_SEC, 0, 1000);
+	for (size_t i = 0; i < quarantine->count; i++)
+		in_force += pr_suspect_is_quarantined(
+			&quarantine->entries[i].suspect);
+	assert_int_equal(in_force, PR_QUARANTINE_MAX / 32);
+	free(quarantine);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -234,6 +276,7 @@
 		cmocka_unit_test(test_storm_9_hosts),
 		cmocka_unit_test(test_storm_84_hosts),
 		cmocka_unit_test(test_storm_295_hosts),
+		cmocka_unit_test(test_time_of_judgement),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
