Compare the pace of a new version at a similar load

Cause: an answer counted as slow from 1.5 times the usual pace, which is that of loaded upstreams; the few requests of a new version meet idle ones.

Each host now keeps the last 64 answers with the load of their upstream and ranks an answer of either version among the 8 at the nearest load. One that is slower than all 8 by a twentieth counts as slow, for which chance gives 1 in 9; the tests of slow answers stay, with that rate as the floor. Answers slower than 6 of the 8 (chance: 3 in 9) are counted besides while sessions are pinned; the version is withdrawn, or not verified yet, by a sequential test of that rate against the old version's. The ranks need no model of how pace grows with load, and hold where a third of the upstreams is slower. Late answers of a withdrawn version are no longer learned as normal.

test_pace_is_compared_at_equal_load and, with 9, 84 and 295 hosts, test_version_slower_by_half_is_not_verified failed without the comparison. Tests of test_pace.c that learn pass a load now; what they assert is unchanged.

--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -361,7 +361,8 @@
 			"service=%s version=%s state=%d verified=%d new=%u/%u "
 			"old=%u/%u "
 			"peers_new=%u/%u peers_old=%u/%u slow_new=%u/%u "
-			"slow_old=%u/%u condition=%llu",
+			"slow_old=%u/%u slower_new=%u/%u slower_old=%u/%u "
+			"condition=%llu",
 			transition->order.service, transition->order.version,
 			state, verified_ms != 0, transition->own.new.bad,
 			transition->own.new.total, transition->own.old.bad,
@@ -372,6 +373,14 @@
 			transition->own.new.timed + transition->peers.new.timed,
 			transition->own.old.slow + transition->peers.old.slow,
 			transition->own.old.timed + transition->peers.old.timed,
+			transition->own.new.slower +
+				transition->peers.new.slower,
+			transition->own.new.ranked +
+				transition->peers.new.ranked,
+			transition->own.old.slower +
+				transition->peers.old.slower,
+			transition->own.old.ranked +
+				transition->peers.old.ranked,
 			(unsigned long long)transition->state_row);
 		pr_call_start(&edge->writer, pr_str_slice(&request),
 			      WRITE_TIMEOUT, on_transition_written);
