Refuse requests that a stop would cut

What callers saw: a stream that began 3.4 s after the SIGTERM of its host was reset 4.9 s later, at the end of the grace time.

A stopping host accepted each stream for which 5 s were left of the grace time, and each call for which 2 s were, whatever time the request had. With a grace time of 8 s only calls came later than 3 s, and their route's time-out saved them; with a longer one streams were cut.

Evidence: tests/edge/unfinished.py, with a grace time of 9 s.

Change: later than 3 s after the begin of a stop, by when the balancer has other hosts for the caller, only requests are accepted whose deadline comes before the remaining ones are aborted.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -141,17 +141,21 @@
 	pr_edge_update_shared_rows(edge);
 }
 
+pr_usec_t pr_edge_abort_time(const pr_edge_t *edge)
+{
+	return edge->stop_began +
+	       (pr_usec_t)(edge->settings->bounds.grace_s * PR_USEC_PER_SEC) *
+		       GRACE_PERCENT / 100;
+}
+
 static void on_stop_poll(pr_timer_t *timer, pr_usec_t now)
 {
 	pr_edge_t *edge = timer->data;
-	pr_usec_t grace =
-		(pr_usec_t)(edge->settings->bounds.grace_s * PR_USEC_PER_SEC) *
-		GRACE_PERCENT / 100;
 
 	if (now - edge->stop_began < BALANCER_DETECTION)
 		return;
 	pr_callers_close_idle(edge);
-	if (now - edge->stop_began >= grace) {
+	if (now >= pr_edge_abort_time(edge)) {
 		pr_callers_abort_exchanges(edge);
 		uv_stop(edge->loop);
 	}
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -162,6 +162,8 @@
 pr_usec_t pr_edge_now(pr_edge_t *edge);
 /** @return estimated time of the store's clock, milliseconds */
 int64_t pr_edge_store_now(pr_edge_t *edge);
+/** @return time at which a stopping host aborts the remaining requests */
+pr_usec_t pr_edge_abort_time(const pr_edge_t *edge);
 /** @return true when the routing document and a read of each table are there */
 bool pr_edge_is_ready(const pr_edge_t *edge);
 /** @return the transition of a service, or NULL */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -39,6 +39,10 @@
  * time is left until the process ends. */
 #define STOP_STREAM_MIN (5 * PR_USEC_PER_SEC)
 #define STOP_CALL_MIN   (2 * PR_USEC_PER_SEC)
+/* Later than this after the begin of a stop the balancer has other hosts for a
+ * caller, so that only requests are accepted whose deadline comes before the
+ * remaining ones are aborted. */
+#define STOP_BALANCED (3 * PR_USEC_PER_SEC)
 
 pr_usec_t pr_exchange_now(pr_exchange_t *x)
 {
@@ -230,14 +234,16 @@
 /* A request that cannot end within the grace time of a stop is refused. */
 static bool can_finish_before_stop(pr_exchange_t *x)
 {
-	pr_usec_t left = x->edge->stop_began +
-			 (pr_usec_t)(x->edge->settings->bounds.grace_s *
-				     PR_USEC_PER_SEC) -
-			 pr_exchange_now(x);
-
-	return !x->edge->stopping ||
-	       left >= (x->route->kind == PR_CALL_STREAM ? STOP_STREAM_MIN
-							 : STOP_CALL_MIN);
+	pr_usec_t now = pr_exchange_now(x);
+	pr_usec_t end = x->edge->stop_began +
+			(pr_usec_t)(x->edge->settings->bounds.grace_s *
+				    PR_USEC_PER_SEC);
+
+	if (!x->edge->stopping)
+		return true;
+	if (now - x->edge->stop_began > STOP_BALANCED)
+		return x->deadline <= pr_edge_abort_time(x->edge);
+	return end - now >= (x->stream ? STOP_STREAM_MIN : STOP_CALL_MIN);
 }
 
 /* Find the route and the workspace. @return false when the request was refused
@@ -273,10 +279,6 @@
 			return false;
 		}
 	}
-	if (!can_finish_before_stop(x)) {
-		pr_exchange_respond(x, 503, "stopping");
-		return false;
-	}
 	return true;
 }
 
@@ -366,6 +368,10 @@
 	if (!match_route(x))
 		return;
 	read_request(x);
+	if (!can_finish_before_stop(x)) {
+		pr_exchange_respond(x, 503, "stopping");
+		return;
+	}
 	x->service = pr_route_pick_service(x->route, x->hash);
 	if (!x->service) {
 		pr_exchange_respond(x, 503, "no_service");
--- a/tests/edge/unfinished.py
+++ b/tests/edge/unfinished.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 import random
+import signal
 import socket
 import sys
 import time
@@ -14,13 +15,14 @@
 from answers import ask, head, set_script
 from checks import FAILURES, check
 from fleet import HOST, Fleet
-from standins import P, chunk, stream_of
+from standins import P, chunk, event_of, stream_of
 from streams import events
 
 CHUNKED = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 # Length of an answer that is longer than what the buffers of sockets hold.
 LONG = 7500000
 DEADLY = "dead"
+GRACE_S = 9
 # Latency objective of the prompts. A stream without an event is moved after 1.25
 # times as long.
 TARGET_S = 6.0
@@ -191,10 +193,40 @@
     set_script(models, None)
 
 
+async def check_late_in_stop(fleet, models):
+    """A stopping host accepted streams that it had to cut at the end of its grace time."""
+    router = fleet.routers[0]
+
+    async def long_stream(request):
+        request.run()
+        await request.write(head(200, request.ident, CHUNKED))
+        count = {"stop-before": 20, "stop-late": 14}.get(request.ident, 2)
+        await request.write(*(chunk(event_of(request.ident, n)) for n in range(1, count + 1)),
+                            pause=0.5)
+        await request.write(b"0\r\n\r\n")
+        return True
+
+    set_script(models, long_stream)
+    before = asyncio.create_task(ask(router.address, "stop-before", "/stream/x", budget_ms=8000))
+    await asyncio.sleep(0.1)
+    router.signal(signal.SIGTERM)
+    await asyncio.sleep(3.4)
+    answer = await ask(router.address, "stop-late", "/stream/x", budget_ms=8000)
+    check("a request that may not end before the end of a stop is refused",
+          answer.status == 503 and b"not_run" in answer.body
+          and "stop-late" not in fleet.runs, (answer.status, answer.complete, answer.body[-60:]))
+    answer = await ask(router.address, "stop-short", "/stream/x", budget_ms=4000)
+    check("a request that ends before the end of a stop is accepted", answer.complete
+          and answer.status == 200, (answer.status, answer.body[-60:]))
+    await before
+    await router.process.wait()
+
+
 async def main():
     # Writes to connections that the other side has closed are no news.
     logging.getLogger("asyncio").setLevel(logging.ERROR)
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1, per_zone=3)
+    fleet.bounds["grace_s"] = GRACE_S
     try:
         await fleet.start()
         ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
@@ -203,6 +235,7 @@
         await check_slow_readers(fleet, ledgers)
         await check_paused_stream(fleet, models)
         await check_quarantined(fleet, models)
+        await check_late_in_stop(fleet, models)
     finally:
         await fleet.stop()
     if FAILURES:
