Keep a pause that a restarted upstream asked for before its entry

Cause: what a host knows of an upstream is dropped when an entry with another start time comes, also what the new instance itself had stated before.

Evidence: tests/edge/states.py, "a pause outlasts the row of a new instance".

Change: the pause is carried over to the new instance. One that the old instance had asked for only delays its use by what is left of it.

--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -136,11 +136,14 @@
 	pr_upstream_t *upstream = pr_registry_find(registry, entry->id);
 	bool is_new = !upstream;
 	pr_usec_t cold = (pr_usec_t)entry->cold_ms * PR_USEC_PER_MSEC;
+	pr_usec_t paused_until = 0;
 
 	if (upstream && row <= upstream->row)
 		return NULL;
 	if (upstream && upstream->entry.born != entry->born) {
-		/* A restarted instance keeps no state of the one before. */
+		/* A restarted instance keeps no state of the one before, but it
+		 * may have asked for a pause before its entry came. */
+		paused_until = upstream->paused_until;
 		unlist(registry, upstream);
 		is_new = true;
 	}
@@ -151,6 +154,8 @@
 	upstream->entry = *entry;
 	upstream->row = row;
 	upstream->remove_at = 0;
+	if (paused_until > upstream->paused_until)
+		upstream->paused_until = paused_until;
 	if (cold)
 		upstream->cold_until = now + cold + COLD_MARGIN;
 	else if (is_new && registry->initial_read_done)
--- a/tests/edge/states.py
+++ b/tests/edge/states.py
@@ -162,6 +162,25 @@
     near.script = None
 
 
+async def check_pause_beside_restart(fleet):
+    """A new instance asked for no requests before its row had come; with the row this
+    was forgotten."""
+    router = fleet.routers[1]
+    near = next(u for u in fleet.upstreams if u.service == "ledger" and u.zone == router.zone)
+    await load(router, "restart-before", 0.3)
+    near.born += 1
+    near.drop_connections()
+    near.script = script = Pauses("3")
+    await load(router, "restart-pause", 0.4)
+    await fleet.store.put("servers", near.name, near.entry())
+    await load(router, "restart-after", 3.2)
+    check("a pause beside a restart is asked for", not script.pauses)
+    begin, end = script.refused_at[0] + 0.5, script.refused_at[0] + 3
+    inside = sum(begin < at < end for at, _, _ in near.arrivals)
+    check("a pause outlasts the row of a new instance", inside <= 2, inside)
+    near.script = None
+
+
 async def check_all_paused(fleet):
     """A request that no upstream takes in time is refused at once, and told when the
     first of them returns."""
@@ -198,4 +217,5 @@
 async def check_upstream_states(fleet):
     await check_leaving_answers(fleet)
     await check_pauses(fleet)
+    await check_pause_beside_restart(fleet)
     await check_all_paused(fleet)
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -214,6 +214,22 @@
 	pr_registry_finish(&registry);
 }
 
+/* A new instance may ask for a pause before its entry is known. */
+static void test_pause_outlasts_a_restart(void **state)
+{
+	pr_upstream_entry_t entry = entry_of("a", 1), next = entry_of("a", 2);
+	pr_registry_t registry;
+	pr_upstream_t *upstream;
+
+	pr_registry_init(&registry);
+	upstream = pr_registry_apply(&registry, &entry, 1, 0, SECOND);
+	pr_upstream_pause(upstream, 3 * SECOND, SECOND);
+	upstream = pr_registry_apply(&registry, &next, 2, 0, 2 * SECOND);
+	assert_true(pr_upstream_is_paused(upstream, 4 * SECOND - 1));
+	assert_false(pr_upstream_is_paused(upstream, 4 * SECOND));
+	pr_registry_finish(&registry);
+}
+
 static void test_pause_is_bounded(void **state)
 {
 	pr_upstream_t upstream = { 0 };
@@ -265,6 +281,7 @@
 		cmocka_unit_test(test_leaving_is_noted_while_not_listed),
 		cmocka_unit_test(test_removed_upstreams_are_bounded),
 		cmocka_unit_test(test_pause_is_not_shortened),
+		cmocka_unit_test(test_pause_outlasts_a_restart),
 		cmocka_unit_test(test_pause_is_bounded),
 		cmocka_unit_test(test_failures_eject_and_success_readmits),
 		cmocka_unit_test(
