Count a crash as beside answers only after enough of these

A verdict needs a crash beside answers to other requests, so that an outage convicts nothing. One answer that came within the 36 ms in which the upstreams crashed was enough for that, and five answers after the outage made up the rest.

The crash now has to come after the fifth answer.

test_outage_beside_answer at 9, 84 and 295 hosts fails without the change: all hosts quarantine the common part.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -206,6 +206,7 @@
 	entry->suspect.others = 0;
 	entry->other_answers = 0;
 	entry->other_since_ms = 0;
+	entry->others_enough_ms = 0;
 	entry->others_unsent = false;
 	entry->was_service_up = false;
 }
@@ -356,7 +357,12 @@
 	entry->other_answers++;
 	if (!entry->other_since_ms)
 		entry->other_since_ms = now_ms;
-	if (entry->suspect.others & bit || pr_quarantine_has_others(entry))
+	if (pr_quarantine_has_others(entry)) {
+		if (!entry->others_enough_ms)
+			entry->others_enough_ms = now_ms;
+		return;
+	}
+	if (entry->suspect.others & bit)
 		return;
 	entry->suspect.others |= bit;
 	entry->others_unsent = true;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -48,10 +48,10 @@
 typedef struct pr_quarantine_entry_t {
 	pr_suspect_t suspect;
 	/** Answers of this host to other requests of the service while the
-	 *  part has been suspected, and the time from which this host has known
-	 *  of answers of any host; 0 for none. */
+	 *  part has been suspected, and the times from which this host has
+	 *  known of answers of any host, and of enough of them; 0 for none. */
 	uint32_t other_answers;
-	int64_t other_since_ms;
+	int64_t other_since_ms, others_enough_ms;
 	/** The other hosts have not been told of all bits in suspect.others. */
 	bool others_unsent;
 	/** The service answered requests until the part was suspected. */
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -155,8 +155,8 @@
 
 static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
 {
-	return pr_quarantine_has_others(entry) &&
-	       entry->suspect.crash_ms > entry->other_since_ms;
+	return entry->others_enough_ms &&
+	       entry->suspect.crash_ms > entry->others_enough_ms;
 }
 
 static bool is_confirmed(const pr_quarantine_entry_t *entry, int64_t now_ms)
@@ -359,6 +359,8 @@
 {
 	if (entry->suspect.others && !entry->other_since_ms)
 		entry->other_since_ms = now_ms;
+	if (pr_quarantine_has_others(entry) && !entry->others_enough_ms)
+		entry->others_enough_ms = now_ms;
 	if (!entry->others_unsent ||
 	    !pr_suspect_is_suspected(&entry->suspect) ||
 	    !is_enough(&entry->suspect,
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -222,6 +222,49 @@
 	check_storm(295);
 }
 
+/* All upstreams crash within 0.2 s, in which another request is still answered,
+ * and are back after 5 s. Guards against a quarantine of the part that all
+ * requests share, once other requests are answered again. */
+static void check_outage_beside_answer(int hosts)
+{
+	static const uint64_t common[] = { COMMON }, other[] = { OTHER };
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 10; i++) {
+		answer_sound(&fleet);
+		run_period(&fleet);
+	}
+	for (int i = 0; i < 20; i++) {
+		crash(&fleet, i % hosts, common, 1);
+		if (i == 10)
+			answer(&fleet, 0, other, 1);
+		fleet.now += 10;
+	}
+	for (int i = 0; i < 35; i++) {
+		for (int host = 0; host < hosts && i >= 25; host++)
+			answer(&fleet, host, other, 1);
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, COMMON), 0);
+	}
+	finish_fleet(&fleet);
+}
+
+static void test_outage_beside_answer_9_hosts(void **state)
+{
+	check_outage_beside_answer(9);
+}
+
+static void test_outage_beside_answer_84_hosts(void **state)
+{
+	check_outage_beside_answer(84);
+}
+
+static void test_outage_beside_answer_295_hosts(void **state)
+{
+	check_outage_beside_answer(295);
+}
+
 /* An attacker's sixteen requests, each sent three times, have all the parts
  * that are kept, and crash upstreams. Guards against a judgement that blocks
  * the host for seconds, in which others take it for dead. */
@@ -276,6 +319,9 @@
 		cmocka_unit_test(test_storm_9_hosts),
 		cmocka_unit_test(test_storm_84_hosts),
 		cmocka_unit_test(test_storm_295_hosts),
+		cmocka_unit_test(test_outage_beside_answer_9_hosts),
+		cmocka_unit_test(test_outage_beside_answer_84_hosts),
+		cmocka_unit_test(test_outage_beside_answer_295_hosts),
 		cmocka_unit_test(test_time_of_judgement),
 	};
 
