Release a prompt part that crashes upstreams less often

The first quarantine now lasts 60 s instead of 30 s, and each further one eight times as long instead of twice, up to an hour as before: releases after 1, 9 and 69 minutes. A sound part that is quarantined by mistake waits for 30 s more.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -7,9 +7,11 @@
 
 #include <string.h>
 
-/* Length of the first quarantine of a part, milliseconds; each one is twice as
- * long as the one before, up to the maximum. */
-#define QUARANTINE_MS     INT64_C(30000)
+/* Length of the first quarantine of a part, milliseconds, and how many times
+ * longer than the one before each further one is, up to the maximum. Each
+ * release of a part that still crashes upstreams costs one of them. */
+#define QUARANTINE_MS     INT64_C(60000)
+#define QUARANTINE_GROWTH 8
 #define QUARANTINE_MAX_MS INT64_C(3600000)
 /* Time between the releases of a part on two hosts, milliseconds: the others
  * learn of the first host's request before they send one. Also the last hosts
@@ -60,7 +62,7 @@
 		return suspect->quarantined_ms + release_delay_ms(quarantine);
 	for (uint32_t i = 1;
 	     i < suspect->quarantines && length < QUARANTINE_MAX_MS; i++)
-		length *= 2;
+		length *= QUARANTINE_GROWTH;
 	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS) +
 	       release_delay_ms(quarantine);
 }
