Leave verdicts on prompt parts to the relays

A host that is no relay learns of the crashes of others later than relays do: it is told of one suspect in 200 ms, so that in a storm its own requests were the largest part of what it knew.

Such a host now leaves verdicts to its relays while one of them responds. They have the reports of all hosts. After the quarantine a crash on any host puts a part back; so far the relay's own turn had to have come, which was no matter while the host of the crash judged.

--- a/src/edge/peer_suspects.c
+++ b/src/edge/peer_suspects.c
@@ -90,6 +90,18 @@
 	} while (packed && at < count);
 }
 
+static bool has_responsive_relay(pr_edge_t *edge)
+{
+	const pr_peering_t *peering = &edge->peering;
+
+	for (size_t i = 0; i < peering->relays_count; i++) {
+		if (pr_roster_is_responsive(peering->relays[i],
+					    pr_edge_now(edge)))
+			return true;
+	}
+	return false;
+}
+
 void pr_peers_update_suspects(pr_edge_t *edge)
 {
 	int64_t now = pr_edge_store_now(edge);
@@ -99,6 +111,8 @@
 		return;
 	edge->quarantine.rank =
 		pr_roster_rank(&edge->peering.roster, RELEASE_ORDER);
+	edge->quarantine.defers =
+		!edge->peering.is_relay && has_responsive_relay(edge);
 	pr_quarantine_judge(&edge->quarantine, now);
 	log_changes(edge, now);
 	if (!(edge->peering.report_periods % REFRESH_PERIODS))
--- a/src/quarantine/internal.h
+++ b/src/quarantine/internal.h
@@ -8,7 +8,9 @@
  *  milliseconds. */
 #define PR_SUSPICION_MS INT64_C(600000)
 
-/** @return end of the quarantine of a part on this host */
+/** @return time of the release of a part on the first host */
+int64_t pr_quarantine_end_ms(const pr_suspect_t *suspect);
+/** @return time of its release on this host */
 int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
 				 const pr_suspect_t *suspect);
 /** @return true while requests with the part are refused */
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -53,18 +53,22 @@
 	return quarantine->rank * RELEASE_STEP_MS;
 }
 
-int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
-				 const pr_suspect_t *suspect)
+int64_t pr_quarantine_end_ms(const pr_suspect_t *suspect)
 {
 	int64_t length = QUARANTINE_MS;
 
 	if (!suspect->quarantines)
-		return suspect->quarantined_ms + release_delay_ms(quarantine);
+		return suspect->quarantined_ms;
 	for (uint32_t i = 1;
 	     i < suspect->quarantines && length < QUARANTINE_MAX_MS; i++)
 		length *= QUARANTINE_GROWTH;
-	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS) +
-	       release_delay_ms(quarantine);
+	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS);
+}
+
+int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
+				 const pr_suspect_t *suspect)
+{
+	return pr_quarantine_end_ms(suspect) + release_delay_ms(quarantine);
 }
 
 bool pr_quarantine_is_in_force(const pr_quarantine_t *quarantine,
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -81,6 +81,9 @@
 	/** Indexes of the entries that explain crashes, for a judgement. */
 	uint16_t explaining[PR_QUARANTINE_MAX];
 	size_t explaining_count;
+	/** This host leaves verdicts to the relays: it learns the evidence of
+	 *  others later than they do, so that it may judge by its own. */
+	bool defers;
 	/** Rank of this host, from 0, in the order in which hosts release
 	 *  parts. */
 	uint32_t rank;
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -180,16 +180,19 @@
 
 	if (!pr_suspect_is_suspected(suspect))
 		return false;
-	/* After the quarantine one crash is enough; without other answers it
-	 * shows nothing more than the first ones did. */
+	/* After the quarantine one crash, on any host, is enough. */
+	if (quarantined && suspect->quarantines)
+		return suspect->crash_ms >= pr_quarantine_end_ms(suspect);
+	/* Without other answers a crash shows nothing more than the first ones
+	 * did. */
 	if (quarantined && suspect->crash_ms > suspect->quarantined_ms &&
 	    suspect->crash_ms >= pr_quarantine_release_ms(quarantine, suspect))
-		return suspect->quarantines || crashed_beside_answers(entry);
-	if (quarantined && !suspect->quarantines)
+		return crashed_beside_answers(entry);
+	if (quarantined)
 		return is_confirmed(entry, now_ms);
 	/* A request that was under way when the quarantine began must not
 	 * extend it. */
-	return !quarantined && suspect->crash_ms > suspect->quarantined_ms &&
+	return suspect->crash_ms > suspect->quarantined_ms &&
 	       is_confirmed(entry, now_ms);
 }
 
@@ -384,6 +387,8 @@
 		entry->overruled = pr_suspect_is_quarantined(&entry->suspect) &&
 				   is_overruled(quarantine, &entry->suspect);
 	}
+	if (quarantine->defers)
+		return;
 	weigh(quarantine, now_ms);
 	while ((entry = find_likeliest(quarantine, is_guilty, now_ms))) {
 		begin_quarantine(quarantine, entry, now_ms);
--- a/tests/quarantine_fleet.h
+++ b/tests/quarantine_fleet.h
@@ -41,6 +41,12 @@
 	size_t bytes;
 } fleet_t;
 
+/* The first host of each zone is its relay. */
+static inline bool is_relay(int host)
+{
+	return host < ZONES;
+}
+
 static inline void start_fleet(fleet_t *fleet, int count)
 {
 	memset(fleet, 0, sizeof(*fleet));
@@ -48,8 +54,10 @@
 	assert_non_null(fleet->hosts);
 	fleet->count = count;
 	fleet->now = START;
-	for (int i = 0; i < count; i++)
+	for (int i = 0; i < count; i++) {
 		fleet->hosts[i].rank = (uint32_t)i;
+		fleet->hosts[i].defers = !is_relay(i);
+	}
 }
 
 static inline void finish_fleet(fleet_t *fleet)
@@ -57,12 +65,6 @@
 	free(fleet->hosts);
 }
 
-/* The first host of each zone is its relay. */
-static inline bool is_relay(int host)
-{
-	return host < ZONES;
-}
-
 /* @return bytes of the datagrams, with the headers of IP and UDP */
 static inline size_t datagram_bytes(const pr_suspect_t *suspects, size_t count)
 {
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -325,7 +325,7 @@
 /* Requests with the part come at all hosts for ten minutes. Guards against
  * releases that let more than three of them through, later than CONTACT after
  * the fifth crash. */
-static void check_ten_minutes(int hosts)
+static void check_ten_minutes(int hosts, bool relays_last)
 {
 	static const uint64_t deadly[] = { COMMON, DEADLY };
 	fleet_t fleet;
@@ -333,6 +333,8 @@
 	int reached = 0;
 
 	start_fleet(&fleet, hosts);
+	for (int i = 0; i < hosts && relays_last; i++)
+		fleet.hosts[i].rank = (uint32_t)(hosts - 1 - i);
 	quarantine_deadly(&fleet);
 	end = fleet.now + 600000;
 	while (fleet.now < end) {
@@ -347,17 +349,34 @@
 
 static void test_ten_minutes_9_hosts(void **state)
 {
-	check_ten_minutes(9);
+	check_ten_minutes(9, false);
 }
 
 static void test_ten_minutes_84_hosts(void **state)
 {
-	check_ten_minutes(84);
+	check_ten_minutes(84, false);
 }
 
 static void test_ten_minutes_295_hosts(void **state)
 {
-	check_ten_minutes(295);
+	check_ten_minutes(295, false);
+}
+
+/* The hosts that release the part first are no relays, and leave verdicts to
+ * these. */
+static void test_ten_minutes_relays_last_9_hosts(void **state)
+{
+	check_ten_minutes(9, true);
+}
+
+static void test_ten_minutes_relays_last_84_hosts(void **state)
+{
+	check_ten_minutes(84, true);
+}
+
+static void test_ten_minutes_relays_last_295_hosts(void **state)
+{
+	check_ten_minutes(295, true);
 }
 
 /* The requests come only at hosts that are late in the order of release.
@@ -538,6 +557,9 @@
 		cmocka_unit_test(test_ten_minutes_9_hosts),
 		cmocka_unit_test(test_ten_minutes_84_hosts),
 		cmocka_unit_test(test_ten_minutes_295_hosts),
+		cmocka_unit_test(test_ten_minutes_relays_last_9_hosts),
+		cmocka_unit_test(test_ten_minutes_relays_last_84_hosts),
+		cmocka_unit_test(test_ten_minutes_relays_last_295_hosts),
 		cmocka_unit_test(test_release_of_last_hosts_9_hosts),
 		cmocka_unit_test(test_release_of_last_hosts_84_hosts),
 		cmocka_unit_test(test_release_of_last_hosts_295_hosts),
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -265,6 +265,54 @@
 	check_outage_beside_answer(295);
 }
 
+/* Three sound requests of one host that is no relay wait on upstreams which the
+ * requests of other hosts crash. The relay's news of these are lost. Guards
+ * against a verdict by the evidence that this host has by itself. */
+static void check_host_without_news(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	static const uint64_t sound[] = { COMMON + 1, RARE };
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 30; i++) {
+		pr_quarantine_t *last = &fleet.hosts[hosts - 1];
+		pr_quarantine_prompt_t crashing = prompt_of(&fleet, deadly, 2);
+		pr_quarantine_prompt_t waiting = prompt_of(&fleet, sound, 2);
+		uint32_t upstream = (uint32_t)++fleet.upstreams * 77;
+
+		answer_sound(&fleet);
+		if (i >= 5 && i < 20 && i % 3 == 0) {
+			pr_quarantine_record_crash(&fleet.hosts[1], &crashing,
+						   upstream, fleet.now);
+			pr_quarantine_record_crash(last, &waiting, upstream,
+						   fleet.now);
+		}
+		fleet.count = hosts - 1;
+		run_period(&fleet);
+		fleet.count = hosts;
+		pr_quarantine_judge(last, fleet.now);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), hosts - 1);
+	finish_fleet(&fleet);
+}
+
+static void test_host_without_news_9_hosts(void **state)
+{
+	check_host_without_news(9);
+}
+
+static void test_host_without_news_84_hosts(void **state)
+{
+	check_host_without_news(84);
+}
+
+static void test_host_without_news_295_hosts(void **state)
+{
+	check_host_without_news(295);
+}
+
 /* An attacker's sixteen requests, each sent three times, have all the parts
  * that are kept, and crash upstreams. Guards against a judgement that blocks
  * the host for seconds, in which others take it for dead. */
@@ -322,6 +370,9 @@
 		cmocka_unit_test(test_outage_beside_answer_9_hosts),
 		cmocka_unit_test(test_outage_beside_answer_84_hosts),
 		cmocka_unit_test(test_outage_beside_answer_295_hosts),
+		cmocka_unit_test(test_host_without_news_9_hosts),
+		cmocka_unit_test(test_host_without_news_84_hosts),
+		cmocka_unit_test(test_host_without_news_295_hosts),
 		cmocka_unit_test(test_time_of_judgement),
 	};
 
