Send evidence and clearances of prompt parts in turn

Relays are now sent either kind first, in turn, and verdicts before both; evidence of a single crash comes last. Hosts that report to a relay, which leave verdicts to it, get clearances first as before.

--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -87,6 +87,8 @@
 	/** Rank of this host, from 0, in the order in which hosts release
 	 *  parts. */
 	uint32_t rank;
+	/** Number of suspects that were sent. */
+	uint32_t sends;
 	/** Index of the entry that was refreshed last. */
 	size_t refresh_at;
 	/** Last answers on parts, and of upstreams; those with the same slot
@@ -176,7 +178,7 @@
 /**
  * List suspects that changed and have not been sent to the audience often
  * enough, as many as may be sent at a time: first the quarantined
- * ones, then those that were cleared, then those with the most evidence.
+ * ones, then in turn those that were cleared and those with the most evidence.
  *
  * @return number of suspects in out
  */
--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -42,20 +42,49 @@
 	}
 }
 
-/* Whether to send a rather than b to an audience. A clearance that comes late
- * leads to a false verdict, evidence that comes late only delays one. */
-static bool is_sent_before(const pr_quarantine_entry_t *a,
+/* Kinds of news. */
+typedef enum news_t {
+	NEWS_VERDICT,
+	NEWS_EVIDENCE,
+	NEWS_CLEARANCE,
+	NEWS_SINGLE_CRASH,
+	NEWS_COUNT,
+} news_t;
+
+/* The order of the kinds; relays, which judge, are sent the first ones of both
+ * orders in turn. Many clearances must not hold back the evidence against a
+ * part that explains the crashes of others, nor the other way round: either
+ * that comes late leads to a false verdict. */
+static const unsigned order[2][NEWS_COUNT] = {
+	{ [NEWS_CLEARANCE] = 1, [NEWS_EVIDENCE] = 2, [NEWS_SINGLE_CRASH] = 3 },
+	{ [NEWS_EVIDENCE] = 1, [NEWS_CLEARANCE] = 2, [NEWS_SINGLE_CRASH] = 3 },
+};
+
+static news_t kind_of(const pr_suspect_t *suspect)
+{
+	if (pr_suspect_is_quarantined(suspect))
+		return NEWS_VERDICT;
+	if (!pr_suspect_is_suspected(suspect))
+		return NEWS_CLEARANCE;
+	return suspect->crashes_count > 1 && !pr_suspect_was_answered(suspect)
+		       ? NEWS_EVIDENCE
+		       : NEWS_SINGLE_CRASH;
+}
+
+/* Whether to send a rather than b to an audience. */
+static bool is_sent_before(const pr_quarantine_t *quarantine,
+			   const pr_quarantine_entry_t *a,
 			   const pr_quarantine_entry_t *b,
 			   pr_audience_t audience)
 {
+	const unsigned *kinds =
+		order[audience == PR_AUDIENCE_RELAYS && quarantine->sends % 2];
 	const pr_suspect_t *x = &a->suspect, *y = &b->suspect;
 
 	if (a->sends_left[audience] != b->sends_left[audience])
 		return a->sends_left[audience] > b->sends_left[audience];
-	if (pr_suspect_is_quarantined(x) != pr_suspect_is_quarantined(y))
-		return pr_suspect_is_quarantined(x);
-	if (pr_suspect_is_suspected(x) != pr_suspect_is_suspected(y))
-		return pr_suspect_is_suspected(y);
+	if (kinds[kind_of(x)] != kinds[kind_of(y)])
+		return kinds[kind_of(x)] < kinds[kind_of(y)];
 	return pr_suspect_is_likelier(x, x->crashes_count, y, y->crashes_count);
 }
 
@@ -75,12 +104,14 @@
 			pr_quarantine_entry_t *entry = &quarantine->entries[i];
 
 			if (entry->sends_left[audience] && !taken[i] &&
-			    (!first || is_sent_before(entry, first, audience)))
+			    (!first || is_sent_before(quarantine, entry, first,
+						      audience)))
 				first = entry;
 		}
 		if (!first)
 			break;
 		first->sends_left[audience]--;
+		quarantine->sends++;
 		taken[first - quarantine->entries] = true;
 		out[count++] = first->suspect;
 	}
