--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -7,9 +7,11 @@
 
 #include <string.h>
 
-/* Length of the first quarantine of a part, milliseconds; each one is twice as
- * long as the one before, up to the maximum. */
-#define QUARANTINE_MS     INT64_C(30000)
+/* Length of the first quarantine of a part, milliseconds, and how many times
+ * longer than the one before each further one is, up to the maximum. Each
+ * release of a part that still crashes upstreams costs one of them. */
+#define QUARANTINE_MS     INT64_C(60000)
+#define QUARANTINE_GROWTH 8
 #define QUARANTINE_MAX_MS INT64_C(3600000)
 /* Time between the releases of a part on two hosts, milliseconds: the others
  * learn of the first host's request before they send one. Also the last hosts
@@ -51,18 +53,22 @@
 	return quarantine->rank * RELEASE_STEP_MS;
 }
 
-int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
-				 const pr_suspect_t *suspect)
+int64_t pr_quarantine_end_ms(const pr_suspect_t *suspect)
 {
 	int64_t length = QUARANTINE_MS;
 
 	if (!suspect->quarantines)
-		return suspect->quarantined_ms + release_delay_ms(quarantine);
+		return suspect->quarantined_ms;
 	for (uint32_t i = 1;
 	     i < suspect->quarantines && length < QUARANTINE_MAX_MS; i++)
-		length *= 2;
-	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS) +
-	       release_delay_ms(quarantine);
+		length *= QUARANTINE_GROWTH;
+	return suspect->quarantined_ms + earlier(length, QUARANTINE_MAX_MS);
+}
+
+int64_t pr_quarantine_release_ms(const pr_quarantine_t *quarantine,
+				 const pr_suspect_t *suspect)
+{
+	return pr_quarantine_end_ms(suspect) + release_delay_ms(quarantine);
 }
 
 bool pr_quarantine_is_in_force(const pr_quarantine_t *quarantine,
@@ -206,6 +212,7 @@
 	entry->suspect.others = 0;
 	entry->other_answers = 0;
 	entry->other_since_ms = 0;
+	entry->others_enough_ms = 0;
 	entry->others_unsent = false;
 	entry->was_service_up = false;
 }
@@ -356,7 +363,12 @@
 	entry->other_answers++;
 	if (!entry->other_since_ms)
 		entry->other_since_ms = now_ms;
-	if (entry->suspect.others & bit || pr_quarantine_has_others(entry))
+	if (pr_quarantine_has_others(entry)) {
+		if (!entry->others_enough_ms)
+			entry->others_enough_ms = now_ms;
+		return;
+	}
+	if (entry->suspect.others & bit)
 		return;
 	entry->suspect.others |= bit;
 	entry->others_unsent = true;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -39,10 +39,10 @@
 typedef struct pr_quarantine_entry_t {
 	pr_suspect_t suspect;
 	/** Answers of this host to other requests of the service while the
-	 *  part has been suspected, and the time from which this host has known
-	 *  of answers of any host; 0 for none. */
+	 *  part has been suspected, and the times from which this host has
+	 *  known of answers of any host, and of enough of them; 0 for none. */
 	uint32_t other_answers;
-	int64_t other_since_ms;
+	int64_t other_since_ms, others_enough_ms;
 	/** The other hosts have not been told of all bits in suspect.others. */
 	bool others_unsent;
 	/** The service answered requests until the part was suspected. */
@@ -72,9 +72,14 @@
 	/** Indexes of the entries that explain crashes, for a judgement. */
 	uint16_t explaining[PR_QUARANTINE_MAX];
 	size_t explaining_count;
+	/** This host leaves verdicts to the relays: it learns the evidence of
+	 *  others later than they do, so that it may judge by its own. */
+	bool defers;
 	/** Rank of this host, from 0, in the order in which hosts release
 	 *  parts. */
 	uint32_t rank;
+	/** Number of suspects that were sent. */
+	uint32_t sends;
 	/** Index of the entry that was refreshed last. */
 	size_t refresh_at;
 	/** Last answers on parts, and of upstreams; those with the same slot
@@ -164,7 +169,7 @@
 /**
  * List suspects that changed and have not been sent to the audience often
  * enough, as many as may be sent at a time: first the quarantined
- * ones, then those that were cleared, then those with the most evidence.
+ * ones, then in turn those that were cleared and those with the most evidence.
  *
  * @return number of suspects in out
  */
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -155,8 +155,8 @@
 
 static bool crashed_beside_answers(const pr_quarantine_entry_t *entry)
 {
-	return pr_quarantine_has_others(entry) &&
-	       entry->suspect.crash_ms > entry->other_since_ms;
+	return entry->others_enough_ms &&
+	       entry->suspect.crash_ms > entry->others_enough_ms;
 }
 
 static bool is_confirmed(const pr_quarantine_entry_t *entry, int64_t now_ms)
@@ -180,16 +180,19 @@
 
 	if (!pr_suspect_is_suspected(suspect))
 		return false;
-	/* After the quarantine one crash is enough; without other answers it
-	 * shows nothing more than the first ones did. */
+	/* After the quarantine one crash, on any host, is enough. */
+	if (quarantined && suspect->quarantines)
+		return suspect->crash_ms >= pr_quarantine_end_ms(suspect);
+	/* Without other answers a crash shows nothing more than the first ones
+	 * did. */
 	if (quarantined && suspect->crash_ms > suspect->quarantined_ms &&
 	    suspect->crash_ms >= pr_quarantine_release_ms(quarantine, suspect))
-		return suspect->quarantines || crashed_beside_answers(entry);
-	if (quarantined && !suspect->quarantines)
+		return crashed_beside_answers(entry);
+	if (quarantined)
 		return is_confirmed(entry, now_ms);
 	/* A request that was under way when the quarantine began must not
 	 * extend it. */
-	return !quarantined && suspect->crash_ms > suspect->quarantined_ms &&
+	return suspect->crash_ms > suspect->quarantined_ms &&
 	       is_confirmed(entry, now_ms);
 }
 
@@ -359,6 +362,8 @@
 {
 	if (entry->suspect.others && !entry->other_since_ms)
 		entry->other_since_ms = now_ms;
+	if (pr_quarantine_has_others(entry) && !entry->others_enough_ms)
+		entry->others_enough_ms = now_ms;
 	if (!entry->others_unsent ||
 	    !pr_suspect_is_suspected(&entry->suspect) ||
 	    !is_enough(&entry->suspect,
@@ -382,6 +387,8 @@
 		entry->overruled = pr_suspect_is_quarantined(&entry->suspect) &&
 				   is_overruled(quarantine, &entry->suspect);
 	}
+	if (quarantine->defers)
+		return;
 	weigh(quarantine, now_ms);
 	while ((entry = find_likeliest(quarantine, is_guilty, now_ms))) {
 		begin_quarantine(quarantine, entry, now_ms);
