--- a/src/edge/peer_sessions.c
+++ b/src/edge/peer_sessions.c
@@ -11,7 +11,7 @@
 #define PINNED_PERIODS 5
 /* Most sessions that a host sends to an audience in a period; the rest follows
  * in the next one. */
-#define SESSIONS_IN_PERIOD (8 * PR_SESSIONS_IN_DATAGRAM)
+#define SESSIONS_IN_PERIOD ((size_t)8 * PR_SESSIONS_IN_DATAGRAM)
 /* The sessions of active requests are noted again after this time,
  * milliseconds. */
 #define ACTIVE_NOTE_MS 2000
--- a/tests/sessions_fleet.h
+++ b/tests/sessions_fleet.h
@@ -26,7 +26,7 @@
 #define SLACK_MS    500
 #define DURATION_MS 20000
 #define START       1000000
-#define IN_PERIOD   (8 * PR_SESSIONS_IN_DATAGRAM)
+#define IN_PERIOD   ((size_t)8 * PR_SESSIONS_IN_DATAGRAM)
 #define TRANSITIONS 2
 /* Time at which the second step of a transition begins. */
 #define SECOND_MS (DURATION_MS / 5)
