Compare the pace of a new version at a similar load

Cause: an answer counted as slow from 1.5 times the usual pace, which is that of loaded upstreams; the few requests of a new version meet idle ones.

Each host now keeps the last 64 answers with the load of their upstream and ranks an answer of either version among the 8 at the nearest load. One that is slower than all 8 by a twentieth counts as slow, for which chance gives 1 in 9; the tests of slow answers stay, with that rate as the floor. Answers slower than 6 of the 8 (chance: 3 in 9) are counted besides while sessions are pinned; the version is withdrawn, or not verified yet, by a sequential test of that rate against the old version's. The new counts lie in the upper halves of numbers in the datagrams, since earlier releases read no map of more than 15 fields. Late answers of a withdrawn version are no longer learned as normal.

--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -130,9 +130,18 @@
 						      PR_USEC_PER_MSEC);
 }
 
+/* Whether the version of an answer is known to be good. */
+static bool is_proven(const pr_transition_t *transition, const char *version)
+{
+	return !transition || transition->state == PR_ROLLOUT_DONE ||
+	       !pr_transition_is_new(transition, version);
+}
+
 /*
  * Compare the pace of a response with the usual pace, and update the latter.
- * Responses of cold upstreams are left out, since they are slow.
+ * Responses of cold upstreams are left out, since they are slow. The total time
+ * of a response that is not a stream also depends on its length and on the
+ * distance of the upstream, so that only streams are compared at equal load.
  *
  * @param ms pace as defined in transition/pace.h
  */
@@ -143,26 +152,35 @@
 	bool running = transition && transition->began_ms &&
 		       transition->state == PR_ROLLOUT_RUNNING;
 	bool known = pr_pace_is_known(&x->edge->pace, kind);
-	bool slow = pr_pace_is_slow(&x->edge->pace, kind, ms);
 	double load = x->upstream ? pr_place_load(x->upstream) : 0;
+	pr_pace_sample_t sample = { (float)ms, (float)load };
+	pr_pace_rank_t rank = { 0 };
 
 	if (!x->upstream || x->upstream->cold_until > x->attempt_began)
 		return;
+	if (running && x->event_stream)
+		rank = pr_pace_rank(&x->edge->pace, kind, &sample);
+	else if (running)
+		rank.slow = pr_pace_is_slow(&x->edge->pace, kind, ms);
 	if (running)
 		pr_event("pace",
 			 "request=%s upstream=%s version=%s pace_ms=%.1f "
-			 "known=%d slow=%d load=%.2f tested=%d",
+			 "known=%d slow=%d ranked=%d slower=%d load=%.2f "
+			 "tested=%d",
 			 x->id, x->upstream->entry.id,
-			 x->upstream->entry.version, ms, known, slow, load,
-			 x->is_load_test);
+			 x->upstream->entry.version, ms, known, rank.slow,
+			 rank.ranked, rank.slower, load, x->is_load_test);
 	if (running && known)
 		pr_transition_record_pace(
-			transition, x->upstream->entry.version, slow,
+			transition, x->upstream->entry.version, rank.slow,
 			x->is_load_test || load > PACE_LOAD_MAX,
 			x->upstream->tag, pr_edge_store_now(x->edge));
-	if (!running ||
-	    !pr_transition_is_new(transition, x->upstream->entry.version))
-		pr_pace_learn(&x->edge->pace, kind, ms);
+	if (rank.ranked)
+		pr_transition_record_rank(
+			transition, x->upstream->entry.version, rank.slower,
+			x->upstream->tag, pr_edge_store_now(x->edge));
+	if (is_proven(transition, x->upstream->entry.version))
+		pr_pace_learn(&x->edge->pace, kind, &sample);
 }
 
 static void record_stream_pace(pr_exchange_t *x, bool ended)
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -321,6 +321,33 @@
 	pr_event_state("transition_written", "status=%d", status);
 }
 
+static void log_transition(const pr_transition_t *transition,
+			   pr_rollout_state_t state, int64_t verified_ms)
+{
+	pr_event_state(
+		"transition_concluded",
+		"service=%s version=%s state=%d verified=%d new=%u/%u "
+		"old=%u/%u "
+		"peers_new=%u/%u peers_old=%u/%u slow_new=%u/%u "
+		"slow_old=%u/%u slower_new=%u/%u slower_old=%u/%u "
+		"condition=%llu",
+		transition->order.service, transition->order.version, state,
+		verified_ms != 0, transition->own.new.bad,
+		transition->own.new.total, transition->own.old.bad,
+		transition->own.old.total, transition->peers.new.bad,
+		transition->peers.new.total, transition->peers.old.bad,
+		transition->peers.old.total,
+		transition->own.new.slow + transition->peers.new.slow,
+		transition->own.new.timed + transition->peers.new.timed,
+		transition->own.old.slow + transition->peers.old.slow,
+		transition->own.old.timed + transition->peers.old.timed,
+		transition->own.new.slower + transition->peers.new.slower,
+		transition->own.new.ranked + transition->peers.new.ranked,
+		transition->own.old.slower + transition->peers.old.slower,
+		transition->own.old.ranked + transition->peers.old.ranked,
+		(unsigned long long)transition->state_row);
+}
+
 static void write_transition(pr_edge_t *edge, pr_transition_t *transition,
 			     pr_rollout_state_t state, int64_t verified_ms)
 {
@@ -356,23 +383,7 @@
 	if (!rc)
 		rc = pr_adapter_store_write(&request, writes, 2);
 	if (!rc) {
-		pr_event_state(
-			"transition_concluded",
-			"service=%s version=%s state=%d verified=%d new=%u/%u "
-			"old=%u/%u "
-			"peers_new=%u/%u peers_old=%u/%u slow_new=%u/%u "
-			"slow_old=%u/%u condition=%llu",
-			transition->order.service, transition->order.version,
-			state, verified_ms != 0, transition->own.new.bad,
-			transition->own.new.total, transition->own.old.bad,
-			transition->own.old.total, transition->peers.new.bad,
-			transition->peers.new.total, transition->peers.old.bad,
-			transition->peers.old.total,
-			transition->own.new.slow + transition->peers.new.slow,
-			transition->own.new.timed + transition->peers.new.timed,
-			transition->own.old.slow + transition->peers.old.slow,
-			transition->own.old.timed + transition->peers.old.timed,
-			(unsigned long long)transition->state_row);
+		log_transition(transition, state, verified_ms);
 		pr_call_start(&edge->writer, pr_str_slice(&request),
 			      WRITE_TIMEOUT, on_transition_written);
 	}
--- a/src/relay/aggregate.c
+++ b/src/relay/aggregate.c
@@ -143,6 +143,8 @@
 	tally.bad = subtract_clamped(all->bad, own->bad);
 	tally.timed = subtract_clamped(all->timed, own->timed);
 	tally.slow = subtract_clamped(all->slow, own->slow);
+	tally.ranked = subtract_clamped(all->ranked, own->ranked);
+	tally.slower = subtract_clamped(all->slower, own->slower);
 	return tally;
 }
 
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -124,12 +124,25 @@
 	snprintf(name, 24, "%s_%s", prefix, tally_fields[field]);
 }
 
+/*
+ * Hosts of earlier releases read no map with more fields, and only the lower
+ * halves of the counts. The counts that they do not know are in the upper ones.
+ */
+static uint64_t join_halves(uint32_t low, uint64_t high)
+{
+	return high << 32 | low;
+}
+
 static int pack_tally(msgpack_packer *packer, const char *prefix,
 		      const pr_tally_t *tally)
 {
 	const uint64_t values[TALLY_FIELDS] = {
-		tally->total, tally->bad,  tally->bad_upstreams,
-		tally->timed, tally->slow, tally->slow_upstreams,
+		join_halves(tally->total, tally->slower_upstreams & UINT32_MAX),
+		join_halves(tally->bad, tally->slower_upstreams >> 32),
+		tally->bad_upstreams,
+		join_halves(tally->timed, tally->ranked),
+		join_halves(tally->slow, tally->slower),
+		tally->slow_upstreams,
 	};
 	char name[24];
 	int rc = 0;
@@ -159,6 +172,9 @@
 		.timed = (uint32_t)values[3],
 		.slow = (uint32_t)values[4],
 		.slow_upstreams = values[5],
+		.ranked = (uint32_t)(values[3] >> 32),
+		.slower = (uint32_t)(values[4] >> 32),
+		.slower_upstreams = values[0] >> 32 | (values[1] >> 32 << 32),
 	};
 	return 0;
 }
--- a/src/transition/pace.h
+++ b/src/transition/pace.h
@@ -20,9 +20,19 @@
 /** Number of answers from which the normal pace of a kind is known. A host of a
  *  large fleet may see one answer of a service in a second. */
 #define PR_PACE_SAMPLES_MIN 8
+/** Number of recent answers of a kind that are kept to compare others with. */
+#define PR_PACE_SAMPLES 64
 /** Number of intervals from which the pace of a stream is measured. */
 #define PR_PACE_INTERVALS 10
 
+/** Pace of an answer, and the load of its upstream at that time. */
+typedef struct pr_pace_sample_t {
+	/** Milliseconds. */
+	float ms;
+	/** Requests at the upstream, as a part of its slots. */
+	float load;
+} pr_pace_sample_t;
+
 /** Learned pace by kind of answer. Must be zeroed before first use. */
 typedef struct pr_pace_t {
 	struct {
@@ -33,6 +43,8 @@
 		uint32_t samples;
 		/** The first samples in ascending order, milliseconds. */
 		float first[PR_PACE_SAMPLES_MIN];
+		/** The last answers; the oldest is overwritten. */
+		pr_pace_sample_t recent[PR_PACE_SAMPLES];
 	} kinds[PR_PACE_KINDS_MAX];
 	uint32_t count;
 } pr_pace_t;
@@ -68,13 +80,31 @@
  * Update the normal pace by an answer of a version that is known to be good.
  *
  * @param kind hash of service and kind of call, whose answers have a like pace
- * @param ms pace of the answer, milliseconds
  */
-void pr_pace_learn(pr_pace_t *pace, uint64_t kind, double ms);
+void pr_pace_learn(pr_pace_t *pace, uint64_t kind,
+		   const pr_pace_sample_t *sample);
 /** @return true when enough answers were measured to know the normal pace */
 bool pr_pace_is_known(const pr_pace_t *pace, uint64_t kind);
 /** @return true when the pace is clearly slower than normal; false also while
  *	   the normal pace is unknown */
 bool pr_pace_is_slow(const pr_pace_t *pace, uint64_t kind, double ms);
+/** Result of a comparison with answers at a similar load. */
+typedef struct pr_pace_rank_t {
+	/** Clearly slower than each of them, or slow by pr_pace_is_slow(). */
+	bool slow;
+	/** There were answers at a similar load. */
+	bool ranked;
+	/** Clearly slower than three quarters of them. */
+	bool slower;
+} pr_pace_rank_t;
+
+/**
+ * Compare an answer with the PR_PACE_SAMPLES_MIN answers whose load was the
+ * most similar. One of an equally fast version is slow by chance with a
+ * probability of at most 1 in 9, and slower than most with one of at most 3
+ * in 9. One at a higher load than all others has none to be compared with.
+ */
+pr_pace_rank_t pr_pace_rank(const pr_pace_t *pace, uint64_t kind,
+			    const pr_pace_sample_t *sample);
 
 #endif
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -3,9 +3,10 @@
  * active sessions, and the evaluation of responses. The new version is
  * withdrawn when its rate of bad responses is several times that of the old
  * version, or when a sequential test shows that its rate of slow responses is
- * higher. Sessions move only after another one has shown that most responses
- * are neither bad nor slow; a version for which that is not shown by the end of
- * the order is withdrawn.
+ * higher, by a fixed limit or among responses at a similar load. Sessions move
+ * only after another one has shown that most responses are neither bad nor
+ * slow; a version for which that is not shown by the end of the order is
+ * withdrawn.
  */
 #include "transition/transition.h"
 
@@ -64,10 +65,12 @@
  * requests would be exposed to a slow version in a long order. */
 #define PACE_FROM        0.2
 #define PACE_FROM_MAX_MS 4000
-/* Rate of slow responses that waiting and single slow upstreams may cause. The
- * rate of the old version is used instead when it is higher: its upstreams bear
- * more load. */
-#define NORMAL_SLOW_RATE 0.1
+/* Rate of slow responses that chance (see pr_pace_rank()), waiting
+ * and single slow upstreams may cause. The rate of the old version is used
+ * instead when it is higher. */
+#define NORMAL_SLOW_RATE 0.12
+/* As NORMAL_SLOW_RATE, for responses slower than most at a similar load. */
+#define NORMAL_SLOWER_RATE 0.34
 /* The new version's rate of slow responses counts as higher once the natural
  * logarithm of the evidence reaches this value. A good version reaches it at
  * most once in a thousand orders. */
@@ -79,6 +82,10 @@
  * before. */
 #define GOOD_RATE_PART    0.5
 #define GOOD_EVIDENCE_LOG 2.3
+/* A version is not verified while the natural logarithm of the evidence that
+ * its responses are slower reaches this value. The few responses of a small
+ * fleet would not suffice to show the contrary. */
+#define SLOWER_SUSPICION_LOG 2.3
 
 /* Share of the new version until a fraction of the duration. */
 static const struct {
@@ -348,22 +355,32 @@
 	tally->bad_upstreams |= UINT64_C(1) << (upstream & 63);
 }
 
-void pr_transition_record_pace(pr_transition_t *transition, const char *version,
-			       bool slow, bool loaded, uint32_t upstream,
-			       int64_t now_ms)
+/* The counts to which the pace of a response is added; NULL when it does not
+ * count. */
+static pr_tally_t *pace_tally(pr_transition_t *transition, const char *version,
+			      bool loaded, int64_t now_ms)
 {
 	bool is_new = pr_transition_is_new(transition, version);
-	pr_tally_t *tally =
-		is_new ? &transition->own.new : &transition->own.old;
 	double from_ms = fmin(PACE_FROM * transition->order.duration_ms,
 			      PACE_FROM_MAX_MS);
 
 	if (transition->state != PR_ROLLOUT_RUNNING || !transition->began_ms ||
 	    (double)(now_ms - transition->began_ms) < from_ms ||
 	    progress(transition, now_ms) >= ALL_MOVED_FROM)
-		return;
+		return NULL;
 	if (is_new && loaded &&
 	    !pr_transition_pins_sessions(transition, now_ms))
+		return NULL;
+	return is_new ? &transition->own.new : &transition->own.old;
+}
+
+void pr_transition_record_pace(pr_transition_t *transition, const char *version,
+			       bool slow, bool loaded, uint32_t upstream,
+			       int64_t now_ms)
+{
+	pr_tally_t *tally = pace_tally(transition, version, loaded, now_ms);
+
+	if (!tally)
 		return;
 	tally->timed++;
 	if (!slow)
@@ -372,6 +389,20 @@
 	tally->slow_upstreams |= UINT64_C(1) << (upstream & 63);
 }
 
+void pr_transition_record_rank(pr_transition_t *transition, const char *version,
+			       bool slower, uint32_t upstream, int64_t now_ms)
+{
+	pr_tally_t *tally = pace_tally(transition, version, false, now_ms);
+
+	if (!tally || !pr_transition_pins_sessions(transition, now_ms))
+		return;
+	tally->ranked++;
+	if (!slower)
+		return;
+	tally->slower++;
+	tally->slower_upstreams |= UINT64_C(1) << (upstream & 63);
+}
+
 void pr_tally_add(pr_tally_t *sum, const pr_tally_t *part)
 {
 	sum->total += part->total;
@@ -380,6 +411,9 @@
 	sum->timed += part->timed;
 	sum->slow += part->slow;
 	sum->slow_upstreams |= part->slow_upstreams;
+	sum->ranked += part->ranked;
+	sum->slower += part->slower;
+	sum->slower_upstreams |= part->slower_upstreams;
 }
 
 static pr_tally_t sum(const pr_tally_t *a, const pr_tally_t *b)
@@ -437,6 +471,26 @@
 	       SLOW_EVIDENCE_LOG;
 }
 
+/* At most one bit is set. */
+static bool is_one_or_none(uint64_t upstreams)
+{
+	return !(upstreams & (upstreams - 1));
+}
+
+/* Whether the evidence that several upstreams respond more slowly than those of
+ * the old version at a similar load reaches a value. */
+static bool is_slower(const pr_tally_t *new_tally, const pr_tally_t *old,
+		      double evidence_log)
+{
+	double normal =
+		fmax(NORMAL_SLOWER_RATE, rate(old->slower, old->ranked));
+
+	return !is_one_or_none(new_tally->slower_upstreams) &&
+	       pr_sequential_evidence_above(new_tally->ranked,
+					    new_tally->slower,
+					    normal) >= evidence_log;
+}
+
 /* Whether several upstreams respond slowly, by all responses or by those of the
  * last seconds alone. */
 static bool is_slow(const pr_transition_t *transition,
@@ -445,8 +499,9 @@
 	const pr_recent_counts_t *recent = &transition->recent_new;
 	const pr_recent_counts_t *recent_old = &transition->recent_old;
 
-	/* At most one bit is set: one upstream or none is slow. */
-	if (!(new_tally->slow_upstreams & (new_tally->slow_upstreams - 1)))
+	if (is_slower(new_tally, old, SLOW_EVIDENCE_LOG))
+		return true;
+	if (is_one_or_none(new_tally->slow_upstreams))
 		return false;
 	return is_slow_rate_high(new_tally->timed, new_tally->slow,
 				 rate(old->slow, old->timed)) ||
@@ -471,7 +526,8 @@
 		sum(&transition->own.new, &transition->peers.new);
 	pr_tally_t old = sum(&transition->own.old, &transition->peers.old);
 
-	return is_shown_low(new_tally.total, new_tally.bad,
+	return !is_slower(&new_tally, &old, SLOWER_SUSPICION_LOG) &&
+	       is_shown_low(new_tally.total, new_tally.bad,
 			    rate(old.bad, old.total)) &&
 	       is_shown_low(new_tally.timed, new_tally.slow,
 			    rate(old.slow, old.timed));
@@ -492,7 +548,7 @@
 	update_recent(&transition->recent_new, &new_tally, keep);
 	update_recent(&transition->recent_old, &old, keep);
 	transition->recent_ms = now_ms;
-	if (!(new_tally.bad_upstreams & (new_tally.bad_upstreams - 1)))
+	if (is_one_or_none(new_tally.bad_upstreams))
 		bad_min = BAD_MIN_ONE_UPSTREAM;
 	return is_slow(transition, &new_tally, &old) ||
 	       is_rate_high(new_tally.bad, new_tally.total, old.bad, old.total,
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -50,6 +50,11 @@
 	uint32_t timed, slow;
 	/** Bit set of the upstreams with slow responses. */
 	uint64_t slow_upstreams;
+	/** Responses that were compared with others at a similar load, and
+	 *  those among them that were slower than most. */
+	uint32_t ranked, slower;
+	/** Bit set of the upstreams with responses slower than most. */
+	uint64_t slower_upstreams;
 } pr_tally_t;
 
 /** Add the counts of part to sum. */
@@ -198,6 +203,16 @@
 			       bool slow, bool loaded, uint32_t upstream,
 			       int64_t now_ms);
 
+/**
+ * Count a response that was compared with others at a similar load. Responses
+ * are counted while sessions are pinned: what moves afterwards changes the load
+ * faster than it is reported.
+ *
+ * @param slower the response is slower than most
+ */
+void pr_transition_record_rank(pr_transition_t *transition, const char *version,
+			       bool slower, uint32_t upstream, int64_t now_ms);
+
 /** Next write of the shared row. */
 typedef enum pr_conclusion_t {
 	PR_CONCLUDE_NOTHING,
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -381,6 +381,8 @@
 	report_of->upstreams[PR_COUNT_LOAD].at = now;
 	report_of->transitions[0].order_row = 7;
 	report_of->transitions[0].tallies.new.total = total;
+	report_of->transitions[0].tallies.old.ranked = total;
+	report_of->transitions[0].tallies.old.slower = total / 2;
 }
 
 /* The hosts of this zone and the totals of another zone's relays are each
@@ -395,7 +397,8 @@
 	};
 	pr_usec_t now = PR_USEC_PER_SEC;
 	pr_upstream_counts_t loads = { .count = 0 };
-	pr_tallies_t sum = { 0 }, own = { .new.total = 4 };
+	pr_tallies_t sum = { 0 },
+		     own = { .new.total = 4, .old.ranked = 4, .old.slower = 2 };
 	pr_roster_t roster;
 
 	pr_roster_init(&roster, "a1");
@@ -426,6 +429,9 @@
 	pr_aggregate_other_zone_tallies(&sum, &roster, "b", 0, 7);
 	assert_int_equal(sum.new.total, 114);
 	assert_int_equal(pr_aggregate_subtract(&sum, &own).new.total, 110);
+	assert_int_equal(sum.old.ranked, 114);
+	assert_int_equal(pr_aggregate_subtract(&sum, &own).old.ranked, 110);
+	assert_int_equal(pr_aggregate_subtract(&sum, &own).old.slower, 55);
 	/* Counts of another order are ignored. */
 	memset(&sum, 0, sizeof(sum));
 	pr_aggregate_zone_tallies(&sum, &roster, "a", 0, 8);
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -94,8 +94,10 @@
 static void check_tallies(bool all)
 {
 	pr_tallies_t tallies = {
-		.new = { 1, 2, UINT64_MAX, 4, 5, UINT64_MAX },
-		.old = { UINT32_MAX, 7, 8, 9, 10, 11 },
+		.new = { 1, 2, UINT64_MAX, 4, 5, UINT64_MAX, 14, 15,
+			 UINT64_MAX },
+		.old = { UINT32_MAX, 7, 8, 9, UINT32_MAX, 11, UINT32_MAX, 13,
+			 UINT64_C(0x123456789abcdef) },
 	};
 	pr_tallies_t read = { 0 };
 	pr_str_t bytes = PR_STR_INIT;
@@ -125,6 +127,73 @@
 	check_tallies(true);
 }
 
+/* Pack the counts as hosts of an earlier release do, or as this one. */
+static void read_packed_tallies(pr_msgmap_t *map, pr_str_t *bytes, bool earlier)
+{
+	static const char *const names[] = {
+		"new_total", "new_bad",      "new_who",   "new_timed",
+		"new_slow",  "new_slow_who", "old_total", "old_bad",
+		"old_who",   "old_timed",    "old_slow",  "old_slow_who",
+	};
+	const pr_tallies_t tallies = {
+		.new = { 1, 2, 3, 4, 5, 6, 7, 8, 9 },
+		.old = { 7, 8, 9, 10, 11, 12, 13, 14, 15 },
+	};
+	msgpack_packer packer;
+
+	if (!earlier) {
+		assert_int_equal(pr_message_pack_tallies(bytes, "host", "model",
+							 99, &tallies, false),
+				 0);
+		read_map(map, bytes);
+		return;
+	}
+	pr_msgmap_packer(&packer, bytes);
+	msgpack_pack_map(&packer, 15);
+	pr_msgmap_pack_text(&packer, "host", PR_SLICE("host"));
+	pr_msgmap_pack_text(&packer, "service", PR_SLICE("model"));
+	pr_msgmap_pack_number(&packer, "order", 99);
+	for (size_t i = 0; i < 12; i++)
+		pr_msgmap_pack_number(&packer, names[i], i + 1);
+	read_map(map, bytes);
+}
+
+/* Guards against counts that are lost in a fleet of two releases: hosts of the
+ * earlier one read no map of more than 15 fields, and the lower halves of the
+ * counts. */
+static void test_tallies_of_earlier_release(void **state)
+{
+	static const char *const counts[] = { "new_total", "new_bad",
+					      "new_timed", "new_slow" };
+	static const uint32_t expected[] = { 1, 2, 4, 5 };
+	pr_str_t bytes = PR_STR_INIT;
+	pr_tallies_t read = { 0 };
+	pr_slice_t service;
+	pr_msgmap_t map;
+	uint64_t order, number;
+	bool all;
+
+	read_packed_tallies(&map, &bytes, true);
+	assert_int_equal(
+		pr_message_read_tallies(&map, &service, &order, &read, &all),
+		0);
+	assert_int_equal(read.new.timed, 4);
+	assert_int_equal(read.old.slow, 11);
+	assert_int_equal(read.new.ranked, 0);
+	assert_int_equal(read.old.slower, 0);
+	assert_true(!read.old.slower_upstreams);
+	pr_msgmap_finish(&map);
+	pr_str_clear(&bytes);
+	read_packed_tallies(&map, &bytes, false);
+	assert_true((uint8_t)bytes.ptr[0] == 0x8f);
+	for (size_t i = 0; i < 4; i++) {
+		assert_int_equal(pr_msgmap_number(&map, &number, counts[i]), 0);
+		assert_int_equal((uint32_t)number, expected[i]);
+	}
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
 static void test_sessions(void **state)
 {
 	pr_recent_session_t seen[PR_SESSIONS_IN_DATAGRAM] = { 0 };
@@ -294,6 +363,7 @@
 		cmocka_unit_test(test_largest_digest),
 		cmocka_unit_test(test_report_has_no_feed_state),
 		cmocka_unit_test(test_tallies),
+		cmocka_unit_test(test_tallies_of_earlier_release),
 		cmocka_unit_test(test_sessions),
 		cmocka_unit_test(test_rows_in_several_datagrams),
 		cmocka_unit_test(test_row_too_long_for_a_datagram),
