Accept calls during a stop as before

Only a stream that is aborted ends without an answer. A call gets one, so that only streams need a deadline before the end of the stop.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -40,7 +40,7 @@
 #define STOP_STREAM_MIN (5 * PR_USEC_PER_SEC)
 #define STOP_CALL_MIN   (2 * PR_USEC_PER_SEC)
 /* Later than this after the begin of a stop the balancer has other hosts for a
- * caller, so that only requests are accepted whose deadline comes before the
+ * caller, so that only streams are accepted whose deadline comes before the
  * remaining ones are aborted. */
 #define STOP_BALANCED (3 * PR_USEC_PER_SEC)
 
@@ -235,15 +235,19 @@
 static bool can_finish_before_stop(pr_exchange_t *x)
 {
 	pr_usec_t now = pr_exchange_now(x);
-	pr_usec_t end = x->edge->stop_began +
-			(pr_usec_t)(x->edge->settings->bounds.grace_s *
-				    PR_USEC_PER_SEC);
+	pr_usec_t left = x->edge->stop_began +
+			 (pr_usec_t)(x->edge->settings->bounds.grace_s *
+				     PR_USEC_PER_SEC) -
+			 now;
 
 	if (!x->edge->stopping)
 		return true;
-	if (now - x->edge->stop_began > STOP_BALANCED)
-		return x->deadline <= pr_edge_abort_time(x->edge);
-	return end - now >= (x->stream ? STOP_STREAM_MIN : STOP_CALL_MIN);
+	/* A call that is aborted gets an answer, unlike a stream. */
+	if (!x->stream)
+		return left >= STOP_CALL_MIN;
+	return left >= STOP_STREAM_MIN &&
+	       (now - x->edge->stop_began <= STOP_BALANCED ||
+		x->deadline <= pr_edge_abort_time(x->edge));
 }
 
 /* Find the route and the workspace. @return false when the request was refused
