Wait for paused upstreams with a stream that broke off

What callers saw: a stream that its upstream had broken off was reset after 0.4 s, when all upstreams had asked for a pause of 1.2 s and the request had 6 s left.

The comment promised to wait until the deadline, but the search went on only as long as an upstream was listed as tried; the list is cleared after an eighth of the objective, and after a second eighth the stream was given up although the time was known at which an upstream returns.

Evidence: tests/edge/states.py, "a stream is resumed after a pause of the other upstreams".

Change: such a stream waits while all upstreams are paused.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -465,19 +465,12 @@
 	return 0;
 }
 
-/* Whether every upstream that the request may use has asked for no requests
- * until a time that is too late for this one. */
-static bool is_paused_beyond(pr_exchange_t *x, pr_usec_t limit)
+static pr_place_return_t next_return(pr_exchange_t *x)
 {
 	pr_place_query_t query;
-	pr_place_return_t next;
 
 	init_query(x, &query);
-	next = pr_place_next_return(&x->edge->registry, &x->edge->map, &query);
-	if (next.untried <= limit)
-		return false;
-	x->retry_at = next.any;
-	return true;
+	return pr_place_next_return(&x->edge->registry, &x->edge->map, &query);
 }
 
 /*
@@ -491,14 +484,17 @@
 	pr_usec_t now = pr_exchange_now(x);
 	pr_usec_t wait = (pr_usec_t)pr_exchange_target_ms(x) *
 			 PR_USEC_PER_MSEC / UPSTREAM_WAIT_DIVISOR;
+	pr_place_return_t next = next_return(x);
+	pr_usec_t limit = x->deadline - ATTEMPT_MIN;
 
 	if (!x->wait_began)
 		x->wait_began = now;
 	/* A stream that broke off, and a request whose attempt the router
 	 * ended, wait until the deadline. */
-	if (is_paused_beyond(x, x->head_sent || x->replacing
-					? x->deadline - ATTEMPT_MIN
-					: x->wait_began + wait)) {
+	if (!x->head_sent && !x->replacing)
+		limit = x->wait_began + wait;
+	if (next.untried > limit) {
+		x->retry_at = next.any;
 		pr_exchange_give_up(x, "upstreams_paused");
 		return;
 	}
@@ -508,8 +504,8 @@
 		return;
 	}
 	/* An upstream that failed earlier may have recovered. */
-	if (x->replacing ||
-	    (x->tried_count && x->idempotent && x->runs && x->head_sent)) {
+	if (x->replacing || (x->idempotent && x->runs && x->head_sent &&
+			     (x->tried_count || next.any > now))) {
 		x->tried_count = 0;
 		x->wait_began = now;
 		pr_exchange_set_timer(x);
--- a/tests/edge/states.py
+++ b/tests/edge/states.py
@@ -5,7 +5,8 @@
 
 from answers import NOT_RUN, ask, earlier_answer, head, own_answer, set_script
 from checks import check
-from standins import chunk, reset
+from standins import chunk, reset, stream_of
+from streams import CHUNKED, events, long_ident
 
 LEAVING = "Server-Leaving: 1\r\n"
 
@@ -162,6 +163,57 @@
     near.script = None
 
 
+async def check_other_statuses(fleet):
+    """Only 503 asks for a pause; another status with Retry-After left sound upstreams idle."""
+    router = fleet.routers[1]
+    near = next(u for u in fleet.upstreams if u.service == "ledger" and u.zone == router.zone)
+
+    async def refuse(request):
+        await request.write(earlier_answer((429, NOT_RUN + "Retry-After: 2\r\n", False),
+                                           request.ident))
+        return True
+
+    near.script = refuse
+    before = len(near.arrivals)
+    await ask(router.address, "pause-429", "/safe/x")
+    refused = len(near.arrivals) > before
+    near.script = None
+    await load(router, "pause-429-after", 1.5)
+    check("a 429 with Retry-After is no pause", refused and len(near.arrivals) > before + 1,
+          len(near.arrivals) - before)
+
+
+async def check_resumed_after_pause(fleet):
+    """A stream that broke off was reset when all upstreams asked for a pause that ends
+    long before its deadline."""
+    router = fleet.routers[1]
+    models = [u for u in fleet.upstreams if u.service == "model"]
+    ident = long_ident("resumed-after-pause")
+
+    async def cut(request):
+        if request.ident != ident:
+            return None
+        if ident not in fleet.runs:
+            request.run()
+            await request.write(head(200, ident, CHUNKED) + chunk(events(ident, 1, 2)), pause=0.03)
+            reset(request.writer)
+            return False
+        if request.upstream in refused:
+            return None
+        refused.append(request.upstream)
+        await request.write(refusal(request, "1.2"))
+        return True
+
+    refused = []
+    set_script(models, cut)
+    await load(router, "resumed-before", 0.3)
+    answer = await ask(router.address, ident, "/stream/x", budget_ms=7000)
+    check("a stream is resumed after a pause of the other upstreams",
+          answer.complete and answer.body == stream_of(ident) and len(refused) == len(models),
+          (answer.status, answer.body[-40:], len(refused)))
+    set_script(models, None)
+
+
 async def check_pause_beside_restart(fleet):
     """A new instance asked for no requests before its row had come; with the row this
     was forgotten."""
@@ -217,5 +269,7 @@
 async def check_upstream_states(fleet):
     await check_leaving_answers(fleet)
     await check_pauses(fleet)
+    await check_other_statuses(fleet)
+    await check_resumed_after_pause(fleet)
     await check_pause_beside_restart(fleet)
     await check_all_paused(fleet)
