--- a/tests/edge/silence.py
+++ b/tests/edge/silence.py
@@ -10,8 +10,9 @@
 import sys
 import time
 
+from answers import head, set_script
 from fleet import Answer, Caller, Fleet
-from standins import Closed, event_of, events_of, whole_answer
+from standins import Closed, chunk, event_of, events_of, whole_answer
 
 FAILURES = []
 # The route allows 1.2 s between events, and a stream is given up after 1.5
@@ -207,6 +208,29 @@
     await scene.restore()
 
 
+async def check_without_ids(fleet):
+    """A stream whose events have no ids cannot be resumed: it would come twice."""
+    scene = Scene(fleet, "/stream/x")
+    await scene.set_bounds(MANY_REPEATS)
+
+    async def unnumbered(request):
+        request.run()
+        await request.write(head(200, "no-ids", "Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n") + chunk(b"data: a\n\n"))
+        await asyncio.sleep(PAUSE_S)
+        await request.write(chunk(b"data: b\n\n") + b"0\r\n\r\n")
+        return True
+
+    upstreams = [scene.near, *scene.others]
+    set_script(upstreams, unnumbered)
+    answer = await ask(fleet, "no-ids", "/stream/x")
+    check("a stream without ids goes on after a silence", answer.complete
+          and answer.body == b"data: a\n\ndata: b\n\n" and len(fleet.runs["no-ids"]) == 1,
+          seen(fleet, "no-ids", answer))
+    set_script(upstreams, None)
+    await scene.restore()
+
+
 async def check_own_pause(fleet):
     """After a pause of the router itself its timers ran before it read what had come."""
     router = fleet.routers[0]
@@ -304,6 +328,7 @@
         await check_silent_for_good(fleet)
         await check_all_silent(fleet)
         await check_comment(fleet)
+        await check_without_ids(fleet)
         await check_own_pause(fleet)
         await check_changes(fleet, "changes", None)
         await check_changes(fleet, "changes-and-stop", signal.SIGTERM)
