Test that a refused request does not wait for paused upstreams

Treating tried upstreams like the others in pr_place_next_return() failed no check; with this one the request is refused after 127 ms instead of at once.

--- a/tests/edge/states.py
+++ b/tests/edge/states.py
@@ -266,6 +266,31 @@
     set_script(ledgers, None)
 
 
+async def check_others_paused(fleet):
+    """A request that one upstream refused waited for it although it is not asked again,
+    and the others do not return in time."""
+    router = fleet.routers[1]
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+
+    async def refuse(request):
+        more = "" if request.upstream is near else "Retry-After: 2\r\n"
+        await request.write(earlier_answer((503, NOT_RUN + more, False), request.ident))
+        return True
+
+    near = next(u for u in ledgers if u.zone == router.zone)
+    set_script(ledgers, refuse)
+    await ask(router.address, "others-paused-first", "/safe/x")
+    before = len(near.arrivals)
+    began = time.monotonic()
+    answer = await ask(router.address, "others-paused", "/safe/x")
+    took = time.monotonic() - began
+    check("others paused: refused at once, after one refusal", b"upstreams_paused" in answer.body
+          and answer.status == 503 and took < 0.1 and len(near.arrivals) == before + 1,
+          (answer.status, answer.body, took, len(near.arrivals) - before))
+    set_script(ledgers, None)
+    await asyncio.sleep(2.1)
+
+
 async def check_upstream_states(fleet):
     await check_leaving_answers(fleet)
     await check_pauses(fleet)
@@ -273,3 +298,4 @@
     await check_resumed_after_pause(fleet)
     await check_pause_beside_restart(fleet)
     await check_all_paused(fleet)
+    await check_others_paused(fleet)
