Test that idle connections to a leaving upstream are closed

With the close taken out no check failed: the answers that state the leaving closed all connections themselves. With 24 calls before, six idle connections are left open, and each of the five checks fails.

--- a/tests/edge/states.py
+++ b/tests/edge/states.py
@@ -63,8 +63,9 @@
     for script in (leave_with_answer, leave_with_refusal, leave_with_421, leave_with_error,
                    leave_broken_off):
         name = script.__name__
-        for number in range(4):
-            await ask(router.address, f"{name}-before-{number}", "/safe/x")
+        # More connections than the answers below close themselves.
+        await asyncio.gather(*(ask(router.address, f"{name}-before-{n}", "/safe/x")
+                               for n in range(24)))
         kept = len(near.writers)
         near.script = script
         before = len(near.arrivals)
