Send verdicts on prompt parts in rotation

Hosts that report to a relay learned of a verdict late or not at all while another quarantined part went on to crash upstreams under requests from before its own verdict: that part changed in each period, had more crashes, and was sent first each time.

Verdicts come before all other news, and of several the one that was sent the longest ago.

test_second_verdict at 9, 84 and 295 hosts fails without the change: no host that is no relay knows the second verdict after 1 s.

--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -66,6 +66,8 @@
 	int64_t first_ms;
 	/** How often the suspect is still to be sent, by audience. */
 	uint32_t sends_left[PR_AUDIENCES_COUNT];
+	/** Number of the message in which it was sent last, by audience. */
+	uint32_t sent_at[PR_AUDIENCES_COUNT];
 	/** Begin of the quarantine that the saved list has for the part; 0 when
 	 *  it lacks the part. */
 	int64_t saved_ms;
--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -42,9 +42,8 @@
 	}
 }
 
-/* Kinds of news. */
+/* Kinds of news beside verdicts, which come first. */
 typedef enum news_t {
-	NEWS_VERDICT,
 	NEWS_EVIDENCE,
 	NEWS_CLEARANCE,
 	NEWS_SINGLE_CRASH,
@@ -56,14 +55,12 @@
  * part that explains the crashes of others, nor the other way round: either
  * that comes late leads to a false verdict. */
 static const unsigned order[2][NEWS_COUNT] = {
-	{ [NEWS_CLEARANCE] = 1, [NEWS_EVIDENCE] = 2, [NEWS_SINGLE_CRASH] = 3 },
-	{ [NEWS_EVIDENCE] = 1, [NEWS_CLEARANCE] = 2, [NEWS_SINGLE_CRASH] = 3 },
+	{ [NEWS_CLEARANCE] = 0, [NEWS_EVIDENCE] = 1, [NEWS_SINGLE_CRASH] = 2 },
+	{ [NEWS_EVIDENCE] = 0, [NEWS_CLEARANCE] = 1, [NEWS_SINGLE_CRASH] = 2 },
 };
 
 static news_t kind_of(const pr_suspect_t *suspect)
 {
-	if (pr_suspect_is_quarantined(suspect))
-		return NEWS_VERDICT;
 	if (!pr_suspect_is_suspected(suspect))
 		return NEWS_CLEARANCE;
 	return suspect->crashes_count > 1 && !pr_suspect_was_answered(suspect)
@@ -81,6 +78,11 @@
 		order[audience == PR_AUDIENCE_RELAYS && quarantine->sends % 2];
 	const pr_suspect_t *x = &a->suspect, *y = &b->suspect;
 
+	if (pr_suspect_is_quarantined(x) != pr_suspect_is_quarantined(y))
+		return pr_suspect_is_quarantined(x);
+	/* One that changes all the time must not hold back the others. */
+	if (pr_suspect_is_quarantined(x))
+		return a->sent_at[audience] < b->sent_at[audience];
 	if (a->sends_left[audience] != b->sends_left[audience])
 		return a->sends_left[audience] > b->sends_left[audience];
 	if (kinds[kind_of(x)] != kinds[kind_of(y)])
@@ -111,7 +113,7 @@
 		if (!first)
 			break;
 		first->sends_left[audience]--;
-		quarantine->sends++;
+		first->sent_at[audience] = ++quarantine->sends;
 		taken[first - quarantine->entries] = true;
 		out[count++] = first->suspect;
 	}
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -417,6 +417,52 @@
 	check_release_of_last_hosts(295);
 }
 
+/* A part that goes on to crash upstreams, under requests from before its
+ * verdict, is news in each period. Guards against the verdict on another part
+ * that waits behind it. */
+static void check_second_verdict(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	pr_suspect_t other = { .part = OTHER + 1,
+			       .service = SERVICE,
+			       .quarantines = 1 };
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	quarantine_deadly(&fleet);
+	other.quarantined_ms = other.crash_ms = fleet.now;
+	for (int i = 0; i < ZONES; i++)
+		pr_quarantine_merge(&fleet.hosts[i], &other, true);
+	for (int i = 0; i < 5; i++) {
+		for (int j = 0; j < ZONES; j++) {
+			pr_quarantine_prompt_t prompt =
+				prompt_of(&fleet, deadly, 2);
+
+			pr_quarantine_record_crash(
+				&fleet.hosts[j], &prompt,
+				(uint32_t)++fleet.upstreams * 77, fleet.now);
+		}
+		run_period(&fleet);
+	}
+	assert_int_equal(count_quarantining(&fleet, OTHER + 1), hosts);
+	finish_fleet(&fleet);
+}
+
+static void test_second_verdict_9_hosts(void **state)
+{
+	check_second_verdict(9);
+}
+
+static void test_second_verdict_84_hosts(void **state)
+{
+	check_second_verdict(84);
+}
+
+static void test_second_verdict_295_hosts(void **state)
+{
+	check_second_verdict(295);
+}
+
 /* A suspect that a quarantined part explains is no news in each period. */
 static void test_explained_suspect_is_quiet(void **state)
 {
@@ -563,6 +609,9 @@
 		cmocka_unit_test(test_release_of_last_hosts_9_hosts),
 		cmocka_unit_test(test_release_of_last_hosts_84_hosts),
 		cmocka_unit_test(test_release_of_last_hosts_295_hosts),
+		cmocka_unit_test(test_second_verdict_9_hosts),
+		cmocka_unit_test(test_second_verdict_84_hosts),
+		cmocka_unit_test(test_second_verdict_295_hosts),
 		cmocka_unit_test(test_explained_suspect_is_quiet),
 		cmocka_unit_test(test_storm_traffic_9_hosts),
 		cmocka_unit_test(test_storm_traffic_84_hosts),
