Keep a set of the upstreams whose crashes are dropped

A part that crashed few upstreams was quarantined late beside a storm: of the part with many crashes only sixteen are kept, and each crash between the first and the newest ones was taken to be explained by it.

A suspect now has a set of 256 bits of the upstreams whose crashes it dropped, merged by union, and explains these and those that are kept. It follows the crashes in a message, where builds without it skip it. The row of the store has no room for it, as for most of the crashes.

test_few_crashes_beside_storm at 9, 84 and 295 hosts fails without the change: no host quarantines the part 4 s after its fifth crash.

--- a/src/edge/quarantine_row.c
+++ b/src/edge/quarantine_row.c
@@ -66,6 +66,7 @@
 	for (size_t i = 0; i < count; i++) {
 		if (suspects[i].crashes_count > ROW_CRASHES_MAX)
 			suspects[i].crashes_count = ROW_CRASHES_MAX;
+		memset(suspects[i].dropped, 0, sizeof(suspects[i].dropped));
 	}
 	rc = count && !pr_message_pack_suspects(&value, edge->settings->host,
 						suspects, count)
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -209,6 +209,7 @@
 {
 	entry->suspect.requests = 0;
 	entry->suspect.crashes_count = 0;
+	memset(entry->suspect.dropped, 0, sizeof(entry->suspect.dropped));
 	entry->suspect.others = 0;
 	entry->other_answers = 0;
 	entry->other_since_ms = 0;
@@ -420,6 +421,8 @@
 		if (!own->requests || suspect->since_ms < own->since_ms)
 			own->since_ms = suspect->since_ms;
 		own->requests |= suspect->requests;
+		for (size_t i = 0; i < PR_SUSPECT_DROPPED_WORDS; i++)
+			own->dropped[i] |= suspect->dropped[i];
 		own->others |= suspect->others;
 		for (uint32_t i = 0; i < suspect->crashes_count; i++)
 			entry_changed |=
--- a/src/quarantine/suspect.c
+++ b/src/quarantine/suspect.c
@@ -85,12 +85,26 @@
 	return find_crash(suspect, upstream) < suspect->crashes_count;
 }
 
+/* @return bit of the upstream in the set of those that were dropped */
+static unsigned dropped_bit(uint32_t upstream)
+{
+	return (unsigned)((upstream * UINT64_C(0x9e3779b97f4a7c15)) >> 32) %
+	       (64 * PR_SUSPECT_DROPPED_WORDS);
+}
+
 bool pr_suspect_explains(const pr_suspect_t *suspect, const pr_crash_t *crash)
 {
-	if (pr_suspect_has_crash(suspect, crash->upstream))
-		return true;
-	return suspect->crashes_count == PR_SUSPECT_CRASHES_MAX &&
-	       rank_crash(suspect, crash) == FIRST_MAX;
+	unsigned bit = dropped_bit(crash->upstream);
+
+	return pr_suspect_has_crash(suspect, crash->upstream) ||
+	       suspect->dropped[bit / 64] >> (bit % 64) & 1;
+}
+
+static void note_dropped(pr_suspect_t *suspect, const pr_crash_t *crash)
+{
+	unsigned bit = dropped_bit(crash->upstream);
+
+	suspect->dropped[bit / 64] |= UINT64_C(1) << (bit % 64);
 }
 
 /* Keep the first crashes and the newest ones of a suspect that has no room for
@@ -98,11 +112,16 @@
 static bool replace_crash(pr_suspect_t *suspect, const pr_crash_t *crash)
 {
 	uint32_t rank = rank_crash(suspect, crash);
+	pr_crash_t *dropped;
 
-	if (rank == FIRST_MAX)
+	if (rank == FIRST_MAX) {
+		note_dropped(suspect, crash);
 		return false;
-	*find_rank(suspect, rank < FIRST_MAX ? FIRST_MAX - 1 : FIRST_MAX) =
-		*crash;
+	}
+	dropped = find_rank(suspect,
+			    rank < FIRST_MAX ? FIRST_MAX - 1 : FIRST_MAX);
+	note_dropped(suspect, dropped);
+	*dropped = *crash;
 	return true;
 }
 
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -24,6 +24,8 @@
 /** Most upstreams that are kept for a part: those that crashed first, and the
  * newest ones. */
 #define PR_SUSPECT_CRASHES_MAX 16
+/** Words of the set of upstreams whose crashes are not kept. */
+#define PR_SUSPECT_DROPPED_WORDS 4
 
 /** What is known of a part; all times by the store's clock, milliseconds. */
 typedef struct pr_suspect_t {
@@ -37,6 +39,8 @@
 	uint64_t requests;
 	pr_crash_t crashes[PR_SUSPECT_CRASHES_MAX];
 	uint32_t crashes_count;
+	/** Upstreams whose crashes are not kept: bit set by hash. */
+	uint64_t dropped[PR_SUSPECT_DROPPED_WORDS];
 	/** Other requests of the service that were answered at any host while
 	 *  the part has been suspected: bit set by hash. */
 	uint32_t others;
@@ -79,8 +83,8 @@
  */
 bool pr_suspect_add_crash(pr_suspect_t *suspect, const pr_crash_t *crash);
 bool pr_suspect_has_crash(const pr_suspect_t *suspect, uint32_t upstream);
-/** @return true when the part crashed the upstream, or may have: of many
- *	   crashes those between the first and the newest ones are not kept */
+/** @return true when the part crashed the upstream, or, where its crash was not
+ *	   kept, may have */
 bool pr_suspect_explains(const pr_suspect_t *suspect, const pr_crash_t *crash);
 /**
  * @param a_crashes number of crashes that count against a
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -242,7 +242,8 @@
 	return count;
 }
 
-/* Record of a suspect, in the byte order of the host; its crashes follow. */
+/* Record of a suspect, in the byte order of the host; its crashes follow, and
+ * after them the set of dropped upstreams unless it is empty. */
 typedef struct suspect_record_t {
 	uint64_t part, requests;
 	int64_t since_ms, crash_ms, cleared_ms, answer_ms, quarantined_ms,
@@ -278,6 +279,22 @@
 				    : (int32_t)value;
 }
 
+static bool has_dropped(const pr_suspect_t *suspect)
+{
+	for (size_t i = 0; i < PR_SUSPECT_DROPPED_WORDS; i++) {
+		if (suspect->dropped[i])
+			return true;
+	}
+	return false;
+}
+
+static size_t suspect_size(const pr_suspect_t *suspect)
+{
+	return sizeof(suspect_record_t) +
+	       suspect->crashes_count * sizeof(crash_record_t) +
+	       (has_dropped(suspect) ? sizeof(suspect->dropped) : 0);
+}
+
 static int append_suspect(pr_str_t *out, const pr_suspect_t *suspect)
 {
 	const suspect_record_t record = {
@@ -292,9 +309,7 @@
 		.service = suspect->service,
 		.position = to_u16(suspect->position),
 		.quarantines = to_u16(suspect->quarantines),
-		.size = (uint16_t)(sizeof(record) +
-				   suspect->crashes_count *
-					   sizeof(crash_record_t)),
+		.size = (uint16_t)suspect_size(suspect),
 		.crashes_count = (uint16_t)suspect->crashes_count,
 		.others = suspect->others,
 	};
@@ -313,6 +328,9 @@
 		rc = pr_str_append(out, (const char *)&crash_record,
 				   sizeof(crash_record));
 	}
+	if (!rc && has_dropped(suspect))
+		rc = pr_str_append(out, (const char *)suspect->dropped,
+				   sizeof(suspect->dropped));
 	return rc;
 }
 
@@ -325,9 +343,7 @@
 	int rc = 0;
 
 	while (packed < count && packed < PR_SUSPECTS_IN_DATAGRAM && !rc) {
-		size_t size =
-			sizeof(suspect_record_t) +
-			suspects[packed].crashes_count * sizeof(crash_record_t);
+		size_t size = suspect_size(&suspects[packed]);
 
 		if (SUSPECTS_HEADER_SIZE + records.len + size > PR_DATAGRAM_MAX)
 			break;
@@ -346,6 +362,7 @@
 static size_t read_suspect(pr_slice_t bytes, pr_suspect_t *out)
 {
 	suspect_record_t record;
+	size_t at;
 
 	if (bytes.len < sizeof(record))
 		return 0;
@@ -383,6 +400,9 @@
 					     : record.crash_ms + crash.answer,
 		};
 	}
+	at = sizeof(record) + out->crashes_count * sizeof(crash_record_t);
+	if (record.size >= at + sizeof(out->dropped))
+		memcpy(out->dropped, bytes.ptr + at, sizeof(out->dropped));
 	return record.size;
 }
 
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -313,6 +313,53 @@
 	check_host_without_news(295);
 }
 
+/* A part crashes many upstreams, also under requests from before its verdict,
+ * and another part a few other ones in the same time. Guards against crashes of
+ * the second part that the first one is said to explain, since not all of its
+ * own are kept. */
+static void check_few_crashes_beside_storm(int hosts)
+{
+	static const uint64_t storm[] = { COMMON, DEADLY };
+	static const uint64_t few[] = { COMMON + 1, DEADLY + 1 };
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	for (int i = 0; i < 50; i++) {
+		answer_sound(&fleet);
+		for (int j = 0; j < 3 && i >= 5; j++) {
+			pr_quarantine_prompt_t prompt =
+				prompt_of(&fleet, storm, 2);
+
+			pr_quarantine_record_crash(
+				&fleet.hosts[(i + j) % hosts], &prompt,
+				(uint32_t)++fleet.upstreams * 77, fleet.now);
+		}
+		/* The fifth crash is in period 15. */
+		if (i >= 7 && i % 4 == 3)
+			crash(&fleet, i % hosts, few, 2);
+		run_period(&fleet);
+		if (i >= 15 + CONTACT / PERIOD)
+			assert_int_equal(count_quarantining(&fleet, DEADLY + 1),
+					 hosts);
+	}
+	finish_fleet(&fleet);
+}
+
+static void test_few_crashes_beside_storm_9_hosts(void **state)
+{
+	check_few_crashes_beside_storm(9);
+}
+
+static void test_few_crashes_beside_storm_84_hosts(void **state)
+{
+	check_few_crashes_beside_storm(84);
+}
+
+static void test_few_crashes_beside_storm_295_hosts(void **state)
+{
+	check_few_crashes_beside_storm(295);
+}
+
 /* An attacker's sixteen requests, each sent three times, have all the parts
  * that are kept, and crash upstreams. Guards against a judgement that blocks
  * the host for seconds, in which others take it for dead. */
@@ -373,6 +420,9 @@
 		cmocka_unit_test(test_host_without_news_9_hosts),
 		cmocka_unit_test(test_host_without_news_84_hosts),
 		cmocka_unit_test(test_host_without_news_295_hosts),
+		cmocka_unit_test(test_few_crashes_beside_storm_9_hosts),
+		cmocka_unit_test(test_few_crashes_beside_storm_84_hosts),
+		cmocka_unit_test(test_few_crashes_beside_storm_295_hosts),
 		cmocka_unit_test(test_time_of_judgement),
 	};
 
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -249,6 +249,7 @@
 	suspect.quarantines = 4;
 	suspect.probe_ms = 5;
 	suspect.others = UINT32_MAX - 6;
+	memset(suspect.dropped, (int)(number % 3), sizeof(suspect.dropped));
 	suspect.crashes_count = number % (PR_SUSPECT_CRASHES_MAX + 1);
 	for (uint32_t i = 0; i < suspect.crashes_count; i++) {
 		suspect.crashes[i].upstream = UINT32_MAX - i;
