Let only a part that comes earlier in the prompts count as wider

A subject was quarantined beside the crashing part of its requests, as the reports on the subject lagged behind those on the part: the part then seemed to occur in further requests, like one that all requests of a kind share, and a subject does not wait for the verdict on such a part.

Of two parts that occur together the earlier one occurs in more requests, so only that one is wider.

test_reports_on_subject_missing fails without the change: the subject is quarantined.

--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -227,10 +227,12 @@
 	return b->crashes_count;
 }
 
-/* Whether some of the requests with a lack b, and all with b have a. */
+/* Whether some of the requests with a lack b, and all with b have a. A part
+ * that comes later in the prompts only seems so, while reports are missing. */
 static bool is_wider(const pr_suspect_t *a, const pr_suspect_t *b)
 {
-	return !(b->requests & ~a->requests) && (a->requests & ~b->requests);
+	return a->position < b->position && !(b->requests & ~a->requests) &&
+	       (a->requests & ~b->requests);
 }
 
 /* Whether the other part would explain the suspect's crashes: it has the
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -360,6 +360,60 @@
 	check_few_crashes_beside_storm(295);
 }
 
+/* @return what another host reports of a part that two requests have */
+static pr_suspect_t report_of(fleet_t *fleet, uint64_t part, uint32_t position,
+			      const pr_quarantine_prompt_t *requests,
+			      size_t count)
+{
+	pr_quarantine_t *other = calloc(1, sizeof(*other));
+	pr_suspect_t report;
+
+	assert_non_null(other);
+	for (size_t i = 0; i < count; i++) {
+		pr_quarantine_prompt_t prompt = requests[i];
+
+		prompt.parts = &part;
+		prompt.parts_count = 1;
+		pr_quarantine_record_crash(other, &prompt, 6000 + (uint32_t)i,
+					   fleet->now);
+	}
+	report = other->entries[0].suspect;
+	report.position = position;
+	free(other);
+	return report;
+}
+
+/* Another host's reports on a subject and on the crashing part of its requests
+ * arrive apart: the first one on the subject, the last one on the part. Guards
+ * against a verdict on the subject, as if the part occurred in further
+ * requests. */
+static void test_reports_on_subject_missing(void **state)
+{
+	static const uint64_t deadly[] = { COMMON, RARE, DEADLY };
+	pr_quarantine_prompt_t prompts[2];
+	pr_suspect_t report;
+	fleet_t fleet;
+
+	start_fleet(&fleet, 1);
+	for (int i = 0; i < 2; i++)
+		prompts[i] = prompt_of(&fleet, deadly, 3);
+	report = report_of(&fleet, RARE, 1, prompts, 1);
+	pr_quarantine_merge(fleet.hosts, &report, true);
+	for (int i = 0; i < 30; i++) {
+		answer_sound(&fleet);
+		if (i >= 5 && i < 12)
+			crash(&fleet, 0, deadly, 3);
+		if (i == 8) {
+			report = report_of(&fleet, DEADLY, 2, prompts, 2);
+			pr_quarantine_merge(fleet.hosts, &report, true);
+		}
+		run_period(&fleet);
+		assert_int_equal(count_quarantining(&fleet, RARE), 0);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 1);
+	finish_fleet(&fleet);
+}
+
 /* An attacker's sixteen requests, each sent three times, have all the parts
  * that are kept, and crash upstreams. Guards against a judgement that blocks
  * the host for seconds, in which others take it for dead. */
@@ -423,6 +477,7 @@
 		cmocka_unit_test(test_few_crashes_beside_storm_9_hosts),
 		cmocka_unit_test(test_few_crashes_beside_storm_84_hosts),
 		cmocka_unit_test(test_few_crashes_beside_storm_295_hosts),
+		cmocka_unit_test(test_reports_on_subject_missing),
 		cmocka_unit_test(test_time_of_judgement),
 	};
 
