Await the outcome of a request after a quarantine on its model

The others had been escalated: the attempt was cancelled on the head of the answer, the upstream crashed after that, and the repeat on the larger model was refused. So the outcome stayed unknown, and the next request went out 10 s later. A sound part was refused in the same way, although its answer had begun.

Such a request now stays with the model that answers it.

--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -52,9 +52,14 @@
 		.gap_ms = x->route->gap_ms,
 		.pause_weight = pr_pauses_weight(&x->edge->pauses),
 	};
+	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
 	size_t current = x->model;
 	pr_upstream_t *upstream;
 
+	/* The attempt would end before the upstream answers or crashes, and the
+	 * next one be refused as a repeat. */
+	if (pr_quarantine_is_awaited(&x->edge->quarantine, &prompt))
+		return false;
 	if (!x->picks_model || x->head_sent ||
 	    current + 1 >= x->route->models.count ||
 	    x->runs + 1 >= x->route->max_upstreams)
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -272,6 +272,16 @@
 	return true;
 }
 
+bool pr_quarantine_is_awaited(const pr_quarantine_t *quarantine,
+			      const pr_quarantine_prompt_t *prompt)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		if (concerns(&quarantine->entries[i], prompt))
+			return true;
+	}
+	return false;
+}
+
 void pr_quarantine_note_sent(pr_quarantine_t *quarantine,
 			     const pr_quarantine_prompt_t *prompt,
 			     int64_t now_ms)
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -170,6 +170,11 @@
 bool pr_quarantine_admits(const pr_quarantine_t *quarantine,
 			  const pr_quarantine_prompt_t *prompt, bool is_repeat,
 			  int64_t now_ms, int64_t *until_ms);
+/** @return true when a part of the prompt was quarantined and not answered
+ *	   since: an admitted request with it is not repeated, and its outcome
+ *	   has to be awaited */
+bool pr_quarantine_is_awaited(const pr_quarantine_t *quarantine,
+			      const pr_quarantine_prompt_t *prompt);
 /** Note that an admitted request was sent. */
 void pr_quarantine_note_sent(pr_quarantine_t *quarantine,
 			     const pr_quarantine_prompt_t *prompt,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -463,6 +463,30 @@
 	check_second_verdict(295);
 }
 
+/* Guards against a request after a quarantine that is moved to another model
+ * before its outcome is known. */
+static void test_outcome_is_awaited(void **state)
+{
+	static const uint64_t parts[] = { COMMON, DEADLY };
+	static const uint64_t other[] = { COMMON };
+	fleet_t fleet;
+	pr_quarantine_prompt_t prompt, sound;
+
+	start_fleet(&fleet, 1);
+	prompt = prompt_of(&fleet, parts, 2);
+	sound = prompt_of(&fleet, other, 1);
+	assert_false(pr_quarantine_is_awaited(fleet.hosts, &prompt));
+	quarantine_deadly(&fleet);
+	fleet.now += 70000;
+	assert_true(pr_quarantine_admits(fleet.hosts, &prompt, false, fleet.now,
+					 NULL));
+	assert_true(pr_quarantine_is_awaited(fleet.hosts, &prompt));
+	assert_false(pr_quarantine_is_awaited(fleet.hosts, &sound));
+	pr_quarantine_record_answer(fleet.hosts, &prompt, fleet.now);
+	assert_false(pr_quarantine_is_awaited(fleet.hosts, &prompt));
+	finish_fleet(&fleet);
+}
+
 /* A suspect that a quarantined part explains is no news in each period. */
 static void test_explained_suspect_is_quiet(void **state)
 {
@@ -612,6 +636,7 @@
 		cmocka_unit_test(test_second_verdict_9_hosts),
 		cmocka_unit_test(test_second_verdict_84_hosts),
 		cmocka_unit_test(test_second_verdict_295_hosts),
+		cmocka_unit_test(test_outcome_is_awaited),
 		cmocka_unit_test(test_explained_suspect_is_quiet),
 		cmocka_unit_test(test_storm_traffic_9_hosts),
 		cmocka_unit_test(test_storm_traffic_84_hosts),
