--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -57,6 +57,8 @@
 	int64_t first_ms;
 	/** How often the suspect is still to be sent, by audience. */
 	uint32_t sends_left[PR_AUDIENCES_COUNT];
+	/** Number of the message in which it was sent last, by audience. */
+	uint32_t sent_at[PR_AUDIENCES_COUNT];
 	/** Begin of the quarantine that the saved list has for the part; 0 when
 	 *  it lacks the part. */
 	int64_t saved_ms;
@@ -159,6 +161,11 @@
 bool pr_quarantine_admits(const pr_quarantine_t *quarantine,
 			  const pr_quarantine_prompt_t *prompt, bool is_repeat,
 			  int64_t now_ms, int64_t *until_ms);
+/** @return true when a part of the prompt was quarantined and not answered
+ *	   since: an admitted request with it is not repeated, and its outcome
+ *	   has to be awaited */
+bool pr_quarantine_is_awaited(const pr_quarantine_t *quarantine,
+			      const pr_quarantine_prompt_t *prompt);
 /** Note that an admitted request was sent. */
 void pr_quarantine_note_sent(pr_quarantine_t *quarantine,
 			     const pr_quarantine_prompt_t *prompt,
