Send the end of a quarantine as soon as its begin

Parts that were in quarantine are now sent with those that are.

test_end_in_storm at 9, 84 and 295 hosts fails without the change (8, 78 and 289 hosts keep the quarantine 1.2 s after the answer).

--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -78,10 +78,11 @@
 		order[audience == PR_AUDIENCE_RELAYS && quarantine->sends % 2];
 	const pr_suspect_t *x = &a->suspect, *y = &b->suspect;
 
-	if (pr_suspect_is_quarantined(x) != pr_suspect_is_quarantined(y))
-		return pr_suspect_is_quarantined(x);
+	/* The end of a quarantine is as urgent as its begin. */
+	if (!x->quarantined_ms != !y->quarantined_ms)
+		return x->quarantined_ms;
 	/* One that changes all the time must not hold back the others. */
-	if (pr_suspect_is_quarantined(x))
+	if (x->quarantined_ms)
 		return a->sent_at[audience] < b->sent_at[audience];
 	if (a->sends_left[audience] != b->sends_left[audience])
 		return a->sends_left[audience] > b->sends_left[audience];
--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -414,6 +414,51 @@
 	finish_fleet(&fleet);
 }
 
+/* A quarantined part is answered in a storm, in which many parts are cleared.
+ * Guards against hosts that keep the quarantine, since the news of its end wait
+ * behind those of other parts. */
+static void check_end_in_storm(int hosts)
+{
+	static const uint64_t deadly[] = { COMMON, DEADLY };
+	fleet_t fleet;
+
+	start_fleet(&fleet, hosts);
+	quarantine_deadly(&fleet);
+	for (int i = 0; i < 15; i++) {
+		for (uint64_t j = 0; j < 20 * ZONES; j++) {
+			const uint64_t parts[] = {
+				COMMON, OTHER, 0x1000 + j + (uint64_t)i * 1000
+			};
+			int host = (int)j % hosts;
+
+			crash(&fleet, host, parts, 3);
+			fleet.now++;
+			answer(&fleet, host, parts, 3);
+		}
+		fleet.now = (fleet.now + PERIOD - 1) / PERIOD * PERIOD;
+		if (i == 8)
+			answer(&fleet, 0, deadly, 2);
+		run_period(&fleet);
+	}
+	assert_int_equal(count_quarantining(&fleet, DEADLY), 0);
+	finish_fleet(&fleet);
+}
+
+static void test_end_in_storm_9_hosts(void **state)
+{
+	check_end_in_storm(9);
+}
+
+static void test_end_in_storm_84_hosts(void **state)
+{
+	check_end_in_storm(84);
+}
+
+static void test_end_in_storm_295_hosts(void **state)
+{
+	check_end_in_storm(295);
+}
+
 /* An attacker's sixteen requests, each sent three times, have all the parts
  * that are kept, and crash upstreams. Guards against a judgement that blocks
  * the host for seconds, in which others take it for dead. */
@@ -478,6 +523,9 @@
 		cmocka_unit_test(test_few_crashes_beside_storm_84_hosts),
 		cmocka_unit_test(test_few_crashes_beside_storm_295_hosts),
 		cmocka_unit_test(test_reports_on_subject_missing),
+		cmocka_unit_test(test_end_in_storm_9_hosts),
+		cmocka_unit_test(test_end_in_storm_84_hosts),
+		cmocka_unit_test(test_end_in_storm_295_hosts),
 		cmocka_unit_test(test_time_of_judgement),
 	};
 
