--- a/tests/test_quarantine_rivals.c
+++ b/tests/test_quarantine_rivals.c
@@ -425,7 +425,7 @@
 	start_fleet(&fleet, hosts);
 	quarantine_deadly(&fleet);
 	for (int i = 0; i < 15; i++) {
-		for (uint64_t j = 0; j < 20 * ZONES; j++) {
+		for (uint64_t j = 0; j < UINT64_C(20) * ZONES; j++) {
 			const uint64_t parts[] = {
 				COMMON, OTHER, 0x1000 + j + (uint64_t)i * 1000
 			};
