Complete a version only after a load test has shown that it is good

Cause: the load test ran for a fixed part of the order, and the version was completed by the clock afterwards unless it had been found bad. A test that never reached a high load, or in which failures were few among all responses (6 of 174, 4 of 727 of the old version), counted as passed. It rarely reached one: two upstreams were loaded at once, prompts of the largest model waited for seconds for their prefill, and hosts of another region knew little of the load. It used up the requests that a bad version may get meanwhile.

Change: requests of the load test are counted apart by all hosts, with the outcomes of those sent while half of an upstream's slots are taken. The schedule stops in the load test until these show that the version is good; at 84% of the order it is withdrawn without that, unless the traffic cannot load one upstream. The time is in the shared row, so that all hosts go on together. The test fills one upstream before the next, waits for its prefills, and ends when the new version has got its part of the requests.

The counts have a message of their own, as earlier releases read no larger map.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -150,9 +150,13 @@
 				pr_exchange_now(x));
 	record_crash(x, fault);
 	if (ran) {
-		if (!is_same_crash(x, fault))
-			pr_exchange_count_response(
-				x, !is_load_test_delay(x, fault));
+		if (!is_same_crash(x, fault)) {
+			bool bad = !is_load_test_delay(x, fault);
+
+			pr_exchange_count_response(x, bad);
+			if (bad)
+				pr_exchange_count_loaded(x, true);
+		}
 		x->runs++;
 	}
 	if (x->upstream && x->tried_count < PR_PLACE_TRIED_MAX)
@@ -416,6 +420,19 @@
 					   &query);
 }
 
+static void begin_load_test_attempt(pr_exchange_t *x)
+{
+	pr_transition_t *transition = pr_edge_transition(x->edge, x->service);
+
+	if (!transition || transition->order_row != x->order_row ||
+	    !pr_transition_is_new(transition, x->upstream->entry.version))
+		return;
+	pr_transition_record_test_begin(transition);
+	x->counted_in_test = true;
+	x->awaits_loaded_outcome = pr_transition_is_test_load_high(
+		transition, x->upstream->entry.slots);
+}
+
 static int send_attempt(pr_exchange_t *x, pr_upstream_t *upstream)
 {
 	pr_outbound_request_t request = {
@@ -441,6 +458,8 @@
 	x->prefill_ms = pr_prefill_ms(
 		&x->edge->reading, pr_exchange_model_name(x), x->prompt.tokens);
 	upstream->pending_prefill_ms += x->prefill_ms;
+	if (x->is_load_test)
+		begin_load_test_attempt(x);
 	x->attempt_began = pr_exchange_now(x);
 	x->progress_at = x->attempt_began;
 	x->events_of_attempt = 0;
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -27,8 +27,8 @@
  * in a load test, and of one that the load test sends to the largest model
  * without trying a smaller one. The second limit is lower, since the prefill of
  * that model is an order of magnitude slower. */
-#define PROMPT_PER_OUTPUT_TOKEN         50
-#define PROMPT_PER_OUTPUT_TOKEN_LARGEST 4
+#define PROMPT_PER_OUTPUT_TOKEN         30
+#define PROMPT_PER_OUTPUT_TOKEN_LARGEST 12
 /* Time from the start of this host in which requests wait until it has read its
  * tables. The reads are three concurrent calls; the time is enough for several
  * round trips between regions, or to recover from one lost packet. */
@@ -72,10 +72,45 @@
 	x->prefill_ms = 0;
 }
 
+/* The transition for whose load test the current attempt was sent. */
+static pr_transition_t *load_test_of(pr_exchange_t *x)
+{
+	pr_transition_t *transition = pr_edge_transition(x->edge, x->service);
+
+	return transition && transition->order_row == x->order_row ? transition
+								   : NULL;
+}
+
+void pr_exchange_count_loaded(pr_exchange_t *x, bool bad)
+{
+	pr_transition_t *transition;
+
+	if (!x->awaits_loaded_outcome)
+		return;
+	x->awaits_loaded_outcome = false;
+	transition = load_test_of(x);
+	if (transition)
+		pr_transition_record_loaded(transition, bad);
+}
+
+static void end_load_test_attempt(pr_exchange_t *x)
+{
+	pr_transition_t *transition;
+
+	if (!x->counted_in_test)
+		return;
+	x->counted_in_test = false;
+	x->awaits_loaded_outcome = false;
+	transition = load_test_of(x);
+	if (transition)
+		pr_transition_record_test_end(transition);
+}
+
 /* End the current attempt, whose connection is closed or no longer owned. */
 static void release_attempt(pr_exchange_t *x)
 {
 	x->outbound = NULL;
+	end_load_test_attempt(x);
 	if (!x->upstream)
 		return;
 	pr_exchange_clear_prefill_wait(x);
@@ -350,11 +385,17 @@
 	pr_transition_t *transition = pr_edge_transition(x->edge, x->service);
 	int64_t now = pr_edge_store_now(x->edge);
 	pr_transition_request_t request = { x->session_hash, x->hash, false };
+	size_t model = x->model;
 
 	if (!transition || !transition->began_ms) {
 		pr_sessions_record(&x->edge->sessions, x->session_hash, now);
 		return;
 	}
+	/* A response of the largest model is never escalated, so it occupies
+	 * its slot for longer. */
+	if (x->picks_model &&
+	    is_output_heavy(x, PROMPT_PER_OUTPUT_TOKEN_LARGEST))
+		x->model = x->route->models.count - 1;
 	request.load_test = pr_transition_is_load_testing(transition, now) &&
 			    is_output_heavy(x, PROMPT_PER_OUTPUT_TOKEN) &&
 			    pr_exchange_has_load_test_room(x);
@@ -363,11 +404,8 @@
 		transition, &x->edge->sessions, &request, now,
 		(uint32_t)(x->edge->settings->bounds.session_s * 1000));
 	x->is_load_test = request.load_test && x->version == PR_VERSION_NEW;
-	/* A response of the largest model is never escalated, so it occupies
-	 * its slot for longer. */
-	if (x->is_load_test && x->picks_model &&
-	    is_output_heavy(x, PROMPT_PER_OUTPUT_TOKEN_LARGEST))
-		x->model = x->route->models.count - 1;
+	if (!x->is_load_test)
+		x->model = model;
 }
 
 /* Route the request and start the first attempt. */
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -52,6 +52,11 @@
 	uint64_t order_row;
 	/** The request is part of the load test of the new version. */
 	bool is_load_test;
+	/** The current attempt is counted as one of the load test. */
+	bool counted_in_test;
+	/** The current attempt of the load test was sent at a high load, and
+	 * its outcome is not counted yet. */
+	bool awaits_loaded_outcome;
 
 	/** Connection of the current attempt; NULL without an attempt. */
 	pr_outbound_t *outbound;
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -29,6 +29,9 @@
 /** Count the response of the current attempt for its version, if the service is
  *  in transition. */
 void pr_exchange_count_response(pr_exchange_t *x, bool bad);
+/** Count the outcome of an attempt that a load test sent at a high load; only
+ *  the first one counts. */
+void pr_exchange_count_loaded(pr_exchange_t *x, bool bad);
 /** Count the pace of an attempt that ends before its response is complete: slow
  *  ones are more likely to be given up. */
 void pr_exchange_record_unfinished_pace(pr_exchange_t *x);
--- a/src/edge/peer_reports.c
+++ b/src/edge/peer_reports.c
@@ -212,33 +212,66 @@
 	report->transitions[index].tallies = *tallies;
 }
 
+/* Addressees of the counts of a transition. */
+typedef enum counts_from_t {
+	COUNTS_OF_HOST,
+	COUNTS_OF_ZONE,
+	COUNTS_OF_FLEET,
+} counts_from_t;
+
+static void send_to(pr_edge_t *edge, counts_from_t from, const pr_str_t *bytes)
+{
+	switch (from) {
+	case COUNTS_OF_HOST:
+		pr_peers_send_zone_relays(edge, bytes);
+		break;
+	case COUNTS_OF_ZONE:
+		pr_peers_send_relays(edge, PR_DISTANCE_REGION, bytes);
+		pr_peers_send_relays(edge, PR_DISTANCE_OTHER_REGION, bytes);
+		break;
+	case COUNTS_OF_FLEET:
+		pr_peers_send_followers(edge, bytes);
+		break;
+	}
+}
+
+static void send_counts_of(pr_edge_t *edge, const pr_transition_t *transition,
+			   counts_from_t from, const pr_tallies_t *tallies)
+{
+	const char *host = edge->settings->host;
+	const char *service = transition->order.service;
+	uint64_t order = transition->order_row;
+	bool all = from == COUNTS_OF_FLEET;
+	pr_str_t bytes = PR_STR_INIT;
+
+	if (!pr_message_pack_tallies(&bytes, host, service, order, tallies,
+				     all))
+		send_to(edge, from, &bytes);
+	pr_str_clear(&bytes);
+	if (tallies->load_test.begun &&
+	    !pr_message_pack_load_test(&bytes, host, service, order,
+				       &tallies->load_test, all))
+		send_to(edge, from, &bytes);
+	pr_str_finish(&bytes);
+}
+
 void pr_peers_send_tallies(pr_edge_t *edge, size_t index)
 {
 	pr_transition_t *transition = edge->transitions[index];
 	pr_peering_t *peering = &edge->peering;
 	const pr_roster_t *roster = &peering->roster;
-	const char *host = edge->settings->host;
-	const char *service = transition->order.service;
 	uint64_t order = transition->order_row;
 	pr_tallies_t sum = { 0 };
-	pr_str_t bytes = PR_STR_INIT;
 	pr_host_t *self = pr_peers_self(edge);
 
 	peering->reported[index] = transition->own;
-	if (!pr_message_pack_tallies(&bytes, host, service, order,
-				     &transition->own, false))
-		pr_peers_send_zone_relays(edge, &bytes);
+	send_counts_of(edge, transition, COUNTS_OF_HOST, &transition->own);
 	if (!self || !peering->is_relay)
-		goto cleanup;
+		return;
 	save_tallies(self, index, order, &transition->own);
 	pr_aggregate_zone_tallies(&sum, roster, edge->settings->zone, index,
 				  order);
-	pr_str_clear(&bytes);
-	if (!pr_message_pack_tallies(&bytes, host, service, order, &sum,
-				     false)) {
-		pr_peers_send_relays(edge, PR_DISTANCE_REGION, &bytes);
-		pr_peers_send_relays(edge, PR_DISTANCE_OTHER_REGION, &bytes);
-	}
+	send_counts_of(edge, transition, COUNTS_OF_ZONE, &sum);
 	for (size_t i = 0; i < edge->map.count; i++) {
 		const char *zone = edge->map.zones[i].name;
 
@@ -247,12 +280,7 @@
 							index, order);
 	}
 	transition->peers = pr_aggregate_subtract(&sum, &transition->own);
-	pr_str_clear(&bytes);
-	if (!pr_message_pack_tallies(&bytes, host, service, order, &sum, true))
-		pr_peers_send_followers(edge, &bytes);
-
-cleanup:
-	pr_str_finish(&bytes);
+	send_counts_of(edge, transition, COUNTS_OF_FLEET, &sum);
 }
 
 static uint32_t total_of(const pr_tallies_t *tallies)
@@ -260,43 +288,102 @@
 	return tallies->new.total + tallies->old.total;
 }
 
+/* Counts of all hosts from a relay; none of another order. */
+static pr_tallies_t totals_of(const pr_edge_t *edge, size_t index,
+			      uint64_t order_row)
+{
+	pr_tallies_t none = { 0 };
+
+	return edge->peering.totals[index].order_row == order_row
+		       ? edge->peering.totals[index].all
+		       : none;
+}
+
 /* Apply the counts of all hosts from a relay. Of two relays, the one that knows
  * of more responses is used. */
-static void apply_totals(pr_edge_t *edge, size_t index, const pr_tallies_t *all)
+static void apply_totals(pr_edge_t *edge, size_t index, uint64_t order_row,
+			 const pr_tallies_t *all)
 {
 	pr_peering_t *peering = &edge->peering;
 	pr_usec_t now = pr_edge_now(edge);
+	pr_tallies_t known = totals_of(edge, index, order_row);
 
 	if (peering->is_relay ||
-	    (total_of(all) < total_of(&peering->totals[index].all) &&
+	    (total_of(all) < total_of(&known) &&
 	     now - peering->totals[index].received_at < TOTALS_AGE_MAX))
 		return;
+	peering->totals[index].order_row = order_row;
 	peering->totals[index].all = *all;
 	peering->totals[index].received_at = now;
 	edge->transitions[index]->peers =
 		pr_aggregate_subtract(all, &peering->reported[index]);
 }
 
-void pr_peers_receive_tallies(pr_edge_t *edge, pr_host_t *host,
-			      const pr_msgmap_t *map)
+/* Counts that the host reported; none of another order. */
+static pr_tallies_t saved_tallies(const pr_host_t *host, size_t index,
+				  uint64_t order_row)
 {
-	pr_tallies_t tallies;
+	pr_tallies_t none = { 0 };
+
+	if (!host->report ||
+	    host->report->transitions[index].order_row != order_row)
+		return none;
+	return host->report->transitions[index].tallies;
+}
+
+/* Whether the transition at the index is of the order. */
+static bool is_transition_of(const pr_edge_t *edge, size_t index,
+			     pr_slice_t service, uint64_t order)
+{
+	const pr_transition_t *transition = edge->transitions[index];
+
+	return order == transition->order_row &&
+	       pr_slice_equal(service, pr_slice_of(transition->order.service));
+}
+
+/* Counts of a transition that came in a message. The counts of its load test
+ * come in one of their own, and replace a part of what is known. */
+typedef struct received_counts_t {
 	pr_slice_t service;
 	uint64_t order;
+	/** The counts are of all hosts. */
 	bool all;
+	bool is_load_test;
+	pr_tallies_t tallies;
+} received_counts_t;
 
-	if (pr_message_read_tallies(map, &service, &order, &tallies, &all))
-		return;
+static void apply_counts(pr_edge_t *edge, pr_host_t *host, size_t index,
+			 const received_counts_t *received)
+{
+	uint64_t order = received->order;
+	pr_tallies_t known = received->all ? totals_of(edge, index, order)
+					   : saved_tallies(host, index, order);
+	pr_tallies_t tallies =
+		received->is_load_test ? known : received->tallies;
+
+	tallies.load_test = received->is_load_test ? received->tallies.load_test
+						   : known.load_test;
+	if (received->all)
+		apply_totals(edge, index, order, &tallies);
+	else
+		save_tallies(host, index, order, &tallies);
+}
+
+void pr_peers_receive_tallies(pr_edge_t *edge, pr_host_t *host,
+			      const pr_msgmap_t *map)
+{
+	received_counts_t received = { 0 };
+
+	if (pr_message_read_tallies(map, &received.service, &received.order,
+				    &received.tallies, &received.all)) {
+		received.is_load_test = true;
+		if (pr_message_read_load_test(
+			    map, &received.service, &received.order,
+			    &received.tallies.load_test, &received.all))
+			return;
+	}
 	for (size_t i = 0; i < edge->transitions_count; i++) {
-		pr_transition_t *transition = edge->transitions[i];
-
-		if (order != transition->order_row ||
-		    !pr_slice_equal(service,
-				    pr_slice_of(transition->order.service)))
-			continue;
-		if (all)
-			apply_totals(edge, i, &tallies);
-		else
-			save_tallies(host, i, order, &tallies);
+		if (is_transition_of(edge, i, received.service, received.order))
+			apply_counts(edge, host, i, &received);
 	}
 }
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -36,6 +36,7 @@
 	pr_tallies_t reported[PR_AGGREGATE_TRANSITIONS_MAX];
 	/** Counts of all hosts as a relay last sent them. */
 	struct {
+		uint64_t order_row;
 		pr_tallies_t all;
 		pr_usec_t received_at;
 	} totals[PR_AGGREGATE_TRANSITIONS_MAX];
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -83,6 +83,7 @@
 		 pr_exchange_age_ms(x));
 	pr_metric_add(x->edge->counters.escalations, 1);
 	pr_exchange_count_response(x, false);
+	pr_exchange_count_loaded(x, false);
 	x->runs++;
 	x->repeat_charged = true;
 	x->replacing = true;
@@ -280,6 +281,7 @@
 {
 	pr_usec_t now = pr_exchange_now(x);
 
+	pr_exchange_count_loaded(x, false);
 	if (x->events_of_attempt++ && now - x->progress_at > x->longest_pause)
 		x->longest_pause = now - x->progress_at;
 	x->progress_at = now;
@@ -371,6 +373,7 @@
 	memset(&x->body, 0, sizeof(x->body));
 	record_first_byte(x);
 	pr_exchange_count_response(x, x->status >= 500);
+	pr_exchange_count_loaded(x, x->status >= 500);
 	if (x->event_stream && x->route->gap_ms)
 		pr_pauses_add(&x->edge->pauses,
 			      x->longest_pause > (pr_usec_t)x->route->gap_ms *
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -322,17 +322,21 @@
 }
 
 static void log_transition(const pr_transition_t *transition,
-			   pr_rollout_state_t state, int64_t verified_ms)
+			   const pr_transition_row_t *row)
 {
+	const pr_load_test_tally_t *own = &transition->own.load_test;
+	const pr_load_test_tally_t *peers = &transition->peers.load_test;
+
 	pr_event_state(
 		"transition_concluded",
 		"service=%s version=%s state=%d verified=%d new=%u/%u "
 		"old=%u/%u "
 		"peers_new=%u/%u peers_old=%u/%u slow_new=%u/%u "
 		"slow_old=%u/%u slower_new=%u/%u slower_old=%u/%u "
+		"load_verified=%d tested=%u/%u loaded=%u/%u "
 		"condition=%llu",
-		transition->order.service, transition->order.version, state,
-		verified_ms != 0, transition->own.new.bad,
+		transition->order.service, transition->order.version,
+		row->state, row->verified_ms != 0, transition->own.new.bad,
 		transition->own.new.total, transition->own.old.bad,
 		transition->own.old.total, transition->peers.new.bad,
 		transition->peers.new.total, transition->peers.old.bad,
@@ -345,19 +349,39 @@
 		transition->own.new.ranked + transition->peers.new.ranked,
 		transition->own.old.slower + transition->peers.old.slower,
 		transition->own.old.ranked + transition->peers.old.ranked,
+		row->load_verified_ms != 0, own->ended + peers->ended,
+		own->begun + peers->begun, own->loaded_bad + peers->loaded_bad,
+		own->loaded + peers->loaded,
 		(unsigned long long)transition->state_row);
 }
 
-static void write_transition(pr_edge_t *edge, pr_transition_t *transition,
-			     pr_rollout_state_t state, int64_t verified_ms)
+/* The shared row with a conclusion. */
+static pr_transition_row_t row_of(const pr_transition_t *transition,
+				  pr_conclusion_t conclusion, int64_t now)
 {
 	pr_transition_row_t row = {
 		.order_row = transition->order_row,
-		.state = state,
-		.began_ms = transition->began_ms ? transition->began_ms
-						 : pr_edge_store_now(edge),
-		.verified_ms = verified_ms,
+		.state = PR_ROLLOUT_RUNNING,
+		.began_ms = transition->began_ms ? transition->began_ms : now,
+		.verified_ms = transition->verified_ms,
+		.load_verified_ms = transition->load_verified_ms,
 	};
+
+	if (conclusion == PR_CONCLUDE_DONE)
+		row.state = PR_ROLLOUT_DONE;
+	else if (conclusion == PR_CONCLUDE_WITHDRAW)
+		row.state = PR_ROLLOUT_WITHDRAWN;
+	else if (conclusion == PR_CONCLUDE_VERIFIED)
+		row.verified_ms = now;
+	else if (conclusion == PR_CONCLUDE_LOAD_VERIFIED)
+		row.load_verified_ms = now;
+	memcpy(row.withdrawn, transition->withdrawn, sizeof(row.withdrawn));
+	return row;
+}
+
+static void write_transition(pr_edge_t *edge, pr_transition_t *transition,
+			     const pr_transition_row_t *row)
+{
 	pr_str_t key = PR_STR_INIT, value = PR_STR_INIT;
 	pr_str_t status_key = PR_STR_INIT, status = PR_STR_INIT;
 	pr_str_t request = PR_STR_INIT;
@@ -365,13 +389,12 @@
 	int rc = pr_str_appendf(&key, TRANSITION_KEY_PREFIX "%s",
 				transition->order.service);
 
-	memcpy(row.withdrawn, transition->withdrawn, sizeof(row.withdrawn));
 	if (!rc)
-		rc = pr_transition_row_pack(&value, &row);
+		rc = pr_transition_row_pack(&value, row);
 	if (!rc)
 		rc = pr_adapter_rollout_status(
 			&status_key, &status, transition->order.service,
-			transition->order.version, state);
+			transition->order.version, row->state);
 	writes[0].table = PR_TABLE_SHARED;
 	writes[0].key = pr_str_cstr(&key);
 	writes[0].value = pr_str_slice(&value);
@@ -383,7 +406,7 @@
 	if (!rc)
 		rc = pr_adapter_store_write(&request, writes, 2);
 	if (!rc) {
-		log_transition(transition, state, verified_ms);
+		log_transition(transition, row);
 		pr_call_start(&edge->writer, pr_str_slice(&request),
 			      WRITE_TIMEOUT, on_transition_written);
 	}
@@ -447,31 +470,14 @@
 			transition->order.version, pr_edge_now(edge));
 		pr_conclusion_t conclusion =
 			pr_transition_conclude(transition, now, 0, usable);
+		pr_transition_row_t row = row_of(transition, conclusion, now);
 
 		/* The write is conditional, so the table must have been read
 		 * before. */
 		if (!is_write_due(edge, i, conclusion, now) ||
 		    !can_write(edge) || !edge->watches[PR_TABLE_SHARED].synced)
 			continue;
-		switch (conclusion) {
-		case PR_CONCLUDE_NOTHING:
-			break;
-		case PR_CONCLUDE_START:
-			write_transition(edge, transition, PR_ROLLOUT_RUNNING,
-					 0);
-			break;
-		case PR_CONCLUDE_VERIFIED:
-			write_transition(edge, transition, PR_ROLLOUT_RUNNING,
-					 now);
-			break;
-		case PR_CONCLUDE_DONE:
-			write_transition(edge, transition, PR_ROLLOUT_DONE,
-					 transition->verified_ms);
-			break;
-		case PR_CONCLUDE_WITHDRAW:
-			write_transition(edge, transition, PR_ROLLOUT_WITHDRAWN,
-					 transition->verified_ms);
-			break;
-		}
+		if (conclusion != PR_CONCLUDE_NOTHING)
+			write_transition(edge, transition, &row);
 	}
 }
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -43,9 +43,18 @@
  * to them before its report arrives. */
 #define COST_PAUSED_STREAM_MS 100.0
 #define PAUSE_FREE_PART       0.5
-/* Load that the shares of all hosts in a load test add up to. Above 1, since
- * hosts with little traffic leave a part of their share unused. */
-#define LOAD_TEST_LOAD 1.2
+/* Load up to which an upstream gets requests of a load test. */
+#define LOAD_TEST_LOAD 1.0
+/* Prompts that may wait for their prefill at an upstream of a load test,
+ * milliseconds. An upstream that reads prompts runs few requests, and makes
+ * them wait. */
+#define LOAD_TEST_PREFILL_MS 800.0
+/* The shares of all hosts in these limits add up to this multiple of them.
+ * Above 1, since hosts with little traffic leave a part of their share unused;
+ * a prompt takes a host's share of the prefills for a short time only. It
+ * bounds what hosts send that do not know of each other's requests. */
+#define LOAD_TEST_SHARES         1.2
+#define LOAD_TEST_PREFILL_SHARES 2.0
 
 typedef enum distance_t {
 	DISTANCE_ZONE,
@@ -382,16 +391,36 @@
 	       was_tried(query, upstream) || upstream->cold_until > query->now;
 }
 
+/* Whether the prompts that wait at an upstream allow one more of a load test. A
+ * prompt that exceeds this host's share is taken in a part of the cases that
+ * keeps to the share on average. */
+static bool has_prefill_room(const pr_place_query_t *query,
+			     const pr_upstream_t *upstream)
+{
+	double waiting = upstream->pending_prefill_ms;
+	double share = LOAD_TEST_PREFILL_SHARES * LOAD_TEST_PREFILL_MS /
+		       (query->hosts ? query->hosts : 1);
+
+	if (waiting + upstream->peers_prefill_ms > LOAD_TEST_PREFILL_MS)
+		return false;
+	if (waiting + query->prefill_ms <= share)
+		return true;
+	return waiting <= 0 &&
+	       pr_sessions_in_share(XXH64(&query->sample_seed,
+					  sizeof(query->sample_seed), 0),
+				    share / query->prefill_ms);
+}
+
 /*
  * Whether this host's share of an upstream's test load allows one more request.
  * With more hosts than requests, the share is below one request; then a part of
  * the hosts, selected by hash, sends one request each.
  */
-static bool has_load_test_room(const pr_place_query_t *query,
+static bool has_load_test_slot(const pr_place_query_t *query,
 			       const pr_upstream_t *upstream)
 {
-	double room = LOAD_TEST_LOAD * upstream->entry.slots /
-		      (query->hosts ? query->hosts : 1);
+	double room = LOAD_TEST_SHARES * LOAD_TEST_LOAD *
+		      upstream->entry.slots / (query->hosts ? query->hosts : 1);
 	uint64_t hash;
 
 	if (room >= 1)
@@ -413,7 +442,8 @@
  * bad under load only, and its share of the traffic, spread over all of its
  * upstreams, would bring none of them to a high load. So two upstreams get
  * requests up to a high load. All hosts select the same two by rendezvous
- * hashing, and use the second when the first is full.
+ * hashing, and use the second only when the first is full, so that the first
+ * reaches a high load with few requests.
  */
 static pr_upstream_t *choose_for_load_test(const pr_registry_t *registry,
 					   const pr_zone_map_t *map,
@@ -441,9 +471,13 @@
 			upstream = other;
 		}
 	}
-	for (size_t i = 0; i < LOAD_TEST_UPSTREAMS; i++) {
-		if (best[i] && has_load_test_room(query, best[i]))
-			return best[i];
+	for (size_t i = 0; i < LOAD_TEST_UPSTREAMS && best[i]; i++) {
+		if (pr_place_load(best[i]) >= LOAD_TEST_LOAD)
+			continue;
+		return has_load_test_slot(query, best[i]) &&
+				       has_prefill_room(query, best[i])
+			       ? best[i]
+			       : NULL;
 	}
 	return NULL;
 }
--- a/src/relay/aggregate.c
+++ b/src/relay/aggregate.c
@@ -94,6 +94,7 @@
 {
 	pr_tally_add(&sum->new, &part->new);
 	pr_tally_add(&sum->old, &part->old);
+	pr_load_test_tally_add(&sum->load_test, &part->load_test);
 }
 
 void pr_aggregate_zone_tallies(pr_tallies_t *out, const pr_roster_t *roster,
@@ -148,11 +149,25 @@
 	return tally;
 }
 
+static pr_load_test_tally_t subtract_load_test(const pr_load_test_tally_t *all,
+					       const pr_load_test_tally_t *own)
+{
+	return (pr_load_test_tally_t){
+		.begun = subtract_clamped(all->begun, own->begun),
+		.ended = subtract_clamped(all->ended, own->ended),
+		.loaded = subtract_clamped(all->loaded, own->loaded),
+		.loaded_bad =
+			subtract_clamped(all->loaded_bad, own->loaded_bad),
+	};
+}
+
 pr_tallies_t pr_aggregate_subtract(const pr_tallies_t *all,
 				   const pr_tallies_t *own)
 {
 	return (pr_tallies_t){
 		.new = subtract_tally(&all->new, &own->new),
 		.old = subtract_tally(&all->old, &own->old),
+		.load_test =
+			subtract_load_test(&all->load_test, &own->load_test),
 	};
 }
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -215,6 +215,57 @@
 	return 0;
 }
 
+/* As service_fields, of the counts of a load test. */
+static const char *const load_test_fields[] = { "load_test",
+						"fleet_load_test" };
+
+int pr_message_pack_load_test(pr_str_t *out, const char *host,
+			      const char *service, uint64_t order_row,
+			      const pr_load_test_tally_t *tally, bool all)
+{
+	msgpack_packer packer;
+	int rc = begin(&packer, out, host, 6);
+
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, load_test_fields[all],
+					 pr_slice_of(service));
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "order", order_row);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "begun", tally->begun);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "ended", tally->ended);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "loaded", tally->loaded);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "loaded_bad",
+					   tally->loaded_bad);
+	return rc;
+}
+
+int pr_message_read_load_test(const pr_msgmap_t *map, pr_slice_t *service,
+			      uint64_t *order_row, pr_load_test_tally_t *tally,
+			      bool *all)
+{
+	uint64_t begun, ended, loaded, bad;
+
+	*all = !pr_msgmap_text(map, service, load_test_fields[true]);
+	if ((!*all && pr_msgmap_text(map, service, load_test_fields[false])) ||
+	    pr_msgmap_number(map, order_row, "order") ||
+	    pr_msgmap_number(map, &begun, "begun") ||
+	    pr_msgmap_number(map, &ended, "ended") ||
+	    pr_msgmap_number(map, &loaded, "loaded") ||
+	    pr_msgmap_number(map, &bad, "loaded_bad"))
+		return PR_EPARSE;
+	*tally = (pr_load_test_tally_t){
+		.begun = (uint32_t)begun,
+		.ended = (uint32_t)ended,
+		.loaded = (uint32_t)loaded,
+		.loaded_bad = (uint32_t)bad,
+	};
+	return 0;
+}
+
 int pr_message_pack_sessions(pr_str_t *out, const char *host,
 			     const pr_recent_session_t *seen, size_t count)
 {
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -54,7 +54,7 @@
 			   bool *has_feeds);
 
 /**
- * Encode the counts of a transition.
+ * Encode the counts of a transition, without those of its load test.
  *
  * @param all true for a relay's counts of all hosts
  */
@@ -64,6 +64,16 @@
 int pr_message_read_tallies(const pr_msgmap_t *map, pr_slice_t *service,
 			    uint64_t *order_row, pr_tallies_t *tallies,
 			    bool *all);
+/** Encode the counts of a transition's load test. They are sent apart, because
+ *  hosts of earlier releases read no map with more fields than the other counts
+ *  have. */
+int pr_message_pack_load_test(pr_str_t *out, const char *host,
+			      const char *service, uint64_t order_row,
+			      const pr_load_test_tally_t *tally, bool all);
+/** @return 0, or PR_EPARSE for another kind of message */
+int pr_message_read_load_test(const pr_msgmap_t *map, pr_slice_t *service,
+			      uint64_t *order_row, pr_load_test_tally_t *tally,
+			      bool *all);
 
 /** Encode sessions: time of their last use, and whether they moved to the new
  * version. */
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -6,14 +6,14 @@
  * higher, by a fixed limit or among responses at a similar load. Sessions move
  * only after another one has shown that most responses are neither bad nor
  * slow; a version for which that is not shown by the end of the order is
- * withdrawn.
+ * withdrawn. The same holds for the load test that follows: all traffic moves
+ * only after responses at a high load were shown to be good.
  */
 #include "transition/transition.h"
 
 #include <math.h>
 #include <string.h>
 
-#include "base/msgmap.h"
 #include "pistachiorack/error.h"
 #include "pistachiorack/sequential.h"
 
@@ -42,9 +42,21 @@
  * reach a high load within seconds.
  */
 #define LOAD_TEST_UNTIL 0.74
+/* The schedule stops here, in the load test, until the load test has shown that
+ * the new version is good; early enough for the record to reach all hosts
+ * before LOAD_TEST_UNTIL. */
+#define LOAD_VERIFIED_BY 0.73
+/* A version that the load test has not shown to be good by this fraction of the
+ * duration is withdrawn. The rest is needed to move all sessions. */
+#define LOAD_UNVERIFIED_UNTIL 0.84
 /* Time in which the upstreams work off the backlog of the load test,
  * milliseconds. */
 #define LOAD_TEST_SETTLE_MS 3000
+/* A load test adds no requests once the new version has got this share of all
+ * that the service gets during the order, and a number that is needed at any
+ * rate of requests. */
+#define EXPOSED_SHARE_MAX 0.12
+#define EXPOSED_ALWAYS    20
 /* All sessions use the new version from this fraction of the duration on. */
 #define ALL_MOVED_FROM 0.79
 /* The transition may be done from this fraction of the duration on. */
@@ -123,65 +135,6 @@
 		memcpy(transition->withdrawn, withdrawn, sizeof(withdrawn));
 }
 
-int pr_transition_row_pack(pr_str_t *out, const pr_transition_row_t *row)
-{
-	msgpack_packer packer;
-	int rc;
-
-	pr_msgmap_packer(&packer, out);
-	rc = msgpack_pack_map(&packer, 5);
-	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "order", row->order_row);
-	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "state",
-					   (uint64_t)row->state);
-	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "began",
-					   (uint64_t)row->began_ms);
-	if (!rc)
-		rc = pr_msgmap_pack_text(&packer, "withdrawn",
-					 pr_slice_of(row->withdrawn));
-	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "verified",
-					   (uint64_t)row->verified_ms);
-	return rc ? pr_error_set(PR_ENOMEM, "out of memory while packing the "
-					    "state of a transition")
-		  : 0;
-}
-
-int pr_transition_row_unpack(pr_transition_row_t *out, pr_slice_t bytes)
-{
-	pr_msgmap_t map;
-	uint64_t order = 0, state = 0, began = 0, verified = 0;
-	pr_slice_t withdrawn;
-	int rc;
-
-	if (pr_msgmap_init(&map, bytes))
-		return PR_EPARSE;
-	rc = pr_msgmap_number(&map, &order, "order");
-	if (!rc)
-		rc = pr_msgmap_number(&map, &state, "state");
-	if (!rc)
-		rc = pr_msgmap_number(&map, &began, "began");
-	if (!rc && state > PR_ROLLOUT_WITHDRAWN)
-		rc = pr_error_set(
-			PR_EPARSE, "transition state is %llu, expected 0 to %d",
-			(unsigned long long)state, PR_ROLLOUT_WITHDRAWN);
-	out->withdrawn[0] = '\0';
-	/* Rows of earlier releases do not have these fields. */
-	if (!rc && pr_msgmap_number(&map, &verified, "verified"))
-		verified = 0;
-	if (!rc && !pr_msgmap_text(&map, &withdrawn, "withdrawn"))
-		rc = pr_slice_copy(out->withdrawn, sizeof(out->withdrawn),
-				   withdrawn);
-	pr_msgmap_finish(&map);
-	out->order_row = order;
-	out->state = (pr_rollout_state_t)state;
-	out->began_ms = (int64_t)began;
-	out->verified_ms = (int64_t)verified;
-	return rc;
-}
-
 void pr_transition_apply(pr_transition_t *transition,
 			 const pr_transition_row_t *row, uint64_t row_version)
 {
@@ -193,12 +146,14 @@
 	if (row->order_row != transition->order_row) {
 		transition->began_ms = 0;
 		transition->verified_ms = 0;
+		transition->load_verified_ms = 0;
 		transition->state = PR_ROLLOUT_RUNNING;
 		return;
 	}
 	transition->state = row->state;
 	transition->began_ms = row->began_ms;
 	transition->verified_ms = row->verified_ms;
+	transition->load_verified_ms = row->load_verified_ms;
 	if (row->withdrawn[0])
 		memcpy(transition->withdrawn, row->withdrawn,
 		       sizeof(transition->withdrawn));
@@ -213,16 +168,42 @@
 	       transition->order.duration_ms;
 }
 
+/*
+ * Position in the schedule after a stop at a position.
+ *
+ * @param at position without the stop
+ * @param resumed position without the stop at which the schedule went on;
+ *	  INFINITY when it has not
+ */
+static double position_after_stop(double at, double stop, double resumed)
+{
+	if (at < resumed)
+		return fmin(at, stop);
+	return at - fmax(resumed - stop, 0);
+}
+
+static double position_after_pinning(const pr_transition_t *transition,
+				     int64_t now_ms)
+{
+	double resumed = transition->verified_ms
+				 ? elapsed(transition, transition->verified_ms)
+				 : INFINITY;
+
+	return position_after_stop(elapsed(transition, now_ms), PINNED_UNTIL,
+				   resumed);
+}
+
 /* Position in the schedule: the elapsed fraction, less the time for which the
- * schedule stopped at PINNED_UNTIL. */
+ * schedule stopped until the version was verified, at first without load. */
 static double progress(const pr_transition_t *transition, int64_t now_ms)
 {
-	double at = elapsed(transition, now_ms);
-	double verified = elapsed(transition, transition->verified_ms);
+	int64_t verified_ms = transition->load_verified_ms;
+	double resumed =
+		verified_ms ? position_after_pinning(transition, verified_ms)
+			    : INFINITY;
 
-	if (!transition->verified_ms || at < verified)
-		return fmin(at, PINNED_UNTIL);
-	return at - fmax(verified - PINNED_UNTIL, 0);
+	return position_after_stop(position_after_pinning(transition, now_ms),
+				   LOAD_VERIFIED_BY, resumed);
 }
 
 double pr_transition_share(const pr_transition_t *transition, int64_t now_ms)
@@ -296,9 +277,40 @@
 	}
 }
 
+static pr_load_test_tally_t sum_load_test(const pr_transition_t *transition)
+{
+	pr_load_test_tally_t total = transition->own.load_test;
+
+	pr_load_test_tally_add(&total, &transition->peers.load_test);
+	return total;
+}
+
+/* Whether so many requests of the service went to the new version that a load
+ * test must not add more. */
+static bool is_exposure_used_up(const pr_transition_t *transition,
+				int64_t now_ms)
+{
+	pr_load_test_tally_t test = sum_load_test(transition);
+	double exposed = transition->own.new.total +
+			 transition->peers.new.total +
+			 pr_load_test_in_flight(&test);
+	double all = exposed + transition->own.old.total +
+		     transition->peers.old.total;
+	/* At the end of the order, at the rate so far. */
+	double expected = all / fmin(elapsed(transition, now_ms), 1);
+
+	return exposed >= EXPOSED_SHARE_MAX * expected + EXPOSED_ALWAYS;
+}
+
 bool pr_transition_is_load_testing(const pr_transition_t *transition,
 				   int64_t now_ms)
 {
+	if (is_exposure_used_up(transition, now_ms))
+		return false;
+	/* A host that the withdrawal has not reached stops by itself. */
+	if (!transition->load_verified_ms &&
+	    elapsed(transition, now_ms) >= LOAD_UNVERIFIED_UNTIL)
+		return false;
 	return is_unpinned_before(transition, now_ms, LOAD_TEST_UNTIL);
 }
 
@@ -428,6 +440,30 @@
 	tally->slower_upstreams |= UINT64_C(1) << (upstream & 63);
 }
 
+void pr_transition_record_test_begin(pr_transition_t *transition)
+{
+	transition->own.load_test.begun++;
+}
+
+void pr_transition_record_test_end(pr_transition_t *transition)
+{
+	transition->own.load_test.ended++;
+}
+
+bool pr_transition_is_test_load_high(const pr_transition_t *transition,
+				     uint32_t slots)
+{
+	pr_load_test_tally_t tally = sum_load_test(transition);
+
+	return pr_load_test_is_load_high(&tally, slots);
+}
+
+void pr_transition_record_loaded(pr_transition_t *transition, bool bad)
+{
+	transition->own.load_test.loaded++;
+	transition->own.load_test.loaded_bad += bad;
+}
+
 void pr_tally_add(pr_tally_t *sum, const pr_tally_t *part)
 {
 	sum->total += part->total;
@@ -566,6 +602,7 @@
 	pr_tally_t new_tally =
 		sum(&transition->own.new, &transition->peers.new);
 	pr_tally_t old = sum(&transition->own.old, &transition->peers.old);
+	pr_load_test_tally_t load_test = sum_load_test(transition);
 	double keep =
 		exp(-(double)(now_ms - transition->recent_ms) / RECENT_MS);
 	double bad_min = BAD_MIN;
@@ -576,6 +613,7 @@
 	if (is_one_or_none(new_tally.bad_upstreams))
 		bad_min = BAD_MIN_ONE_UPSTREAM;
 	return is_slow(transition, &new_tally, &old) ||
+	       pr_load_test_is_bad(&load_test, rate(old.bad, old.total)) ||
 	       is_rate_high(new_tally.bad, new_tally.total, old.bad, old.total,
 			    bad_min) ||
 	       is_rate_high(transition->recent_new.bad,
@@ -584,6 +622,28 @@
 			    transition->recent_old.total, bad_min);
 }
 
+/* Evaluate the load test of a version that is not found bad. */
+static pr_conclusion_t conclude_load_test(const pr_transition_t *transition,
+					  int64_t now_ms, int64_t stagger_ms)
+{
+	pr_load_test_tally_t tally = sum_load_test(transition);
+	pr_tally_t old = sum(&transition->own.old, &transition->peers.old);
+
+	if (is_pinned(transition, now_ms - stagger_ms))
+		return PR_CONCLUDE_NOTHING;
+	if (pr_load_test_is_good(&tally, rate(old.bad, old.total)))
+		return PR_CONCLUDE_LOAD_VERIFIED;
+	if (progress(transition, now_ms - stagger_ms) < LOAD_VERIFIED_BY)
+		return PR_CONCLUDE_NOTHING;
+	if (pr_load_test_is_load_out_of_reach(&tally))
+		return PR_CONCLUDE_LOAD_VERIFIED;
+	if (elapsed(transition, now_ms - stagger_ms) < LOAD_UNVERIFIED_UNTIL)
+		return PR_CONCLUDE_NOTHING;
+	return pr_load_test_is_good_at_end(&tally, rate(old.bad, old.total))
+		       ? PR_CONCLUDE_LOAD_VERIFIED
+		       : PR_CONCLUDE_WITHDRAW;
+}
+
 pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
 				       int64_t now_ms, int64_t stagger_ms,
 				       uint32_t usable)
@@ -605,6 +665,8 @@
 		return at >= UNVERIFIED_UNTIL ? PR_CONCLUDE_WITHDRAW
 					      : PR_CONCLUDE_NOTHING;
 	}
+	if (!transition->load_verified_ms)
+		return conclude_load_test(transition, now_ms, stagger_ms);
 	at = progress(transition, now_ms - stagger_ms);
 	if (at >= DONE_FROM && usable)
 		return PR_CONCLUDE_DONE;
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "pistachiorack/str.h"
+#include "transition/load_test.h"
 #include "transition/sessions.h"
 
 #define PR_TRANSITION_NAME_SIZE 96
@@ -63,6 +64,8 @@
 /** Counts of the new version (new) and of the old one. */
 typedef struct pr_tallies_t {
 	pr_tally_t new, old;
+	/** Load test of the new version. */
+	pr_load_test_tally_t load_test;
 } pr_tallies_t;
 
 /** Counts of the responses of the last seconds, with exponential decay. */
@@ -86,6 +89,10 @@
 	 *  were found good; 0 before. Until then the schedule stops where
 	 *  sessions begin to move. */
 	int64_t verified_ms;
+	/** Time by the store's clock at which the load test had shown that the
+	 *  new version is good; 0 before. Until then the schedule stops at the
+	 *  end of the load test. */
+	int64_t load_verified_ms;
 	/** Counts of this host, and the sum of all other hosts. */
 	pr_tallies_t own, peers;
 	pr_recent_counts_t recent_new, recent_old;
@@ -117,7 +124,7 @@
 	/** As in pr_transition_t, for hosts that start later. */
 	char withdrawn[PR_TRANSITION_NAME_SIZE];
 	/** As in pr_transition_t; 0 also in rows of earlier releases. */
-	int64_t verified_ms;
+	int64_t verified_ms, load_verified_ms;
 } pr_transition_row_t;
 
 /** @return 0 or PR_ENOMEM */
@@ -217,6 +224,20 @@
 void pr_transition_record_rank(pr_transition_t *transition, const char *version,
 			       bool slower, uint32_t upstream, int64_t now_ms);
 
+/** Count an attempt of the load test that was sent, and its end. */
+void pr_transition_record_test_begin(pr_transition_t *transition);
+void pr_transition_record_test_end(pr_transition_t *transition);
+/**
+ * @param slots slots of the upstream
+ * @return true when the requests of the load test in flight, of all hosts, are
+ *	   a high load for the upstream
+ */
+bool pr_transition_is_test_load_high(const pr_transition_t *transition,
+				     uint32_t slots);
+/** Count an attempt of the load test that was sent at a high load, once it is
+ *  answered or has failed. */
+void pr_transition_record_loaded(pr_transition_t *transition, bool bad);
+
 /** Next write of the shared row. */
 typedef enum pr_conclusion_t {
 	PR_CONCLUDE_NOTHING,
@@ -225,6 +246,8 @@
 	/** The responses of the new version are good: record it, so that all
 	 *  hosts move the sessions at the same time. */
 	PR_CONCLUDE_VERIFIED,
+	/** The responses under load are good: record it, likewise. */
+	PR_CONCLUDE_LOAD_VERIFIED,
 	PR_CONCLUDE_DONE,
 	PR_CONCLUDE_WITHDRAW,
 } pr_conclusion_t;
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -194,6 +194,42 @@
 	pr_str_finish(&bytes);
 }
 
+/* The counts of a load test have a message of their own, which hosts of earlier
+ * releases ignore. */
+static void test_load_test_counts(void **state)
+{
+	const pr_load_test_tally_t sent = { 70, 40, 31, 6 };
+	pr_load_test_tally_t read = { 0 };
+	pr_tallies_t tallies;
+	pr_slice_t service;
+	uint64_t order;
+	bool all;
+
+	for (int fleet = 0; fleet < 2; fleet++) {
+		pr_str_t bytes = PR_STR_INIT;
+		pr_msgmap_t map;
+
+		assert_int_equal(pr_message_pack_load_test(&bytes, "host",
+							   "model", 99, &sent,
+							   fleet),
+				 0);
+		read_map(&map, &bytes);
+		assert_int_not_equal(pr_message_read_tallies(&map, &service,
+							     &order, &tallies,
+							     &all),
+				     0);
+		assert_int_equal(pr_message_read_load_test(&map, &service,
+							   &order, &read, &all),
+				 0);
+		assert_true(pr_slice_equal(service, PR_SLICE("model")));
+		assert_int_equal(order, 99);
+		assert_int_equal(all, fleet);
+		assert_memory_equal(&read, &sent, sizeof(sent));
+		pr_msgmap_finish(&map);
+		pr_str_finish(&bytes);
+	}
+}
+
 static void test_sessions(void **state)
 {
 	pr_recent_session_t seen[PR_SESSIONS_IN_DATAGRAM] = { 0 };
@@ -366,6 +402,7 @@
 		cmocka_unit_test(test_report_has_no_feed_state),
 		cmocka_unit_test(test_tallies),
 		cmocka_unit_test(test_tallies_of_earlier_release),
+		cmocka_unit_test(test_load_test_counts),
 		cmocka_unit_test(test_sessions),
 		cmocka_unit_test(test_rows_in_several_datagrams),
 		cmocka_unit_test(test_row_too_long_for_a_datagram),
