Keep to the request rate that an upstream states, over all hosts

Seen: an upstream in need names in its responses how many requests a second it takes from all hosts together.

A few hosts, chosen by rendezvous hashing as for cold upstreams, share the rate; the others send nothing as long as they hear that it is stated. Hosts report changes to each other, and a limit in force every 2 s. Without any report for 10 s, a host sends its part of a fifth of the rate, to find out whether the limit has ended. The sum holds without messages, so also while hosts are cut off, restart, or learn of it late. What has no permit goes elsewhere, or is refused with the time of the next one.

--- a/src/base/number.c
+++ b/src/base/number.c
@@ -42,3 +42,29 @@
 	*out = seconds * PR_USEC_PER_SEC + fraction;
 	return true;
 }
+
+bool pr_slice_decimal(pr_slice_t text, double *out)
+{
+	double value = 0, unit = 1;
+	bool has_point = false, has_digit = false;
+
+	for (size_t i = 0; i < text.len; i++) {
+		char c = text.ptr[i];
+
+		if (c == '.' && !has_point) {
+			has_point = true;
+			continue;
+		}
+		if (!isdigit((unsigned char)c))
+			return false;
+		has_digit = true;
+		if (has_point)
+			unit /= 10;
+		value = has_point ? value + unit * (c - '0')
+				  : value * 10 + (c - '0');
+	}
+	if (!has_digit)
+		return false;
+	*out = value;
+	return true;
+}
--- a/src/base/number.h
+++ b/src/base/number.h
@@ -21,4 +21,11 @@
  */
 bool pr_slice_seconds(pr_slice_t text, pr_usec_t *out);
 
+/**
+ * Read a decimal number without sign or exponent, such as "2" or "0.75".
+ *
+ * @return false, without a change of out, for other text
+ */
+bool pr_slice_decimal(pr_slice_t text, double *out);
+
 #endif
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -7,6 +7,8 @@
  */
 #include <stdlib.h>
 
+#include <xxhash.h>
+
 #include "base/event_log.h"
 #include "edge/caller.h"
 #include "edge/exchange_parts.h"
@@ -311,37 +313,70 @@
 }
 
 /*
- * The request rate of a cold upstream is divided among a few hosts of its
- * region, so that the share of each is at least about one request a second.
+ * Choose the hosts of an upstream's region that share its request rate, so that
+ * the share of each is at least about one request a second.
+ *
+ * @param sharing number of hosts that share the rate
+ * @return whether this host is one of them; also when no host of the region is
+ *	   known and all of them share it
  */
-static void assign_cold_hosts(pr_edge_t *edge, pr_upstream_t *upstream,
-			      double rate)
+static bool is_rate_host(pr_edge_t *edge, const pr_upstream_t *upstream,
+			 uint32_t wanted, uint32_t *sharing)
 {
 	const pr_roster_t *roster = &edge->peering.roster;
 	const pr_zone_t *own = pr_zone_find(&edge->map, upstream->entry.zone);
 	const char *zones[ZONES_OF_REGION_MAX];
 	size_t zones_count = 0;
-	uint32_t wanted = rate >= 1 ? (uint32_t)rate : 1;
+	bool assigned;
 
 	for (size_t i = 0; i < edge->map.count && own; i++) {
 		if (zones_count < ZONES_OF_REGION_MAX &&
 		    !strcmp(edge->map.zones[i].region, own->region))
 			zones[zones_count++] = edge->map.zones[i].name;
 	}
+	assigned = pr_roster_is_assigned(roster, zones, zones_count,
+					 upstream->tag, wanted, sharing);
+	if (*sharing)
+		return assigned;
+	*sharing = pr_edge_hosts_count(edge);
+	return true;
+}
+
+/* The request rate of a cold upstream is divided among a few hosts. */
+static void assign_cold_hosts(pr_edge_t *edge, pr_upstream_t *upstream,
+			      double rate)
+{
+	uint32_t wanted = rate >= 1 ? (uint32_t)rate : 1;
+
 	if (wanted > COLD_HOSTS_MAX)
 		wanted = COLD_HOSTS_MAX;
-	upstream->cold_excludes_self = !pr_roster_is_assigned(
-		roster, zones, zones_count, upstream->tag, wanted,
-		&upstream->cold_hosts);
-	upstream->cold_roster_count = roster->count;
-	if (upstream->cold_hosts)
+	upstream->cold_excludes_self =
+		!is_rate_host(edge, upstream, wanted, &upstream->cold_hosts);
+	upstream->cold_roster_count = edge->peering.roster.count;
+}
+
+/* As assign_cold_hosts(), for the rate that an upstream states. */
+static void assign_rate_hosts(pr_edge_t *edge, pr_upstream_t *upstream)
+{
+	pr_stated_rate_t *rate = &upstream->rate;
+	double per_s = rate->statement.per_s;
+
+	if (rate->sharing &&
+	    rate->assigned_roster == edge->peering.roster.count &&
+	    rate->assigned_per_s == per_s)
 		return;
-	/* No host of the region is known: all hosts share the rate. */
-	upstream->cold_excludes_self = false;
-	upstream->cold_hosts = pr_edge_hosts_count(edge);
+	rate->assigned_roster = edge->peering.roster.count;
+	rate->assigned_per_s = per_s;
+	rate->hosts = pr_edge_hosts_count(edge);
+	rate->phase = (double)XXH64(&upstream->tag, sizeof(upstream->tag),
+				    edge->host_hash) /
+		      (double)UINT64_MAX;
+	rate->is_assigned =
+		is_rate_host(edge, upstream, pr_stated_rate_hosts_wanted(per_s),
+			     &rate->sharing);
 }
 
-static void assign_all_cold_hosts(pr_exchange_t *x)
+static void assign_hosts_of_rates(pr_exchange_t *x)
 {
 	const pr_service_t *service =
 		pr_routing_service(x->edge->routing, x->service);
@@ -351,6 +386,9 @@
 	     at != &x->edge->registry.upstreams; at = at->next) {
 		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
 
+		if (pr_stated_rate_is_limited(&upstream->rate) &&
+		    !strcmp(upstream->entry.service, x->service))
+			assign_rate_hosts(x->edge, upstream);
 		if (upstream->cold_until > now &&
 		    !strcmp(upstream->entry.service, x->service) &&
 		    (!upstream->cold_hosts ||
@@ -368,7 +406,7 @@
 	uint32_t hosts = pr_edge_hosts_count(x->edge);
 
 	memset(query, 0, sizeof(*query));
-	assign_all_cold_hosts(x);
+	assign_hosts_of_rates(x);
 	query->service = x->service;
 	query->route_regions = &x->route->regions;
 	query->workspace_regions = x->workspace ? &x->workspace->regions : NULL;
@@ -589,6 +627,10 @@
 		wait_for_upstream(x, PR_PLACE_COLD);
 		return;
 	}
+	if (!pr_stated_rate_take(&upstream->rate, pr_exchange_now(x))) {
+		wait_for_upstream(x, PR_PLACE_BUSY);
+		return;
+	}
 	x->wait_began = 0;
 	x->repeat_charged = false;
 	if (send_attempt(x, upstream)) {
--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -84,6 +84,23 @@
 		outbound->ops->on_failed(owner, outbound->stage);
 }
 
+static void note_stated_rate(pr_upstream_t *upstream,
+			     const pr_http_reader_t *reader, pr_usec_t now)
+{
+	double per_s = 0;
+
+	/* An unreadable limit counts as none. */
+	if (!pr_slice_decimal(
+		    pr_http_find(reader,
+				 pr_adapter_field_name(PR_FIELD_STATED_RATE)),
+		    &per_s))
+		per_s = 0;
+	if (pr_stated_rate_hear(&upstream->rate, per_s, now))
+		pr_event_state("upstream_rate", "id=%s service=%s per_s=%.3f",
+			       upstream->entry.id, upstream->entry.service,
+			       per_s);
+}
+
 /* Note what the response states about the upstream, whichever request it
  * belongs to. */
 static void note_upstream(pr_outbound_t *outbound,
@@ -94,6 +111,7 @@
 	pr_usec_t pause;
 	uint64_t leaving;
 
+	note_stated_rate(upstream, reader, now);
 	if (pr_slice_number(pr_http_find(reader, pr_adapter_field_name(
 							 PR_FIELD_LEAVING)),
 			    &leaving) &&
--- a/src/edge/peer_parts.h
+++ b/src/edge/peer_parts.h
@@ -72,4 +72,10 @@
 /** Timer callback: report and forward sessions. */
 void pr_peers_on_sessions_timer(pr_timer_t *timer, pr_usec_t now);
 
+/** Send the rates that upstreams stated and that are due. */
+void pr_peers_update_rates(pr_edge_t *edge);
+/** Handle rates that another host heard of. */
+void pr_peers_receive_rates(pr_edge_t *edge, const pr_host_t *host,
+			    const pr_msgmap_t *map);
+
 #endif
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -444,6 +444,7 @@
 		pr_peers_receive_sessions(edge, host, &map);
 		pr_peers_receive_suspects(edge, host, &map);
 		pr_peers_receive_tallies(edge, host, &map);
+		pr_peers_receive_rates(edge, host, &map);
 	}
 	pr_msgmap_finish(&map);
 }
@@ -514,6 +515,7 @@
 			pr_peers_send_tallies(edge, i);
 	}
 	pr_peers_update_suspects(edge);
+	pr_peers_update_rates(edge);
 	if (peering->is_relay) {
 		pr_peers_send_digest(edge, PR_COUNT_LOAD);
 		if (outcomes)
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -332,6 +332,7 @@
 		    was_tried(query, upstream))
 			continue;
 		if (is_suspended(upstream, query->now) ||
+		    pr_stated_rate_next(&upstream->rate, query->now) ||
 		    is_full(query, upstream)) {
 			if (verdict == PR_PLACE_NONE)
 				verdict = PR_PLACE_BUSY;
@@ -387,8 +388,10 @@
 static bool is_unavailable(const pr_place_query_t *query,
 			   const pr_upstream_t *upstream)
 {
-	return is_suspended(upstream, query->now) || is_full(query, upstream) ||
-	       was_tried(query, upstream) || upstream->cold_until > query->now;
+	return is_suspended(upstream, query->now) ||
+	       pr_stated_rate_next(&upstream->rate, query->now) ||
+	       is_full(query, upstream) || was_tried(query, upstream) ||
+	       upstream->cold_until > query->now;
 }
 
 /* Whether the prompts that wait at an upstream allow one more of a load test. A
@@ -528,10 +531,14 @@
 	     at != &registry->upstreams; at = at->next) {
 		const pr_upstream_t *upstream =
 			PR_OWNER(at, pr_upstream_t, node);
+		pr_usec_t rate_next =
+			pr_stated_rate_next(&upstream->rate, query->now);
 		pr_usec_t until = pr_upstream_is_paused(upstream, query->now)
 					  ? upstream->paused_until
 					  : 0;
 
+		if (rate_next > until)
+			until = rate_next;
 		if (!is_permitted(map, query, upstream) ||
 		    (!any_version && !is_preferred_version(query, upstream)))
 			continue;
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -489,6 +489,59 @@
 	return count;
 }
 
+/* Wire format of pr_upstream_rate_t. */
+typedef struct rate_record_t {
+	int64_t stated_ms;
+	float per_s;
+	uint32_t tag;
+} rate_record_t;
+
+int pr_message_pack_rates(pr_str_t *out, const char *host,
+			  const pr_upstream_rate_t *rates, size_t count)
+{
+	rate_record_t records[PR_RATES_IN_DATAGRAM];
+	msgpack_packer packer;
+	size_t packed = 0;
+	int rc;
+
+	for (; packed < count && packed < PR_RATES_IN_DATAGRAM; packed++)
+		records[packed] = (rate_record_t){
+			.stated_ms = rates[packed].statement.stated_ms,
+			.per_s = (float)rates[packed].statement.per_s,
+			.tag = rates[packed].tag,
+		};
+	rc = begin(&packer, out, host, 1);
+	if (!rc)
+		rc = pr_msgmap_pack_text(&packer, "rates",
+					 pr_slice((const char *)records,
+						  packed * sizeof(records[0])));
+	return rc;
+}
+
+size_t pr_message_read_rates(const pr_msgmap_t *map, pr_upstream_rate_t *out,
+			     size_t max)
+{
+	pr_slice_t bytes;
+	size_t count = 0;
+
+	if (pr_msgmap_text(map, &bytes, "rates"))
+		return 0;
+	for (; count < max && bytes.len >= sizeof(rate_record_t); count++) {
+		rate_record_t record;
+
+		memcpy(&record, bytes.ptr, sizeof(record));
+		bytes.ptr += sizeof(record);
+		bytes.len -= sizeof(record);
+		out[count] = (pr_upstream_rate_t){
+			.tag = record.tag,
+			/* Neither a number below 0 nor none at all. */
+			.statement = { record.per_s > 0 ? record.per_s : 0,
+				       record.stated_ms },
+		};
+	}
+	return count;
+}
+
 /* Bytes of a row beside its key and value (field names and numbers), and of the
  * map's other fields. */
 #define ROW_OVERHEAD 40
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -6,6 +6,7 @@
 #define PR_RELAY_MESSAGE_H
 
 #include "base/msgmap.h"
+#include "limits/stated_rate.h"
 #include "quarantine/quarantine.h"
 #include "relay/aggregate.h"
 #include "store/store.h"
@@ -100,6 +101,25 @@
 size_t pr_message_read_suspects(const pr_msgmap_t *map, pr_suspect_t *out,
 				size_t max);
 
+/** Most stated rates in one datagram. */
+#define PR_RATES_IN_DATAGRAM 64
+
+/** Rate that an upstream stated. */
+typedef struct pr_upstream_rate_t {
+	/** Hash that identifies the upstream's incarnation. */
+	uint32_t tag;
+	pr_rate_statement_t statement;
+} pr_upstream_rate_t;
+
+/** Encode the rates that upstreams stated; those beyond PR_RATES_IN_DATAGRAM
+ *  are left out. */
+int pr_message_pack_rates(pr_str_t *out, const char *host,
+			  const pr_upstream_rate_t *rates, size_t count);
+/** @return number of rates in out, at most max; 0 for another kind of message
+ */
+size_t pr_message_read_rates(const pr_msgmap_t *map, pr_upstream_rate_t *out,
+			     size_t max);
+
 /** Consecutive rows of a table, without a gap after a known version. */
 typedef struct pr_message_rows_t {
 	pr_store_table_t table;
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "base/list.h"
+#include "limits/stated_rate.h"
 #include "pistachiorack/timer.h"
 #include "upstream/outcomes.h"
 
@@ -87,6 +88,8 @@
 	pr_usec_t ejected_until;
 	/** It asked for no requests of this host until this time. */
 	pr_usec_t paused_until;
+	/** Request rate that it states. */
+	pr_stated_rate_t rate;
 	/** Connections that break before this time count as part of the last
 	 *  crash. */
 	pr_usec_t crash_until;
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -161,6 +161,8 @@
 			 PR_FIELD_HOP);
 	assert_int_equal(pr_adapter_field(PR_SLICE("server-leaving")),
 			 PR_FIELD_LEAVING);
+	assert_int_equal(pr_adapter_field(PR_SLICE("server-limit")),
+			 PR_FIELD_STATED_RATE);
 	assert_int_equal(pr_adapter_field(PR_SLICE("Accept")), PR_FIELD_OTHER);
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -347,6 +347,41 @@
 	pr_registry_finish(&f.registry);
 }
 
+/* Guards against requests beyond the rate that an upstream states (rule LIMIT):
+ * they go elsewhere, or are refused with the time of the next one. */
+static void test_stated_rate_limits_the_choice(void **state)
+{
+	pr_place_return_t next;
+	fixture_t f;
+
+	set_up(&f);
+	for (int i = 0; i < 6; i++) {
+		pr_stated_rate_t *rate = &f.upstreams[i]->rate;
+
+		pr_stated_rate_hear(rate, 2, f.query.now);
+		rate->is_assigned = i < 2;
+		rate->sharing = 2;
+	}
+	for (int i = 0; i < 4; i++) {
+		pr_upstream_t *upstream = choose(&f, PR_PLACE_FOUND);
+
+		assert_true(upstream->rate.is_assigned);
+		assert_true(pr_stated_rate_take(&upstream->rate, f.query.now));
+	}
+	assert_null(choose(&f, PR_PLACE_BUSY));
+	next = pr_place_next_return(&f.registry, &f.map, &f.query);
+	assert_true(next.any > f.query.now &&
+		    next.any <= f.query.now + PR_USEC_PER_SEC);
+	f.query.now = next.any;
+	assert_non_null(choose(&f, PR_PLACE_FOUND));
+	/* Without a stated rate, all are used. */
+	pr_stated_rate_hear(&f.upstreams[3]->rate, 0, f.query.now);
+	f.upstreams[0]->ejected_until = f.upstreams[1]->ejected_until =
+		f.query.now + 1;
+	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[3]);
+	pr_registry_finish(&f.registry);
+}
+
 /* Guards against a load test that makes an upstream read prompts for seconds:
  * its requests wait, and few of them run. */
 static void test_load_test_waits_for_prefills(void **state)
@@ -632,6 +667,7 @@
 		cmocka_unit_test(test_load_test_uses_at_most_two_upstreams),
 		cmocka_unit_test(test_load_test_of_many_hosts),
 		cmocka_unit_test(test_load_test_waits_for_prefills),
+		cmocka_unit_test(test_stated_rate_limits_the_choice),
 		cmocka_unit_test(test_upstream_that_leaves_gets_no_requests),
 		cmocka_unit_test(test_paused_upstream_gets_no_requests),
 		cmocka_unit_test(test_next_return_of_paused_upstreams),
