Follow a table behind a row whose key cannot be read

Cause: one row that cannot be read made the whole answer of the store unreadable. The class: one odd value refuses all that came with it.

Change: such rows are left out, and logged as rows_unreadable. Entries that are deeply nested, have a number that is too large, or a port out of range were refused alone before, as the test shows too.

--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -188,6 +188,15 @@
 	}
 }
 
+static void log_unreadable(const pr_watch_t *watch, const pr_store_rows_t *rows)
+{
+	if (rows->unreadable)
+		pr_event_state("rows_unreadable",
+			       "table=%d rows=%zu version=%llu", watch->table,
+			       rows->unreadable,
+			       (unsigned long long)rows->version);
+}
+
 static void on_read(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_watch_t *watch = call->owner;
@@ -199,6 +208,7 @@
 		return;
 	}
 	handle_recovery(watch);
+	log_unreadable(watch, &rows);
 	update_store_clock(watch, rows.now_ms);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
@@ -259,6 +269,7 @@
 		return;
 	}
 	handle_recovery(watch);
+	log_unreadable(watch, &rows);
 	update_store_clock(watch, rows.now_ms);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -31,6 +31,8 @@
 typedef struct pr_store_rows_t {
 	pr_store_row_t *rows;
 	size_t count;
+	/** Rows that were left out, because their key cannot be read. */
+	size_t unreadable;
 	/** Newest version of the store. */
 	uint64_t version;
 	/** The store's steady clock, milliseconds. */
--- /dev/null
+++ b/tests/edge/operators.py
@@ -0,0 +1,159 @@
+"""Faults that operators of similar systems reported: odd entries among those of the
+upstreams, answers that stop inside their head, and calls late in a planned stop.
+
+usage: operators.py BINARY NET
+"""
+
+import asyncio
+import logging
+import random
+import signal
+import sys
+
+from answers import ask, head, set_script
+from checks import FAILURES, check
+from fleet import Fleet
+
+GRACE_S = 6
+DEPTH = 20000
+
+
+def odd_entries(entry):
+    """Entries of another writer, by key: some name an upstream that does not exist."""
+    def changed(**fields):
+        return {**entry, **fields}
+
+    nested = "[" * DEPTH + "]" * DEPTH
+    text = '{"service":"ledger","address":"127.0.0.1:9","zone":"z","version":"v1","slots":%s}'
+    return {
+        "odd-nested": nested.encode(),
+        "odd-nested-field": f'{{"service":"ledger","more":{nested}}}'.encode(),
+        "odd-nested-objects": ('{"a":' * DEPTH + "1" + "}" * DEPTH).encode(),
+        "odd-real": (text % "1e999").encode(),
+        "odd-integer": (text % ("9" * 400)).encode(),
+        "odd-slots": changed(slots=1 << 62),
+        "odd-no-slots": changed(slots=0),
+        "odd-negative": changed(slots=-5, sequence=-1, born=-1),
+        "odd-cold": changed(**{"cold-remaining-ms": 1e300}),
+        "odd-born": changed(born=10**30),
+        "odd-port": changed(address="127.0.0.1:70000"),
+        "odd-port-zero": changed(address="127.0.0.1:0"),
+        "odd-port-negative": changed(address="127.0.0.1:-1"),
+        "odd-port-long": changed(address="127.0.0.1:" + "9" * 300),
+        "odd-address": changed(address="[::1]:80"),
+        "odd-types": changed(service=7, zone=None, version=[], state={}),
+        "odd-bytes": bytes(range(256)),
+        "odd-empty": b"",
+        "odd-\x00key": b"{}",
+        "odd-\n\"%s%n\\key": b"{}",
+        "o" * 200: changed(),
+        "": b"{}",
+    }
+
+
+async def check_odd_entries(fleet):
+    """An odd entry must neither end a host nor keep it from reading later ones."""
+    router = fleet.routers[0]
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    sound = ledgers[0].entry()
+    # A port that is free, so that entries that can be read name no upstream.
+    sound["address"] = "127.0.0.1:9"
+    for key, value in odd_entries(sound).items():
+        await fleet.store.put("servers", key, value)
+    await asyncio.sleep(1.0)
+    for upstream in ledgers:
+        await fleet.store.put("servers", upstream.name, None)
+    added = await fleet.add_upstream("ledger", router.zone)
+    # The time of a cold start.
+    await asyncio.sleep(2.5)
+    answer = await ask(router.address, "odd", "/safe/x")
+    check("a host follows the entries behind odd ones",
+          answer.status == 200 and added.arrivals, (answer.status, len(added.arrivals)))
+    check("a host does not end by odd entries", router.process.returncode is None,
+          router.process.returncode)
+    for key in odd_entries(sound):
+        await fleet.store.put("servers", key, None)
+    await asyncio.sleep(0.5)
+
+
+async def check_cut_heads(fleet):
+    """An answer that stops inside its head must not reach the caller as a success."""
+    router = fleet.routers[0]
+    models = [u for u in fleet.upstreams if u.service == "model"]
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    more = {"/once/x": "Content-Length: 300\r\n", "/safe/x": "Content-Length: 300\r\n",
+            "/stream/x": "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"}
+    for path, fields in more.items():
+        upstreams = models if path == "/stream/x" else ledgers
+        bad = []
+        whole = head(200, "cut", fields)
+        for length in range(1, len(whole) + 1, 3):
+            ident = f"cut-{path[1:3]}-{length}"
+
+            async def stop(request, length=length, ident=ident, fields=fields):
+                request.run()
+                await request.write(head(200, ident, fields)[:length])
+                request.writer.close()
+                return False
+
+            set_script(upstreams, stop)
+            answer = await ask(router.address, ident, path, budget_ms=1500)
+            if answer.status // 100 == 2 and answer.complete:
+                bad.append((length, answer.status, answer.body[:40]))
+        check(f"{path}: no success of an answer that stops inside its head", not bad, bad[:3])
+    set_script(models + ledgers, None)
+
+
+async def check_calls_late_in_stop(fleet):
+    """Calls that a stopping host accepts late must be answered before it ends."""
+    router = fleet.routers[0]
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+
+    async def long_call(request):
+        request.run()
+        await asyncio.sleep(GRACE_S)
+        return False
+
+    set_script(ledgers, long_call)
+    router.signal(signal.SIGTERM)
+    asked = {}
+    for path in ("/once/x", "/safe/x"):
+        for step in range(10):
+            ident = f"late-{path[1:3]}-{step}"
+            asked[ident] = asyncio.create_task(late_call(router, ident, path, 0.2 + 0.5 * step))
+    answers = {ident: await task for ident, task in asked.items()}
+    for ident, answer in answers.items():
+        if answer is None:
+            continue
+        runs = len(fleet.runs.get(ident, []))
+        check(f"{ident}: a call that is accepted late in a stop is answered", answer.complete
+              and answer.status >= 500, (answer.status, answer.complete, answer.sent))
+        check(f"{ident}: a refusal is not run", not runs or answer.status not in (408, 421, 429, 503),
+              (answer.status, runs))
+    check("calls were accepted", any(fleet.runs.get(i) for i in asked), len(asked))
+    await router.process.wait()
+
+
+async def late_call(router, ident, path, after):
+    """None when the host no longer takes connections."""
+    await asyncio.sleep(after)
+    answer = await ask(router.address, ident, path, budget_ms=8000)
+    return answer if answer.sent else None
+
+
+async def main():
+    # Writes to connections that the other side has closed are no news.
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1, per_zone=1)
+    fleet.bounds["grace_s"] = GRACE_S
+    try:
+        await fleet.start()
+        await check_odd_entries(fleet)
+        await check_cut_heads(fleet)
+        await check_calls_late_in_stop(fleet)
+    finally:
+        await fleet.stop()
+    return 1 if FAILURES else 0
+
+
+sys.exit(asyncio.run(main()))
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -228,6 +228,27 @@
 	assert_int_not_equal(pr_adapter_store_rows(&rows, PR_SLICE("oops")), 0);
 }
 
+/* Guards against hosts that no longer follow a table, since one key in it has a
+ * NUL character or is no text. */
+static void test_row_with_odd_key_is_left_out(void **state)
+{
+	pr_store_rows_t rows;
+
+	assert_int_equal(
+		pr_adapter_store_rows(
+			&rows, PR_SLICE("{\"rows\":[{\"key\":\"a\\u0000b\","
+					"\"value\":\"bm9kZS0x\",\"ver\":3},"
+					"{\"key\":7,\"ver\":4},"
+					"{\"key\":\"c\",\"value\":\"bm9kZS0x\","
+					"\"ver\":5}],\"ver\":5,\"now-ms\":7}")),
+		0);
+	assert_int_equal(rows.count, 1);
+	assert_int_equal(rows.unreadable, 2);
+	assert_string_equal(rows.rows[0].key, "c");
+	assert_int_equal(rows.version, 5);
+	pr_store_rows_finish(&rows);
+}
+
 static void test_store_write(void **state)
 {
 	char long_value[200];
@@ -263,6 +284,7 @@
 		cmocka_unit_test(test_orders),
 		cmocka_unit_test(test_rollout_status),
 		cmocka_unit_test(test_store_rows),
+		cmocka_unit_test(test_row_with_odd_key_is_left_out),
 		cmocka_unit_test(test_store_write),
 	};
 
