Keep load tests away from upstreams that state a rate

Found by reading: a load test took an upstream with a stated rate whenever a permit was left, and another one meanwhile. Such an upstream never reaches a high load, and the test spread over all of them. Upstreams with a stated rate are not tested now; when all of a version state one, its load is out of reach. test_load_test_avoids_limited_upstreams shows it.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -384,12 +384,13 @@
 	return choose_among(registry, map, query, NULL, any_version, out);
 }
 
-/* Not available for a load test: suspended, full, tried already, or cold. */
+/* Not available for a load test: suspended, full, tried already, cold, or with
+ * a stated rate, which keeps it from a high load. */
 static bool is_unavailable(const pr_place_query_t *query,
 			   const pr_upstream_t *upstream)
 {
 	return is_suspended(upstream, query->now) ||
-	       pr_stated_rate_next(&upstream->rate, query->now) ||
+	       pr_stated_rate_is_limited(&upstream->rate) ||
 	       is_full(query, upstream) || was_tried(query, upstream) ||
 	       upstream->cold_until > query->now;
 }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -347,6 +347,28 @@
 	pr_registry_finish(&f.registry);
 }
 
+/* Guards against a load test of an upstream whose stated rate keeps it from a
+ * high load. */
+static void test_load_test_avoids_limited_upstreams(void **state)
+{
+	pr_upstream_t *first;
+	fixture_t f;
+
+	set_up(&f);
+	start_load_test(&f, 4);
+	first = choose(&f, PR_PLACE_FOUND);
+	pr_stated_rate_hear(&first->rate, 2, f.query.now);
+	first->rate.is_assigned = true;
+	first->rate.sharing = 1;
+	assert_true(pr_place_has_load_test_room(&f.registry, &f.map, &f.query));
+	assert_ptr_not_equal(choose(&f, PR_PLACE_FOUND), first);
+	for (int i = 0; i < 4; i++)
+		pr_stated_rate_hear(&f.upstreams[i]->rate, 2, f.query.now);
+	assert_false(
+		pr_place_has_load_test_room(&f.registry, &f.map, &f.query));
+	pr_registry_finish(&f.registry);
+}
+
 /* Guards against requests beyond the rate that an upstream states (rule LIMIT):
  * they go elsewhere, or are refused with the time of the next one. */
 static void test_stated_rate_limits_the_choice(void **state)
@@ -667,6 +689,7 @@
 		cmocka_unit_test(test_load_test_uses_at_most_two_upstreams),
 		cmocka_unit_test(test_load_test_of_many_hosts),
 		cmocka_unit_test(test_load_test_waits_for_prefills),
+		cmocka_unit_test(test_load_test_avoids_limited_upstreams),
 		cmocka_unit_test(test_stated_rate_limits_the_choice),
 		cmocka_unit_test(test_upstream_that_leaves_gets_no_requests),
 		cmocka_unit_test(test_paused_upstream_gets_no_requests),
