Draw stated limits in the soak

A new kind of fault: upstreams state a limit of 0.5 to 6 requests/s for 9 to 12 s, while hosts restart, freeze and are cut off. From 4 s on no more than 1.5 times the limit and 5 requests may come in 4 s from hosts that passed on such an answer half a second before.

--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -33,6 +33,10 @@
 GRACE_S = 6.0
 # Time after which nothing reaches an upstream that is about to leave, seconds.
 DRAIN_S = 3.0
+# Requests to an upstream that states a limit are counted in this time, at hosts
+# that passed on such an answer this long before.
+LIMIT_WINDOW_S = 4.0
+LIMIT_HEARD_S = 0.5
 # A close that crosses a request follows the request's last byte within this
 # time, seconds.
 LOSS_SLACK_S = 0.2
@@ -51,7 +55,7 @@
 CALLERS_MIN = 9
 # Requests per second of all callers together when all answers come at once.
 RATE = 300
-KINDS = ("silence", "crash", "again", "later", "leaving", "unframed")
+KINDS = ("silence", "crash", "again", "later", "leaving", "unframed", "limit")
 STREAMS = ("stream", "prompt")
 FIRST_PARTS, SECOND_PARTS = ("a1", "a2", "a3"), ("b1", "b2", "b3")
 DEADLY = "dead"
@@ -287,6 +291,31 @@
                     f"got {len(late)} requests later than {DRAIN_S} s, first {late[0].ident}")
         upstream.said_leaving.clear()
 
+    def check_limit(self, upstream, limit, began, until):
+        """From CONTACT_S after an upstream first stated its limit, hosts that passed
+        on such an answer LIMIT_HEARD_S before send it no more than that allows."""
+        passed = {}
+        for _, ident in upstream.said_limit:
+            request = self.requests.get(ident)
+            if request and request.answer and request.good():
+                at = request.answer.ended
+                passed[request.router] = min(at, passed.get(request.router, at))
+        upstream.said_limit.clear()
+        if not passed:
+            return
+        since = min(passed.values()) + CONTACT_S
+        came = [at for at, r in self.arrivals_from(upstream, since, until)
+                if at >= passed.get(r.router, until) + LIMIT_HEARD_S
+                and self.calm(r.router, began, at, ("kill", "freeze", "stop", "start", "cut"))]
+        for index, at in enumerate(came):
+            count = sum(at <= other < at + LIMIT_WINDOW_S for other in came[index:])
+            if count > 1.5 * limit * LIMIT_WINDOW_S + 5:
+                self.break_promise(
+                    f"limit: {upstream.name} stated {limit:.2f} requests/s at "
+                    f"{began - self.started:.2f} and got {count} in {LIMIT_WINDOW_S} s from "
+                    f"{at - self.started:.2f} on")
+                return
+
     def fifth_crash(self):
         crashes = self.fleet.crashes
         return crashes[CRASHES - 1][0] if len(crashes) >= CRASHES else None
@@ -611,6 +640,21 @@
         self.check_leaving(upstream, time.monotonic())
         self.fleet.restart(upstream, away=1.0)
 
+    async def kind_limit(self):
+        some = [u for u in self.random.sample(self.fleet.upstreams, 3)
+                if u.limit is None and u.server.is_serving()]
+        limit = self.random.choice((0.5, 1, 2.5, 6))
+        began = time.monotonic()
+        self.note(f"a limit of {limit} requests/s at {', '.join(u.name for u in some)}")
+        for upstream in some:
+            upstream.limit = limit
+        await asyncio.sleep(self.random.uniform(9, 12))
+        for upstream in some:
+            # A new instance states none.
+            if upstream.limit is not None:
+                self.check_limit(upstream, limit, began, time.monotonic())
+            upstream.limit = None
+
     async def kind_crash(self):
         """Until the end, a part of the prompts crashes the model upstreams."""
         if self.crash_began:
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -304,6 +304,10 @@
         # (time, id).
         self.leaving = False
         self.said_leaving = []
+        # Answers state this limit of requests per second; those that did:
+        # (time, id).
+        self.limit = None
+        self.said_limit = []
 
     def drop_connections(self):
         self.harmed.update(self.current.values())
@@ -317,7 +321,7 @@
     async def begin(self):
         """Start again at the same address, as a process that knows nothing."""
         self.born, self.sequence = int(time.time() * 1000), 0
-        self.leaving, self.faults = False, {}
+        self.leaving, self.faults, self.limit = False, {}, None
         self.silent_until = self.refuse_until = 0.0
         while True:
             try:
@@ -538,6 +542,9 @@
         if self.leaving:
             text += "Server-Leaving: 1\r\n"
             self.said_leaving.append((time.monotonic(), ident))
+        if self.limit is not None:
+            text += f"Server-Limit: {self.limit:.2f}\r\n"
+            self.said_limit.append((time.monotonic(), ident))
         if sealed:
             text += f"{P}Server-Seal: {self.name}.{ident}\r\n"
         return (text + more + "\r\n").encode()
