Do not take an ended load test for one that no load can be brought to

Found by reading: when a load test stopped because the new version had got its part of the requests, its requests ended, and the version was then completed as one whose service has too little traffic. A version that was verified late had its test cut off at 84% of the order, with the same result. And slow responses after the end by exposure counted against the version.

Now only a running test can show that a high load is out of reach; the limit of 84% is a position in the schedule, which a late verification delays; and the load of a test counts until the schedule has left it.

test_ended_test_shows_nothing and test_late_verification_keeps_the_load_test fail on the commit before.

--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -46,8 +46,8 @@
  * the new version is good; early enough for the record to reach all hosts
  * before LOAD_TEST_UNTIL. */
 #define LOAD_VERIFIED_BY 0.73
-/* A version that the load test has not shown to be good by this fraction of the
- * duration is withdrawn. The rest is needed to move all sessions. */
+/* A version that the load test has not shown to be good by this position in the
+ * schedule is withdrawn. The rest is needed to move all sessions. */
 #define LOAD_UNVERIFIED_UNTIL 0.84
 /* Time in which the upstreams work off the backlog of the load test,
  * milliseconds. */
@@ -302,24 +302,28 @@
 	return exposed >= EXPOSED_SHARE_MAX * expected + EXPOSED_ALWAYS;
 }
 
-bool pr_transition_is_load_testing(const pr_transition_t *transition,
-				   int64_t now_ms)
+/* Whether the schedule is in the load test. */
+static bool is_in_load_test(const pr_transition_t *transition, int64_t now_ms)
 {
-	if (is_exposure_used_up(transition, now_ms))
-		return false;
 	/* A host that the withdrawal has not reached stops by itself. */
 	if (!transition->load_verified_ms &&
-	    elapsed(transition, now_ms) >= LOAD_UNVERIFIED_UNTIL)
+	    position_after_pinning(transition, now_ms) >= LOAD_UNVERIFIED_UNTIL)
 		return false;
 	return is_unpinned_before(transition, now_ms, LOAD_TEST_UNTIL);
 }
 
+bool pr_transition_is_load_testing(const pr_transition_t *transition,
+				   int64_t now_ms)
+{
+	return is_in_load_test(transition, now_ms) &&
+	       !is_exposure_used_up(transition, now_ms);
+}
+
 bool pr_transition_has_test_load(const pr_transition_t *transition,
 				 int64_t now_ms)
 {
-	return pr_transition_is_load_testing(transition, now_ms) ||
-	       pr_transition_is_load_testing(transition,
-					     now_ms - LOAD_TEST_SETTLE_MS);
+	return is_in_load_test(transition, now_ms) ||
+	       is_in_load_test(transition, now_ms - LOAD_TEST_SETTLE_MS);
 }
 
 pr_version_choice_t pr_transition_choose(const pr_transition_t *transition,
@@ -624,22 +628,26 @@
 
 /* Evaluate the load test of a version that is not found bad. */
 static pr_conclusion_t conclude_load_test(const pr_transition_t *transition,
-					  int64_t now_ms, int64_t stagger_ms)
+					  int64_t now_ms)
 {
 	pr_load_test_tally_t tally = sum_load_test(transition);
 	pr_tally_t old = sum(&transition->own.old, &transition->peers.old);
+	double old_bad_rate = rate(old.bad, old.total);
 
-	if (is_pinned(transition, now_ms - stagger_ms))
+	if (is_pinned(transition, now_ms))
 		return PR_CONCLUDE_NOTHING;
-	if (pr_load_test_is_good(&tally, rate(old.bad, old.total)))
+	if (pr_load_test_is_good(&tally, old_bad_rate))
 		return PR_CONCLUDE_LOAD_VERIFIED;
-	if (progress(transition, now_ms - stagger_ms) < LOAD_VERIFIED_BY)
+	if (progress(transition, now_ms) < LOAD_VERIFIED_BY)
 		return PR_CONCLUDE_NOTHING;
-	if (pr_load_test_is_load_out_of_reach(&tally))
+	/* A test that adds no more requests does not show that a high load is
+	 * out of reach. */
+	if (pr_transition_is_load_testing(transition, now_ms) &&
+	    pr_load_test_is_load_out_of_reach(&tally))
 		return PR_CONCLUDE_LOAD_VERIFIED;
-	if (elapsed(transition, now_ms - stagger_ms) < LOAD_UNVERIFIED_UNTIL)
+	if (position_after_pinning(transition, now_ms) < LOAD_UNVERIFIED_UNTIL)
 		return PR_CONCLUDE_NOTHING;
-	return pr_load_test_is_good_at_end(&tally, rate(old.bad, old.total))
+	return pr_load_test_is_good_at_end(&tally, old_bad_rate)
 		       ? PR_CONCLUDE_LOAD_VERIFIED
 		       : PR_CONCLUDE_WITHDRAW;
 }
@@ -666,7 +674,7 @@
 					      : PR_CONCLUDE_NOTHING;
 	}
 	if (!transition->load_verified_ms)
-		return conclude_load_test(transition, now_ms, stagger_ms);
+		return conclude_load_test(transition, now_ms - stagger_ms);
 	at = progress(transition, now_ms - stagger_ms);
 	if (at >= DONE_FROM && usable)
 		return PR_CONCLUDE_DONE;
--- a/tests/test_load_test.c
+++ b/tests/test_load_test.c
@@ -95,6 +95,46 @@
 			 PR_CONCLUDE_LOAD_VERIFIED);
 }
 
+/* Guards against a test that ends with the exposure, or by time, and counts as
+ * one that no load can be brought to (rule EXPOSURE). */
+static void test_ended_test_shows_nothing(void **state)
+{
+	pr_transition_t transition;
+
+	begin(&transition);
+	transition.peers.old.total = 700;
+	transition.peers.new.total = 170;
+	transition.peers.load_test =
+		(pr_load_test_tally_t){ .begun = 40, .ended = 40, .loaded = 2 };
+	assert_false(pr_transition_is_load_testing(&transition, at(0.75)));
+	assert_int_equal(pr_transition_conclude(&transition, at(0.75), 0, 4),
+			 PR_CONCLUDE_NOTHING);
+	assert_int_equal(pr_transition_conclude(&transition, at(0.85), 0, 4),
+			 PR_CONCLUDE_WITHDRAW);
+	/* The load that it left is no fault of the version either. */
+	assert_true(pr_transition_has_test_load(&transition, at(0.75)));
+}
+
+/* A version that is verified late has the whole load test before it. */
+static void test_late_verification_keeps_the_load_test(void **state)
+{
+	pr_transition_t transition;
+	pr_transition_row_t row = { 7,        PR_ROLLOUT_RUNNING,
+				    BEGAN_MS, "",
+				    at(0.8),  0 };
+
+	begin(&transition);
+	pr_transition_apply(&transition, &row, 9);
+	transition.peers.old.total = 700;
+	transition.peers.load_test =
+		(pr_load_test_tally_t){ .begun = 40, .ended = 10, .loaded = 2 };
+	assert_true(pr_transition_is_load_testing(&transition, at(1.0)));
+	assert_int_equal(pr_transition_conclude(&transition, at(1.1), 0, 4),
+			 PR_CONCLUDE_NOTHING);
+	assert_int_equal(pr_transition_conclude(&transition, at(1.14), 0, 4),
+			 PR_CONCLUDE_WITHDRAW);
+}
+
 /* Until the version is shown to be good under load, its share stays small, and
  * the load test goes on; a host that no verdict reaches ends it. */
 static void test_late_load_verification_delays_the_schedule(void **state)
@@ -179,6 +219,8 @@
 		cmocka_unit_test(test_service_with_little_traffic_is_done),
 		cmocka_unit_test(
 			test_late_load_verification_delays_the_schedule),
+		cmocka_unit_test(test_ended_test_shows_nothing),
+		cmocka_unit_test(test_late_verification_keeps_the_load_test),
 		cmocka_unit_test(test_load_test_ends_with_the_exposure),
 		cmocka_unit_test(test_hosts_of_a_fleet_agree_on_the_load_test),
 	};
