Count a stated rate of 0 as a limit

Found by reading: an upstream that states 0 requests/s was taken for one without a limit, and a rate of nearly 0 gave a time between two requests that no integer holds. Rates below 0.01 requests/s count as that, also those that other hosts report. The log lines about rates are subject to the bound now, as an upstream could state another rate in each response.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -87,7 +87,7 @@
 static void note_stated_rate(pr_upstream_t *upstream,
 			     const pr_http_reader_t *reader, pr_usec_t now)
 {
-	double per_s = 0;
+	double per_s;
 
 	/* An unreadable limit counts as none. */
 	if (!pr_slice_decimal(
@@ -95,10 +95,11 @@
 				 pr_adapter_field_name(PR_FIELD_STATED_RATE)),
 		    &per_s))
 		per_s = 0;
+	else if (per_s < PR_STATED_RATE_MIN)
+		per_s = PR_STATED_RATE_MIN;
 	if (pr_stated_rate_hear(&upstream->rate, per_s, now))
-		pr_event_state("upstream_rate", "id=%s service=%s per_s=%.3f",
-			       upstream->entry.id, upstream->entry.service,
-			       per_s);
+		pr_event("upstream_rate", "id=%s service=%s per_s=%.3f",
+			 upstream->entry.id, upstream->entry.service, per_s);
 }
 
 /* Note what the response states about the upstream, whichever request it
--- a/src/edge/peer_rates.c
+++ b/src/edge/peer_rates.c
@@ -34,10 +34,9 @@
 		    pr_stated_rate_merge(&upstream->rate, &rates[i].statement,
 					 forwards, pr_edge_store_now(edge),
 					 pr_edge_now(edge)))
-			pr_event_state("upstream_rate_reported",
-				       "id=%s per_s=%.3f host=%s",
-				       upstream->entry.id,
-				       rates[i].statement.per_s, host->name);
+			pr_event("upstream_rate_reported",
+				 "id=%s per_s=%.3f host=%s", upstream->entry.id,
+				 rates[i].statement.per_s, host->name);
 	}
 }
 
--- a/src/limits/stated_rate.h
+++ b/src/limits/stated_rate.h
@@ -15,9 +15,14 @@
 #include "pistachiorack/timer.h"
 #include "relay/audience.h"
 
+/** Lowest rate that is kept, requests per second; a lower one, and 0, count as
+ *  this. */
+#define PR_STATED_RATE_MIN 0.01
+
 /** What an upstream stated, as hosts report it to each other. */
 typedef struct pr_rate_statement_t {
-	/** Requests per second; 0 when it states no limit. */
+	/** Requests per second; 0 when it states no limit. One that takes
+	 *  nothing states PR_STATED_RATE_MIN. */
 	double per_s;
 	/** Time of the statement by the store's clock, milliseconds; 0 when it
 	 *  never stated a limit. */
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -518,6 +518,14 @@
 	return rc;
 }
 
+/* A rate of another host, which may be no number. */
+static double clamp_rate(double per_s)
+{
+	if (!(per_s > 0))
+		return 0;
+	return per_s > PR_STATED_RATE_MIN ? per_s : PR_STATED_RATE_MIN;
+}
+
 size_t pr_message_read_rates(const pr_msgmap_t *map, pr_upstream_rate_t *out,
 			     size_t max)
 {
@@ -534,8 +542,7 @@
 		bytes.len -= sizeof(record);
 		out[count] = (pr_upstream_rate_t){
 			.tag = record.tag,
-			/* Neither a number below 0 nor none at all. */
-			.statement = { record.per_s > 0 ? record.per_s : 0,
+			.statement = { clamp_rate(record.per_s),
 				       record.stated_ms },
 		};
 	}
--- a/tests/test_stated_rate.c
+++ b/tests/test_stated_rate.c
@@ -315,6 +315,18 @@
 	pr_str_finish(&bytes);
 }
 
+/* Guards against a division by a rate of nearly 0. */
+static void test_lowest_rate(void **state)
+{
+	pr_stated_rate_t rate = { .is_assigned = true, .sharing = 8 };
+
+	pr_stated_rate_hear(&rate, PR_STATED_RATE_MIN, SECOND);
+	assert_true(pr_stated_rate_take(&rate, SECOND));
+	assert_true(pr_stated_rate_take(&rate, SECOND));
+	assert_false(pr_stated_rate_take(&rate, SECOND));
+	assert_true(pr_stated_rate_next(&rate, SECOND) <= 3600 * SECOND);
+}
+
 static void test_decimal_numbers(void **state)
 {
 	static const char *const bad[] = { "",      ".",   "-1", "1e3",
@@ -340,6 +352,7 @@
 		cmocka_unit_test(test_lost_end_of_the_limit_is_found),
 		cmocka_unit_test(test_statement_is_forwarded_once),
 		cmocka_unit_test(test_rates_in_a_datagram),
+		cmocka_unit_test(test_lowest_rate),
 		cmocka_unit_test(test_decimal_numbers),
 	};
 
