Judge a load test that stopped by its counts at the stop

Since a test that has stopped showed nothing, so the version was withdrawn at 84% of the order.

Each host keeps the counts of the moment in which the test stopped, and judges by them whether a high load is out of reach. What was in flight then was not a high load, however it ends afterwards.

--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -631,6 +631,7 @@
 					  int64_t now_ms)
 {
 	pr_load_test_tally_t tally = sum_load_test(transition);
+	pr_load_test_tally_t running = tally;
 	pr_tally_t old = sum(&transition->own.old, &transition->peers.old);
 	double old_bad_rate = rate(old.bad, old.total);
 
@@ -640,10 +641,12 @@
 		return PR_CONCLUDE_LOAD_VERIFIED;
 	if (progress(transition, now_ms) < LOAD_VERIFIED_BY)
 		return PR_CONCLUDE_NOTHING;
-	/* A test that adds no more requests does not show that a high load is
-	 * out of reach. */
-	if (pr_transition_is_load_testing(transition, now_ms) &&
-	    pr_load_test_is_load_out_of_reach(&tally))
+	/* Once a test adds no more requests, those in flight end, which does
+	 * not show that a high load is out of reach. */
+	if (transition->stopped_load_test.begun)
+		running = transition->stopped_load_test;
+	if (is_in_load_test(transition, now_ms) &&
+	    pr_load_test_is_load_out_of_reach(&running))
 		return PR_CONCLUDE_LOAD_VERIFIED;
 	if (position_after_pinning(transition, now_ms) < LOAD_UNVERIFIED_UNTIL)
 		return PR_CONCLUDE_NOTHING;
@@ -652,6 +655,15 @@
 		       : PR_CONCLUDE_WITHDRAW;
 }
 
+/* Keep the counts of a load test at its first stop. */
+static void note_stop(pr_transition_t *transition, int64_t now_ms)
+{
+	if (!transition->stopped_load_test.begun &&
+	    is_in_load_test(transition, now_ms) &&
+	    is_exposure_used_up(transition, now_ms))
+		transition->stopped_load_test = sum_load_test(transition);
+}
+
 pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
 				       int64_t now_ms, int64_t stagger_ms,
 				       uint32_t usable)
@@ -673,6 +685,7 @@
 		return at >= UNVERIFIED_UNTIL ? PR_CONCLUDE_WITHDRAW
 					      : PR_CONCLUDE_NOTHING;
 	}
+	note_stop(transition, now_ms);
 	if (!transition->load_verified_ms)
 		return conclude_load_test(transition, now_ms - stagger_ms);
 	at = progress(transition, now_ms - stagger_ms);
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -95,6 +95,9 @@
 	int64_t load_verified_ms;
 	/** Counts of this host, and the sum of all other hosts. */
 	pr_tallies_t own, peers;
+	/** Counts of the load test when it stopped because the new version had
+	 *  got its part of the requests; without attempts before. */
+	pr_load_test_tally_t stopped_load_test;
 	pr_recent_counts_t recent_new, recent_old;
 	/** Time of the last update of the recent counts. */
 	int64_t recent_ms;
