--- a/src/edge/peer_reports.c
+++ b/src/edge/peer_reports.c
@@ -212,7 +212,7 @@
 	report->transitions[index].tallies = *tallies;
 }
 
-/* Addressees of the counts of a transition. */
+/* Hosts whose counts of a transition a message has; it decides who gets it. */
 typedef enum counts_from_t {
 	COUNTS_OF_HOST,
 	COUNTS_OF_ZONE,
