Give new connections in a stop time for their request

Cause: from 2.6 s after SIGTERM on, every 50 ms, a stopping host closed all connections without a request as idle, also one that had just been accepted and whose first request had not arrived. The caller had sent a request by then and got no answer.

Change: a connection is idle in a stop only after 500 ms without a request. The test opens connections late in the stop and sends 0.2 s later.

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -21,6 +21,9 @@
  * the kernel resets a connection that is closed with unread bytes, and the
  * caller may lose the response. */
 #define LINGER_TIME (1 * PR_USEC_PER_SEC)
+/* Time without a request after which a stop closes a connection. A caller that
+ * has just connected is about to send one, and would get no answer. */
+#define STOP_IDLE_TIME (500 * PR_USEC_PER_MSEC)
 
 static void parse_pending(pr_caller_t *caller);
 
@@ -445,13 +448,15 @@
 
 void pr_callers_close_idle(pr_edge_t *edge)
 {
+	pr_usec_t now = pr_edge_now(edge);
 	pr_list_t *at = edge->callers.next;
 
 	while (at != &edge->callers) {
 		pr_caller_t *caller = PR_OWNER(at, pr_caller_t, node);
 
 		at = at->next;
-		if (is_idle(caller))
+		if (is_idle(caller) &&
+		    now - caller->idle_since >= STOP_IDLE_TIME)
 			start_lingering_close(caller);
 	}
 }
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -219,6 +219,11 @@
         self.address, self.port = address, port
         self.reader = self.writer = None
 
+    async def connect(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            self.address, self.port, limit=1 << 20
+        )
+
     async def request(self, ident, path, body=b"", key="key-1", budget_ms=5000, method="POST", **more):
         answer = Answer()
         try:
@@ -236,9 +241,7 @@
 
     async def _request(self, answer, ident, path, body, key, budget_ms, method, more):
         if self.writer is None:
-            self.reader, self.writer = await asyncio.open_connection(
-                self.address, self.port, limit=1 << 20
-            )
+            await self.connect()
         fields = {
             "Host": HOST, P + "Request-Attempt": ident, P + "Deadline-Ms": str(budget_ms),
             P + "Credential": key, "Content-Length": str(len(body)), **more,
--- a/tests/edge/operators.py
+++ b/tests/edge/operators.py
@@ -12,7 +12,7 @@
 
 from answers import ask, head, set_script
 from checks import FAILURES, check
-from fleet import Fleet
+from fleet import Caller, Fleet
 
 GRACE_S = 6
 DEPTH = 20000
@@ -121,6 +121,11 @@
         for step in range(10):
             ident = f"late-{path[1:3]}-{step}"
             asked[ident] = asyncio.create_task(late_call(router, ident, path, 0.2 + 0.5 * step))
+    # Connections were closed as idle before their first request was read.
+    for step in range(4):
+        ident = f"late-paused-{step}"
+        asked[ident] = asyncio.create_task(
+            late_call(router, ident, "/safe/x", 3.0 + 0.25 * step, pause=0.2))
     answers = {ident: await task for ident, task in asked.items()}
     for ident, answer in answers.items():
         if answer is None:
@@ -134,11 +139,19 @@
     await router.process.wait()
 
 
-async def late_call(router, ident, path, after):
-    """None when the host no longer takes connections."""
+async def late_call(router, ident, path, after, pause=0.0):
+    """A call `pause` seconds after its connection was opened; None when the host no
+    longer takes connections."""
     await asyncio.sleep(after)
-    answer = await ask(router.address, ident, path, budget_ms=8000)
-    return answer if answer.sent else None
+    caller = Caller(router.address)
+    try:
+        await caller.connect()
+    except OSError:
+        return None
+    await asyncio.sleep(pause)
+    answer = await caller.request(ident, path, budget_ms=8000)
+    caller.close()
+    return answer
 
 
 async def main():
