Refuse new connections before a stopping host ends

Cause: a stopping host listened until its process was gone. Connections that it accepted in its last moments, or that the kernel held for it, were reset with their requests.

Change: half a second before the remaining requests are aborted, and before the process ends because no caller is left, the host closes its listener, once no connection waits to be accepted. Callers that come later are refused by the kernel.

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -5,6 +5,7 @@
  */
 #include "edge/caller.h"
 
+#include <poll.h>
 #include <stdlib.h>
 
 #include "base/event_log.h"
@@ -349,6 +350,20 @@
 		  : 0;
 }
 
+bool pr_callers_stop_listening(pr_edge_t *edge)
+{
+	uv_handle_t *listener = (uv_handle_t *)&edge->caller_listener;
+	struct pollfd queue = { .events = POLLIN };
+
+	if (uv_is_closing(listener))
+		return true;
+	/* The kernel resets connections that were not accepted. */
+	if (!uv_fileno(listener, &queue.fd) && poll(&queue, 1, 0) > 0)
+		return false;
+	uv_close(listener, NULL);
+	return true;
+}
+
 void pr_caller_send_head(pr_caller_t *caller, int status, pr_slice_t fields,
 			 int64_t length)
 {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -30,6 +30,9 @@
  * cent.
  */
 #define GRACE_PERCENT 92
+/* Time before that at which new connections are refused, so that the requests
+ * of all accepted ones are read and answered. */
+#define LAST_CONNECTIONS_TIME (500 * PR_USEC_PER_MSEC)
 /* Period of the checks whether a stop is complete. */
 #define STOP_POLL (50 * PR_USEC_PER_MSEC)
 
@@ -151,15 +154,18 @@
 static void on_stop_poll(pr_timer_t *timer, pr_usec_t now)
 {
 	pr_edge_t *edge = timer->data;
+	pr_usec_t abort_time = pr_edge_abort_time(edge);
 
 	if (now - edge->stop_began < BALANCER_DETECTION)
 		return;
 	pr_callers_close_idle(edge);
-	if (now >= pr_edge_abort_time(edge)) {
+	if (now >= abort_time) {
 		pr_callers_abort_exchanges(edge);
 		uv_stop(edge->loop);
+	} else if (now >= abort_time - LAST_CONNECTIONS_TIME) {
+		pr_callers_stop_listening(edge);
 	}
-	if (pr_list_empty(&edge->callers))
+	if (pr_list_empty(&edge->callers) && pr_callers_stop_listening(edge))
 		uv_stop(edge->loop);
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -219,6 +219,12 @@
 /* caller.c */
 /** Listen for callers. @return 0 or PR_EIO */
 int pr_callers_listen(pr_edge_t *edge);
+/**
+ * Refuse new connections, unless some wait to be accepted.
+ *
+ * @return whether new connections are refused
+ */
+bool pr_callers_stop_listening(pr_edge_t *edge);
 /** Close connections that have been without a request for some time. */
 void pr_callers_close_idle(pr_edge_t *edge);
 /** End all requests with an error response or a connection reset. */
--- a/tests/edge/operators.py
+++ b/tests/edge/operators.py
@@ -1,5 +1,5 @@
 """Faults that operators of similar systems reported: odd entries among those of the
-upstreams, answers that stop inside their head, and calls late in a planned stop.
+upstreams, answers that stop inside their head, and calls late in a planned stop until its end.
 
 usage: operators.py BINARY NET
 """
@@ -154,6 +154,35 @@
     return answer
 
 
+async def call_until_refused(router, name, answers):
+    """Calls on new connections until the host no longer takes any."""
+    for number in range(1 << 20):
+        caller = Caller(router.address)
+        try:
+            await caller.connect()
+        except OSError:
+            return
+        answers.append(await caller.request(f"until-{name}-{number}", "/safe/x"))
+        caller.close()
+
+
+async def check_calls_until_end(fleet):
+    """Calls that a host accepts as it ends were cut off without an answer."""
+    router = fleet.routers[0]
+    set_script([u for u in fleet.upstreams if u.service == "ledger"], None)
+    for callers in (1, 12):
+        await router.start()
+        await router.wait_ready(3.0)
+        router.signal(signal.SIGTERM)
+        answers = []
+        await asyncio.gather(*(call_until_refused(router, f"{callers}-{n}", answers)
+                               for n in range(callers)))
+        bad = [a.ended - a.sent for a in answers if not a.complete]
+        check(f"{callers} callers: calls that are accepted until the end are answered",
+              answers and not bad, (len(answers), len(bad), bad[:3]))
+        await router.process.wait()
+
+
 async def main():
     # Writes to connections that the other side has closed are no news.
     logging.getLogger("asyncio").setLevel(logging.ERROR)
@@ -164,6 +193,7 @@
         await check_odd_entries(fleet)
         await check_cut_heads(fleet)
         await check_calls_late_in_stop(fleet)
+        await check_calls_until_end(fleet)
     finally:
         await fleet.stop()
     return 1 if FAILURES else 0
