Judge what an upstream stated by the process that stated it

Cause: the soak kept the answers in which an upstream had stated a limit when the upstream crashed before the check. The next check of a limit at the same upstream counted from those answers on, and took requests that came while no limit was stated for too many. An upstream that crashed while it was about to leave was judged by the requests of its successor.

Change: the checks take the statements since the fault began, and count until the end of the process that made them. A limit is now also judged when its upstream crashed.

--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -273,15 +273,27 @@
                         f"retry-after: {upstream.name} asked {host} at {at - self.started:.2f} to "
                         f"wait {end - at:.2f} s and got {len(came)} requests: {came[:4]}")
 
-    def check_leaving(self, upstream, until):
-        """Nothing reaches an upstream later than DRAIN_S after a host passed on
-        an answer that states that it is about to leave."""
+    def first_passed(self, statements, since):
+        """When each host first passed on an answer with a statement of an upstream:
+        of those made from `since` on, (time, id) each."""
         passed = {}
-        for _, ident in upstream.said_leaving:
+        for stated, ident in statements:
             request = self.requests.get(ident)
-            if request and request.answer and request.good():
+            if stated >= since and request and request.answer and request.good():
                 at = request.answer.ended
                 passed[request.router] = min(at, passed.get(request.router, at))
+        return passed
+
+    @staticmethod
+    def end_of_process(upstream, began):
+        """Until when the process of an upstream that ran at `began` has run."""
+        return next((end for end in upstream.ends if end > began), time.monotonic())
+
+    def check_leaving(self, upstream, began):
+        """Nothing reaches an upstream later than DRAIN_S after a host passed on
+        an answer that states that it is about to leave."""
+        passed = self.first_passed(upstream.said_leaving, began)
+        until = self.end_of_process(upstream, began)
         for host, at in passed.items():
             late = [r for _, r in self.arrivals_from(upstream, at + DRAIN_S, until)
                     if r.router == host and r.began > at + DRAIN_S]
@@ -289,18 +301,12 @@
                 self.break_promise(
                     f"leaving: {upstream.name} said so to {host} at {at - self.started:.2f} and "
                     f"got {len(late)} requests later than {DRAIN_S} s, first {late[0].ident}")
-        upstream.said_leaving.clear()
 
-    def check_limit(self, upstream, limit, began, until):
+    def check_limit(self, upstream, limit, began):
         """From CONTACT_S after an upstream first stated its limit, hosts that passed
         on such an answer LIMIT_HEARD_S before send it no more than that allows."""
-        passed = {}
-        for _, ident in upstream.said_limit:
-            request = self.requests.get(ident)
-            if request and request.answer and request.good():
-                at = request.answer.ended
-                passed[request.router] = min(at, passed.get(request.router, at))
-        upstream.said_limit.clear()
+        passed = self.first_passed(upstream.said_limit, began)
+        until = self.end_of_process(upstream, began)
         if not passed:
             return
         since = min(passed.values()) + CONTACT_S
@@ -632,12 +638,13 @@
         if upstream.leaving or not upstream.server.is_serving():
             return
         self.note(f"{upstream.name} is about to leave")
+        began = time.monotonic()
         upstream.leaving = True
         if self.random.random() < 0.3:
             await asyncio.sleep(2)
             await self.fleet.store.put("servers", upstream.name, upstream.entry("draining"))
         await asyncio.sleep(self.random.uniform(5, 7))
-        self.check_leaving(upstream, time.monotonic())
+        self.check_leaving(upstream, began)
         self.fleet.restart(upstream, away=1.0)
 
     async def kind_limit(self):
@@ -650,9 +657,7 @@
             upstream.limit = limit
         await asyncio.sleep(self.random.uniform(9, 12))
         for upstream in some:
-            # A new instance states none.
-            if upstream.limit is not None:
-                self.check_limit(upstream, limit, began, time.monotonic())
+            self.check_limit(upstream, limit, began)
             upstream.limit = None
 
     async def kind_crash(self):
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -308,6 +308,8 @@
         # (time, id).
         self.limit = None
         self.said_limit = []
+        # Times at which its processes ended.
+        self.ends = []
 
     def drop_connections(self):
         self.harmed.update(self.current.values())
@@ -315,6 +317,7 @@
 
     def end(self):
         """The process is gone, with its listener and all connections."""
+        self.ends.append(time.monotonic())
         self.drop_connections()
         self.server.close()
 
