Read the store earlier in a host that no relay keeps current

Cause: in a region of one zone with three hosts, both relays lost the store; one became silent 0.9 s later. The third host waited until the last confirmation was 2.7 s to 3.2 s old, as it does for relays that may yet bring one. The confirmation was younger than the notice of an upstream that it did not cover, and the host still sent a request there 3.1 s after the notice (DRAIN).

Change: such a host begins to read 2.2 s to 2.5 s after the last confirmation. Ruled out: an earlier begin only when the relays of the zone are silent, which did not help, as the silence is noticed too late.

--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -16,9 +16,10 @@
 /* A host that no relay keeps current reads the feeds itself from this age on,
  * plus up to ALONE_SPREAD so that the hosts do not all call the store at once.
  * Unless an outage excuses a delay, changes have to be in force within bounds
- * of 3 s or more. */
-#define ALONE_AFTER  (2700 * PR_USEC_PER_MSEC)
-#define ALONE_SPREAD (500 * PR_USEC_PER_MSEC)
+ * of 3 s or more. The last confirmation may be younger than a change that it
+ * does not cover, and reading takes time. */
+#define ALONE_AFTER  (2200 * PR_USEC_PER_MSEC)
+#define ALONE_SPREAD (300 * PR_USEC_PER_MSEC)
 
 void pr_reader_confirm(pr_reader_t *reader, pr_usec_t at)
 {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -36,6 +36,8 @@
 	pr_roster_t roster;
 	pr_reader_t reader;
 	bool alive, has_store, is_relay;
+	/** Exchanges messages with hosts of its zone only. */
+	bool cut_off;
 	uint32_t sent, received;
 	pr_host_t *relays[PR_RELAYS_MAX];
 	size_t relays_count;
@@ -47,16 +49,20 @@
 	int period;
 	pr_usec_t now;
 	uint32_t calls;
+	/** The first zone is a region, and the other zones are one. */
+	bool single_zone_region;
 } fleet_t;
 
-static int region_of(int zone)
+static int region_of(const fleet_t *fleet, int zone)
 {
-	return zone % 2;
+	return fleet->single_zone_region ? zone > 0 : zone % 2;
 }
 
 static void start_fleet(fleet_t *fleet, int count)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
+	/* Three hosts in a zone at least. */
+	int zones = count < 3 * ZONES ? count / 3 : ZONES;
 
 	memset(fleet, 0, sizeof(*fleet));
 	fleet->count = count;
@@ -65,7 +71,7 @@
 		sim_host_t *member = &fleet->members[i];
 
 		snprintf(member->name, sizeof(member->name), "host-%d", i);
-		member->zone = i % ZONES;
+		member->zone = i % zones;
 		member->alive = member->has_store = true;
 		member->reader.confirmed_at = fleet->now;
 		assert_int_equal(pr_roster_init(&member->roster, member->name),
@@ -106,14 +112,15 @@
 {
 	pr_host_t *host = pr_roster_find(&to->roster, pr_slice_of(relay->name));
 
-	if (!to->alive)
+	if (!to->alive ||
+	    ((relay->cut_off || to->cut_off) && relay->zone != to->zone))
 		return;
 	to->received++;
 	pr_roster_note_digest(host, is_current(fleet, relay),
 			      relay->reader.reading ? relay->reader.confirmed_at
 						    : 0,
 			      fleet->now);
-	if (region_of(relay->zone) == region_of(to->zone))
+	if (region_of(fleet, relay->zone) == region_of(fleet, to->zone))
 		pr_reader_confirm(&to->reader, relay->reader.confirmed_at);
 }
 
@@ -175,7 +182,10 @@
 
 static void read_store(fleet_t *fleet, sim_host_t *member)
 {
-	pr_reader_view_t view = { .is_relay = member->is_relay };
+	pr_reader_view_t view = {
+		.is_relay = member->is_relay,
+		.jitter = (double)(member - fleet->members) / fleet->count,
+	};
 	bool later = false;
 
 	for (size_t i = 0; i < member->roster.count; i++) {
@@ -184,7 +194,7 @@
 
 		later |= pr_roster_is_self(&member->roster, host);
 		if (!pr_roster_is_responsive(host, fleet->now) ||
-		    region_of(zone) != region_of(member->zone))
+		    region_of(fleet, zone) != region_of(fleet, member->zone))
 			continue;
 		view.zone_has_current_relay |=
 			host->current && zone == member->zone;
@@ -314,6 +324,57 @@
 	finish_fleet(&fleet);
 }
 
+/* Cut off the relays of the first zone from all but their hosts, and some
+ * periods later from these as well.
+ *
+ * @return longest time since the store confirmed the rows of a host that is
+ * left
+ */
+static pr_usec_t cut_off_relays(fleet_t *fleet, int silent_at)
+{
+	pr_usec_t longest = 0;
+
+	for (int i = 0; i < fleet->count; i++) {
+		sim_host_t *member = &fleet->members[i];
+
+		member->cut_off = member->zone == 0 && member->is_relay;
+		member->has_store = !member->cut_off;
+	}
+	for (int period = 0; period < SECONDS(6); period++) {
+		for (int i = 0; period == silent_at && i < fleet->count; i++)
+			fleet->members[i].alive = !fleet->members[i].cut_off;
+		run_periods(fleet, 1);
+		if (longest_unconfirmed(fleet) > longest)
+			longest = longest_unconfirmed(fleet);
+	}
+	return longest;
+}
+
+/* DRAIN in a region of one zone: its relays lost the store and became silent a
+ * little later, and the host that was left waited for them for almost as long
+ * as a change may take. */
+static void test_hosts_of_silent_relays_read_the_store(void **state)
+{
+	static const int sizes[] = { 9, 84, 295, HOSTS };
+	static fleet_t fleet;
+
+	for (size_t s = 0; s < sizeof(sizes) / sizeof(sizes[0]); s++) {
+		for (int silent_at = 0; silent_at < SECONDS(2); silent_at++) {
+			start_fleet(&fleet, sizes[s]);
+			fleet.single_zone_region = true;
+			run_periods(&fleet, SECONDS(5));
+			fleet.calls = 0;
+			assert_true(cut_off_relays(&fleet, silent_at) <=
+				    2500 * PR_USEC_PER_MSEC);
+			/* The hosts of the zone may call the store once or
+			 * twice, those of other zones do not. */
+			assert_true(fleet.calls <=
+				    20 + 2 * (uint32_t)sizes[s] / ZONES);
+			finish_fleet(&fleet);
+		}
+	}
+}
+
 /* The reading relays lose the store but still reach their hosts. */
 static void test_relay_without_the_store_is_replaced(void **state)
 {
@@ -525,6 +586,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_host_cost_is_independent_of_fleet_size),
 		cmocka_unit_test(test_lost_relays_are_replaced),
+		cmocka_unit_test(test_hosts_of_silent_relays_read_the_store),
 		cmocka_unit_test(test_relay_without_the_store_is_replaced),
 		cmocka_unit_test(test_few_hosts_call_the_store_in_an_outage),
 		cmocka_unit_test(test_returned_relay_is_tried_again),
