Let a stopping host try the store again at once

Cause: after failed commits a host waits for up to 4 s before the next one. A stop reset the distance of further tries, but not the time of the next one, which could lie behind the deadline of the stop. A pass that hands bills over to other hosts comes only after a failed commit, so the host waited for its deadline with bills in hand.

Change: at a stop the next try is due after the shortest distance.

Measured: test_bill failed first: 0.5 s after a stop, which came 0.1 s before the end of an outage, a batch was still not written.

--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -201,6 +201,9 @@
 {
 	book->stopping = true;
 	book->gap = book->options.commit_gap;
+	/* The next try of an outage may come after the deadline. */
+	if (book->next_commit > now + book->gap)
+		book->next_commit = now + book->gap;
 	pr_timers_unsubscribe(book->options.timers, &book->write);
 	pr_bill_flush(book, now);
 	pr_bill_hand_over(book, now);
--- a/tests/test_bill.c
+++ b/tests/test_bill.c
@@ -339,6 +339,25 @@
 	walk_finish(&walk);
 }
 
+/* Guards against a stop after an outage that waits for the next try of the
+ * outage, which is seconds away. */
+static void stop_tries_the_store_at_once(void **state)
+{
+	static walk_t walk;
+	pr_bill_pending_t pending;
+
+	walk_init(&walk, 1);
+	open_host(&walk, 0);
+	walk.world.down_until = 40 * PR_USEC_PER_SEC;
+	assert_int_equal(add_bill(&walk, 0), 0);
+	fake_world_run(&walk.world, 39900 * PR_USEC_PER_MSEC);
+	pr_bill_stop(walk.books[0], walk.world.now);
+	fake_world_run(&walk.world, walk.world.now + PR_USEC_PER_SEC / 2);
+	pending = pr_bill_pending(walk.books[0]);
+	assert_int_equal(pending.own + pending.held, 0);
+	walk_finish(&walk);
+}
+
 /* Guards against a decoder that reads outside a message of any bytes. */
 static void decode_survives_garbage(void **state)
 {
@@ -424,6 +443,7 @@
 		cmocka_unit_test(flush_is_paced),
 		cmocka_unit_test(full_holder_is_replaced),
 		cmocka_unit_test(stop_writes_everything),
+		cmocka_unit_test(stop_tries_the_store_at_once),
 		cmocka_unit_test(decode_survives_garbage),
 		cmocka_unit_test(checks_fail_with_mechanism_off),
 		cmocka_unit_test(failure_walk),
