Offer what a stopping host holds to one host after the other

Cause: during an outage a stopping host offered each batch to the host that ranks first, pass after pass. When that host had just died, nobody took the batch until the others had noticed.

Change: each pass offers a batch to the host that ranks after the one that was asked last.

--- a/src/bill/handover.c
+++ b/src/bill/handover.c
@@ -8,11 +8,12 @@
 /* Batches offered in one pass; a pass follows each failed commit. */
 #define PASS_MAX 1024
 
-/* A peer that does not have the batch yet. */
+/* A peer that does not have the batch yet, and not the one that was asked last:
+ * it may be gone without the others having noticed. */
 static uint16_t choose(const pr_bill_book_t *book, const pr_bill_batch_t *batch,
 		       pr_usec_t now)
 {
-	uint16_t to = PR_BILL_NOBODY;
+	uint16_t to = batch->offered;
 
 	for (size_t i = 0; i < book->peers_count; i++) {
 		to = pr_bill_choose(book, 0, to, batch->hosts[1], now);
@@ -22,8 +23,7 @@
 	return PR_BILL_NOBODY;
 }
 
-static void offer(pr_bill_book_t *book, const pr_bill_batch_t *batch,
-		  pr_usec_t now)
+static void offer(pr_bill_book_t *book, pr_bill_batch_t *batch, pr_usec_t now)
 {
 	uint16_t to = choose(book, batch, now);
 	pr_bill_message_t message = {
@@ -38,6 +38,7 @@
 		.value = pr_bill_value(batch),
 	};
 
+	batch->offered = to;
 	if (to != PR_BILL_NOBODY)
 		book->options.ops->send(book->options.data,
 					pr_slice_of(book->names[to]->text),
--- a/src/bill/internal.h
+++ b/src/bill/internal.h
@@ -59,6 +59,8 @@
 	/** Own: collector and second holder. Held: entry and other holder. */
 	uint16_t hosts[PR_BILL_HOLDERS];
 	bool acknowledged[PR_BILL_HOLDERS];
+	/** Held: the host that a stopping host offered it to last. */
+	uint16_t offered;
 	uint8_t role;
 	bool in_commit;
 	/** Confirmed while its commit was under way. */
--- a/tests/test_bill.c
+++ b/tests/test_bill.c
@@ -358,6 +358,30 @@
 	walk_finish(&walk);
 }
 
+/* Guards against a stop in an outage that waits for a host that has just died:
+ * it offered what it held to this host alone until the others were told. */
+static void stop_hands_over_past_dead_host(void **state)
+{
+	static walk_t walk;
+	pr_bill_pending_t pending;
+
+	walk_init(&walk, 1);
+	walk_open(&walk);
+	walk.world.down_until = PR_USEC_NEVER;
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(add_bill(&walk, 0), 0);
+	fake_world_run(&walk.world, 4 * PR_USEC_PER_SEC);
+	pending = pr_bill_pending(walk.books[walk.holders[0]]);
+	assert_true(pending.held > 0);
+	/* The first host that the collector asks to take over. */
+	kill_host(&walk, 1);
+	pr_bill_stop(walk.books[walk.holders[0]], walk.world.now);
+	fake_world_run(&walk.world, walk.world.now + PR_USEC_PER_SEC);
+	pending = pr_bill_pending(walk.books[walk.holders[0]]);
+	assert_int_equal(pending.own + pending.held, 0);
+	walk_finish(&walk);
+}
+
 /* Guards against a decoder that reads outside a message of any bytes. */
 static void decode_survives_garbage(void **state)
 {
@@ -444,6 +468,7 @@
 		cmocka_unit_test(full_holder_is_replaced),
 		cmocka_unit_test(stop_writes_everything),
 		cmocka_unit_test(stop_tries_the_store_at_once),
+		cmocka_unit_test(stop_hands_over_past_dead_host),
 		cmocka_unit_test(decode_survives_garbage),
 		cmocka_unit_test(checks_fail_with_mechanism_off),
 		cmocka_unit_test(failure_walk),
