Refuse batches of other hosts in a stopping host

Cause: a stopping host went on to take batches of hosts that had not heard of its stop, and of hosts that stop as well. During an outage it had to hand these over too, and waited for its deadline.

Change: it refuses them, as a full host does, and the other host asks the next one.

Measured: test_bill failed first: 0.1 s after the stop of a collector it held a new batch.

--- a/src/bill/holder.c
+++ b/src/bill/holder.c
@@ -50,7 +50,8 @@
 	if (!batch) {
 		if (!is_json(message->value))
 			return;
-		if (book->pending.held_bytes + bytes <= book->options.held_max)
+		if (!book->stopping &&
+		    book->pending.held_bytes + bytes <= book->options.held_max)
 			batch = pr_bill_batch_add(
 				book,
 				message->collect ? PR_BILL_COLLECT
--- a/tests/test_bill.c
+++ b/tests/test_bill.c
@@ -382,6 +382,24 @@
 	walk_finish(&walk);
 }
 
+/* Guards against a stop in an outage that waits for its deadline: the stopping
+ * host went on to take batches of other hosts. */
+static void stopping_host_takes_no_batch(void **state)
+{
+	static walk_t walk;
+
+	walk_init(&walk, 1);
+	walk_open(&walk);
+	walk.world.down_until = PR_USEC_NEVER;
+	pr_bill_stop(walk.books[2], walk.world.now);
+	assert_int_equal(add_bill(&walk, 0), 0);
+	fake_world_run(&walk.world, 100 * PR_USEC_PER_MSEC);
+	assert_true(walk.items[0].acknowledged);
+	assert_int_equal(pr_bill_pending(walk.books[2]).held, 0);
+	assert_true(walk.holders[0] != 2 && walk.holders[1] != 2);
+	walk_finish(&walk);
+}
+
 /* Guards against a decoder that reads outside a message of any bytes. */
 static void decode_survives_garbage(void **state)
 {
@@ -469,6 +487,7 @@
 		cmocka_unit_test(stop_writes_everything),
 		cmocka_unit_test(stop_tries_the_store_at_once),
 		cmocka_unit_test(stop_hands_over_past_dead_host),
+		cmocka_unit_test(stopping_host_takes_no_batch),
 		cmocka_unit_test(decode_survives_garbage),
 		cmocka_unit_test(checks_fail_with_mechanism_off),
 		cmocka_unit_test(failure_walk),
