Answer a stopping host that offers a batch to its entry host

Cause: a stopping host that had a batch from another stopping host took that host for the entry host, and offered the batch to the real one. The entry host, which has it, did not answer. In a small zone no one else was left, and the host that offered it waited for its deadline.

Change: the entry host answers that it has the batch, and finds another holder in place of the one that gives it up.

--- a/src/bill/entry.c
+++ b/src/bill/entry.c
@@ -280,6 +280,26 @@
 	pr_bill_release(book, batch, true);
 }
 
+/* Have a holder of an own batch replaced. */
+static void drop_holder(pr_bill_book_t *book, pr_bill_batch_t *batch,
+			unsigned int slot, pr_usec_t now)
+{
+	batch->acknowledged[slot] = false;
+	batch->hosts[slot] = PR_BILL_NOBODY;
+	batch->retry = now;
+	if (pr_list_empty(&batch->unheld))
+		pr_list_append(&book->unheld, &batch->unheld);
+}
+
+void pr_bill_give_back(pr_bill_book_t *book, pr_bill_batch_t *batch,
+		       uint16_t from, pr_usec_t now)
+{
+	for (unsigned int i = 0; i < book->options.holders; i++)
+		if (batch->hosts[i] == from)
+			drop_holder(book, batch, i, now);
+	arm_tick(book, now);
+}
+
 void pr_bill_replace_holders(pr_bill_book_t *book, pr_usec_t now)
 {
 	pr_list_t *node;
@@ -293,11 +313,7 @@
 			    batch->hosts[i] != PR_BILL_NOBODY &&
 			    book->names[batch->hosts[i]]->live)
 				continue;
-			batch->acknowledged[i] = false;
-			batch->hosts[i] = PR_BILL_NOBODY;
-			batch->retry = now;
-			if (pr_list_empty(&batch->unheld))
-				pr_list_append(&book->unheld, &batch->unheld);
+			drop_holder(book, batch, i, now);
 		}
 	}
 	arm_tick(book, now);
--- a/src/bill/holder.c
+++ b/src/bill/holder.c
@@ -41,8 +41,13 @@
 	pr_bill_batch_t *batch = pr_bill_find(book, message->batch);
 	size_t bytes = sizeof(*batch) + message->batch.len + message->value.len;
 
-	if (batch && batch->role == PR_BILL_OWN)
+	/* A stopping host may have the batch from another holder, and does not
+	 * know whose it is. */
+	if (batch && batch->role == PR_BILL_OWN) {
+		pr_bill_give_back(book, batch, from, now);
+		answer(book, from, message, true);
 		return;
+	}
 	if (batch && message->collect && batch->role == PR_BILL_SECOND) {
 		pr_bill_batch_move(book, batch, PR_BILL_COLLECT);
 		count_collected(book, batch);
--- a/src/bill/internal.h
+++ b/src/bill/internal.h
@@ -152,6 +152,9 @@
 		  const pr_bill_message_t *message, pr_usec_t now);
 /** Close the open batch and hand it to its holders. */
 void pr_bill_flush(pr_bill_book_t *book, pr_usec_t now);
+/** A stopping host gives up its copy of an own batch: find another holder. */
+void pr_bill_give_back(pr_bill_book_t *book, pr_bill_batch_t *batch,
+		       uint16_t from, pr_usec_t now);
 /** Give new holders to own batches whose holder is gone. */
 void pr_bill_replace_holders(pr_bill_book_t *book, pr_usec_t now);
 void pr_bill_release(pr_bill_book_t *book, pr_bill_batch_t *batch,
--- a/tests/test_bill.c
+++ b/tests/test_bill.c
@@ -400,6 +400,38 @@
 	walk_finish(&walk);
 }
 
+/* Guards against a stop in an outage that waits for its deadline: the entry
+ * host did not answer when it was offered its own batch, which another stopping
+ * host had handed over, and no one else was left. */
+static void stop_hands_over_to_entry_host(void **state)
+{
+	static walk_t walk;
+	pr_bill_pending_t pending;
+
+	walk_init(&walk, 1);
+	walk_open(&walk);
+	walk.world.down_until = PR_USEC_NEVER;
+	for (int i = 0; i < 20; i++)
+		assert_int_equal(add_bill(&walk, 0), 0);
+	kill_host(&walk, 4);
+	fake_world_run(&walk.world, 4 * PR_USEC_PER_SEC);
+	/* The collector stops, and then the host that took over from it. */
+	for (int host = 2; host; host--) {
+		pr_bill_stop(walk.books[host], walk.world.now);
+		fake_world_run(&walk.world, walk.world.now + PR_USEC_PER_SEC);
+		pending = pr_bill_pending(walk.books[host]);
+		assert_int_equal(pending.own + pending.held, 0);
+		kill_host(&walk, host);
+		fake_world_run(&walk.world,
+			       walk.world.now + 4 * PR_USEC_PER_SEC);
+	}
+	walk.world.down_until = walk.world.now;
+	fake_world_run(&walk.world, walk.world.now + 60 * PR_USEC_PER_SEC);
+	for (int i = 0; i < walk.items_count; i++)
+		assert_int_equal(count_rows(&walk, &walk.items[i]), 1);
+	walk_finish(&walk);
+}
+
 /* Guards against a decoder that reads outside a message of any bytes. */
 static void decode_survives_garbage(void **state)
 {
@@ -488,6 +520,7 @@
 		cmocka_unit_test(stop_tries_the_store_at_once),
 		cmocka_unit_test(stop_hands_over_past_dead_host),
 		cmocka_unit_test(stopping_host_takes_no_batch),
+		cmocka_unit_test(stop_hands_over_to_entry_host),
 		cmocka_unit_test(decode_survives_garbage),
 		cmocka_unit_test(checks_fail_with_mechanism_off),
 		cmocka_unit_test(failure_walk),
