Reword two comments

The time before an abort and the reason for an early read could be misread. Comments only; compiled, test_relay and fault_edge_operators passed.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -30,8 +30,8 @@
  * cent.
  */
 #define GRACE_PERCENT 92
-/* Time before that at which new connections are refused, so that the requests
- * of all accepted ones are read and answered. */
+/* New connections are refused for this long before the remaining requests are
+ * aborted, so that the requests of all accepted ones are read and answered. */
 #define LAST_CONNECTIONS_TIME (500 * PR_USEC_PER_MSEC)
 /* Period of the checks whether a stop is complete. */
 #define STOP_POLL (50 * PR_USEC_PER_MSEC)
--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -16,8 +16,8 @@
 /* A host that no relay keeps current reads the feeds itself from this age on,
  * plus up to ALONE_SPREAD so that the hosts do not all call the store at once.
  * Unless an outage excuses a delay, changes have to be in force within bounds
- * of 3 s or more. The last confirmation may be younger than a change that it
- * does not cover, and reading takes time. */
+ * of 3 s or more. The store may have confirmed the rows just after a change
+ * that its answer did not have yet, and reading takes time. */
 #define ALONE_AFTER  (2200 * PR_USEC_PER_MSEC)
 #define ALONE_SPREAD (300 * PR_USEC_PER_MSEC)
 
