--- a/review/lab.py
+++ b/review/lab.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import random
 import re
@@ -23,6 +24,9 @@
 from fleet import HOST, Caller, get  # noqa: E402,F401
 from standins import P, Closed, Proxy, Store, Upstream  # noqa: E402,F401
 
+# Writes to connections that the other side has closed are no news.
+logging.getLogger("asyncio").setLevel(logging.ERROR)
+
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"nq-ayr": "nq", "nq-hom": "nq", "seq-bne": "seq"}
 BOUNDS = {
@@ -74,6 +78,7 @@
         self.process = None
         self.killed_for_memory = []
         self.peak_kb = 0
+        self.reads = False
 
     def settings(self, store_port):
         with open(os.path.join(ROOT, "deploy", "edge.yaml.in"), encoding="utf-8") as template:
@@ -140,16 +145,21 @@
         self.record.write(line + "\n")
         self.record.flush()
 
+    async def add_engine(self, service, zone, version="v1"):
+        engine = Upstream(
+            f"i-{len(self.engines)}", service, zone, self.random, self.runs, version)
+        engine.on_crash = lambda crashed: None
+        await engine.start()
+        self.engines.append(engine)
+        await self.store.put("servers", engine.name, engine.entry())
+        return engine
+
     async def start(self, document, machines, engines):
         """machines: zones; engines: (service, zone)."""
         await self.store.start()
         self.store_port = self.store.port
         for service, zone in engines:
-            engine = Upstream(f"i-{len(self.engines)}", service, zone, self.random, self.runs)
-            engine.on_crash = lambda crashed: None
-            await engine.start()
-            self.engines.append(engine)
-            await self.store.put("servers", engine.name, engine.entry())
+            await self.add_engine(service, zone)
         await self.store.put("op", "config", document)
         for index, zone in enumerate(machines):
             self.machines.append(Machine(self, index, zone))
@@ -162,6 +172,19 @@
         self.tasks.append(asyncio.create_task(work))
         return self.tasks[-1]
 
+    def reader(self, region):
+        """The machine of a region that began last to read the store's feeds."""
+        began = []
+        for machine in self.machines:
+            with open(os.path.join(self.folder, machine.name + ".log"), encoding="utf-8") as log:
+                for line in log:
+                    found = re.match(r".*\bt=(\d+) .*event=reading_(began|ended)", line)
+                    if found:
+                        machine.reads = found[2] == "began"
+            if ZONES[machine.zone] == region and machine.reads:
+                began.append(machine)
+        return began[0]
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
