--- a/review/lab.py
+++ b/review/lab.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -196,6 +197,7 @@
             if server.server:
                 await server.stop()
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def document(routes, services=("kernel-model", "ticket-ledger"), version=1):
