Do not take over the version of a host that lacks removals

Cause: a full read does not return removed keys. The reader announced the version of its full read; hosts with the same newest row took it over and so counted the removal as known.

A host now keeps the version from which it knows every change. Until its newest change is above it, other hosts cannot take its version over; the reader reads what relays lack with one call and forwards it. A row of a later page of a full read no longer covers the changes before it.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -10,6 +10,7 @@
 #include "base/list.h"
 #include "cascade/pauses.h"
 #include "edge/outbound.h"
+#include "relay/extent.h"
 #include "relay/lag.h"
 #include "relay/message.h"
 #include "edge/peering.h"
@@ -43,10 +44,15 @@
 	pr_timer_t timer;
 	/** Time at which the current call was started. */
 	pr_usec_t called_at;
-	/** Version of the store from which the next feed call continues. */
-	uint64_t version;
-	/** Version of the newest row that was applied. */
-	uint64_t newest;
+	pr_extent_t extent;
+	/** Version of the first page of the current full read. */
+	uint64_t read_version;
+	/** State of a relay that lacks changes which this host does not know
+	 *  either. The next call, or the current one, reads them. */
+	pr_announced_t gap;
+	bool gap_wanted, reading_gap;
+	/** The store no longer has the changes after this version. */
+	uint64_t gap_refused;
 	/** The current feed call was aborted, because another host has newer
 	 *  rows; the next call asks for them without waiting. */
 	bool restarting;
@@ -61,6 +67,8 @@
 	/** A full read succeeded, and the feed has not lost its history since
 	 *  then. Without it the table is read as a whole. */
 	bool synced;
+	/** A full read has succeeded since the start. */
+	bool was_synced;
 	/** Keys of the rows that the current full read has returned. */
 	pr_names_t seen_keys;
 	/** First key of the next page of a full read; NULL for the first. */
@@ -194,12 +202,10 @@
  *
  * @param relay relay of this region that can send the rows; NULL to read them
  *	  from the store
- * @param newest version of the relay's newest row
- * @param version version of the store up to which the relay has all rows
  */
 void pr_watch_compare_peer(pr_edge_t *edge, pr_store_table_t table,
-			   const pr_host_t *relay, uint64_t newest,
-			   uint64_t version);
+			   const pr_host_t *relay,
+			   const pr_announced_t *announced);
 /** Apply rows that a relay forwarded, and forward them if this host is a relay
  *  too. Rows that do not follow this host's rows are read from the relay. */
 void pr_watch_receive_rows(pr_edge_t *edge, const pr_host_t *relay,
--- a/src/edge/peer_parts.h
+++ b/src/edge/peer_parts.h
@@ -33,8 +33,10 @@
 			  const pr_str_t *bytes);
 /** Send it to the other relays of this zone. */
 void pr_peers_send_zone_relays(pr_edge_t *edge, const pr_str_t *bytes);
-/** @return the state of this host's tables, for a digest */
-pr_feed_state_t pr_peers_feed_state(pr_edge_t *edge);
+/** @return the state of this host's tables, for a digest to relays at a
+ * distance
+ */
+pr_feed_state_t pr_peers_feed_state(pr_edge_t *edge, pr_distance_t distance);
 /** Handle the state of a relay's tables from its digest. */
 void pr_peers_receive_feed_state(pr_edge_t *edge, pr_host_t *relay,
 				 const pr_feed_state_t *state);
--- a/src/edge/peer_reports.c
+++ b/src/edge/peer_reports.c
@@ -145,7 +145,7 @@
 	const pr_roster_t *roster = &edge->peering.roster;
 	const char *host = edge->settings->host;
 	pr_usec_t now = pr_edge_now(edge);
-	pr_feed_state_t state = pr_peers_feed_state(edge);
+	pr_feed_state_t state = pr_peers_feed_state(edge, PR_DISTANCE_REGION);
 	pr_str_t bytes = PR_STR_INIT;
 	pr_upstream_counts_t counts = { .count = 0 };
 
@@ -172,7 +172,8 @@
  * counts. */
 void pr_peers_send_distant_digest(pr_edge_t *edge)
 {
-	pr_feed_state_t state = pr_peers_feed_state(edge);
+	pr_feed_state_t state =
+		pr_peers_feed_state(edge, PR_DISTANCE_OTHER_REGION);
 	pr_upstream_counts_t none = { .count = 0 };
 	pr_str_t bytes = PR_STR_INIT;
 
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -289,8 +289,11 @@
 	       pr_reader_is_current(&edge->peering.reader, pr_edge_now(edge));
 }
 
-pr_feed_state_t pr_peers_feed_state(pr_edge_t *edge)
+pr_feed_state_t pr_peers_feed_state(pr_edge_t *edge, pr_distance_t distance)
 {
+	/* Another region has a reader of its own. */
+	bool reads =
+		edge->peering.reader.reading && distance == PR_DISTANCE_REGION;
 	pr_feed_state_t state = {
 		.age_ms = (uint32_t)((pr_edge_now(edge) -
 				      edge->peering.reader.confirmed_at) /
@@ -301,10 +304,9 @@
 		.unsettled_ms = pr_watches_outage_grace_ms(edge),
 	};
 
-	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		state.newest[i] = edge->watches[i].newest;
-		state.version[i] = edge->watches[i].version;
-	}
+	for (int i = 0; i < PR_TABLES_COUNT; i++)
+		state.tables[i] =
+			pr_extent_announce(&edge->watches[i].extent, reads);
 	return state;
 }
 
@@ -313,8 +315,8 @@
 static bool is_ahead(const pr_edge_t *edge, const pr_feed_state_t *state)
 {
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		if (state->newest[i] > edge->watches[i].newest &&
-		    state->newest[i] > edge->watches[i].version)
+		if (state->tables[i].newest >
+		    pr_extent_complete(&edge->watches[i].extent))
 			return true;
 	}
 	return false;
@@ -333,8 +335,7 @@
 			      state->reads_store ? confirmed_at : 0, now);
 	for (int i = 0; i < PR_TABLES_COUNT; i++)
 		pr_watch_compare_peer(edge, (pr_store_table_t)i,
-				      near ? relay : NULL, state->newest[i],
-				      state->version[i]);
+				      near ? relay : NULL, &state->tables[i]);
 	/* Each region has its own reader, and rows are not forwarded to other
 	 * regions. */
 	if (!is_ahead(edge, state) && near)
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -96,7 +96,7 @@
 		watch->failed_since = now;
 		pr_event_state("store_lost", "table=%d status=%d version=%llu",
 			       watch->table, status,
-			       (unsigned long long)watch->version);
+			       (unsigned long long)watch->extent.version);
 	}
 	watch->failures++;
 	schedule_call(watch, pause < longest ? pause : longest);
@@ -135,8 +135,7 @@
 {
 	pr_edge_apply_row(watch->edge, watch->table, row,
 			  watch->outage_grace_until);
-	if (row->version > watch->newest)
-		watch->newest = row->version;
+	pr_extent_add(&watch->extent, row->version);
 }
 
 static void apply_rows(pr_watch_t *watch, const pr_store_rows_t *rows)
@@ -213,7 +212,7 @@
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
 	if (!watch->page_key)
-		watch->version = rows.version;
+		watch->read_version = rows.version;
 	apply_rows(watch, &rows);
 	free(watch->page_key);
 	watch->page_key = NULL;
@@ -228,14 +227,16 @@
 				 rows.rows[rows.count - 1].key);
 	}
 	if (!watch->page_key) {
-		remove_unseen(watch, watch->version);
+		remove_unseen(watch, watch->read_version);
 		clear_read_state(watch);
-		watch->synced = true;
+		pr_extent_read(&watch->extent, watch->read_version,
+			       !watch->was_synced);
+		watch->synced = watch->was_synced = true;
 		if (watch->table == PR_TABLE_UPSTREAMS)
 			watch->edge->registry.initial_read_done = true;
 		pr_event_state("table_read", "table=%d rows=%zu version=%llu",
 			       watch->table, rows.count,
-			       (unsigned long long)watch->version);
+			       (unsigned long long)watch->extent.version);
 	}
 	pr_store_rows_finish(&rows);
 	schedule_call(watch, 0);
@@ -246,12 +247,21 @@
 	pr_watch_t *watch = call->owner;
 	pr_store_rows_t rows;
 	pr_usec_t pause = 0;
-	uint64_t after;
+	uint64_t after = pr_extent_last(&watch->extent);
 
+	if (status == 410 && watch->reading_gap) {
+		/* The relay that lacks the changes cannot read them either. */
+		pr_event_state("gap_left", "table=%d version=%llu",
+			       watch->table,
+			       (unsigned long long)watch->gap.version);
+		watch->gap_refused = watch->gap.version;
+		schedule_call(watch, 0);
+		return;
+	}
 	if (status == 410) {
 		pr_event_state("history_lost", "table=%d version=%llu",
 			       watch->table,
-			       (unsigned long long)watch->version);
+			       (unsigned long long)watch->extent.version);
 		watch->synced = false;
 		schedule_call(watch, 0);
 		return;
@@ -273,10 +283,15 @@
 	update_store_clock(watch, rows.now_ms);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
-	after = watch->newest;
+	if (watch->reading_gap) {
+		after = watch->gap.newest;
+		pr_extent_close_gap(&watch->extent, &watch->gap);
+		pr_event_state("gap_closed", "table=%d after=%llu rows=%zu",
+			       watch->table, (unsigned long long)after,
+			       rows.count);
+	}
 	apply_rows(watch, &rows);
-	if (rows.version > watch->version)
-		watch->version = rows.version;
+	pr_extent_advance(&watch->extent, rows.version);
 	if (rows.count) {
 		pause = batch_delay[watch->table];
 		pr_peering_forward_rows(watch->edge, watch->table, after,
@@ -292,7 +307,7 @@
 {
 	const pr_edge_t *edge = watch->edge;
 
-	if (!watch->synced || watch->restarting)
+	if (!watch->synced || watch->restarting || watch->gap_wanted)
 		return false;
 	if (watch->table != PROBE_TABLE && edge->watches[PROBE_TABLE].failures)
 		return true;
@@ -309,7 +324,8 @@
 		watch->table == PROBE_TABLE ? PROBE_WAIT_MS : FEED_WAIT_MS;
 	pr_usec_t timeout =
 		(pr_usec_t)wait_ms * PR_USEC_PER_MSEC + RESPONSE_SLACK;
-	bool at_once = watch->failures || watch->restarting;
+	bool at_once =
+		watch->failures || watch->restarting || watch->gap_wanted;
 	pr_str_t request = PR_STR_INIT;
 	int rc;
 
@@ -320,11 +336,15 @@
 		return;
 	/* Rows may have been missing only because of the batch delay. */
 	watch->lag.since = 0;
+	watch->reading_gap = watch->gap_wanted && watch->synced;
+	watch->gap_wanted = false;
 	if (at_once)
 		timeout = PROBE_TIMEOUT;
 	if (watch->synced)
 		rc = pr_adapter_store_feed(&request, watch->table,
-					   watch->version,
+					   watch->reading_gap
+						   ? watch->gap.version
+						   : watch->extent.version,
 					   at_once ? 0 : wait_ms);
 	else
 		rc = pr_adapter_store_read(&request, watch->table,
@@ -358,13 +378,6 @@
 		start_call(watch);
 }
 
-/* Version up to which this host has all rows. The feed's version also covers
- * rows that were removed since. */
-static uint64_t complete_version(const pr_watch_t *watch)
-{
-	return watch->newest > watch->version ? watch->newest : watch->version;
-}
-
 /* Apply those of the rows that this host lacks, and forward all of them.
  *
  * @param after version of the row before the first one
@@ -373,18 +386,17 @@
 			       const pr_store_row_t *rows, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
-		if (rows[i].version > watch->newest)
+		if (rows[i].version > watch->extent.newest)
 			apply_row(watch, &rows[i]);
 	}
-	if (watch->newest > watch->version)
-		watch->version = watch->newest;
+	pr_extent_advance(&watch->extent, watch->extent.newest);
 	pr_peering_forward_rows(watch->edge, watch->table, after, rows, count);
 }
 
 static void on_relay_rows(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_watch_t *watch = call->owner;
-	uint64_t have = complete_version(watch);
+	uint64_t have = pr_extent_complete(&watch->extent);
 	pr_store_rows_t rows = { 0 };
 
 	if (status != 200 || pr_row_cache_read(&rows, body) ||
@@ -398,8 +410,8 @@
 			       "table=%d rows=%zu bytes=%zu version=%llu",
 			       watch->table, rows.count, body.len,
 			       (unsigned long long)rows.version);
-		/* There is no row between the newest one and version have. */
-		apply_relayed_rows(watch, watch->newest, rows.rows, rows.count);
+		apply_relayed_rows(watch, pr_extent_last(&watch->extent),
+				   rows.rows, rows.count);
 	}
 	pr_store_rows_finish(&rows);
 }
@@ -416,7 +428,8 @@
 	if (!relay ||
 	    pr_str_appendf(
 		    &request, "GET /rows/%d/%llu HTTP/1.1\r\nHost: %s\r\n\r\n",
-		    watch->table, (unsigned long long)complete_version(watch),
+		    watch->table,
+		    (unsigned long long)pr_extent_complete(&watch->extent),
 		    relay->name)) {
 		request_from_store(watch);
 	} else {
@@ -427,43 +440,53 @@
 	pr_str_finish(&request);
 }
 
-/* When this host has the same rows as the relay, take over the relay's version:
- * the store may no longer have the history after an older one. */
-static void advance_version(pr_watch_t *watch, uint64_t newest,
-			    uint64_t version)
+/* A relay of the region may lack a removal that this host does not know, and
+ * nobody else reads the store for it: read the changes that it lacks. */
+static void close_gap(pr_watch_t *watch, const pr_announced_t *relay)
 {
-	if (watch->paused && newest == watch->newest &&
-	    version > watch->version)
-		watch->version = version;
+	if (!watch->synced || watch->paused || watch->gap_wanted ||
+	    watch->reading_gap || watch->failures ||
+	    !pr_peering_reads_store(watch->edge) ||
+	    !pr_extent_has_gap(&watch->extent, relay) ||
+	    relay->version <= watch->gap_refused)
+		return;
+	pr_event_state("gap_found", "table=%d base=%llu relay=%llu",
+		       watch->table, (unsigned long long)watch->extent.base,
+		       (unsigned long long)relay->version);
+	watch->gap = *relay;
+	watch->gap_wanted = true;
+	request_from_store(watch);
 }
 
 void pr_watch_compare_peer(pr_edge_t *edge, pr_store_table_t table,
-			   const pr_host_t *relay, uint64_t newest,
-			   uint64_t version)
+			   const pr_host_t *relay,
+			   const pr_announced_t *announced)
 {
 	pr_watch_t *watch = &edge->watches[table];
 	pr_usec_t now = pr_edge_now(edge);
 	uint64_t have;
 	pr_usec_t lag;
 
-	advance_version(watch, newest, version);
-	have = complete_version(watch);
-	lag = pr_lag_update(&watch->lag, newest, have, now);
+	pr_extent_adopt(&watch->extent, announced, watch->paused);
+	if (relay)
+		close_gap(watch, announced);
+	have = pr_extent_complete(&watch->extent);
+	lag = pr_lag_update(&watch->lag, announced->newest, have, now);
 	if (lag < (watch->paused ? LAG_MAX_PAUSED : LAG_MAX) || watch->failures)
 		return;
 	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
-		       (unsigned long long)watch->newest,
-		       (unsigned long long)newest);
-	request_missing_rows(watch,
-			     watch->paused && newest > have ? relay : NULL);
+		       (unsigned long long)watch->extent.newest,
+		       (unsigned long long)announced->newest);
+	request_missing_rows(watch, watch->paused && announced->newest > have
+					    ? relay
+					    : NULL);
 }
 
 void pr_watch_receive_rows(pr_edge_t *edge, const pr_host_t *relay,
 			   const pr_message_rows_t *rows)
 {
 	pr_watch_t *watch = &edge->watches[rows->table];
-	bool follows =
-		watch->newest >= rows->after || watch->version >= rows->after;
+	bool follows = pr_extent_complete(&watch->extent) >= rows->after;
 
 	/* A call in progress returns the same rows. */
 	if (!watch->synced || watch->call.busy)
@@ -473,7 +496,7 @@
 			request_missing_rows(watch, relay);
 		return;
 	}
-	if (rows->rows[rows->count - 1].version > watch->newest)
+	if (rows->rows[rows->count - 1].version > watch->extent.newest)
 		apply_relayed_rows(watch, rows->after, rows->rows, rows->count);
 }
 
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -73,10 +73,10 @@
 					   feeds->unsettled_ms);
 	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
 		rc = pr_msgmap_pack_number(&packer, table_names[i],
-					   feeds->newest[i]);
+					   feeds->tables[i].newest);
 	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
 		rc = pr_msgmap_pack_number(&packer, version_names[i],
-					   feeds->version[i]);
+					   feeds->tables[i].version);
 	return rc;
 }
 
@@ -112,9 +112,11 @@
 	feeds->clock_ms = (int64_t)clock;
 	feeds->unsettled_ms = (uint32_t)unsettled;
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		if (pr_msgmap_number(map, &feeds->newest[i], table_names[i]) ||
-		    pr_msgmap_number(map, &feeds->version[i], version_names[i]))
-			feeds->newest[i] = feeds->version[i] = 0;
+		if (pr_msgmap_number(map, &feeds->tables[i].newest,
+				     table_names[i]) ||
+		    pr_msgmap_number(map, &feeds->tables[i].version,
+				     version_names[i]))
+			feeds->tables[i].newest = feeds->tables[i].version = 0;
 	}
 	return 0;
 }
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -9,6 +9,7 @@
 #include "limits/stated_rate.h"
 #include "quarantine/quarantine.h"
 #include "relay/aggregate.h"
+#include "relay/extent.h"
 #include "store/store.h"
 #include "transition/sessions.h"
 
@@ -27,9 +28,7 @@
 	bool reads_store;
 	/** The relay is current with the store and passes rows on. */
 	bool current;
-	/** Newest row of each table that the relay applied, and the version of
-	 *  the store up to which the relay has all rows of the table. */
-	uint64_t newest[PR_TABLES_COUNT], version[PR_TABLES_COUNT];
+	pr_announced_t tables[PR_TABLES_COUNT];
 	/** The store's clock, milliseconds. */
 	int64_t clock_ms;
 	/** Time until entries that expired during an outage are back, ms. */
--- /dev/null
+++ b/tests/edge/feeds.py
@@ -0,0 +1,100 @@
+"""Changes of the store that reach only a part of the hosts, with real processes:
+an upstream that has left must get no request later than changes may take.
+
+usage: feeds.py BINARY NET
+"""
+
+import asyncio
+import random
+import re
+import signal
+import sys
+import time
+
+from checks import FAILURES, check
+from fleet import ZONES, Caller, Fleet
+
+# Time in which hosts stop using an upstream whose entry was removed.
+DRAIN_S = 3.0
+
+
+def reads_store(fleet, router):
+    """Whether the log says that a host reads the store for its region."""
+    reads = False
+    with open(f"{fleet.folder}/{router.name}.log", encoding="ascii", errors="replace") as log:
+        for line in log:
+            found = re.search(r"event=reading_(began|ended)", line)
+            reads = found[1] == "began" if found else reads
+    return reads
+
+
+class Traffic:
+    """Requests to every host in turn until the end."""
+
+    def __init__(self, fleet, name):
+        self.fleet, self.name, self.running, self.sent = fleet, name, True, {}
+        self.tasks = [asyncio.create_task(self.send(router)) for router in fleet.routers]
+
+    async def send(self, router):
+        caller, number = Caller(router.address), 0
+        while self.running:
+            ident = f"{self.name}-{router.name}-{number}"
+            number += 1
+            self.sent[ident] = time.monotonic()
+            await caller.request(ident, "/safe/x", budget_ms=2000)
+            await asyncio.sleep(0.03)
+        caller.close()
+
+    async def stop(self):
+        self.running = False
+        await asyncio.gather(*self.tasks)
+
+    def late(self, upstream, removed):
+        """Requests that were sent too late and reached the upstream."""
+        return [ident for _, ident, _ in upstream.arrivals
+                if self.sent.get(ident, 0) > removed + DRAIN_S]
+
+
+async def remove(fleet, upstream):
+    return await fleet.store.put("servers", upstream.name, None)
+
+
+async def check_reader_restart(fleet):
+    """A removal while the reader of the region started again was in no full read,
+    and the other hosts took over the version behind it."""
+    for region in sorted(set(ZONES.values())):
+        reader = next(r for r in fleet.routers
+                      if ZONES[r.zone] == region and reads_store(fleet, r))
+        upstream = next(u for u in fleet.upstreams
+                        if u.service == "ledger" and u.zone == reader.zone)
+        traffic = Traffic(fleet, region)
+        reader.signal(signal.SIGKILL)
+        await reader.process.wait()
+        removed = await remove(fleet, upstream)
+        await asyncio.sleep(0.3)
+        await reader.start()
+        await asyncio.sleep(DRAIN_S + 1)
+        await traffic.stop()
+        late = traffic.late(upstream, removed)
+        check(f"no host of {region} misses a removal while its reader starts again",
+              not late and traffic.sent, late[:5])
+        await fleet.store.put("servers", upstream.name, upstream.entry())
+        await asyncio.sleep(2)
+
+
+async def main():
+    fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(5), hosts=6, per_zone=2)
+    try:
+        await fleet.start()
+        # The readers of the regions have been chosen.
+        await asyncio.sleep(4)
+        await check_reader_restart(fleet)
+    finally:
+        await fleet.stop()
+    if FAILURES:
+        print(f"logs: {fleet.folder}")
+    print(f"{len(FAILURES)} failed")
+    return bool(FAILURES)
+
+
+sys.exit(asyncio.run(main()))
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -28,8 +28,9 @@
 		.age_ms = UINT32_MAX,
 		.reads_store = true,
 		.current = true,
-		.newest = { UINT64_MAX, 5, UINT64_MAX },
-		.version = { UINT64_MAX, UINT64_MAX, 6 },
+		.tables = { { UINT64_MAX, UINT64_MAX },
+			    { 5, UINT64_MAX },
+			    { UINT64_MAX, 6 } },
 		.clock_ms = INT64_MAX,
 		.unsettled_ms = UINT32_MAX,
 	};
@@ -57,8 +58,8 @@
 	assert_memory_equal(read.items, loads.items, sizeof(loads.items));
 	assert_int_equal(read_feeds.age_ms, feeds.age_ms);
 	assert_true(read_feeds.reads_store && read_feeds.current);
-	assert_int_equal(read_feeds.newest[2], UINT64_MAX);
-	assert_int_equal(read_feeds.version[2], 6);
+	assert_int_equal(read_feeds.tables[2].newest, UINT64_MAX);
+	assert_int_equal(read_feeds.tables[2].version, 6);
 	assert_int_equal(read_feeds.clock_ms, INT64_MAX);
 	pr_msgmap_finish(&map);
 	pr_str_finish(&bytes);
