Know all parts of a prompt

Cause: pr_adapter_prompt() kept 32 parts and left the others out, so that they were never suspected. A part without a size ended the list as well.

All parts are kept now; the header's limit bounds them. In a simulation of prompts of 1,200 parts one crash then drove out all other suspects, and parts displaced each other among the last answers, so a crash makes at most 64 parts of a prompt suspects, and the last answers are in sets.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -97,7 +97,7 @@
 	size_t len = 0;
 
 	snprintf(out, size, "-");
-	for (uint32_t i = 0; i < prompt->parts_count; i++) {
+	for (size_t i = 0; i < prompt->parts_count; i++) {
 		int added =
 			snprintf(out + len, size - len, "%s%llx", i ? "," : "",
 				 (unsigned long long)prompt->parts[i]);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -164,6 +164,7 @@
 	pr_sse_filter_finish(&x->events);
 	pr_str_finish(&x->head);
 	pr_str_finish(&x->body);
+	pr_prompt_finish(&x->prompt);
 	pr_routing_unref(x->routing);
 	x->routing = NULL;
 	x->active = false;
@@ -341,12 +342,16 @@
 	x->deadline = x->caller_deadline;
 	if (timeout && x->began + timeout < x->deadline)
 		x->deadline = x->began + timeout;
-	pr_adapter_prompt(
-		&x->prompt,
-		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_TOKENS)),
-		pr_http_find(reader,
-			     pr_adapter_field_name(PR_FIELD_LENGTH_HINT)),
-		pr_http_find(reader, pr_adapter_field_name(PR_FIELD_PARTS)));
+	if (pr_adapter_prompt(
+		    &x->prompt,
+		    pr_http_find(reader,
+				 pr_adapter_field_name(PR_FIELD_TOKENS)),
+		    pr_http_find(reader,
+				 pr_adapter_field_name(PR_FIELD_LENGTH_HINT)),
+		    pr_http_find(reader,
+				 pr_adapter_field_name(PR_FIELD_PARTS))))
+		pr_event("prompt_parts_unread", "id=%s error=\"out of memory\"",
+			 x->id);
 	if (session.len)
 		x->session_hash = XXH64(session.ptr, session.len, 0);
 	x->stream = x->route->kind == PR_CALL_STREAM;
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -27,6 +27,13 @@
 #define SERVICE_PAUSE_MS    1500
 #define SERVICE_ANSWERS_MIN 5
 
+/* Most parts of one prompt that are suspected of a crash: an eighth of all
+ * suspects. */
+#define SUSPECTS_MAX (PR_QUARANTINE_MAX / 8)
+
+/* Entries of a set among the last answers on parts. */
+#define ANSWERED_WAYS 4
+
 /* Multiplicative hash; its upper bits depend on all bits of the key. */
 static uint64_t spread(uint64_t key)
 {
@@ -127,17 +134,31 @@
 		       PR_QUARANTINE_OTHERS_MIN;
 }
 
-static size_t answered_slot(uint64_t part)
+/* Entry for the last answer on a part: its own one, or the one in its set that
+ * was answered longest ago. Without a choice between several, two parts that
+ * are answered all the time could displace each other and both seem new. */
+static size_t answered_at(const pr_quarantine_t *quarantine, uint64_t part)
 {
-	return (size_t)(spread(part) >> 32) % PR_QUARANTINE_ANSWERED_MAX;
+	size_t first = (size_t)(spread(part) >> 32) %
+		       PR_QUARANTINE_ANSWERED_MAX / ANSWERED_WAYS *
+		       ANSWERED_WAYS;
+	size_t at = first;
+
+	for (size_t i = first; i < first + ANSWERED_WAYS; i++) {
+		if (quarantine->answered[i].part == part)
+			return i;
+		if (quarantine->answered[i].ms < quarantine->answered[at].ms)
+			at = i;
+	}
+	return at;
 }
 
 static int64_t last_answer_ms(const pr_quarantine_t *quarantine, uint64_t part)
 {
-	size_t slot = answered_slot(part);
+	size_t at = answered_at(quarantine, part);
 
-	return quarantine->answered[slot].part == part
-		       ? quarantine->answered[slot].ms
+	return quarantine->answered[at].part == part
+		       ? quarantine->answered[at].ms
 		       : 0;
 }
 
@@ -325,11 +346,45 @@
 	pr_quarantine_mark_changed(entry, true);
 }
 
+/*
+ * The parts of a prompt that are suspected: all of them, or of a long prompt
+ * those that were not answered for longest. Otherwise one request would replace
+ * all other suspects.
+ *
+ * @param out indexes of the parts
+ */
+static size_t pick_suspects(const pr_quarantine_t *quarantine,
+			    const pr_quarantine_prompt_t *prompt,
+			    size_t out[SUSPECTS_MAX])
+{
+	int64_t answers[SUSPECTS_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < prompt->parts_count; i++) {
+		int64_t answer_ms =
+			last_answer_ms(quarantine, prompt->parts[i]);
+		size_t at = count;
+
+		if (count < SUSPECTS_MAX)
+			count++;
+		else if (answer_ms >= answers[--at])
+			continue;
+		for (; at && answers[at - 1] > answer_ms; at--) {
+			answers[at] = answers[at - 1];
+			out[at] = out[at - 1];
+		}
+		answers[at] = answer_ms;
+		out[at] = i;
+	}
+	return count;
+}
+
 void pr_quarantine_record_crash(pr_quarantine_t *quarantine,
 				const pr_quarantine_prompt_t *prompt,
 				uint32_t upstream, int64_t now_ms)
 {
 	const pr_crash_t crash = { .upstream = upstream, .at_ms = now_ms };
+	size_t suspects[SUSPECTS_MAX], count;
 	bool explained = false;
 
 	/* A quarantined part explains the crash. */
@@ -345,14 +400,17 @@
 		pr_quarantine_mark_changed(entry, true);
 		explained = true;
 	}
-	for (size_t i = 0; i < prompt->parts_count && !explained; i++) {
-		pr_quarantine_entry_t *entry = pr_quarantine_find(
-			quarantine, prompt->service, prompt->parts[i]);
+	if (explained)
+		return;
+	count = pick_suspects(quarantine, prompt, suspects);
+	for (size_t i = 0; i < count; i++) {
+		uint64_t part = prompt->parts[suspects[i]];
+		pr_quarantine_entry_t *entry =
+			pr_quarantine_find(quarantine, prompt->service, part);
 
 		if (!entry)
-			entry = add(quarantine, prompt->service,
-				    prompt->parts[i]);
-		entry->suspect.position = (uint32_t)i;
+			entry = add(quarantine, prompt->service, part);
+		entry->suspect.position = (uint32_t)suspects[i];
 		record_crash(quarantine, entry, prompt, &crash);
 	}
 }
@@ -391,10 +449,10 @@
 {
 	count_service_answer(quarantine, prompt->service, now_ms);
 	for (size_t i = 0; i < prompt->parts_count; i++) {
-		size_t slot = answered_slot(prompt->parts[i]);
+		size_t at = answered_at(quarantine, prompt->parts[i]);
 
-		quarantine->answered[slot].part = prompt->parts[i];
-		quarantine->answered[slot].ms = now_ms;
+		quarantine->answered[at].part = prompt->parts[i];
+		quarantine->answered[at].ms = now_ms;
 	}
 	for (size_t i = 0; i < quarantine->count; i++) {
 		pr_quarantine_entry_t *entry = &quarantine->entries[i];
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -26,7 +26,7 @@
 /** Most parts that are under suspicion or in quarantine. */
 #define PR_QUARANTINE_MAX 512
 /** Parts whose last answer is remembered; a power of two. */
-#define PR_QUARANTINE_ANSWERED_MAX 4096
+#define PR_QUARANTINE_ANSWERED_MAX 8192
 /** Upstreams whose last answer is remembered; a power of two. */
 #define PR_QUARANTINE_ALIVE_MAX 1024
 /** Answers to other requests after which a service counts as up beside a
@@ -84,8 +84,8 @@
 	uint32_t sends;
 	/** Index of the entry that was refreshed last. */
 	size_t refresh_at;
-	/** Last answers on parts, and of upstreams; those with the same slot
-	 *  displace each other. */
+	/** Last answers on parts, in sets of a few, and of upstreams, where
+	 *  those with the same slot displace each other. */
 	struct {
 		uint64_t part;
 		int64_t ms;
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -134,12 +134,43 @@
 	assert_int_equal(a.parts[0], 0x5c1e);
 	assert_int_equal(a.parts[1], 0x91bd);
 	assert_int_equal(a.own_part, 0xe440);
+	pr_prompt_finish(&a);
+	pr_prompt_finish(&b);
 	pr_adapter_prompt(&a, PR_SLICE(""), PR_SLICE(""), PR_SLICE("5c1e:800"));
 	assert_true(!a.parts_count && a.own_part == 0x5c1e);
+	pr_prompt_finish(&a);
 	pr_adapter_prompt(&a, PR_SLICE(""), PR_SLICE(""), PR_SLICE(""));
 	assert_true(!a.tokens && !a.shared_hash);
+	pr_prompt_finish(&a);
 	pr_adapter_prompt(&a, PR_SLICE("x"), PR_SLICE("-1"), PR_SLICE(",,:,"));
 	assert_int_equal(a.tokens, 0);
+	pr_prompt_finish(&a);
+}
+
+#define LONG_PROMPT_PARTS 1500
+
+/* BUDGET: a part behind the 32nd of a prompt, or behind one that cannot be
+ * read, was not known and crashed upstreams again and again. */
+static void test_all_parts_of_a_long_prompt(void **state)
+{
+	pr_str_t list = PR_STR_INIT;
+	pr_prompt_t prompt;
+
+	for (int i = 0; i < LONG_PROMPT_PARTS; i++)
+		assert_int_equal(pr_str_appendf(&list, "%x:40,", 0x1000 + i),
+				 0);
+	assert_int_equal(pr_str_appendf(&list, "no size, dead01:40 , own:1"),
+			 0);
+	assert_int_equal(pr_adapter_prompt(&prompt, PR_SLICE("9,9"),
+					   PR_SLICE(""), pr_str_slice(&list)),
+			 0);
+	assert_int_equal(prompt.parts_count, LONG_PROMPT_PARTS + 1);
+	for (int i = 0; i < LONG_PROMPT_PARTS; i++)
+		assert_int_equal(prompt.parts[i], 0x1000 + i);
+	assert_int_equal(prompt.parts[LONG_PROMPT_PARTS], 0xdead01);
+	assert_int_equal(prompt.shared_tokens, 40 * (LONG_PROMPT_PARTS + 1));
+	pr_prompt_finish(&prompt);
+	pr_str_finish(&list);
 }
 
 /* What a caller sends in the router's own fields must not reach an upstream. */
@@ -280,6 +311,7 @@
 		cmocka_unit_test(test_unreadable_upstreams),
 		cmocka_unit_test(test_routing_document),
 		cmocka_unit_test(test_prompt_parts),
+		cmocka_unit_test(test_all_parts_of_a_long_prompt),
 		cmocka_unit_test(test_reserved_fields),
 		cmocka_unit_test(test_orders),
 		cmocka_unit_test(test_rollout_status),
