Ask feeds again that may have lost their call

Cause: only the feed of the orders waits briefly enough to notice a lost call, and a short silence falls between two of its calls.

Each response tells the store's newest version, so a feed that still waits although two responses of the orders' feed had a newer version is asked again. A change is known 1.2 s later at most, whatever lost the call.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -62,6 +62,10 @@
 	 *  removed row may be an entry that lapsed only because the outage
 	 *  kept its owner from renewing it, so removals take effect then. */
 	pr_usec_t outage_grace_until;
+	/** The store's version when the orders' feed responded last, and the
+	 *  time of that response. */
+	uint64_t expected;
+	pr_usec_t expected_at;
 	/** How long other hosts have had rows that this host lacks. */
 	pr_lag_t lag;
 	/** A full read succeeded, and the feed has not lost its history since
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -60,6 +60,7 @@
 };
 
 static void start_call(pr_watch_t *watch);
+static void request_from_store(pr_watch_t *watch);
 
 static void on_due(pr_timer_t *timer, pr_usec_t now)
 {
@@ -242,6 +243,37 @@
 	schedule_call(watch, 0);
 }
 
+/*
+ * The feed of the orders tells the store's newest version. A feed that is still
+ * waiting, although the version was there before the last two responses, has a
+ * change in another table, or its call was lost: the store may be silent for
+ * a shorter time than the orders' feed needs to notice. It is asked again, so
+ * that the loss of a call does not hold changes back until its time-out.
+ */
+static void check_other_feeds(const pr_watch_t *probe, uint64_t version)
+{
+	pr_usec_t now = pr_edge_now(probe->edge);
+
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		pr_watch_t *watch = &probe->edge->watches[i];
+
+		if (watch == probe || !watch->synced)
+			continue;
+		if (watch->call.busy && !watch->restarting &&
+		    watch->called_at < watch->expected_at &&
+		    pr_extent_complete(&watch->extent) < watch->expected) {
+			pr_event_state(
+				"feed_checked",
+				"table=%d version=%llu store=%llu", i,
+				(unsigned long long)watch->extent.version,
+				(unsigned long long)watch->expected);
+			request_from_store(watch);
+		}
+		watch->expected = version;
+		watch->expected_at = now;
+	}
+}
+
 static void on_feed(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_watch_t *watch = call->owner;
@@ -281,8 +313,10 @@
 	handle_recovery(watch);
 	log_unreadable(watch, &rows);
 	update_store_clock(watch, rows.now_ms);
-	if (watch->table == PROBE_TABLE)
+	if (watch->table == PROBE_TABLE) {
 		pr_peering_confirm(watch->edge);
+		check_other_feeds(watch, rows.version);
+	}
 	if (watch->reading_gap) {
 		after = watch->gap.newest;
 		pr_extent_close_gap(&watch->extent, &watch->gap);
--- a/tests/edge/feeds.py
+++ b/tests/edge/feeds.py
@@ -82,6 +82,38 @@
         await asyncio.sleep(2)
 
 
+async def check_lost_feed_calls(fleet):
+    """Calls for the list of upstreams were lost in a silence of the store that ended
+    before the feed of the orders noticed it. All hosts waited ten seconds for them."""
+    first, upstream = [u for u in fleet.upstreams if u.service == "ledger"][1:3]
+    await fleet.store.put("servers", first.name, first.entry())
+    fleet.store.silent_feeds = {"servers", "status"}
+    # The next call for the list follows within this time.
+    await asyncio.sleep(1.2)
+    fleet.store.silent_feeds = set()
+    traffic = Traffic(fleet, "lost")
+    removed = await remove(fleet, upstream)
+    await asyncio.sleep(DRAIN_S + 1)
+    await traffic.stop()
+    late = traffic.late(upstream, removed)
+    check("no host misses a removal after its feed call was lost", not late, late[:5])
+    await fleet.store.put("servers", upstream.name, upstream.entry())
+    await asyncio.sleep(2)
+
+
+async def check_calls(fleet):
+    """Changes of other tables must not make the hosts call the store without end."""
+    calls, changes = fleet.store.calls, 8
+    for _ in range(changes):
+        await fleet.store.put("servers", fleet.upstreams[0].name, fleet.upstreams[0].entry())
+        await asyncio.sleep(0.5)
+    # Two readers: the orders' feed each 0.6 s, and for a change one call more and
+    # one that confirms the other table.
+    most = 2 * (changes * 0.5 / 0.6 + 3 * changes + 4)
+    check("a change costs few calls", fleet.store.calls - calls <= most,
+          (fleet.store.calls - calls, most))
+
+
 async def main():
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(5), hosts=6, per_zone=2)
     try:
@@ -89,6 +121,8 @@
         # The readers of the regions have been chosen.
         await asyncio.sleep(4)
         await check_reader_restart(fleet)
+        await check_lost_feed_calls(fleet)
+        await check_calls(fleet)
     finally:
         await fleet.stop()
     if FAILURES:
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -111,6 +111,8 @@
         self.mode = "ok"
         self.lose = 0.0
         self.slow = 0.0
+        # Feed calls for these tables get no answer.
+        self.silent_feeds = set()
         # Refuse the hosts' writes, as when there are too many.
         self.refuse_writes = False
         self.changed = asyncio.Condition()
@@ -174,6 +176,8 @@
             rows = [r for r in rows if r["key"] >= unquote(query.get("from", ""))]
             status, answer = 200, {"rows": rows[:500], "more-pages": len(rows) > 500}
         elif url.path == "/rows-feed":
+            if query["table"] in self.silent_feeds:
+                await asyncio.sleep(3600)
             status, answer = await self.feed(query)
         else:
             status, answer = 404, {}
