Accept stream ids that increase in any step

Cause: the filter took each id other than the last one plus one for a missing event.

Ids may increase in any step within a run. At a resume, where pieces could be missing or two runs joined, the new run must repeat the last event that was passed on, if it repeats any, and begin with no wider step than the regular one of the stream.

--- a/src/events/sse_filter.c
+++ b/src/events/sse_filter.c
@@ -8,6 +8,9 @@
 
 #include "pistachiorack/error.h"
 
+/* Steps between ids from which on they count as regular. */
+#define REGULAR_STEPS_MIN 2
+
 void pr_sse_filter_init(pr_sse_filter_t *filter)
 {
 	memset(filter, 0, sizeof(*filter));
@@ -86,6 +89,46 @@
 			    (unsigned long long)filter->last_id);
 }
 
+/* The step between ids, where the stream has always had the same one; 0 where
+ * it is not known. */
+static uint64_t regular_step(const pr_sse_filter_t *filter)
+{
+	return filter->steps >= REGULAR_STEPS_MIN ? filter->step : 0;
+}
+
+/*
+ * Decides about the first new event of a resumed stream. Ids increase in steps
+ * of any width, since an event may hold several tokens, so a run has no gap
+ * that could be seen. But the run of another upstream must go on where the last
+ * one broke off: if it repeats events, the last one that was passed on is among
+ * them, and if the steps have been the same so far, it begins with no wider
+ * one.
+ */
+static int check_continues(const pr_sse_filter_t *filter, uint64_t id)
+{
+	uint64_t step = regular_step(filter);
+
+	if (!filter->resuming)
+		return 0;
+	if (filter->repeating ? filter->repeated_id == filter->last_id
+			      : !step || id - filter->last_id <= step)
+		return 0;
+	return pr_error_set(PR_EPARSE,
+			    "event id %llu of a resumed stream does not "
+			    "continue event id %llu",
+			    (unsigned long long)id,
+			    (unsigned long long)filter->last_id);
+}
+
+static void note_step(pr_sse_filter_t *filter, uint64_t step)
+{
+	if (!filter->steps)
+		filter->step = step;
+	if (step != filter->step)
+		filter->step = 0;
+	filter->steps++;
+}
+
 /*
  * Finds the end of the first event in the buffer, after its blank line.
  *
@@ -119,15 +162,16 @@
 	if (find_id(bytes, len, &id)) {
 		if (filter->has_id && id <= filter->last_id) {
 			filter->repeating = true;
+			filter->repeated_id = id;
 			return 0;
 		}
-		if (filter->has_id && id != filter->last_id + 1)
-			return pr_error_set(
-				PR_EPARSE,
-				"event id %llu follows event id %llu; ids must "
-				"be consecutive",
-				(unsigned long long)id,
-				(unsigned long long)filter->last_id);
+		rc = check_continues(filter, id);
+		if (rc)
+			return rc;
+		/* The caller's own last id, of a stream that it resumes, may
+		 * be from any place. */
+		if (filter->numbered || !filter->has_id)
+			note_step(filter, id - filter->last_id);
 		filter->has_id = true;
 		filter->last_id = id;
 		filter->numbered++;
--- a/src/events/sse_filter.h
+++ b/src/events/sse_filter.h
@@ -23,11 +23,16 @@
 	/** Id of the last event with an id; valid when has_id is set. */
 	uint64_t last_id;
 	bool has_id;
+	/** Step between the ids so far, the first of which counts from 0; 0
+	 * when they differ. Number of steps. */
+	uint64_t step, steps;
 	/** The stream broke off after an event with an id, and the current
 	 *  attempt has sent no event after that one yet. */
 	bool resuming;
 	/** While resuming: the attempt repeats events from before. */
 	bool repeating;
+	/** Id of the last event that was repeated; valid with repeating. */
+	uint64_t repeated_id;
 	/** Number of events passed on. */
 	uint64_t passed;
 	/** Number of events passed on that had a numeric id. */
@@ -46,9 +51,10 @@
  * unchanged; an event with an id up to the last id is dropped. On an error, out
  * has the events before the invalid one.
  *
- * @return 0, PR_EPARSE when an id is not the last id plus one, a resumed stream
- *	   begins with data without an id or an event is longer than
- *	   PR_SSE_FILTER_EVENT_MAX, or PR_ENOMEM
+ * Ids are numbers that increase; the steps may have any width.
+ *
+ * @return 0, PR_EPARSE when a resumed stream does not continue the one before
+ *or an event is longer than PR_SSE_FILTER_EVENT_MAX, or PR_ENOMEM
  */
 int pr_sse_filter_feed(pr_sse_filter_t *filter, pr_slice_t bytes,
 		       pr_str_t *out);
