Quarantine requests that crash upstreams by themselves

Cause: the quarantine knows shared parts of prompts only.

The content of a request is a suspect like a part, and is quarantined once two requests with it crashed four upstreams. What comes from one content no longer speaks against its parts. A content explains no crashes of parts: with that the part at fault was cleared in storms.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -214,6 +214,7 @@
 		.service = (uint32_t)XXH64(x->service, strlen(x->service), 0),
 		.parts = x->prompt.parts,
 		.parts_count = x->prompt.parts_count,
+		.content = x->content_hash,
 		.request = x->hash,
 	};
 }
@@ -327,6 +328,22 @@
 	return true;
 }
 
+/* Hash of what the request asks for, without what differs when the caller sends
+ * it again: its id, its deadline and the last event of a stream. */
+static uint64_t hash_content(const pr_exchange_t *x)
+{
+	const pr_http_reader_t *reader = &x->caller->reader;
+	pr_slice_t target = pr_http_target(reader);
+	uint64_t hash = XXH64(target.ptr, target.len, reader->parser.method);
+
+	hash = XXH64(x->caller->body.ptr, x->caller->body.len, hash);
+	if (x->prompt.parts_count)
+		hash = XXH64(x->prompt.parts,
+			     x->prompt.parts_count * sizeof(x->prompt.parts[0]),
+			     hash);
+	return XXH64(&x->prompt.own_part, sizeof(x->prompt.own_part), hash);
+}
+
 static void read_request(pr_exchange_t *x)
 {
 	pr_http_reader_t *reader = &x->caller->reader;
@@ -352,6 +369,7 @@
 				 pr_adapter_field_name(PR_FIELD_PARTS))))
 		pr_event("prompt_parts_unread", "id=%s error=\"out of memory\"",
 			 x->id);
+	x->content_hash = hash_content(x);
 	if (session.len)
 		x->session_hash = XXH64(session.ptr, session.len, 0);
 	x->stream = x->route->kind == PR_CALL_STREAM;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -28,6 +28,9 @@
 	pr_prompt_t prompt;
 	/** Hash of the request id. */
 	uint64_t hash;
+	/** Hash of what the request asks for; the same when it is sent again.
+	 */
+	uint64_t content_hash;
 	/** Hash of the session; 0 without one. */
 	uint64_t session_hash;
 	/** The request may be sent again even when an upstream may have run
--- a/src/edge/peer_suspects.c
+++ b/src/edge/peer_suspects.c
@@ -41,9 +41,11 @@
 						    &in_force)))
 		pr_event_state(
 			in_force ? "part_quarantined" : "part_released",
-			"part=%llx requests=%d upstreams=%d suspected_ms=%lld "
+			"part=%llx content=%d requests=%d upstreams=%d "
+			"suspected_ms=%lld "
 			"answer_age_ms=%lld cleared_age_ms=%lld times=%u",
 			(unsigned long long)suspect->part,
+			pr_suspect_is_content(suspect),
 			__builtin_popcountll(suspect->requests),
 			(int)suspect->crashes_count,
 			(long long)(now - suspect->since_ms),
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -252,8 +252,22 @@
 		drop_evidence(entry);
 }
 
+static size_t count_subjects(const pr_quarantine_prompt_t *prompt)
+{
+	return prompt->parts_count + (prompt->content != 0);
+}
+
+/* Part of the prompt by its index; its content comes behind the parts. */
+static uint64_t subject_at(const pr_quarantine_prompt_t *prompt, size_t index)
+{
+	return index < prompt->parts_count ? prompt->parts[index]
+					   : prompt->content;
+}
+
 static bool has_part(const pr_quarantine_prompt_t *prompt, uint64_t part)
 {
+	if (prompt->content && prompt->content == part)
+		return true;
 	for (size_t i = 0; i < prompt->parts_count; i++) {
 		if (prompt->parts[i] == part)
 			return true;
@@ -360,9 +374,9 @@
 	int64_t answers[SUSPECTS_MAX];
 	size_t count = 0;
 
-	for (size_t i = 0; i < prompt->parts_count; i++) {
+	for (size_t i = 0; i < count_subjects(prompt); i++) {
 		int64_t answer_ms =
-			last_answer_ms(quarantine, prompt->parts[i]);
+			last_answer_ms(quarantine, subject_at(prompt, i));
 		size_t at = count;
 
 		if (count < SUSPECTS_MAX)
@@ -404,13 +418,15 @@
 		return;
 	count = pick_suspects(quarantine, prompt, suspects);
 	for (size_t i = 0; i < count; i++) {
-		uint64_t part = prompt->parts[suspects[i]];
+		uint64_t part = subject_at(prompt, suspects[i]);
 		pr_quarantine_entry_t *entry =
 			pr_quarantine_find(quarantine, prompt->service, part);
 
 		if (!entry)
 			entry = add(quarantine, prompt->service, part);
-		entry->suspect.position = (uint32_t)suspects[i];
+		entry->suspect.position = suspects[i] < prompt->parts_count
+						  ? (uint32_t)suspects[i]
+						  : PR_SUSPECT_CONTENT;
 		record_crash(quarantine, entry, prompt, &crash);
 	}
 }
@@ -448,10 +464,11 @@
 				 int64_t now_ms)
 {
 	count_service_answer(quarantine, prompt->service, now_ms);
-	for (size_t i = 0; i < prompt->parts_count; i++) {
-		size_t at = answered_at(quarantine, prompt->parts[i]);
+	for (size_t i = 0; i < count_subjects(prompt); i++) {
+		uint64_t part = subject_at(prompt, i);
+		size_t at = answered_at(quarantine, part);
 
-		quarantine->answered[at].part = prompt->parts[i];
+		quarantine->answered[at].part = part;
 		quarantine->answered[at].ms = now_ms;
 	}
 	for (size_t i = 0; i < quarantine->count; i++) {
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -110,6 +110,10 @@
 	/** Shared parts. */
 	const uint64_t *parts;
 	size_t parts_count;
+	/** Hash of what the request asks for, which is the same when a caller
+	 *  sends it again; 0 when it is not known. It is a suspect like the
+	 *  parts: a request may crash upstreams by itself. */
+	uint64_t content;
 	/** Hash of the request. */
 	uint64_t request;
 } pr_quarantine_prompt_t;
--- a/src/quarantine/share.c
+++ b/src/quarantine/share.c
@@ -68,6 +68,14 @@
 		       : NEWS_SINGLE_CRASH;
 }
 
+/* Each request that a crash breaks off has a content of its own, and few of
+ * them are ever sent again. News of them must not hold back those of parts. */
+static bool is_minor(const pr_suspect_t *suspect)
+{
+	return pr_suspect_is_content(suspect) &&
+	       kind_of(suspect) != NEWS_EVIDENCE;
+}
+
 /* Whether to send a rather than b to an audience. */
 static bool is_sent_before(const pr_quarantine_t *quarantine,
 			   const pr_quarantine_entry_t *a,
@@ -84,6 +92,8 @@
 	/* One that changes all the time must not hold back the others. */
 	if (x->quarantined_ms)
 		return a->sent_at[audience] < b->sent_at[audience];
+	if (is_minor(x) != is_minor(y))
+		return is_minor(y);
 	if (a->sends_left[audience] != b->sends_left[audience])
 		return a->sends_left[audience] > b->sends_left[audience];
 	if (kinds[kind_of(x)] != kinds[kind_of(y)])
--- a/src/quarantine/suspect.c
+++ b/src/quarantine/suspect.c
@@ -144,6 +144,11 @@
 	return pr_crash_is_real(known) != was_crash;
 }
 
+bool pr_suspect_is_content(const pr_suspect_t *suspect)
+{
+	return suspect->position == PR_SUSPECT_CONTENT;
+}
+
 bool pr_suspect_was_answered(const pr_suspect_t *suspect)
 {
 	return suspect->answer_ms &&
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -27,12 +27,16 @@
 /** Words of the set of upstreams whose crashes are not kept. */
 #define PR_SUSPECT_DROPPED_WORDS 4
 
+/** Position of a suspect that is no part of a prompt but all that a request
+ * asks for. It fits the position's field in messages. */
+#define PR_SUSPECT_CONTENT UINT16_MAX
+
 /** What is known of a part; all times by the store's clock, milliseconds. */
 typedef struct pr_suspect_t {
 	uint64_t part;
 	/** Hash of the service whose upstreams crashed. */
 	uint32_t service;
-	/** Position in the prompt, from 0. */
+	/** Position in the prompt, from 0, or PR_SUSPECT_CONTENT. */
 	uint32_t position;
 	/** Requests that broke off while the part has been suspected: bit set
 	 *  by hash. */
@@ -60,6 +64,7 @@
 	int64_t probe_ms;
 } pr_suspect_t;
 
+bool pr_suspect_is_content(const pr_suspect_t *suspect);
 /** @return true when there is evidence since the last answer on the part */
 bool pr_suspect_is_suspected(const pr_suspect_t *suspect);
 /** @return true when no answer on the part began since its quarantine did, or
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -12,6 +12,10 @@
 #define UPSTREAMS_MIN      4
 #define REQUESTS_MIN_FEW   2
 #define UPSTREAMS_MIN_MANY 5
+/* The same for a content: a request that was sent again after it had crashed
+ * upstreams, and crashed another. */
+#define REQUESTS_MIN_CONTENT  2
+#define UPSTREAMS_MIN_CONTENT 4
 /* Both, for a part on which an answer began not long before the first crash:
  * requests that wait on an upstream are broken off too when another request
  * crashes it. */
@@ -43,8 +47,19 @@
 	}
 }
 
+/* Whether the part may be one of a content: they were in the same request. Not
+ * all requests of the content need be known to be those of the part, since
+ * hosts that start learn of both at different times. */
+static bool may_contain(const pr_suspect_t *content, const pr_suspect_t *part)
+{
+	return pr_suspect_is_content(content) && !pr_suspect_is_content(part) &&
+	       (content->requests & part->requests);
+}
+
 /* Whether a part that is in quarantine, or was, and is neither of the two
- * explains the crash. */
+ * explains the crash. A content does not for parts: in a storm of crashes a
+ * sound request may be broken off by all of those that one of its parts, or a
+ * part of other requests, brings about. */
 static bool is_explained(const pr_quarantine_t *quarantine,
 			 const pr_suspect_t *suspect, const pr_suspect_t *other,
 			 const pr_crash_t *crash)
@@ -56,6 +71,8 @@
 		if (&entry->suspect != suspect && &entry->suspect != other &&
 		    entry->suspect.service == suspect->service &&
 		    !entry->overruled &&
+		    (!pr_suspect_is_content(&entry->suspect) ||
+		     pr_suspect_is_content(suspect)) &&
 		    pr_suspect_explains(&entry->suspect, crash))
 			return true;
 	}
@@ -86,6 +103,9 @@
 	if (pr_suspect_was_answered(suspect))
 		return requests >= CRASHES_MIN_ANSWERED &&
 		       upstreams >= CRASHES_MIN_ANSWERED;
+	if (pr_suspect_is_content(suspect))
+		return requests >= REQUESTS_MIN_CONTENT &&
+		       upstreams >= UPSTREAMS_MIN_CONTENT;
 	return (requests >= REQUESTS_MIN && upstreams >= UPSTREAMS_MIN) ||
 	       (requests >= REQUESTS_MIN_FEW &&
 		upstreams >= UPSTREAMS_MIN_MANY);
@@ -242,6 +262,9 @@
 			const pr_quarantine_entry_t *other,
 			const pr_suspect_t *suspect, int64_t until_ms)
 {
+	/* Contents with the part begin to crash upstreams all the time. */
+	if (may_contain(&other->suspect, suspect))
+		return false;
 	if (is_enough(&other->suspect, other->crashes))
 		return !is_wider(&other->suspect, suspect) &&
 		       !has_enough_beside(quarantine, suspect, &other->suspect,
@@ -258,12 +281,31 @@
 				      b->crashes);
 }
 
+/* Whether all that is known of a part comes from one request that was sent
+ * again. That proves nothing about the part. */
+static bool has_one_content(const pr_quarantine_t *quarantine,
+			    const pr_suspect_t *part)
+{
+	for (size_t i = 0; i < quarantine->count; i++) {
+		const pr_suspect_t *other = &quarantine->entries[i].suspect;
+
+		if (other->service == part->service &&
+		    may_contain(other, part) &&
+		    !(part->requests & ~other->requests) &&
+		    covers(other, part, INT64_MAX))
+			return true;
+	}
+	return false;
+}
+
 /* Whether the suspect has to wait until more is known of a likelier part. */
 static bool has_likelier(const pr_quarantine_t *quarantine,
 			 const pr_quarantine_entry_t *entry, int64_t now_ms)
 {
 	const pr_suspect_t *suspect = &entry->suspect;
 
+	if (has_one_content(quarantine, suspect))
+		return true;
 	for (size_t i = 0; i < quarantine->count; i++) {
 		const pr_quarantine_entry_t *other = &quarantine->entries[i];
 
--- a/tests/quarantine_fleet.h
+++ b/tests/quarantine_fleet.h
@@ -137,27 +137,36 @@
 	};
 }
 
-/* An upstream crashes under the request and its repeat. @return attempts that
- * reached an upstream */
-static inline int crash(fleet_t *fleet, int host, const uint64_t *parts,
-			size_t count)
+/* An upstream crashes under the request, and under each repeat of it. @return
+ * attempts that reached an upstream */
+static inline int crash_attempts(fleet_t *fleet, int host,
+				 const pr_quarantine_prompt_t *prompt,
+				 int attempts)
 {
 	pr_quarantine_t *quarantine = &fleet->hosts[host];
-	pr_quarantine_prompt_t prompt = prompt_of(fleet, parts, count);
 	int reached = 0;
 
-	while (reached < 2 &&
-	       pr_quarantine_admits(quarantine, &prompt, reached > 0,
-				    fleet->now, NULL)) {
-		pr_quarantine_note_sent(quarantine, &prompt, fleet->now);
+	while (reached < attempts &&
+	       pr_quarantine_admits(quarantine, prompt, reached > 0, fleet->now,
+				    NULL)) {
+		pr_quarantine_note_sent(quarantine, prompt, fleet->now);
 		reached++;
-		pr_quarantine_record_crash(quarantine, &prompt,
+		pr_quarantine_record_crash(quarantine, prompt,
 					   (uint32_t)++fleet->upstreams * 77,
 					   fleet->now);
 	}
 	return reached;
 }
 
+/* A request is sent once and repeated once. */
+static inline int crash(fleet_t *fleet, int host, const uint64_t *parts,
+			size_t count)
+{
+	pr_quarantine_prompt_t prompt = prompt_of(fleet, parts, count);
+
+	return crash_attempts(fleet, host, &prompt, 2);
+}
+
 static inline void answer(fleet_t *fleet, int host, const uint64_t *parts,
 			  size_t count)
 {
