Limit the memory of buffered bodies, not their length

Other operators' hosts ran out of memory as an upstream sent bytes without end.

Cause: the limit counted bytes that were read. A buffer has up to twice that, a failed attempt left its buffer with the request, uncounted, and the allocator kept large blocks that were freed.

The limit counts allocated memory, a failed attempt gives its buffer back, and large blocks go back to the system when they are freed.

Under ASan the resident memory is not judged, since its allocator keeps what is freed.

--- a/include/pistachiorack/str.h
+++ b/include/pistachiorack/str.h
@@ -59,6 +59,9 @@
 /** Forget the content, keep the memory. */
 void pr_str_clear(pr_str_t *str);
 /** @return 0 or PR_ENOMEM */
+/** @return bytes that the string has allocated once so many more are appended
+ */
+size_t pr_str_capacity_after(const pr_str_t *str, size_t extra);
 int pr_str_append(pr_str_t *str, const void *bytes, size_t len);
 /** @return 0 or PR_ENOMEM */
 int pr_str_appendf(pr_str_t *str, const char *fmt, ...)
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -50,16 +50,25 @@
 		str->ptr[0] = '\0';
 }
 
-static int reserve(pr_str_t *str, size_t extra)
+size_t pr_str_capacity_after(const pr_str_t *str, size_t extra)
 {
 	size_t needed = str->len + extra + 1;
 	size_t cap = str->cap ? str->cap : FIRST_CAPACITY;
-	char *grown;
 
 	if (needed <= str->cap)
-		return 0;
+		return str->cap;
 	while (cap < needed)
 		cap *= 2;
+	return cap;
+}
+
+static int reserve(pr_str_t *str, size_t extra)
+{
+	size_t cap = pr_str_capacity_after(str, extra);
+	char *grown;
+
+	if (cap == str->cap)
+		return 0;
 	grown = realloc(str->ptr, cap);
 	if (!grown)
 		return pr_error_set(PR_ENOMEM, "no memory for %zu bytes", cap);
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -167,7 +167,8 @@
 		x->replacing = false;
 	pr_exchange_cancel_attempt(x);
 	pr_sse_filter_restart(&x->events);
-	pr_str_clear(&x->body);
+	/* An upstream that sent without end leaves a large one. */
+	pr_str_finish(&x->body);
 	if (!x->head_sent)
 		pr_str_clear(&x->head);
 	if (ran && !can_repeat(x)) {
--- a/src/edge/main.c
+++ b/src/edge/main.c
@@ -1,5 +1,6 @@
 /* Command line and signal handling of pistachiorack-edge. */
 #include <argtable2.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +12,9 @@
 
 #define EXIT_USAGE    2
 #define EXIT_SETTINGS 3
+/* Blocks of this size or more, in bytes, are returned to the system as soon as
+ * they are freed. */
+#define LARGE_BLOCK (128 * 1024)
 
 static pr_edge_t edge;
 
@@ -58,6 +62,9 @@
 	pr_edge_settings_t *settings;
 	int status = 0;
 
+	/* Without it the allocator raises this limit when the first large block
+	 * is freed, and keeps the memory of later ones. */
+	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK);
 	if (file->count)
 		path = file->filename[0];
 	if (help->count || errors || !path) {
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -19,8 +19,8 @@
 #define CONFIDENCE_NONE 100
 /* Largest response body that is buffered until it is complete. */
 #define RESPONSE_BYTES_MAX ((size_t)8 * 1024 * 1024)
-/* Largest sum of all buffered bodies, a part of the memory of a small host, and
- * the size up to which a body is buffered whatever the sum is. */
+/* Largest sum of the memory of all buffered bodies, a part of that of a small
+ * host, and the size up to which a body is buffered whatever the sum is. */
 #define BUFFERED_BYTES_MAX    ((size_t)12 * 1024 * 1024)
 #define BUFFERED_BYTES_ALWAYS ((size_t)256 * 1024)
 /* Load of an upstream, as a part of its slots, above which the load alone may
@@ -324,25 +324,27 @@
 	return true;
 }
 
-/* Sum of the response bodies that this host buffers, bytes. */
+/* Memory of the response bodies that this host buffers, bytes. A body has up to
+ * twice its length. */
 static size_t buffered_bytes(const pr_edge_t *edge)
 {
 	size_t total = 0;
 
 	for (const pr_list_t *at = edge->callers.next; at != &edge->callers;
 	     at = at->next)
-		total += PR_OWNER(at, pr_caller_t, node)->exchange.body.len;
+		total += PR_OWNER(at, pr_caller_t, node)->exchange.body.cap;
 	return total;
 }
 
 static bool can_buffer(const pr_exchange_t *x, size_t more)
 {
-	size_t len = x->body.len + more;
+	size_t cap = pr_str_capacity_after(&x->body, more);
 
-	if (len <= BUFFERED_BYTES_ALWAYS)
+	if (cap <= BUFFERED_BYTES_ALWAYS)
 		return true;
-	return len <= RESPONSE_BYTES_MAX &&
-	       buffered_bytes(x->edge) + more <= BUFFERED_BYTES_MAX;
+	return x->body.len + more <= RESPONSE_BYTES_MAX &&
+	       buffered_bytes(x->edge) - x->body.cap + cap <=
+		       BUFFERED_BYTES_MAX;
 }
 
 static bool on_body(void *owner, pr_slice_t bytes)
--- a/tests/edge/operators.py
+++ b/tests/edge/operators.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+import time
 
 from answers import ask, head, set_script
 from checks import FAILURES, check
@@ -183,6 +184,67 @@
         await router.process.wait()
 
 
+def memory_kb(process, field):
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith(field))
+
+
+def has_own_allocator(process):
+    """A sanitizer's allocator keeps freed memory and pads blocks: the resident memory
+    says nothing of the program's."""
+    with open(f"/proc/{process.pid}/maps", encoding="ascii", errors="replace") as maps:
+        return "libasan" in maps.read()
+
+
+# Bodies that a host holds at most, and what each of them may have at least.
+BUFFERED_KB, ALWAYS_KB = 12 * 1024, 256
+# Connections, and what waits on them to be read.
+OVERHEAD_KB = 4 * 1024
+
+
+async def check_endless_bodies(fleet):
+    """Answers without length or chunks that never end filled the memory of a host."""
+    router = fleet.routers[0]
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    answers = 32
+    for name, framing, path in (("unframed", "", "/safe/x"), ("unframed", "", "/once/x"),
+                                ("length", f"Content-Length: {1 << 40}\r\n", "/safe/x")):
+        async def endless(request, framing=framing):
+            request.run()
+            end = time.monotonic() + 6
+            await request.write(head(200, request.ident, framing))
+            while time.monotonic() < end:
+                await request.write(b"z" * 65536)
+            return False
+
+        # A process whose memory other checks have not used.
+        if router.process.returncode is None:
+            router.signal(signal.SIGKILL)
+            await router.process.wait()
+        await router.start()
+        await router.wait_ready(3.0)
+        set_script(ledgers, endless)
+        before = memory_kb(router.process, "VmRSS")
+        got = await asyncio.gather(
+            *(ask(router.address, f"endless-{name}-{path[1:3]}-{n}", path, budget_ms=5000)
+              for n in range(answers)))
+        grown = memory_kb(router.process, "VmHWM") - before
+        set_script(ledgers, None)
+        most = BUFFERED_KB + answers * ALWAYS_KB + OVERHEAD_KB
+        measured = not has_own_allocator(router.process)
+        check(f"{name}, {path}: endless bodies take no more than their share of memory",
+              grown <= most or not measured, (grown, most))
+        check(f"{name}, {path}: no endless body is a success",
+              all(a.status // 100 != 2 or not a.complete for a in got),
+              [a.status for a in got])
+        check(f"{name}, {path}: others are answered afterwards",
+              (await ask(router.address, f"after-{name}-{path[1:3]}", "/safe/x")).status == 200)
+        await asyncio.sleep(0.5)
+        left = memory_kb(router.process, "VmRSS") - before
+        check(f"{name}, {path}: the memory is given back",
+              left <= OVERHEAD_KB or not measured, left)
+
+
 async def main():
     # Writes to connections that the other side has closed are no news.
     logging.getLogger("asyncio").setLevel(logging.ERROR)
@@ -190,6 +252,7 @@
     fleet.bounds["grace_s"] = GRACE_S
     try:
         await fleet.start()
+        await check_endless_bodies(fleet)
         await check_odd_entries(fleet)
         await check_cut_heads(fleet)
         await check_calls_late_in_stop(fleet)
