Tell other hosts which changes a full read has shown

Cause: the host that reads the store for its region read the table as a whole, removed the upstreams that were gone, and announced the version of the read; hosts with the same newest row took it over.

It now forwards the rows that are newer than what it knew, and the keys that are gone, in the order of versions. Where one transaction removed more keys than there are versions, the others read the table themselves.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -23,6 +23,7 @@
 #include "place/prefill.h"
 #include "quarantine/quarantine.h"
 #include "store/clock.h"
+#include "store/missed.h"
 #include "store/store.h"
 #include "transition/pace.h"
 #include "transition/sessions.h"
@@ -73,6 +74,10 @@
 	bool synced;
 	/** A full read has succeeded since the start. */
 	bool was_synced;
+	/** What this host knew before the current full read, and the changes
+	 *  since then that the read has shown, to forward them. */
+	uint64_t known_before;
+	pr_store_rows_t missed;
 	/** Keys of the rows that the current full read has returned. */
 	pr_names_t seen_keys;
 	/** First key of the next page of a full read; NULL for the first. */
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -141,10 +141,23 @@
 
 static void apply_rows(pr_watch_t *watch, const pr_store_rows_t *rows)
 {
-	for (size_t i = 0; i < rows->count; i++) {
+	for (size_t i = 0; i < rows->count; i++)
 		apply_row(watch, &rows->rows[i]);
-		if (!watch->synced)
-			pr_names_add(&watch->seen_keys, rows->rows[i].key);
+}
+
+/* Apply a page of a full read, and keep the rows that changed since this host
+ * lost the history. */
+static void apply_page(pr_watch_t *watch, pr_store_rows_t *rows)
+{
+	apply_rows(watch, rows);
+	for (size_t i = 0; i < rows->count; i++) {
+		pr_store_row_t *row = &rows->rows[i];
+
+		pr_names_add(&watch->seen_keys, row->key);
+		if (watch->was_synced && row->version > watch->known_before &&
+		    pr_missed_move(&watch->missed, row))
+			pr_event("missed_row_dropped", "table=%d error=\"%s\"",
+				 watch->table, pr_error_last());
 	}
 }
 
@@ -156,6 +169,7 @@
 	memset(&watch->seen_keys, 0, sizeof(watch->seen_keys));
 	free(watch->page_key);
 	watch->page_key = NULL;
+	pr_store_rows_finish(&watch->missed);
 }
 
 static bool was_seen(const pr_watch_t *watch, const char *key)
@@ -167,7 +181,8 @@
 	return false;
 }
 
-/* Remove the upstreams that a full read did not return. */
+/* Remove the upstreams that a full read did not return, and note them for other
+ * hosts. */
 static void remove_unseen(pr_watch_t *watch, uint64_t version)
 {
 	pr_registry_t *registry = &watch->edge->registry;
@@ -182,12 +197,39 @@
 				       .removed = true };
 
 		at = at->next;
-		if (!was_seen(watch, upstream->entry.id))
-			pr_edge_apply_row(watch->edge, watch->table, &row,
-					  watch->outage_grace_until);
+		if (was_seen(watch, upstream->entry.id))
+			continue;
+		if (pr_missed_add_removed(&watch->missed, row.key))
+			pr_event("missed_row_dropped", "table=%d error=\"%s\"",
+				 watch->table, pr_error_last());
+		pr_edge_apply_row(watch->edge, watch->table, &row,
+				  watch->outage_grace_until);
 	}
 }
 
+/* After a lost history, send what the full read has shown to the hosts that do
+ * not read the store: they would take over its version without the removals.
+ * @return false when they have to read it themselves */
+static bool forward_missed(pr_watch_t *watch)
+{
+	pr_store_rows_t *missed = &watch->missed;
+
+	if (pr_missed_order(missed, watch->known_before, watch->read_version)) {
+		pr_event_state("missed_not_sent", "table=%d error=\"%s\"",
+			       watch->table, pr_error_last());
+		return false;
+	}
+	if (!missed->count)
+		return true;
+	pr_extent_add(&watch->extent, missed->rows[missed->count - 1].version);
+	pr_event_state("missed_sent", "table=%d after=%llu rows=%zu",
+		       watch->table, (unsigned long long)watch->known_before,
+		       missed->count);
+	pr_peering_forward_rows(watch->edge, watch->table, watch->known_before,
+				missed->rows, missed->count);
+	return true;
+}
+
 static void log_unreadable(const pr_watch_t *watch, const pr_store_rows_t *rows)
 {
 	if (rows->unreadable)
@@ -212,9 +254,10 @@
 	update_store_clock(watch, rows.now_ms);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
-	if (!watch->page_key)
+	if (!watch->page_key) {
 		watch->read_version = rows.version;
-	apply_rows(watch, &rows);
+		watch->known_before = pr_extent_last(&watch->extent);
+	}
 	free(watch->page_key);
 	watch->page_key = NULL;
 	if (rows.more && rows.count) {
@@ -227,11 +270,18 @@
 			snprintf(watch->page_key, size, "%s ",
 				 rows.rows[rows.count - 1].key);
 	}
+	apply_page(watch, &rows);
 	if (!watch->page_key) {
+		bool is_told;
+
 		remove_unseen(watch, watch->read_version);
-		clear_read_state(watch);
 		pr_extent_read(&watch->extent, watch->read_version,
 			       !watch->was_synced);
+		is_told = !watch->was_synced || forward_missed(watch);
+		if (!is_told)
+			pr_extent_read(&watch->extent, watch->read_version,
+				       true);
+		clear_read_state(watch);
 		watch->synced = watch->was_synced = true;
 		if (watch->table == PR_TABLE_UPSTREAMS)
 			watch->edge->registry.initial_read_done = true;
--- a/tests/edge/feeds.py
+++ b/tests/edge/feeds.py
@@ -101,6 +101,28 @@
     await asyncio.sleep(2)
 
 
+async def check_lost_history(fleet):
+    """A reader found by a full read, after the store had lost its history, that an
+    upstream was gone, and told nobody."""
+    upstreams = [u for u in fleet.upstreams if u.service == "ledger"]
+    traffic = Traffic(fleet, "history")
+    # No call of a feed is waiting as the entry goes.
+    fleet.store.silent_feeds = {"servers"}
+    await fleet.store.put("servers", upstreams[0].name, upstreams[0].entry())
+    await asyncio.sleep(1.5)
+    removed = await remove(fleet, upstreams[2])
+    # No row of the list shows that something happened.
+    await fleet.store.put("status", "note", {})
+    fleet.store.forget()
+    fleet.store.silent_feeds = set()
+    await asyncio.sleep(DRAIN_S + 1)
+    await traffic.stop()
+    late = traffic.late(upstreams[2], removed)
+    check("no host misses a removal in a history that was lost", not late, late[:5])
+    await fleet.store.put("servers", upstreams[2].name, upstreams[2].entry())
+    await asyncio.sleep(2)
+
+
 async def check_calls(fleet):
     """Changes of other tables must not make the hosts call the store without end."""
     calls, changes = fleet.store.calls, 8
@@ -122,6 +144,7 @@
         await asyncio.sleep(4)
         await check_reader_restart(fleet)
         await check_lost_feed_calls(fleet)
+        await check_lost_history(fleet)
         await check_calls(fleet)
     finally:
         await fleet.stop()
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -108,6 +108,8 @@
         self.rows = {}
         self.version = 1
         self.history = []
+        # Version up to which the history was dropped.
+        self.forgotten = 0
         self.mode = "ok"
         self.lose = 0.0
         self.slow = 0.0
@@ -140,6 +142,7 @@
     def forget(self):
         """Drop the history, as a store may do at any time."""
         self.history.clear()
+        self.forgotten = self.version
 
     def document(self, table, key):
         row = self.rows.get((table, key))
@@ -200,6 +203,8 @@
             except asyncio.TimeoutError:
                 pass
             rows = fresh()
+        if not rows and after < self.forgotten and any(r["ver"] > after for r in self.rows.values()):
+            return 410, {}
         if self.mode == "silent":
             await asyncio.sleep(3600)
         return 200, {"rows": rows}
