--- a/src/events/sse_filter.h
+++ b/src/events/sse_filter.h
@@ -53,8 +53,8 @@
  *
  * Ids are numbers that increase; the steps may have any width.
  *
- * @return 0, PR_EPARSE when a resumed stream does not continue the one before
- *or an event is longer than PR_SSE_FILTER_EVENT_MAX, or PR_ENOMEM
+ * @return 0; PR_EPARSE when a resumed stream does not continue the one before,
+ *	   or an event is longer than PR_SSE_FILTER_EVENT_MAX; PR_ENOMEM
  */
 int pr_sse_filter_feed(pr_sse_filter_t *filter, pr_slice_t bytes,
 		       pr_str_t *out);
--- a/src/relay/extent.h
+++ b/src/relay/extent.h
@@ -4,9 +4,9 @@
  * A full read returns the rows that exist, but not the keys that were removed
  * before it. A host that has just made its first one therefore knows the
  * content of the table as of a version, and none of the removals before that
- * version. If it announced that version without a further word, hosts that have
- * the same newest row would take it over, and never learn of a removal that
- * neither side has seen.
+ * version. If it announced that version as it is, hosts that have the same
+ * newest row would take it over, and never learn of a removal that neither side
+ * has seen.
  */
 #ifndef PR_RELAY_EXTENT_H
 #define PR_RELAY_EXTENT_H
