Read the memory and descriptors of the machine from the settings

The memory of a process follows from its machine, and its settings did not state it. The settings take a list of the platform's figures, decoded in the adapter, and settings of their own that go before them: memory_mb, descriptors, kept_prompts.window_s, attempts.adaptive_wait. Nothing uses them yet; a file with a value out of range is refused with field and value.

docs/design/hard-load.md is the plan of the parts that use them.

--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -1,12 +1,18 @@
 /* Settings of the entry daemon: schema, defaults and checks. */
 #include "edge/settings.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "base/address.h"
+#include "base/number.h"
 #include "base/yaml.h"
 #include "pistachiorack/error.h"
+#include "platform/adapter.h"
 
 #define NAME_MAX_BYTES 95
 #define ZONES_MAX      256
+#define FIGURES_MAX    256
 #define OPTIONAL       CYAML_FLAG_OPTIONAL
 
 static const cyaml_schema_field_t zone_fields[] = {
@@ -34,6 +40,29 @@
 	CYAML_FIELD_END,
 };
 
+static const cyaml_schema_field_t figure_fields[] = {
+	CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, pr_figure_settings_t,
+			       name, 1, NAME_MAX_BYTES),
+	CYAML_FIELD_STRING_PTR("value", CYAML_FLAG_POINTER,
+			       pr_figure_settings_t, value, 0, NAME_MAX_BYTES),
+	CYAML_FIELD_END,
+};
+static const cyaml_schema_value_t figure_schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, pr_figure_settings_t,
+			    figure_fields),
+};
+
+static const cyaml_schema_field_t kept_fields[] = {
+	CYAML_FIELD_FLOAT("window_s", OPTIONAL, pr_kept_settings_t, window_s),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_field_t attempt_fields[] = {
+	CYAML_FIELD_BOOL("adaptive_wait", OPTIONAL, pr_attempt_settings_t,
+			 adaptive_wait),
+	CYAML_FIELD_END,
+};
+
 #define ENDPOINT_FIELD(member)                                                 \
 	CYAML_FIELD_STRING_PTR(#member, CYAML_FLAG_POINTER,                    \
 			       pr_edge_settings_t, member, 9, NAME_MAX_BYTES)
@@ -55,6 +84,16 @@
 	CYAML_FIELD_FLOAT("cores", OPTIONAL, pr_edge_settings_t, cores),
 	CYAML_FIELD_MAPPING("bounds", OPTIONAL, pr_edge_settings_t, bounds,
 			    bound_fields),
+	CYAML_FIELD_SEQUENCE("platform", CYAML_FLAG_POINTER | OPTIONAL,
+			     pr_edge_settings_t, platform, &figure_schema, 0,
+			     FIGURES_MAX),
+	CYAML_FIELD_FLOAT("memory_mb", OPTIONAL, pr_edge_settings_t, memory_mb),
+	CYAML_FIELD_FLOAT("descriptors", OPTIONAL, pr_edge_settings_t,
+			  descriptors),
+	CYAML_FIELD_MAPPING("kept_prompts", OPTIONAL, pr_edge_settings_t,
+			    kept_prompts, kept_fields),
+	CYAML_FIELD_MAPPING("attempts", OPTIONAL, pr_edge_settings_t, attempts,
+			    attempt_fields),
 	CYAML_FIELD_END,
 };
 static const cyaml_schema_value_t settings_schema = {
@@ -108,6 +147,78 @@
 	return 0;
 }
 
+/* Bytes in a unit of memory_mb. */
+#define BYTES_PER_MB    1048576.0
+#define MEMORY_MB_MIN   16.0
+#define MEMORY_MB_MAX   1e9
+#define DESCRIPTORS_MIN 64.0
+#define DESCRIPTORS_MAX 1e9
+#define WINDOW_S_MAX    3600.0
+
+/* Figure that the platform states, or the fallback. */
+static double platform_figure(const pr_edge_settings_t *settings,
+			      pr_figure_t figure, double fallback)
+{
+	double value;
+
+	for (unsigned int i = 0; i < settings->platform_count; i++) {
+		const pr_figure_settings_t *stated = &settings->platform[i];
+
+		if (pr_adapter_figure(pr_slice_of(stated->name)) == figure &&
+		    pr_slice_decimal(pr_slice_of(stated->value), &value))
+			return value;
+	}
+	return fallback;
+}
+
+static double system_memory_mb(void)
+{
+	return (double)sysconf(_SC_PHYS_PAGES) * (double)sysconf(_SC_PAGESIZE) /
+	       BYTES_PER_MB;
+}
+
+static double system_descriptors(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) || limit.rlim_cur == RLIM_INFINITY)
+		return DESCRIPTORS_MAX;
+	return (double)limit.rlim_cur;
+}
+
+/* Settings that take their value from the platform, or from the system, when
+ * they are absent. */
+static int apply_figures(const char *path, pr_edge_settings_t *settings)
+{
+	const struct {
+		const char *field;
+		double *value;
+		pr_figure_t figure;
+		double fallback, lowest, highest;
+	} list[] = {
+		{ "memory_mb", &settings->memory_mb, PR_FIGURE_MEMORY_MB,
+		  system_memory_mb(), MEMORY_MB_MIN, MEMORY_MB_MAX },
+		{ "descriptors", &settings->descriptors, PR_FIGURE_DESCRIPTORS,
+		  system_descriptors(), DESCRIPTORS_MIN, DESCRIPTORS_MAX },
+		{ "kept_prompts.window_s", &settings->kept_prompts.window_s,
+		  PR_FIGURE_REUSE_WINDOW_S, 0, 0, WINDOW_S_MAX },
+	};
+
+	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
+		if (*list[i].value <= 0)
+			*list[i].value = platform_figure(
+				settings, list[i].figure, list[i].fallback);
+		if (*list[i].value < list[i].lowest ||
+		    *list[i].value > list[i].highest)
+			return pr_error_set(
+				PR_EINVALID,
+				"%s: field %s: value %g: expected %g to %g",
+				path, list[i].field, *list[i].value,
+				list[i].lowest, list[i].highest);
+	}
+	return 0;
+}
+
 static int read_endpoints(const char *path, pr_edge_settings_t *settings)
 {
 	const struct {
@@ -150,6 +261,8 @@
 	rc = apply_bounds(path, &settings->bounds);
 	if (!rc)
 		rc = apply_cores(path, settings);
+	if (!rc)
+		rc = apply_figures(path, settings);
 	if (!rc)
 		rc = read_endpoints(path, settings);
 
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -4,6 +4,7 @@
 #ifndef PR_EDGE_SETTINGS_H
 #define PR_EDGE_SETTINGS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <netinet/in.h>
@@ -31,6 +32,25 @@
 	double lapse_s;
 } pr_bound_settings_t;
 
+/** A figure of the deployment, as the platform names it. */
+typedef struct pr_figure_settings_t {
+	char *name;
+	char *value;
+} pr_figure_settings_t;
+
+/** Choice of upstreams by the prompt prefixes that they still hold. */
+typedef struct pr_kept_settings_t {
+	/** Time for which a prefix counts as held after its last use, seconds;
+	 *  0 switches the mechanism off. */
+	double window_s;
+} pr_kept_settings_t;
+
+typedef struct pr_attempt_settings_t {
+	/** The wait for a first event follows from what is usual for the
+	 *  service. */
+	bool adaptive_wait;
+} pr_attempt_settings_t;
+
 typedef struct pr_edge_settings_t {
 	char *host;
 	char *zone;
@@ -50,6 +70,16 @@
 	/** Cores in per cent of one core, rounded down. */
 	uint32_t capacity_percent;
 	pr_bound_settings_t bounds;
+	/** Figures that the platform states; they apply where the setting of
+	 *  the same meaning is absent. */
+	pr_figure_settings_t *platform;
+	unsigned int platform_count;
+	/** Memory that the process may use, in units of 2^20 bytes. */
+	double memory_mb;
+	/** Descriptors that the process may open. */
+	double descriptors;
+	pr_kept_settings_t kept_prompts;
+	pr_attempt_settings_t attempts;
 } pr_edge_settings_t;
 
 /**
