--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -63,6 +63,7 @@
         for field, port in (("listen", 8080), ("ready", 8081), ("metrics", 8082), ("peer", 8083)):
             lines.append(f'{field}: "{self.address}:{port}"')
         lines.append(f'store: "127.0.0.1:{self.fleet.store_proxies[self.index].port}"')
+        lines += [f"{k}: {v}" for k, v in self.fleet.settings.items()]
         bounds = {**self.fleet.bounds, **self.bounds}
         lines += ["bounds:"] + [f"  {k}: {v}" for k, v in bounds.items()]
         return "\n".join(lines) + "\n"
@@ -128,6 +129,8 @@
         self.routers = []
         self.hosts, self.per_zone = hosts, per_zone
         self.version = 1
+        # Further settings of the hosts, and a change of the first document.
+        self.settings, self.edit = {}, None
         self.bounds = {"grace_s": 6, "repeats_ratio": 0.9, "repeats_slack": 56, "session_s": 3}
 
     async def start(self):
@@ -140,7 +143,10 @@
             for _ in range(self.per_zone):
                 for service in ("ledger", "model"):
                     await self.add_upstream(service, zone)
-        await self.store.put("op", "config", routing(self.version))
+        document = routing(self.version)
+        if self.edit:
+            self.edit(document)
+        await self.store.put("op", "config", document)
         zones = list(ZONES)
         for index in range(self.hosts):
             router = Router(self, index, zones[index % len(zones)])
