Bound the memory and descriptors that callers hold

Cause: nothing counted what a process holds for its callers.

A body without memory is not read on, then refused truthfully; connections without progress are closed, the one that holds most for longest first; bodies are written without a copy and freed at the end of their request. Kernel buffers of accepted connections, framing of chunks and trailers are bounded, and descriptors are shared out.

--- a/include/pistachiorack/str.h
+++ b/include/pistachiorack/str.h
@@ -58,10 +58,19 @@
 void pr_str_finish(pr_str_t *str);
 /** Forget the content, keep the memory. */
 void pr_str_clear(pr_str_t *str);
-/** @return 0 or PR_ENOMEM */
+/** Forget the content, keep the memory if it is at most so many bytes. */
+void pr_str_trim(pr_str_t *str, size_t kept);
 /** @return bytes that the string has allocated once so many more are appended
  */
 size_t pr_str_capacity_after(const pr_str_t *str, size_t extra);
+/**
+ * Allocate exactly so many bytes, the terminator included. A string that has as
+ * many stays as it is.
+ *
+ * @return 0 or PR_ENOMEM
+ */
+int pr_str_reserve(pr_str_t *str, size_t capacity);
+/** @return 0 or PR_ENOMEM */
 int pr_str_append(pr_str_t *str, const void *bytes, size_t len);
 /** @return 0 or PR_ENOMEM */
 int pr_str_appendf(pr_str_t *str, const char *fmt, ...)
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -50,6 +50,14 @@
 		str->ptr[0] = '\0';
 }
 
+void pr_str_trim(pr_str_t *str, size_t kept)
+{
+	if (str->cap > kept)
+		pr_str_finish(str);
+	else
+		pr_str_clear(str);
+}
+
 size_t pr_str_capacity_after(const pr_str_t *str, size_t extra)
 {
 	size_t needed = str->len + extra + 1;
@@ -62,21 +70,27 @@
 	return cap;
 }
 
-static int reserve(pr_str_t *str, size_t extra)
+int pr_str_reserve(pr_str_t *str, size_t capacity)
 {
-	size_t cap = pr_str_capacity_after(str, extra);
 	char *grown;
 
-	if (cap == str->cap)
+	if (capacity <= str->cap)
 		return 0;
-	grown = realloc(str->ptr, cap);
+	grown = realloc(str->ptr, capacity);
 	if (!grown)
-		return pr_error_set(PR_ENOMEM, "no memory for %zu bytes", cap);
+		return pr_error_set(PR_ENOMEM, "no memory for %zu bytes",
+				    capacity);
 	str->ptr = grown;
-	str->cap = cap;
+	str->ptr[str->len] = '\0';
+	str->cap = capacity;
 	return 0;
 }
 
+static int reserve(pr_str_t *str, size_t extra)
+{
+	return pr_str_reserve(str, pr_str_capacity_after(str, extra));
+}
+
 int pr_str_append(pr_str_t *str, const void *bytes, size_t len)
 {
 	int rc = reserve(str, len);
--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -54,6 +54,7 @@
 	pr_metric_t *dropped = pr_metrics_series(
 		&admin->edge->metrics, "edge_log_lines_dropped_total", "");
 
+	pr_overload_set_gauges(admin->edge);
 	dropped->value = (double)pr_event_log_dropped();
 	if (pr_metrics_print(&admin->edge->metrics, &text))
 		reply(admin, 500, pr_slice("", 0));
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -13,6 +13,7 @@
 #include "edge/caller.h"
 #include "edge/exchange_parts.h"
 #include "edge/request.h"
+#include "pistachiorack/error.h"
 
 /* No attempt is started with less time than this until the deadline. */
 #define ATTEMPT_MIN (20 * PR_USEC_PER_MSEC)
@@ -481,12 +482,16 @@
 	};
 	pr_str_t bytes = PR_STR_INIT;
 	pr_quarantine_prompt_t prompt = pr_exchange_suspect_prompt(x);
-	int rc = pr_request_write(&bytes, x, upstream);
+	int rc = pr_request_write(&bytes, &request.body, x, upstream);
 
 	request.bytes = pr_str_slice(&bytes);
 	if (!rc)
 		rc = pr_outbound_start(&x->outbound, &x->edge->pool, upstream,
 				       &request, &pr_exchange_outbound_ops, x);
+	/* Idle connections to other upstreams make room for a new one. */
+	if (rc == PR_EFULL && pr_edge_close_idle_upstreams(x->edge))
+		rc = pr_outbound_start(&x->outbound, &x->edge->pool, upstream,
+				       &request, &pr_exchange_outbound_ops, x);
 	pr_str_finish(&bytes);
 	if (rc)
 		return rc;
--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -5,9 +5,13 @@
  */
 #include "edge/caller.h"
 
+#include "edge/overload.h"
+
 #include <poll.h>
 #include <stdlib.h>
 
+#include <xxhash.h>
+
 #include "base/event_log.h"
 #include "pistachiorack/error.h"
 
@@ -18,6 +22,17 @@
 #define IDLE_MS_DEFAULT      30000
 /* Reading pauses when more bytes of later requests than this are pending. */
 #define PENDING_BYTES_MAX 65536
+/* Memory that each buffer of a connection keeps between two requests, bytes. */
+#define BUFFER_BYTES_KEPT 2048
+/* Framing of a chunked body (sizes, extensions, trailers) that is read: a base,
+ * and so many bytes for each byte of the body. A chunk of one byte without an
+ * extension has five bytes of framing. */
+#define FRAMING_BYTES_BASE 65536
+#define FRAMING_PER_BYTE   16
+/* Retry-After of a request that was refused for lack of memory: the base plus a
+ * spread by connection, seconds. */
+#define OVERLOAD_RETRY_BASE_S   0.5
+#define OVERLOAD_RETRY_SPREAD_S 1.0
 /* Time for a caller to read the last response before the connection is closed:
  * the kernel resets a connection that is closed with unread bytes, and the
  * caller may lose the response. */
@@ -64,6 +79,10 @@
 	pr_timers_unsubscribe(&caller->edge->timers, &caller->timer);
 	if (caller->exchange.active)
 		pr_exchange_abandon(&caller->exchange);
+	if (!caller->link.closing)
+		caller->edge->callers_count--;
+	pr_overload_end_wait(caller);
+	pr_memory_release(&caller->edge->memory, &caller->account);
 	pr_list_remove(&caller->node);
 	if (reset)
 		pr_link_reset(&caller->link);
@@ -96,29 +115,58 @@
 			    due > now ? due - now : 0, 0, on_timer);
 }
 
-/* Send an error response for a request that has no exchange, then close the
- * connection. */
-static void refuse(pr_caller_t *caller, int status, const char *code)
+/* Callers that are refused at the same time return at different ones. */
+static double overload_retry_s(const pr_caller_t *caller)
+{
+	uint64_t hash = XXH64(&caller, sizeof(caller), caller->edge->host_hash);
+
+	return OVERLOAD_RETRY_BASE_S +
+	       OVERLOAD_RETRY_SPREAD_S * (double)(hash % 1000) / 1000.0;
+}
+
+/* Free what the connection holds of a request that is over, and of what follows
+ * it if that is not read any more. The parser may be using the input; it is
+ * freed when the parser returns. */
+static void release_request(pr_caller_t *caller)
+{
+	pr_overload_end_wait(caller);
+	pr_str_trim(&caller->body, BUFFER_BYTES_KEPT);
+	if (caller->parsing || !caller->lingering)
+		return;
+	pr_str_finish(&caller->pending);
+	pr_http_reader_release(&caller->reader);
+}
+
+void pr_caller_refuse(pr_caller_t *caller, int status, const char *code)
 {
 	char body[128];
+	char fields[96];
 	int len =
 		snprintf(body, sizeof(body),
 			 "{\"error\":\"%s\",\"verdict\":\"not_run\"}\n", code);
-
-	pr_event("refused", "status=%d code=%s reason=connection", status,
-		 code);
-	pr_metric_add(caller->edge->counters.malformed, 1);
+	int fields_len = snprintf(fields, sizeof(fields),
+				  "Content-Type: application/json\r\n");
+
+	if (status == 503)
+		fields_len += snprintf(fields + fields_len,
+				       sizeof(fields) - (size_t)fields_len,
+				       "Retry-After: %.2f\r\n",
+				       overload_retry_s(caller));
+	pr_event("refused", "status=%d code=%s reason=connection bytes=%zu",
+		 status, code, caller->body.len);
+	pr_metric_add(status == 503 ? caller->edge->counters.refused
+				    : caller->edge->counters.malformed,
+		      1);
 	caller->close_after_response = true;
 	pr_caller_send_head(caller, status,
-			    PR_SLICE("Content-Type: application/json\r\n"),
-			    len);
+			    pr_slice(fields, (size_t)fields_len), len);
 	pr_caller_send_body(caller, pr_slice(body, (size_t)len));
 	pr_caller_end_response(caller);
 }
 
 /* Whether no request is under way on the connection. Timers expire before
  * sockets are read, so a request may have arrived that has not been read. */
-static bool is_idle(const pr_caller_t *caller)
+bool pr_caller_is_idle(const pr_caller_t *caller)
 {
 	return !caller->exchange.active && !caller->lingering &&
 	       !caller->head_began && !pr_link_has_input(&caller->link);
@@ -148,10 +196,10 @@
 		set_timer(caller);
 		return;
 	}
-	if (caller->lingering || is_idle(caller))
+	if (caller->lingering || pr_caller_is_idle(caller))
 		close_caller(caller, false);
 	else if (caller->head_began)
-		refuse(caller, 408, "request_timeout");
+		pr_caller_refuse(caller, 408, "request_timeout");
 }
 
 static void send_continue(pr_caller_t *caller)
@@ -170,13 +218,14 @@
 	pr_caller_limits_t limits = limits_of(caller->edge);
 
 	pr_str_clear(&caller->body);
+	caller->body_wire = 0;
 	if (reader->parser.method == HTTP_CONNECT)
 		return false;
 	/* An offer to upgrade the protocol is ignored. */
 	reader->parser.upgrade = 0;
 	if (reader->parser.flags & F_CONTENTLENGTH &&
 	    reader->parser.content_length > limits.body_bytes) {
-		refuse(caller, 413, "body_too_large");
+		pr_caller_refuse(caller, 413, "body_too_large");
 		return false;
 	}
 	send_continue(caller);
@@ -188,7 +237,7 @@
 	pr_caller_t *caller = reader->owner;
 
 	if (caller->body.len + bytes.len > limits_of(caller->edge).body_bytes) {
-		refuse(caller, 413, "body_too_large");
+		pr_caller_refuse(caller, 413, "body_too_large");
 		return false;
 	}
 	return !pr_str_append(&caller->body, bytes.ptr, bytes.len);
@@ -211,13 +260,49 @@
 	if (caller->lingering || caller->link.closing)
 		return;
 	if (caller->reader.fault == PR_HTTP_HEAD_TOO_LARGE)
-		refuse(caller, 431, "head_too_large");
+		pr_caller_refuse(caller, 431, "head_too_large");
 	else
-		refuse(caller, 400, "malformed_request");
+		pr_caller_refuse(caller, 400, "malformed_request");
 }
 
-/* Parse the pending bytes until a request is complete or the bytes are used up.
+/*
+ * Make room in the body for the pending bytes. A body whose length is known
+ * gets no more than that.
+ *
+ * @return false when there is no memory for it now
  */
+static bool reserve_body(pr_caller_t *caller)
+{
+	const http_parser *parser = &caller->reader.parser;
+	size_t from = caller->body.cap;
+	size_t needed = caller->body.len + caller->pending.len + 1;
+	size_t to = from + from / 2;
+
+	if (caller->reader.in_head || needed <= from)
+		return true;
+	if (parser->flags & F_CONTENTLENGTH) {
+		uint64_t whole = caller->body.len + parser->content_length + 1;
+
+		to = 2 * from < whole ? 2 * from : (size_t)whole;
+		if (needed > whole)
+			needed = (size_t)whole;
+	}
+	if (to < needed)
+		to = needed;
+	return pr_overload_make_room(caller, PR_MEMORY_REQUESTS, from, to) &&
+	       !pr_str_reserve(&caller->body, to);
+}
+
+/* Whether the framing of a body is out of proportion to its length. */
+static bool has_excessive_framing(const pr_caller_t *caller)
+{
+	return caller->body_wire >
+	       FRAMING_BYTES_BASE +
+		       (uint64_t)caller->body.len * (FRAMING_PER_BYTE + 1);
+}
+
+/* Parse the pending bytes until a request is complete, the bytes are used up or
+ * the body has to wait for memory. */
 static void parse_pending(pr_caller_t *caller)
 {
 	if (caller->parsing)
@@ -225,26 +310,60 @@
 	caller->parsing = true;
 	while (caller->pending.len && !caller->exchange.active &&
 	       !caller->link.closing && !caller->lingering) {
+		bool in_body;
 		size_t used;
 
 		if (!caller->head_began)
 			caller->head_began = pr_edge_now(caller->edge);
 		caller->reader.head_max = limits_of(caller->edge).header_bytes;
+		if (!reserve_body(caller)) {
+			pr_overload_wait(caller);
+			break;
+		}
+		in_body = !caller->reader.in_head;
 		used = pr_http_reader_feed(&caller->reader, caller->pending.ptr,
 					   caller->pending.len);
 		memmove(caller->pending.ptr, caller->pending.ptr + used,
 			caller->pending.len - used);
 		caller->pending.len -= used;
+		if (in_body)
+			caller->body_wire += used;
 		if (caller->reader.fault) {
 			refuse_malformed(caller);
 			break;
 		}
+		if (!caller->exchange.active && has_excessive_framing(caller)) {
+			pr_caller_refuse(caller, 400, "chunk_framing");
+			break;
+		}
 	}
 	caller->parsing = false;
+	if (!caller->pending.len)
+		pr_str_trim(&caller->pending, BUFFER_BYTES_KEPT);
+	if (caller->lingering)
+		release_request(caller);
+	pr_overload_account(caller);
 	if (!caller->exchange.active && !caller->link.closing)
 		set_timer(caller);
 }
 
+/* Append input to the pending bytes. Without memory for it the request is
+ * refused; behind a request that is under way, the connection is closed. */
+static bool keep_input(pr_caller_t *caller, const char *bytes, size_t len)
+{
+	size_t to = pr_str_capacity_after(&caller->pending, len);
+
+	if (pr_overload_make_room(caller, PR_MEMORY_REQUESTS,
+				  caller->pending.cap, to) &&
+	    !pr_str_append(&caller->pending, bytes, len))
+		return true;
+	if (caller->exchange.active)
+		close_caller(caller, true);
+	else
+		pr_caller_refuse(caller, 503, "overloaded");
+	return false;
+}
+
 static void on_read(pr_link_t *link, const char *bytes, size_t len)
 {
 	pr_caller_t *caller = caller_of(link);
@@ -253,10 +372,10 @@
 	if (caller->lingering)
 		return;
 	caller->idle_since = pr_edge_now(caller->edge);
-	if (pr_str_append(&caller->pending, bytes, len)) {
-		close_caller(caller, true);
+	caller->progress_until = pr_memory_progress(caller->progress_until, len,
+						    caller->idle_since);
+	if (!keep_input(caller, bytes, len))
 		return;
-	}
 	parse_pending(caller);
 	if (caller->exchange.active && caller->pending.len > PENDING_BYTES_MAX)
 		pr_link_pause(link);
@@ -274,6 +393,7 @@
 {
 	pr_caller_t *caller = caller_of(link);
 
+	pr_overload_account(caller);
 	if (caller->exchange.active) {
 		pr_exchange_drained(&caller->exchange);
 		return;
@@ -326,10 +446,15 @@
 	pr_list_append(&edge->callers, &caller->node);
 	pr_http_reader_init(&caller->reader, true, HEADER_BYTES_DEFAULT,
 			    &reader_ops, caller);
-	if (pr_link_accept(&caller->link, listener))
-		close_caller(caller, false);
-	else
-		set_timer(caller);
+	pr_list_init(&caller->wait_node);
+	edge->callers_count++;
+	if (pr_link_accept(&caller->link, listener) ||
+	    !pr_overload_admit_connection(caller)) {
+		close_caller(caller, true);
+		return;
+	}
+	pr_overload_account(caller);
+	set_timer(caller);
 }
 
 int pr_callers_listen(pr_edge_t *edge)
@@ -416,6 +541,15 @@
 	pr_str_finish(&chunk);
 }
 
+void pr_caller_send_owned(pr_caller_t *caller, pr_str_t *body)
+{
+	if (!caller->chunked && caller->reader.parser.method != HTTP_HEAD)
+		pr_link_write_owned(&caller->link, body);
+	else
+		pr_caller_send_body(caller, pr_str_slice(body));
+	pr_str_finish(body);
+}
+
 static void on_shutdown(uv_shutdown_t *request, int status)
 {
 	free(request);
@@ -442,15 +576,28 @@
 	caller->chunked = false;
 	caller->idle_since = pr_edge_now(caller->edge);
 	caller->head_began = 0;
-	if (caller->close_after_response || caller->edge->stopping) {
+	if (caller->close_after_response || caller->edge->stopping)
 		start_lingering_close(caller);
+	release_request(caller);
+	pr_overload_account(caller);
+	if (caller->lingering)
 		return;
-	}
 	pr_http_reader_next(&caller->reader);
 	pr_link_resume(&caller->link);
 	parse_pending(caller);
 }
 
+void pr_caller_close(pr_caller_t *caller)
+{
+	close_caller(caller, false);
+}
+
+void pr_caller_read_on(pr_caller_t *caller)
+{
+	pr_link_resume(&caller->link);
+	parse_pending(caller);
+}
+
 void pr_caller_reset(pr_caller_t *caller)
 {
 	close_caller(caller, true);
@@ -470,7 +617,7 @@
 		pr_caller_t *caller = PR_OWNER(at, pr_caller_t, node);
 
 		at = at->next;
-		if (is_idle(caller) &&
+		if (pr_caller_is_idle(caller) &&
 		    now - caller->idle_since >= STOP_IDLE_TIME)
 			start_lingering_close(caller);
 	}
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -33,6 +33,13 @@
 /* New connections are refused for this long before the remaining requests are
  * aborted, so that the requests of all accepted ones are read and answered. */
 #define LAST_CONNECTIONS_TIME (500 * PR_USEC_PER_MSEC)
+/* Part of the descriptors for files, listeners, the store and other hosts, per
+ * cent, and the most of them. The platform keeps 200 of a machine's for files.
+ */
+#define RESERVED_PERCENT 25
+#define RESERVED_MAX     260
+/* Part of the other descriptors for connections of callers, per cent. */
+#define CALLERS_PERCENT 60
 /* Period of the checks whether a stop is complete. */
 #define STOP_POLL (50 * PR_USEC_PER_MSEC)
 
@@ -151,6 +158,17 @@
 		       GRACE_PERCENT / 100;
 }
 
+bool pr_edge_close_idle_upstreams(pr_edge_t *edge)
+{
+	size_t before = edge->pool.count;
+
+	for (pr_list_t *at = edge->registry.upstreams.next;
+	     at != &edge->registry.upstreams; at = at->next)
+		pr_outbound_close_idle(PR_OWNER(at, pr_upstream_t, node),
+				       pr_edge_now(edge), true);
+	return edge->pool.count < before;
+}
+
 static void on_stop_poll(pr_timer_t *timer, pr_usec_t now)
 {
 	pr_edge_t *edge = timer->data;
@@ -240,18 +258,45 @@
 		{ &counters->datagrams, "edge_datagrams_sent_total" },
 		{ &counters->datagram_bytes, "edge_datagram_bytes_total" },
 		{ &counters->quarantined, "edge_quarantined_total" },
+		{ &counters->memory_waits, "edge_memory_waits_total" },
+		{ &counters->memory_shed, "edge_memory_shed_total" },
+		{ &counters->connections_shed, "edge_connections_shed_total" },
+		{ &counters->memory_limit, "edge_memory_limit_bytes" },
+		{ &counters->memory_peak, "edge_memory_peak_bytes" },
+		{ &counters->callers_open, "edge_callers_open" },
 	};
 
 	pr_metrics_init(&edge->metrics, SERIES_MAX);
 	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++)
 		*list[i].at =
 			pr_metrics_series(&edge->metrics, list[i].name, "");
+	for (int use = 0; use < PR_MEMORY_USES_COUNT; use++) {
+		char label[32];
+
+		snprintf(label, sizeof(label), "use=\"%s\"",
+			 pr_memory_use_name((pr_memory_use_t)use));
+		counters->memory_held[use] = pr_metrics_series(
+			&edge->metrics, "edge_memory_bytes", label);
+	}
 	counters->first_byte = pr_metrics_histogram(
 		&edge->metrics, "edge_first_byte_microseconds", "");
 	counters->total = pr_metrics_histogram(&edge->metrics,
 					       "edge_request_microseconds", "");
 }
 
+/* Divide the descriptors between callers and upstreams, which need one each for
+ * a request. Callers get more, since they keep idle connections. */
+static void share_descriptors(pr_edge_t *edge)
+{
+	size_t all = (size_t)edge->settings->descriptors;
+	size_t reserved = all * RESERVED_PERCENT / 100;
+	size_t shared =
+		all - (reserved < RESERVED_MAX ? reserved : RESERVED_MAX);
+
+	edge->callers_max = shared * CALLERS_PERCENT / 100;
+	edge->pool.max = shared - edge->callers_max;
+}
+
 int pr_edge_init(pr_edge_t *edge, uv_loop_t *loop, const char *path)
 {
 	int rc;
@@ -270,10 +315,14 @@
 	edge->started_at = edge->timers.now;
 	pr_registry_init(&edge->registry);
 	init_metrics(edge);
+	pr_memory_init(&edge->memory, edge->settings->memory_mb);
+	pr_list_init(&edge->memory_waiters);
+	share_descriptors(edge);
 	edge->pool = (pr_outbound_pool_t){
 		.loop = loop,
 		.timers = &edge->timers,
 		.connect_timeout = CONNECT_TIMEOUT,
+		.max = edge->pool.max,
 	};
 	uv_prepare_init(loop, &edge->prepare);
 	edge->prepare.data = edge;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -17,6 +17,7 @@
 #include "edge/settings.h"
 #include "routing/routing.h"
 #include "http/call.h"
+#include "limits/memory.h"
 #include "limits/repeats.h"
 #include "pistachiorack/metrics.h"
 #include "place/place.h"
@@ -92,7 +93,11 @@
 typedef struct pr_edge_metrics_t {
 	pr_metric_t *requests, *answered, *refused, *failed, *callers_gone,
 		*repeats, *escalations, *resumes, *not_found, *unauthorized,
-		*malformed, *datagrams, *datagram_bytes, *quarantined;
+		*malformed, *datagrams, *datagram_bytes, *quarantined,
+		*memory_waits, *memory_shed, *connections_shed;
+	/** Gauges, set when the metrics are read. */
+	pr_metric_t *memory_limit, *memory_peak,
+		*memory_held[PR_MEMORY_USES_COUNT], *callers_open;
 	pr_histogram_t *first_byte, *total;
 } pr_edge_metrics_t;
 
@@ -165,6 +170,19 @@
 	uv_tcp_t caller_listener, ready_listener, metrics_listener,
 		peer_listener;
 	pr_list_t callers;
+	/** Open connections of callers, and their maximum. */
+	size_t callers_count, callers_max;
+	/** Bytes that the process holds for callers. */
+	pr_memory_t memory;
+	/** Callers whose request waits for memory, in the order of their
+	 *  arrival, and the timer that looks after them. */
+	pr_list_t memory_waiters;
+	pr_timer_t memory_timer;
+	/** Callers have been waiting for memory. */
+	bool memory_short;
+	/** No connection could be closed for memory; the search is repeated at
+	 *  this time. */
+	pr_usec_t shed_after;
 	/** Active exchanges. */
 	size_t exchanges_count;
 	pr_timer_t housekeeping_timer, stop_timer;
@@ -193,6 +211,13 @@
 /** @return number of hosts that share the upstreams, this one included */
 uint32_t pr_edge_hosts_count(const pr_edge_t *edge);
 
+/**
+ * Close all idle connections to upstreams.
+ *
+ * @return true when one was closed
+ */
+bool pr_edge_close_idle_upstreams(pr_edge_t *edge);
+
 /* watch.c */
 /** Start reading all tables. @return 0 */
 int pr_watches_start(pr_edge_t *edge);
@@ -242,6 +267,8 @@
 bool pr_callers_stop_listening(pr_edge_t *edge);
 /** Close connections that have been without a request for some time. */
 void pr_callers_close_idle(pr_edge_t *edge);
+/** Set the gauges of memory and connections. */
+void pr_overload_set_gauges(pr_edge_t *edge);
 /** End all requests with an error response or a connection reset. */
 void pr_callers_abort_exchanges(pr_edge_t *edge);
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -108,6 +108,8 @@
 	 *  connection. */
 	bool unframed;
 	pr_str_t head, body;
+	/** Length of the body that the response states; 0 without one. */
+	uint64_t body_length;
 	/** The head of a response was sent to the caller. */
 	bool head_sent;
 	/** Time of the first byte sent to the caller; 0 before it. */
--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -38,6 +38,7 @@
 	void *owner;
 	/** Bytes of the request until they are sent, and the request id. */
 	pr_str_t request;
+	pr_slice_t body;
 	char id[96];
 	/** Hashes of the ids of recent requests, the current one included: a
 	 *  ring, and the number of all requests so far. */
@@ -69,6 +70,8 @@
 
 static void close_outbound(pr_outbound_t *outbound)
 {
+	if (!outbound->link.closing)
+		outbound->pool->count--;
 	pr_list_remove(&outbound->node);
 	pr_timers_unsubscribe(outbound->pool->timers, &outbound->timer);
 	outbound->owner = NULL;
@@ -282,10 +285,11 @@
 		return;
 	}
 	outbound->stage = PR_STAGE_SENT;
-	if (pr_link_write(&outbound->link, outbound->request.ptr,
-			  outbound->request.len))
+	if (pr_link_write_owned(&outbound->link, &outbound->request) ||
+	    (outbound->body.len &&
+	     pr_link_write_borrowed(&outbound->link, outbound->body.ptr,
+				    outbound->body.len)))
 		fail_connection(outbound);
-	pr_str_finish(&outbound->request);
 }
 
 static void on_connect(pr_link_t *link, int rc)
@@ -332,8 +336,13 @@
 static int open_connection(pr_outbound_t **out, pr_outbound_pool_t *pool,
 			   pr_upstream_t *upstream)
 {
-	pr_outbound_t *outbound = calloc(1, sizeof(*outbound));
+	pr_outbound_t *outbound;
 
+	if (pool->max && pool->count >= pool->max)
+		return pr_error_set(PR_EFULL,
+				    "%zu connections to upstreams are open",
+				    pool->count);
+	outbound = calloc(1, sizeof(*outbound));
 	if (!outbound)
 		return pr_error_set(
 			PR_ENOMEM,
@@ -347,11 +356,12 @@
 	}
 	outbound->upstream = pr_upstream_ref(upstream);
 	upstream->connections++;
+	pool->count++;
 	pool->opened++;
 	pr_http_reader_init(&outbound->reader, false, HEAD_BYTES_MAX,
 			    &reader_ops, outbound);
 	if (pr_link_connect(&outbound->link, &upstream->entry.address)) {
-		pr_link_close(&outbound->link);
+		close_outbound(outbound);
 		return PR_EIO;
 	}
 	outbound->stage = PR_STAGE_CONNECTING;
@@ -416,6 +426,7 @@
 	outbound->reader.no_body = request->is_head;
 	pr_slice_copy(outbound->id, sizeof(outbound->id), request->id);
 	outbound->carried[outbound->carried_count++ % CARRIED_MAX] = id_hash;
+	outbound->body = request->body;
 	pr_str_clear(&outbound->request);
 	rc = pr_str_append(&outbound->request, request->bytes.ptr,
 			   request->bytes.len);
--- a/src/edge/outbound.h
+++ b/src/edge/outbound.h
@@ -38,11 +38,17 @@
 	pr_usec_t connect_timeout;
 	/** Connections opened since the start. */
 	uint64_t opened;
+	/** Open connections, and their maximum; 0 for none. */
+	size_t count, max;
 } pr_outbound_pool_t;
 
 typedef struct pr_outbound_request_t {
-	/** Complete HTTP request; it is copied. */
+	/** HTTP request, without the part of its body that is in `body`; it is
+	 *  copied. */
 	pr_slice_t bytes;
+	/** Rest of the body. It is not copied: it must stay as long as the
+	 *  request is under way. */
+	pr_slice_t body;
 	/** Request id; a response that states another one is skipped. Without
 	 *  an id, the request gets a new connection. */
 	pr_slice_t id;
@@ -58,7 +64,8 @@
  * Send a request on an idle connection or on a new one. The events follow
  * later, never from inside this call.
  *
- * @return 0, PR_EIO or PR_ENOMEM
+ * @return 0, PR_EIO, PR_ENOMEM, or PR_EFULL when it needs a new connection
+ *	   and the pool has its maximum
  */
 int pr_outbound_start(pr_outbound_t **out, pr_outbound_pool_t *pool,
 		      pr_upstream_t *upstream,
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -10,6 +10,9 @@
 
 /* Least urgent priority that an upstream accepts; 0 is the most urgent. */
 #define PRIORITY_LEAST_URGENT 9
+/* Bodies up to this size, in bytes, are copied behind the head, which saves a
+ * system call. */
+#define COPIED_BODY_MAX 16384
 
 /* Whether the Connection field lists a header field, which then applies only to
  * the caller's connection and is not forwarded. */
@@ -105,7 +108,7 @@
 	return rc;
 }
 
-int pr_request_write(pr_str_t *out, const pr_exchange_t *x,
+int pr_request_write(pr_str_t *out, pr_slice_t *body, const pr_exchange_t *x,
 		     const pr_upstream_t *upstream)
 {
 	const pr_caller_t *caller = x->caller;
@@ -133,7 +136,10 @@
 				    caller->body.len);
 	if (!rc)
 		rc = pr_str_append(out, "\r\n", 2);
-	if (!rc && caller->body.len)
-		rc = pr_str_append(out, caller->body.ptr, caller->body.len);
+	*body = pr_str_slice(&caller->body);
+	if (!rc && body->len && body->len <= COPIED_BODY_MAX) {
+		rc = pr_str_append(out, body->ptr, body->len);
+		body->len = 0;
+	}
 	return rc;
 }
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -11,6 +11,7 @@
 #include "cascade/cascade.h"
 #include "edge/caller.h"
 #include "edge/exchange_parts.h"
+#include "edge/overload.h"
 
 /* Reading from the upstream pauses while more bytes than this wait for a slow
  * caller. */
@@ -19,10 +20,6 @@
 #define CONFIDENCE_NONE 100
 /* Largest response body that is buffered until it is complete. */
 #define RESPONSE_BYTES_MAX ((size_t)8 * 1024 * 1024)
-/* Largest sum of the memory of all buffered bodies, a part of that of a small
- * host, and the size up to which a body is buffered whatever the sum is. */
-#define BUFFERED_BYTES_MAX    ((size_t)12 * 1024 * 1024)
-#define BUFFERED_BYTES_ALWAYS ((size_t)256 * 1024)
 /* Load of an upstream, as a part of its slots, above which the load alone may
  * make responses slow. */
 #define PACE_LOAD_MAX 0.3
@@ -223,6 +220,9 @@
 	x->event_stream = false;
 	x->unframed = !(reader->parser.flags & (F_CHUNKED | F_CONTENTLENGTH));
 	x->progress_at = pr_exchange_now(x);
+	x->body_length = reader->parser.flags & F_CONTENTLENGTH
+				 ? reader->parser.content_length
+				 : 0;
 	pr_str_clear(&x->body);
 	note_cold(x, reader);
 	record_alive(x);
@@ -309,6 +309,7 @@
 					    pr_str_slice(&x->head), -1);
 		x->head_sent = true;
 		pr_caller_send_body(x->caller, pr_str_slice(&out));
+		pr_overload_account(x->caller);
 		if (pr_caller_unsent(x->caller) > CALLER_UNSENT_MAX) {
 			x->reading_paused = true;
 			pr_outbound_pause(x->outbound);
@@ -324,27 +325,28 @@
 	return true;
 }
 
-/* Memory of the response bodies that this host buffers, bytes. A body has up to
- * twice its length. */
-static size_t buffered_bytes(const pr_edge_t *edge)
+/* Append a part of a body that is buffered. A body whose length is known gets
+ * no more memory than that. @return false when there is no memory for it */
+static bool buffer_body(pr_exchange_t *x, pr_slice_t bytes)
 {
-	size_t total = 0;
+	size_t from = x->body.cap;
+	size_t needed = x->body.len + bytes.len + 1;
+	size_t to = x->body_length ? 2 * from : from + from / 2;
 
-	for (const pr_list_t *at = edge->callers.next; at != &edge->callers;
-	     at = at->next)
-		total += PR_OWNER(at, pr_caller_t, node)->exchange.body.cap;
-	return total;
-}
-
-static bool can_buffer(const pr_exchange_t *x, size_t more)
-{
-	size_t cap = pr_str_capacity_after(&x->body, more);
-
-	if (cap <= BUFFERED_BYTES_ALWAYS)
-		return true;
-	return x->body.len + more <= RESPONSE_BYTES_MAX &&
-	       buffered_bytes(x->edge) - x->body.cap + cap <=
-		       BUFFERED_BYTES_MAX;
+	if (x->body.len + bytes.len > RESPONSE_BYTES_MAX)
+		return false;
+	if (x->body_length && to > x->body_length + 1)
+		to = (size_t)x->body_length + 1;
+	if (to < needed)
+		to = needed;
+	if (needed > from) {
+		if (!pr_overload_make_room(x->caller, PR_MEMORY_RESPONSES, from,
+					   to) ||
+		    pr_str_reserve(&x->body, to))
+			return false;
+		pr_overload_account(x->caller);
+	}
+	return !pr_str_append(&x->body, bytes.ptr, bytes.len);
 }
 
 static bool on_body(void *owner, pr_slice_t bytes)
@@ -356,8 +358,7 @@
 	if (x->event_stream)
 		return forward_events(x, bytes);
 	x->progress_at = pr_exchange_now(x);
-	if (can_buffer(x, bytes.len) &&
-	    !pr_str_append(&x->body, bytes.ptr, bytes.len))
+	if (buffer_body(x, bytes))
 		return true;
 	pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
 				   "answer_too_large");
@@ -399,8 +400,7 @@
 		pr_caller_send_head(caller, x->status, pr_str_slice(&x->head),
 				    x->event_stream ? -1 : (int64_t)body.len);
 	pr_exchange_finish(x);
-	pr_caller_send_body(caller, pr_str_slice(&body));
-	pr_str_finish(&body);
+	pr_caller_send_owned(caller, &body);
 	pr_caller_end_response(caller);
 }
 
--- a/src/http/link.c
+++ b/src/http/link.c
@@ -29,9 +29,16 @@
 typedef struct write_t {
 	uv_write_t request;
 	size_t len;
+	/** Memory of the bytes where the write owns it; NULL otherwise. */
+	char *owned;
 	char bytes[];
 } write_t;
 
+/* Receive and send buffers of accepted connections in the kernel, bytes.
+ * Without a limit they grow to several MB, which count towards the machine's
+ * memory. */
+#define ACCEPTED_BUFFER_BYTES (128 * 1024)
+
 static char read_buffer[READ_BYTES];
 
 int pr_link_init(pr_link_t *link, uv_loop_t *loop, const pr_link_ops_t *ops)
@@ -125,12 +132,15 @@
 
 int pr_link_accept(pr_link_t *link, uv_stream_t *listener)
 {
+	int buffer_bytes = ACCEPTED_BUFFER_BYTES;
 	int rc = uv_accept(listener, (uv_stream_t *)&link->tcp);
 
 	if (rc)
 		return pr_error_set(PR_EIO, "accept: %s", uv_strerror(rc));
 	link->connected = true;
 	set_options(link, UNREAD_MS);
+	uv_recv_buffer_size((uv_handle_t *)&link->tcp, &buffer_bytes);
+	uv_send_buffer_size((uv_handle_t *)&link->tcp, &buffer_bytes);
 	pr_link_resume(link);
 	return 0;
 }
@@ -165,6 +175,7 @@
 	pr_link_t *link = request->handle->data;
 
 	link->unsent -= write->len;
+	free(write->owned);
 	free(write);
 	if (link->closing)
 		return;
@@ -174,37 +185,102 @@
 		link->ops->on_drained(link);
 }
 
-int pr_link_write(pr_link_t *link, const void *bytes, size_t len)
+/* Write what the kernel takes at once. @return the number of bytes */
+static size_t write_now(pr_link_t *link, const void *bytes, size_t len)
+{
+	uv_buf_t buf = uv_buf_init((char *)(uintptr_t)bytes, (unsigned)len);
+	int rc;
+
+	if (link->unsent)
+		return 0;
+	rc = uv_try_write((uv_stream_t *)&link->tcp, &buf, 1);
+	return rc > 0 ? (size_t)rc : 0;
+}
+
+/* Queue bytes that outlive the write or belong to it. @return 0 or PR_EIO */
+static int queue_write(pr_link_t *link, write_t *write, const void *bytes,
+		       size_t len)
 {
 	uv_buf_t buf = uv_buf_init((char *)(uintptr_t)bytes, (unsigned)len);
+	int rc = uv_write(&write->request, (uv_stream_t *)&link->tcp, &buf, 1,
+			  on_written);
+
+	if (rc)
+		return pr_error_set(PR_EIO, "write: %s", uv_strerror(rc));
+	write->len = len;
+	link->unsent += len;
+	return 0;
+}
+
+/* Write bytes that are copied when the kernel does not take them, unless they
+ * outlive the write. */
+static int write_bytes(pr_link_t *link, const char *bytes, size_t len,
+		       bool copied)
+{
 	write_t *write;
+	size_t written;
 	int rc;
 
 	if (link->closing)
 		return PR_EIO;
-	if (!link->unsent) {
-		rc = uv_try_write((uv_stream_t *)&link->tcp, &buf, 1);
-		if (rc >= 0 && (size_t)rc == len)
-			return 0;
-		if (rc > 0) {
-			bytes = (const char *)bytes + rc;
-			len -= (size_t)rc;
-		}
-	}
-	write = malloc(sizeof(*write) + len);
+	written = write_now(link, bytes, len);
+	if (written == len)
+		return 0;
+	bytes += written;
+	len -= written;
+	write = malloc(sizeof(*write) + (copied ? len : 0));
 	if (!write)
 		return pr_error_set(PR_ENOMEM, "no memory for a write");
-	memcpy(write->bytes, bytes, len);
-	write->len = len;
-	buf = uv_buf_init(write->bytes, (unsigned)len);
-	rc = uv_write(&write->request, (uv_stream_t *)&link->tcp, &buf, 1,
-		      on_written);
-	if (rc) {
+	write->owned = NULL;
+	if (copied) {
+		memcpy(write->bytes, bytes, len);
+		bytes = write->bytes;
+	}
+	rc = queue_write(link, write, bytes, len);
+	if (rc)
 		free(write);
-		return pr_error_set(PR_EIO, "write: %s", uv_strerror(rc));
+	return rc;
+}
+
+int pr_link_write(pr_link_t *link, const void *bytes, size_t len)
+{
+	return write_bytes(link, bytes, len, true);
+}
+
+int pr_link_write_borrowed(pr_link_t *link, const void *bytes, size_t len)
+{
+	return write_bytes(link, bytes, len, false);
+}
+
+int pr_link_write_owned(pr_link_t *link, pr_str_t *content)
+{
+	write_t *write = NULL;
+	size_t written;
+	int rc = 0;
+
+	if (link->closing) {
+		pr_str_finish(content);
+		return PR_EIO;
 	}
-	link->unsent += len;
-	return 0;
+	written = write_now(link, content->ptr, content->len);
+	if (written == content->len)
+		goto cleanup;
+	write = malloc(sizeof(*write));
+	if (!write) {
+		rc = pr_error_set(PR_ENOMEM, "no memory for a write");
+		goto cleanup;
+	}
+	write->owned = content->ptr;
+	rc = queue_write(link, write, content->ptr + written,
+			 content->len - written);
+	if (!rc)
+		pr_str_init(content);
+	else
+		free(write);
+
+cleanup:
+	pr_str_finish(content);
+	return rc;
 }
 
 size_t pr_link_queued(const pr_link_t *link)
--- a/src/http/link.h
+++ b/src/http/link.h
@@ -43,6 +43,14 @@
 int pr_link_connect(pr_link_t *link, const struct sockaddr_in *address);
 /** Write a copy of the bytes. @return 0, PR_EIO or PR_ENOMEM */
 int pr_link_write(pr_link_t *link, const void *bytes, size_t len);
+/**
+ * Write bytes without a copy. They must stay until on_drained or the close of
+ * the link. @return 0, PR_EIO or PR_ENOMEM
+ */
+int pr_link_write_borrowed(pr_link_t *link, const void *bytes, size_t len);
+/** Write the content of a string, which becomes empty, without a copy.
+ * @return 0, PR_EIO or PR_ENOMEM */
+int pr_link_write_owned(pr_link_t *link, pr_str_t *content);
 /** @return bytes not yet accepted by the kernel. Unlike `unsent`, it also
  *	   counts a write down that is under way. */
 size_t pr_link_queued(const pr_link_t *link);
--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -3,6 +3,9 @@
 
 #include <strings.h>
 
+/* Memory for the head that a connection keeps between two messages, bytes. */
+#define TEXT_BYTES_KEPT 2048
+
 static pr_http_reader_t *reader_of(http_parser *parser)
 {
 	return parser->data;
@@ -35,6 +38,9 @@
 	pr_http_reader_t *reader = reader_of(parser);
 	pr_http_span_t *span;
 
+	/* Trailers are not fields of the head; the parser limits their size. */
+	if (!reader->in_head)
+		return 0;
 	if (reader->in_value || !reader->fields_count) {
 		if (reader->fields_count == PR_HTTP_FIELDS_MAX) {
 			reader->fault = PR_HTTP_HEAD_TOO_LARGE;
@@ -53,8 +59,11 @@
 static int on_value(http_parser *parser, const char *at, size_t len)
 {
 	pr_http_reader_t *reader = reader_of(parser);
-	pr_http_span_t *span = &reader->fields[reader->fields_count - 1];
+	pr_http_span_t *span;
 
+	if (!reader->in_head)
+		return 0;
+	span = &reader->fields[reader->fields_count - 1];
 	if (!reader->in_value) {
 		span->value = (uint32_t)reader->text.len;
 		reader->in_value = true;
@@ -151,6 +160,13 @@
 	pr_str_finish(&reader->text);
 }
 
+void pr_http_reader_release(pr_http_reader_t *reader)
+{
+	reader->fields_count = 0;
+	reader->target_len = 0;
+	pr_str_finish(&reader->text);
+}
+
 void pr_http_reader_next(pr_http_reader_t *reader)
 {
 	http_parser_init(&reader->parser,
@@ -166,7 +182,7 @@
 	reader->no_body = false;
 	reader->previous = '\n';
 	reader->end_matched = 0;
-	pr_str_clear(&reader->text);
+	pr_str_trim(&reader->text, TEXT_BYTES_KEPT);
 }
 
 /* A head's lines end in CR LF and no line begins with white space. */
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -66,6 +66,8 @@
 			 size_t head_max, const pr_http_reader_ops_t *ops,
 			 void *owner);
 void pr_http_reader_finish(pr_http_reader_t *reader);
+/** Free the memory of the head of a message that is not read further. */
+void pr_http_reader_release(pr_http_reader_t *reader);
 /** Ready for the next message on the same connection. */
 void pr_http_reader_next(pr_http_reader_t *reader);
 /**
