Read event ids of any length and only as whole numbers

Ids of events wrapped at 64 bits: an event with a larger id than the one before was dropped as a repeated one, so that the caller missed it. An id that a caller states was ignored with more than 18 digits, so that the caller got the repeated events twice. Of "1-1" only the 1 was read, and the event was dropped behind "1-0".

Ids are kept as up to 40 decimal digits. Longer numbers, and text that is not a number, count as no id: their events pass in the first run, and a stream can't be resumed behind them.

The tests that read last_id as an integer compare its digits now.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -379,19 +379,13 @@
 			 pr_slice_equal(model, PR_SLICE(PR_MODEL_ANY));
 	if (x->picks_model)
 		x->model = pr_cascade_first_model(x->route->models.count);
-	if (x->stream) {
-		uint64_t last;
-
-		/* A caller that resumes a stream states the last event that it
-		 * received. */
-		if (pr_slice_number(
-			    pr_http_find(reader, pr_adapter_field_name(
-							 PR_FIELD_LAST_EVENT)),
-			    &last)) {
-			x->events.has_id = true;
-			x->events.last_id = last;
-		}
-	}
+	/* A caller that resumes a stream states the last event that it
+	 * received. */
+	if (x->stream)
+		pr_sse_filter_resume_after(
+			&x->events,
+			pr_http_find(reader, pr_adapter_field_name(
+						     PR_FIELD_LAST_EVENT)));
 }
 
 /* Whether a request generates many tokens in proportion to its prompt. Such a
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -100,8 +100,13 @@
 	if (!rc && x->picks_model)
 		rc = append_field(out, pr_adapter_field_name(PR_FIELD_MODEL),
 				  x->route->models.items[x->model]);
-	if (!rc && x->events.passed)
-		rc = append_number(out, PR_FIELD_LAST_EVENT, x->events.last_id);
+	if (!rc && x->events.passed) {
+		pr_slice_t last = pr_event_id_text(&x->events.last_id);
+
+		rc = pr_str_appendf(out, "%s: %.*s\r\n",
+				    pr_adapter_field_name(PR_FIELD_LAST_EVENT),
+				    (int)last.len, last.ptr);
+	}
 	return rc;
 }
 
--- a/src/events/sse_filter.c
+++ b/src/events/sse_filter.c
@@ -4,8 +4,6 @@
  */
 #include "events/sse_filter.h"
 
-#include <ctype.h>
-
 #include "pistachiorack/error.h"
 
 /* Steps between ids from which on they count as regular. */
@@ -29,8 +27,18 @@
 	filter->repeating = false;
 }
 
+void pr_sse_filter_resume_after(pr_sse_filter_t *filter, pr_slice_t last_id)
+{
+	filter->has_id = pr_event_id_parse(last_id, &filter->last_id);
+}
+
+static bool is_blank(char byte)
+{
+	return byte == ' ' || byte == '\t' || byte == '\r';
+}
+
 /* Reads the numeric id of an event; returns false when it has none. */
-static bool find_id(const char *event, size_t len, uint64_t *id)
+static bool find_id(const char *event, size_t len, pr_event_id_t *id)
 {
 	size_t offset = 0;
 
@@ -44,12 +52,10 @@
 
 			while (i < line_len && line[i] == ' ')
 				i++;
-			if (i == line_len || !isdigit((unsigned char)line[i]))
-				return false;
-			*id = 0;
-			while (i < line_len && isdigit((unsigned char)line[i]))
-				*id = *id * 10 + (uint64_t)(line[i++] - '0');
-			return true;
+			while (line_len > i && is_blank(line[line_len - 1]))
+				line_len--;
+			return pr_event_id_parse(
+				pr_slice(line + i, line_len - i), id);
 		}
 		offset += line_len + 1;
 	}
@@ -80,20 +86,27 @@
 static int check_unnumbered(const pr_sse_filter_t *filter, const char *bytes,
 			    size_t len, bool *pass)
 {
+	pr_slice_t last;
+
 	*pass = !filter->resuming;
 	if (*pass || filter->repeating || !has_data(bytes, len))
 		return 0;
+	last = pr_event_id_text(&filter->last_id);
 	return pr_error_set(PR_EPARSE,
 			    "event without an id follows event id "
-			    "%llu in a resumed stream",
-			    (unsigned long long)filter->last_id);
+			    "%.*s in a resumed stream",
+			    (int)last.len, last.ptr);
 }
 
-/* The step between ids, where the stream has always had the same one; 0 where
- * it is not known. */
-static uint64_t regular_step(const pr_sse_filter_t *filter)
+/* Whether the step to an id is wider than the one that the stream has always
+ * had. */
+static bool is_wide(const pr_sse_filter_t *filter, const pr_event_id_t *id)
 {
-	return filter->steps >= REGULAR_STEPS_MIN ? filter->step : 0;
+	pr_event_id_t step = pr_event_id_difference(id, &filter->last_id);
+
+	return filter->steps >= REGULAR_STEPS_MIN &&
+	       !pr_event_id_is_zero(&filter->step) &&
+	       pr_event_id_compare(&step, &filter->step) > 0;
 }
 
 /*
@@ -104,28 +117,32 @@
  * them, and if the steps have been the same so far, it begins with no wider
  * one.
  */
-static int check_continues(const pr_sse_filter_t *filter, uint64_t id)
+static int check_continues(const pr_sse_filter_t *filter,
+			   const pr_event_id_t *id)
 {
-	uint64_t step = regular_step(filter);
+	pr_slice_t next = pr_event_id_text(id);
+	pr_slice_t last = pr_event_id_text(&filter->last_id);
 
 	if (!filter->resuming)
 		return 0;
-	if (filter->repeating ? filter->repeated_id == filter->last_id
-			      : !step || id - filter->last_id <= step)
+	if (filter->repeating ? !pr_event_id_compare(&filter->repeated_id,
+						     &filter->last_id)
+			      : !is_wide(filter, id))
 		return 0;
 	return pr_error_set(PR_EPARSE,
-			    "event id %llu of a resumed stream does not "
-			    "continue event id %llu",
-			    (unsigned long long)id,
-			    (unsigned long long)filter->last_id);
+			    "event id %.*s of a resumed stream does not "
+			    "continue event id %.*s",
+			    (int)next.len, next.ptr, (int)last.len, last.ptr);
 }
 
-static void note_step(pr_sse_filter_t *filter, uint64_t step)
+static void note_step(pr_sse_filter_t *filter, const pr_event_id_t *id)
 {
+	pr_event_id_t step = pr_event_id_difference(id, &filter->last_id);
+
 	if (!filter->steps)
 		filter->step = step;
-	if (step != filter->step)
-		filter->step = 0;
+	if (pr_event_id_compare(&step, &filter->step) != 0)
+		filter->step = (pr_event_id_t){ { 0 }, 0 };
 	filter->steps++;
 }
 
@@ -155,23 +172,24 @@
 static int pass_event(pr_sse_filter_t *filter, const char *bytes, size_t len,
 		      pr_str_t *out)
 {
-	uint64_t id;
+	pr_event_id_t id = { { 0 }, 0 };
 	bool pass = true;
 	int rc;
 
 	if (find_id(bytes, len, &id)) {
-		if (filter->has_id && id <= filter->last_id) {
+		if (filter->has_id &&
+		    pr_event_id_compare(&id, &filter->last_id) <= 0) {
 			filter->repeating = true;
 			filter->repeated_id = id;
 			return 0;
 		}
-		rc = check_continues(filter, id);
+		rc = check_continues(filter, &id);
 		if (rc)
 			return rc;
 		/* The caller's own last id, of a stream that it resumes, may
 		 * be from any place. */
 		if (filter->numbered || !filter->has_id)
-			note_step(filter, id - filter->last_id);
+			note_step(filter, &id);
 		filter->has_id = true;
 		filter->last_id = id;
 		filter->numbered++;
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -34,6 +34,13 @@
 	pr_str_finish(&f->out);
 }
 
+static void assert_last_id(const fixture_t *f, const char *id)
+{
+	assert_true(f->filter.has_id);
+	assert_true(pr_slice_equal(pr_event_id_text(&f->filter.last_id),
+				   pr_slice_of(id)));
+}
+
 static void test_bytes_pass_unchanged(void **state)
 {
 	static const char text[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
@@ -59,7 +66,7 @@
 	start(&f);
 	assert_int_equal(feed(&f, "id: 1\ndata: a\n\nid: 2\nda"), 0);
 	assert_false(pr_sse_filter_complete(&f.filter));
-	assert_int_equal(f.filter.last_id, 1);
+	assert_last_id(&f, "1");
 	pr_sse_filter_restart(&f.filter);
 	assert_int_equal(feed(&f, "id: 2\ndata: b\n\n"), 0);
 	assert_string_equal(pr_str_cstr(&f.out),
@@ -95,7 +102,7 @@
 	/* Resumed behind the last event, and with steps that vary. */
 	pr_sse_filter_restart(&f.filter);
 	assert_int_equal(feed(&f, "id: 50\n\n"), 0);
-	assert_int_equal(f.filter.last_id, 50);
+	assert_last_id(&f, "50");
 	stop(&f);
 }
 
@@ -175,8 +182,7 @@
 	fixture_t f;
 
 	start(&f);
-	f.filter.has_id = true;
-	f.filter.last_id = 4;
+	pr_sse_filter_resume_after(&f.filter, PR_SLICE("4"));
 	assert_int_equal(feed(&f, "data: a\n\nid: 5\n\n"), 0);
 	assert_string_equal(pr_str_cstr(&f.out), "data: a\n\nid: 5\n\n");
 	stop(&f);
@@ -197,8 +203,164 @@
 	assert_int_not_equal(feed(&f, pr_str_cstr(&text)), 0);
 	pr_str_finish(&text);
 	assert_string_equal(pr_str_cstr(&f.out), "id: 1\n\nid: 2\n\nid: 3\n\n");
-	assert_int_equal(f.filter.last_id, 3);
+	assert_last_id(&f, "3");
+	stop(&f);
+}
+
+/* Starts the stream of a caller that resumes one behind the event last. */
+static void start_behind(fixture_t *f, const char *last)
+{
+	start(f);
+	pr_sse_filter_resume_after(&f->filter, pr_slice_of(last));
+}
+
+/* What the caller gets of the parts of a stream that broke off between them;
+ * result of the last part in rc. */
+static const char *pass_parts(fixture_t *f, const char *first,
+			      const char *second, int *rc)
+{
+	assert_int_equal(feed(f, first), 0);
+	pr_sse_filter_restart(&f->filter);
+	*rc = feed(f, second);
+	return pr_str_cstr(&f->out);
+}
+
+static void expect_joined(const char *first, const char *second,
+			  const char *whole)
+{
+	fixture_t f;
+	int rc;
+
+	start(&f);
+	assert_string_equal(pass_parts(&f, first, second, &rc), whole);
+	assert_int_equal(rc, 0);
+	stop(&f);
+}
+
+static void expect_refused(const char *first, const char *second)
+{
+	fixture_t f;
+	int rc;
+
+	start(&f);
+	assert_string_equal(pass_parts(&f, first, second, &rc), first);
+	assert_int_not_equal(rc, 0);
+	stop(&f);
+}
+
+static void expect_behind(const char *last, const char *text, int fails,
+			  const char *out)
+{
+	fixture_t f;
+
+	start_behind(&f, last);
+	assert_int_equal(feed(&f, text) != 0, fails);
+	assert_string_equal(pr_str_cstr(&f.out), out);
+	stop(&f);
+}
+
+/* Guards against a piece that is missing or comes twice, or a stream that is
+ * broken off, because an id wrapped at 64 bits. */
+static void test_ids_beyond_64_bits(void **state)
+{
+	static const char first[] = "id: 18446744073709551615\n\n"
+				    "id: 18446744073709551616\n\n"
+				    "id: 18446744073709551617\n\n";
+	static const char longer[] =
+		"id: 99999999999999999999999999999999999999\n\n"
+		"id: 100000000000000000000000000000000000000\n\n";
+	static const char whole[] = "id: 18446744073709551615\n\n"
+				    "id: 18446744073709551616\n\n"
+				    "id: 18446744073709551617\n\n"
+				    "id: 18446744073709551618\n\n";
+
+	expect_joined(first, "id: 18446744073709551618\n\n", whole);
+	expect_joined(first, whole, whole);
+	expect_refused(longer,
+		       "id: 1\n\n"
+		       "id: 100000000000000000000000000000000000001\n\n");
+	expect_refused(first, "id: 1\n\nid: 18446744073709551618\n\n");
+	/* 2^64 + 5 is not the event 5. */
+	expect_refused("id: 4\n\nid: 8\n\n", "id: 18446744073709551625\n\n");
+}
+
+/* Guards against a resume limit that is wrong where an id has more digits than
+ * the one before. */
+static void test_step_beyond_64_bits(void **state)
+{
+	static const char two[] = "id: 10000000000000000000\n\n"
+				  "id: 20000000000000000000\n\n";
+
+	expect_joined(two, "id: 30000000000000000000\n\n",
+		      "id: 10000000000000000000\n\n"
+		      "id: 20000000000000000000\n\n"
+		      "id: 30000000000000000000\n\n");
+	expect_refused(two, "id: 30000000000000000001\n\n");
+	expect_refused(two, "id: 100000000000000000000\n\n");
+}
+
+/* Guards against a piece that a caller gets twice because the id that it states
+ * was too long to be read. */
+static void test_caller_resumes_beyond_64_bits(void **state)
+{
+	expect_behind("1000000000000000000",
+		      "id: 999999999999999999\n\nid: 1000000000000000000\n\n"
+		      "id: 1000000000000000001\n\n",
+		      0, "id: 1000000000000000001\n\n");
+	expect_behind("18446744073709551616",
+		      "id: 18446744073709551615\n\n"
+		      "id: 18446744073709551616\n\n"
+		      "id: 18446744073709551617\n\n",
+		      0, "id: 18446744073709551617\n\n");
+}
+
+/* An id beyond the longest one is none: its event passes, but proves nothing
+ * where a stream is resumed. */
+static void test_longest_id(void **state)
+{
+	pr_str_t text = PR_STR_INIT;
+	fixture_t f;
+
+	assert_int_equal(pr_str_appendf(&text, "id: 1%0100d\ndata: a\n\n", 0),
+			 0);
+	start(&f);
+	assert_int_equal(feed(&f, pr_str_cstr(&text)), 0);
+	assert_string_equal(pr_str_cstr(&f.out), pr_str_cstr(&text));
+	assert_int_equal(feed(&f, "id: 7\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_not_equal(feed(&f, pr_str_cstr(&text)), 0);
+	pr_str_finish(&text);
+	stop(&f);
+}
+
+/* Guards against a repeat that is not recognized because its id is written in
+ * another way. */
+static void test_leading_zeros_do_not_count(void **state)
+{
+	expect_joined("id: 09\n\n", "id: 9\n\nid:   010\n\n",
+		      "id: 09\n\nid:   010\n\n");
+	expect_joined("id: 1\n\n",
+		      "id: 0000000000000000000000000000000000000000000001\n\n"
+		      "id: 2\n\n",
+		      "id: 1\n\nid: 2\n\n");
+	expect_behind("0000000000000000000000000000000000000000000012",
+		      "id: 012\n\nid: 013\n\n", 0, "id: 013\n\n");
+}
+
+/* Guards against events that were dropped as repeats because only the digits at
+ * the beginning of their ids were compared. */
+static void test_digits_before_text_are_no_id(void **state)
+{
+	static const char text[] = "id: 1-0\ndata: a\n\nid: 1-1\ndata: b\n\n"
+				   "id: 1.5\ndata: c\n\n";
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, text), 0);
+	assert_string_equal(pr_str_cstr(&f.out), text);
 	stop(&f);
+	expect_joined("id: 1 \r\n\r\n", "id: 1\n\nid: 2\t\n\n",
+		      "id: 1 \r\n\r\nid: 2\t\n\n");
 }
 
 int main(void)
@@ -213,6 +375,12 @@
 		cmocka_unit_test(test_repeated_events_without_id_are_dropped),
 		cmocka_unit_test(test_first_attempt_may_lack_ids),
 		cmocka_unit_test(test_events_before_an_error_are_passed),
+		cmocka_unit_test(test_ids_beyond_64_bits),
+		cmocka_unit_test(test_step_beyond_64_bits),
+		cmocka_unit_test(test_caller_resumes_beyond_64_bits),
+		cmocka_unit_test(test_longest_id),
+		cmocka_unit_test(test_leading_zeros_do_not_count),
+		cmocka_unit_test(test_digits_before_text_are_no_id),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
