Add tests of resumed streams and of unusual event ids

They guard against pieces that come twice or are missing and runs that are joined: a stream that breaks off repeatedly, runs with other ids, a caller that resumes at a host that knows no step, ids that repeat or fall, and signed ids.

--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -259,6 +259,57 @@
 	stop(&f);
 }
 
+/* Guards against a piece that a caller gets twice when the stream breaks off
+ * more than once, and against a limit that only the first resume has. */
+static void test_stream_breaks_off_repeatedly(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: 6\n\nid: 12\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_equal(feed(&f, "id: 6\n\nid: 1"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_equal(feed(&f, "id: 18\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_not_equal(feed(&f, "id: 30\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_equal(feed(&f, "id: 12\n\nid: 18\n\nid: 24\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out),
+			    "id: 6\n\nid: 12\n\nid: 18\n\nid: 24\n\n");
+	stop(&f);
+}
+
+/* Guards against joining the output of two runs: the second one numbers its
+ * events differently, or stops repeating before the last event. */
+static void test_different_runs_are_not_joined(void **state)
+{
+	expect_refused("id: 6\n\nid: 12\n\n", "id: 4\n\nid: 8\n\nid: 16\n\n");
+	expect_refused("id: 3\n\nid: 4\n\nid: 9\n\n", "id: 4\n\nid: 10\n\n");
+	expect_refused("id: 7\n\n", "id: 1\n\nid: 8\n\n");
+	/* A run may have a wide step behind the event that proves it. */
+	expect_joined("id: 1\n\nid: 2\n\n", "id: 2\n\nid: 7\n\n",
+		      "id: 1\n\nid: 2\n\nid: 7\n\n");
+}
+
+/* A caller resumes at another host, which knows no step yet: any increasing id
+ * is accepted, and the step learned there limits the next resume. */
+static void test_caller_resumes_with_any_step(void **state)
+{
+	fixture_t f;
+
+	expect_behind("12", "id: 18\n\nid: 24\n\n", 0, "id: 18\n\nid: 24\n\n");
+	expect_behind("12", "id: 50\n\n", 0, "id: 50\n\n");
+	expect_behind("12", "id: 6\n\nid: 12\n\nid: 18\n\n", 0, "id: 18\n\n");
+	start_behind(&f, "12");
+	assert_int_equal(feed(&f, "id: 50\n\nid: 56\n\nid: 62\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_not_equal(feed(&f, "id: 74\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_equal(feed(&f, "id: 68\n\n"), 0);
+	stop(&f);
+}
+
 /* Guards against a piece that is missing or comes twice, or a stream that is
  * broken off, because an id wrapped at 64 bits. */
 static void test_ids_beyond_64_bits(void **state)
@@ -333,6 +384,22 @@
 	stop(&f);
 }
 
+/* An id that repeats or falls inside a run belongs to an event that the caller
+ * has; it is dropped, and what follows with a larger id passes. */
+static void test_ids_that_repeat_or_fall_are_dropped(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: 6\n\nid: 6\n\nid: 12\n\nid: 6\n\n"
+				  "id: 11\n\nid: 0\n\nid: 13\n\n"),
+			 0);
+	assert_string_equal(pr_str_cstr(&f.out),
+			    "id: 6\n\nid: 12\n\nid: 13\n\n");
+	stop(&f);
+	expect_behind("12", "id: 12\n\nid: 12\n\nid: 13\n\n", 0, "id: 13\n\n");
+}
+
 /* Guards against a repeat that is not recognized because its id is written in
  * another way. */
 static void test_leading_zeros_do_not_count(void **state)
@@ -347,6 +414,23 @@
 		      "id: 012\n\nid: 013\n\n", 0, "id: 013\n\n");
 }
 
+/* Text that is not a number is no id: its event passes in the first run, and
+ * continues nothing where a stream is resumed. */
+static void test_signed_ids_are_not_numbers(void **state)
+{
+	fixture_t f;
+
+	start(&f);
+	assert_int_equal(feed(&f, "id: -1\ndata: a\n\nid: +2\ndata: b\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out),
+			    "id: -1\ndata: a\n\nid: +2\ndata: b\n\n");
+	assert_false(f.filter.has_id);
+	stop(&f);
+	expect_refused("id: 1\n\n", "id: +2\ndata: b\n\n");
+	expect_refused("id: 1\n\n", "id: -2\ndata: b\n\n");
+	expect_behind("-1", "id: 1\n\nid: 2\n\n", 0, "id: 1\n\nid: 2\n\n");
+}
+
 /* Guards against events that were dropped as repeats because only the digits at
  * the beginning of their ids were compared. */
 static void test_digits_before_text_are_no_id(void **state)
@@ -375,11 +459,16 @@
 		cmocka_unit_test(test_repeated_events_without_id_are_dropped),
 		cmocka_unit_test(test_first_attempt_may_lack_ids),
 		cmocka_unit_test(test_events_before_an_error_are_passed),
+		cmocka_unit_test(test_stream_breaks_off_repeatedly),
+		cmocka_unit_test(test_different_runs_are_not_joined),
+		cmocka_unit_test(test_caller_resumes_with_any_step),
 		cmocka_unit_test(test_ids_beyond_64_bits),
 		cmocka_unit_test(test_step_beyond_64_bits),
 		cmocka_unit_test(test_caller_resumes_beyond_64_bits),
 		cmocka_unit_test(test_longest_id),
+		cmocka_unit_test(test_ids_that_repeat_or_fall_are_dropped),
 		cmocka_unit_test(test_leading_zeros_do_not_count),
+		cmocka_unit_test(test_signed_ids_are_not_numbers),
 		cmocka_unit_test(test_digits_before_text_are_no_id),
 	};
 
