Find gaps in resumed streams that are numbered from 0

The first id of such a stream counted as a step of width 0. The steps then differed, no regular one was known, and a run that began behind a missing piece was joined.

Measured: test_gap_in_stream_numbered_from_zero failed before; 21 of 21 tests of tests/test_events.c pass.

--- a/src/events/sse_filter.c
+++ b/src/events/sse_filter.c
@@ -139,6 +139,9 @@
 {
 	pr_event_id_t step = pr_event_id_difference(id, &filter->last_id);
 
+	/* The first id of a stream that is numbered from 0. */
+	if (pr_event_id_is_zero(&step))
+		return;
 	if (!filter->steps)
 		filter->step = step;
 	if (pr_event_id_compare(&step, &filter->step) != 0)
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -292,6 +292,17 @@
 		      "id: 1\n\nid: 2\n\nid: 7\n\n");
 }
 
+/* Guards against a missing piece when a stream numbered from 0 is resumed: the
+ * first id counted as a step of 0, and the regular step was never known. */
+static void test_gap_in_stream_numbered_from_zero(void **state)
+{
+	expect_refused("id: 0\n\nid: 1\n\nid: 2\n\n", "id: 4\n\n");
+	expect_joined("id: 0\n\nid: 1\n\nid: 2\n\n",
+		      "id: 0\n\nid: 1\n\nid: "
+		      "2\n\nid: 3\n\n",
+		      "id: 0\n\nid: 1\n\nid: 2\n\nid: 3\n\n");
+}
+
 /* A caller resumes at another host, which knows no step yet: any increasing id
  * is accepted, and the step learned there limits the next resume. */
 static void test_caller_resumes_with_any_step(void **state)
@@ -461,6 +472,7 @@
 		cmocka_unit_test(test_events_before_an_error_are_passed),
 		cmocka_unit_test(test_stream_breaks_off_repeatedly),
 		cmocka_unit_test(test_different_runs_are_not_joined),
+		cmocka_unit_test(test_gap_in_stream_numbered_from_zero),
 		cmocka_unit_test(test_caller_resumes_with_any_step),
 		cmocka_unit_test(test_ids_beyond_64_bits),
 		cmocka_unit_test(test_step_beyond_64_bits),
