Check what upstreams repeat to a caller that resumes

A caller that resumes at another host states the last event it has. The first attempt of that host accepted a run that repeats other events, so that two runs were joined, and passed events without an id on that precede that event, so that the caller got them twice.

The run must repeat the caller's last event, if it repeats any; events ahead of it are dropped. An attempt that repeats none may still begin with any step or without an id.

--- a/src/events/sse_filter.c
+++ b/src/events/sse_filter.c
@@ -76,6 +76,20 @@
 	return false;
 }
 
+/* Whether the attempt has to continue a stream, and has sent no event with an
+ * id after the last one yet. The stream may be one that the caller resumes. */
+static bool is_continuing(const pr_sse_filter_t *filter)
+{
+	return filter->resuming || (filter->has_id && !filter->numbered);
+}
+
+/* Whether the attempt repeats events that precede the last one with an id. */
+static bool is_before_last(const pr_sse_filter_t *filter)
+{
+	return filter->repeating &&
+	       pr_event_id_compare(&filter->repeated_id, &filter->last_id) < 0;
+}
+
 /*
  * Decides about an event without an id. Where a stream is resumed, nothing
  * shows that it continues the events before: it may be the error of the next
@@ -88,7 +102,8 @@
 {
 	pr_slice_t last;
 
-	*pass = !filter->resuming;
+	*pass = !filter->resuming &&
+		!(is_continuing(filter) && is_before_last(filter));
 	if (*pass || filter->repeating || !has_data(bytes, len))
 		return 0;
 	last = pr_event_id_text(&filter->last_id);
@@ -123,11 +138,9 @@
 	pr_slice_t next = pr_event_id_text(id);
 	pr_slice_t last = pr_event_id_text(&filter->last_id);
 
-	if (!filter->resuming)
+	if (!is_continuing(filter))
 		return 0;
-	if (filter->repeating ? !pr_event_id_compare(&filter->repeated_id,
-						     &filter->last_id)
-			      : !is_wide(filter, id))
+	if (filter->repeating ? !is_before_last(filter) : !is_wide(filter, id))
 		return 0;
 	return pr_error_set(PR_EPARSE,
 			    "event id %.*s of a resumed stream does not "
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -321,6 +321,31 @@
 	stop(&f);
 }
 
+/* Guards against joining two runs at a hand-over between hosts: the run that
+ * the next host gets has not the event that the caller has. */
+static void test_caller_resumes_and_run_differs(void **state)
+{
+	fixture_t f;
+
+	expect_behind("12", "id: 5\n\nid: 10\n\nid: 15\n\n", 1, "");
+	start_behind(&f, "12");
+	assert_int_equal(feed(&f, "id: 5\n\nid: 10\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_not_equal(feed(&f, "id: 10\n\nid: 15\n\n"), 0);
+	pr_sse_filter_restart(&f.filter);
+	assert_int_equal(feed(&f, "id: 12\n\nid: 18\n\n"), 0);
+	assert_string_equal(pr_str_cstr(&f.out), "id: 18\n\n");
+	stop(&f);
+}
+
+/* Guards against events without an id that a caller gets twice at a hand-over
+ * between hosts, when the upstream repeats the stream from its beginning. */
+static void test_caller_resumes_and_events_without_id_repeat(void **state)
+{
+	expect_behind("2", "id: 1\n\ndata: a\n\nid: 2\n\nid: 3\n\n", 0,
+		      "id: 3\n\n");
+}
+
 /* Guards against a piece that is missing or comes twice, or a stream that is
  * broken off, because an id wrapped at 64 bits. */
 static void test_ids_beyond_64_bits(void **state)
@@ -474,6 +499,9 @@
 		cmocka_unit_test(test_different_runs_are_not_joined),
 		cmocka_unit_test(test_gap_in_stream_numbered_from_zero),
 		cmocka_unit_test(test_caller_resumes_with_any_step),
+		cmocka_unit_test(test_caller_resumes_and_run_differs),
+		cmocka_unit_test(
+			test_caller_resumes_and_events_without_id_repeat),
 		cmocka_unit_test(test_ids_beyond_64_bits),
 		cmocka_unit_test(test_step_beyond_64_bits),
 		cmocka_unit_test(test_caller_resumes_beyond_64_bits),
