Pass new events without an id after a repeated stream

An attempt that repeated the last event with an id had all events without one dropped until its next id, also those that the attempt before had not reached, so that the caller missed them.

As many are dropped as were passed on behind that event; the next one is new, and passed on.

--- a/src/events/sse_filter.c
+++ b/src/events/sse_filter.c
@@ -25,6 +25,7 @@
 	filter->scanned = 0;
 	filter->resuming = filter->has_id && filter->passed;
 	filter->repeating = false;
+	filter->repeated_unnumbered = 0;
 }
 
 void pr_sse_filter_resume_after(pr_sse_filter_t *filter, pr_slice_t last_id)
@@ -92,19 +93,27 @@
 
 /*
  * Decides about an event without an id. Where a stream is resumed, nothing
- * shows that it continues the events before: it may be the error of the next
- * upstream.
+ * shows that it continues the events before, since it may be the error of the
+ * next upstream, unless the attempt has repeated all that was passed on.
  *
  * @param pass set when the event is to be passed on
  */
-static int check_unnumbered(const pr_sse_filter_t *filter, const char *bytes,
+static int check_unnumbered(pr_sse_filter_t *filter, const char *bytes,
 			    size_t len, bool *pass)
 {
+	bool data = has_data(bytes, len);
 	pr_slice_t last;
 
-	*pass = !filter->resuming &&
-		!(is_continuing(filter) && is_before_last(filter));
-	if (*pass || filter->repeating || !has_data(bytes, len))
+	*pass = !filter->resuming;
+	if (is_continuing(filter) && is_before_last(filter))
+		*pass = false;
+	else if (filter->resuming && filter->repeating && data)
+		*pass = filter->repeated_unnumbered++ >= filter->unnumbered;
+	if (*pass && data) {
+		filter->unnumbered++;
+		filter->resuming = false;
+	}
+	if (*pass || filter->repeating || !data)
 		return 0;
 	last = pr_event_id_text(&filter->last_id);
 	return pr_error_set(PR_EPARSE,
@@ -197,6 +206,7 @@
 		    pr_event_id_compare(&id, &filter->last_id) <= 0) {
 			filter->repeating = true;
 			filter->repeated_id = id;
+			filter->repeated_unnumbered = 0;
 			return 0;
 		}
 		rc = check_continues(filter, &id);
@@ -208,6 +218,7 @@
 			note_step(filter, &id);
 		filter->has_id = true;
 		filter->last_id = id;
+		filter->unnumbered = 0;
 		filter->numbered++;
 		filter->resuming = false;
 	} else {
--- a/src/events/sse_filter.h
+++ b/src/events/sse_filter.h
@@ -35,6 +35,9 @@
 	bool repeating;
 	/** Id of the last event that was repeated; valid with repeating. */
 	pr_event_id_t repeated_id;
+	/** Number of events with data and without an id that were passed on
+	 * behind the last event, and that were repeated behind repeated_id. */
+	uint64_t unnumbered, repeated_unnumbered;
 	/** Number of events passed on. */
 	uint64_t passed;
 	/** Number of events passed on that had a numeric id. */
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -346,6 +346,21 @@
 		      "id: 3\n\n");
 }
 
+/* Guards against an event without an id that was dropped as a repeat although
+ * the run before broke off ahead of it. */
+static void test_new_event_without_id_is_not_dropped(void **state)
+{
+	expect_joined("id: 1\n\n", "id: 1\n\ndata: a\n\nid: 2\n\n",
+		      "id: 1\n\ndata: a\n\nid: 2\n\n");
+	expect_joined("id: 1\n\ndata: a\n\n", "id: 1\n\ndata: a\n\ndata: b\n\n",
+		      "id: 1\n\ndata: a\n\ndata: b\n\n");
+	/* Nothing shows whose events these are. */
+	expect_refused("id: 2\n\n", "id: 1\n\ndata: a\n\nid: 3\n\n");
+	expect_joined("id: 1\n\ndata: a\n\n",
+		      "id: 1\n\n: c\n\ndata: a\n\nid: 2\n\n",
+		      "id: 1\n\ndata: a\n\nid: 2\n\n");
+}
+
 /* Guards against a piece that is missing or comes twice, or a stream that is
  * broken off, because an id wrapped at 64 bits. */
 static void test_ids_beyond_64_bits(void **state)
@@ -502,6 +517,7 @@
 		cmocka_unit_test(test_caller_resumes_and_run_differs),
 		cmocka_unit_test(
 			test_caller_resumes_and_events_without_id_repeat),
+		cmocka_unit_test(test_new_event_without_id_is_not_dropped),
 		cmocka_unit_test(test_ids_beyond_64_bits),
 		cmocka_unit_test(test_step_beyond_64_bits),
 		cmocka_unit_test(test_caller_resumes_beyond_64_bits),
