Check streams that callers resume at another host

No process test had a caller that got a part of a stream at one host and resumes at another one, and ids other than multiples of six. The new ones are by tokens, uneven, from 0, beyond 64 bits and with leading zeros; the next upstream sends the rest, repeats the stream, breaks off once more or has a run with other ids.

--- a/tests/edge/streams.py
+++ b/tests/edge/streams.py
@@ -285,6 +285,78 @@
     await asyncio.sleep(2.1)
 
 
+# Ids of the events of a stream, as their upstream writes them: by tokens with one width or
+# several, from 0, across 64 bits, and with zeros in front.
+NUMBERINGS = {
+    "tokens": [b"%d" % (6 * n) for n in range(1, 13)],
+    "uneven": [b"%d" % (n * n + 1) for n in range(1, 13)],
+    "zero": [b"%d" % n for n in range(12)],
+    "long": [b"%d" % ((1 << 64) - 25 + 6 * n) for n in range(1, 13)],
+    "longer": [b"%d" % (10 ** 30 - 3 + n) for n in range(1, 13)],
+    "padded": [b"%020d" % n for n in range(1, 13)],
+}
+
+
+def numbered_event(ident, text):
+    return b"id: %s\ndata: %s-%s\n\n" % (text, ident.encode(), text)
+
+
+async def check_resuming_callers(fleet, models):
+    """A caller that got a part of a stream at one host resumes at another one. It got
+    pieces twice where the id that it stated was too long to be read, or missed those whose
+    ids wrapped, and the run of an upstream with other ids was joined to the one before."""
+    started = set()
+
+    async def serve(request):
+        numbering, manner = request.ident.split("-")[:2]
+        ids, last = NUMBERINGS[numbering], request.fields.get("last-event-id")
+        request.run()
+        await request.write(head(200, request.ident, CHUNKED))
+        if request.ident not in started:
+            started.add(request.ident)
+            for text in ids[:5]:
+                await request.write(chunk(numbered_event(request.ident, text)))
+            await asyncio.sleep(3)
+            return False
+        if manner == "other":
+            ids = [b"%d" % (max(int(ids[0]) - 1, 0) + 7 * n) for n in range(12)]
+        elif manner != "repeat" and last is not None:
+            ids = [text for text in ids if int(text) > int(last)]
+        parts = [chunk(numbered_event(request.ident, text)) for text in ids]
+        if manner == "cut" and len(parts) > 4:
+            await request.write(*parts[:3], pause=0.02)
+            reset(request.writer)
+            return False
+        await request.write(*parts, b"0\r\n\r\n", pause=0.005)
+        return True
+
+    await add_traffic(fleet.routers[2].address)
+    set_script(models, serve)
+    idents = [f"{numbering}-{manner}" for numbering in NUMBERINGS
+              for manner in ("rest", "repeat", "cut", "other")]
+    # The caller leaves at the end of this time, while the upstream is silent.
+    begun = await asyncio.gather(*(ask(fleet.routers[1].address, ident, "/stream/x", budget_ms=900)
+                                   for ident in idents))
+    lasts = [answer.body.split(b"id: ")[-1].split(b"\n")[0].decode() for answer in begun]
+    answers = await asyncio.gather(
+        *(ask(fleet.routers[2].address, ident, "/stream/x", budget_ms=2500,
+              **{"Last-Event-Id": last}) for ident, last in zip(idents, lasts)))
+    for ident, first, answer in zip(idents, begun, answers):
+        ids = NUMBERINGS[ident.split("-")[0]]
+        whole = b"".join(numbered_event(ident, text) for text in ids)
+        if ident.endswith("other"):
+            check(f"another run is not joined to that of a caller that resumes, {ident}",
+                  first.body and not answer.complete and not answer.body
+                  or answer.status >= 500, (answer.status, answer.body[:120]))
+        else:
+            check(f"a caller that resumes at another host has each piece once, {ident}",
+                  first.body and not first.complete and answer.complete
+                  and first.body + answer.body == whole,
+                  (first.body[-60:], answer.status, answer.body[:120]))
+    set_script(models, None)
+    await asyncio.sleep(2.1)
+
+
 async def check_not_resumable(fleet, address, models):
     """A stream that may not be resumed ends with a reset where it broke off."""
     async def whole(request):
@@ -407,6 +479,7 @@
     await check_resumed_at_end(fleet, address, models)
     await check_next_answers(fleet, address, models)
     await check_token_ids(fleet, address, models)
+    await check_resuming_callers(fleet, models)
     await check_without_chunks(fleet, address, models)
     await check_not_resumable(fleet, address, models)
     await check_slow_callers(fleet, models)
