Review fleet configurations for entries without traffic

Cause: `pr_fleet_check()` finds what hosts refuse, but not entries that can never take traffic: a model that nobody may use, a version whose upstreams are all out of service, a workspace without keys.

Change: findings and changes get a header of their own, with the effect on traffic. `pr_fleet_review()` adds warnings only, so that hosts apply the same documents as before. `pr_fleet_effects()` states what each difference does.

--- a/include/pistachiorack/config.h
+++ b/include/pistachiorack/config.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "pistachiorack/findings.h"
 #include "pistachiorack/str.h"
 
 typedef enum pr_version_state_t {
@@ -203,30 +204,6 @@
 /** Append the document as YAML, every field written out. */
 int pr_fleet_print(const pr_fleet_t *fleet, pr_str_t *out);
 
-typedef enum pr_finding_level_t {
-	/** The document may be applied; somebody should look at it. */
-	PR_FINDING_WARNING,
-	/** The document is refused. */
-	PR_FINDING_ERROR,
-} pr_finding_level_t;
-
-typedef struct pr_finding_t {
-	pr_finding_level_t level;
-	/** For example "models[0].versions[1].share". */
-	char path[128];
-	/** Line in the text, 1 for the first; 0 when it is not known. */
-	unsigned int line;
-	/** What is wrong and what is allowed. */
-	char text[256];
-} pr_finding_t;
-
-typedef struct pr_findings_t {
-	pr_finding_t *items;
-	unsigned int count;
-	unsigned int errors;
-} pr_findings_t;
-
-void pr_findings_finish(pr_findings_t *findings);
 /**
  * Check what the schema cannot express: references between parts, ranges,
  * names used twice, sums of shares.
@@ -238,22 +215,16 @@
 int pr_fleet_check(pr_findings_t *out, const pr_fleet_t *fleet,
 		   pr_slice_t text);
 
-/** One changed value. */
-typedef struct pr_change_t {
-	/** Entries of lists are named, for example "upstreams/e1/state". */
-	char *path;
-	/** NULL when the value did not exist before or does not any more. */
-	char *before;
-	char *after;
-} pr_change_t;
-
-/** Changes sorted by path. */
-typedef struct pr_changes_t {
-	pr_change_t *items;
-	unsigned int count;
-} pr_changes_t;
+/**
+ * Find entries that can never take traffic and values that contradict each
+ * other. All findings are warnings: hosts apply such a document, since an
+ * operator may write an entry before the parts it refers to.
+ *
+ * @param out findings are appended; lines are not set
+ * @return 0 or PR_ENOMEM
+ */
+int pr_fleet_review(pr_findings_t *out, const pr_fleet_t *fleet);
 
-void pr_changes_finish(pr_changes_t *changes);
 /**
  * @param out the changes, zeroed before; free with pr_changes_finish()
  * @param before NULL for an empty document
@@ -261,6 +232,8 @@
  */
 int pr_fleet_diff(pr_changes_t *out, const pr_fleet_t *before,
 		  const pr_fleet_t *after);
+/** Set the effect of each change of pr_fleet_diff(). @return 0 or PR_ENOMEM */
+int pr_fleet_effects(pr_changes_t *changes);
 /**
  * Paths that two sets of changes to one document set to different values.
  *
--- a/src/config/check.c
+++ b/src/config/check.c
@@ -26,26 +26,21 @@
 static void add(check_t *check, pr_finding_level_t level, const char *field,
 		const char *fmt, ...)
 {
-	pr_findings_t *out = check->out;
-	pr_finding_t *items =
-		realloc(out->items, (out->count + 1) * sizeof(*items));
-	pr_finding_t *finding;
+	char path[sizeof(check->out->items->path)];
+	char text[sizeof(check->out->items->text)];
 	va_list args;
 
-	if (!items) {
-		check->failed = true;
-		return;
-	}
-	out->items = items;
-	finding = &items[out->count++];
-	out->errors += level == PR_FINDING_ERROR;
-	finding->level = level;
-	snprintf(finding->path, sizeof(finding->path), "%s%s%s", check->path,
+	snprintf(path, sizeof(path), "%s%s%s", check->path,
 		 *check->path && *field && *field != '[' ? "." : "", field);
-	finding->line = pr_tree_line(check->tree, finding->path);
 	va_start(args, fmt);
-	vsnprintf(finding->text, sizeof(finding->text), fmt, args);
+	vsnprintf(text, sizeof(text), fmt, args);
 	va_end(args);
+	if (pr_findings_add(check->out, level, path, NULL, "%s", text)) {
+		check->failed = true;
+		return;
+	}
+	check->out->items[check->out->count - 1].line =
+		pr_tree_line(check->tree, path);
 }
 
 #define ERROR(check, field, ...)                                               \
@@ -390,9 +385,3 @@
 				    out->items[0].text);
 	return 0;
 }
-
-void pr_findings_finish(pr_findings_t *findings)
-{
-	free(findings->items);
-	memset(findings, 0, sizeof(*findings));
-}
--- a/src/config/diff.c
+++ b/src/config/diff.c
@@ -4,42 +4,6 @@
 #include "config/tree.h"
 #include "pistachiorack/error.h"
 
-static char *copy(const char *text)
-{
-	return text ? strdup(text) : NULL;
-}
-
-static int add_change(pr_changes_t *out, const char *path, const char *before,
-		      const char *after)
-{
-	pr_change_t *items =
-		realloc(out->items, (out->count + 1) * sizeof(*items));
-	pr_change_t *change;
-
-	if (!items)
-		return PR_ENOMEM;
-	out->items = items;
-	change = &items[out->count++];
-	change->path = copy(path);
-	change->before = copy(before);
-	change->after = copy(after);
-	if (!change->path || (before && !change->before) ||
-	    (after && !change->after))
-		return PR_ENOMEM;
-	return 0;
-}
-
-void pr_changes_finish(pr_changes_t *changes)
-{
-	for (unsigned int i = 0; i < changes->count; i++) {
-		free(changes->items[i].path);
-		free(changes->items[i].before);
-		free(changes->items[i].after);
-	}
-	free(changes->items);
-	memset(changes, 0, sizeof(*changes));
-}
-
 /* A printed document has every field, so that a default that is written out
  * does not count as a change. */
 static int leaves_of(pr_leaves_t *out, const pr_fleet_t *fleet)
@@ -72,17 +36,21 @@
 		i += order <= 0;
 		j += order >= 0;
 		if (order < 0)
-			rc = add_change(out, before->path, before->value, NULL);
+			rc = pr_changes_add(out, before->path, before->value,
+					    NULL, NULL);
 		else if (order > 0)
-			rc = add_change(out, after->path, NULL, after->value);
+			rc = pr_changes_add(out, after->path, NULL,
+					    after->value, NULL);
 		else if (strcmp(before->value, after->value) != 0)
-			rc = add_change(out, before->path, before->value,
-					after->value);
+			rc = pr_changes_add(out, before->path, before->value,
+					    after->value, NULL);
 	}
 	for (; !rc && i < a->count; i++)
-		rc = add_change(out, a->items[i].path, a->items[i].value, NULL);
+		rc = pr_changes_add(out, a->items[i].path, a->items[i].value,
+				    NULL, NULL);
 	for (; !rc && j < b->count; j++)
-		rc = add_change(out, b->items[j].path, NULL, b->items[j].value);
+		rc = pr_changes_add(out, b->items[j].path, NULL,
+				    b->items[j].value, NULL);
 	return rc;
 }
 
@@ -120,7 +88,8 @@
 		i += order <= 0;
 		j += order >= 0;
 		if (!order && !same_text(a->after, b->after))
-			rc = add_change(out, a->path, b->after, a->after);
+			rc = pr_changes_add(out, a->path, b->after, a->after,
+					    NULL);
 	}
 	return rc;
 }
--- a/src/config/tree.c
+++ b/src/config/tree.c
@@ -104,6 +104,17 @@
 	return (unsigned int)node->start_mark.line + 1;
 }
 
+void pr_findings_locate(pr_findings_t *findings, pr_slice_t text)
+{
+	pr_tree_t *tree = text.len ? pr_tree_load(text) : NULL;
+
+	for (unsigned int i = 0; i < findings->count; i++)
+		if (!findings->items[i].line)
+			findings->items[i].line =
+				pr_tree_line(tree, findings->items[i].path);
+	pr_tree_free(tree);
+}
+
 static int add_leaf(pr_leaves_t *out, const char *path, const char *value)
 {
 	pr_leaf_t *leaf;
