--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -98,7 +98,9 @@
 typedef struct pr_key_t {
 	char *key;
 	/** Index in the document's workspaces. */
-	size_t workspace;
+	uint32_t workspace;
+	/** Index in the workspace's list of keys. */
+	uint32_t place;
 } pr_key_t;
 
 /** Limits for callers' requests and connections. */
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -83,6 +83,25 @@
 	return route ? route->name : "";
 }
 
+/* Guards against numbers whose conversion to an integer is not defined. */
+static void test_numbers_out_of_range(void **state)
+{
+	static const char text[] =
+		"{\"version\":1e300,\"services\":[{\"name\":\"s\","
+		"\"cold-start-s\":-1},{\"name\":\"t\",\"cold-start-s\":1e300}],"
+		"\"tenants\":[{\"name\":\"a\",\"priority\":-3},"
+		"{\"name\":\"b\"}]}";
+	pr_routing_t *routing;
+
+	assert_int_equal(pr_adapter_routing(&routing, pr_slice_of(text)), 0);
+	assert_int_equal(routing->version, 0);
+	assert_int_equal(routing->services[0].cold_ms, 0);
+	assert_int_equal(routing->services[1].cold_ms, 0);
+	assert_int_equal(routing->workspaces[0].priority, 0);
+	assert_int_equal(routing->workspaces[1].priority, PR_PRIORITY_UNSET);
+	pr_routing_unref(routing);
+}
+
 static void test_routing_document(void **state)
 {
 	pr_routing_t *routing;
@@ -310,6 +329,7 @@
 		cmocka_unit_test(test_upstream),
 		cmocka_unit_test(test_unreadable_upstreams),
 		cmocka_unit_test(test_routing_document),
+		cmocka_unit_test(test_numbers_out_of_range),
 		cmocka_unit_test(test_prompt_parts),
 		cmocka_unit_test(test_all_parts_of_a_long_prompt),
 		cmocka_unit_test(test_reserved_fields),
