Check and compare documents of both formats in pistachiorackctl

Cause: `check` and `diff` took the fleet configuration only, and showed no effects.

The exit codes of all commands are unchanged.

--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -30,6 +30,14 @@
 	bool json;
 	/* ADDRESS:PORT of the store; NULL for none. */
 	const char *store;
+	/* ADDRESS:PORT of the platform's store; NULL for none. */
+	const char *platform;
+	/* File to compare with; NULL for none. */
+	const char *against;
+	/* Settings file of a host; NULL for none. */
+	const char *settings;
+	/* Warnings count as errors. */
+	bool strict;
 	/* ADDRESS:PORT of router hosts. */
 	const char **hosts;
 	int hosts_count;
@@ -43,9 +51,11 @@
 	int args_count;
 } ctl_options_t;
 
-/* offline.c */
+/* check.c */
 int ctl_check(const ctl_options_t *options);
 int ctl_diff(const ctl_options_t *options);
+
+/* offline.c */
 int ctl_show(const ctl_options_t *options);
 /* Print a JSON value and a newline, and release it. */
 void ctl_print_json(json_t *value);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -14,7 +14,11 @@
 } command_t;
 
 static const command_t commands[] = {
-	{ "check", "FILE", "Check a fleet configuration.", 1, 1, ctl_check },
+	{ "check", "[FILE]",
+	  "Check a fleet configuration or an operator's document, from a file, "
+	  "--store or\n      --platform; a file is compared with --against, "
+	  "--store or --platform.",
+	  0, 1, ctl_check },
 	{ "diff", "BEFORE AFTER", "List the values that differ.", 2, 2,
 	  ctl_diff },
 	{ "show", "[FILE]",
@@ -41,8 +45,8 @@
 
 /* The options; every command accepts all of them. */
 typedef struct table_t {
-	struct arg_lit *help, *json;
-	struct arg_str *store, *hosts, *reason;
+	struct arg_lit *help, *json, *strict;
+	struct arg_str *store, *platform, *against, *settings, *hosts, *reason;
 	struct arg_int *base, *share, *timeout, *admin_port;
 	struct arg_str *args;
 	struct arg_end *end;
@@ -55,6 +59,16 @@
 		.json = arg_lit0(NULL, "json", "print JSON"),
 		.store = arg_str0(NULL, "store", "ADDRESS:PORT",
 				  "table service of the platform"),
+		.strict = arg_lit0(NULL, "strict",
+				   "check: exit with 1 on warnings too"),
+		.platform = arg_str0(NULL, "platform", "ADDRESS:PORT",
+				     "check: store with the operator's "
+				     "document in force"),
+		.against = arg_str0(NULL, "against", "FILE",
+				    "check: document to compare with"),
+		.settings = arg_str0(NULL, "settings", "FILE",
+				     "check: settings of a host, for repeat "
+				     "budget and regions"),
 		.hosts = arg_strn(NULL, "host", "ADDRESS:PORT", 0, 1024,
 				  "router host; may be repeated; apply, zone "
 				  "and version take the platform's list "
@@ -101,6 +115,13 @@
 	ctl_options_t options = {
 		.json = table->json->count > 0,
 		.store = table->store->count ? table->store->sval[0] : NULL,
+		.platform = table->platform->count ? table->platform->sval[0]
+						   : NULL,
+		.against =
+			table->against->count ? table->against->sval[0] : NULL,
+		.settings = table->settings->count ? table->settings->sval[0]
+						   : NULL,
+		.strict = table->strict->count > 0,
 		.hosts = table->hosts->sval,
 		.hosts_count = table->hosts->count,
 		.reason = table->reason->count ? table->reason->sval[0] : "",
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -9,11 +9,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include <b64/cencode.h>
 #include <cmocka.h>
 #include <jansson.h>
 #include <unistd.h>
 
 #include "pistachiorack/http.h"
+#include "review_documents.h"
 
 /* ADDRESS:PORT of the stand-in; the port differs between parallel runs. */
 static char where[32];
@@ -79,6 +81,23 @@
 	answer_json(request, 200, json_pack("{s:[o]}", "results", result));
 }
 
+/* Rows of the operator's table on the platform: the document in force. */
+static void answer_rows(pr_http_request_t *request)
+{
+	static char value[sizeof(routing_document) * 2];
+	base64_encodestate state;
+	int len;
+
+	base64_init_encodestate(&state);
+	len = base64_encode_block(routing_document,
+				  (int)strlen(routing_document), value, &state);
+	len += base64_encode_blockend(value + len, &state);
+	value[len] = '\0';
+	answer_json(request, 200,
+		    json_pack("{s:[{s:s,s:i,s:s}],s:i}", "rows", "key",
+			      "config", "ver", 4, "value", value, "ver", 5));
+}
+
 static void on_request(pr_http_request_t *request, void *data)
 {
 	pr_slice_t key = pr_http_request_header(request, "authorization");
@@ -98,6 +117,8 @@
 			    json_pack("{s:[{s:s,s:s},{s:s,s:s}]}", "hosts",
 				      "address", where, "state", "live",
 				      "address", "127.0.0.1", "state", "live"));
+	else if (pr_slice_equal(request->path, PR_SLICE("/rows-get")))
+		answer_rows(request);
 	else if (!standin.version)
 		pr_http_answer(request, 404, NULL, PR_SLICE(""));
 	else
@@ -258,11 +279,181 @@
 	assert_false(standin.wrong_key);
 }
 
+static void write_changed(const char *path, const char *text, const char *from,
+			  const char *to)
+{
+	pr_str_t changed = PR_STR_INIT;
+
+	replace_once(&changed, text, from, to);
+	write_file(path, pr_str_cstr(&changed));
+	pr_str_finish(&changed);
+}
+
+/* Guards against a document of the platform that is taken for another format,
+ * and against exit codes that scripts cannot rely on. */
+static void platform_documents_are_checked(void **state)
+{
+	char out[8192];
+
+	write_file("test_ctl_op.json", routing_document);
+	write_changed("test_ctl_op_shadow.json", routing_document, "/chat/",
+		      "/ledger/");
+	write_changed("test_ctl_op_warn.json", routing_document, "2500", "300");
+	write_changed("test_ctl_op_broken.json", routing_document, "2500,",
+		      "2500");
+	assert_int_equal(ctl(out, sizeof(out), "check test_ctl_op.json"), 0);
+	assert_string_equal(out, "");
+	assert_int_equal(ctl(out, sizeof(out), "check test_ctl_op_shadow.json"),
+			 1);
+	assert_string_equal(out, "test_ctl_op_shadow.json:11: error: "
+				 "routes[1]: routes[0] 'ledger' has the same "
+				 "host and prefix and comes first (the route "
+				 "never matches a request)\n");
+	assert_int_equal(
+		ctl(out, sizeof(out), "check --json test_ctl_op_shadow.json"),
+		1);
+	assert_non_null(strstr(out, "\"effect\": \"the route never"));
+	assert_int_equal(ctl(out, sizeof(out), "check test_ctl_op_warn.json"),
+			 0);
+	assert_non_null(strstr(out, ":6: warning: routes[0].timeout-ms:"));
+	assert_int_equal(
+		ctl(out, sizeof(out), "check --strict test_ctl_op_warn.json"),
+		1);
+	assert_int_equal(
+		ctl(out, sizeof(out), "check --strict test_ctl_op.json"), 0);
+	assert_int_equal(ctl(out, sizeof(out), "check test_ctl_op_broken.json"),
+			 1);
+	assert_non_null(strstr(out, "test_ctl_op_broken.json:7: error: "));
+	assert_int_equal(
+		ctl(out, sizeof(out), "check --json test_ctl_op_broken.json"),
+		1);
+	assert_non_null(strstr(out, "\"valid\": false"));
+	write_file("test_ctl_empty.json", "");
+	assert_int_equal(ctl(out, sizeof(out), "check test_ctl_empty.json"), 1);
+}
+
+/* Guards against comparisons that miss a change or compare the wrong way. */
+static void documents_are_compared(void **state)
+{
+	char out[8192], command[256];
+
+	write_file("test_ctl_op.json", routing_document);
+	write_changed("test_ctl_op_new.json", routing_document,
+		      "\"version\": 7,", "\"version\": 8,");
+	assert_int_equal(ctl(out, sizeof(out),
+			     "check test_ctl_op_new.json --against "
+			     "test_ctl_op.json"),
+			 0);
+	assert_string_equal(out, "");
+	write_changed("test_ctl_op_new.json", routing_document, "2500", "3000");
+	assert_int_equal(ctl(out, sizeof(out),
+			     "check test_ctl_op_new.json --against "
+			     "test_ctl_op.json"),
+			 1);
+	assert_non_null(strstr(out, ":2: error: version: 7 is not above"));
+	assert_non_null(strstr(out, "change: routes/ledger/timeout-ms: 2500 -> "
+				    "3000 (requests may take longer"));
+	snprintf(command, sizeof(command),
+		 "check test_ctl_op_new.json --json --platform %s", where);
+	assert_int_equal(ctl(out, sizeof(out), command), 1);
+	assert_non_null(strstr(out, "\"before\": \"2500\""));
+	snprintf(command, sizeof(command), "check --platform %s", where);
+	assert_int_equal(ctl(out, sizeof(out), command), 0);
+	assert_int_equal(ctl(out, sizeof(out), "check --platform 127.0.0.1:1"),
+			 3);
+	assert_int_equal(ctl(out, sizeof(out),
+			     "diff test_ctl_op.json test_ctl_op_new.json"),
+			 1);
+	assert_string_equal(out, "routes/ledger/timeout-ms: 2500 -> 3000\n");
+	assert_int_equal(ctl(out, sizeof(out),
+			     "diff test_ctl_op.json test_ctl_good.yaml"),
+			 2);
+	assert_int_equal(ctl(out, sizeof(out),
+			     "check test_ctl_good.yaml --against none.yaml"),
+			 3);
+	write_changed("test_ctl_moved.yaml", document, "port: 1", "port: 2");
+	assert_int_equal(ctl(out, sizeof(out),
+			     "check test_ctl_moved.yaml --against "
+			     "test_ctl_good.yaml"),
+			 0);
+	assert_non_null(strstr(out, "change: upstreams/e1/port: 1 -> 2 "
+				    "(requests go to the new port)"));
+	assert_non_null(strstr(out, "warning: zones[1]: no upstream is in "
+				    "zone 'ipoh'"));
+}
+
+/* Guards against a repeat budget and regions that are read otherwise than by
+ * hosts. */
+static void settings_are_read(void **state)
+{
+	char out[8192];
+
+	write_changed("test_ctl_op_repeats.json", routing_document,
+		      "\"max-attempts\": 2", "\"max-attempts\": 4");
+	write_file("test_ctl_host.yaml",
+		   "host: h1\nzone: z1\nregion: north\n"
+		   "zones: [{name: z1, region: north}]\n"
+		   "listen: 127.0.0.1:1\nready: 127.0.0.1:2\n"
+		   "metrics: 127.0.0.1:3\npeer: 127.0.0.1:4\n"
+		   "store: 127.0.0.1:5\nbounds: {repeats_ratio: 0.9}\n");
+	assert_int_equal(ctl(out, sizeof(out),
+			     "check test_ctl_op_repeats.json --settings "
+			     "test_ctl_host.yaml"),
+			 0);
+	assert_non_null(strstr(out, "4 attempts need 3 repeats; the settings "
+				    "allow 0.9 per request"));
+	assert_non_null(strstr(out, "no zone of the settings is in region "
+				    "'south'"));
+	assert_int_equal(ctl(out, sizeof(out),
+			     "check test_ctl_op_repeats.json --settings "
+			     "none.yaml"),
+			 3);
+}
+
+/* Guards against a crash of the program on any file; the checks themselves see
+ * many more changes in test_review and test_fleet_review. */
+static void changed_files_never_crash(void **state)
+{
+	static const char *const documents[] = { routing_document,
+						 fleet_document };
+	static char out[1 << 16];
+	uint64_t seed = change_seed();
+	pr_rand_t rand;
+
+	print_message("seed %llu\n", (unsigned long long)seed);
+	assert_int_equal(pr_rand_init(&rand, seed), 0);
+	for (int i = 0; i < 200; i++) {
+		pr_str_t text = PR_STR_INIT;
+		FILE *file = fopen("test_ctl_changed", "w");
+		int rc;
+
+		assert_non_null(file);
+		change_document(&text, documents[i % 2], &rand);
+		if (text.len)
+			fwrite(text.ptr, 1, text.len, file);
+		fclose(file);
+		rc = ctl(out, sizeof(out),
+			 i % 4 < 2 ? "check test_ctl_changed"
+				   : "check --json test_ctl_changed");
+		if (rc != 0 && rc != 1)
+			fail_msg("exit code %d: %s\n%s", rc, out,
+				 pr_str_cstr(&text));
+		/* An error is never silent. */
+		assert_true(!rc || *out);
+		pr_str_finish(&text);
+	}
+	pr_rand_finish(&rand);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(offline_commands_tell_faults),
 		cmocka_unit_test(changes_are_applied_once),
+		cmocka_unit_test(platform_documents_are_checked),
+		cmocka_unit_test(documents_are_compared),
+		cmocka_unit_test(settings_are_read),
+		cmocka_unit_test(changed_files_never_crash),
 	};
 
 	return cmocka_run_group_tests(tests, start, stop);
