Use the adaptive wait where an attempt has no event

What is learned is kept beside the repeat budget, for at most PR_SERVICES_MAX services.

Not yet run with processes.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -65,27 +65,40 @@
 	return count ? (uint32_t)count : 1;
 }
 
-pr_repeat_budget_t *pr_edge_repeat_budget(pr_edge_t *edge, const char *service)
+/* Index of a service, added on first use; PR_SERVICES_MAX when full. */
+static size_t find_or_add_service(pr_edge_t *edge, const char *service)
 {
 	size_t i = 0;
 
 	while (i < edge->services_count &&
 	       strcmp(edge->services[i].name, service) != 0)
 		i++;
-	if (i == PR_SERVICES_MAX)
-		return NULL;
-	if (i == edge->services_count) {
+	if (i < PR_SERVICES_MAX && i == edge->services_count) {
 		if (pr_slice_copy(edge->services[i].name,
 				  sizeof(edge->services[i].name),
 				  pr_slice_of(service)))
-			return NULL;
+			return PR_SERVICES_MAX;
 		pr_repeat_budget_init(
 			&edge->services[i].budget,
 			(pr_usec_t)(edge->settings->bounds.repeats_window_s *
 				    PR_USEC_PER_SEC));
 		edge->services_count++;
 	}
-	return &edge->services[i].budget;
+	return i;
+}
+
+pr_repeat_budget_t *pr_edge_repeat_budget(pr_edge_t *edge, const char *service)
+{
+	size_t i = find_or_add_service(edge, service);
+
+	return i < PR_SERVICES_MAX ? &edge->services[i].budget : NULL;
+}
+
+pr_patience_t *pr_edge_patience(pr_edge_t *edge, const char *service)
+{
+	size_t i = find_or_add_service(edge, service);
+
+	return i < PR_SERVICES_MAX ? &edge->services[i].patience : NULL;
 }
 
 static void on_wake(uv_timer_t *timer)
@@ -240,6 +253,8 @@
 		{ &counters->datagrams, "edge_datagrams_sent_total" },
 		{ &counters->datagram_bytes, "edge_datagram_bytes_total" },
 		{ &counters->quarantined, "edge_quarantined_total" },
+		{ &counters->replaced, "edge_replaced_total" },
+		{ &counters->replaced_early, "edge_replaced_early_total" },
 	};
 
 	pr_metrics_init(&edge->metrics, SERIES_MAX);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -9,6 +9,7 @@
 
 #include "base/list.h"
 #include "cascade/pauses.h"
+#include "dispatch/patience.h"
 #include "edge/outbound.h"
 #include "relay/extent.h"
 #include "relay/lag.h"
@@ -32,7 +33,8 @@
 
 /** Most services that can be in transition at the same time. */
 #define PR_TRANSITIONS_MAX PR_AGGREGATE_TRANSITIONS_MAX
-/** Most services that have a repeat budget; further ones have no limit. */
+/** Most services that have a repeat budget and a learned wait; further ones
+ * have no limit of repeats and the fixed wait. */
 #define PR_SERVICES_MAX 64
 
 typedef struct pr_edge_t pr_edge_t;
@@ -92,7 +94,8 @@
 typedef struct pr_edge_metrics_t {
 	pr_metric_t *requests, *answered, *refused, *failed, *callers_gone,
 		*repeats, *escalations, *resumes, *not_found, *unauthorized,
-		*malformed, *datagrams, *datagram_bytes, *quarantined;
+		*malformed, *datagrams, *datagram_bytes, *quarantined,
+		*replaced, *replaced_early;
 	pr_histogram_t *first_byte, *total;
 } pr_edge_metrics_t;
 
@@ -150,10 +153,11 @@
 	size_t transition_rows_count;
 	/** Earliest time of the next write to the shared table. */
 	pr_usec_t next_write_at;
-	/** Repeat budgets by service. */
+	/** Repeat budgets and usual times to the first event, by service. */
 	struct {
 		char name[PR_UPSTREAM_NAME_SIZE];
 		pr_repeat_budget_t budget;
+		pr_patience_t patience;
 	} services[PR_SERVICES_MAX];
 	size_t services_count;
 	pr_watch_t watches[PR_TABLES_COUNT];
@@ -190,6 +194,9 @@
 /** @return the repeat budget of a service, created on first use, or NULL when
  *	   PR_SERVICES_MAX services have one already */
 pr_repeat_budget_t *pr_edge_repeat_budget(pr_edge_t *edge, const char *service);
+/** @return what is learned about the first events of a service, created on
+ *first use, or NULL when PR_SERVICES_MAX services are known already */
+pr_patience_t *pr_edge_patience(pr_edge_t *edge, const char *service);
 /** @return number of hosts that share the upstreams, this one included */
 uint32_t pr_edge_hosts_count(const pr_edge_t *edge);
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -67,6 +67,9 @@
 	/** Expected prefill time of the prompt, milliseconds, as added to the
 	 *  upstream's pending_prefill_ms; 0 once the prefill is over. */
 	double prefill_ms;
+	/** Time to the first event that was expected when the current attempt
+	 *  was sent, milliseconds. */
+	double expected_ms;
 	/** Start of the current attempt, and its last progress: the head, an
 	 *  event, or a part of the body of the response. */
 	pr_usec_t attempt_began, progress_at;
@@ -77,8 +80,9 @@
 	bool reading_paused;
 	/** Longest time between two events of one attempt. */
 	pr_usec_t longest_pause;
-	/** Events of the current attempt. */
+	/** Events of the current attempt, and the time of the first. */
 	uint64_t events_of_attempt;
+	pr_usec_t first_event_at;
 	pr_pace_stream_t pace;
 	/** Upstreams on which an attempt failed; they are not chosen again
 	 *  until the list is cleared. */
