Add a table of held prompt prefixes and its estimate

The table notes what this host sent where, by upstream tag, model, version and chained hash of the leading parts. The estimate is the largest product of probability and tokens over the prefixes; what other hosts sent follows from the ranks. The adapter gives the chained hashes and tokens, and the memory that an upstream may state. Nothing uses the estimate yet.

--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -29,6 +29,8 @@
 	struct sockaddr_in address;
 	/** Requests that it processes at the same time. */
 	uint32_t slots;
+	/** Prompt tokens that its memory holds; 0 when not stated. */
+	uint32_t memory_tokens;
 	/** It is shutting down and accepts no new requests. */
 	bool draining;
 	/** Remaining time until it can take full load, milliseconds; 0 when not
@@ -69,6 +71,9 @@
 	/** Total expected prefill time of this host's requests that have not
 	 * got a first event yet, milliseconds. */
 	double pending_prefill_ms;
+	/** Prompt tokens that this host sent to it; counted only for the choice
+	 *  by held prefixes. */
+	uint64_t prompt_tokens;
 	/** Requests in flight and pending prefill time (milliseconds) of the
 	 *  other hosts, as they reported. */
 	uint32_t peers_in_flight;
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -38,6 +38,16 @@
 	assert_int_equal(read_upstream(&entry, "draining", "2500", ""), 0);
 	assert_true(entry.draining);
 	assert_int_equal(entry.cold_ms, 2500);
+	/* An upstream may state the prompt tokens that its memory holds. */
+	assert_int_equal(entry.memory_tokens, 0);
+	assert_int_equal(
+		read_upstream(&entry, "ready", "0", ",\"kv-capacity\":380000"),
+		0);
+	assert_int_equal(entry.memory_tokens, 380000);
+	assert_int_equal(read_upstream(&entry, "ready", "0",
+				       ",\"kv-capacity\":\"many\""),
+			 0);
+	assert_int_equal(entry.memory_tokens, 0);
 }
 
 /* Entries of other writers name no upstream to use. */
@@ -147,6 +157,33 @@
 	pr_prompt_finish(&a);
 }
 
+/* Guards against prefixes that differ between hosts, and against prompts that
+ * share their first parts without a prefix in common (load: many requests with
+ * one system prompt). */
+static void test_prompt_prefixes(void **state)
+{
+	pr_prompt_t a, b;
+
+	pr_adapter_prompt(&a, PR_SLICE("1460,80"), PR_SLICE(""),
+			  PR_SLICE("5c1e:800,91bd:410,e440:250"));
+	pr_adapter_prompt(&b, PR_SLICE("1460,80"), PR_SLICE(""),
+			  PR_SLICE("5c1e:800, 91bd:411, e440:250"));
+	assert_int_equal(a.prefixes.count, 3);
+	assert_int_equal(a.prefixes.items[0].tokens, 800);
+	assert_int_equal(a.prefixes.items[1].tokens, 1210);
+	assert_int_equal(a.prefixes.items[2].tokens, 1460);
+	assert_true(a.prefixes.items[1].hash == a.shared_hash);
+	assert_true(a.prefixes.items[0].hash == b.prefixes.items[0].hash);
+	/* What follows a part that differs, differs as well. */
+	assert_true(a.prefixes.items[1].hash != b.prefixes.items[1].hash);
+	assert_true(a.prefixes.items[2].hash != b.prefixes.items[2].hash);
+	pr_prompt_finish(&a);
+	pr_prompt_finish(&b);
+	pr_adapter_prompt(&a, PR_SLICE(""), PR_SLICE(""), PR_SLICE(",x,:"));
+	assert_int_equal(a.prefixes.count, 0);
+	pr_prompt_finish(&a);
+}
+
 #define LONG_PROMPT_PARTS 1500
 
 /* BUDGET: a part behind the 32nd of a prompt, or behind one that cannot be
@@ -168,6 +205,8 @@
 	for (int i = 0; i < LONG_PROMPT_PARTS; i++)
 		assert_int_equal(prompt.parts[i], 0x1000 + i);
 	assert_int_equal(prompt.parts[LONG_PROMPT_PARTS], 0xdead01);
+	assert_int_equal(prompt.prefixes.depth, LONG_PROMPT_PARTS + 2);
+	assert_true(prompt.prefixes.count <= PR_KEPT_PREFIXES_MAX);
 	assert_int_equal(prompt.shared_tokens, 40 * (LONG_PROMPT_PARTS + 1));
 	pr_prompt_finish(&prompt);
 	pr_str_finish(&list);
@@ -311,6 +350,7 @@
 		cmocka_unit_test(test_unreadable_upstreams),
 		cmocka_unit_test(test_routing_document),
 		cmocka_unit_test(test_prompt_parts),
+		cmocka_unit_test(test_prompt_prefixes),
 		cmocka_unit_test(test_all_parts_of_a_long_prompt),
 		cmocka_unit_test(test_reserved_fields),
 		cmocka_unit_test(test_orders),
