Choose upstreams by the prompt prefixes that they hold

The choice compared one upstream that was assumed to hold the prefix with a random sample, and charged all others the whole prefill. With a table of held prefixes, it compares the sample, the first three ranks and the three upstreams that hold most by own requests, and charges each the prefill of the tokens that it is not expected to hold. The ranks are found in one pass; caches_prefix() was quadratic. Without a table, the choice is unchanged.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -4,7 +4,8 @@
  * hosts agree without messages which upstream caches the prefix. An upstream
  * without the prefix is chosen when waiting for the one that caches it would
  * take longer than to prefill the prefix again (bounded loads: Mirrokni et al.,
- * 2016).
+ * 2016). With a table of held prefixes, the prefill at each upstream follows
+ * from the tokens that it is expected to hold (docs/design/kept-prompts.md).
  */
 #include "place/place.h"
 
@@ -13,6 +14,8 @@
 
 #include <xxhash.h>
 
+#include "place/internal.h"
+
 /* Expected delay by distance, milliseconds. */
 #define COST_SAME_ZONE_MS   0.0
 #define COST_SAME_REGION_MS 4.0
@@ -94,8 +97,8 @@
 	return requests / (upstream->entry.slots ? upstream->entry.slots : 1);
 }
 
-static bool was_tried(const pr_place_query_t *query,
-		      const pr_upstream_t *upstream)
+bool pr_place_was_tried(const pr_place_query_t *query,
+			const pr_upstream_t *upstream)
 {
 	for (size_t i = 0; i < query->tried_count; i++) {
 		if (query->tried[i] == upstream)
@@ -104,9 +107,9 @@
 	return false;
 }
 
-static bool is_permitted(const pr_zone_map_t *map,
-			 const pr_place_query_t *query,
-			 const pr_upstream_t *upstream)
+bool pr_place_is_permitted(const pr_zone_map_t *map,
+			   const pr_place_query_t *query,
+			   const pr_upstream_t *upstream)
 {
 	const pr_zone_t *zone = pr_zone_find(map, upstream->entry.zone);
 
@@ -157,11 +160,11 @@
  * next events arrive only when most of it is read.
  */
 static double pause_cost_ms(const pr_place_query_t *query,
-			    const pr_upstream_t *upstream)
+			    const pr_upstream_t *upstream, double prefill_ms)
 {
 	double streams = upstream->in_flight + upstream->peers_in_flight;
 	double pause_ms = upstream->pending_prefill_ms +
-			  upstream->peers_prefill_ms + query->prefill_ms;
+			  upstream->peers_prefill_ms + prefill_ms;
 	double part;
 
 	if (query->gap_ms <= 0)
@@ -194,52 +197,14 @@
 	return total;
 }
 
-static uint64_t prefix_rank(const pr_place_query_t *query,
-			    const pr_upstream_t *upstream)
-{
-	return XXH64(upstream->entry.id, strlen(upstream->entry.id),
-		     query->prefix_hash);
-}
-
-static const char *region_of(const pr_zone_map_t *map,
-			     const pr_upstream_t *upstream)
+const char *pr_place_region_of(const pr_zone_map_t *map,
+			       const pr_upstream_t *upstream)
 {
 	return pr_zone_find(map, upstream->entry.zone)->region;
 }
 
-/*
- * Whether the upstream is the one of this host's region that caches the prefix,
- * by rendezvous hashing. Upstreams of other regions may have cached it as well,
- * but are left to the requests of their own region.
- */
-static bool caches_prefix(const pr_registry_t *registry,
-			  const pr_zone_map_t *map,
-			  const pr_place_query_t *query,
-			  const pr_upstream_t *upstream)
-{
-	uint64_t own = prefix_rank(query, upstream);
-	const char *region = region_of(map, upstream);
-
-	if (strcmp(region, map->region) != 0)
-		return false;
-	for (pr_list_t *at = registry->upstreams.next;
-	     at != &registry->upstreams; at = at->next) {
-		const pr_upstream_t *other = PR_OWNER(at, pr_upstream_t, node);
-
-		if (other == upstream ||
-		    strcmp(other->entry.version, upstream->entry.version) !=
-			    0 ||
-		    !is_permitted(map, query, other) ||
-		    strcmp(region_of(map, other), region) != 0)
-			continue;
-		if (prefix_rank(query, other) > own)
-			return false;
-	}
-	return true;
-}
-
 /* Ejected after failures, or paused as it asked. */
-static bool is_suspended(const pr_upstream_t *upstream, pr_usec_t now)
+bool pr_place_is_suspended(const pr_upstream_t *upstream, pr_usec_t now)
 {
 	return upstream->ejected_until > now ||
 	       pr_upstream_is_paused(upstream, now);
@@ -255,8 +220,8 @@
 
 /* Whether the upstream runs the version that the query prefers; true without a
  * transition, and after it for requests that began on the old version. */
-static bool is_preferred_version(const pr_place_query_t *query,
-				 const pr_upstream_t *upstream)
+bool pr_place_is_preferred_version(const pr_place_query_t *query,
+				   const pr_upstream_t *upstream)
 {
 	bool is_new;
 
@@ -277,7 +242,7 @@
 {
 	if (!strcmp(upstream->entry.zone, map->zone))
 		return DISTANCE_ZONE;
-	return !strcmp(region_of(map, upstream), map->region)
+	return !strcmp(pr_place_region_of(map, upstream), map->region)
 		       ? DISTANCE_REGION
 		       : DISTANCE_ELSEWHERE;
 }
@@ -303,6 +268,28 @@
 						  by_distance->counts[class]);
 }
 
+/* Expected delay of the request at the upstream, and the delay that it causes
+ * to others. */
+static double cost_ms(const pr_zone_map_t *map, const pr_place_query_t *query,
+		      const pr_place_caches_t *caches,
+		      const pr_upstream_t *upstream)
+{
+	double prefill_ms;
+
+	if (!query->kept)
+		return expected_delay_ms(map, query, upstream,
+					 !query->prefix_hash ||
+						 pr_place_may_cache(query,
+								    caches,
+								    upstream)) +
+		       pause_cost_ms(query, upstream, query->prefill_ms);
+	prefill_ms = query->kept->prefill_ms_per_token *
+		     (query->kept->prompt.tokens -
+		      pr_place_held_tokens(query, caches, upstream));
+	return expected_delay_ms(map, query, upstream, true) + prefill_ms +
+	       pause_cost_ms(query, upstream, prefill_ms);
+}
+
 /*
  * Choose the upstream with the lowest expected delay, including the delay that
  * the request causes to others.
@@ -313,6 +300,7 @@
 static pr_place_verdict_t choose_among(const pr_registry_t *registry,
 				       const pr_zone_map_t *map,
 				       const pr_place_query_t *query,
+				       const pr_place_caches_t *caches,
 				       const distance_counts_t *by_distance,
 				       bool any_version, pr_upstream_t **out)
 {
@@ -325,13 +313,13 @@
 		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
 		bool cold = upstream->cold_until > query->now;
 		double cost;
-		bool cached;
 
-		if (!is_permitted(map, query, upstream) ||
-		    (!any_version && !is_preferred_version(query, upstream)) ||
-		    was_tried(query, upstream))
+		if (!pr_place_is_permitted(map, query, upstream) ||
+		    (!any_version &&
+		     !pr_place_is_preferred_version(query, upstream)) ||
+		    pr_place_was_tried(query, upstream))
 			continue;
-		if (is_suspended(upstream, query->now) ||
+		if (pr_place_is_suspended(upstream, query->now) ||
 		    pr_stated_rate_next(&upstream->rate, query->now) ||
 		    is_full(query, upstream)) {
 			if (verdict == PR_PLACE_NONE)
@@ -343,13 +331,10 @@
 			verdict = PR_PLACE_COLD;
 			continue;
 		}
-		cached = query->prefix_hash &&
-			 caches_prefix(registry, map, query, upstream);
-		if (!cached && !is_sampled(map, query, by_distance, upstream))
+		if (!pr_place_may_cache(query, caches, upstream) &&
+		    !is_sampled(map, query, by_distance, upstream))
 			continue;
-		cost = expected_delay_ms(map, query, upstream,
-					 !query->prefix_hash || cached) +
-		       pause_cost_ms(query, upstream);
+		cost = cost_ms(map, query, caches, upstream);
 		if (cost >= least)
 			continue;
 		least = cost;
@@ -361,27 +346,30 @@
 static pr_place_verdict_t choose(const pr_registry_t *registry,
 				 const pr_zone_map_t *map,
 				 const pr_place_query_t *query,
+				 const pr_place_caches_t *caches,
 				 bool any_version, pr_upstream_t **out)
 {
 	distance_counts_t by_distance = { 0 };
 
 	if (!query->sample_seed || query->hosts <= COMPARE_ALL_HOSTS_MAX)
-		return choose_among(registry, map, query, NULL, any_version,
-				    out);
+		return choose_among(registry, map, query, caches, NULL,
+				    any_version, out);
 	for (pr_list_t *at = registry->upstreams.next;
 	     at != &registry->upstreams; at = at->next) {
 		const pr_upstream_t *upstream =
 			PR_OWNER(at, pr_upstream_t, node);
 
-		if (is_permitted(map, query, upstream) &&
-		    (any_version || is_preferred_version(query, upstream)))
+		if (pr_place_is_permitted(map, query, upstream) &&
+		    (any_version ||
+		     pr_place_is_preferred_version(query, upstream)))
 			by_distance.counts[distance_class(map, upstream)]++;
 	}
-	if (choose_among(registry, map, query, &by_distance, any_version,
-			 out) == PR_PLACE_FOUND)
+	if (choose_among(registry, map, query, caches, &by_distance,
+			 any_version, out) == PR_PLACE_FOUND)
 		return PR_PLACE_FOUND;
 	/* No upstream of the sample is available: compare all. */
-	return choose_among(registry, map, query, NULL, any_version, out);
+	return choose_among(registry, map, query, caches, NULL, any_version,
+			    out);
 }
 
 /* Not available for a load test: suspended, full, tried already, cold, or with
@@ -389,9 +377,10 @@
 static bool is_unavailable(const pr_place_query_t *query,
 			   const pr_upstream_t *upstream)
 {
-	return is_suspended(upstream, query->now) ||
+	return pr_place_is_suspended(upstream, query->now) ||
 	       pr_stated_rate_is_limited(&upstream->rate) ||
-	       is_full(query, upstream) || was_tried(query, upstream) ||
+	       is_full(query, upstream) ||
+	       pr_place_was_tried(query, upstream) ||
 	       upstream->cold_until > query->now;
 }
 
@@ -461,8 +450,8 @@
 	     at != &registry->upstreams; at = at->next) {
 		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
 
-		if (!is_permitted(map, query, upstream) ||
-		    !is_preferred_version(query, upstream) ||
+		if (!pr_place_is_permitted(map, query, upstream) ||
+		    !pr_place_is_preferred_version(query, upstream) ||
 		    is_unavailable(query, upstream))
 			continue;
 		for (size_t i = 0; i < LOAD_TEST_UPSTREAMS && upstream; i++) {
@@ -499,19 +488,28 @@
 				   pr_upstream_t **out, double *wait_ms)
 {
 	pr_place_verdict_t verdict = PR_PLACE_FOUND;
+	pr_place_caches_t caches;
 
+	pr_place_find_caches(registry, map, query, &caches);
 	*out = query->load_test ? choose_for_load_test(registry, map, query)
 				: NULL;
 	if (!*out)
-		verdict = choose(registry, map, query, false, out);
+		verdict = choose(registry, map, query, &caches, false, out);
 
 	/* Upstreams of the old version serve the requests for which the new
 	 * version has no capacity. */
 	if (verdict != PR_PLACE_FOUND && query->transition &&
 	    query->version == PR_VERSION_NEW)
-		verdict = choose(registry, map, query, true, out);
+		verdict = choose(registry, map, query, &caches, true, out);
 	if (*out && wait_ms)
 		*wait_ms = expected_delay_ms(map, query, *out, true);
+	if (*out && query->kept) {
+		query->kept->tokens =
+			pr_place_held_tokens(query, &caches, *out);
+		query->kept->off_first_rank =
+			caches.ranks.seeds_count &&
+			pr_place_rank_of(&caches, *out) != 0;
+	}
 	return verdict;
 }
 
@@ -540,11 +538,12 @@
 
 		if (rate_next > until)
 			until = rate_next;
-		if (!is_permitted(map, query, upstream) ||
-		    (!any_version && !is_preferred_version(query, upstream)))
+		if (!pr_place_is_permitted(map, query, upstream) ||
+		    (!any_version &&
+		     !pr_place_is_preferred_version(query, upstream)))
 			continue;
 		all = earlier(all, until);
-		if (!was_tried(query, upstream))
+		if (!pr_place_was_tried(query, upstream))
 			untried = earlier(untried, until);
 	}
 	if (all == PR_USEC_NEVER)
@@ -566,9 +565,9 @@
 		const pr_upstream_t *upstream =
 			PR_OWNER(at, pr_upstream_t, node);
 
-		if (is_permitted(map, &query, upstream) &&
+		if (pr_place_is_permitted(map, &query, upstream) &&
 		    !strcmp(upstream->entry.version, version) &&
-		    !is_suspended(upstream, now))
+		    !pr_place_is_suspended(upstream, now))
 			usable++;
 	}
 	return usable;
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -6,6 +6,7 @@
 #ifndef PR_PLACE_PLACE_H
 #define PR_PLACE_PLACE_H
 
+#include "place/kept.h"
 #include "routing/routing.h"
 #include "transition/transition.h"
 #include "upstream/upstream.h"
@@ -33,6 +34,21 @@
 /** @return the zone with the name, or NULL */
 const pr_zone_t *pr_zone_find(const pr_zone_map_t *map, const char *name);
 
+/** Choice by the prompt prefixes that upstreams still hold. */
+typedef struct pr_place_kept_t {
+	const pr_kept_t *table;
+	/** The number of upstreams is set by the choice. */
+	pr_kept_prompt_t prompt;
+	/** Time to prefill a token, milliseconds. */
+	double prefill_ms_per_token;
+	/** Set when an upstream is found: the expected held tokens of the
+	 *  prompt there. */
+	double tokens;
+	/** Set when an upstream is found: it is not the first rank for the
+	 *  longest shared prefix. */
+	bool off_first_rank;
+} pr_place_kept_t;
+
 /** A request for which an upstream is chosen. */
 typedef struct pr_place_query_t {
 	const char *service;
@@ -55,6 +71,9 @@
 	double prefix_prefill_ms;
 	/** Time to prefill the whole prompt, milliseconds. */
 	double prefill_ms;
+	/** Held prefixes, which are used in the place of prefix_hash and its
+	 *  prefill time; NULL to choose without them. */
+	pr_place_kept_t *kept;
 	/** Longest time between two events of a stream that the route allows,
 	 *  milliseconds; 0 for none. */
 	double gap_ms;
