Use held prompt prefixes in the entry daemon

With kept_prompts.window_s above 0, requests of routes with affinity note where their prompt was sent, that it was read (first event of a stream, or a good response), and that it was not run; the choice of an upstream weighs what is expected to be held. Metrics and the dispatch line state it.

The daemon builds and its unit tests pass; process-level tests were not run.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -151,6 +151,8 @@
 		pr_outcomes_add(&x->upstream->outcomes, true,
 				pr_exchange_now(x));
 	record_crash(x, fault);
+	if (!ran)
+		pr_exchange_note_prompt_not_read(x);
 	if (ran) {
 		if (!is_same_crash(x, fault)) {
 			bool bad = !is_load_test_delay(x, fault);
@@ -443,10 +445,17 @@
 					       double *wait_ms)
 {
 	pr_place_query_t query;
+	pr_place_kept_t kept = { 0 };
+	pr_place_verdict_t verdict;
 
 	init_query(x, &query);
-	return pr_place_choose(&x->edge->registry, &x->edge->map, &query, out,
-			       wait_ms);
+	if (pr_exchange_init_kept(x, &kept))
+		query.kept = &kept;
+	verdict = pr_place_choose(&x->edge->registry, &x->edge->map, &query,
+				  out, wait_ms);
+	x->held_tokens = kept.tokens;
+	x->off_first_rank = kept.off_first_rank;
+	return verdict;
 }
 
 bool pr_exchange_has_load_test_room(pr_exchange_t *x)
@@ -497,6 +506,7 @@
 	x->prefill_ms = pr_prefill_ms(
 		&x->edge->reading, pr_exchange_model_name(x), x->prompt.tokens);
 	upstream->pending_prefill_ms += x->prefill_ms;
+	pr_exchange_note_prompt_sent(x);
 	if (x->is_load_test)
 		begin_load_test_attempt(x);
 	x->attempt_began = pr_exchange_now(x);
@@ -513,13 +523,14 @@
 	pr_event("dispatch",
 		 "request=%s upstream=%s row=%llu version=%s load=%.2f "
 		 "failures=%u model=%s transition=%s tested=%d session=%llx "
-		 "tokens=%u/%u ms=%lld",
+		 "tokens=%u/%u held=%.0f ms=%lld",
 		 x->id, upstream->entry.id, (unsigned long long)upstream->row,
 		 upstream->entry.version, pr_place_load(upstream),
 		 upstream->failures, pr_exchange_model_name(x),
 		 x->version == PR_VERSION_NEW ? "new" : "old", x->is_load_test,
 		 (unsigned long long)x->session_hash, x->prompt.tokens,
-		 x->prompt.output_expected, pr_exchange_age_ms(x));
+		 x->prompt.output_expected, x->held_tokens,
+		 pr_exchange_age_ms(x));
 	return 0;
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -240,6 +240,9 @@
 		{ &counters->datagrams, "edge_datagrams_sent_total" },
 		{ &counters->datagram_bytes, "edge_datagram_bytes_total" },
 		{ &counters->quarantined, "edge_quarantined_total" },
+		{ &counters->held_tokens, "edge_held_tokens_total" },
+		{ &counters->prompt_tokens, "edge_prompt_tokens_total" },
+		{ &counters->off_first_rank, "edge_off_first_rank_total" },
 	};
 
 	pr_metrics_init(&edge->metrics, SERIES_MAX);
@@ -269,6 +272,11 @@
 	pr_event_log_tick(edge->timers.now);
 	edge->started_at = edge->timers.now;
 	pr_registry_init(&edge->registry);
+	rc = pr_kept_init(&edge->kept,
+			  (pr_usec_t)(edge->settings->kept_prompts.window_s *
+				      PR_USEC_PER_SEC));
+	if (rc)
+		return rc;
 	init_metrics(edge);
 	edge->pool = (pr_outbound_pool_t){
 		.loop = loop,
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -19,6 +19,7 @@
 #include "http/call.h"
 #include "limits/repeats.h"
 #include "pistachiorack/metrics.h"
+#include "place/kept.h"
 #include "place/place.h"
 #include "place/prefill.h"
 #include "quarantine/quarantine.h"
@@ -92,7 +93,8 @@
 typedef struct pr_edge_metrics_t {
 	pr_metric_t *requests, *answered, *refused, *failed, *callers_gone,
 		*repeats, *escalations, *resumes, *not_found, *unauthorized,
-		*malformed, *datagrams, *datagram_bytes, *quarantined;
+		*malformed, *datagrams, *datagram_bytes, *quarantined,
+		*held_tokens, *prompt_tokens, *off_first_rank;
 	pr_histogram_t *first_byte, *total;
 } pr_edge_metrics_t;
 
@@ -118,6 +120,8 @@
 	pr_outbound_pool_t pool;
 	/** Prefill time of upstreams, learned by model. */
 	pr_prefill_rates_t reading;
+	/** Prompt prefixes that upstreams still hold. */
+	pr_kept_t kept;
 	/** Share of streams that pause for too long. */
 	pr_pauses_t pauses;
 	/** Usual pace of responses, learned by service and kind of response. */
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -67,6 +67,11 @@
 	/** Expected prefill time of the prompt, milliseconds, as added to the
 	 *  upstream's pending_prefill_ms; 0 once the prefill is over. */
 	double prefill_ms;
+	/** Result of the last choice of an upstream: the prompt tokens that it
+	 *  is expected to hold, and whether it is not the first rank for the
+	 *  longest shared prefix. */
+	double held_tokens;
+	bool off_first_rank;
 	/** Start of the current attempt, and its last progress: the head, an
 	 *  event, or a part of the body of the response. */
 	pr_usec_t attempt_began, progress_at;
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -88,6 +88,21 @@
 void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
 				const char *fault);
 
+/* kept_prompts.c */
+/**
+ * Prepare the choice of an upstream by held prefixes.
+ *
+ * @param kept zeroed; valid as long as x
+ * @return false when the choice does without them
+ */
+bool pr_exchange_init_kept(pr_exchange_t *x, pr_place_kept_t *kept);
+/** Note that the current attempt was sent to the upstream chosen last. */
+void pr_exchange_note_prompt_sent(pr_exchange_t *x);
+/** Note that the upstream of the current attempt has read the prompt. */
+void pr_exchange_note_prompt_read(pr_exchange_t *x);
+/** Note that the upstream of the current attempt does not run the request. */
+void pr_exchange_note_prompt_not_read(pr_exchange_t *x);
+
 /* response.c */
 extern const pr_outbound_ops_t pr_exchange_outbound_ops;
 
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -282,6 +282,8 @@
 	pr_usec_t now = pr_exchange_now(x);
 
 	pr_exchange_count_loaded(x, false);
+	if (!x->events_of_attempt)
+		pr_exchange_note_prompt_read(x);
 	if (x->events_of_attempt++ && now - x->progress_at > x->longest_pause)
 		x->longest_pause = now - x->progress_at;
 	x->progress_at = now;
@@ -385,6 +387,8 @@
 	else if (good)
 		record_pace(x, (double)(pr_exchange_now(x) - x->attempt_began) /
 				       PR_USEC_PER_MSEC);
+	if (good && !x->event_stream)
+		pr_exchange_note_prompt_read(x);
 	if (good && x->events_of_attempt < PR_ANSWER_BEGUN)
 		record_answer(x);
 	pr_upstream_record_success(x->upstream);
