--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,6 +21,7 @@
 #include "limits/memory.h"
 #include "limits/repeats.h"
 #include "pistachiorack/metrics.h"
+#include "place/kept.h"
 #include "place/place.h"
 #include "place/prefill.h"
 #include "quarantine/quarantine.h"
@@ -97,7 +98,7 @@
 		*repeats, *escalations, *resumes, *not_found, *unauthorized,
 		*malformed, *datagrams, *datagram_bytes, *quarantined,
 		*memory_waits, *memory_shed, *connections_shed, *replaced,
-		*replaced_early;
+		*replaced_early, *held_tokens, *prompt_tokens, *off_first_rank;
 	/** Gauges, set when the metrics are read. */
 	pr_metric_t *memory_limit, *memory_peak,
 		*memory_held[PR_MEMORY_USES_COUNT], *callers_open;
@@ -126,6 +127,8 @@
 	pr_outbound_pool_t pool;
 	/** Prefill time of upstreams, learned by model. */
 	pr_prefill_rates_t reading;
+	/** Prompt prefixes that upstreams still hold. */
+	pr_kept_t kept;
 	/** Share of streams that pause for too long. */
 	pr_pauses_t pauses;
 	/** Usual pace of responses, learned by service and kind of response. */
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -70,6 +70,11 @@
 	/** Time to the first event that was expected when the current attempt
 	 *  was sent, milliseconds. */
 	double expected_ms;
+	/** Result of the last choice of an upstream: the prompt tokens that it
+	 *  is expected to hold, and whether it is not the first rank for the
+	 *  longest shared prefix. */
+	double held_tokens;
+	bool off_first_rank;
 	/** Start of the current attempt, and its last progress: the head, an
 	 *  event, or a part of the body of the response. */
 	pr_usec_t attempt_began, progress_at;
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -288,6 +288,7 @@
 	if (!x->events_of_attempt) {
 		x->first_event_at = now;
 		pr_exchange_learn_first_event(x);
+		pr_exchange_note_prompt_read(x);
 	}
 	if (x->events_of_attempt++ && now - x->progress_at > x->longest_pause)
 		x->longest_pause = now - x->progress_at;
@@ -394,6 +395,8 @@
 	else if (good)
 		record_pace(x, (double)(pr_exchange_now(x) - x->attempt_began) /
 				       PR_USEC_PER_MSEC);
+	if (good && !x->event_stream)
+		pr_exchange_note_prompt_read(x);
 	if (good && x->events_of_attempt < PR_ANSWER_BEGUN)
 		record_answer(x);
 	pr_upstream_record_success(x->upstream);
