--- a/src/edge/overload.c
+++ b/src/edge/overload.c
@@ -83,7 +83,7 @@
 		pr_memory_holder_t holder;
 		double rank;
 
-		if (caller == except || !is_holder(caller, &holder))
+		if ((except && caller == except) || !is_holder(caller, &holder))
 			continue;
 		rank = pr_memory_rank(&holder, now);
 		if (rank <= highest)
@@ -209,7 +209,7 @@
 	     at = at->next) {
 		pr_caller_t *caller = PR_OWNER(at, pr_caller_t, node);
 
-		if (caller == except || caller->link.closing ||
+		if ((except && caller == except) || caller->link.closing ||
 		    caller->exchange.active)
 			continue;
 		if (!caller->head_began || caller->lingering) {
