--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -21,6 +21,17 @@
 #define UPSTREAM_POLL_PERIOD (25 * PR_USEC_PER_MSEC)
 /* A request waits for an upstream for its latency objective divided by this. */
 #define UPSTREAM_WAIT_DIVISOR 8
+/* An idempotent request of whose response nothing has arrived for this part of
+ * its latency objective, in per cent, is sent to another upstream. The rest is
+ * needed for the second attempt. */
+#define RESPONSE_PERCENT 60
+/* A stream without its first event is sent to another upstream after this part
+ * of its latency objective, in per cent. */
+#define FIRST_EVENT_PERCENT 125
+/* An attempt ends when the time without an event exceeds this part of the gap
+ * that the route allows between events, in per cent. */
+#define EVENT_GAP_PERCENT    150
+#define EVENT_GAP_DEFAULT_MS 2000
 /* Period of the search for a replacement of an attempt without progress. Longer
  * than UPSTREAM_POLL_PERIOD, since the search may last until the deadline. */
 #define REPLACEMENT_POLL_PERIOD (100 * PR_USEC_PER_MSEC)
@@ -114,7 +125,9 @@
 					   pr_edge_store_now(x->edge));
 }
 
-bool pr_exchange_can_repeat(const pr_exchange_t *x)
+/* Whether the request may be sent again after it ran. A stream of which the
+ * caller has a part can only be resumed after a known event. */
+static bool can_repeat(const pr_exchange_t *x)
 {
 	return x->idempotent && (!x->head_sent || x->events.has_id);
 }
@@ -161,13 +174,42 @@
 	pr_str_finish(&x->body);
 	if (!x->head_sent)
 		pr_str_clear(&x->head);
-	if (ran && !pr_exchange_can_repeat(x)) {
+	if (ran && !can_repeat(x)) {
 		pr_exchange_give_up(x, "upstream_failed");
 		return;
 	}
 	pr_exchange_dispatch(x);
 }
 
+static pr_usec_t later(pr_usec_t a, pr_usec_t b)
+{
+	return a > b ? a : b;
+}
+
+/* Time at which the attempt fails without further progress; PR_USEC_NEVER when
+ * the request cannot be sent to another upstream. */
+static pr_usec_t progress_deadline(const pr_exchange_t *x)
+{
+	pr_usec_t target =
+		(pr_usec_t)pr_exchange_target_ms(x) * PR_USEC_PER_MSEC;
+	pr_usec_t gap = (pr_usec_t)(x->route->gap_ms ? x->route->gap_ms
+						     : EVENT_GAP_DEFAULT_MS) *
+			PR_USEC_PER_MSEC;
+
+	if (!x->outbound || x->reading_paused || !can_repeat(x) ||
+	    x->runs + 1 >= x->route->max_upstreams)
+		return PR_USEC_NEVER;
+	if (x->stream && x->events.passed && x->progress_at > x->attempt_began)
+		return later(x->progress_at + gap * EVENT_GAP_PERCENT / 100,
+			     x->stalled_until);
+	if (x->stream)
+		return later(x->attempt_began +
+				     target * FIRST_EVENT_PERCENT / 100,
+			     x->stalled_until);
+	return later(x->progress_at + target * RESPONSE_PERCENT / 100,
+		     x->stalled_until);
+}
+
 /* Error code of a request for which no upstream is available. */
 static const char *place_fault(pr_place_verdict_t verdict)
 {
@@ -228,7 +270,6 @@
 
 	if (now >= x->deadline) {
 		x->last_fault = "deadline";
-		pr_exchange_learn_silence(x);
 		/* A request that was sent may be running. */
 		if (x->outbound &&
 		    pr_outbound_stage(x->outbound) >= PR_STAGE_SENT)
@@ -243,14 +284,13 @@
 		pr_exchange_dispatch(x);
 		return;
 	}
-	if (now >= pr_exchange_progress_deadline(x)) {
+	if (now >= progress_deadline(x)) {
 		const char *reason = reserve_replacement(x);
 
 		if (reason) {
 			keep_stalled(x, reason);
 			return;
 		}
-		pr_exchange_record_replaced(x);
 		if (x->upstream && !is_load_test_delay(x, PR_FAULT_NO_PROGRESS))
 			pr_upstream_record_failure(x->upstream, now);
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
@@ -264,7 +304,7 @@
 {
 	pr_usec_t now = pr_exchange_now(x);
 	pr_usec_t due = x->deadline;
-	pr_usec_t limit = pr_exchange_progress_deadline(x);
+	pr_usec_t limit = progress_deadline(x);
 	pr_usec_t poll =
 		x->replacing ? REPLACEMENT_POLL_PERIOD : UPSTREAM_POLL_PERIOD;
 
@@ -442,9 +482,7 @@
 		transition, x->upstream->entry.slots);
 }
 
-/* @param wait_ms expected delay before the upstream begins with the prompt */
-static int send_attempt(pr_exchange_t *x, pr_upstream_t *upstream,
-			double wait_ms)
+static int send_attempt(pr_exchange_t *x, pr_upstream_t *upstream)
 {
 	pr_outbound_request_t request = {
 		.id = pr_slice_of(x->id),
@@ -473,7 +511,6 @@
 	x->prefill_ms = pr_prefill_ms(
 		&x->edge->reading, pr_exchange_model_name(x), x->prompt.tokens);
 	upstream->pending_prefill_ms += x->prefill_ms;
-	x->expected_ms = wait_ms + x->prefill_ms;
 	pr_exchange_note_prompt_sent(x);
 	if (x->is_load_test)
 		begin_load_test_attempt(x);
@@ -573,7 +610,6 @@
 	pr_upstream_t *upstream;
 	pr_place_verdict_t verdict;
 	const pr_service_t *service;
-	double wait_ms;
 
 	if (is_quarantined(x)) {
 		pr_exchange_give_up(x, "quarantined_part");
@@ -586,7 +622,7 @@
 			pr_exchange_give_up(x, "deadline");
 		return;
 	}
-	verdict = pr_exchange_choose_upstream(x, &upstream, &wait_ms);
+	verdict = pr_exchange_choose_upstream(x, &upstream, NULL);
 	if (verdict != PR_PLACE_FOUND) {
 		wait_for_upstream(x, verdict);
 		return;
@@ -614,7 +650,7 @@
 	}
 	x->wait_began = 0;
 	x->repeat_charged = false;
-	if (send_attempt(x, upstream, wait_ms)) {
+	if (send_attempt(x, upstream)) {
 		if (x->tried_count < PR_PLACE_TRIED_MAX)
 			x->tried[x->tried_count++] = upstream;
 		wait_for_upstream(x, PR_PLACE_BUSY);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -72,40 +72,27 @@
 	return count ? (uint32_t)count : 1;
 }
 
-/* Index of a service, added on first use; PR_SERVICES_MAX when full. */
-static size_t find_or_add_service(pr_edge_t *edge, const char *service)
+pr_repeat_budget_t *pr_edge_repeat_budget(pr_edge_t *edge, const char *service)
 {
 	size_t i = 0;
 
 	while (i < edge->services_count &&
 	       strcmp(edge->services[i].name, service) != 0)
 		i++;
-	if (i < PR_SERVICES_MAX && i == edge->services_count) {
+	if (i == PR_SERVICES_MAX)
+		return NULL;
+	if (i == edge->services_count) {
 		if (pr_slice_copy(edge->services[i].name,
 				  sizeof(edge->services[i].name),
 				  pr_slice_of(service)))
-			return PR_SERVICES_MAX;
+			return NULL;
 		pr_repeat_budget_init(
 			&edge->services[i].budget,
 			(pr_usec_t)(edge->settings->bounds.repeats_window_s *
 				    PR_USEC_PER_SEC));
 		edge->services_count++;
 	}
-	return i;
-}
-
-pr_repeat_budget_t *pr_edge_repeat_budget(pr_edge_t *edge, const char *service)
-{
-	size_t i = find_or_add_service(edge, service);
-
-	return i < PR_SERVICES_MAX ? &edge->services[i].budget : NULL;
-}
-
-pr_patience_t *pr_edge_patience(pr_edge_t *edge, const char *service)
-{
-	size_t i = find_or_add_service(edge, service);
-
-	return i < PR_SERVICES_MAX ? &edge->services[i].patience : NULL;
+	return &edge->services[i].budget;
 }
 
 static void on_wake(uv_timer_t *timer)
@@ -277,8 +264,6 @@
 		{ &counters->memory_limit, "edge_memory_limit_bytes" },
 		{ &counters->memory_peak, "edge_memory_peak_bytes" },
 		{ &counters->callers_open, "edge_callers_open" },
-		{ &counters->replaced, "edge_replaced_total" },
-		{ &counters->replaced_early, "edge_replaced_early_total" },
 		{ &counters->held_tokens, "edge_held_tokens_total" },
 		{ &counters->prompt_tokens, "edge_prompt_tokens_total" },
 		{ &counters->off_first_rank, "edge_off_first_rank_total" },
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -9,7 +9,6 @@
 
 #include "base/list.h"
 #include "cascade/pauses.h"
-#include "dispatch/patience.h"
 #include "edge/outbound.h"
 #include "relay/extent.h"
 #include "relay/lag.h"
@@ -35,8 +34,7 @@
 
 /** Most services that can be in transition at the same time. */
 #define PR_TRANSITIONS_MAX PR_AGGREGATE_TRANSITIONS_MAX
-/** Most services that have a repeat budget and a learned wait; further ones
- * have no limit of repeats and the fixed wait. */
+/** Most services that have a repeat budget; further ones have no limit. */
 #define PR_SERVICES_MAX 64
 
 typedef struct pr_edge_t pr_edge_t;
@@ -97,8 +95,8 @@
 	pr_metric_t *requests, *answered, *refused, *failed, *callers_gone,
 		*repeats, *escalations, *resumes, *not_found, *unauthorized,
 		*malformed, *datagrams, *datagram_bytes, *quarantined,
-		*memory_waits, *memory_shed, *connections_shed, *replaced,
-		*replaced_early, *held_tokens, *prompt_tokens, *off_first_rank;
+		*memory_waits, *memory_shed, *connections_shed, *held_tokens,
+		*prompt_tokens, *off_first_rank;
 	/** Gauges, set when the metrics are read. */
 	pr_metric_t *memory_limit, *memory_peak,
 		*memory_held[PR_MEMORY_USES_COUNT], *callers_open;
@@ -161,11 +159,10 @@
 	size_t transition_rows_count;
 	/** Earliest time of the next write to the shared table. */
 	pr_usec_t next_write_at;
-	/** Repeat budgets and usual times to the first event, by service. */
+	/** Repeat budgets by service. */
 	struct {
 		char name[PR_UPSTREAM_NAME_SIZE];
 		pr_repeat_budget_t budget;
-		pr_patience_t patience;
 	} services[PR_SERVICES_MAX];
 	size_t services_count;
 	pr_watch_t watches[PR_TABLES_COUNT];
@@ -215,9 +212,6 @@
 /** @return the repeat budget of a service, created on first use, or NULL when
  *	   PR_SERVICES_MAX services have one already */
 pr_repeat_budget_t *pr_edge_repeat_budget(pr_edge_t *edge, const char *service);
-/** @return what is learned about the first events of a service, created on
- *first use, or NULL when PR_SERVICES_MAX services are known already */
-pr_patience_t *pr_edge_patience(pr_edge_t *edge, const char *service);
 /** @return number of hosts that share the upstreams, this one included */
 uint32_t pr_edge_hosts_count(const pr_edge_t *edge);
 
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -492,7 +492,6 @@
 
 void pr_exchange_abandon(pr_exchange_t *x)
 {
-	pr_exchange_learn_silence(x);
 	pr_exchange_log_end(x, "caller_gone", 0);
 	pr_metric_add(x->edge->counters.callers_gone, 1);
 	pr_exchange_finish(x);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -67,9 +67,6 @@
 	/** Expected prefill time of the prompt, milliseconds, as added to the
 	 *  upstream's pending_prefill_ms; 0 once the prefill is over. */
 	double prefill_ms;
-	/** Time to the first event that was expected when the current attempt
-	 *  was sent, milliseconds. */
-	double expected_ms;
 	/** Result of the last choice of an upstream: the prompt tokens that it
 	 *  is expected to hold, and whether it is not the first rank for the
 	 *  longest shared prefix. */
@@ -85,9 +82,8 @@
 	bool reading_paused;
 	/** Longest time between two events of one attempt. */
 	pr_usec_t longest_pause;
-	/** Events of the current attempt, and the time of the first. */
+	/** Events of the current attempt. */
 	uint64_t events_of_attempt;
-	pr_usec_t first_event_at;
 	pr_pace_stream_t pace;
 	/** Upstreams on which an attempt failed; they are not chosen again
 	 *  until the list is cleared. */
--- a/src/edge/exchange_parts.h
+++ b/src/edge/exchange_parts.h
@@ -88,25 +88,6 @@
 void pr_exchange_attempt_failed(pr_exchange_t *x, pr_verdict_t verdict,
 				const char *fault);
 
-/** @return whether the request may be sent again after it ran; a stream of
- *	   which the caller has a part can only be resumed after a known event
- */
-bool pr_exchange_can_repeat(const pr_exchange_t *x);
-
-/* wait.c */
-/** @return time at which the attempt fails without further progress;
- *	   PR_USEC_NEVER when the request cannot be sent to another upstream */
-pr_usec_t pr_exchange_progress_deadline(const pr_exchange_t *x);
-/** Learn the time to the first event of a stream, or to the head of another
- *  response, when it arrives. */
-void pr_exchange_learn_first_event(pr_exchange_t *x);
-/** Learn from an attempt that ends, if it has no event yet. */
-void pr_exchange_learn_silence(pr_exchange_t *x);
-/** Learn the rest of a stream's time after its first event, at its end. */
-void pr_exchange_learn_end(pr_exchange_t *x);
-/** Count, log and learn from an attempt without progress that is replaced. */
-void pr_exchange_record_replaced(pr_exchange_t *x);
-
 /* kept_prompts.c */
 /**
  * Prepare the choice of an upstream by held prefixes.
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -248,9 +248,6 @@
 					   "not_resumed");
 		return false;
 	}
-	/* Error responses arrive sooner than others. */
-	if (!x->stream && x->status / 100 == 2)
-		pr_exchange_learn_first_event(x);
 	x->confidence = (uint32_t)pr_exchange_field_number(
 		reader, PR_FIELD_CONFIDENCE, CONFIDENCE_NONE);
 	if (x->event_stream && escalate(x))
@@ -285,11 +282,8 @@
 	pr_usec_t now = pr_exchange_now(x);
 
 	pr_exchange_count_loaded(x, false);
-	if (!x->events_of_attempt) {
-		x->first_event_at = now;
-		pr_exchange_learn_first_event(x);
+	if (!x->events_of_attempt)
 		pr_exchange_note_prompt_read(x);
-	}
 	if (x->events_of_attempt++ && now - x->progress_at > x->longest_pause)
 		x->longest_pause = now - x->progress_at;
 	x->progress_at = now;
@@ -389,7 +383,6 @@
 		pr_pauses_add(&x->edge->pauses,
 			      x->longest_pause > (pr_usec_t)x->route->gap_ms *
 							 PR_USEC_PER_MSEC);
-	pr_exchange_learn_end(x);
 	if (x->event_stream)
 		record_stream_pace(x, true);
 	else if (good)
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -57,12 +57,6 @@
 	CYAML_FIELD_END,
 };
 
-static const cyaml_schema_field_t attempt_fields[] = {
-	CYAML_FIELD_BOOL("adaptive_wait", OPTIONAL, pr_attempt_settings_t,
-			 adaptive_wait),
-	CYAML_FIELD_END,
-};
-
 #define ENDPOINT_FIELD(member)                                                 \
 	CYAML_FIELD_STRING_PTR(#member, CYAML_FLAG_POINTER,                    \
 			       pr_edge_settings_t, member, 9, NAME_MAX_BYTES)
@@ -92,8 +86,6 @@
 			  descriptors),
 	CYAML_FIELD_MAPPING("kept_prompts", OPTIONAL, pr_edge_settings_t,
 			    kept_prompts, kept_fields),
-	CYAML_FIELD_MAPPING("attempts", OPTIONAL, pr_edge_settings_t, attempts,
-			    attempt_fields),
 	CYAML_FIELD_END,
 };
 static const cyaml_schema_value_t settings_schema = {
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -4,7 +4,6 @@
 #ifndef PR_EDGE_SETTINGS_H
 #define PR_EDGE_SETTINGS_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 #include <netinet/in.h>
@@ -45,12 +44,6 @@
 	double window_s;
 } pr_kept_settings_t;
 
-typedef struct pr_attempt_settings_t {
-	/** The wait for a first event follows from what is usual for the
-	 *  service. */
-	bool adaptive_wait;
-} pr_attempt_settings_t;
-
 typedef struct pr_edge_settings_t {
 	char *host;
 	char *zone;
@@ -79,7 +72,6 @@
 	/** Descriptors that the process may open. */
 	double descriptors;
 	pr_kept_settings_t kept_prompts;
-	pr_attempt_settings_t attempts;
 } pr_edge_settings_t;
 
 /**
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -89,9 +89,6 @@
 	uint32_t connections;
 	/** Consecutive failures. */
 	uint32_t failures;
-	/** An attempt of this host waited unusually long for its first event
-	 *  and got none, and no first event has arrived since. */
-	bool silent;
 	/** It is not used until this time, after repeated failures. */
 	pr_usec_t ejected_until;
 	/** It asked for no requests of this host until this time. */
