Take ranks for likely places of prompts that this host has not seen

The ranks of the longest shared prefix count 0.95, 0.3, 0.1 whether the host has seen it or not; pending prefills and the learned rate leave out what is expected to be held. So nothing switches it on but the setting kept_prompts.window_s; the platform's figure no longer does.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -508,8 +508,11 @@
 				pr_edge_store_now(x->edge));
 	x->upstream = pr_upstream_ref(upstream);
 	upstream->in_flight++;
+	x->unheld_tokens = x->prompt.tokens > x->held_tokens
+				   ? x->prompt.tokens - (uint32_t)x->held_tokens
+				   : 0;
 	x->prefill_ms = pr_prefill_ms(
-		&x->edge->reading, pr_exchange_model_name(x), x->prompt.tokens);
+		&x->edge->reading, pr_exchange_model_name(x), x->unheld_tokens);
 	upstream->pending_prefill_ms += x->prefill_ms;
 	pr_exchange_note_prompt_sent(x);
 	if (x->is_load_test)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -67,6 +67,9 @@
 	/** Expected prefill time of the prompt, milliseconds, as added to the
 	 *  upstream's pending_prefill_ms; 0 once the prefill is over. */
 	double prefill_ms;
+	/** Prompt tokens that the upstream of the current attempt is expected
+	 *  to prefill: those that it does not hold. */
+	uint32_t unheld_tokens;
 	/** Result of the last choice of an upstream: the prompt tokens that it
 	 *  is expected to hold, and whether it is not the first rank for the
 	 *  longest shared prefix. */
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -237,7 +237,7 @@
 		return false;
 	}
 	pr_prefill_learn(&x->edge->reading, pr_exchange_model_name(x),
-			 x->prompt.tokens,
+			 x->unheld_tokens,
 			 (double)(pr_exchange_now(x) - x->attempt_began) /
 				 PR_USEC_PER_MSEC);
 	pr_exchange_clear_prefill_wait(x);
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -153,7 +153,8 @@
 {
 	double value;
 
-	for (unsigned int i = 0; i < settings->platform_count; i++) {
+	for (unsigned int i = 0;
+	     i < settings->platform_count && figure != PR_FIGURE_OTHER; i++) {
 		const pr_figure_settings_t *stated = &settings->platform[i];
 
 		if (pr_adapter_figure(pr_slice_of(stated->name)) == figure &&
@@ -193,7 +194,7 @@
 		{ "descriptors", &settings->descriptors, PR_FIGURE_DESCRIPTORS,
 		  system_descriptors(), DESCRIPTORS_MIN, DESCRIPTORS_MAX },
 		{ "kept_prompts.window_s", &settings->kept_prompts.window_s,
-		  PR_FIGURE_REUSE_WINDOW_S, 0, 0, WINDOW_S_MAX },
+		  PR_FIGURE_OTHER, 0, 0, WINDOW_S_MAX },
 	};
 
 	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
--- a/src/place/kept.c
+++ b/src/place/kept.c
@@ -22,16 +22,15 @@
 /* The same for a request that was sent and has no answer yet: the upstream may
  * refuse it, fail, or not have read it when the next prompt comes. */
 #define PROBABILITY_SENT 0.6
-/* Probability that an upstream holds a prefix that many hosts use, by its rank.
- * Lower ranks get requests only while the ranks above are busy. */
-static const double probability_of_rank[PR_RANKS] = { 0.9, 0.5, 0.25 };
-/* Part of these probabilities for the longest shared prefix of a prompt when
- * this host has not seen it as such within the window: it may be new to all
- * hosts. Above 0, so that hosts that see it first choose the same upstream. */
-#define UNSEEN_PART 0.5
-/* The same for a shorter prefix: the first ranks get requests by the longest
- * shared prefix, so that those of a shorter one hold it by chance unless it is
- * the longest one of other requests. */
+/* Probability that an upstream holds the longest shared prefix of a prompt, by
+ * its rank. Lower ranks get requests only while the ranks above are busy. It is
+ * the same when this host has not seen the prefix: with many hosts each sees
+ * few of the requests with it, and a prefix that is new to all of them is
+ * prefilled wherever the request goes. */
+static const double probability_of_rank[PR_RANKS] = { 0.95, 0.3, 0.1 };
+/* Part of these probabilities for a shorter prefix that this host has not seen
+ * as the longest one within the window: the first ranks get requests by the
+ * longest shared prefix, so that those of a shorter one hold it by chance. */
 #define UNSEEN_SHORTER_PART 0.25
 
 /* Most parts of a prefix that is considered, apart from the longest ones. With
@@ -340,15 +339,15 @@
 
 /* Part of the probability of a rank, by how often this host sees the prefix:
  * what it sees often, the other hosts see often, too. */
-static double familiarity(const pr_kept_t *kept, uint64_t key,
-			  double unseen_part, pr_usec_t now)
+static double familiarity(const pr_kept_t *kept, uint64_t key, pr_usec_t now)
 {
 	const pr_kept_entry_t *entry = find(kept, key);
 	double uses = entry && is_in_window(kept, entry, now)
 			      ? decayed_uses(kept, entry, now)
 			      : 0;
 
-	return unseen_part + (1 - unseen_part) * (1 - exp(-uses));
+	return UNSEEN_SHORTER_PART +
+	       (1 - UNSEEN_SHORTER_PART) * (1 - exp(-uses));
 }
 
 double pr_kept_tokens(const pr_kept_t *kept, const pr_kept_prompt_t *prompt,
@@ -362,15 +361,15 @@
 	for (size_t i = 0; i < shared; i++) {
 		const pr_kept_prefix_t *prefix = &prompt->prefixes->items[i];
 		size_t rank = pr_ranks_of(ranks, i, upstream);
-		double unseen_part =
-			i + 1 == shared ? UNSEEN_PART : UNSEEN_SHORTER_PART;
+		double probability;
 
 		if (rank == PR_RANKS)
 			continue;
-		most = fmax(most,
-			    prefix->tokens * probability_of_rank[rank] *
-				    familiarity(kept, seen_key(prefix, weights),
-						unseen_part, now));
+		probability = probability_of_rank[rank];
+		if (i + 1 < shared)
+			probability *= familiarity(
+				kept, seen_key(prefix, weights), now);
+		most = fmax(most, prefix->tokens * probability);
 	}
 	return fmin(most, prompt->tokens);
 }
