--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -93,6 +93,16 @@
 			    settings_fields),
 };
 
+static int check_range(const char *path, const char *field, double value,
+		       double lowest, double highest)
+{
+	if (value >= lowest && value <= highest)
+		return 0;
+	return pr_error_set(PR_EINVALID,
+			    "%s: field %s: value %g: expected %g to %g", path,
+			    field, value, lowest, highest);
+}
+
 static int apply_bounds(const char *path, pr_bound_settings_t *bounds)
 {
 	const struct {
@@ -109,16 +119,15 @@
 		{ "bounds.lapse_s", &bounds->lapse_s, 2.2, 0, 60 },
 	};
 
+	int rc;
+
 	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
 		if (*list[i].value <= 0)
 			*list[i].value = list[i].fallback;
-		if (*list[i].value < list[i].lowest ||
-		    *list[i].value > list[i].highest)
-			return pr_error_set(
-				PR_EINVALID,
-				"%s: field %s: value %g: expected %g to %g",
-				path, list[i].field, *list[i].value,
-				list[i].lowest, list[i].highest);
+		rc = check_range(path, list[i].field, *list[i].value,
+				 list[i].lowest, list[i].highest);
+		if (rc)
+			return rc;
 	}
 	return 0;
 }
@@ -197,17 +206,16 @@
 		  PR_FIGURE_OTHER, 0, 0, WINDOW_S_MAX },
 	};
 
+	int rc;
+
 	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
 		if (*list[i].value <= 0)
 			*list[i].value = platform_figure(
 				settings, list[i].figure, list[i].fallback);
-		if (*list[i].value < list[i].lowest ||
-		    *list[i].value > list[i].highest)
-			return pr_error_set(
-				PR_EINVALID,
-				"%s: field %s: value %g: expected %g to %g",
-				path, list[i].field, *list[i].value,
-				list[i].lowest, list[i].highest);
+		rc = check_range(path, list[i].field, *list[i].value,
+				 list[i].lowest, list[i].highest);
+		if (rc)
+			return rc;
 	}
 	return 0;
 }
--- a/tests/edge/crowd.py
+++ b/tests/edge/crowd.py
@@ -17,7 +17,7 @@
 import sys
 
 from answers import ask, head, set_script
-from checks import FAILURES, check
+from checks import FAILURES, check, has_own_allocator, memory_kb
 from fleet import HOST, Fleet
 from standins import P, Closed, read_body, read_head
 
@@ -38,18 +38,6 @@
 PROMISES = (408, 421, 429, 503)
 
 
-def memory_kb(process, field):
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-        return next(int(line.split()[1]) for line in status if line.startswith(field))
-
-
-def has_own_allocator(process):
-    """A sanitizer's allocator keeps freed memory and pads blocks: the resident memory
-    says nothing of the program's."""
-    with open(f"/proc/{process.pid}/maps", encoding="ascii", errors="replace") as maps:
-        return "libasan" in maps.read()
-
-
 def request_head(ident, fields, path="/safe/x"):
     return (f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{P}Request-Attempt: {ident}\r\n"
             f"{P}Deadline-Ms: 20000\r\n{P}Credential: key-1\r\n{fields}\r\n").encode()
--- a/tests/edge/operators.py
+++ b/tests/edge/operators.py
@@ -12,7 +12,7 @@
 import time
 
 from answers import ask, head, set_script
-from checks import FAILURES, check
+from checks import FAILURES, check, has_own_allocator, memory_kb
 from fleet import Caller, Fleet
 
 GRACE_S = 6
@@ -184,18 +184,6 @@
         await router.process.wait()
 
 
-def memory_kb(process, field):
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-        return next(int(line.split()[1]) for line in status if line.startswith(field))
-
-
-def has_own_allocator(process):
-    """A sanitizer's allocator keeps freed memory and pads blocks: the resident memory
-    says nothing of the program's."""
-    with open(f"/proc/{process.pid}/maps", encoding="ascii", errors="replace") as maps:
-        return "libasan" in maps.read()
-
-
 # Bodies that a host holds at most, and what each of them may have at least.
 BUFFERED_KB, ALWAYS_KB = 12 * 1024, 256
 # Connections, and what waits on them to be read.
