Stop reading streams of slow callers earlier while memory is short

While only the reserve of the budget is left, a stream waits at its upstream from 16 KiB of unread bytes on.

--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -16,6 +16,8 @@
 /* Reading from the upstream pauses while more bytes than this wait for a slow
  * caller. */
 #define CALLER_UNSENT_MAX ((size_t)256 * 1024)
+/* The same while memory is short. */
+#define CALLER_UNSENT_SHORT ((size_t)16 * 1024)
 /* Confidence of a response that states none. */
 #define CONFIDENCE_NONE 100
 /* Largest response body that is buffered until it is complete. */
@@ -292,6 +294,16 @@
 		record_answer(x);
 }
 
+/* Whether the caller has so much of the stream to read that more of it has to
+ * wait at the upstream. */
+static bool is_caller_behind(const pr_exchange_t *x)
+{
+	size_t most = pr_memory_is_short(&x->edge->memory) ? CALLER_UNSENT_SHORT
+							   : CALLER_UNSENT_MAX;
+
+	return pr_caller_unsent(x->caller) > most;
+}
+
 static bool forward_events(pr_exchange_t *x, pr_slice_t bytes)
 {
 	pr_str_t out = PR_STR_INIT;
@@ -312,7 +324,7 @@
 		x->head_sent = true;
 		pr_caller_send_body(x->caller, pr_str_slice(&out));
 		pr_overload_account(x->caller);
-		if (pr_caller_unsent(x->caller) > CALLER_UNSENT_MAX) {
+		if (is_caller_behind(x)) {
 			x->reading_paused = true;
 			pr_outbound_pause(x->outbound);
 		}
--- a/src/limits/memory.c
+++ b/src/limits/memory.c
@@ -102,6 +102,11 @@
 	return until < now + HOLDER_AGE_MIN ? until : now + HOLDER_AGE_MIN;
 }
 
+bool pr_memory_is_short(const pr_memory_t *memory)
+{
+	return memory->total > memory->limit / 100 * LARGE_PERCENT;
+}
+
 bool pr_memory_is_exceeded(const pr_memory_t *memory)
 {
 	return memory->total > memory->limit;
--- a/src/limits/memory.h
+++ b/src/limits/memory.h
@@ -55,6 +55,8 @@
  */
 bool pr_memory_allows(const pr_memory_t *memory, pr_memory_use_t use,
 		      size_t from, size_t to);
+/** @return true when only the reserve for small buffers is left */
+bool pr_memory_is_short(const pr_memory_t *memory);
 /** @return true when more is held than the budget has */
 bool pr_memory_is_exceeded(const pr_memory_t *memory);
 
--- a/tests/edge/crowd.py
+++ b/tests/edge/crowd.py
@@ -34,7 +34,7 @@
 SEND_S = 20
 # The crowd has settled when so many polls in a row find the same; polled so often at most.
 SETTLED_POLLS, SETTLE_POLLS = 4, 80
-ANSWER_BYTES = 2 * 1024 * 1024
+ANSWER_BYTES, EVENT_BYTES = 2 * 1024 * 1024, 30000
 PROMISES = (408, 421, 429, 503)
 
 
@@ -113,6 +113,11 @@
     return [request_head(ident, "Content-Length: 0\r\n"), b""]
 
 
+def streams(ident):
+    """A stream that is not read."""
+    return [request_head(ident, "Content-Length: 0\r\n", "/stream/x"), b""]
+
+
 def idle(ident):
     """A connection without a request."""
     return [b"", b""]
@@ -120,10 +125,12 @@
 
 FORMS = {form.__name__: form for form in (
     large, pieced, large_chunks, small_chunks, extensions, trailers, announced, just_sent, heads,
-    pipelined, unread, idle)}
+    pipelined, unread, streams, idle)}
 # Every member sends its request whole, and keeps its connection.
 FORMS["complete"] = large
-WHOLE = ("complete", "unread")
+WHOLE = ("complete", "unread", "streams")
+# Every member waits for a large answer that it does not read.
+UNREAD = ("unread", "streams")
 
 
 class Member:
@@ -197,6 +204,19 @@
     return True
 
 
+async def large_stream(request):
+    request.run()
+    fields = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    data = "x" * EVENT_BYTES
+    try:
+        await request.write(head(200, request.ident, fields))
+        for number in range(1, ANSWER_BYTES // EVENT_BYTES):
+            await request.write(chunk(f"id: {number}\ndata: {data}\n\n".encode()))
+    except (OSError, Closed):
+        pass
+    return False
+
+
 class HeldAnswers:
     """Script of upstreams that answer once release is set."""
 
@@ -242,6 +262,8 @@
     crowd = CROWDS.get(form, CROWD)
     if form == "unread":
         set_script(ledgers, large_answer)
+    if form == "streams":
+        set_script([u for u in fleet.upstreams if u.service == "model"], large_stream)
     if form == "pipelined":
         set_script(ledgers, held)
     members = [Member(router.address, f"m-{n}", FORMS[form](f"m-{n}"),
@@ -269,7 +291,7 @@
     held.release.set()
     for task in left:
         task.cancel()
-    if form != "unread":
+    if form not in UNREAD:
         await asyncio.gather(*(member.read_status() for member in members))
     print(f"{form}: answers {dict(collections.Counter(m.status for m in members))}")
     untrue = [m.ident for m in members if m.status in PROMISES and m.ident in fleet.runs]
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -122,6 +122,22 @@
 	assert_true(until <= PR_USEC_PER_SEC + 500 * PR_USEC_PER_MSEC);
 }
 
+/* Slow readers of many streams hold more than the memory before any of them may
+ * be closed. */
+static void test_memory_is_short_before_it_is_exceeded(void **state)
+{
+	pr_memory_account_t account = { 0 };
+	pr_memory_t memory;
+
+	pr_memory_init(&memory, MACHINE_MB);
+	pr_memory_set(&memory, &account, PR_MEMORY_UNREAD, memory.limit / 2);
+	assert_false(pr_memory_is_short(&memory));
+	pr_memory_set(&memory, &account, PR_MEMORY_UNREAD,
+		      memory.limit / 10 * 8);
+	assert_true(pr_memory_is_short(&memory));
+	assert_false(pr_memory_is_exceeded(&memory));
+}
+
 static void test_largest_and_longest_goes_first(void **state)
 {
 	pr_usec_t now = 10 * PR_USEC_PER_SEC;
@@ -146,6 +162,7 @@
 		cmocka_unit_test(test_trickle_is_no_progress),
 		cmocka_unit_test(test_steady_sender_is_not_closed),
 		cmocka_unit_test(test_progress_is_not_saved_up),
+		cmocka_unit_test(test_memory_is_short_before_it_is_exceeded),
 		cmocka_unit_test(test_largest_and_longest_goes_first),
 	};
 
