Answer a large body once when the answer comes at once

A caller that sent a body above 64 KiB to a route that does not exist got 404 and then 400 on the same connection, and the request behind it got nothing: the check of the framing counted the bytes of the body after the answer had reset the body.

The framing is checked only while a body is being read. An empty response body is no longer written.

Shown by the new check of crowd.py, before: [404, 400], now [404, 200].

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -5,14 +5,13 @@
  */
 #include "edge/caller.h"
 
-#include "edge/overload.h"
-
 #include <poll.h>
 #include <stdlib.h>
 
 #include <xxhash.h>
 
 #include "base/event_log.h"
+#include "edge/overload.h"
 #include "pistachiorack/error.h"
 
 /* Limits that apply where the routing document states none. */
@@ -293,12 +292,16 @@
 	       !pr_str_reserve(&caller->body, to);
 }
 
-/* Whether the framing of a body is out of proportion to its length. */
+/* Whether a body is being read whose framing is out of proportion to its
+ * length.
+ */
 static bool has_excessive_framing(const pr_caller_t *caller)
 {
-	return caller->body_wire >
-	       FRAMING_BYTES_BASE +
-		       (uint64_t)caller->body.len * (FRAMING_PER_BYTE + 1);
+	return !caller->exchange.active && !caller->lingering &&
+	       !caller->link.closing && !caller->reader.in_head &&
+	       caller->body_wire >
+		       FRAMING_BYTES_BASE + (uint64_t)caller->body.len *
+						    (FRAMING_PER_BYTE + 1);
 }
 
 /* Parse the pending bytes until a request is complete, the bytes are used up or
@@ -332,7 +335,7 @@
 			refuse_malformed(caller);
 			break;
 		}
-		if (!caller->exchange.active && has_excessive_framing(caller)) {
+		if (has_excessive_framing(caller)) {
 			pr_caller_refuse(caller, 400, "chunk_framing");
 			break;
 		}
@@ -543,7 +546,8 @@
 
 void pr_caller_send_owned(pr_caller_t *caller, pr_str_t *body)
 {
-	if (!caller->chunked && caller->reader.parser.method != HTTP_HEAD)
+	if (body->len && !caller->chunked &&
+	    caller->reader.parser.method != HTTP_HEAD)
 		pr_link_write_owned(&caller->link, body);
 	else
 		pr_caller_send_body(caller, pr_str_slice(body));
--- a/tests/edge/crowd.py
+++ b/tests/edge/crowd.py
@@ -18,7 +18,7 @@
 
 from answers import ask, head, set_script
 from checks import FAILURES, check, has_own_allocator, memory_kb
-from fleet import HOST, Fleet
+from fleet import HOST, Caller, Fleet
 from standins import P, Closed, read_body, read_head
 
 MEMORY_MB = 32
@@ -191,6 +191,13 @@
         ask(router.address, f"calm-{n}", "/safe/x", body=BODY, budget_ms=20000) for n in range(2)))
     check("two bodies at the limit are served in calm", all(a.status == 200 for a in answers),
           [a.status for a in answers])
+    # A host that answers at once must not answer the body once more.
+    caller = Caller(router.address)
+    answers = [await caller.request("nowhere", "/nowhere/x", body=BODY, budget_ms=20000),
+               await caller.request("behind", "/safe/x", budget_ms=20000)]
+    caller.close()
+    check("a large body without a route is answered once", [a.status for a in answers] == [404, 200],
+          [a.status for a in answers])
 
 
 async def large_answer(request):
