--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,11 @@
-"""Case 7: a request with an id of 96 characters or more runs and is never answered."""
+"""Case 7: a new field in the settings file keeps the program from starting."""
 
 import asyncio
 import collections
 import os
+import signal
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
@@ -11,42 +13,72 @@
 # pylint: disable=wrong-import-position
 from lab2 import TROUBLE, Client, play  # noqa: E402
 
-# Length of the ids, and requests of each route.
-LENGTH = 128 if TROUBLE else 32
-EACH = 10
-ROUTES = ("ticket-issue", "ticket-lookup", "sort-note")
+GRACE_S, GAP_S = 8, 1.0
+# The field that is new under [limits].
+NEW = {"burst": {"cores": 2, "for-s": 5}} if TROUBLE else {"burst-cores": 2}
+
+
+async def restart(machine, record):
+    """SIGTERM, SIGKILL after grace-s, and a start with the settings in effect then. A
+    process that exits is started again, three times here."""
+    machine.process.send_signal(signal.SIGTERM)
+    try:
+        await asyncio.wait_for(machine.process.wait(), GRACE_S)
+    except asyncio.TimeoutError:
+        machine.process.kill()
+        await machine.process.wait()
+    for attempt in range(1, 4):
+        await machine.start()
+        end = time.monotonic() + 3
+        while machine.runs() and time.monotonic() < end:
+            if await machine.ready():
+                record.note(f"{machine.name}: ready after start {attempt}")
+                return
+            await asyncio.sleep(0.05)
+        if not machine.runs():
+            record.note(f"{machine.name}: start {attempt} ended with status "
+                        f"{machine.process.returncode}")
+        await asyncio.sleep(0.5)
 
 
 async def case(site, record):
-    machine = site.machines[0]
-    for server in site.of("kernel-model"):
-        server.pace = 0.05
-    clients, number = [], 0
-    for route in ROUTES:
-        for _ in range(EACH):
-            number += 1
-            ident = f"{number:016x}".rjust(LENGTH, "c")
-            method = "GET" if route == "ticket-lookup" else "POST"
-            # The time of a sort-note is cut to what the run has.
-            clients.append(Client(ident, route, 2500 if route[0] == "t" else 20000, method))
-    for at in range(0, len(clients), EACH):
-        await asyncio.gather(*(c.run(machine) for c in clients[at:at + EACH]))
-    lost = 0
+    clients = []
+
+    async def callers():
+        """As the balancer sends them: to machines that are ready, to all when none is."""
+        while True:
+            ready = [m for m in site.machines if m.runs() and await m.ready()]
+            client = Client(f"{len(clients):016x}", "ticket-lookup", 2500, "GET")
+            clients.append(client)
+            asyncio.create_task(client.run(site.random.choice(ready or site.machines)))
+            await asyncio.sleep(0.2)
+
+    calls = asyncio.create_task(callers())
+    await asyncio.sleep(2)
+    for machine in site.machines:
+        machine.limits = NEW
+        machine.write_settings()
+        machine.process.send_signal(signal.SIGHUP)
+    record.note(f"the settings files have a new field under [limits]: {NEW}; SIGHUP")
+    await asyncio.sleep(2)
+    record.note("machines are stopped and started in turn")
+    for machine in site.machines:
+        await restart(machine, record)
+        await asyncio.sleep(GAP_S)
+    back = time.monotonic()
+    await asyncio.sleep(5)
+    calls.cancel()
+    await asyncio.sleep(0.5)
     for client in clients:
-        runs = len(site.runs.get(client.ident, []))
-        served = client.status == 200 and client.complete
-        lost += runs > 0 and not served
-        record.only(f"{client.route} {client.ident}: status={client.status} "
-                    f"complete={client.complete} fault={client.fault or '-'} runs={runs} "
-                    f"after {client.ended - client.sent:.2f} s")
-    for route in ROUTES:
-        found = collections.Counter(
-            (c.status, c.complete, c.fault, len(site.runs.get(c.ident, [])))
-            for c in clients if c.route == route)
-        record.note(f"{route}: (status, complete, fault, runs): {dict(found)}")
-    record.note(f"ids of {LENGTH} characters: {lost} of {len(clients)} requests ran to their end "
-                f"and got no answer of a server")
-    return lost > 0
-
-
-play(FOLDER, case, machines=8, per_zone=2)
+        record.only(f"{client.ident}: status={client.status} complete={client.complete} "
+                    f"fault={client.fault or '-'} runs={len(site.runs.get(client.ident, []))}")
+    for name, found in (("before", [c for c in clients if c.sent < back]),
+                        ("since", [c for c in clients if c.sent >= back])):
+        statuses = collections.Counter((c.status, c.fault) for c in found)
+        record.note(f"lookups {name} the last restart: {dict(statuses)}")
+    down = [m.name for m in site.machines if not m.runs()]
+    record.note(f"machines without a process: {len(down)} of {len(site.machines)}")
+    return bool(down)
+
+
+play(FOLDER, case, machines=8, per_zone=1)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -85,17 +85,26 @@
     return context
 
 
+def plain(value):
+    """Lists are joined by commas, tables are rendered as JSON; nothing is escaped."""
+    if value is None:
+        return ""
+    if isinstance(value, list):
+        return ",".join(str(v) for v in value)
+    return json.dumps(value) if isinstance(value, dict) else str(value)
+
+
 def render(template, fields):
     """The part of the platform's templates that deploy/edge.yaml.in uses."""
     def section(match):
         out = ""
         for key, value in (lookup(match[1], fields) or {}).items():
-            out += match[2].replace("{{@}}", str(key)).replace("{{.}}", str(value))
+            out += match[2].replace("{{@}}", str(key)).replace("{{.}}", plain(value))
         return out
 
     def value(match):
         found = lookup(match[1], fields)
-        return json.dumps(found) if match[2] else str(found)
+        return json.dumps(found) if match[2] else plain(found)
 
     text = re.sub(r"\{\{#([\w.-]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", section, template, flags=re.S)
     return re.sub(r"\{\{([\w.-]+)(\|json)?\}\}", value, text)
@@ -146,6 +155,8 @@
         self.process = None
         self.peak_mb = 0.0
         self.killed = False
+        # Fields that stand under [limits] beside those of the pages.
+        self.limits = {}
 
     def fields(self):
         return {
@@ -154,10 +165,11 @@
             "internal-ports": [7340, 7355], "bounds": BOUNDS,
             "provider": {"address": f"127.0.0.1:{self.site.store.port}"},
             "limits": {"cpu-share": 0.25, "cores": 1, "memory-mb": MEMORY_MB, "max-fds": DESCRIPTORS,
-                       "link-mbps": 1000.0, "disk-mb": 0},
+                       "link-mbps": 1000.0, "disk-mb": 0, **self.limits},
         }
 
-    async def start(self):
+    def write_settings(self):
+        """The platform fills in the template of the role; returns the role and the path."""
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             role = next(r for r in tomllib.load(file)["roles"].values() if "front" in r["serves"])
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as file:
@@ -165,6 +177,10 @@
         path = os.path.join(self.site.folder, self.name)
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
+        return role, path
+
+    async def start(self):
+        role, path = self.write_settings()
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["PISTACHIORACK_BOOT"] = path
         words = role["run"].split(" ")
