Take no field from the platform's settings but those that are named

With a table as a new field under the platform's limits no host started again (status 3, "libyaml parser error"), and SIGHUP left the old settings in force. Stopped and started in turn, a fleet lost all its hosts.

The template wrote each field of that table between quotes into the YAML file, known or not, and the platform escapes nothing but JSON. The names and regions of the zones were written in the same way.

The zones come as JSON in a YAML block scalar, where nothing is escaped, and entries of another form are left out and logged. The setting "platform" goes.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -200,6 +200,14 @@
 			    STOP_POLL, on_stop_poll);
 }
 
+static void log_ignored_zones(const pr_edge_settings_t *settings)
+{
+	if (settings->zones_ignored)
+		pr_event_state("zones_ignored",
+			       "count=%u reason=\"no name with a region\"",
+			       settings->zones_ignored);
+}
+
 void pr_edge_reload(pr_edge_t *edge)
 {
 	pr_edge_settings_t *settings;
@@ -211,6 +219,7 @@
 	}
 	/* Only the bounds can change while the process runs. */
 	edge->settings->bounds = settings->bounds;
+	log_ignored_zones(settings);
 	pr_edge_settings_free(settings);
 	pr_event_state("reloaded", "path=%s", edge->settings_path);
 }
@@ -354,6 +363,7 @@
 	pr_timers_subscribe(&edge->timers, &edge->housekeeping_timer,
 			    HOUSEKEEPING_PERIOD, HOUSEKEEPING_PERIOD,
 			    on_housekeeping);
+	log_ignored_zones(edge->settings);
 	pr_event_state("started", "zone=%s region=%s listen=%s",
 		       edge->settings->zone, edge->settings->region,
 		       edge->settings->listen);
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -1,19 +1,20 @@
 /* Settings of the entry daemon: schema, defaults and checks. */
 #include "edge/settings.h"
 
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
 #include "base/address.h"
-#include "base/number.h"
 #include "base/yaml.h"
 #include "pistachiorack/error.h"
-#include "platform/adapter.h"
 
-#define NAME_MAX_BYTES 95
-#define ZONES_MAX      256
-#define FIGURES_MAX    256
-#define OPTIONAL       CYAML_FLAG_OPTIONAL
+#define NAME_MAX_BYTES  95
+#define ZONES_MAX       256
+#define ZONES_MAX_BYTES 65536
+#define OPTIONAL        CYAML_FLAG_OPTIONAL
 
 static const cyaml_schema_field_t zone_fields[] = {
 	CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, pr_zone_settings_t,
@@ -40,18 +41,6 @@
 	CYAML_FIELD_END,
 };
 
-static const cyaml_schema_field_t figure_fields[] = {
-	CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, pr_figure_settings_t,
-			       name, 1, NAME_MAX_BYTES),
-	CYAML_FIELD_STRING_PTR("value", CYAML_FLAG_POINTER,
-			       pr_figure_settings_t, value, 0, NAME_MAX_BYTES),
-	CYAML_FIELD_END,
-};
-static const cyaml_schema_value_t figure_schema = {
-	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, pr_figure_settings_t,
-			    figure_fields),
-};
-
 static const cyaml_schema_field_t kept_fields[] = {
 	CYAML_FIELD_FLOAT("window_s", OPTIONAL, pr_kept_settings_t, window_s),
 	CYAML_FIELD_END,
@@ -68,8 +57,12 @@
 			       zone, 1, NAME_MAX_BYTES),
 	CYAML_FIELD_STRING_PTR("region", CYAML_FLAG_POINTER, pr_edge_settings_t,
 			       region, 1, NAME_MAX_BYTES),
-	CYAML_FIELD_SEQUENCE("zones", CYAML_FLAG_POINTER, pr_edge_settings_t,
-			     zones, &zone_schema, 1, ZONES_MAX),
+	CYAML_FIELD_SEQUENCE("zones", CYAML_FLAG_POINTER | OPTIONAL,
+			     pr_edge_settings_t, zones, &zone_schema, 1,
+			     ZONES_MAX),
+	CYAML_FIELD_STRING_PTR("zone_regions", CYAML_FLAG_POINTER | OPTIONAL,
+			       pr_edge_settings_t, zone_regions, 0,
+			       ZONES_MAX_BYTES),
 	ENDPOINT_FIELD(listen),
 	ENDPOINT_FIELD(ready),
 	ENDPOINT_FIELD(metrics),
@@ -78,9 +71,6 @@
 	CYAML_FIELD_FLOAT("cores", OPTIONAL, pr_edge_settings_t, cores),
 	CYAML_FIELD_MAPPING("bounds", OPTIONAL, pr_edge_settings_t, bounds,
 			    bound_fields),
-	CYAML_FIELD_SEQUENCE("platform", CYAML_FLAG_POINTER | OPTIONAL,
-			     pr_edge_settings_t, platform, &figure_schema, 0,
-			     FIGURES_MAX),
 	CYAML_FIELD_FLOAT("memory_mb", OPTIONAL, pr_edge_settings_t, memory_mb),
 	CYAML_FIELD_FLOAT("descriptors", OPTIONAL, pr_edge_settings_t,
 			  descriptors),
@@ -156,23 +146,6 @@
 #define DESCRIPTORS_MAX 1e9
 #define WINDOW_S_MAX    3600.0
 
-/* Figure that the platform states, or the fallback. */
-static double platform_figure(const pr_edge_settings_t *settings,
-			      pr_figure_t figure, double fallback)
-{
-	double value;
-
-	for (unsigned int i = 0;
-	     i < settings->platform_count && figure != PR_FIGURE_OTHER; i++) {
-		const pr_figure_settings_t *stated = &settings->platform[i];
-
-		if (pr_adapter_figure(pr_slice_of(stated->name)) == figure &&
-		    pr_slice_decimal(pr_slice_of(stated->value), &value))
-			return value;
-	}
-	return fallback;
-}
-
 static double system_memory_mb(void)
 {
 	return (double)sysconf(_SC_PHYS_PAGES) * (double)sysconf(_SC_PAGESIZE) /
@@ -188,30 +161,27 @@
 	return (double)limit.rlim_cur;
 }
 
-/* Settings that take their value from the platform, or from the system, when
- * they are absent. */
-static int apply_figures(const char *path, pr_edge_settings_t *settings)
+/* Settings that take their value from the system when they are absent. */
+static int apply_resources(const char *path, pr_edge_settings_t *settings)
 {
 	const struct {
 		const char *field;
 		double *value;
-		pr_figure_t figure;
 		double fallback, lowest, highest;
 	} list[] = {
-		{ "memory_mb", &settings->memory_mb, PR_FIGURE_MEMORY_MB,
-		  system_memory_mb(), MEMORY_MB_MIN, MEMORY_MB_MAX },
-		{ "descriptors", &settings->descriptors, PR_FIGURE_DESCRIPTORS,
-		  system_descriptors(), DESCRIPTORS_MIN, DESCRIPTORS_MAX },
-		{ "kept_prompts.window_s", &settings->kept_prompts.window_s,
-		  PR_FIGURE_OTHER, 0, 0, WINDOW_S_MAX },
+		{ "memory_mb", &settings->memory_mb, system_memory_mb(),
+		  MEMORY_MB_MIN, MEMORY_MB_MAX },
+		{ "descriptors", &settings->descriptors, system_descriptors(),
+		  DESCRIPTORS_MIN, DESCRIPTORS_MAX },
+		{ "kept_prompts.window_s", &settings->kept_prompts.window_s, 0,
+		  0, WINDOW_S_MAX },
 	};
 
 	int rc;
 
 	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
 		if (*list[i].value <= 0)
-			*list[i].value = platform_figure(
-				settings, list[i].figure, list[i].fallback);
+			*list[i].value = list[i].fallback;
 		rc = check_range(path, list[i].field, *list[i].value,
 				 list[i].lowest, list[i].highest);
 		if (rc)
@@ -220,6 +190,84 @@
 	return 0;
 }
 
+/* Add a zone. @return 0 or PR_ENOMEM */
+static int add_zone(pr_edge_settings_t *settings, const char *name,
+		    const char *region)
+{
+	pr_zone_settings_t *zone = &settings->zones[settings->zones_count++];
+
+	zone->name = strdup(name);
+	zone->region = strdup(region);
+	if (!zone->name || !zone->region)
+		return pr_error_set(PR_ENOMEM,
+				    "out of memory for the list of zones");
+	return 0;
+}
+
+static bool is_name(const char *text, size_t len)
+{
+	return len && len <= NAME_MAX_BYTES && strlen(text) == len;
+}
+
+/* Fill the list of zones from the object. Entries of another form are counted
+ * and left out, so that the platform may add to its table. */
+static int add_zones(pr_edge_settings_t *settings, json_t *object)
+{
+	const char *name;
+	json_t *region;
+	int rc = 0;
+
+	settings->zones =
+		calloc(json_object_size(object) + 1, sizeof(*settings->zones));
+	if (!settings->zones)
+		return pr_error_set(PR_ENOMEM,
+				    "out of memory for the list of zones");
+	json_object_foreach(object, name, region)
+	{
+		if (!rc && settings->zones_count < ZONES_MAX &&
+		    json_is_string(region) && is_name(name, strlen(name)) &&
+		    is_name(json_string_value(region),
+			    json_string_length(region)))
+			rc = add_zone(settings, name,
+				      json_string_value(region));
+		else
+			settings->zones_ignored++;
+	}
+	return rc;
+}
+
+static int read_zone_regions(const char *path, pr_edge_settings_t *settings)
+{
+	json_error_t error = { 0 };
+	json_t *object;
+	int rc;
+
+	if (!settings->zones == !settings->zone_regions)
+		return pr_error_set(PR_EINVALID,
+				    "%s: expected one of the fields zones and "
+				    "zone_regions",
+				    path);
+	if (settings->zones)
+		return 0;
+	object = json_loads(settings->zone_regions, JSON_ALLOW_NUL, &error);
+	if (!json_is_object(object)) {
+		json_decref(object);
+		return pr_error_set(PR_EPARSE,
+				    "%s: field zone_regions: expected a JSON "
+				    "object%s%s",
+				    path, *error.text ? ": " : "", error.text);
+	}
+	rc = add_zones(settings, object);
+	json_decref(object);
+	if (!rc && !settings->zones_count)
+		rc = pr_error_set(
+			PR_EINVALID,
+			"%s: field zone_regions: expected a zone with "
+			"a region",
+			path);
+	return rc;
+}
+
 static int read_endpoints(const char *path, pr_edge_settings_t *settings)
 {
 	const struct {
@@ -259,11 +307,13 @@
 			  &settings_schema);
 	if (rc)
 		goto cleanup;
-	rc = apply_bounds(path, &settings->bounds);
+	rc = read_zone_regions(path, settings);
+	if (!rc)
+		rc = apply_bounds(path, &settings->bounds);
 	if (!rc)
 		rc = apply_cores(path, settings);
 	if (!rc)
-		rc = apply_figures(path, settings);
+		rc = apply_resources(path, settings);
 	if (!rc)
 		rc = read_endpoints(path, settings);
 
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -31,12 +31,6 @@
 	double lapse_s;
 } pr_bound_settings_t;
 
-/** A figure of the deployment, as the platform names it. */
-typedef struct pr_figure_settings_t {
-	char *name;
-	char *value;
-} pr_figure_settings_t;
-
 /** Choice of upstreams by the prompt prefixes that they still hold. */
 typedef struct pr_kept_settings_t {
 	/** Time for which a prefix counts as held after its last use, seconds;
@@ -48,8 +42,14 @@
 	char *host;
 	char *zone;
 	char *region;
+	/** Stated as a list, or filled from zone_regions. */
 	pr_zone_settings_t *zones;
 	unsigned int zones_count;
+	/** The zones as a JSON object, each with its region as the value; NULL
+	 *  when the file lists them. */
+	char *zone_regions;
+	/** Entries of zone_regions that name no zone and region. */
+	unsigned int zones_ignored;
 	/** Addresses as "IPv4:PORT". The daemon listens on the first four: for
 	 *  callers, readiness checks of the balancer, reads of the metrics, and
 	 *  datagrams of other hosts. The last one is the platform's store. */
@@ -63,10 +63,6 @@
 	/** Cores in per cent of one core, rounded down. */
 	uint32_t capacity_percent;
 	pr_bound_settings_t bounds;
-	/** Figures that the platform states; they apply where the setting of
-	 *  the same meaning is absent. */
-	pr_figure_settings_t *platform;
-	unsigned int platform_count;
 	/** Memory that the process may use, in units of 2^20 bytes. */
 	double memory_mb;
 	/** Descriptors that the process may open. */
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -70,7 +70,7 @@
 
     def write_settings(self):
         path = os.path.join(self.fleet.folder, self.name + ".yaml")
-        with open(path, "w", encoding="ascii") as out:
+        with open(path, "w", encoding="utf-8") as out:
             out.write(self.settings())
         return path
 
