Treat a number without a value in the host's settings as absent

A deployment without one of the bounds or limits that the template names got no host up: the platform fills in nothing for a placeholder without a value, and the empty field was refused ("Invalid FLOAT value", status 3), though the program has a default for it.

Optional numbers are read into pointers, for which the schema takes an empty value or null as none. The template writes them as JSON, which gives null.

--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -14,7 +14,8 @@
 #define NAME_MAX_BYTES  95
 #define ZONES_MAX       256
 #define ZONES_MAX_BYTES 65536
-#define OPTIONAL        CYAML_FLAG_OPTIONAL
+/* A platform's template may write a field whose value is missing there. */
+#define OPTIONAL (CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER_NULL_STR)
 
 static const cyaml_schema_field_t zone_fields[] = {
 	CYAML_FIELD_STRING_PTR("name", CYAML_FLAG_POINTER, pr_zone_settings_t,
@@ -29,7 +30,7 @@
 };
 
 #define BOUND_FIELD(member)                                                    \
-	CYAML_FIELD_FLOAT(#member, OPTIONAL, pr_bound_settings_t, member)
+	CYAML_FIELD_FLOAT_PTR(#member, OPTIONAL, pr_stated_bounds_t, member)
 
 static const cyaml_schema_field_t bound_fields[] = {
 	BOUND_FIELD(grace_s),
@@ -42,13 +43,17 @@
 };
 
 static const cyaml_schema_field_t kept_fields[] = {
-	CYAML_FIELD_FLOAT("window_s", OPTIONAL, pr_kept_settings_t, window_s),
+	CYAML_FIELD_FLOAT_PTR("window_s", OPTIONAL, struct pr_stated_kept_t,
+			      window_s),
 	CYAML_FIELD_END,
 };
 
 #define ENDPOINT_FIELD(member)                                                 \
 	CYAML_FIELD_STRING_PTR(#member, CYAML_FLAG_POINTER,                    \
 			       pr_edge_settings_t, member, 9, NAME_MAX_BYTES)
+#define FIGURE_FIELD(member)                                                   \
+	CYAML_FIELD_FLOAT_PTR(#member, OPTIONAL, pr_edge_settings_t,           \
+			      stated.member)
 
 static const cyaml_schema_field_t settings_fields[] = {
 	CYAML_FIELD_STRING_PTR("host", CYAML_FLAG_POINTER, pr_edge_settings_t,
@@ -57,25 +62,24 @@
 			       zone, 1, NAME_MAX_BYTES),
 	CYAML_FIELD_STRING_PTR("region", CYAML_FLAG_POINTER, pr_edge_settings_t,
 			       region, 1, NAME_MAX_BYTES),
-	CYAML_FIELD_SEQUENCE("zones", CYAML_FLAG_POINTER | OPTIONAL,
+	CYAML_FIELD_SEQUENCE("zones", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
 			     pr_edge_settings_t, zones, &zone_schema, 1,
 			     ZONES_MAX),
-	CYAML_FIELD_STRING_PTR("zone_regions", CYAML_FLAG_POINTER | OPTIONAL,
-			       pr_edge_settings_t, zone_regions, 0,
-			       ZONES_MAX_BYTES),
+	CYAML_FIELD_STRING_PTR("zone_regions", OPTIONAL, pr_edge_settings_t,
+			       zone_regions, 0, ZONES_MAX_BYTES),
 	ENDPOINT_FIELD(listen),
 	ENDPOINT_FIELD(ready),
 	ENDPOINT_FIELD(metrics),
 	ENDPOINT_FIELD(peer),
 	ENDPOINT_FIELD(store),
-	CYAML_FIELD_FLOAT("cores", OPTIONAL, pr_edge_settings_t, cores),
-	CYAML_FIELD_MAPPING("bounds", OPTIONAL, pr_edge_settings_t, bounds,
-			    bound_fields),
-	CYAML_FIELD_FLOAT("memory_mb", OPTIONAL, pr_edge_settings_t, memory_mb),
-	CYAML_FIELD_FLOAT("descriptors", OPTIONAL, pr_edge_settings_t,
-			  descriptors),
-	CYAML_FIELD_MAPPING("kept_prompts", OPTIONAL, pr_edge_settings_t,
-			    kept_prompts, kept_fields),
+	FIGURE_FIELD(cores),
+	CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_OPTIONAL, pr_edge_settings_t,
+			    stated.bounds, bound_fields),
+	FIGURE_FIELD(memory_mb),
+	FIGURE_FIELD(descriptors),
+	CYAML_FIELD_MAPPING("kept_prompts", CYAML_FLAG_OPTIONAL,
+			    pr_edge_settings_t, stated.kept_prompts,
+			    kept_fields),
 	CYAML_FIELD_END,
 };
 static const cyaml_schema_value_t settings_schema = {
@@ -83,61 +87,59 @@
 			    settings_fields),
 };
 
-static int check_range(const char *path, const char *field, double value,
-		       double lowest, double highest)
+/* An optional number of the settings. */
+typedef struct figure_t {
+	const char *field;
+	const double *stated;
+	double *value;
+	double fallback, lowest, highest;
+} figure_t;
+
+/* Take the stated number, or the fallback without one. A stated number that is
+ * not above 0 counts as none. */
+static int apply_figures(const char *path, const figure_t *list, size_t count)
 {
-	if (value >= lowest && value <= highest)
-		return 0;
-	return pr_error_set(PR_EINVALID,
-			    "%s: field %s: value %g: expected %g to %g", path,
-			    field, value, lowest, highest);
+	for (size_t i = 0; i < count; i++) {
+		const figure_t *figure = &list[i];
+		double value = figure->fallback;
+
+		if (figure->stated && *figure->stated > 0)
+			value = *figure->stated;
+		if (!(value >= figure->lowest && value <= figure->highest))
+			return pr_error_set(PR_EINVALID,
+					    "%s: field %s: value %g: expected "
+					    "%g to %g",
+					    path, figure->field, value,
+					    figure->lowest, figure->highest);
+		*figure->value = value;
+	}
+	return 0;
 }
 
-static int apply_bounds(const char *path, pr_bound_settings_t *bounds)
+static int apply_bounds(const char *path, pr_edge_settings_t *settings)
 {
-	const struct {
-		const char *field;
-		double *value;
-		double fallback, lowest, highest;
-	} list[] = {
-		{ "bounds.grace_s", &bounds->grace_s, 8, 0.5, 600 },
-		{ "bounds.repeats_window_s", &bounds->repeats_window_s, 10, 0.1,
+	const pr_stated_bounds_t *stated = &settings->stated.bounds;
+	pr_bound_settings_t *bounds = &settings->bounds;
+	const figure_t list[] = {
+		{ "bounds.grace_s", stated->grace_s, &bounds->grace_s, 8, 0.5,
 		  600 },
-		{ "bounds.repeats_ratio", &bounds->repeats_ratio, 0.2, 0, 10 },
-		{ "bounds.repeats_slack", &bounds->repeats_slack, 8, 0, 1e6 },
-		{ "bounds.session_s", &bounds->session_s, 5, 0, 3600 },
-		{ "bounds.lapse_s", &bounds->lapse_s, 2.2, 0, 60 },
+		{ "bounds.repeats_window_s", stated->repeats_window_s,
+		  &bounds->repeats_window_s, 10, 0.1, 600 },
+		{ "bounds.repeats_ratio", stated->repeats_ratio,
+		  &bounds->repeats_ratio, 0.2, 0, 10 },
+		{ "bounds.repeats_slack", stated->repeats_slack,
+		  &bounds->repeats_slack, 8, 0, 1e6 },
+		{ "bounds.session_s", stated->session_s, &bounds->session_s, 5,
+		  0, 3600 },
+		{ "bounds.lapse_s", stated->lapse_s, &bounds->lapse_s, 2.2, 0,
+		  60 },
 	};
 
-	int rc;
-
-	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
-		if (*list[i].value <= 0)
-			*list[i].value = list[i].fallback;
-		rc = check_range(path, list[i].field, *list[i].value,
-				 list[i].lowest, list[i].highest);
-		if (rc)
-			return rc;
-	}
-	return 0;
+	return apply_figures(path, list, sizeof(list) / sizeof(list[0]));
 }
 
 #define CORES_DEFAULT 1.0
 #define CORES_MAX     1024.0
-
-static int apply_cores(const char *path, pr_edge_settings_t *settings)
-{
-	if (settings->cores <= 0)
-		settings->cores = CORES_DEFAULT;
-	if (settings->cores > CORES_MAX)
-		return pr_error_set(
-			PR_EINVALID,
-			"%s: field cores: value %g: expected at most %g", path,
-			settings->cores, CORES_MAX);
-	settings->capacity_percent = (uint32_t)(settings->cores * 100);
-	return 0;
-}
-
 /* Bytes in a unit of memory_mb. */
 #define BYTES_PER_MB    1048576.0
 #define MEMORY_MB_MIN   16.0
@@ -161,33 +163,24 @@
 	return (double)limit.rlim_cur;
 }
 
-/* Settings that take their value from the system when they are absent. */
 static int apply_resources(const char *path, pr_edge_settings_t *settings)
 {
-	const struct {
-		const char *field;
-		double *value;
-		double fallback, lowest, highest;
-	} list[] = {
-		{ "memory_mb", &settings->memory_mb, system_memory_mb(),
-		  MEMORY_MB_MIN, MEMORY_MB_MAX },
-		{ "descriptors", &settings->descriptors, system_descriptors(),
-		  DESCRIPTORS_MIN, DESCRIPTORS_MAX },
-		{ "kept_prompts.window_s", &settings->kept_prompts.window_s, 0,
-		  0, WINDOW_S_MAX },
+	const pr_stated_figures_t *stated = &settings->stated;
+	const figure_t list[] = {
+		{ "cores", stated->cores, &settings->cores, CORES_DEFAULT, 0,
+		  CORES_MAX },
+		{ "memory_mb", stated->memory_mb, &settings->memory_mb,
+		  system_memory_mb(), MEMORY_MB_MIN, MEMORY_MB_MAX },
+		{ "descriptors", stated->descriptors, &settings->descriptors,
+		  system_descriptors(), DESCRIPTORS_MIN, DESCRIPTORS_MAX },
+		{ "kept_prompts.window_s", stated->kept_prompts.window_s,
+		  &settings->kept_prompts.window_s, 0, 0, WINDOW_S_MAX },
 	};
+	int rc = apply_figures(path, list, sizeof(list) / sizeof(list[0]));
 
-	int rc;
-
-	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++) {
-		if (*list[i].value <= 0)
-			*list[i].value = list[i].fallback;
-		rc = check_range(path, list[i].field, *list[i].value,
-				 list[i].lowest, list[i].highest);
-		if (rc)
-			return rc;
-	}
-	return 0;
+	if (!rc)
+		settings->capacity_percent = (uint32_t)(settings->cores * 100);
+	return rc;
 }
 
 /* Add a zone. @return 0 or PR_ENOMEM */
@@ -309,9 +302,7 @@
 		goto cleanup;
 	rc = read_zone_regions(path, settings);
 	if (!rc)
-		rc = apply_bounds(path, &settings->bounds);
-	if (!rc)
-		rc = apply_cores(path, settings);
+		rc = apply_bounds(path, settings);
 	if (!rc)
 		rc = apply_resources(path, settings);
 	if (!rc)
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -38,6 +38,24 @@
 	double window_s;
 } pr_kept_settings_t;
 
+/** Optional numbers as the file states them; NULL without a value. */
+typedef struct pr_stated_bounds_t {
+	double *grace_s;
+	double *repeats_window_s, *repeats_ratio, *repeats_slack;
+	double *session_s;
+	double *lapse_s;
+} pr_stated_bounds_t;
+
+typedef struct pr_stated_figures_t {
+	double *cores;
+	double *memory_mb;
+	double *descriptors;
+	pr_stated_bounds_t bounds;
+	struct pr_stated_kept_t {
+		double *window_s;
+	} kept_prompts;
+} pr_stated_figures_t;
+
 typedef struct pr_edge_settings_t {
 	char *host;
 	char *zone;
@@ -68,6 +86,8 @@
 	/** Descriptors that the process may open. */
 	double descriptors;
 	pr_kept_settings_t kept_prompts;
+	/** The numbers above as the file has them. */
+	pr_stated_figures_t stated;
 } pr_edge_settings_t;
 
 /**
--- a/tests/edge/settings.py
+++ b/tests/edge/settings.py
@@ -1,10 +1,11 @@
 """Settings that the platform renders from the deployment's template, with fields that
-are new there.
+are new there or missing.
 
 usage: settings.py BINARY NET
 """
 
 import asyncio
+import copy
 import os
 import random
 import re
@@ -92,6 +93,23 @@
     check("many new fields are accepted", *is_accepted(router, fields))
 
 
+def check_missing_fields(router):
+    """A field that a deployment does not have was refused, though it has a default."""
+    refused = {}
+    for table in ("bounds", "limits"):
+        whole = fields_of(router)
+        for name in [None, *whole[table]]:
+            fields = copy.deepcopy(whole)
+            if name is None:
+                del fields[table]
+            else:
+                del fields[table][name]
+            accepted, said = is_accepted(router, fields)
+            if not accepted:
+                refused[table, name] = said
+    check("a missing field takes its default", not refused, refused)
+
+
 def log_of(router):
     with open(f"{router.fleet.folder}/{router.name}.log", encoding="utf-8", errors="replace") as log:
         return log.read()
@@ -138,6 +156,7 @@
     try:
         await fleet.start()
         check_new_fields(fleet.routers[0])
+        check_missing_fields(fleet.routers[0])
         await check_process(fleet.routers[0])
     finally:
         await fleet.stop()
--- a/tests/faults/edge_settings.sh
+++ b/tests/faults/edge_settings.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Settings with fields that are new there, against separate processes.
+# Settings with fields that are new or missing, against separate processes.
 # usage: edge_settings.sh BUILD
 set -euo pipefail
 # Two runs on the same addresses would disturb each other.
