Keep a stated bound of 0 in the host's settings

A deployment that allows no repeats (ratio and slack of 0) got the defaults of 0.2 and 8: a refused request was sent to three upstreams. The settings took each number that is not above 0 for an absent one.

A stated 0 now counts where it is in range; session_s and lapse_s had the same fault. A negative number, or a 0 that is out of range, still counts as absent. Cores begin at 0.01, so that a stated 0 there means the default as before.

Shown by "no request is repeated" in fault_edge_settings: three arrivals before, one now.

--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -95,15 +95,23 @@
 	double fallback, lowest, highest;
 } figure_t;
 
-/* Take the stated number, or the fallback without one. A stated number that is
- * not above 0 counts as none. */
+/* A stated number below 0 counts as none, and so does 0 where it is out of
+ * range. */
+static bool is_stated(const figure_t *figure)
+{
+	return figure->stated &&
+	       (*figure->stated > 0 ||
+		(*figure->stated == 0 && figure->lowest <= 0));
+}
+
+/* Take the stated numbers, or the fallbacks. @return 0 or PR_EINVALID */
 static int apply_figures(const char *path, const figure_t *list, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
 		const figure_t *figure = &list[i];
 		double value = figure->fallback;
 
-		if (figure->stated && *figure->stated > 0)
+		if (is_stated(figure))
 			value = *figure->stated;
 		if (!(value >= figure->lowest && value <= figure->highest))
 			return pr_error_set(PR_EINVALID,
@@ -139,6 +147,7 @@
 }
 
 #define CORES_DEFAULT 1.0
+#define CORES_MIN     0.01
 #define CORES_MAX     1024.0
 /* Bytes in a unit of memory_mb. */
 #define BYTES_PER_MB    1048576.0
@@ -167,8 +176,8 @@
 {
 	const pr_stated_figures_t *stated = &settings->stated;
 	const figure_t list[] = {
-		{ "cores", stated->cores, &settings->cores, CORES_DEFAULT, 0,
-		  CORES_MAX },
+		{ "cores", stated->cores, &settings->cores, CORES_DEFAULT,
+		  CORES_MIN, CORES_MAX },
 		{ "memory_mb", stated->memory_mb, &settings->memory_mb,
 		  system_memory_mb(), MEMORY_MB_MIN, MEMORY_MB_MAX },
 		{ "descriptors", stated->descriptors, &settings->descriptors,
--- a/tests/edge/settings.py
+++ b/tests/edge/settings.py
@@ -13,7 +13,7 @@
 import subprocess
 import sys
 
-from answers import ask
+from answers import EARLIER, ask, earlier_answer, set_script
 from checks import FAILURES, check
 from fleet import ZONES, Fleet, get
 from template import render
@@ -115,6 +115,29 @@
         return log.read()
 
 
+async def check_no_repeats(fleet):
+    """A stated budget of no repeats was taken for none stated, and requests were repeated."""
+    router, arrivals = fleet.routers[0], []
+
+    async def refuse(request):
+        arrivals.append(request.ident)
+        await request.write(earlier_answer(EARLIER[0], request.ident, b""))
+        return True
+
+    fields = fields_of(router)
+    fields["bounds"].update({"budget-ratio": 0, "budget-slack": 0})
+    router.settings = lambda: render(TEMPLATE, fields)
+    router.signal(signal.SIGTERM)
+    await router.process.wait()
+    await router.start()
+    check("a host starts without repeats", await router.wait_ready(), log_of(router)[-300:])
+    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
+    set_script(ledgers, refuse)
+    await ask(router.address, "no-repeats", "/safe/x")
+    check("no request is repeated", len(arrivals) == 1, arrivals)
+    set_script(ledgers, None)
+
+
 async def check_process(router):
     """The known fields are in effect beside the new ones, at the start and after SIGHUP."""
     def settings(grace_s):
@@ -157,6 +180,7 @@
         await fleet.start()
         check_new_fields(fleet.routers[0])
         check_missing_fields(fleet.routers[0])
+        await check_no_repeats(fleet)
         await check_process(fleet.routers[0])
     finally:
         await fleet.stop()
