Note a refusal of an upstream apart from the status of its answer

An answer with status 000 or 0 counted as the statement that the request did not run: what may run once, on a route with one attempt, ran on all twelve upstreams, and its caller was told not_run.

The exchange noted that statement as status 0, which the parser also gives for such an answer. It has a field of its own now.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -523,7 +523,7 @@
 	x->stalled_until = 0;
 	x->reading_paused = false;
 	x->pace = (pr_pace_stream_t){ 0 };
-	x->status = 0;
+	x->not_run = false;
 	if (x->sends++)
 		pr_metric_add(x->edge->counters.repeats, 1);
 	if (x->head_sent)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -107,10 +107,11 @@
 	const char *code;
 
 	pr_sse_filter_t events;
-	/** Response of the current attempt: its status (0 before the head, or
-	 *  when the upstream stated that it did not run the request), then its
-	 *  header fields and body until they are forwarded. */
+	/** Response of the current attempt: its status, then its header fields
+	 *  and body until they are forwarded. */
 	int status;
+	/** The upstream states that it did not run the request. */
+	bool not_run;
 	bool event_stream;
 	/** The response has neither a length nor chunks: it ends with its
 	 *  connection. */
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -228,10 +228,9 @@
 	pr_str_clear(&x->body);
 	note_cold(x, reader);
 	record_alive(x);
-	if (is_not_run(reader)) {
-		x->status = 0;
+	x->not_run = is_not_run(reader);
+	if (x->not_run)
 		return true;
-	}
 	if ((x->status / 100 == 2 && !has_seal) ||
 	    pr_http_find(reader, "Content-Encoding").ptr) {
 		pr_exchange_attempt_failed(x, PR_VERDICT_MAY_HAVE_RUN,
@@ -367,7 +366,7 @@
 {
 	pr_exchange_t *x = owner;
 
-	if (!x->status)
+	if (x->not_run)
 		return true;
 	if (x->event_stream)
 		return forward_events(x, bytes);
@@ -436,7 +435,7 @@
 	pr_exchange_t *x = owner;
 
 	x->outbound = NULL;
-	if (!x->status) {
+	if (x->not_run) {
 		pr_exchange_attempt_failed(x, PR_VERDICT_NOT_RUN,
 					   "refused_by_upstream");
 		return;
