Check the head of a response behind an interim one

The head of an answer that arrived in one read with a 1xx response before it was not checked: bare line feeds and folded fields passed, and its bytes did not count towards the limit. The reader took what follows an interim head for a body until the parser had seen the first byte.

It now stays in the head. test_head_behind_interim_is_checked failed before and passes.

--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -99,16 +99,22 @@
 	return lengths + encodings <= 1;
 }
 
+static bool is_interim(const pr_http_reader_t *reader)
+{
+	return !reader->is_request && reader->parser.status_code / 100 == 1;
+}
+
 static int on_head(http_parser *parser)
 {
 	pr_http_reader_t *reader = reader_of(parser);
 
-	reader->in_head = false;
+	/* Another head follows an interim one. */
+	reader->in_head = is_interim(reader);
 	if (!has_clear_framing(reader) || parser->http_major != 1) {
 		reader->fault = PR_HTTP_MALFORMED;
 		return -1;
 	}
-	if (!reader->is_request && parser->status_code / 100 == 1)
+	if (reader->in_head)
 		return 0;
 	if (!reader->ops->on_head(reader))
 		return -1;
@@ -126,7 +132,7 @@
 {
 	pr_http_reader_t *reader = reader_of(parser);
 
-	if (!reader->is_request && parser->status_code / 100 == 1)
+	if (is_interim(reader))
 		return 0;
 	reader->complete = true;
 	http_parser_pause(parser, 1);
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -62,6 +62,29 @@
 	return fault;
 }
 
+/* Guards against a head behind an interim one that is not checked: it was only
+ * when it came apart from it. */
+static void test_head_behind_interim_is_checked(void **state)
+{
+	static const char *const bad[] = {
+		"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 X\nContent-Length: 0\n\n",
+		"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 X\r\nA: b\r\n c\r\n"
+		"Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 103 X\r\n\r\n"
+		"HTTP/1.1 200 X\nContent-Length: 0\n\n",
+	};
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		fixture_t f;
+
+		start(&f, false);
+		pr_http_reader_feed(&f.reader, bad[i], strlen(bad[i]));
+		assert_int_equal(f.reader.fault, PR_HTTP_MALFORMED);
+		assert_int_equal(f.messages, 0);
+		stop(&f);
+	}
+}
+
 /* Readings that differ between hops let a request hide inside another one. */
 static void test_ambiguous_framing_is_refused(void **state)
 {
@@ -163,6 +186,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_ambiguous_framing_is_refused),
+		cmocka_unit_test(test_head_behind_interim_is_checked),
 		cmocka_unit_test(test_large_head_is_refused),
 		cmocka_unit_test(test_reader_stops_behind_a_message),
 		cmocka_unit_test(test_bytes_may_come_one_by_one),
