Refuse responses whose status is not three digits from 100 to 599

Answers with the status 000, 007, 20, 099, 600 or 999 reached callers, and 0200 as 200: the parser takes any number up to 999 for a status.

The reader keeps the first bytes of a response and checks them when its head is complete. Any other status line is no answer in the protocol, so that the connection is closed and the request counts as one that may have run.

--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -99,6 +99,24 @@
 	return lengths + encodings <= 1;
 }
 
+static bool is_digit(char c)
+{
+	return c >= '0' && c <= '9';
+}
+
+/* The parser takes any number for a status: 0 is one, and 0200 passes as 200.
+ */
+static bool has_valid_status(const pr_http_reader_t *reader)
+{
+	const char *code = reader->status_line + PR_HTTP_STATUS_BYTES - 4;
+
+	return reader->is_request ||
+	       (reader->status_line_len == PR_HTTP_STATUS_BYTES &&
+		code[-1] == ' ' && code[0] >= '1' && code[0] <= '5' &&
+		is_digit(code[1]) && is_digit(code[2]) &&
+		(code[3] == ' ' || code[3] == '\r'));
+}
+
 static bool is_interim(const pr_http_reader_t *reader)
 {
 	return !reader->is_request && reader->parser.status_code / 100 == 1;
@@ -107,10 +125,12 @@
 static int on_head(http_parser *parser)
 {
 	pr_http_reader_t *reader = reader_of(parser);
+	bool valid = has_valid_status(reader);
 
 	/* Another head follows an interim one. */
 	reader->in_head = is_interim(reader);
-	if (!has_clear_framing(reader) || parser->http_major != 1) {
+	reader->status_line_len = 0;
+	if (!valid || !has_clear_framing(reader) || parser->http_major != 1) {
 		reader->fault = PR_HTTP_MALFORMED;
 		return -1;
 	}
@@ -187,10 +207,20 @@
 	reader->complete = false;
 	reader->no_body = false;
 	reader->previous = '\n';
+	reader->status_line_len = 0;
 	reader->end_matched = 0;
 	pr_str_trim(&reader->text, TEXT_BYTES_KEPT);
 }
 
+/* Keep the begin of a head; empty lines before it do not count. */
+static void save_status_line(pr_http_reader_t *reader, char c)
+{
+	if (!reader->is_request &&
+	    reader->status_line_len < PR_HTTP_STATUS_BYTES &&
+	    (reader->status_line_len || (c != '\r' && c != '\n')))
+		reader->status_line[reader->status_line_len++] = c;
+}
+
 /* A head's lines end in CR LF and no line begins with white space. */
 static bool check_head(pr_http_reader_t *reader, const char *bytes, size_t len)
 {
@@ -202,6 +232,7 @@
 		    (reader->previous == '\n' && reader->head_bytes + i > 0 &&
 		     (c == ' ' || c == '\t')))
 			return false;
+		save_status_line(reader, c);
 		reader->previous = c;
 	}
 	return true;
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -1,7 +1,8 @@
 /**
  * Reads HTTP/1.1 messages from a byte stream with Debian's http_parser and
  * refuses what its lenient mode lets pass: bare line feeds, folded fields,
- * white space in field names, length and chunked together, two lengths.
+ * white space in field names, length and chunked together, two lengths, a
+ * status other than three digits from 100 to 599.
  */
 #ifndef PR_HTTP_READER_H
 #define PR_HTTP_READER_H
@@ -13,6 +14,8 @@
 
 /** Most fields of one message. */
 #define PR_HTTP_FIELDS_MAX 64
+/** Bytes of a response up to the one behind its status, "HTTP/1.1 200 ". */
+#define PR_HTTP_STATUS_BYTES 13
 
 /** Position of a field in the head; offsets survive growth of the buffer. */
 typedef struct pr_http_span_t {
@@ -57,6 +60,9 @@
 	/** The next head's response has no body (answer to HEAD). */
 	bool no_body;
 	char previous;
+	/** Begin of the current head of a response. */
+	char status_line[PR_HTTP_STATUS_BYTES];
+	size_t status_line_len;
 	/** Bytes of the empty line behind a head that were seen. */
 	size_t end_matched;
 };
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -182,6 +182,65 @@
 	stop(&f);
 }
 
+/* Fault of a response with the status, behind an interim one when there is
+ * one, fed in parts of the length. */
+static pr_http_fault_t fault_of_status(const char *interim, const char *status,
+				       size_t part)
+{
+	pr_http_fault_t fault;
+	char text[160];
+	size_t len = (size_t)snprintf(text, sizeof(text),
+				      "%sHTTP/1.1 %s\r\n"
+				      "Content-Length: 0\r\n\r\n",
+				      interim, status);
+	fixture_t f;
+
+	start(&f, false);
+	for (size_t at = 0; at < len && !f.reader.fault; at += part)
+		pr_http_reader_feed(&f.reader, text + at,
+				    at + part < len ? part : len - at);
+	fault = f.reader.fault;
+	assert_int_equal(f.messages, fault ? 0 : 1);
+	stop(&f);
+	return fault;
+}
+
+/* Guards against an answer with a number that is no status, which reached
+ * callers or counted as another status. */
+static void test_status_has_three_digits(void **state)
+{
+	static const char *const bad[] = {
+		"000 X",  "0 X",    "007 X", "20 X",   "2 X",
+		"099 X",  "600 X",  "999 X", "0200 X", "2000 X",
+		" 200 X", "+200 X", "-20 X", "2e2 X",  "0x200",
+		"200X",   "X",      "",      "20\r",
+	};
+	static const char *const good[] = { "200 OK", "204 ", "200", "503 X",
+					    "599 4 X" };
+	static const char *const interims[] = {
+		"", "HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 102 X\r\n\r\n"
+	};
+	static const size_t parts[] = { 1, 10, 11, 1000 };
+
+	for (size_t i = 0; i < sizeof(interims) / sizeof(interims[0]); i++) {
+		for (size_t p = 0; p < sizeof(parts) / sizeof(parts[0]); p++) {
+			for (size_t b = 0; b < sizeof(bad) / sizeof(bad[0]);
+			     b++)
+				assert_int_equal(fault_of_status(interims[i],
+								 bad[b],
+								 parts[p]),
+						 PR_HTTP_MALFORMED);
+			for (size_t g = 0; g < sizeof(good) / sizeof(good[0]);
+			     g++)
+				assert_int_equal(fault_of_status(interims[i],
+								 good[g],
+								 parts[p]),
+						 PR_HTTP_OK);
+		}
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -191,6 +250,7 @@
 		cmocka_unit_test(test_reader_stops_behind_a_message),
 		cmocka_unit_test(test_bytes_may_come_one_by_one),
 		cmocka_unit_test(test_end_of_connection),
+		cmocka_unit_test(test_status_has_three_digits),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
