Refuse answers with a status out of range in pistachiorackd, too

h2o's client takes any three digits for a status, so that 600 and 999 of an upstream reached the callers of pistachiorackd. The call now ends as one that may have run, as with any other answer that cannot be read.

answer_without_status_fails (tests/test_http.c) failed before and passes.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -14,6 +14,8 @@
 /* Idle pooled connections are closed after this time, milliseconds. */
 #define POOL_IDLE_MS 5000
 #define HEADERS_MAX  64
+#define STATUS_MIN   100
+#define STATUS_MAX   599
 
 struct pr_http_client_t {
 	h2o_http1client_ctx_t context;
@@ -167,6 +169,11 @@
 		finish_call(call, errstr);
 		return NULL;
 	}
+	/* h2o takes any three digits for a status. */
+	if (status < STATUS_MIN || status > STATUS_MAX) {
+		finish_call(call, "status out of range");
+		return NULL;
+	}
 	call->stage = PR_STAGE_HEAD;
 	give_head(call, status, headers, header_count);
 	if (end_callback(call))
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -78,6 +78,9 @@
 		pr_http_request_break(request);
 	} else if (pr_slice_equal(request->path, PR_SLICE("/empty"))) {
 		pr_http_answer(request, 304, NULL, pr_slice("", 0));
+	} else if (pr_slice_starts_with(request->path, PR_SLICE("/status/"))) {
+		pr_http_answer(request, atoi(request->path.ptr + 8),
+			       "text/plain", request->body);
 	} else if (pr_slice_equal(request->path, PR_SLICE("/none"))) {
 		pr_http_answer(request, 404, NULL, pr_slice("", 0));
 	} else {
@@ -246,6 +249,21 @@
 	assert_true(fixture.failed);
 }
 
+/* Guards against an answer with a number that is no status and reaches callers:
+ * h2o reads any three digits. */
+static void answer_without_status_fails(void **state)
+{
+	static const char *const paths[] = { "/status/600", "/status/999" };
+
+	for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+		fixture.finished = false;
+		run(paths[i], "x");
+		assert_true(fixture.finished && fixture.failed);
+		assert_int_equal(fixture.status, 0);
+		assert_int_equal(fixture.stage, PR_STAGE_SENT);
+	}
+}
+
 /* Guards against a broken stream that the client takes for a whole answer. */
 static void half_answer_is_not_done(void **state)
 {
@@ -283,6 +301,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(break_sends_nothing, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(answer_without_status_fails,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(half_answer_is_not_done, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(gone_caller_is_seen, set_up,
