Remember that a write or a look at the input has found a reset

The kernel reports a reset once. When a failed write or the look of pr_link_has_input() had found it, the read behind it found the end of the stream, and the end counted as clean: an answer without a length would have passed as whole.

The link remembers the error, and its end is not clean any more.

The router itself did not show it: it writes to an upstream only where libuv reports the failure before it reads again.

--- a/src/edge/caller.c
+++ b/src/edge/caller.c
@@ -165,7 +165,7 @@
 
 /* Whether no request is under way on the connection. Timers expire before
  * sockets are read, so a request may have arrived that has not been read. */
-bool pr_caller_is_idle(const pr_caller_t *caller)
+bool pr_caller_is_idle(pr_caller_t *caller)
 {
 	return !caller->exchange.active && !caller->lingering &&
 	       !caller->head_began && !pr_link_has_input(&caller->link);
--- a/src/edge/caller.h
+++ b/src/edge/caller.h
@@ -70,7 +70,7 @@
 /** Close an idle connection, or one whose request is given up. */
 void pr_caller_close(pr_caller_t *caller);
 /** @return true when no request is under way on the connection */
-bool pr_caller_is_idle(const pr_caller_t *caller);
+bool pr_caller_is_idle(pr_caller_t *caller);
 /** Read on after a wait for memory. */
 void pr_caller_read_on(pr_caller_t *caller);
 /** End a complete response; the next request is read, or the connection closed.
--- a/src/http/link.c
+++ b/src/http/link.c
@@ -72,31 +72,44 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
-/* Look at the next byte. @return 1, 0 at the end, or negative without either */
-static ssize_t peek(const pr_link_t *link)
+typedef enum input_t {
+	INPUT_NONE,
+	INPUT_BYTES,
+	INPUT_END,
+	INPUT_ERROR,
+} input_t;
+
+/* Look at what the next read finds. */
+static input_t peek(pr_link_t *link)
 {
 	uv_os_fd_t fd;
+	ssize_t len = -1;
 	char byte;
 
-	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd)) {
-		errno = EBADF;
-		return -1;
+	if (!uv_fileno((const uv_handle_t *)&link->tcp, &fd)) {
+		len = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+		if (len < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			return INPUT_NONE;
 	}
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (len >= 0)
+		return len ? INPUT_BYTES : INPUT_END;
+	link->broken = true;
+	return INPUT_ERROR;
 }
 
 /*
  * libuv reports an end of stream when a reset follows the last bytes before
- * they are read. The socket still tells the two apart.
+ * they are read. The socket still tells the two apart, unless something else
+ * has found the reset before.
  */
-static bool is_clean_end(const pr_link_t *link)
+static bool is_clean_end(pr_link_t *link)
 {
-	return !peek(link);
+	return peek(link) == INPUT_END && !link->broken;
 }
 
-bool pr_link_has_input(const pr_link_t *link)
+bool pr_link_has_input(pr_link_t *link)
 {
-	return peek(link) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+	return peek(link) != INPUT_NONE;
 }
 
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
@@ -177,6 +190,8 @@
 	link->unsent -= write->len;
 	free(write->owned);
 	free(write);
+	if (status)
+		link->broken = true;
 	if (link->closing)
 		return;
 	if (status)
@@ -194,6 +209,8 @@
 	if (link->unsent)
 		return 0;
 	rc = uv_try_write((uv_stream_t *)&link->tcp, &buf, 1);
+	if (rc < 0 && rc != UV_EAGAIN)
+		link->broken = true;
 	return rc > 0 ? (size_t)rc : 0;
 }
 
--- a/src/http/link.h
+++ b/src/http/link.h
@@ -33,6 +33,9 @@
 	bool connected;
 	bool reading;
 	bool closing;
+	/** A write or a look at the input has found an error. The kernel
+	 *  reports it once, and reads find the end of the stream afterwards. */
+	bool broken;
 };
 
 /** Prepare the memory; pr_link_close() must follow. @return 0 or PR_EIO */
@@ -58,7 +61,7 @@
 void pr_link_pause(pr_link_t *link);
 void pr_link_resume(pr_link_t *link);
 /** @return true when bytes or the end of the connection wait to be read */
-bool pr_link_has_input(const pr_link_t *link);
+bool pr_link_has_input(pr_link_t *link);
 /** Unsent bytes are lost. Calls after the first do nothing. */
 void pr_link_close(pr_link_t *link);
 /** Close with a reset, which the peer cannot take for a clean end. */
