Ask for a pending error at the end of a connection

A peer that ends its side and resets the connection for bytes that it did not read left an end that counted as clean: behind the end of a stream reads report the end only, and the reset stays pending in the socket. An answer without a length passed as whole although its connection had been reset.

test_reset_behind_the_end_is_not_clean failed before and passes.

--- a/src/http/link.c
+++ b/src/http/link.c
@@ -97,6 +97,18 @@
 	return INPUT_ERROR;
 }
 
+/* An error that no call has reported: reads behind the end of the stream report
+ * the end only. */
+static bool has_pending_error(const pr_link_t *link)
+{
+	socklen_t len = sizeof(int);
+	int error = 0;
+	uv_os_fd_t fd;
+
+	return uv_fileno((const uv_handle_t *)&link->tcp, &fd) ||
+	       getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) || error;
+}
+
 /*
  * libuv reports an end of stream when a reset follows the last bytes before
  * they are read. The socket still tells the two apart, unless something else
@@ -104,7 +116,8 @@
  */
 static bool is_clean_end(pr_link_t *link)
 {
-	return peek(link) == INPUT_END && !link->broken;
+	return peek(link) == INPUT_END && !has_pending_error(link) &&
+	       !link->broken;
 }
 
 bool pr_link_has_input(pr_link_t *link)
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -196,6 +196,23 @@
 	assert_false(peer.clean);
 }
 
+/* A reset behind the end of the stream, for bytes that the peer did not read:
+ * reads report the end only. */
+static void test_reset_behind_the_end_is_not_clean(void **state)
+{
+	uv_loop_t loop;
+	peer_t peer;
+	int fd = connect_paused(&peer, &loop);
+
+	assert_int_equal(send(fd, "bytes", 5, 0), 5);
+	shutdown(fd, SHUT_WR);
+	reset_connection(fd);
+	pr_link_resume(&peer.link);
+	run_until_closed(&peer, &loop);
+	assert_int_equal(peer.received, 5);
+	assert_false(peer.clean);
+}
+
 /* A connection with a request that has arrived must not be closed as idle. */
 static void test_unread_bytes_are_seen(void **state)
 {
@@ -226,6 +243,7 @@
 		cmocka_unit_test(test_reset_behind_bytes_is_not_clean),
 		cmocka_unit_test(test_reset_that_a_write_found_is_not_clean),
 		cmocka_unit_test(test_reset_that_a_peek_found_is_not_clean),
+		cmocka_unit_test(test_reset_behind_the_end_is_not_clean),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
