--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -43,8 +43,7 @@
 };
 
 static const cyaml_schema_field_t kept_fields[] = {
-	CYAML_FIELD_FLOAT_PTR("window_s", OPTIONAL, struct pr_stated_kept_t,
-			      window_s),
+	CYAML_FIELD_FLOAT_PTR("window_s", OPTIONAL, pr_stated_kept_t, window_s),
 	CYAML_FIELD_END,
 };
 
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -46,14 +46,16 @@
 	double *lapse_s;
 } pr_stated_bounds_t;
 
+typedef struct pr_stated_kept_t {
+	double *window_s;
+} pr_stated_kept_t;
+
 typedef struct pr_stated_figures_t {
 	double *cores;
 	double *memory_mb;
 	double *descriptors;
 	pr_stated_bounds_t bounds;
-	struct pr_stated_kept_t {
-		double *window_s;
-	} kept_prompts;
+	pr_stated_kept_t kept_prompts;
 } pr_stated_figures_t;
 
 typedef struct pr_edge_settings_t {
