Play answers without a status in the soak

The stand-in of an upstream answers with a number that is no status, and the soak draws that as one more kind.

--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -55,7 +55,7 @@
 CALLERS_MIN = 9
 # Requests per second of all callers together when all answers come at once.
 RATE = 300
-KINDS = ("silence", "crash", "again", "later", "leaving", "unframed", "limit")
+KINDS = ("silence", "crash", "again", "later", "leaving", "unframed", "limit", "status")
 STREAMS = ("stream", "prompt")
 FIRST_PARTS, SECOND_PARTS = ("a1", "a2", "a3"), ("b1", "b2", "b3")
 DEADLY = "dead"
@@ -633,6 +633,10 @@
         fault = self.random.choice(("unframed", "unframed", "unframed_cut"))
         await self.some_upstreams(3, fault, fault, 0.5, self.random.uniform(1, 3))
 
+    async def kind_status(self):
+        await self.some_upstreams(3, "answers without a status", "status", 0.3,
+                                  self.random.uniform(1, 3))
+
     async def kind_leaving(self):
         upstream = self.random.choice(self.fleet.upstreams)
         if upstream.leaving or not upstream.server.is_serving():
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -229,9 +229,11 @@
 
 FAULTS = ("error", "shed", "reset", "lost", "cut", "cut_reset", "garbage", "extra", "hang")
 # Further ones, which draw from the random numbers only while they are in use.
-RARE = ("later", "again", "unframed", "unframed_cut")
+RARE = ("later", "again", "unframed", "unframed_cut", "status")
 # Faults after which the upstream has broken its answer off, or gives none.
-BREAKING = ("reset", "lost", "cut", "cut_reset", "garbage", "hang", "unframed_cut")
+BREAKING = ("reset", "lost", "cut", "cut_reset", "garbage", "hang", "unframed_cut", "status")
+# What stands where a status is due, with the fault "status".
+NO_STATUS = ("000", "0", "007", "20", "099", "600", "999", "0200", "2000")
 # Bytes without end, until the other side closes: in a head, between heads, in a
 # body, behind a refusal, under another request's id, and in a stream without
 # events, or without an event that says anything.
@@ -266,7 +268,8 @@
     later: refuses with Retry-After, and everything until that time has passed;
     again: writes the connection's last refusal once more before its answer;
     unframed: an answer without length or chunks, which ends with its connection;
-    unframed_cut: such an answer that is broken off.
+    unframed_cut: such an answer that is broken off;
+    status: an answer with a number that is no status.
     """
 
     def __init__(self, name, service, zone, random, runs, version="v1"):
@@ -439,6 +442,9 @@
                 return
             if fault == "again":
                 writer.write(refusal)
+            if fault == "status":
+                self.plain(writer, self.random.choice(NO_STATUS), ident, whole_answer(ident, body))
+                continue
             if fault == "hang":
                 # Until the caller lets go, as an engine that stalls.
                 await reader.read(1)
--- a/tests/edge/statuses.py
+++ b/tests/edge/statuses.py
@@ -10,10 +10,8 @@
 from answers import ask, set_script
 from checks import FAILURES, check
 from fleet import Fleet
-from standins import P, whole_answer
+from standins import NO_STATUS, P, whole_answer
 
-# What stands where a status is due.
-NO_STATUS = ("000", "0", "007", "20", "099", "600", "999", "0200", "2000")
 PATHS = {"what may run once": ("/once/x", 1), "what may be repeated": ("/safe/x", 3),
          "a stream": ("/stream/x", 3)}
 
