Log answers of upstreams that are none

An answer that cannot be read (no status, wrong framing, a head that is too long) failed its attempt as connection_broken, so that the log did not tell an upstream that sends rubbish from one whose connection ends. The new line response_malformed names the request, the upstream and the reason.

An answer without an id on a reused connection, which has a line of its own, now fails the connection where it is found.

The check of the log in fault_edge_statuses fails without the line; all checks of fault_edge_path pass.

--- a/src/edge/outbound.c
+++ b/src/edge/outbound.c
@@ -150,6 +150,7 @@
 			 "request=%s upstream=%s status=%d", outbound->id,
 			 outbound->upstream->entry.id,
 			 (int)reader->parser.status_code);
+		fail_connection(outbound);
 		return false;
 	}
 	outbound->mismatched =
@@ -228,6 +229,17 @@
 	outbound->ops->on_done(owner);
 }
 
+/* The attempt fails like one whose connection broke; only this line tells that
+ * the upstream sent bytes that are no response. */
+static void log_malformed(const pr_outbound_t *outbound)
+{
+	pr_event("response_malformed", "request=%s upstream=%s reason=%s",
+		 outbound->id, outbound->upstream->entry.id,
+		 outbound->reader.fault == PR_HTTP_HEAD_TOO_LARGE
+			 ? "head_too_large"
+			 : "not_http");
+}
+
 static void on_read(pr_link_t *link, const char *bytes, size_t len)
 {
 	pr_outbound_t *outbound = outbound_of(link);
@@ -249,6 +261,7 @@
 		if (!outbound->owner)
 			return;
 		if (outbound->reader.fault) {
+			log_malformed(outbound);
 			fail_connection(outbound);
 			return;
 		}
--- a/tests/edge/statuses.py
+++ b/tests/edge/statuses.py
@@ -71,12 +71,22 @@
     check("another upstream serves what may be repeated", all(served), served)
 
 
+def check_log(fleet):
+    """The log did not tell an answer that cannot be read from a broken connection."""
+    with open(f"{fleet.folder}/host-0.log", encoding="utf-8", errors="replace") as log:
+        lines = [line for line in log if "event=response_malformed" in line]
+    check("the log names answers that are none",
+          any("request=status-0-on " in line and "reason=not_http" in line for line in lines),
+          len(lines))
+
+
 async def main():
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(7), hosts=1, per_zone=4)
     try:
         await fleet.start()
         await check_statuses(fleet)
         await check_others(fleet)
+        check_log(fleet)
     finally:
         await fleet.stop()
     if FAILURES:
