Read the platform's limits as one table again, as JSON

The template writes the table of limits as JSON in a block scalar, as that of the zones, and the program takes the figures that it knows by the platform's names, which are decoded in platform/ as before.

--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -10,10 +10,11 @@
 #include "base/address.h"
 #include "base/yaml.h"
 #include "pistachiorack/error.h"
+#include "platform/adapter.h"
 
 #define NAME_MAX_BYTES  95
 #define ZONES_MAX       256
-#define ZONES_MAX_BYTES 65536
+#define TABLE_MAX_BYTES 65536
 /* A platform's template may write a field whose value is missing there. */
 #define OPTIONAL (CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER_NULL_STR)
 
@@ -65,7 +66,7 @@
 			     pr_edge_settings_t, zones, &zone_schema, 1,
 			     ZONES_MAX),
 	CYAML_FIELD_STRING_PTR("zone_regions", OPTIONAL, pr_edge_settings_t,
-			       zone_regions, 0, ZONES_MAX_BYTES),
+			       zone_regions, 0, TABLE_MAX_BYTES),
 	ENDPOINT_FIELD(listen),
 	ENDPOINT_FIELD(ready),
 	ENDPOINT_FIELD(metrics),
@@ -74,6 +75,8 @@
 	FIGURE_FIELD(cores),
 	CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_OPTIONAL, pr_edge_settings_t,
 			    stated.bounds, bound_fields),
+	CYAML_FIELD_STRING_PTR("platform", OPTIONAL, pr_edge_settings_t,
+			       platform, 0, TABLE_MAX_BYTES),
 	FIGURE_FIELD(memory_mb),
 	FIGURE_FIELD(descriptors),
 	CYAML_FIELD_MAPPING("kept_prompts", CYAML_FLAG_OPTIONAL,
@@ -156,6 +159,31 @@
 #define DESCRIPTORS_MAX 1e9
 #define WINDOW_S_MAX    3600.0
 
+/*
+ * Read a table that the file has as the text of a JSON object.
+ *
+ * @param out the object, or NULL when the text is absent or null
+ * @return 0 or PR_EPARSE
+ */
+static int load_table(json_t **out, const char *path, const char *field,
+		      const char *text)
+{
+	/* Numbers and texts of fields that are not read need not fit. */
+	size_t flags =
+		JSON_DECODE_ANY | JSON_ALLOW_NUL | JSON_DECODE_INT_AS_REAL;
+	json_error_t error = { 0 };
+	json_t *value = text ? json_loads(text, flags, &error) : json_null();
+	int rc = 0;
+
+	*out = json_is_object(value) ? json_incref(value) : NULL;
+	if (!*out && !json_is_null(value))
+		rc = pr_error_set(
+			PR_EPARSE, "%s: field %s: expected a JSON object%s%s",
+			path, field, *error.text ? ": " : "", error.text);
+	json_decref(value);
+	return rc;
+}
+
 static double system_memory_mb(void)
 {
 	return (double)sysconf(_SC_PHYS_PAGES) * (double)sysconf(_SC_PAGESIZE) /
@@ -171,21 +199,47 @@
 	return (double)limit.rlim_cur;
 }
 
+/* Take the platform's figures that a setting exists for. */
+static int read_platform(const char *path, const pr_edge_settings_t *settings,
+			 double *memory_mb, double *descriptors)
+{
+	const char *name;
+	json_t *table, *value;
+	int rc = load_table(&table, path, "platform", settings->platform);
+
+	json_object_foreach(table, name, value)
+	{
+		pr_figure_t figure = pr_adapter_figure(pr_slice_of(name));
+		double number = json_number_value(value);
+
+		if (figure == PR_FIGURE_MEMORY_MB && number > 0)
+			*memory_mb = number;
+		else if (figure == PR_FIGURE_DESCRIPTORS && number > 0)
+			*descriptors = number;
+	}
+	json_decref(table);
+	return rc;
+}
+
 static int apply_resources(const char *path, pr_edge_settings_t *settings)
 {
 	const pr_stated_figures_t *stated = &settings->stated;
+	double memory_mb = system_memory_mb();
+	double descriptors = system_descriptors();
+	int rc = read_platform(path, settings, &memory_mb, &descriptors);
 	const figure_t list[] = {
 		{ "cores", stated->cores, &settings->cores, CORES_DEFAULT,
 		  CORES_MIN, CORES_MAX },
 		{ "memory_mb", stated->memory_mb, &settings->memory_mb,
-		  system_memory_mb(), MEMORY_MB_MIN, MEMORY_MB_MAX },
+		  memory_mb, MEMORY_MB_MIN, MEMORY_MB_MAX },
 		{ "descriptors", stated->descriptors, &settings->descriptors,
-		  system_descriptors(), DESCRIPTORS_MIN, DESCRIPTORS_MAX },
+		  descriptors, DESCRIPTORS_MIN, DESCRIPTORS_MAX },
 		{ "kept_prompts.window_s", stated->kept_prompts.window_s,
 		  &settings->kept_prompts.window_s, 0, 0, WINDOW_S_MAX },
 	};
-	int rc = apply_figures(path, list, sizeof(list) / sizeof(list[0]));
 
+	if (!rc)
+		rc = apply_figures(path, list, sizeof(list) / sizeof(list[0]));
 	if (!rc)
 		settings->capacity_percent = (uint32_t)(settings->cores * 100);
 	return rc;
@@ -239,33 +293,25 @@
 
 static int read_zone_regions(const char *path, pr_edge_settings_t *settings)
 {
-	json_error_t error = { 0 };
-	json_t *object;
+	json_t *table;
 	int rc;
 
-	if (!settings->zones == !settings->zone_regions)
+	if (settings->zones && settings->zone_regions)
 		return pr_error_set(PR_EINVALID,
 				    "%s: expected one of the fields zones and "
 				    "zone_regions",
 				    path);
 	if (settings->zones)
 		return 0;
-	object = json_loads(settings->zone_regions, JSON_ALLOW_NUL, &error);
-	if (!json_is_object(object)) {
-		json_decref(object);
-		return pr_error_set(PR_EPARSE,
-				    "%s: field zone_regions: expected a JSON "
-				    "object%s%s",
-				    path, *error.text ? ": " : "", error.text);
-	}
-	rc = add_zones(settings, object);
-	json_decref(object);
+	rc = load_table(&table, path, "zone_regions", settings->zone_regions);
+	if (!rc)
+		rc = add_zones(settings, table);
+	json_decref(table);
 	if (!rc && !settings->zones_count)
-		rc = pr_error_set(
-			PR_EINVALID,
-			"%s: field zone_regions: expected a zone with "
-			"a region",
-			path);
+		rc = pr_error_set(PR_EINVALID,
+				  "%s: expected a zone with a region in the "
+				  "field zones or zone_regions",
+				  path);
 	return rc;
 }
 
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -80,6 +80,10 @@
 	} addresses;
 	/** Processor cores of the host; may be a fraction. */
 	double cores;
+	/** Figures that the platform states, a JSON object under its names;
+	 *  NULL without any. They apply where the setting of the same meaning
+	 *  is absent. */
+	char *platform;
 	/** Cores in per cent of one core, rounded down. */
 	uint32_t capacity_percent;
 	pr_bound_settings_t bounds;
