Replace characters of the settings that YAML does not read

A new text of the platform with DEL, a control character from U+0080 on, a byte order mark, or U+2028 kept hosts from starting: JSON has these characters as they are, and YAML refuses them or takes them for the end of a line.

They are replaced by question marks before the file is read; no field that is used has them.

Shown by two more forms in fault_edge_settings: refused under zones and limits before, accepted now.

--- a/src/base/yaml.c
+++ b/src/base/yaml.c
@@ -131,6 +131,42 @@
 		cyaml_free(&config, schema, value, 0);
 }
 
+/* Length of the character at the begin of the bytes if YAML does not read it as
+ * a part of a line, or 0. */
+static size_t masked_length(const unsigned char *at, size_t len)
+{
+	/* DEL, and the control characters from U+0080 to U+009F. */
+	if (at[0] == 0x7f)
+		return 1;
+	if (len >= 2 && at[0] == 0xc2 && at[1] >= 0x80 && at[1] <= 0x9f)
+		return 2;
+	if (len < 3)
+		return 0;
+	/* The line and paragraph separators, U+2028 and U+2029. */
+	if (at[0] == 0xe2 && at[1] == 0x80 && (at[2] == 0xa8 || at[2] == 0xa9))
+		return 3;
+	/* The byte order mark, U+FEFF, and U+FFFE and U+FFFF. */
+	if (at[0] == 0xef && ((at[1] == 0xbb && at[2] == 0xbf) ||
+			      (at[1] == 0xbf && at[2] >= 0xbe)))
+		return 3;
+	return 0;
+}
+
+void pr_yaml_mask(pr_str_t *text)
+{
+	size_t at = 0;
+
+	if (text->len >= 3 && !memcmp(text->ptr, "\xef\xbb\xbf", 3))
+		at = 3;
+	while (at < text->len) {
+		size_t len = masked_length(
+			(const unsigned char *)text->ptr + at, text->len - at);
+
+		memset(text->ptr + at, '?', len);
+		at += len ? len : 1;
+	}
+}
+
 int pr_file_read(pr_str_t *out, const char *path)
 {
 	FILE *file = fopen(path, "rb");
--- a/src/base/yaml.h
+++ b/src/base/yaml.h
@@ -22,6 +22,12 @@
 int pr_yaml_save(pr_str_t *out, const void *value,
 		 const cyaml_schema_value_t *schema);
 void pr_yaml_free(void *value, const cyaml_schema_value_t *schema);
+/**
+ * Replace characters that JSON may contain as they are, and that YAML refuses
+ * or takes for the end of a line, by question marks. A byte order mark at the
+ * begin stays.
+ */
+void pr_yaml_mask(pr_str_t *text);
 /** Read a whole file. @return 0, PR_ENOTFOUND or PR_ENOMEM */
 int pr_file_read(pr_str_t *out, const char *path);
 
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -14,7 +14,7 @@
 
 #define NAME_MAX_BYTES  95
 #define ZONES_MAX       256
-#define TABLE_MAX_BYTES 65536
+#define TABLE_MAX_BYTES (1 << 20)
 /* A platform's template may write a field whose value is missing there. */
 #define OPTIONAL (CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER_NULL_STR)
 
@@ -350,6 +350,7 @@
 	rc = pr_file_read(&text, path);
 	if (rc)
 		goto cleanup;
+	pr_yaml_mask(&text);
 	rc = pr_yaml_load((void **)&settings, path, pr_str_slice(&text),
 			  &settings_schema);
 	if (rc)
--- a/tests/edge/settings.py
+++ b/tests/edge/settings.py
@@ -39,6 +39,8 @@
     "braces": "{{ip}}",
     "a NUL": "a\0b",
     "text beyond ASCII": "Größe \U0001f600",
+    "characters that YAML refuses": "\x7f \x80 \x9f \ufeff \uffff",
+    "characters that end a line in YAML": "\x85 a: b \u2028 \u2029",
     "a long text": "x" * 5000,
     "an empty text": "",
     "a boolean": True,
