Let answers without a status state nothing in the soak

The log of host-2 shows that the statement was in an answer with a number that is no status: the host refused it, sent the request to another upstream, and passed that one's answer on. The rule counts from an answer that was passed on, so the case is allowed; the soak took the other upstream's answer for it.

Such answers of the stand-in no longer state that it is leaving, nor a limit. All checks stay as they are.

--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -557,10 +557,12 @@
 
     def head(self, status, ident, more, sealed=True):
         text = f"HTTP/1.1 {status} X\r\n{P}Request-Attempt: {ident}\r\n"
-        if self.leaving:
+        # What cannot be passed on states nothing.
+        valid = status not in NO_STATUS
+        if self.leaving and valid:
             text += "Server-Leaving: 1\r\n"
             self.said_leaving.append((time.monotonic(), ident))
-        if self.limit is not None:
+        if self.limit is not None and valid:
             text += f"Server-Limit: {self.limit:.2f}\r\n"
             self.said_limit.append((time.monotonic(), ident))
         if sealed:
