Log the era of the store and versions that fall

Cause: the logs could not tell a return of the store from an older copy (its answers state an era, Store-Era) from rows that share a version, or from reads that are late. Change: pr_call_t keeps a header field of each answer; pr_era_note() judges what an answer states of the era; event=store_era and event=store_version_fell. Nothing is decided by it yet.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -25,6 +25,7 @@
 #include "place/prefill.h"
 #include "quarantine/quarantine.h"
 #include "store/clock.h"
+#include "store/era.h"
 #include "store/missed.h"
 #include "store/store.h"
 #include "transition/pace.h"
@@ -170,6 +171,9 @@
 	pr_call_t writer;
 	/** By this host's monotonic clock. */
 	pr_store_clock_t store_clock;
+	pr_era_t store_era;
+	/** What the last answer of the store stated of its era, for the log. */
+	pr_era_verdict_t era_verdict;
 	pr_peering_t peering;
 	uv_tcp_t caller_listener, ready_listener, metrics_listener,
 		peer_listener;
@@ -226,6 +230,9 @@
 /** Start reading all tables. @return 0 */
 int pr_watches_start(pr_edge_t *edge);
 void pr_watches_finish(pr_edge_t *edge);
+/** Note the era that the answer of a call to the store states. @param status 0
+ * when there was no answer */
+void pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status);
 /** @return true when every table was read completely */
 bool pr_watches_synced(const pr_edge_t *edge);
 /** @return rest of the grace period after an outage, milliseconds */
--- a/src/edge/quarantine_row.c
+++ b/src/edge/quarantine_row.c
@@ -44,6 +44,7 @@
 
 static void on_written(pr_call_t *call, int status, pr_slice_t body)
 {
+	pr_edge_note_era(call->owner, call, status);
 	pr_event_state("quarantine_written", "status=%d", status);
 }
 
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -287,6 +287,7 @@
 {
 	pr_edge_t *edge = call->owner;
 
+	pr_edge_note_era(edge, call, status);
 	edge->registered = status == 200;
 	pr_event_state("registered", "status=%d", status);
 }
@@ -318,6 +319,7 @@
 /* The feed returns the row that is in force, whichever host wrote it. */
 static void on_transition_written(pr_call_t *call, int status, pr_slice_t body)
 {
+	pr_edge_note_era(call->owner, call, status);
 	pr_event_state("transition_written", "status=%d", status);
 }
 
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -123,6 +123,37 @@
 	watch->failures = 0;
 }
 
+void pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status)
+{
+	pr_slice_t text = pr_call_field(call);
+	uint64_t before = edge->store_era.current;
+	pr_era_verdict_t verdict;
+
+	if (!status)
+		return;
+	verdict = pr_era_note(&edge->store_era, text);
+	if (verdict != edge->era_verdict)
+		pr_event_state("store_era",
+			       "verdict=%s era=%llu before=%llu text=\"%.*s\"",
+			       pr_era_verdict_name(verdict),
+			       (unsigned long long)edge->store_era.current,
+			       (unsigned long long)before,
+			       (int)(text.len < 32 ? text.len : 32),
+			       text.ptr ? text.ptr : "");
+	/* Only the first of a series of odd statements is logged. */
+	edge->era_verdict = pr_era_is_believed(verdict) ? PR_ERA_SAME : verdict;
+}
+
+/* A version of the store below one that this host knows. */
+static void log_fallen_version(const pr_watch_t *watch, uint64_t version)
+{
+	if (version < watch->extent.version)
+		pr_event_state("store_version_fell",
+			       "table=%d version=%llu known=%llu", watch->table,
+			       (unsigned long long)version,
+			       (unsigned long long)watch->extent.version);
+}
+
 static void update_store_clock(pr_watch_t *watch, int64_t store_ms)
 {
 	pr_store_clock_note(&watch->edge->store_clock, store_ms,
@@ -244,6 +275,7 @@
 	pr_watch_t *watch = call->owner;
 	pr_store_rows_t rows;
 
+	pr_edge_note_era(watch->edge, call, status);
 	if (status != 200 || pr_adapter_store_rows(&rows, body)) {
 		clear_read_state(watch);
 		handle_failure(watch, status);
@@ -252,6 +284,7 @@
 	handle_recovery(watch);
 	log_unreadable(watch, &rows);
 	update_store_clock(watch, rows.now_ms);
+	log_fallen_version(watch, rows.version);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
 	if (!watch->page_key) {
@@ -331,6 +364,7 @@
 	pr_usec_t pause = 0;
 	uint64_t after = pr_extent_last(&watch->extent);
 
+	pr_edge_note_era(watch->edge, call, status);
 	if (status == 410 && watch->reading_gap) {
 		/* The relay that lacks the changes cannot read them either. */
 		pr_event_state("gap_left", "table=%d version=%llu",
@@ -363,6 +397,7 @@
 	handle_recovery(watch);
 	log_unreadable(watch, &rows);
 	update_store_clock(watch, rows.now_ms);
+	log_fallen_version(watch, rows.version);
 	if (watch->table == PROBE_TABLE) {
 		pr_peering_confirm(watch->edge);
 		check_other_feeds(watch, rows.version);
@@ -636,11 +671,13 @@
 		watch->timer.data = watch;
 		pr_call_init(&watch->call, edge->loop, &edge->timers, address,
 			     watch);
+		pr_call_keep_field(&watch->call, pr_adapter_store_era_field());
 		pr_call_init(&watch->relay_call, edge->loop, &edge->timers,
 			     address, watch);
 		start_call(watch);
 	}
 	pr_call_init(&edge->writer, edge->loop, &edge->timers, address, edge);
+	pr_call_keep_field(&edge->writer, pr_adapter_store_era_field());
 	return 0;
 }
 
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -74,6 +74,17 @@
 
 static const pr_http_reader_ops_t reader_ops = { on_head, on_body, on_message };
 
+static void keep_field(pr_call_t *call, const pr_http_reader_t *reader)
+{
+	pr_slice_t value = call->field_name
+				   ? pr_http_find(reader, call->field_name)
+				   : pr_slice(NULL, 0);
+
+	pr_str_clear(&call->field);
+	call->has_field =
+		value.ptr && !pr_str_append(&call->field, value.ptr, value.len);
+}
+
 static void answered(pr_call_link_t *link)
 {
 	pr_call_t *call = link->call;
@@ -82,6 +93,7 @@
 	bool keep = http_should_keep_alive(&link->reader.parser);
 
 	memset(&link->body, 0, sizeof(link->body));
+	keep_field(call, &link->reader);
 	pr_http_reader_next(&link->reader);
 	if (!keep)
 		drop_link(call);
@@ -181,6 +193,18 @@
 	call->timer.data = call;
 }
 
+void pr_call_keep_field(pr_call_t *call, const char *name)
+{
+	call->field_name = name;
+}
+
+pr_slice_t pr_call_field(const pr_call_t *call)
+{
+	if (!call->has_field)
+		return pr_slice(NULL, 0);
+	return call->field.len ? pr_str_slice(&call->field) : PR_SLICE("");
+}
+
 void pr_call_set_address(pr_call_t *call, const struct sockaddr_in *address)
 {
 	if (call->address.sin_addr.s_addr == address->sin_addr.s_addr &&
@@ -201,6 +225,7 @@
 	pr_timers_unsubscribe(call->timers, &call->timer);
 	drop_link(call);
 	pr_str_finish(&call->request);
+	pr_str_finish(&call->field);
 }
 
 static int open_link(pr_call_t *call)
--- a/src/http/call.h
+++ b/src/http/call.h
@@ -30,10 +30,20 @@
 	void *owner;
 	pr_str_t request;
 	bool busy;
+	/** Name of the header field that is kept of answers, NULL for none, and
+	 *  its value in the last one. */
+	const char *field_name;
+	pr_str_t field;
+	bool has_field;
 };
 
 void pr_call_init(pr_call_t *call, uv_loop_t *loop, pr_timers_t *timers,
 		  const struct sockaddr_in *address, void *owner);
+/** Keep the value of a header field of each answer. @param name must outlive
+ * the call */
+void pr_call_keep_field(pr_call_t *call, const char *name);
+/** @return the kept field of the last answer; ptr NULL when it had none */
+pr_slice_t pr_call_field(const pr_call_t *call);
 /** Use another address from the next call on. */
 void pr_call_set_address(pr_call_t *call, const struct sockaddr_in *address);
 /** @return true when a part of the answer has come */
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -102,6 +102,26 @@
 	finish(&world);
 }
 
+/* The era of the store is read from any answer, also from one that refuses. */
+static void test_kept_field(void **state)
+{
+	world_t world;
+
+	start(&world);
+	pr_call_keep_field(&world.call, "Store-Era");
+	step(&world, "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n"
+		     "store-era: 7\r\n\r\n");
+	assert_int_equal(world.status, 410);
+	assert_true(pr_slice_equal(pr_call_field(&world.call), PR_SLICE("7")));
+	pr_call_start(&world.call, PR_SLICE("GET / HTTP/1.1\r\n\r\n"), TIMEOUT,
+		      on_done);
+	world.status = -1;
+	step(&world, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	assert_int_equal(world.status, 200);
+	assert_null(pr_call_field(&world.call).ptr);
+	finish(&world);
+}
+
 /* Without a first byte the call ends at its timeout. */
 static void test_no_answer(void **state)
 {
@@ -144,6 +164,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_slow_answer),
+		cmocka_unit_test(test_kept_field),
 		cmocka_unit_test(test_no_answer),
 		cmocka_unit_test(test_endless_answer),
 	};
