--- a/tests/edge/feeds.py
+++ b/tests/edge/feeds.py
@@ -12,10 +12,7 @@
 import time
 
 from checks import FAILURES, check
-from fleet import ZONES, Caller, Fleet
-
-# Time in which hosts stop using an upstream whose entry was removed.
-DRAIN_S = 3.0
+from fleet import DRAIN_S, ZONES, Fleet, Traffic
 
 
 def reads_store(fleet, router):
@@ -28,33 +25,6 @@
     return reads
 
 
-class Traffic:
-    """Requests to every host in turn until the end."""
-
-    def __init__(self, fleet, name):
-        self.fleet, self.name, self.running, self.sent = fleet, name, True, {}
-        self.tasks = [asyncio.create_task(self.send(router)) for router in fleet.routers]
-
-    async def send(self, router):
-        caller, number = Caller(router.address), 0
-        while self.running:
-            ident = f"{self.name}-{router.name}-{number}"
-            number += 1
-            self.sent[ident] = time.monotonic()
-            await caller.request(ident, "/safe/x", budget_ms=2000)
-            await asyncio.sleep(0.03)
-        caller.close()
-
-    async def stop(self):
-        self.running = False
-        await asyncio.gather(*self.tasks)
-
-    def late(self, upstream, removed):
-        """Requests that were sent too late and reached the upstream."""
-        return [ident for _, ident, _ in upstream.arrivals
-                if self.sent.get(ident, 0) > removed + DRAIN_S]
-
-
 async def remove(fleet, upstream):
     return await fleet.store.put("servers", upstream.name, None)
 
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -10,6 +10,8 @@
 
 ZONES = {"east": "home", "west": "home", "far": "abroad"}
 HOST = "api.example"
+# Time in which hosts stop using an upstream that is leaving or was removed, seconds.
+DRAIN_S = 3.0
 
 
 def routing(version, extra_routes=(), keys=("key-1", "key-2")):
@@ -290,3 +292,30 @@
         if self.writer is not None:
             self.writer.close()
         self.reader = self.writer = None
+
+
+class Traffic:
+    """Requests to every host in turn until the end."""
+
+    def __init__(self, fleet, name):
+        self.fleet, self.name, self.running, self.sent = fleet, name, True, {}
+        self.tasks = [asyncio.create_task(self.send(router)) for router in fleet.routers]
+
+    async def send(self, router):
+        caller, number = Caller(router.address), 0
+        while self.running:
+            ident = f"{self.name}-{router.name}-{number}"
+            number += 1
+            self.sent[ident] = time.monotonic()
+            await caller.request(ident, "/safe/x", budget_ms=2000)
+            await asyncio.sleep(0.03)
+        caller.close()
+
+    async def stop(self):
+        self.running = False
+        await asyncio.gather(*self.tasks)
+
+    def late(self, upstream, removed):
+        """Requests that were sent too late and reached the upstream."""
+        return [ident for _, ident, _ in upstream.arrivals
+                if self.sent.get(ident, 0) > removed + DRAIN_S]
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -117,6 +117,10 @@
         self.silent_feeds = set()
         # Refuse the hosts' writes, as when there are too many.
         self.refuse_writes = False
+        # Rises by one with each return from a copy; None sends no header. The
+        # next answers state the texts in odd_eras instead, None for no header.
+        self.era = 1
+        self.odd_eras = []
         self.changed = asyncio.Condition()
         self.calls = 0
 
@@ -144,6 +148,33 @@
         self.history.clear()
         self.forgotten = self.version
 
+    def copy(self):
+        """The state from which the store may return later."""
+        return dict(self.rows), self.version, list(self.history), self.forgotten
+
+    async def go_back(self, copy, away=0.8):
+        """Be away for some seconds and return from a copy. What was written since
+        then is lost, and its versions are given out again; returns what the
+        operator and the upstreams have to write again, as (table, key, value)."""
+        mode, self.mode = self.mode, "reset"
+        self.drop_connections()
+        await asyncio.sleep(away)
+        lost = {}
+        for row in self.history:
+            if row["ver"] > copy[1] and row["table"] in ("op", "servers"):
+                value = row.get("value")
+                lost[row["table"], row["key"]] = value and base64.b64decode(value)
+        async with self.changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.history, self.forgotten = list(copy[2]), copy[3]
+            self.era += 1
+            self.mode = mode
+        return [(table, key, value) for (table, key), value in lost.items()]
+
+    async def write_again(self, lost):
+        for table, key, value in lost:
+            await self.put(table, key, value)
+
     def document(self, table, key):
         row = self.rows.get((table, key))
         return base64.b64decode(row["value"]) if row else None
@@ -188,6 +219,8 @@
 
     async def feed(self, query):
         after = int(query["after-rev"])
+        if after > self.version:
+            return 410, {}
         if after < self.version and not any(r["ver"] <= after + 1 for r in self.history):
             if any(r["ver"] > after for r in self.rows.values()):
                 return 410, {}
@@ -224,6 +257,9 @@
     def answer(self, writer, status, document):
         body = json.dumps({**document, "ver": self.version, "now-ms": self.now_ms()}).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+        era = self.odd_eras.pop(0) if self.odd_eras else self.era
+        if era is not None:
+            head += f"Store-Era: {era}\r\n"
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
 
--- /dev/null
+++ b/tests/faults/edge_returns.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# The store returns from an older copy, against separate processes.
+# usage: edge_returns.sh BUILD
+set -euo pipefail
+# Two runs on the same addresses would disturb each other.
+exec 9>"${TMPDIR:-/tmp}/pistachiorack-net-73.lock"
+flock -w 200 9
+exec python3 tests/edge/returns.py "$1/pistachiorack-edge" 73
