--- a/src/ctl/routing.c
+++ b/src/ctl/routing.c
@@ -104,7 +104,7 @@
 {
 	pr_store_rows_t rows;
 	pr_slice_t subject;
-	int rc = pr_adapter_store_rows(&rows, answer);
+	int rc = pr_adapter_store_rows(&rows, 0, answer);
 
 	if (rc)
 		return rc;
--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -86,9 +86,10 @@
 {
 	pr_row_cache_t *caches = admin->edge->peering.row_caches;
 	pr_str_t rows = PR_STR_INIT;
-	uint64_t table, after;
+	pr_revision_t after = { 0, 0 };
+	uint64_t table;
 
-	if (!next_number(&path, &table) || !next_number(&path, &after) ||
+	if (!next_number(&path, &table) || !next_number(&path, &after.number) ||
 	    path.len || table >= PR_TABLES_COUNT)
 		reply(admin, 400, pr_slice("", 0));
 	else if (pr_row_cache_pack(&caches[table], after, &rows))
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -473,7 +473,8 @@
 {
 	pr_transition_t *transition = pr_edge_transition(x->edge, x->service);
 
-	if (!transition || transition->order_row != x->order_row ||
+	if (!transition ||
+	    !pr_revision_equal(transition->order_row, x->order_row) ||
 	    !pr_transition_is_new(transition, x->upstream->entry.version))
 		return;
 	pr_transition_record_test_begin(transition);
@@ -532,7 +533,8 @@
 		 "request=%s upstream=%s row=%llu version=%s load=%.2f "
 		 "failures=%u model=%s transition=%s tested=%d session=%llx "
 		 "tokens=%u/%u held=%.0f ms=%lld",
-		 x->id, upstream->entry.id, (unsigned long long)upstream->row,
+		 x->id, upstream->entry.id,
+		 (unsigned long long)upstream->row.number,
 		 upstream->entry.version, pr_place_load(upstream),
 		 upstream->failures, pr_exchange_model_name(x),
 		 x->version == PR_VERSION_NEW ? "new" : "old", x->is_load_test,
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -61,8 +61,8 @@
 bool pr_edge_is_ready(const pr_edge_t *edge)
 {
 	return edge->routing && edge->registry.initial_read_done &&
-	       edge->watches[PR_TABLE_ORDERS].extent.version &&
-	       edge->watches[PR_TABLE_SHARED].extent.version;
+	       edge->watches[PR_TABLE_ORDERS].extent.version.number &&
+	       edge->watches[PR_TABLE_SHARED].extent.version.number;
 }
 
 uint32_t pr_edge_hosts_count(const pr_edge_t *edge)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -50,13 +50,13 @@
 	pr_usec_t called_at;
 	pr_extent_t extent;
 	/** Version of the first page of the current full read. */
-	uint64_t read_version;
+	pr_revision_t read_version;
 	/** State of a relay that lacks changes which this host does not know
 	 *  either. The next call, or the current one, reads them. */
 	pr_announced_t gap;
 	bool gap_wanted, reading_gap;
 	/** The store no longer has the changes after this version. */
-	uint64_t gap_refused;
+	pr_revision_t gap_refused;
 	/** The current feed call was aborted, because another host has newer
 	 *  rows; the next call asks for them without waiting. */
 	bool restarting;
@@ -68,7 +68,7 @@
 	pr_usec_t outage_grace_until;
 	/** The store's version when the orders' feed responded last, and the
 	 *  time of that response. */
-	uint64_t expected;
+	pr_revision_t expected;
 	pr_usec_t expected_at;
 	/** How long other hosts have had rows that this host lacks. */
 	pr_lag_t lag;
@@ -79,7 +79,7 @@
 	bool was_synced;
 	/** What this host knew before the current full read, and the changes
 	 *  since then that the read has shown, to forward them. */
-	uint64_t known_before;
+	pr_revision_t known_before;
 	pr_store_rows_t missed;
 	/** Keys of the rows that the current full read has returned. */
 	pr_names_t seen_keys;
@@ -134,8 +134,8 @@
 	pr_pace_t pace;
 	/** Prompt parts that crash upstreams. */
 	pr_quarantine_t quarantine;
-	/** Version of the row with the quarantined parts; 0 for none. */
-	uint64_t quarantine_row;
+	/** Version of the row with the quarantined parts; number 0 for none. */
+	pr_revision_t quarantine_row;
 	/** Time since which the row has not been up to date, by the store's
 	 *  clock; 0 when it is. */
 	int64_t quarantine_unsaved_ms;
@@ -155,7 +155,7 @@
 	struct {
 		char service[PR_UPSTREAM_NAME_SIZE];
 		pr_transition_row_t row;
-		uint64_t version;
+		pr_revision_t version;
 	} transition_rows[PR_TRANSITIONS_MAX];
 	size_t transition_rows_count;
 	/** Earliest time of the next write to the shared table. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -77,8 +77,10 @@
 {
 	pr_transition_t *transition = pr_edge_transition(x->edge, x->service);
 
-	return transition && transition->order_row == x->order_row ? transition
-								   : NULL;
+	return transition && pr_revision_equal(transition->order_row,
+					       x->order_row)
+		       ? transition
+		       : NULL;
 }
 
 void pr_exchange_count_loaded(pr_exchange_t *x, bool bad)
@@ -148,7 +150,7 @@
 	/* For a later order, the new version of an earlier one is the old
 	 * version. */
 	if (x->version == PR_VERSION_NEW && transition &&
-	    transition->order_row == x->order_row)
+	    pr_revision_equal(transition->order_row, x->order_row))
 		pr_sessions_record_moved(&x->edge->sessions, x->session_hash,
 					 now);
 	else
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -51,8 +51,8 @@
 	 *  its deadline. */
 	bool replacing;
 	pr_version_choice_t version;
-	/** Row of the order for which it was chosen; 0 without one. */
-	uint64_t order_row;
+	/** Row of the order for which it was chosen; zeroed without one. */
+	pr_revision_t order_row;
 	/** The request is part of the load test of the new version. */
 	bool is_load_test;
 	/** The current attempt is counted as one of the load test. */
--- a/src/edge/peer_reports.c
+++ b/src/edge/peer_reports.c
@@ -202,14 +202,14 @@
 
 /* Counts of transitions */
 
-static void save_tallies(pr_host_t *host, size_t index, uint64_t order_row,
+static void save_tallies(pr_host_t *host, size_t index, uint64_t order,
 			 const pr_tallies_t *tallies)
 {
 	pr_host_report_t *report = pr_host_report_get(host);
 
 	if (!report)
 		return;
-	report->transitions[index].order_row = order_row;
+	report->transitions[index].order = order;
 	report->transitions[index].tallies = *tallies;
 }
 
@@ -241,7 +241,7 @@
 {
 	const char *host = edge->settings->host;
 	const char *service = transition->order.service;
-	uint64_t order = transition->order_row;
+	uint64_t order = pr_revision_tag(transition->order_row);
 	bool all = from == COUNTS_OF_FLEET;
 	pr_str_t bytes = PR_STR_INIT;
 
@@ -261,7 +261,7 @@
 	pr_transition_t *transition = edge->transitions[index];
 	pr_peering_t *peering = &edge->peering;
 	const pr_roster_t *roster = &peering->roster;
-	uint64_t order = transition->order_row;
+	uint64_t order = pr_revision_tag(transition->order_row);
 	pr_tallies_t sum = { 0 };
 	pr_host_t *self = pr_peers_self(edge);
 
@@ -291,29 +291,29 @@
 
 /* Counts of all hosts from a relay; none of another order. */
 static pr_tallies_t totals_of(const pr_edge_t *edge, size_t index,
-			      uint64_t order_row)
+			      uint64_t order)
 {
 	pr_tallies_t none = { 0 };
 
-	return edge->peering.totals[index].order_row == order_row
+	return edge->peering.totals[index].order == order
 		       ? edge->peering.totals[index].all
 		       : none;
 }
 
 /* Apply the counts of all hosts from a relay. Of two relays, the one that knows
  * of more responses is used. */
-static void apply_totals(pr_edge_t *edge, size_t index, uint64_t order_row,
+static void apply_totals(pr_edge_t *edge, size_t index, uint64_t order,
 			 const pr_tallies_t *all)
 {
 	pr_peering_t *peering = &edge->peering;
 	pr_usec_t now = pr_edge_now(edge);
-	pr_tallies_t known = totals_of(edge, index, order_row);
+	pr_tallies_t known = totals_of(edge, index, order);
 
 	if (peering->is_relay ||
 	    (total_of(all) < total_of(&known) &&
 	     now - peering->totals[index].received_at < TOTALS_AGE_MAX))
 		return;
-	peering->totals[index].order_row = order_row;
+	peering->totals[index].order = order;
 	peering->totals[index].all = *all;
 	peering->totals[index].received_at = now;
 	edge->transitions[index]->peers =
@@ -322,12 +322,11 @@
 
 /* Counts that the host reported; none of another order. */
 static pr_tallies_t saved_tallies(const pr_host_t *host, size_t index,
-				  uint64_t order_row)
+				  uint64_t order)
 {
 	pr_tallies_t none = { 0 };
 
-	if (!host->report ||
-	    host->report->transitions[index].order_row != order_row)
+	if (!host->report || host->report->transitions[index].order != order)
 		return none;
 	return host->report->transitions[index].tallies;
 }
@@ -338,7 +337,7 @@
 {
 	const pr_transition_t *transition = edge->transitions[index];
 
-	return order == transition->order_row &&
+	return order == pr_revision_tag(transition->order_row) &&
 	       pr_slice_equal(service, pr_slice_of(transition->order.service));
 }
 
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -36,7 +36,8 @@
 	pr_tallies_t reported[PR_AGGREGATE_TRANSITIONS_MAX];
 	/** Counts of all hosts as a relay last sent them. */
 	struct {
-		uint64_t order_row;
+		/** Tag of the row of the order. */
+		uint64_t order;
 		pr_tallies_t all;
 		pr_usec_t received_at;
 	} totals[PR_AGGREGATE_TRANSITIONS_MAX];
@@ -67,7 +68,7 @@
  * @param after version of the last row before them
  */
 void pr_peering_forward_rows(struct pr_edge_t *edge, pr_store_table_t table,
-			     uint64_t after, const pr_store_row_t *rows,
+			     pr_revision_t after, const pr_store_row_t *rows,
 			     size_t count);
 
 #endif
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -315,8 +315,9 @@
 static bool is_ahead(const pr_edge_t *edge, const pr_feed_state_t *state)
 {
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		if (state->tables[i].newest >
-		    pr_extent_complete(&edge->watches[i].extent))
+		if (pr_revision_is_after(
+			    state->tables[i].newest,
+			    pr_extent_complete(&edge->watches[i].extent)))
 			return true;
 	}
 	return false;
@@ -380,7 +381,7 @@
 }
 
 void pr_peering_forward_rows(pr_edge_t *edge, pr_store_table_t table,
-			     uint64_t after, const pr_store_row_t *rows,
+			     pr_revision_t after, const pr_store_row_t *rows,
 			     size_t count)
 {
 	pr_peering_t *peering = &edge->peering;
--- a/src/edge/quarantine_row.c
+++ b/src/edge/quarantine_row.c
@@ -27,13 +27,13 @@
 
 	if (strcmp(row->key, ROW_KEY) != 0)
 		return false;
-	if (row->version > edge->quarantine_row)
-		edge->quarantine_row = row->version;
+	edge->quarantine_row =
+		pr_revision_later(edge->quarantine_row, row->version);
 	if (row->removed)
 		return true;
 	if (pr_msgmap_init(&map, pr_str_slice(&row->value))) {
 		pr_event_state("quarantine_unreadable", "row=%llu",
-			       (unsigned long long)row->version);
+			       (unsigned long long)row->version.number);
 		return true;
 	}
 	count = pr_message_read_suspects(&map, suspects, ROW_PARTS_MAX);
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -38,7 +38,7 @@
 		return;
 	if (pr_adapter_routing(&routing, pr_str_slice(&row->value))) {
 		pr_event_state("routing_refused", "row=%llu error=\"%s\"",
-			       (unsigned long long)row->version,
+			       (unsigned long long)row->version.number,
 			       pr_error_last());
 		return;
 	}
@@ -49,8 +49,9 @@
 	pr_event_state("routing_applied",
 		       "version=%llu row=%llu routes=%zu services=%zu keys=%zu",
 		       (unsigned long long)routing->version,
-		       (unsigned long long)row->version, routing->routes_count,
-		       routing->services_count, routing->keys_count);
+		       (unsigned long long)row->version.number,
+		       routing->routes_count, routing->services_count,
+		       routing->keys_count);
 	pr_routing_unref(edge->routing);
 	edge->routing = routing;
 }
@@ -96,7 +97,7 @@
 		pr_event_state(row->removed ? "zone_returned"
 					    : "zone_evacuated",
 			       "zone=%s row=%llu", zone->name,
-			       (unsigned long long)row->version);
+			       (unsigned long long)row->version.number);
 	}
 }
 
@@ -130,12 +131,13 @@
 		return;
 	if (pr_adapter_rollout(&order, pr_str_slice(&row->value))) {
 		pr_event_state("rollout_refused", "row=%llu error=\"%s\"",
-			       (unsigned long long)row->version,
+			       (unsigned long long)row->version.number,
 			       pr_error_last());
 		return;
 	}
 	transition = pr_edge_transition(edge, order.service);
-	if (transition && transition->order_row >= row->version)
+	if (transition &&
+	    !pr_revision_is_after(row->version, transition->order_row))
 		return;
 	if (!transition) {
 		if (edge->transitions_count == PR_TRANSITIONS_MAX)
@@ -150,7 +152,8 @@
 	pr_event_state("rollout_ordered",
 		       "service=%s version=%s duration_ms=%u row=%llu state=%d",
 		       order.service, order.version, order.duration_ms,
-		       (unsigned long long)row->version, transition->state);
+		       (unsigned long long)row->version.number,
+		       transition->state);
 }
 
 static void apply_order(pr_edge_t *edge, const pr_store_row_t *row)
@@ -169,7 +172,7 @@
 		break;
 	case PR_ORDER_UNKNOWN:
 		pr_event_state("order_unknown", "key=%s row=%llu", row->key,
-			       (unsigned long long)row->version);
+			       (unsigned long long)row->version.number);
 		break;
 	}
 }
@@ -186,7 +189,8 @@
 		pr_event_state("upstream_unreadable",
 			       "id=%s row=%llu "
 			       "error=\"%s\"",
-			       row->key, (unsigned long long)row->version,
+			       row->key,
+			       (unsigned long long)row->version.number,
 			       pr_error_last());
 	} else if (!row->removed) {
 		upstream =
@@ -201,11 +205,11 @@
 				entry.version,
 				entry.draining ? "leaving" : "ready",
 				entry.cold_ms, (long long)entry.born,
-				(unsigned long long)row->version);
+				(unsigned long long)row->version.number);
 		return;
 	}
 	pr_event_state("upstream_removed", "id=%s row=%llu lapse_in_ms=%lld",
-		       row->key, (unsigned long long)row->version,
+		       row->key, (unsigned long long)row->version.number,
 		       lapse_at > now ? (long long)((lapse_at - now) /
 						    PR_USEC_PER_MSEC)
 				      : 0LL);
@@ -221,7 +225,8 @@
 
 	if (pr_transition_row_unpack(&state, pr_str_slice(&row->value))) {
 		pr_event_state("transition_unreadable", "service=%s row=%llu",
-			       service, (unsigned long long)row->version);
+			       service,
+			       (unsigned long long)row->version.number);
 		return;
 	}
 	while (i < edge->transition_rows_count &&
@@ -239,8 +244,8 @@
 	pr_event_state("transition",
 		       "service=%s state=%d verified=%d row=%llu order=%llu",
 		       service, state.state, state.verified_ms != 0,
-		       (unsigned long long)row->version,
-		       (unsigned long long)state.order_row);
+		       (unsigned long long)row->version.number,
+		       (unsigned long long)state.order);
 }
 
 static void apply_shared_row(pr_edge_t *edge, const pr_store_row_t *row)
@@ -354,7 +359,7 @@
 		row->load_verified_ms != 0, own->ended + peers->ended,
 		own->begun + peers->begun, own->loaded_bad + peers->loaded_bad,
 		own->loaded + peers->loaded,
-		(unsigned long long)transition->state_row);
+		(unsigned long long)transition->state_row.number);
 }
 
 /* The shared row with a conclusion. */
@@ -362,7 +367,7 @@
 				  pr_conclusion_t conclusion, int64_t now)
 {
 	pr_transition_row_t row = {
-		.order_row = transition->order_row,
+		.order = transition->order_row.number,
 		.state = PR_ROLLOUT_RUNNING,
 		.began_ms = transition->began_ms ? transition->began_ms : now,
 		.verified_ms = transition->verified_ms,
@@ -425,9 +430,10 @@
 static int64_t write_delay_ms(const pr_edge_t *edge,
 			      const pr_transition_t *transition)
 {
-	int64_t delay = WRITE_DELAY_STEP_MS *
-			(int64_t)pr_roster_rank(&edge->peering.roster,
-						transition->order_row);
+	int64_t delay =
+		WRITE_DELAY_STEP_MS *
+		(int64_t)pr_roster_rank(&edge->peering.roster,
+					pr_revision_tag(transition->order_row));
 
 	return delay < WRITE_DELAY_MAX_MS ? delay : WRITE_DELAY_MAX_MS;
 }
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -95,9 +95,10 @@
 
 	if (!watch->failures) {
 		watch->failed_since = now;
-		pr_event_state("store_lost", "table=%d status=%d version=%llu",
-			       watch->table, status,
-			       (unsigned long long)watch->extent.version);
+		pr_event_state(
+			"store_lost", "table=%d status=%d version=%llu",
+			watch->table, status,
+			(unsigned long long)watch->extent.version.number);
 	}
 	watch->failures++;
 	schedule_call(watch, pause < longest ? pause : longest);
@@ -145,13 +146,14 @@
 }
 
 /* A version of the store below one that this host knows. */
-static void log_fallen_version(const pr_watch_t *watch, uint64_t version)
+static void log_fallen_version(const pr_watch_t *watch, pr_revision_t version)
 {
-	if (version < watch->extent.version)
-		pr_event_state("store_version_fell",
-			       "table=%d version=%llu known=%llu", watch->table,
-			       (unsigned long long)version,
-			       (unsigned long long)watch->extent.version);
+	if (pr_revision_is_after(watch->extent.version, version))
+		pr_event_state(
+			"store_version_fell",
+			"table=%d version=%llu known=%llu", watch->table,
+			(unsigned long long)version.number,
+			(unsigned long long)watch->extent.version.number);
 }
 
 static void update_store_clock(pr_watch_t *watch, int64_t store_ms)
@@ -185,7 +187,8 @@
 		pr_store_row_t *row = &rows->rows[i];
 
 		pr_names_add(&watch->seen_keys, row->key);
-		if (watch->was_synced && row->version > watch->known_before &&
+		if (watch->was_synced &&
+		    pr_revision_is_after(row->version, watch->known_before) &&
 		    pr_missed_move(&watch->missed, row))
 			pr_event("missed_row_dropped", "table=%d error=\"%s\"",
 				 watch->table, pr_error_last());
@@ -214,7 +217,7 @@
 
 /* Remove the upstreams that a full read did not return, and note them for other
  * hosts. */
-static void remove_unseen(pr_watch_t *watch, uint64_t version)
+static void remove_unseen(pr_watch_t *watch, pr_revision_t version)
 {
 	pr_registry_t *registry = &watch->edge->registry;
 	pr_list_t *at = registry->upstreams.next;
@@ -253,9 +256,9 @@
 	if (!missed->count)
 		return true;
 	pr_extent_add(&watch->extent, missed->rows[missed->count - 1].version);
-	pr_event_state("missed_sent", "table=%d after=%llu rows=%zu",
-		       watch->table, (unsigned long long)watch->known_before,
-		       missed->count);
+	pr_event_state(
+		"missed_sent", "table=%d after=%llu rows=%zu", watch->table,
+		(unsigned long long)watch->known_before.number, missed->count);
 	pr_peering_forward_rows(watch->edge, watch->table, watch->known_before,
 				missed->rows, missed->count);
 	return true;
@@ -267,7 +270,7 @@
 		pr_event_state("rows_unreadable",
 			       "table=%d rows=%zu version=%llu", watch->table,
 			       rows->unreadable,
-			       (unsigned long long)rows->version);
+			       (unsigned long long)rows->version.number);
 }
 
 static void on_read(pr_call_t *call, int status, pr_slice_t body)
@@ -276,7 +279,7 @@
 	pr_store_rows_t rows;
 
 	pr_edge_note_era(watch->edge, call, status);
-	if (status != 200 || pr_adapter_store_rows(&rows, body)) {
+	if (status != 200 || pr_adapter_store_rows(&rows, 0, body)) {
 		clear_read_state(watch);
 		handle_failure(watch, status);
 		return;
@@ -318,9 +321,10 @@
 		watch->synced = watch->was_synced = true;
 		if (watch->table == PR_TABLE_UPSTREAMS)
 			watch->edge->registry.initial_read_done = true;
-		pr_event_state("table_read", "table=%d rows=%zu version=%llu",
-			       watch->table, rows.count,
-			       (unsigned long long)watch->extent.version);
+		pr_event_state(
+			"table_read", "table=%d rows=%zu version=%llu",
+			watch->table, rows.count,
+			(unsigned long long)watch->extent.version.number);
 	}
 	pr_store_rows_finish(&rows);
 	schedule_call(watch, 0);
@@ -333,7 +337,7 @@
  * a shorter time than the orders' feed needs to notice. It is asked again, so
  * that the loss of a call does not hold changes back until its time-out.
  */
-static void check_other_feeds(const pr_watch_t *probe, uint64_t version)
+static void check_other_feeds(const pr_watch_t *probe, pr_revision_t version)
 {
 	pr_usec_t now = pr_edge_now(probe->edge);
 
@@ -344,12 +348,14 @@
 			continue;
 		if (watch->call.busy && !watch->restarting &&
 		    watch->called_at < watch->expected_at &&
-		    pr_extent_complete(&watch->extent) < watch->expected) {
+		    pr_revision_is_after(watch->expected,
+					 pr_extent_complete(&watch->extent))) {
 			pr_event_state(
 				"feed_checked",
 				"table=%d version=%llu store=%llu", i,
-				(unsigned long long)watch->extent.version,
-				(unsigned long long)watch->expected);
+				(unsigned long long)
+					watch->extent.version.number,
+				(unsigned long long)watch->expected.number);
 			request_from_store(watch);
 		}
 		watch->expected = version;
@@ -362,22 +368,22 @@
 	pr_watch_t *watch = call->owner;
 	pr_store_rows_t rows;
 	pr_usec_t pause = 0;
-	uint64_t after = pr_extent_last(&watch->extent);
+	pr_revision_t after = pr_extent_last(&watch->extent);
 
 	pr_edge_note_era(watch->edge, call, status);
 	if (status == 410 && watch->reading_gap) {
 		/* The relay that lacks the changes cannot read them either. */
 		pr_event_state("gap_left", "table=%d version=%llu",
 			       watch->table,
-			       (unsigned long long)watch->gap.version);
+			       (unsigned long long)watch->gap.version.number);
 		watch->gap_refused = watch->gap.version;
 		schedule_call(watch, 0);
 		return;
 	}
 	if (status == 410) {
-		pr_event_state("history_lost", "table=%d version=%llu",
-			       watch->table,
-			       (unsigned long long)watch->extent.version);
+		pr_event_state(
+			"history_lost", "table=%d version=%llu", watch->table,
+			(unsigned long long)watch->extent.version.number);
 		watch->synced = false;
 		schedule_call(watch, 0);
 		return;
@@ -390,7 +396,7 @@
 		return;
 	}
 	watch->restarting = false;
-	if (status != 200 || pr_adapter_store_rows(&rows, body)) {
+	if (status != 200 || pr_adapter_store_rows(&rows, 0, body)) {
 		handle_failure(watch, status);
 		return;
 	}
@@ -406,7 +412,7 @@
 		after = watch->gap.newest;
 		pr_extent_close_gap(&watch->extent, &watch->gap);
 		pr_event_state("gap_closed", "table=%d after=%llu rows=%zu",
-			       watch->table, (unsigned long long)after,
+			       watch->table, (unsigned long long)after.number,
 			       rows.count);
 	}
 	apply_rows(watch, &rows);
@@ -501,11 +507,11 @@
  *
  * @param after version of the row before the first one
  */
-static void apply_relayed_rows(pr_watch_t *watch, uint64_t after,
+static void apply_relayed_rows(pr_watch_t *watch, pr_revision_t after,
 			       const pr_store_row_t *rows, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
-		if (rows[i].version > watch->extent.newest)
+		if (pr_revision_is_after(rows[i].version, watch->extent.newest))
 			apply_row(watch, &rows[i]);
 	}
 	pr_extent_advance(&watch->extent, watch->extent.newest);
@@ -515,20 +521,20 @@
 static void on_relay_rows(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_watch_t *watch = call->owner;
-	uint64_t have = pr_extent_complete(&watch->extent);
+	pr_revision_t have = pr_extent_complete(&watch->extent);
 	pr_store_rows_t rows = { 0 };
 
-	if (status != 200 || pr_row_cache_read(&rows, body) ||
-	    rows.version <= have) {
+	if (status != 200 || pr_row_cache_read(&rows, 0, body) ||
+	    !pr_revision_is_after(rows.version, have)) {
 		pr_event_state("relay_lacks_rows", "table=%d status=%d",
 			       watch->table, status);
-		if (have < watch->lag.newest)
+		if (pr_revision_is_after(watch->lag.newest, have))
 			request_from_store(watch);
 	} else {
 		pr_event_state("rows_from_relay",
 			       "table=%d rows=%zu bytes=%zu version=%llu",
 			       watch->table, rows.count, body.len,
-			       (unsigned long long)rows.version);
+			       (unsigned long long)rows.version.number);
 		apply_relayed_rows(watch, pr_extent_last(&watch->extent),
 				   rows.rows, rows.count);
 	}
@@ -548,7 +554,8 @@
 	    pr_str_appendf(
 		    &request, "GET /rows/%d/%llu HTTP/1.1\r\nHost: %s\r\n\r\n",
 		    watch->table,
-		    (unsigned long long)pr_extent_complete(&watch->extent),
+		    (unsigned long long)pr_extent_complete(&watch->extent)
+			    .number,
 		    relay->name)) {
 		request_from_store(watch);
 	} else {
@@ -567,11 +574,12 @@
 	    watch->reading_gap || watch->failures ||
 	    !pr_peering_reads_store(watch->edge) ||
 	    !pr_extent_has_gap(&watch->extent, relay) ||
-	    relay->version <= watch->gap_refused)
+	    !pr_revision_is_after(relay->version, watch->gap_refused))
 		return;
 	pr_event_state("gap_found", "table=%d base=%llu relay=%llu",
-		       watch->table, (unsigned long long)watch->extent.base,
-		       (unsigned long long)relay->version);
+		       watch->table,
+		       (unsigned long long)watch->extent.base.number,
+		       (unsigned long long)relay->version.number);
 	watch->gap = *relay;
 	watch->gap_wanted = true;
 	request_from_store(watch);
@@ -583,7 +591,7 @@
 {
 	pr_watch_t *watch = &edge->watches[table];
 	pr_usec_t now = pr_edge_now(edge);
-	uint64_t have;
+	pr_revision_t have;
 	pr_usec_t lag;
 
 	pr_extent_adopt(&watch->extent, announced, watch->paused);
@@ -594,18 +602,21 @@
 	if (lag < (watch->paused ? LAG_MAX_PAUSED : LAG_MAX) || watch->failures)
 		return;
 	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
-		       (unsigned long long)watch->extent.newest,
-		       (unsigned long long)announced->newest);
-	request_missing_rows(watch, watch->paused && announced->newest > have
-					    ? relay
-					    : NULL);
+		       (unsigned long long)watch->extent.newest.number,
+		       (unsigned long long)announced->newest.number);
+	request_missing_rows(
+		watch,
+		watch->paused && pr_revision_is_after(announced->newest, have)
+			? relay
+			: NULL);
 }
 
 void pr_watch_receive_rows(pr_edge_t *edge, const pr_host_t *relay,
 			   const pr_message_rows_t *rows)
 {
 	pr_watch_t *watch = &edge->watches[rows->table];
-	bool follows = pr_extent_complete(&watch->extent) >= rows->after;
+	bool follows = !pr_revision_is_after(
+		rows->after, pr_extent_complete(&watch->extent));
 
 	/* A call in progress returns the same rows. */
 	if (!watch->synced || watch->call.busy)
@@ -615,7 +626,8 @@
 			request_missing_rows(watch, relay);
 		return;
 	}
-	if (rows->rows[rows->count - 1].version > watch->extent.newest)
+	if (pr_revision_is_after(rows->rows[rows->count - 1].version,
+				 watch->extent.newest))
 		apply_relayed_rows(watch, rows->after, rows->rows, rows->count);
 }
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -427,7 +427,7 @@
 			       const pr_upstream_t *upstream)
 {
 	return XXH64(upstream->entry.id, strlen(upstream->entry.id),
-		     query->transition->order_row);
+		     pr_revision_tag(query->transition->order_row));
 }
 
 /*
--- a/src/relay/aggregate.c
+++ b/src/relay/aggregate.c
@@ -82,10 +82,9 @@
 }
 
 static const pr_tallies_t *tallies_of(const pr_host_t *host, size_t index,
-				      uint64_t order_row)
+				      uint64_t order)
 {
-	if (!host->report ||
-	    host->report->transitions[index].order_row != order_row)
+	if (!host->report || host->report->transitions[index].order != order)
 		return NULL;
 	return &host->report->transitions[index].tallies;
 }
@@ -98,12 +97,11 @@
 }
 
 void pr_aggregate_zone_tallies(pr_tallies_t *out, const pr_roster_t *roster,
-			       const char *zone, size_t index,
-			       uint64_t order_row)
+			       const char *zone, size_t index, uint64_t order)
 {
 	for (size_t i = 0; i < roster->count; i++) {
 		const pr_host_t *host = roster->hosts[i];
-		const pr_tallies_t *part = tallies_of(host, index, order_row);
+		const pr_tallies_t *part = tallies_of(host, index, order);
 
 		if (part && !strcmp(host->zone, zone))
 			add_tallies(out, part);
@@ -113,13 +111,13 @@
 void pr_aggregate_other_zone_tallies(pr_tallies_t *out,
 				     const pr_roster_t *roster,
 				     const char *zone, size_t index,
-				     uint64_t order_row)
+				     uint64_t order)
 {
 	const pr_tallies_t *most = NULL;
 
 	for (size_t i = 0; i < roster->count; i++) {
 		const pr_host_t *host = roster->hosts[i];
-		const pr_tallies_t *part = tallies_of(host, index, order_row);
+		const pr_tallies_t *part = tallies_of(host, index, order);
 
 		if (!part || strcmp(host->zone, zone) != 0)
 			continue;
--- a/src/relay/aggregate.h
+++ b/src/relay/aggregate.h
@@ -64,7 +64,7 @@
 		pr_usec_t at;
 	} upstreams[PR_COUNT_KINDS];
 	struct {
-		uint64_t order_row;
+		uint64_t order;
 		pr_tallies_t tallies;
 	} transitions[PR_AGGREGATE_TRANSITIONS_MAX];
 } pr_host_report_t;
@@ -99,12 +99,11 @@
  * Add the tallies that the hosts of a zone reported on a transition.
  *
  * @param index position of the transition in pr_host_report_t
- * @param order_row row version of the transition's order; reports on another
+ * @param order tag of the row of the transition's order; reports on another
  *	  order are ignored
  */
 void pr_aggregate_zone_tallies(pr_tallies_t *out, const pr_roster_t *roster,
-			       const char *zone, size_t index,
-			       uint64_t order_row);
+			       const char *zone, size_t index, uint64_t order);
 /**
  * Add the tallies of another zone from the relay whose tallies have the highest
  * total: each relay of the zone counts the same hosts.
@@ -112,7 +111,7 @@
 void pr_aggregate_other_zone_tallies(pr_tallies_t *out,
 				     const pr_roster_t *roster,
 				     const char *zone, size_t index,
-				     uint64_t order_row);
+				     uint64_t order);
 /** @return the counts of all hosts minus those of this host, at least 0 */
 pr_tallies_t pr_aggregate_subtract(const pr_tallies_t *all,
 				   const pr_tallies_t *own);
--- a/src/relay/extent.c
+++ b/src/relay/extent.c
@@ -1,39 +1,29 @@
 #include "relay/extent.h"
 
-static uint64_t later(uint64_t a, uint64_t b)
+pr_revision_t pr_extent_complete(const pr_extent_t *extent)
 {
-	return a > b ? a : b;
+	return pr_revision_later(extent->newest, extent->version);
 }
 
-static uint64_t earlier(uint64_t a, uint64_t b)
+pr_revision_t pr_extent_last(const pr_extent_t *extent)
 {
-	return a < b ? a : b;
+	return pr_revision_later(extent->newest, extent->base);
 }
 
-uint64_t pr_extent_complete(const pr_extent_t *extent)
+void pr_extent_add(pr_extent_t *extent, pr_revision_t version)
 {
-	return later(extent->newest, extent->version);
+	extent->newest = pr_revision_later(extent->newest, version);
 }
 
-uint64_t pr_extent_last(const pr_extent_t *extent)
+void pr_extent_advance(pr_extent_t *extent, pr_revision_t version)
 {
-	return later(extent->newest, extent->base);
+	extent->version = pr_revision_later(extent->version, version);
 }
 
-void pr_extent_add(pr_extent_t *extent, uint64_t version)
-{
-	extent->newest = later(extent->newest, version);
-}
-
-void pr_extent_advance(pr_extent_t *extent, uint64_t version)
-{
-	extent->version = later(extent->version, version);
-}
-
-void pr_extent_read(pr_extent_t *extent, uint64_t version, bool first)
+void pr_extent_read(pr_extent_t *extent, pr_revision_t version, bool first)
 {
 	extent->version = version;
-	extent->newest = earlier(extent->newest, version);
+	extent->newest = pr_revision_earlier(extent->newest, version);
 	if (first)
 		extent->base = version;
 }
@@ -42,7 +32,7 @@
 {
 	pr_announced_t announced = { extent->newest, extent->version };
 
-	if (extent->newest >= extent->base)
+	if (!pr_revision_is_after(extent->base, extent->newest))
 		return announced;
 	if (reads_store)
 		announced.newest = extent->base;
@@ -54,11 +44,12 @@
 void pr_extent_adopt(pr_extent_t *extent, const pr_announced_t *relay,
 		     bool paused)
 {
-	if (relay->newest > pr_extent_complete(extent))
+	if (pr_revision_is_after(relay->newest, pr_extent_complete(extent)))
 		return;
-	if (relay->version >= extent->base) {
-		extent->base = earlier(extent->base, relay->newest);
-		extent->newest = later(extent->newest, relay->newest);
+	if (!pr_revision_is_after(extent->base, relay->version)) {
+		extent->base = pr_revision_earlier(extent->base, relay->newest);
+		extent->newest =
+			pr_revision_later(extent->newest, relay->newest);
 	}
 	if (paused)
 		pr_extent_advance(extent, relay->version);
@@ -66,10 +57,11 @@
 
 bool pr_extent_has_gap(const pr_extent_t *extent, const pr_announced_t *relay)
 {
-	return later(relay->newest, relay->version) < extent->base;
+	return pr_revision_is_after(
+		extent->base, pr_revision_later(relay->newest, relay->version));
 }
 
 void pr_extent_close_gap(pr_extent_t *extent, const pr_announced_t *relay)
 {
-	extent->base = earlier(extent->base, relay->newest);
+	extent->base = pr_revision_earlier(extent->base, relay->newest);
 }
--- a/src/relay/extent.h
+++ b/src/relay/extent.h
@@ -14,34 +14,36 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "store/revision.h"
+
 /** Zeroed before first use. */
 typedef struct pr_extent_t {
 	/** Version of the newest change that is known. */
-	uint64_t newest;
+	pr_revision_t newest;
 	/** Version of the store up to which the content of the table is known;
 	 *  a feed call continues from it. */
-	uint64_t version;
+	pr_revision_t version;
 	/** All changes after this version are known, removals included. It is
 	 *  above the newest change from a first full read until a removal
 	 *  before that read is known, or certain not to exist. */
-	uint64_t base;
+	pr_revision_t base;
 } pr_extent_t;
 
 /** State of a table as a relay announces it: it knows all changes up to the
  *  version, and there is none between the newest one and the version. */
 typedef struct pr_announced_t {
-	uint64_t newest, version;
+	pr_revision_t newest, version;
 } pr_announced_t;
 
 /** @return version up to which the host knows the content of the table */
-uint64_t pr_extent_complete(const pr_extent_t *extent);
+pr_revision_t pr_extent_complete(const pr_extent_t *extent);
 /** @return version which another host must have reached, so that the changes
  *	   that this host learns next follow without a gap */
-uint64_t pr_extent_last(const pr_extent_t *extent);
+pr_revision_t pr_extent_last(const pr_extent_t *extent);
 /** Note a change that the store or a relay has sent. */
-void pr_extent_add(pr_extent_t *extent, uint64_t version);
+void pr_extent_add(pr_extent_t *extent, pr_revision_t version);
 /** Note the version of a full read, or of a feed call's response. */
-void pr_extent_advance(pr_extent_t *extent, uint64_t version);
+void pr_extent_advance(pr_extent_t *extent, pr_revision_t version);
 /**
  * Note the end of a full read.
  *
@@ -49,7 +51,7 @@
  *	  newer, which the feed then returns once more
  * @param first the host did not know the table before
  */
-void pr_extent_read(pr_extent_t *extent, uint64_t version, bool first);
+void pr_extent_read(pr_extent_t *extent, pr_revision_t version, bool first);
 /**
  * State of the table for other hosts.
  *
--- a/src/relay/lag.c
+++ b/src/relay/lag.c
@@ -4,12 +4,11 @@
  */
 #include "relay/lag.h"
 
-pr_usec_t pr_lag_update(pr_lag_t *lag, uint64_t newest, uint64_t have,
+pr_usec_t pr_lag_update(pr_lag_t *lag, pr_revision_t newest, pr_revision_t have,
 			pr_usec_t now)
 {
-	if (newest > lag->newest)
-		lag->newest = newest;
-	if (lag->newest <= have) {
+	lag->newest = pr_revision_later(lag->newest, newest);
+	if (!pr_revision_is_after(lag->newest, have)) {
 		lag->since = 0;
 		return 0;
 	}
--- a/src/relay/lag.h
+++ b/src/relay/lag.h
@@ -8,11 +8,12 @@
 #include <stdint.h>
 
 #include "pistachiorack/timer.h"
+#include "store/revision.h"
 
 /** Lag of one table. Zeroed before first use. */
 typedef struct pr_lag_t {
 	/** Version of the newest row that any other host has. */
-	uint64_t newest;
+	pr_revision_t newest;
 	/** Time since which this host has lacked a row; 0 when it lacks none.
 	 */
 	pr_usec_t since;
@@ -26,7 +27,7 @@
  * @return time in microseconds for which this host has lacked a row; 0 when it
  *	   lacks none
  */
-pr_usec_t pr_lag_update(pr_lag_t *lag, uint64_t newest, uint64_t have,
+pr_usec_t pr_lag_update(pr_lag_t *lag, pr_revision_t newest, pr_revision_t have,
 			pr_usec_t now);
 
 #endif
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -25,6 +25,21 @@
 					    "timed", "slow", "slow_who" };
 #define TALLY_FIELDS (sizeof(tally_fields) / sizeof(tally_fields[0]))
 
+/* The era is left out while it is 0, that is, while the store states none.
+ * Hosts of earlier releases compare the numbers alone, which is right within an
+ * era. */
+static int pack_era(msgpack_packer *packer, uint64_t era)
+{
+	return era ? pr_msgmap_pack_number(packer, "era", era) : 0;
+}
+
+static uint64_t read_era(const pr_msgmap_t *map)
+{
+	uint64_t era;
+
+	return pr_msgmap_number(map, &era, "era") ? 0 : era;
+}
+
 static int begin(msgpack_packer *packer, pr_str_t *out, const char *host,
 		 size_t fields)
 {
@@ -43,14 +58,33 @@
 	[PR_COUNT_OUTCOMES] = "outcomes",
 };
 
+/* Tables that this host has not read since the last return of the store are
+ * announced as unknown. */
+static uint64_t newest_era(const pr_feed_state_t *feeds)
+{
+	uint64_t era = 0;
+
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		if (feeds->tables[i].version.era > era)
+			era = feeds->tables[i].version.era;
+	}
+	return era;
+}
+
+static uint64_t number_in(uint64_t era, pr_revision_t revision)
+{
+	return revision.era == era ? revision.number : 0;
+}
+
 int pr_message_pack_counts(pr_str_t *out, const char *host,
 			   pr_count_kind_t kind,
 			   const pr_upstream_counts_t *counts,
 			   const pr_feed_state_t *feeds)
 {
+	uint64_t era = feeds ? newest_era(feeds) : 0;
 	msgpack_packer packer;
 	int rc = begin(&packer, out, host,
-		       feeds ? 6 + 2 * PR_TABLES_COUNT : (size_t)1);
+		       feeds ? 6 + 2 * PR_TABLES_COUNT + !!era : (size_t)1);
 
 	if (!rc)
 		rc = pr_msgmap_pack_text(
@@ -72,12 +106,14 @@
 		rc = pr_msgmap_pack_number(&packer, "unsettled",
 					   feeds->unsettled_ms);
 	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
-		rc = pr_msgmap_pack_number(&packer, table_names[i],
-					   feeds->tables[i].newest);
+		rc = pr_msgmap_pack_number(
+			&packer, table_names[i],
+			number_in(era, feeds->tables[i].newest));
 	for (int i = 0; i < PR_TABLES_COUNT && !rc; i++)
-		rc = pr_msgmap_pack_number(&packer, version_names[i],
-					   feeds->tables[i].version);
-	return rc;
+		rc = pr_msgmap_pack_number(
+			&packer, version_names[i],
+			number_in(era, feeds->tables[i].version));
+	return rc ? rc : pack_era(&packer, era);
 }
 
 int pr_message_read_counts(const pr_msgmap_t *map, pr_count_kind_t *kind,
@@ -112,11 +148,14 @@
 	feeds->clock_ms = (int64_t)clock;
 	feeds->unsettled_ms = (uint32_t)unsettled;
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		if (pr_msgmap_number(map, &feeds->tables[i].newest,
+		pr_announced_t *table = &feeds->tables[i];
+
+		if (pr_msgmap_number(map, &table->newest.number,
 				     table_names[i]) ||
-		    pr_msgmap_number(map, &feeds->tables[i].version,
+		    pr_msgmap_number(map, &table->version.number,
 				     version_names[i]))
-			feeds->tables[i].newest = feeds->tables[i].version = 0;
+			table->newest.number = table->version.number = 0;
+		table->newest.era = table->version.era = read_era(map);
 	}
 	return 0;
 }
@@ -186,7 +225,7 @@
 static const char *const service_fields[] = { "service", "fleet_service" };
 
 int pr_message_pack_tallies(pr_str_t *out, const char *host,
-			    const char *service, uint64_t order_row,
+			    const char *service, uint64_t order,
 			    const pr_tallies_t *tallies, bool all)
 {
 	msgpack_packer packer;
@@ -196,7 +235,7 @@
 		rc = pr_msgmap_pack_text(&packer, service_fields[all],
 					 pr_slice_of(service));
 	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "order", order_row);
+		rc = pr_msgmap_pack_number(&packer, "order", order);
 	if (!rc)
 		rc = pack_tally(&packer, "new", &tallies->new);
 	if (!rc)
@@ -205,12 +244,11 @@
 }
 
 int pr_message_read_tallies(const pr_msgmap_t *map, pr_slice_t *service,
-			    uint64_t *order_row, pr_tallies_t *tallies,
-			    bool *all)
+			    uint64_t *order, pr_tallies_t *tallies, bool *all)
 {
 	*all = !pr_msgmap_text(map, service, service_fields[true]);
 	if ((!*all && pr_msgmap_text(map, service, service_fields[false])) ||
-	    pr_msgmap_number(map, order_row, "order") ||
+	    pr_msgmap_number(map, order, "order") ||
 	    read_tally(map, "new", &tallies->new) ||
 	    read_tally(map, "old", &tallies->old))
 		return PR_EPARSE;
@@ -222,7 +260,7 @@
 						"fleet_load_test" };
 
 int pr_message_pack_load_test(pr_str_t *out, const char *host,
-			      const char *service, uint64_t order_row,
+			      const char *service, uint64_t order,
 			      const pr_load_test_tally_t *tally, bool all)
 {
 	msgpack_packer packer;
@@ -232,7 +270,7 @@
 		rc = pr_msgmap_pack_text(&packer, load_test_fields[all],
 					 pr_slice_of(service));
 	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "order", order_row);
+		rc = pr_msgmap_pack_number(&packer, "order", order);
 	if (!rc)
 		rc = pr_msgmap_pack_number(&packer, "begun", tally->begun);
 	if (!rc)
@@ -246,14 +284,14 @@
 }
 
 int pr_message_read_load_test(const pr_msgmap_t *map, pr_slice_t *service,
-			      uint64_t *order_row, pr_load_test_tally_t *tally,
+			      uint64_t *order, pr_load_test_tally_t *tally,
 			      bool *all)
 {
 	uint64_t begun, ended, loaded, bad;
 
 	*all = !pr_msgmap_text(map, service, load_test_fields[true]);
 	if ((!*all && pr_msgmap_text(map, service, load_test_fields[false])) ||
-	    pr_msgmap_number(map, order_row, "order") ||
+	    pr_msgmap_number(map, order, "order") ||
 	    pr_msgmap_number(map, &begun, "begun") ||
 	    pr_msgmap_number(map, &ended, "ended") ||
 	    pr_msgmap_number(map, &loaded, "loaded") ||
@@ -561,12 +599,19 @@
 	snprintf(name, 16, "%s%zu", field, index);
 }
 
-static size_t rows_that_fit(const pr_store_row_t *rows, size_t count)
+/* A map has 15 fields at most; the era takes the place of a row. */
+static size_t rows_max(uint64_t era)
+{
+	return era ? PR_ROWS_IN_DATAGRAM - 1 : PR_ROWS_IN_DATAGRAM;
+}
+
+static size_t rows_that_fit(const pr_store_row_t *rows, size_t count,
+			    uint64_t era)
 {
 	size_t size = HEADER_SIZE;
 	size_t fit = 0;
 
-	while (fit < count && fit < PR_ROWS_IN_DATAGRAM) {
+	while (fit < count && fit < rows_max(era)) {
 		size += ROW_OVERHEAD + strlen(rows[fit].key) +
 			rows[fit].value.len;
 		if (size > PR_DATAGRAM_MAX)
@@ -586,7 +631,7 @@
 	rc = pr_msgmap_pack_text(packer, name, pr_slice_of(row->key));
 	row_field(name, "version", index);
 	if (!rc)
-		rc = pr_msgmap_pack_number(packer, name, row->version);
+		rc = pr_msgmap_pack_number(packer, name, row->version.number);
 	row_field(name, "value", index);
 	if (!rc && !row->removed)
 		rc = pr_msgmap_pack_text(packer, name,
@@ -595,11 +640,11 @@
 }
 
 size_t pr_message_pack_rows(pr_str_t *out, const char *host,
-			    pr_store_table_t table, uint64_t after,
+			    pr_store_table_t table, pr_revision_t after,
 			    const pr_store_row_t *rows, size_t count)
 {
-	size_t fit = rows_that_fit(rows, count);
-	size_t fields = 2;
+	size_t fit = rows_that_fit(rows, count, after.era);
+	size_t fields = 2 + !!after.era;
 	msgpack_packer packer;
 	int rc;
 
@@ -609,7 +654,9 @@
 	if (!rc)
 		rc = pr_msgmap_pack_number(&packer, "table", table);
 	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "after", after);
+		rc = pr_msgmap_pack_number(&packer, "after", after.number);
+	if (!rc)
+		rc = pack_era(&packer, after.era);
 	for (size_t i = 0; i < fit && !rc; i++)
 		rc = pack_row(&packer, &rows[i], i);
 	return rc ? 0 : fit;
@@ -626,7 +673,8 @@
 
 /* @return 0, PR_ENOTFOUND when the map has no row of this index, PR_EPARSE or
  *	   PR_ENOMEM */
-static int read_row(const pr_msgmap_t *map, pr_store_row_t *row, size_t index)
+static int read_row(const pr_msgmap_t *map, uint64_t era, pr_store_row_t *row,
+		    size_t index)
 {
 	pr_slice_t key, value;
 	char name[16];
@@ -635,8 +683,9 @@
 	if (pr_msgmap_text(map, &key, name))
 		return PR_ENOTFOUND;
 	row_field(name, "version", index);
-	if (pr_msgmap_number(map, &row->version, name))
+	if (pr_msgmap_number(map, &row->version.number, name))
 		return PR_EPARSE;
+	row->version.era = era;
 	row->key = strndup(key.ptr, key.len);
 	if (!row->key)
 		return PR_ENOMEM;
@@ -650,17 +699,19 @@
 
 int pr_message_read_rows(const pr_msgmap_t *map, pr_message_rows_t *out)
 {
+	uint64_t era = read_era(map);
 	uint64_t table;
 	int rc = 0;
 
 	memset(out, 0, sizeof(*out));
 	if (pr_msgmap_number(map, &table, "table") ||
-	    pr_msgmap_number(map, &out->after, "after") ||
+	    pr_msgmap_number(map, &out->after.number, "after") ||
 	    table >= PR_TABLES_COUNT)
 		return PR_EPARSE;
 	out->table = (pr_store_table_t)table;
+	out->after.era = era;
 	while (out->count < PR_ROWS_IN_DATAGRAM && !rc) {
-		rc = read_row(map, &out->rows[out->count], out->count);
+		rc = read_row(map, era, &out->rows[out->count], out->count);
 		out->count += !rc;
 	}
 	if (!rc || rc == PR_ENOTFOUND)
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -56,23 +56,23 @@
 /**
  * Encode the counts of a transition, without those of its load test.
  *
+ * @param order tag of the row of the order
  * @param all true for a relay's counts of all hosts
  */
 int pr_message_pack_tallies(pr_str_t *out, const char *host,
-			    const char *service, uint64_t order_row,
+			    const char *service, uint64_t order,
 			    const pr_tallies_t *tallies, bool all);
 int pr_message_read_tallies(const pr_msgmap_t *map, pr_slice_t *service,
-			    uint64_t *order_row, pr_tallies_t *tallies,
-			    bool *all);
+			    uint64_t *order, pr_tallies_t *tallies, bool *all);
 /** Encode the counts of a transition's load test. They are sent apart, because
  *  hosts of earlier releases read no map with more fields than the other counts
  *  have. */
 int pr_message_pack_load_test(pr_str_t *out, const char *host,
-			      const char *service, uint64_t order_row,
+			      const char *service, uint64_t order,
 			      const pr_load_test_tally_t *tally, bool all);
 /** @return 0, or PR_EPARSE for another kind of message */
 int pr_message_read_load_test(const pr_msgmap_t *map, pr_slice_t *service,
-			      uint64_t *order_row, pr_load_test_tally_t *tally,
+			      uint64_t *order, pr_load_test_tally_t *tally,
 			      bool *all);
 
 /** Encode sessions: time of their last use, and whether they moved to the new
@@ -123,7 +123,7 @@
 typedef struct pr_message_rows_t {
 	pr_store_table_t table;
 	/** Newest row that the receiver must have. */
-	uint64_t after;
+	pr_revision_t after;
 	pr_store_row_t rows[PR_ROWS_IN_DATAGRAM];
 	/** 0 when the next row is too long for a datagram; the receiver reads
 	 * it from the sender. */
@@ -132,7 +132,7 @@
 
 /** @return number of rows that were packed, counted from the first one */
 size_t pr_message_pack_rows(pr_str_t *out, const char *host,
-			    pr_store_table_t table, uint64_t after,
+			    pr_store_table_t table, pr_revision_t after,
 			    const pr_store_row_t *rows, size_t count);
 /** @return 0 or PR_EPARSE; on 0 pr_message_rows_finish() must follow */
 int pr_message_read_rows(const pr_msgmap_t *map, pr_message_rows_t *out);
--- a/src/relay/row_cache.c
+++ b/src/relay/row_cache.c
@@ -96,17 +96,17 @@
 	return 0;
 }
 
-int pr_row_cache_add(pr_row_cache_t *cache, uint64_t after,
+int pr_row_cache_add(pr_row_cache_t *cache, pr_revision_t after,
 		     const pr_store_row_t *rows, size_t count)
 {
 	int rc = 0;
 
-	if (after > cache->newest) {
+	if (pr_revision_is_after(after, cache->newest)) {
 		pr_row_cache_finish(cache);
 		cache->complete_after = cache->newest = after;
 	}
 	for (size_t i = 0; i < count && !rc; i++) {
-		if (rows[i].version > cache->newest)
+		if (pr_revision_is_after(rows[i].version, cache->newest))
 			rc = add_row(cache, &rows[i]);
 	}
 	if (rc)
@@ -123,7 +123,8 @@
 	if (!rc)
 		rc = pr_msgmap_pack_text(packer, "key", pr_slice_of(row->key));
 	if (!rc)
-		rc = pr_msgmap_pack_number(packer, "version", row->version);
+		rc = pr_msgmap_pack_number(packer, "version",
+					   row->version.number);
 	if (!rc && !row->removed)
 		rc = pr_msgmap_pack_text(packer, "value",
 					 pr_str_slice(&row->value));
@@ -155,15 +156,17 @@
 	return rc ? PR_ENOMEM : 0;
 }
 
-int pr_row_cache_pack(const pr_row_cache_t *cache, uint64_t after,
+int pr_row_cache_pack(const pr_row_cache_t *cache, pr_revision_t after,
 		      pr_str_t *out)
 {
 	size_t first = 0;
 	int rc = 0;
 
-	while (first < cache->count && cache->rows[first].row.version <= after)
+	while (first < cache->count &&
+	       !pr_revision_is_after(cache->rows[first].row.version, after))
 		first++;
-	if (after < cache->complete_after || first == cache->count)
+	if (pr_revision_is_after(cache->complete_after, after) ||
+	    first == cache->count)
 		return PR_ENOTFOUND;
 	for (size_t i = first; i < cache->count && !rc; i++)
 		rc = append_row(out, &cache->rows[i]);
@@ -183,14 +186,15 @@
 	return pr_str_append(&row->value, value.ptr, value.len);
 }
 
-static int read_row(pr_store_row_t *row, const pr_msgmap_t *map)
+static int read_row(pr_store_row_t *row, uint64_t era, const pr_msgmap_t *map)
 {
 	pr_slice_t key;
 	int rc;
 
 	if (pr_msgmap_text(map, &key, "key") ||
-	    pr_msgmap_number(map, &row->version, "version"))
+	    pr_msgmap_number(map, &row->version.number, "version"))
 		return pr_error_set(PR_EPARSE, "row without a key or version");
+	row->version.era = era;
 	row->key = strndup(key.ptr, key.len);
 	if (!row->key)
 		return PR_ENOMEM;
@@ -230,7 +234,7 @@
 	return bytes.len ? 0 : count;
 }
 
-static int add_read_row(pr_store_rows_t *out, pr_slice_t bytes)
+static int add_read_row(pr_store_rows_t *out, uint64_t era, pr_slice_t bytes)
 {
 	pr_store_row_t *row = &out->rows[out->count];
 	pr_msgmap_t map;
@@ -238,7 +242,7 @@
 
 	if (rc)
 		return rc;
-	rc = read_row(row, &map);
+	rc = read_row(row, era, &map);
 	pr_msgmap_finish(&map);
 	if (rc)
 		return rc;
@@ -247,7 +251,7 @@
 	return 0;
 }
 
-int pr_row_cache_read(pr_store_rows_t *out, pr_slice_t bytes)
+int pr_row_cache_read(pr_store_rows_t *out, uint64_t era, pr_slice_t bytes)
 {
 	size_t count = count_maps(bytes);
 	pr_slice_t map;
@@ -260,7 +264,7 @@
 	if (!out->rows)
 		return PR_ENOMEM;
 	while (!rc && next_map(&bytes, &map))
-		rc = add_read_row(out, map);
+		rc = add_read_row(out, era, map);
 	if (rc)
 		pr_store_rows_finish(out);
 	return rc;
--- a/src/relay/row_cache.h
+++ b/src/relay/row_cache.h
@@ -30,9 +30,9 @@
 	pr_cached_row_t *rows;
 	size_t count, capacity;
 	/** The cache has all rows that changed after this version. */
-	uint64_t complete_after;
+	pr_revision_t complete_after;
 	/** Version of the newest row that was added. */
-	uint64_t newest;
+	pr_revision_t newest;
 } pr_row_cache_t;
 
 void pr_row_cache_finish(pr_row_cache_t *cache);
@@ -44,7 +44,7 @@
  * @param after version of the row before the first one
  * @return 0 or PR_ENOMEM; the cache is empty then
  */
-int pr_row_cache_add(pr_row_cache_t *cache, uint64_t after,
+int pr_row_cache_add(pr_row_cache_t *cache, pr_revision_t after,
 		     const pr_store_row_t *rows, size_t count);
 
 /**
@@ -53,14 +53,15 @@
  * @return 0, PR_ENOMEM, or PR_ENOTFOUND when the cache does not have all of
  *	   them, or none
  */
-int pr_row_cache_pack(const pr_row_cache_t *cache, uint64_t after,
+int pr_row_cache_pack(const pr_row_cache_t *cache, pr_revision_t after,
 		      pr_str_t *out);
 
 /**
  * Decode the rows that pr_row_cache_pack() encoded.
  *
+ * @param era of the store in which the rows were written
  * @return 0, PR_EPARSE or PR_ENOMEM; on 0 pr_store_rows_finish() must follow
  */
-int pr_row_cache_read(pr_store_rows_t *out, pr_slice_t bytes);
+int pr_row_cache_read(pr_store_rows_t *out, uint64_t era, pr_slice_t bytes);
 
 #endif
--- a/src/store/missed.c
+++ b/src/store/missed.c
@@ -43,10 +43,10 @@
 
 static int compare(const void *a, const void *b)
 {
-	uint64_t x = ((const pr_store_row_t *)a)->version;
-	uint64_t y = ((const pr_store_row_t *)b)->version;
+	pr_revision_t x = ((const pr_store_row_t *)a)->version;
+	pr_revision_t y = ((const pr_store_row_t *)b)->version;
 
-	return (x > y) - (x < y);
+	return pr_revision_is_after(x, y) - pr_revision_is_after(y, x);
 }
 
 static void sort(pr_store_rows_t *missed)
@@ -56,10 +56,11 @@
 		      compare);
 }
 
-static void drop_newer(pr_store_rows_t *missed, uint64_t until)
+static void drop_newer(pr_store_rows_t *missed, pr_revision_t until)
 {
 	while (missed->count &&
-	       missed->rows[missed->count - 1].version > until) {
+	       pr_revision_is_after(missed->rows[missed->count - 1].version,
+				    until)) {
 		pr_store_row_t *row = &missed->rows[--missed->count];
 
 		free(row->key);
@@ -67,30 +68,33 @@
 	}
 }
 
-int pr_missed_order(pr_store_rows_t *missed, uint64_t after, uint64_t until)
+int pr_missed_order(pr_store_rows_t *missed, pr_revision_t after,
+		    pr_revision_t until)
 {
-	uint64_t version = until;
+	pr_revision_t version = until;
 	size_t removed = 0;
 	size_t taken;
 
 	sort(missed);
 	drop_newer(missed, until);
-	while (removed < missed->count && !missed->rows[removed].version)
+	while (removed < missed->count && !missed->rows[removed].version.number)
 		removed++;
 	taken = missed->count;
-	for (size_t i = 0; i < removed; i++, version--) {
+	for (size_t i = 0; i < removed; i++, version.number--) {
 		while (taken > removed &&
-		       missed->rows[taken - 1].version >= version) {
+		       !pr_revision_is_after(version,
+					     missed->rows[taken - 1].version)) {
 			taken--;
-			version -= missed->rows[taken].version == version;
+			version.number -= pr_revision_equal(
+				missed->rows[taken].version, version);
 		}
-		if (version <= after)
+		if (!pr_revision_is_after(version, after))
 			return pr_error_set(
 				PR_EFULL,
 				"%zu removed keys between versions %llu and "
 				"%llu",
-				removed, (unsigned long long)after,
-				(unsigned long long)until);
+				removed, (unsigned long long)after.number,
+				(unsigned long long)until.number);
 		missed->rows[i].version = version;
 	}
 	sort(missed);
--- a/src/store/missed.h
+++ b/src/store/missed.h
@@ -20,6 +20,7 @@
  * @param until version of the read; rows that are newer are left out
  * @return 0, or PR_EFULL when there are more removed keys than free versions
  */
-int pr_missed_order(pr_store_rows_t *missed, uint64_t after, uint64_t until);
+int pr_missed_order(pr_store_rows_t *missed, pr_revision_t after,
+		    pr_revision_t until);
 
 #endif
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "pistachiorack/str.h"
+#include "store/revision.h"
 
 typedef enum pr_store_table_t {
 	/** What the operator writes. */
@@ -23,8 +24,8 @@
 typedef struct pr_store_row_t {
 	char *key;
 	pr_str_t value;
-	/** Grows with every transaction of the store. */
-	uint64_t version;
+	/** Transaction that wrote or removed it. */
+	pr_revision_t version;
 	bool removed;
 } pr_store_row_t;
 
@@ -33,8 +34,8 @@
 	size_t count;
 	/** Rows that were left out, because their key cannot be read. */
 	size_t unreadable;
-	/** Newest version of the store. */
-	uint64_t version;
+	/** Newest transaction of the store. */
+	pr_revision_t version;
 	/** The store's steady clock, milliseconds. */
 	int64_t now_ms;
 	bool more;
@@ -49,8 +50,9 @@
 	/** ptr NULL leaves the row as it is and only states the condition. */
 	pr_slice_t value;
 	bool conditional;
-	/** Version that the row must have; 0: must not exist. */
-	uint64_t expected;
+	/** Version that the row must have; number 0: must not exist. The store
+	 *  compares the number alone, so it must be of the store's era. */
+	pr_revision_t expected;
 } pr_store_write_t;
 
 #endif
--- a/src/transition/row.c
+++ b/src/transition/row.c
@@ -11,7 +11,7 @@
 	pr_msgmap_packer(&packer, out);
 	rc = msgpack_pack_map(&packer, 6);
 	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "order", row->order_row);
+		rc = pr_msgmap_pack_number(&packer, "order", row->order);
 	if (!rc)
 		rc = pr_msgmap_pack_number(&packer, "state",
 					   (uint64_t)row->state);
@@ -61,7 +61,7 @@
 		rc = pr_slice_copy(out->withdrawn, sizeof(out->withdrawn),
 				   withdrawn);
 	pr_msgmap_finish(&map);
-	out->order_row = order;
+	out->order = order;
 	out->state = (pr_rollout_state_t)state;
 	out->began_ms = (int64_t)began;
 	out->verified_ms = (int64_t)verified;
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -111,7 +111,8 @@
 };
 
 void pr_transition_init(pr_transition_t *transition,
-			const pr_rollout_order_t *order, uint64_t order_row)
+			const pr_rollout_order_t *order,
+			pr_revision_t order_row)
 {
 	memset(transition, 0, sizeof(*transition));
 	transition->order = *order;
@@ -119,7 +120,8 @@
 }
 
 void pr_transition_replace(pr_transition_t *transition,
-			   const pr_rollout_order_t *order, uint64_t order_row)
+			   const pr_rollout_order_t *order,
+			   pr_revision_t order_row)
 {
 	char withdrawn[PR_TRANSITION_NAME_SIZE];
 
@@ -136,14 +138,15 @@
 }
 
 void pr_transition_apply(pr_transition_t *transition,
-			 const pr_transition_row_t *row, uint64_t row_version)
+			 const pr_transition_row_t *row,
+			 pr_revision_t row_version)
 {
-	if (row_version <= transition->state_row)
+	if (!pr_revision_is_after(row_version, transition->state_row))
 		return;
 	/* The next conditional write needs this version, even when the row
 	 * belongs to another order. */
 	transition->state_row = row_version;
-	if (row->order_row != transition->order_row) {
+	if (row->order != transition->order_row.number) {
 		transition->began_ms = 0;
 		transition->verified_ms = 0;
 		transition->load_verified_ms = 0;
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "pistachiorack/str.h"
+#include "store/revision.h"
 #include "transition/load_test.h"
 #include "transition/sessions.h"
 
@@ -79,9 +80,9 @@
 typedef struct pr_transition_t {
 	pr_rollout_order_t order;
 	/** Row version of the order, which identifies it. */
-	uint64_t order_row;
-	/** Row version of the shared row; 0 before one exists. */
-	uint64_t state_row;
+	pr_revision_t order_row;
+	/** Row version of the shared row; number 0 before one exists. */
+	pr_revision_t state_row;
 	pr_rollout_state_t state;
 	/** Start by the store's clock, milliseconds; 0 before the start. */
 	int64_t began_ms;
@@ -111,17 +112,20 @@
 
 /** Initialize a transition for an order. */
 void pr_transition_init(pr_transition_t *transition,
-			const pr_rollout_order_t *order, uint64_t order_row);
+			const pr_rollout_order_t *order,
+			pr_revision_t order_row);
 
 /** Replace the order; a withdrawn version stays withdrawn unless the new order
  *  names it. */
 void pr_transition_replace(pr_transition_t *transition,
-			   const pr_rollout_order_t *order, uint64_t order_row);
+			   const pr_rollout_order_t *order,
+			   pr_revision_t order_row);
 
 /** Row with the state that the hosts share. The state is ignored when the row
  *  belongs to another order. */
 typedef struct pr_transition_row_t {
-	uint64_t order_row;
+	/** Number of the order's row, in the era in which this row is read. */
+	uint64_t order;
 	pr_rollout_state_t state;
 	int64_t began_ms;
 	/** As in pr_transition_t, for hosts that start later. */
@@ -136,7 +140,8 @@
 int pr_transition_row_unpack(pr_transition_row_t *out, pr_slice_t bytes);
 /** Apply the shared row; one that is not newer than the last is ignored. */
 void pr_transition_apply(pr_transition_t *transition,
-			 const pr_transition_row_t *row, uint64_t row_version);
+			 const pr_transition_row_t *row,
+			 pr_revision_t row_version);
 
 /** @return share of the sessions that use the new version, 0 to 1 */
 double pr_transition_share(const pr_transition_t *transition, int64_t now_ms);
--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -130,15 +130,16 @@
 }
 
 pr_upstream_t *pr_registry_apply(pr_registry_t *registry,
-				 const pr_upstream_entry_t *entry, uint64_t row,
-				 uint32_t cold_default_ms, pr_usec_t now)
+				 const pr_upstream_entry_t *entry,
+				 pr_revision_t row, uint32_t cold_default_ms,
+				 pr_usec_t now)
 {
 	pr_upstream_t *upstream = pr_registry_find(registry, entry->id);
 	bool is_new = !upstream;
 	pr_usec_t cold = (pr_usec_t)entry->cold_ms * PR_USEC_PER_MSEC;
 	pr_usec_t paused_until = 0;
 
-	if (upstream && row <= upstream->row)
+	if (upstream && !pr_revision_is_after(row, upstream->row))
 		return NULL;
 	if (upstream && upstream->entry.born != entry->born) {
 		/* A restarted instance keeps no state of the one before, but it
@@ -164,12 +165,12 @@
 	return upstream;
 }
 
-void pr_registry_remove(pr_registry_t *registry, const char *id, uint64_t row,
-			pr_usec_t remove_at, pr_usec_t now)
+void pr_registry_remove(pr_registry_t *registry, const char *id,
+			pr_revision_t row, pr_usec_t remove_at, pr_usec_t now)
 {
 	pr_upstream_t *upstream = pr_registry_find(registry, id);
 
-	if (!upstream || row < upstream->row)
+	if (!upstream || pr_revision_is_after(upstream->row, row))
 		return;
 	if (remove_at <= now)
 		unlist(registry, upstream);
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -12,6 +12,7 @@
 #include "base/list.h"
 #include "limits/stated_rate.h"
 #include "pistachiorack/timer.h"
+#include "store/revision.h"
 #include "upstream/outcomes.h"
 
 #define PR_UPSTREAM_NAME_SIZE 96
@@ -46,7 +47,7 @@
 	uint32_t refs;
 	pr_upstream_entry_t entry;
 	/** Row version of the entry. */
-	uint64_t row;
+	pr_revision_t row;
 	/** It is in the registry. */
 	bool listed;
 	/** It stated in a response that it is shutting down. This holds for as
@@ -137,8 +138,9 @@
  *	   than the one applied last
  */
 pr_upstream_t *pr_registry_apply(pr_registry_t *registry,
-				 const pr_upstream_entry_t *entry, uint64_t row,
-				 uint32_t cold_default_ms, pr_usec_t now);
+				 const pr_upstream_entry_t *entry,
+				 pr_revision_t row, uint32_t cold_default_ms,
+				 pr_usec_t now);
 /**
  * Remove an upstream after its discovery entry was removed.
  *
@@ -146,8 +148,8 @@
  * @param remove_at time of the removal: now, or later when the entry may have
  *	  expired only because the store was unreachable
  */
-void pr_registry_remove(pr_registry_t *registry, const char *id, uint64_t row,
-			pr_usec_t remove_at, pr_usec_t now);
+void pr_registry_remove(pr_registry_t *registry, const char *id,
+			pr_revision_t row, pr_usec_t remove_at, pr_usec_t now);
 /** Remove the upstreams whose delayed removal is due. */
 void pr_registry_expire(pr_registry_t *registry, pr_usec_t now);
 /** @return the listed upstream with the id, or NULL */
--- a/tests/sessions_fleet.h
+++ b/tests/sessions_fleet.h
@@ -17,6 +17,7 @@
 
 #include "relay/message.h"
 #include "transition/transition.h"
+#include "revision.h"
 
 #define HOSTS       295
 #define ZONES       3
@@ -81,7 +82,7 @@
 {
 	pr_rollout_order_t order = { "model", "v2", DURATION_MS };
 
-	pr_transition_init(&fleet->transitions[transition], &order, 7);
+	pr_transition_init(&fleet->transitions[transition], &order, rev(7));
 }
 
 static inline void set_state(fleet_t *fleet, int transition,
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -301,7 +301,7 @@
 
 	assert_int_equal(
 		pr_adapter_store_rows(
-			&rows,
+			&rows, 0,
 			PR_SLICE("{\"rows\":[{\"table\":\"t\",\"part\":\"\","
 				 "\"key\":\"a\",\"value\":\"bm9kZS0x\","
 				 "\"ver\":412},{\"key\":\"b\",\"ver\":413,"
@@ -311,10 +311,11 @@
 	assert_int_equal(rows.count, 2);
 	assert_string_equal(pr_str_cstr(&rows.rows[0].value), "node-1");
 	assert_true(rows.rows[1].removed && rows.more);
-	assert_int_equal(rows.version, 530);
+	assert_int_equal(rows.version.number, 530);
 	assert_int_equal(rows.now_ms, 51230);
 	pr_store_rows_finish(&rows);
-	assert_int_not_equal(pr_adapter_store_rows(&rows, PR_SLICE("oops")), 0);
+	assert_int_not_equal(pr_adapter_store_rows(&rows, 0, PR_SLICE("oops")),
+			     0);
 }
 
 /* Guards against hosts that no longer follow a table, since one key in it has a
@@ -325,16 +326,17 @@
 
 	assert_int_equal(
 		pr_adapter_store_rows(
-			&rows, PR_SLICE("{\"rows\":[{\"key\":\"a\\u0000b\","
-					"\"value\":\"bm9kZS0x\",\"ver\":3},"
-					"{\"key\":7,\"ver\":4},"
-					"{\"key\":\"c\",\"value\":\"bm9kZS0x\","
-					"\"ver\":5}],\"ver\":5,\"now-ms\":7}")),
+			&rows, 0,
+			PR_SLICE("{\"rows\":[{\"key\":\"a\\u0000b\","
+				 "\"value\":\"bm9kZS0x\",\"ver\":3},"
+				 "{\"key\":7,\"ver\":4},"
+				 "{\"key\":\"c\",\"value\":\"bm9kZS0x\","
+				 "\"ver\":5}],\"ver\":5,\"now-ms\":7}")),
 		0);
 	assert_int_equal(rows.count, 1);
 	assert_int_equal(rows.unreadable, 2);
 	assert_string_equal(rows.rows[0].key, "c");
-	assert_int_equal(rows.version, 5);
+	assert_int_equal(rows.version.number, 5);
 	pr_store_rows_finish(&rows);
 }
 
@@ -342,12 +344,12 @@
 {
 	char long_value[200];
 	pr_store_write_t writes[] = {
-		{ PR_TABLE_SHARED, "a", PR_SLICE("node-1"), true, 0 },
+		{ PR_TABLE_SHARED, "a", PR_SLICE("node-1"), true, { 0, 0 } },
 		{ PR_TABLE_SHARED,
 		  "b",
 		  { long_value, sizeof(long_value) },
 		  false,
-		  0 },
+		  { 0, 0 } },
 	};
 	pr_str_t out = PR_STR_INIT;
 
--- a/tests/test_extent.c
+++ b/tests/test_extent.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "relay/extent.h"
+#include "revision.h"
 
 #define HOSTS_MAX 295
 /* Hosts that send digests. */
@@ -38,10 +39,10 @@
 	region->count = count;
 	region->version = 40;
 	for (int i = 0; i < count; i++) {
-		pr_extent_add(&region->hosts[i].extent, 30);
-		pr_extent_read(&region->hosts[i].extent, 40, true);
+		pr_extent_add(&region->hosts[i].extent, rev(30));
+		pr_extent_read(&region->hosts[i].extent, rev(40), true);
 		pr_extent_close_gap(&region->hosts[i].extent,
-				    &(pr_announced_t){ 30, 40 });
+				    &(pr_announced_t){ rev(30), rev(40) });
 	}
 }
 
@@ -51,9 +52,9 @@
 	region->calls++;
 	if (region->removal && after < region->removal) {
 		host->knows = true;
-		pr_extent_add(&host->extent, region->removal);
+		pr_extent_add(&host->extent, rev(region->removal));
 	}
-	pr_extent_advance(&host->extent, region->version);
+	pr_extent_advance(&host->extent, rev(region->version));
 }
 
 static void read_table(region_t *region, sim_host_t *host)
@@ -61,8 +62,8 @@
 	memset(host, 0, sizeof(*host));
 	region->calls++;
 	/* The row that existed before, and still does. */
-	pr_extent_add(&host->extent, 30);
-	pr_extent_read(&host->extent, region->version, true);
+	pr_extent_add(&host->extent, rev(30));
+	pr_extent_read(&host->extent, rev(region->version), true);
 	host->knows = true;
 }
 
@@ -70,10 +71,11 @@
  * after its own; the store does when the relay lacks a part of it. */
 static void ask(region_t *region, sim_host_t *host, const sim_host_t *relay)
 {
-	uint64_t have = pr_extent_complete(&host->extent);
+	pr_revision_t have = pr_extent_complete(&host->extent);
 
-	if (have < relay->extent.base || relay->extent.newest <= have) {
-		call_feed(region, host, have);
+	if (pr_revision_is_after(relay->extent.base, have) ||
+	    !pr_revision_is_after(relay->extent.newest, have)) {
+		call_feed(region, host, have.number);
 		return;
 	}
 	host->knows |= relay->knows;
@@ -98,12 +100,14 @@
 			pr_extent_adopt(&host->extent, &announced, j != 0);
 			if (!j &&
 			    pr_extent_has_gap(&host->extent, &announced)) {
-				call_feed(region, host, announced.version);
+				call_feed(region, host,
+					  announced.version.number);
 				pr_extent_close_gap(&host->extent, &announced);
 			}
 			if (lag_lasts &&
-			    announced.newest >
-				    pr_extent_complete(&host->extent))
+			    pr_revision_is_after(
+				    announced.newest,
+				    pr_extent_complete(&host->extent)))
 				ask(region, host, relay);
 		}
 	}
@@ -154,12 +158,13 @@
 		pr_extent_t *extent = &region.hosts[i].extent;
 
 		pr_extent_adopt(extent, &announced, true);
-		assert_int_equal(pr_extent_complete(extent), 40);
-		assert_true(announced.newest > pr_extent_complete(extent));
+		assert_int_equal(pr_extent_complete(extent).number, 40);
+		assert_true(pr_revision_is_after(announced.newest,
+						 pr_extent_complete(extent)));
 	}
 	/* A row that follows must not hide the removal either. */
-	pr_extent_add(&region.hosts[0].extent, 45);
-	assert_int_equal(pr_extent_last(&region.hosts[0].extent), 45);
+	pr_extent_add(&region.hosts[0].extent, rev(45));
+	assert_int_equal(pr_extent_last(&region.hosts[0].extent).number, 45);
 }
 
 /* A host that starts again while another one reads the store: it must not make
@@ -173,8 +178,8 @@
 	region.version = 45;
 	read_table(&region, &region.hosts[1]);
 	announced = pr_extent_announce(&region.hosts[1].extent, false);
-	assert_int_equal(announced.newest, 30);
-	assert_int_equal(announced.version, 30);
+	assert_int_equal(announced.newest.number, 30);
+	assert_int_equal(announced.version.number, 30);
 	region.calls = 0;
 	exchange(&region, true);
 	assert_int_equal(region.calls, 0);
@@ -195,11 +200,11 @@
 {
 	pr_extent_t extent = { 0 };
 
-	pr_extent_add(&extent, 30);
-	pr_extent_add(&extent, 44);
-	pr_extent_read(&extent, 40, true);
-	assert_int_equal(pr_extent_complete(&extent), 40);
-	assert_int_equal(pr_extent_last(&extent), 40);
+	pr_extent_add(&extent, rev(30));
+	pr_extent_add(&extent, rev(44));
+	pr_extent_read(&extent, rev(40), true);
+	assert_int_equal(pr_extent_complete(&extent).number, 40);
+	assert_int_equal(pr_extent_last(&extent).number, 40);
 }
 
 int main(void)
--- a/tests/test_load_test.c
+++ b/tests/test_load_test.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "transition/transition.h"
+#include "revision.h"
 
 #define DURATION_MS 24000
 #define BEGAN_MS    100000
@@ -26,7 +27,7 @@
 	pr_transition_row_t row = { 7,       PR_ROLLOUT_RUNNING, BEGAN_MS, "",
 				    at(0.5), load_verified };
 
-	pr_transition_apply(transition, &row, row_version);
+	pr_transition_apply(transition, &row, rev(row_version));
 }
 
 /* Begin an order whose version is verified without load. */
@@ -34,7 +35,7 @@
 {
 	pr_rollout_order_t order = { "model", "v2", DURATION_MS };
 
-	pr_transition_init(transition, &order, 7);
+	pr_transition_init(transition, &order, rev(7));
 	verify(transition, 8, 0);
 }
 
@@ -144,7 +145,7 @@
 				    at(0.8),  0 };
 
 	begin(&transition);
-	pr_transition_apply(&transition, &row, 9);
+	pr_transition_apply(&transition, &row, rev(9));
 	transition.peers.old.total = 700;
 	transition.peers.load_test =
 		(pr_load_test_tally_t){ .begun = 40, .ended = 10, .loaded = 2 };
--- a/tests/test_missed.c
+++ b/tests/test_missed.c
@@ -13,10 +13,11 @@
 
 #include "pistachiorack/error.h"
 #include "store/missed.h"
+#include "revision.h"
 
 static void add(pr_store_rows_t *missed, const char *key, uint64_t version)
 {
-	pr_store_row_t row = { .key = strdup(key), .version = version };
+	pr_store_row_t row = { .key = strdup(key), .version = rev(version) };
 
 	assert_int_equal(pr_missed_move(missed, &row), 0);
 	assert_null(row.key);
@@ -42,16 +43,17 @@
 	assert_int_equal(pr_missed_add_removed(&missed, "gone-1"), 0);
 	assert_int_equal(pr_missed_add_removed(&missed, "gone-2"), 0);
 	assert_int_equal(pr_missed_add_removed(&missed, "gone-3"), 0);
-	assert_int_equal(pr_missed_order(&missed, 10, 20), 0);
+	assert_int_equal(pr_missed_order(&missed, rev(10), rev(20)), 0);
 	assert_int_equal(missed.count, 5);
 	for (size_t i = 0; i < missed.count; i++) {
-		assert_true(missed.rows[i].version > 10);
-		assert_true(missed.rows[i].version <= 20);
-		assert_true(!i || missed.rows[i].version >
-					  missed.rows[i - 1].version);
+		assert_true(missed.rows[i].version.number > 10);
+		assert_true(missed.rows[i].version.number <= 20);
+		assert_true(!i ||
+			    pr_revision_is_after(missed.rows[i].version,
+						 missed.rows[i - 1].version));
 	}
 	assert_true(find(&missed, "gone-2")->removed);
-	assert_int_equal(find(&missed, "changed")->version, 14);
+	assert_int_equal(find(&missed, "changed")->version.number, 14);
 	pr_store_rows_finish(&missed);
 }
 
@@ -63,10 +65,10 @@
 	add(&missed, "later", 25);
 	add(&missed, "changed", 20);
 	assert_int_equal(pr_missed_add_removed(&missed, "gone"), 0);
-	assert_int_equal(pr_missed_order(&missed, 10, 20), 0);
+	assert_int_equal(pr_missed_order(&missed, rev(10), rev(20)), 0);
 	assert_int_equal(missed.count, 2);
 	assert_null(find(&missed, "later"));
-	assert_int_equal(find(&missed, "gone")->version, 19);
+	assert_int_equal(find(&missed, "gone")->version.number, 19);
 	pr_store_rows_finish(&missed);
 }
 
@@ -78,9 +80,9 @@
 	add(&missed, "changed", 11);
 	for (int i = 0; i < 2; i++)
 		assert_int_equal(pr_missed_add_removed(&missed, "gone"), 0);
-	assert_int_equal(pr_missed_order(&missed, 10, 12), PR_EFULL);
+	assert_int_equal(pr_missed_order(&missed, rev(10), rev(12)), PR_EFULL);
 	pr_store_rows_finish(&missed);
-	assert_int_equal(pr_missed_order(&missed, 10, 12), 0);
+	assert_int_equal(pr_missed_order(&missed, rev(10), rev(12)), 0);
 }
 
 int main(void)
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -12,6 +12,7 @@
 #include "pistachiorack/rand.h"
 #include "transition/pace.h"
 #include "transition/transition.h"
+#include "revision.h"
 
 static void learn(pr_pace_t *pace, uint64_t kind, double ms, double load)
 {
@@ -180,8 +181,8 @@
 					  BEGAN_MS, "",
 					  0,        0 };
 
-	pr_transition_init(transition, &order, 7);
-	pr_transition_apply(transition, &row, 8);
+	pr_transition_init(transition, &order, rev(7));
+	pr_transition_apply(transition, &row, rev(8));
 }
 
 /* Conclusion at half of the order, with answers of the new version none of
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -12,6 +12,7 @@
 #include <cmocka.h>
 
 #include "place/place.h"
+#include "revision.h"
 
 #define UPSTREAMS 6
 #define NOW       (100 * PR_USEC_PER_SEC)
@@ -40,8 +41,8 @@
 		snprintf(entry.zone, sizeof(entry.zone), "%s",
 			 i < 3 ? "near" : "far");
 		snprintf(entry.version, sizeof(entry.version), "v1");
-		f->upstreams[i] = pr_registry_apply(&f->registry, &entry,
-						    (uint64_t)i + 1, 0, NOW);
+		f->upstreams[i] = pr_registry_apply(
+			&f->registry, &entry, rev((uint64_t)i + 1), 0, NOW);
 	}
 	f->query = (pr_place_query_t){ .service = "model",
 				       .connections_max = 40,
@@ -225,8 +226,8 @@
 	fixture_t f;
 
 	set_up(&f);
-	pr_transition_init(&transition, &order, 1);
-	pr_transition_apply(&transition, &row, 2);
+	pr_transition_init(&transition, &order, rev(1));
+	pr_transition_apply(&transition, &row, rev(2));
 	snprintf(f.upstreams[1]->entry.version,
 		 sizeof(f.upstreams[1]->entry.version), "v2");
 	f.query.transition = &transition;
@@ -251,15 +252,15 @@
 	fixture_t f;
 
 	set_up(&f);
-	pr_transition_init(&transition, &order, 1);
-	pr_transition_apply(&transition, &row, 2);
+	pr_transition_init(&transition, &order, rev(1));
+	pr_transition_apply(&transition, &row, rev(2));
 	snprintf(f.upstreams[1]->entry.version,
 		 sizeof(f.upstreams[1]->entry.version), "v2");
 	f.query.transition = &transition;
 	f.query.version = PR_VERSION_OLD;
 	assert_ptr_not_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[1]);
 	row.state = PR_ROLLOUT_DONE;
-	pr_transition_apply(&transition, &row, 3);
+	pr_transition_apply(&transition, &row, rev(3));
 	assert_ptr_equal(choose(&f, PR_PLACE_FOUND), f.upstreams[1]);
 	pr_registry_finish(&f.registry);
 }
@@ -270,8 +271,8 @@
 	pr_transition_row_t row = { 1, PR_ROLLOUT_RUNNING, 1000, "", 0, 0 };
 	static pr_transition_t transition;
 
-	pr_transition_init(&transition, &order, 1);
-	pr_transition_apply(&transition, &row, 2);
+	pr_transition_init(&transition, &order, rev(1));
+	pr_transition_apply(&transition, &row, rev(2));
 	for (int i = 0; i < new_upstreams; i++)
 		snprintf(f->upstreams[i]->entry.version,
 			 sizeof(f->upstreams[i]->entry.version), "v2");
@@ -526,7 +527,7 @@
 		snprintf(entry.zone, sizeof(entry.zone), "near");
 		snprintf(entry.version, sizeof(entry.version), "v1");
 		upstreams[i] = pr_registry_apply(&registry, &entry,
-						 (uint64_t)i + 1, 0, NOW);
+						 rev((uint64_t)i + 1), 0, NOW);
 	}
 	for (int ms = 0; ms < SIMULATED_MS; ms += STEP_MS) {
 		for (int i = 0; i < SIMULATED_UPSTREAMS; i++) {
--- a/tests/test_place_kept.c
+++ b/tests/test_place_kept.c
@@ -12,6 +12,7 @@
 #include <cmocka.h>
 
 #include "place/place.h"
+#include "revision.h"
 
 #define UPSTREAMS 60
 #define WINDOW    (10 * PR_USEC_PER_SEC)
@@ -57,8 +58,8 @@
 		snprintf(entry.service, sizeof(entry.service), "model");
 		snprintf(entry.zone, sizeof(entry.zone), "%s", zones[i % 3]);
 		snprintf(entry.version, sizeof(entry.version), "v1");
-		f->upstreams[i] = pr_registry_apply(&f->registry, &entry,
-						    (uint64_t)i + 1, 0, NOW);
+		f->upstreams[i] = pr_registry_apply(
+			&f->registry, &entry, rev((uint64_t)i + 1), 0, NOW);
 	}
 	assert_int_equal(pr_kept_init(&f->table, WINDOW), 0);
 	set_prompt(f, 77);
@@ -305,8 +306,8 @@
 	fixture_t *f = set_up();
 	pr_upstream_t *old[PR_RANKS], *new[PR_RANKS];
 
-	pr_transition_init(&transition, &order, 1);
-	pr_transition_apply(&transition, &row, 2);
+	pr_transition_init(&transition, &order, rev(1));
+	pr_transition_apply(&transition, &row, rev(2));
 	for (int i = 0; i < UPSTREAMS; i += 2)
 		snprintf(f->upstreams[i]->entry.version,
 			 sizeof(f->upstreams[i]->entry.version), "v2");
@@ -351,8 +352,8 @@
 	uint64_t digest = 0, seed = 1;
 
 	f->query.kept = NULL;
-	pr_transition_init(&transition, &order, 1);
-	pr_transition_apply(&transition, &row, 2);
+	pr_transition_init(&transition, &order, rev(1));
+	pr_transition_apply(&transition, &row, rev(2));
 	for (int i = 0; i < 20000; i++) {
 		pr_upstream_t *changed =
 			f->upstreams[next_random(&seed) % UPSTREAMS];
@@ -388,7 +389,8 @@
 		verdict = pr_place_choose(&f->registry, &f->map, &f->query,
 					  &chosen, &wait_ms);
 		digest = digest * 31 + (uint64_t)verdict +
-			 (chosen ? chosen->row * 16 : 0) + (uint64_t)wait_ms;
+			 (chosen ? chosen->row.number * 16 : 0) +
+			 (uint64_t)wait_ms;
 	}
 	assert_true(digest == DIGEST_WITHOUT_TABLE);
 	tear_down(f);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -19,6 +19,7 @@
 #include "relay/lag.h"
 #include "relay/reader.h"
 #include "relay/roster.h"
+#include "revision.h"
 
 #define ZONES      6
 #define HOSTS      480
@@ -440,7 +441,7 @@
 	report_of->upstreams[PR_COUNT_LOAD].counts.items[0] = *load;
 	report_of->upstreams[PR_COUNT_LOAD].counts.count = 1;
 	report_of->upstreams[PR_COUNT_LOAD].at = now;
-	report_of->transitions[0].order_row = 7;
+	report_of->transitions[0].order = 7;
 	report_of->transitions[0].tallies.new.total = total;
 	report_of->transitions[0].tallies.old.ranked = total;
 	report_of->transitions[0].tallies.old.slower = total / 2;
@@ -535,14 +536,16 @@
 	pr_usec_t longest = 0;
 
 	for (int i = 0; i < SECONDS(1); i++) {
-		pr_usec_t behind = pr_lag_update(&lag, i % 2 ? 10 : 11, 10,
-						 1 + i * PERIOD);
+		pr_usec_t behind = pr_lag_update(&lag, rev(i % 2 ? 10 : 11),
+						 rev(10), 1 + i * PERIOD);
 
 		longest = behind > longest ? behind : longest;
 	}
 	assert_true(longest >= 600 * PR_USEC_PER_MSEC);
-	assert_int_equal(pr_lag_update(&lag, 10, 11, PR_USEC_PER_SEC), 0);
-	assert_int_equal(pr_lag_update(&lag, 12, 11, 2 * PR_USEC_PER_SEC), 0);
+	assert_int_equal(pr_lag_update(&lag, rev(10), rev(11), PR_USEC_PER_SEC),
+			 0);
+	assert_int_equal(
+		pr_lag_update(&lag, rev(12), rev(11), 2 * PR_USEC_PER_SEC), 0);
 }
 
 /* The request rate of a cold upstream is assigned to a few hosts of its region,
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "relay/message.h"
+#include "revision.h"
 
 static void read_map(pr_msgmap_t *map, const pr_str_t *bytes)
 {
@@ -20,7 +21,7 @@
 	assert_int_equal(pr_msgmap_init(map, pr_str_slice(bytes)), 0);
 }
 
-static void check_largest_digest(pr_count_kind_t kind)
+static void check_largest_digest(pr_count_kind_t kind, uint64_t era)
 {
 	pr_count_kind_t read_kind;
 	pr_upstream_counts_t loads = { .count = PR_UPSTREAM_COUNTS_MAX }, read;
@@ -28,9 +29,9 @@
 		.age_ms = UINT32_MAX,
 		.reads_store = true,
 		.current = true,
-		.tables = { { UINT64_MAX, UINT64_MAX },
-			    { 5, UINT64_MAX },
-			    { UINT64_MAX, 6 } },
+		.tables = { { { era, UINT64_MAX }, { era, UINT64_MAX } },
+			    { { era, 5 }, { era, UINT64_MAX } },
+			    { { era, UINT64_MAX }, { era, 6 } } },
 		.clock_ms = INT64_MAX,
 		.unsettled_ms = UINT32_MAX,
 	};
@@ -58,8 +59,12 @@
 	assert_memory_equal(read.items, loads.items, sizeof(loads.items));
 	assert_int_equal(read_feeds.age_ms, feeds.age_ms);
 	assert_true(read_feeds.reads_store && read_feeds.current);
-	assert_int_equal(read_feeds.tables[2].newest, UINT64_MAX);
-	assert_int_equal(read_feeds.tables[2].version, 6);
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		assert_true(pr_revision_equal(read_feeds.tables[i].newest,
+					      feeds.tables[i].newest));
+		assert_true(pr_revision_equal(read_feeds.tables[i].version,
+					      feeds.tables[i].version));
+	}
 	assert_int_equal(read_feeds.clock_ms, INT64_MAX);
 	pr_msgmap_finish(&map);
 	pr_str_finish(&bytes);
@@ -67,8 +72,10 @@
 
 static void test_largest_digest(void **state)
 {
-	check_largest_digest(PR_COUNT_LOAD);
-	check_largest_digest(PR_COUNT_OUTCOMES);
+	check_largest_digest(PR_COUNT_LOAD, 0);
+	check_largest_digest(PR_COUNT_OUTCOMES, 0);
+	check_largest_digest(PR_COUNT_LOAD, UINT64_MAX);
+	check_largest_digest(PR_COUNT_OUTCOMES, UINT64_MAX);
 }
 
 static void test_report_has_no_feed_state(void **state)
@@ -266,12 +273,12 @@
 	static char long_value[PR_DATAGRAM_MAX];
 	pr_store_row_t rows[6] = { 0 };
 	size_t at = 0, datagrams = 0;
-	uint64_t after = 10;
+	pr_revision_t after = rev(10);
 
 	memset(long_value, 'x', sizeof(long_value));
 	for (size_t i = 0; i < 6; i++) {
 		rows[i].key = "an-upstream";
-		rows[i].version = 11 + i;
+		rows[i].version = rev(11 + i);
 		rows[i].removed = i == 2;
 		if (!rows[i].removed)
 			assert_int_equal(
@@ -290,12 +297,12 @@
 		read_map(&map, &bytes);
 		assert_int_equal(pr_message_read_rows(&map, &read), 0);
 		assert_int_equal(read.table, PR_TABLE_UPSTREAMS);
-		assert_int_equal(read.after, after);
+		assert_true(pr_revision_equal(read.after, after));
 		assert_int_equal(read.count, packed);
 		for (size_t i = 0; i < packed; i++) {
 			assert_string_equal(read.rows[i].key, "an-upstream");
-			assert_int_equal(read.rows[i].version,
-					 rows[at + i].version);
+			assert_true(pr_revision_equal(read.rows[i].version,
+						      rows[at + i].version));
 			assert_int_equal(read.rows[i].removed,
 					 rows[at + i].removed);
 			assert_int_equal(read.rows[i].value.len,
@@ -318,7 +325,7 @@
 static void test_row_too_long_for_a_datagram(void **state)
 {
 	static char long_value[PR_DATAGRAM_MAX];
-	pr_store_row_t row = { .key = "document", .version = 5 };
+	pr_store_row_t row = { .key = "document", .version = rev(5) };
 	pr_str_t bytes = PR_STR_INIT;
 	pr_message_rows_t read;
 	pr_msgmap_t map;
@@ -327,12 +334,12 @@
 	assert_int_equal(
 		pr_str_append(&row.value, long_value, sizeof(long_value)), 0);
 	assert_int_equal(pr_message_pack_rows(&bytes, "host", PR_TABLE_ORDERS,
-					      4, &row, 1),
+					      rev(4), &row, 1),
 			 0);
 	read_map(&map, &bytes);
 	assert_int_equal(pr_message_read_rows(&map, &read), 0);
 	assert_int_equal(read.count, 0);
-	assert_int_equal(read.after, 4);
+	assert_int_equal(read.after.number, 4);
 	pr_message_rows_finish(&read);
 	pr_msgmap_finish(&map);
 	pr_str_finish(&bytes);
--- a/tests/test_row_cache.c
+++ b/tests/test_row_cache.c
@@ -16,13 +16,14 @@
 
 #include "pistachiorack/error.h"
 #include "relay/row_cache.h"
+#include "revision.h"
 
 static void set_row(pr_store_row_t *row, const char *key, const char *value,
 		    uint64_t version)
 {
 	memset(row, 0, sizeof(*row));
 	row->key = (char *)(uintptr_t)key;
-	row->version = version;
+	row->version = rev(version);
 	row->removed = !value;
 	if (value)
 		assert_int_equal(
@@ -35,7 +36,7 @@
 	pr_store_row_t row;
 
 	set_row(&row, key, value, version);
-	assert_int_equal(pr_row_cache_add(cache, after, &row, 1), 0);
+	assert_int_equal(pr_row_cache_add(cache, rev(after), &row, 1), 0);
 	pr_str_finish(&row.value);
 }
 
@@ -44,15 +45,15 @@
 {
 	pr_str_t bytes = PR_STR_INIT;
 
-	assert_int_equal(pr_row_cache_pack(cache, after, &bytes), 0);
-	assert_int_equal(pr_row_cache_read(rows, pr_str_slice(&bytes)), 0);
+	assert_int_equal(pr_row_cache_pack(cache, rev(after), &bytes), 0);
+	assert_int_equal(pr_row_cache_read(rows, 0, pr_str_slice(&bytes)), 0);
 	pr_str_finish(&bytes);
 }
 
 static int pack_result(const pr_row_cache_t *cache, uint64_t after)
 {
 	pr_str_t bytes = PR_STR_INIT;
-	int rc = pr_row_cache_pack(cache, after, &bytes);
+	int rc = pr_row_cache_pack(cache, rev(after), &bytes);
 
 	pr_str_finish(&bytes);
 	return rc;
@@ -71,7 +72,7 @@
 	add_row(&cache, 15, "c", NULL, 17);
 	read_rows(&cache, 10, &rows);
 	assert_int_equal(rows.count, 3);
-	assert_int_equal(rows.version, 17);
+	assert_int_equal(rows.version.number, 17);
 	assert_string_equal(rows.rows[0].key, "b");
 	assert_string_equal(rows.rows[1].key, "a");
 	assert_true(pr_slice_equal(pr_str_slice(&rows.rows[1].value),
@@ -111,7 +112,7 @@
 	add_row(&cache, 10, "a", "one", 11);
 	set_row(&series[0], "a", "one", 11);
 	set_row(&series[1], "b", "two", 12);
-	assert_int_equal(pr_row_cache_add(&cache, 10, series, 2), 0);
+	assert_int_equal(pr_row_cache_add(&cache, rev(10), series, 2), 0);
 	read_rows(&cache, 10, &rows);
 	assert_int_equal(rows.count, 2);
 	pr_store_rows_finish(&rows);
@@ -152,12 +153,13 @@
 		value[i] = (char)('a' + i * i % 23);
 	value[sizeof(value) - 1] = 0;
 	add_row(&cache, 1, "key", value, 2);
-	assert_int_equal(pr_row_cache_pack(&cache, 1, &bytes), 0);
+	assert_int_equal(pr_row_cache_pack(&cache, rev(1), &bytes), 0);
 	for (size_t len = 0; len < bytes.len; len++)
 		assert_int_not_equal(
-			pr_row_cache_read(&rows, pr_slice(bytes.ptr, len)), 0);
+			pr_row_cache_read(&rows, 0, pr_slice(bytes.ptr, len)),
+			0);
 	bytes.ptr[bytes.len / 2] ^= 0x10;
-	if (!pr_row_cache_read(&rows, pr_str_slice(&bytes)))
+	if (!pr_row_cache_read(&rows, 0, pr_str_slice(&bytes)))
 		pr_store_rows_finish(&rows);
 	pr_str_finish(&bytes);
 	pr_row_cache_finish(&cache);
@@ -224,7 +226,7 @@
 
 	append_routes(&document);
 	add_row(&cache, 1, "config", document.ptr, 2);
-	assert_int_equal(pr_row_cache_pack(&cache, 1, &packed), 0);
+	assert_int_equal(pr_row_cache_pack(&cache, rev(1), &packed), 0);
 	print_message("%zu bytes of routes, %zu for a host\n", document.len,
 		      packed.len);
 	/* Raw, the hosts of a zone of 55 would need this long. */
@@ -237,7 +239,7 @@
 		print_message("%d hosts a zone: %.2f s\n", fleets[i][0], s);
 		assert_true(s < CONFIG_BOUND_S);
 	}
-	assert_int_equal(pr_row_cache_read(&rows, pr_str_slice(&packed)), 0);
+	assert_int_equal(pr_row_cache_read(&rows, 0, pr_str_slice(&packed)), 0);
 	assert_true(pr_slice_equal(pr_str_slice(&rows.rows[0].value),
 				   pr_str_slice(&document)));
 	pr_store_rows_finish(&rows);
--- a/tests/test_transition.c
+++ b/tests/test_transition.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 
 #include "transition/transition.h"
+#include "revision.h"
 
 #define DURATION_MS 24000
 #define BEGAN_MS    100000
@@ -31,8 +32,8 @@
 	pr_transition_row_t row = { 7,  PR_ROLLOUT_RUNNING, BEGAN_MS,
 				    "", verified,           load_verified };
 
-	pr_transition_init(transition, &order, 7);
-	pr_transition_apply(transition, &row, 8);
+	pr_transition_init(transition, &order, rev(7));
+	pr_transition_apply(transition, &row, rev(8));
 }
 
 static void begin(pr_transition_t *transition)
@@ -51,7 +52,7 @@
 	pr_transition_row_t row = { 7,   PR_ROLLOUT_RUNNING, BEGAN_MS, "",
 				    now, load_verified };
 
-	pr_transition_apply(transition, &row, 9);
+	pr_transition_apply(transition, &row, rev(9));
 }
 
 /* Hashes of a session that moves in the first step, and of one that moves last.
@@ -77,7 +78,7 @@
 	pr_transition_row_t row = { 7, PR_ROLLOUT_DONE, BEGAN_MS, "", 0, 0 };
 
 	begin(&transition);
-	pr_transition_apply(&transition, &row, 9);
+	pr_transition_apply(&transition, &row, rev(9));
 	assert_true(pr_transition_allows(&transition, "v2"));
 	assert_false(pr_transition_allows(&transition, "v1"));
 }
@@ -90,10 +91,10 @@
 	};
 	pr_rollout_order_t order = { "model", "v2", DURATION_MS };
 
-	pr_transition_init(&transition, &order, 7);
-	pr_transition_apply(&transition, &row, 4);
+	pr_transition_init(&transition, &order, rev(7));
+	pr_transition_apply(&transition, &row, rev(4));
 	assert_int_equal(transition.state, PR_ROLLOUT_RUNNING);
-	assert_int_equal(transition.state_row, 4);
+	assert_int_equal(transition.state_row.number, 4);
 	assert_true(!transition.verified_ms);
 	assert_false(pr_transition_allows(&transition, "v2"));
 	assert_int_equal(pr_transition_conclude(&transition, at(0), 0, 1),
@@ -108,8 +109,8 @@
 					0 };
 
 	begin(&transition);
-	pr_transition_apply(&transition, &done, 20);
-	pr_transition_apply(&transition, &running, 19);
+	pr_transition_apply(&transition, &done, rev(20));
+	pr_transition_apply(&transition, &running, rev(19));
 	assert_int_equal(transition.state, PR_ROLLOUT_DONE);
 }
 
@@ -594,10 +595,10 @@
 	pr_transition_t transition = { 0 }, other;
 	pr_str_t bytes = PR_STR_INIT;
 
-	pr_transition_replace(&transition, &first, 5);
-	pr_transition_apply(&transition, &row, 6);
+	pr_transition_replace(&transition, &first, rev(5));
+	pr_transition_apply(&transition, &row, rev(6));
 	assert_false(pr_transition_allows(&transition, "v2"));
-	pr_transition_replace(&transition, &second, 7);
+	pr_transition_replace(&transition, &second, rev(7));
 	assert_false(pr_transition_allows(&transition, "v2"));
 	assert_true(pr_transition_allows(&transition, "v1"));
 	/* A host that starts later reads the withdrawn version from the shared
@@ -606,14 +607,14 @@
 	assert_int_equal(pr_transition_row_pack(&bytes, &row), 0);
 	assert_int_equal(pr_transition_row_unpack(&read, pr_str_slice(&bytes)),
 			 0);
-	pr_transition_init(&other, &second, 7);
-	pr_transition_apply(&other, &read, 8);
+	pr_transition_init(&other, &second, rev(7));
+	pr_transition_apply(&other, &read, rev(8));
 	assert_false(pr_transition_allows(&other, "v2"));
 	assert_true(pr_transition_allows(&other, "v3"));
 	/* A new order for the version permits it again. */
-	pr_transition_replace(&transition, &first, 9);
+	pr_transition_replace(&transition, &first, rev(9));
 	row = (pr_transition_row_t){ 9, PR_ROLLOUT_RUNNING, 3000, "", 0, 0 };
-	pr_transition_apply(&transition, &row, 10);
+	pr_transition_apply(&transition, &row, rev(10));
 	assert_true(pr_transition_allows(&transition, "v2"));
 	pr_str_finish(&bytes);
 }
--- a/tests/test_transition_row.c
+++ b/tests/test_transition_row.c
@@ -21,7 +21,7 @@
 	assert_int_equal(pr_transition_row_pack(&bytes, &row), 0);
 	assert_int_equal(pr_transition_row_unpack(&read, pr_str_slice(&bytes)),
 			 0);
-	assert_int_equal(read.order_row, 41);
+	assert_int_equal(read.order, 41);
 	assert_int_equal(read.state, PR_ROLLOUT_WITHDRAWN);
 	assert_int_equal(read.began_ms, 1234567);
 	assert_int_equal(read.verified_ms, 1240000);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 
 #include "upstream/upstream.h"
+#include "revision.h"
 
 #define SECOND PR_USEC_PER_SEC
 
@@ -61,10 +62,10 @@
 	pr_registry_t registry;
 
 	pr_registry_init(&registry);
-	assert_true(pr_registry_apply(&registry, &early, 1, 3000, SECOND)
+	assert_true(pr_registry_apply(&registry, &early, rev(1), 3000, SECOND)
 			    ->cold_until <= SECOND);
 	registry.initial_read_done = true;
-	assert_true(pr_registry_apply(&registry, &late, 2, 3000, SECOND)
+	assert_true(pr_registry_apply(&registry, &late, rev(2), 3000, SECOND)
 			    ->cold_until >= 4 * SECOND);
 	pr_registry_finish(&registry);
 }
@@ -80,8 +81,8 @@
 	pr_registry_init(&registry);
 	registry.initial_read_done = true;
 	before = pr_upstream_ref(
-		pr_registry_apply(&registry, &first, 1, 0, SECOND));
-	after = pr_registry_apply(&registry, &second, 2, 3000, SECOND);
+		pr_registry_apply(&registry, &first, rev(1), 0, SECOND));
+	after = pr_registry_apply(&registry, &second, rev(2), 3000, SECOND);
 	assert_true(after != before);
 	assert_false(before->listed);
 	assert_true(after->cold_until > SECOND);
@@ -98,8 +99,8 @@
 
 	draining.draining = true;
 	pr_registry_init(&registry);
-	pr_registry_apply(&registry, &draining, 5, 0, SECOND);
-	assert_null(pr_registry_apply(&registry, &ready, 4, 0, SECOND));
+	pr_registry_apply(&registry, &draining, rev(5), 0, SECOND);
+	assert_null(pr_registry_apply(&registry, &ready, rev(4), 0, SECOND));
 	assert_true(pr_registry_find(&registry, "a")->entry.draining);
 	pr_registry_finish(&registry);
 }
@@ -112,14 +113,14 @@
 	pr_registry_t registry;
 
 	pr_registry_init(&registry);
-	pr_registry_apply(&registry, &entry, 1, 0, SECOND);
-	pr_registry_remove(&registry, "a", 2, 3 * SECOND, SECOND);
+	pr_registry_apply(&registry, &entry, rev(1), 0, SECOND);
+	pr_registry_remove(&registry, "a", rev(2), 3 * SECOND, SECOND);
 	pr_registry_expire(&registry, 2 * SECOND);
 	assert_non_null(pr_registry_find(&registry, "a"));
-	pr_registry_apply(&registry, &entry, 3, 0, 2 * SECOND);
+	pr_registry_apply(&registry, &entry, rev(3), 0, 2 * SECOND);
 	pr_registry_expire(&registry, 4 * SECOND);
 	assert_non_null(pr_registry_find(&registry, "a"));
-	pr_registry_remove(&registry, "a", 4, 4 * SECOND, 4 * SECOND);
+	pr_registry_remove(&registry, "a", rev(4), 4 * SECOND, 4 * SECOND);
 	assert_null(pr_registry_find(&registry, "a"));
 	pr_registry_finish(&registry);
 }
@@ -134,16 +135,16 @@
 	pr_upstream_t *upstream;
 
 	pr_registry_init(&registry);
-	upstream = pr_registry_apply(&registry, &entry, 1, 0, SECOND);
+	upstream = pr_registry_apply(&registry, &entry, rev(1), 0, SECOND);
 	assert_true(pr_upstream_mark_leaving(upstream));
 	assert_false(pr_upstream_mark_leaving(upstream));
-	upstream = pr_registry_apply(&registry, &entry, 2, 0, SECOND);
+	upstream = pr_registry_apply(&registry, &entry, rev(2), 0, SECOND);
 	assert_true(pr_upstream_is_leaving(upstream));
-	pr_registry_remove(&registry, "a", 3, SECOND, SECOND);
+	pr_registry_remove(&registry, "a", rev(3), SECOND, SECOND);
 	assert_null(pr_registry_find(&registry, "a"));
-	upstream = pr_registry_apply(&registry, &entry, 4, 0, SECOND);
+	upstream = pr_registry_apply(&registry, &entry, rev(4), 0, SECOND);
 	assert_true(upstream->listed && pr_upstream_is_leaving(upstream));
-	upstream = pr_registry_apply(&registry, &next, 5, 0, SECOND);
+	upstream = pr_registry_apply(&registry, &next, rev(5), 0, SECOND);
 	assert_false(pr_upstream_is_leaving(upstream));
 	pr_registry_finish(&registry);
 }
@@ -157,11 +158,11 @@
 
 	pr_registry_init(&registry);
 	upstream = pr_upstream_ref(
-		pr_registry_apply(&registry, &entry, 1, 0, SECOND));
-	pr_registry_remove(&registry, "a", 2, SECOND, SECOND);
+		pr_registry_apply(&registry, &entry, rev(1), 0, SECOND));
+	pr_registry_remove(&registry, "a", rev(2), SECOND, SECOND);
 	pr_upstream_mark_leaving(upstream);
 	pr_upstream_unref(upstream);
-	upstream = pr_registry_apply(&registry, &entry, 3, 0, SECOND);
+	upstream = pr_registry_apply(&registry, &entry, rev(3), 0, SECOND);
 	assert_true(pr_upstream_is_leaving(upstream));
 	pr_registry_finish(&registry);
 }
@@ -177,8 +178,8 @@
 	for (uint64_t i = 0; i < 1000; i++) {
 		pr_upstream_entry_t entry = entry_of("a", (int64_t)i + 1);
 
-		upstreams[i] = pr_upstream_ref(
-			pr_registry_apply(&registry, &entry, i + 1, 0, SECOND));
+		upstreams[i] = pr_upstream_ref(pr_registry_apply(
+			&registry, &entry, rev(i + 1), 0, SECOND));
 	}
 	for (int i = 0; i < 1000; i++)
 		kept += upstreams[i]->refs > 1;
@@ -199,12 +200,12 @@
 	pr_upstream_t *upstream;
 
 	pr_registry_init(&registry);
-	upstream = pr_registry_apply(&registry, &entry, 1, 0, SECOND);
+	upstream = pr_registry_apply(&registry, &entry, rev(1), 0, SECOND);
 	assert_true(pr_upstream_pause(upstream, 3 * SECOND, SECOND));
 	assert_false(pr_upstream_pause(upstream, SECOND, 2 * SECOND));
 	pr_upstream_record_success(upstream);
-	pr_registry_remove(&registry, "a", 2, 2 * SECOND, 2 * SECOND);
-	upstream = pr_registry_apply(&registry, &entry, 3, 0, 2 * SECOND);
+	pr_registry_remove(&registry, "a", rev(2), 2 * SECOND, 2 * SECOND);
+	upstream = pr_registry_apply(&registry, &entry, rev(3), 0, 2 * SECOND);
 	assert_true(pr_upstream_is_paused(upstream, 4 * SECOND - 1));
 	assert_false(pr_upstream_is_paused(upstream, 4 * SECOND));
 	assert_int_equal(upstream->failures, 0);
@@ -222,9 +223,9 @@
 	pr_upstream_t *upstream;
 
 	pr_registry_init(&registry);
-	upstream = pr_registry_apply(&registry, &entry, 1, 0, SECOND);
+	upstream = pr_registry_apply(&registry, &entry, rev(1), 0, SECOND);
 	pr_upstream_pause(upstream, 3 * SECOND, SECOND);
-	upstream = pr_registry_apply(&registry, &next, 2, 0, 2 * SECOND);
+	upstream = pr_registry_apply(&registry, &next, rev(2), 0, 2 * SECOND);
 	assert_true(pr_upstream_is_paused(upstream, 4 * SECOND - 1));
 	assert_false(pr_upstream_is_paused(upstream, 4 * SECOND));
 	pr_registry_finish(&registry);
