Split the reading of the store's tables into files

Change: full reads move to table_read.c, rows from relays to watch_relayed.c, datagrams with rows to message_rows.c; what both kinds of reads do with an answer is pr_watch_accept(). No behaviour changes.

--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -3,15 +3,12 @@
  * polls that continues from the version of the full read. When the store has
  * lost the history after that version, the table is read as a whole again, and
  * upstreams whose rows are not in it count as removed.
- *
- * Where a relay forwards the rows, the host's own feed is paused. Rows that are
- * too long for a datagram, or that were lost, are then read from the relay, and
- * from the store only when the relay does not have them.
  */
 #include <stdlib.h>
 
 #include "base/event_log.h"
 #include "edge/edge.h"
+#include "edge/watch_parts.h"
 #include "pistachiorack/error.h"
 #include "platform/adapter.h"
 
@@ -26,21 +23,11 @@
 /* Time-out of calls that request an immediate response: after a failure, to
  * find out soon whether the store is back, and when this host lacks rows. */
 #define PROBE_TIMEOUT (1500 * PR_USEC_PER_MSEC)
-/* Time-out of a call to a relay until the first byte of its response: such a
- * call stays within the region. */
-#define RELAY_TIMEOUT (800 * PR_USEC_PER_MSEC)
 /* Delay of the next call after a failure; it doubles up to the maximum. */
 #define RETRY_BASE (100 * PR_USEC_PER_MSEC)
 #define RETRY_MAX  (800 * PR_USEC_PER_MSEC)
 /* Maximum for hosts that are no relays: it is longer, because they are many. */
 #define RETRY_MAX_NON_RELAY (2400 * PR_USEC_PER_MSEC)
-/* A host that has lacked another host's rows for this long has lost its feed:
- * the store's responses to two hosts are only tens of milliseconds apart. */
-#define LAG_MAX (600 * PR_USEC_PER_MSEC)
-/* Replaces LAG_MAX while the feed is paused. A relay forwards rows before it
- * sends its digest; rows that another region has read arrive after the batch
- * delay of this region. */
-#define LAG_MAX_PAUSED (500 * PR_USEC_PER_MSEC)
 /* Table whose feed shows whether the store is reachable, and the time after
  * which the store responds to a call of that feed without changes,
  * milliseconds. */
@@ -60,14 +47,13 @@
 };
 
 static void start_call(pr_watch_t *watch);
-static void request_from_store(pr_watch_t *watch);
 
 static void on_due(pr_timer_t *timer, pr_usec_t now)
 {
 	start_call(timer->data);
 }
 
-static void schedule_call(pr_watch_t *watch, pr_usec_t delay)
+void pr_watch_schedule(pr_watch_t *watch, pr_usec_t delay)
 {
 	pr_timers_subscribe(&watch->edge->timers, &watch->timer, delay, 0,
 			    on_due);
@@ -101,7 +87,7 @@
 			(unsigned long long)watch->extent.version.number);
 	}
 	watch->failures++;
-	schedule_call(watch, pause < longest ? pause : longest);
+	pr_watch_schedule(watch, pause < longest ? pause : longest);
 	if (watch->table == PROBE_TABLE && !status)
 		abort_other_feeds(watch);
 }
@@ -165,103 +151,17 @@
 
 /* Removals that an outage of the store may have caused take effect at the end
  * of the grace period. */
-static void apply_row(pr_watch_t *watch, const pr_store_row_t *row)
+void pr_watch_apply_row(pr_watch_t *watch, const pr_store_row_t *row)
 {
 	pr_edge_apply_row(watch->edge, watch->table, row,
 			  watch->outage_grace_until);
 	pr_extent_add(&watch->extent, row->version);
 }
 
-static void apply_rows(pr_watch_t *watch, const pr_store_rows_t *rows)
+void pr_watch_apply_rows(pr_watch_t *watch, const pr_store_rows_t *rows)
 {
 	for (size_t i = 0; i < rows->count; i++)
-		apply_row(watch, &rows->rows[i]);
-}
-
-/* Apply a page of a full read, and keep the rows that changed since this host
- * lost the history. */
-static void apply_page(pr_watch_t *watch, pr_store_rows_t *rows)
-{
-	apply_rows(watch, rows);
-	for (size_t i = 0; i < rows->count; i++) {
-		pr_store_row_t *row = &rows->rows[i];
-
-		pr_names_add(&watch->seen_keys, row->key);
-		if (watch->was_synced &&
-		    pr_revision_is_after(row->version, watch->known_before) &&
-		    pr_missed_move(&watch->missed, row))
-			pr_event("missed_row_dropped", "table=%d error=\"%s\"",
-				 watch->table, pr_error_last());
-	}
-}
-
-static void clear_read_state(pr_watch_t *watch)
-{
-	for (size_t i = 0; i < watch->seen_keys.count; i++)
-		free(watch->seen_keys.items[i]);
-	free((void *)watch->seen_keys.items);
-	memset(&watch->seen_keys, 0, sizeof(watch->seen_keys));
-	free(watch->page_key);
-	watch->page_key = NULL;
-	pr_store_rows_finish(&watch->missed);
-}
-
-static bool was_seen(const pr_watch_t *watch, const char *key)
-{
-	for (size_t i = 0; i < watch->seen_keys.count; i++) {
-		if (!strcmp(watch->seen_keys.items[i], key))
-			return true;
-	}
-	return false;
-}
-
-/* Remove the upstreams that a full read did not return, and note them for other
- * hosts. */
-static void remove_unseen(pr_watch_t *watch, pr_revision_t version)
-{
-	pr_registry_t *registry = &watch->edge->registry;
-	pr_list_t *at = registry->upstreams.next;
-
-	if (watch->table != PR_TABLE_UPSTREAMS)
-		return;
-	while (at != &registry->upstreams) {
-		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
-		pr_store_row_t row = { .key = upstream->entry.id,
-				       .version = version,
-				       .removed = true };
-
-		at = at->next;
-		if (was_seen(watch, upstream->entry.id))
-			continue;
-		if (pr_missed_add_removed(&watch->missed, row.key))
-			pr_event("missed_row_dropped", "table=%d error=\"%s\"",
-				 watch->table, pr_error_last());
-		pr_edge_apply_row(watch->edge, watch->table, &row,
-				  watch->outage_grace_until);
-	}
-}
-
-/* After a lost history, send what the full read has shown to the hosts that do
- * not read the store: they would take over its version without the removals.
- * @return false when they have to read it themselves */
-static bool forward_missed(pr_watch_t *watch)
-{
-	pr_store_rows_t *missed = &watch->missed;
-
-	if (pr_missed_order(missed, watch->known_before, watch->read_version)) {
-		pr_event_state("missed_not_sent", "table=%d error=\"%s\"",
-			       watch->table, pr_error_last());
-		return false;
-	}
-	if (!missed->count)
-		return true;
-	pr_extent_add(&watch->extent, missed->rows[missed->count - 1].version);
-	pr_event_state(
-		"missed_sent", "table=%d after=%llu rows=%zu", watch->table,
-		(unsigned long long)watch->known_before.number, missed->count);
-	pr_peering_forward_rows(watch->edge, watch->table, watch->known_before,
-				missed->rows, missed->count);
-	return true;
+		pr_watch_apply_row(watch, &rows->rows[i]);
 }
 
 static void log_unreadable(const pr_watch_t *watch, const pr_store_rows_t *rows)
@@ -273,61 +173,20 @@
 			       (unsigned long long)rows->version.number);
 }
 
-static void on_read(pr_call_t *call, int status, pr_slice_t body)
+bool pr_watch_accept(pr_watch_t *watch, int status, pr_slice_t body,
+		     pr_store_rows_t *rows)
 {
-	pr_watch_t *watch = call->owner;
-	pr_store_rows_t rows;
-
-	pr_edge_note_era(watch->edge, call, status);
-	if (status != 200 || pr_adapter_store_rows(&rows, 0, body)) {
-		clear_read_state(watch);
+	if (status != 200 || pr_adapter_store_rows(rows, 0, body)) {
 		handle_failure(watch, status);
-		return;
+		return false;
 	}
 	handle_recovery(watch);
-	log_unreadable(watch, &rows);
-	update_store_clock(watch, rows.now_ms);
-	log_fallen_version(watch, rows.version);
+	log_unreadable(watch, rows);
+	update_store_clock(watch, rows->now_ms);
+	log_fallen_version(watch, rows->version);
 	if (watch->table == PROBE_TABLE)
 		pr_peering_confirm(watch->edge);
-	if (!watch->page_key) {
-		watch->read_version = rows.version;
-		watch->known_before = pr_extent_last(&watch->extent);
-	}
-	free(watch->page_key);
-	watch->page_key = NULL;
-	if (rows.more && rows.count) {
-		size_t size = strlen(rows.rows[rows.count - 1].key) + 2;
-
-		/* The next page begins at the last key with a space appended,
-		 * which sorts after that key. */
-		watch->page_key = calloc(1, size);
-		if (watch->page_key)
-			snprintf(watch->page_key, size, "%s ",
-				 rows.rows[rows.count - 1].key);
-	}
-	apply_page(watch, &rows);
-	if (!watch->page_key) {
-		bool is_told;
-
-		remove_unseen(watch, watch->read_version);
-		pr_extent_read(&watch->extent, watch->read_version,
-			       !watch->was_synced);
-		is_told = !watch->was_synced || forward_missed(watch);
-		if (!is_told)
-			pr_extent_read(&watch->extent, watch->read_version,
-				       true);
-		clear_read_state(watch);
-		watch->synced = watch->was_synced = true;
-		if (watch->table == PR_TABLE_UPSTREAMS)
-			watch->edge->registry.initial_read_done = true;
-		pr_event_state(
-			"table_read", "table=%d rows=%zu version=%llu",
-			watch->table, rows.count,
-			(unsigned long long)watch->extent.version.number);
-	}
-	pr_store_rows_finish(&rows);
-	schedule_call(watch, 0);
+	return true;
 }
 
 /*
@@ -356,7 +215,7 @@
 				(unsigned long long)
 					watch->extent.version.number,
 				(unsigned long long)watch->expected.number);
-			request_from_store(watch);
+			pr_watch_request_from_store(watch);
 		}
 		watch->expected = version;
 		watch->expected_at = now;
@@ -377,7 +236,7 @@
 			       watch->table,
 			       (unsigned long long)watch->gap.version.number);
 		watch->gap_refused = watch->gap.version;
-		schedule_call(watch, 0);
+		pr_watch_schedule(watch, 0);
 		return;
 	}
 	if (status == 410) {
@@ -385,29 +244,21 @@
 			"history_lost", "table=%d version=%llu", watch->table,
 			(unsigned long long)watch->extent.version.number);
 		watch->synced = false;
-		schedule_call(watch, 0);
+		pr_watch_schedule(watch, 0);
 		return;
 	}
 	if (watch->restarting && !status) {
 		/* This host aborted the call itself. That is no outage of the
 		 * store, so no entry can have lapsed by it because its owner
 		 * could not renew it. */
-		schedule_call(watch, 0);
+		pr_watch_schedule(watch, 0);
 		return;
 	}
 	watch->restarting = false;
-	if (status != 200 || pr_adapter_store_rows(&rows, 0, body)) {
-		handle_failure(watch, status);
+	if (!pr_watch_accept(watch, status, body, &rows))
 		return;
-	}
-	handle_recovery(watch);
-	log_unreadable(watch, &rows);
-	update_store_clock(watch, rows.now_ms);
-	log_fallen_version(watch, rows.version);
-	if (watch->table == PROBE_TABLE) {
-		pr_peering_confirm(watch->edge);
+	if (watch->table == PROBE_TABLE)
 		check_other_feeds(watch, rows.version);
-	}
 	if (watch->reading_gap) {
 		after = watch->gap.newest;
 		pr_extent_close_gap(&watch->extent, &watch->gap);
@@ -415,7 +266,7 @@
 			       watch->table, (unsigned long long)after.number,
 			       rows.count);
 	}
-	apply_rows(watch, &rows);
+	pr_watch_apply_rows(watch, &rows);
 	pr_extent_advance(&watch->extent, rows.version);
 	if (rows.count) {
 		pause = batch_delay[watch->table];
@@ -423,7 +274,7 @@
 					rows.rows, rows.count);
 	}
 	pr_store_rows_finish(&rows);
-	schedule_call(watch, pause);
+	pr_watch_schedule(watch, pause);
 }
 
 /* Whether this host can do without reading a feed. While the store is not
@@ -486,13 +337,13 @@
 			      on_feed);
 	else
 		pr_call_start(&watch->call, pr_str_slice(&request),
-			      READ_TIMEOUT, on_read);
+			      READ_TIMEOUT, pr_table_read_on_answer);
 	pr_str_finish(&request);
 }
 
 /* Request immediately from the store the rows that this host lacks. A response
  * that is arriving brings them. */
-static void request_from_store(pr_watch_t *watch)
+void pr_watch_request_from_store(pr_watch_t *watch)
 {
 	if (pr_call_is_receiving(&watch->call))
 		return;
@@ -503,134 +354,6 @@
 		start_call(watch);
 }
 
-/* Apply those of the rows that this host lacks, and forward all of them.
- *
- * @param after version of the row before the first one
- */
-static void apply_relayed_rows(pr_watch_t *watch, pr_revision_t after,
-			       const pr_store_row_t *rows, size_t count)
-{
-	for (size_t i = 0; i < count; i++) {
-		if (pr_revision_is_after(rows[i].version, watch->extent.newest))
-			apply_row(watch, &rows[i]);
-	}
-	pr_extent_advance(&watch->extent, watch->extent.newest);
-	pr_peering_forward_rows(watch->edge, watch->table, after, rows, count);
-}
-
-static void on_relay_rows(pr_call_t *call, int status, pr_slice_t body)
-{
-	pr_watch_t *watch = call->owner;
-	pr_revision_t have = pr_extent_complete(&watch->extent);
-	pr_store_rows_t rows = { 0 };
-
-	if (status != 200 || pr_row_cache_read(&rows, 0, body) ||
-	    !pr_revision_is_after(rows.version, have)) {
-		pr_event_state("relay_lacks_rows", "table=%d status=%d",
-			       watch->table, status);
-		if (pr_revision_is_after(watch->lag.newest, have))
-			request_from_store(watch);
-	} else {
-		pr_event_state("rows_from_relay",
-			       "table=%d rows=%zu bytes=%zu version=%llu",
-			       watch->table, rows.count, body.len,
-			       (unsigned long long)rows.version.number);
-		apply_relayed_rows(watch, pr_extent_last(&watch->extent),
-				   rows.rows, rows.count);
-	}
-	pr_store_rows_finish(&rows);
-}
-
-/* Request the rows that this host lacks from a relay, or from the store when
- * the relay is NULL or does not have them. */
-static void request_missing_rows(pr_watch_t *watch, const pr_host_t *relay)
-{
-	pr_str_t request = PR_STR_INIT;
-
-	watch->lag.since = 0;
-	if (watch->relay_call.busy)
-		return;
-	if (!relay ||
-	    pr_str_appendf(
-		    &request, "GET /rows/%d/%llu HTTP/1.1\r\nHost: %s\r\n\r\n",
-		    watch->table,
-		    (unsigned long long)pr_extent_complete(&watch->extent)
-			    .number,
-		    relay->name)) {
-		request_from_store(watch);
-	} else {
-		pr_call_set_address(&watch->relay_call, &relay->address);
-		pr_call_start(&watch->relay_call, pr_str_slice(&request),
-			      RELAY_TIMEOUT, on_relay_rows);
-	}
-	pr_str_finish(&request);
-}
-
-/* A relay of the region may lack a removal that this host does not know, and
- * nobody else reads the store for it: read the changes that it lacks. */
-static void close_gap(pr_watch_t *watch, const pr_announced_t *relay)
-{
-	if (!watch->synced || watch->paused || watch->gap_wanted ||
-	    watch->reading_gap || watch->failures ||
-	    !pr_peering_reads_store(watch->edge) ||
-	    !pr_extent_has_gap(&watch->extent, relay) ||
-	    !pr_revision_is_after(relay->version, watch->gap_refused))
-		return;
-	pr_event_state("gap_found", "table=%d base=%llu relay=%llu",
-		       watch->table,
-		       (unsigned long long)watch->extent.base.number,
-		       (unsigned long long)relay->version.number);
-	watch->gap = *relay;
-	watch->gap_wanted = true;
-	request_from_store(watch);
-}
-
-void pr_watch_compare_peer(pr_edge_t *edge, pr_store_table_t table,
-			   const pr_host_t *relay,
-			   const pr_announced_t *announced)
-{
-	pr_watch_t *watch = &edge->watches[table];
-	pr_usec_t now = pr_edge_now(edge);
-	pr_revision_t have;
-	pr_usec_t lag;
-
-	pr_extent_adopt(&watch->extent, announced, watch->paused);
-	if (relay)
-		close_gap(watch, announced);
-	have = pr_extent_complete(&watch->extent);
-	lag = pr_lag_update(&watch->lag, announced->newest, have, now);
-	if (lag < (watch->paused ? LAG_MAX_PAUSED : LAG_MAX) || watch->failures)
-		return;
-	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
-		       (unsigned long long)watch->extent.newest.number,
-		       (unsigned long long)announced->newest.number);
-	request_missing_rows(
-		watch,
-		watch->paused && pr_revision_is_after(announced->newest, have)
-			? relay
-			: NULL);
-}
-
-void pr_watch_receive_rows(pr_edge_t *edge, const pr_host_t *relay,
-			   const pr_message_rows_t *rows)
-{
-	pr_watch_t *watch = &edge->watches[rows->table];
-	bool follows = !pr_revision_is_after(
-		rows->after, pr_extent_complete(&watch->extent));
-
-	/* A call in progress returns the same rows. */
-	if (!watch->synced || watch->call.busy)
-		return;
-	if (!follows || !rows->count) {
-		if (watch->paused)
-			request_missing_rows(watch, relay);
-		return;
-	}
-	if (pr_revision_is_after(rows->rows[rows->count - 1].version,
-				 watch->extent.newest))
-		apply_relayed_rows(watch, rows->after, rows->rows, rows->count);
-}
-
 bool pr_watches_synced(const pr_edge_t *edge)
 {
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
@@ -699,7 +422,7 @@
 		pr_watch_t *watch = &edge->watches[i];
 
 		pr_timers_unsubscribe(&edge->timers, &watch->timer);
-		clear_read_state(watch);
+		pr_table_read_clear(watch);
 		pr_call_finish(&watch->call);
 		pr_call_finish(&watch->relay_call);
 	}
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "pistachiorack/error.h"
+#include "relay/message_parts.h"
 
 /* Bytes of a session's record: hash (8), time of last use in ms (8), moved (1).
  */
@@ -25,23 +26,20 @@
 					    "timed", "slow", "slow_who" };
 #define TALLY_FIELDS (sizeof(tally_fields) / sizeof(tally_fields[0]))
 
-/* The era is left out while it is 0, that is, while the store states none.
- * Hosts of earlier releases compare the numbers alone, which is right within an
- * era. */
-static int pack_era(msgpack_packer *packer, uint64_t era)
+int pr_message_pack_era(msgpack_packer *packer, uint64_t era)
 {
 	return era ? pr_msgmap_pack_number(packer, "era", era) : 0;
 }
 
-static uint64_t read_era(const pr_msgmap_t *map)
+uint64_t pr_message_read_era(const pr_msgmap_t *map)
 {
 	uint64_t era;
 
 	return pr_msgmap_number(map, &era, "era") ? 0 : era;
 }
 
-static int begin(msgpack_packer *packer, pr_str_t *out, const char *host,
-		 size_t fields)
+int pr_message_begin(msgpack_packer *packer, pr_str_t *out, const char *host,
+		     size_t fields)
 {
 	int rc;
 
@@ -83,8 +81,9 @@
 {
 	uint64_t era = feeds ? newest_era(feeds) : 0;
 	msgpack_packer packer;
-	int rc = begin(&packer, out, host,
-		       feeds ? 6 + 2 * PR_TABLES_COUNT + !!era : (size_t)1);
+	int rc = pr_message_begin(&packer, out, host,
+				  feeds ? 6 + 2 * PR_TABLES_COUNT + !!era
+					: (size_t)1);
 
 	if (!rc)
 		rc = pr_msgmap_pack_text(
@@ -113,7 +112,7 @@
 		rc = pr_msgmap_pack_number(
 			&packer, version_names[i],
 			number_in(era, feeds->tables[i].version));
-	return rc ? rc : pack_era(&packer, era);
+	return rc ? rc : pr_message_pack_era(&packer, era);
 }
 
 int pr_message_read_counts(const pr_msgmap_t *map, pr_count_kind_t *kind,
@@ -155,7 +154,8 @@
 		    pr_msgmap_number(map, &table->version.number,
 				     version_names[i]))
 			table->newest.number = table->version.number = 0;
-		table->newest.era = table->version.era = read_era(map);
+		table->newest.era = table->version.era =
+			pr_message_read_era(map);
 	}
 	return 0;
 }
@@ -229,7 +229,7 @@
 			    const pr_tallies_t *tallies, bool all)
 {
 	msgpack_packer packer;
-	int rc = begin(&packer, out, host, 2 + 2 * TALLY_FIELDS);
+	int rc = pr_message_begin(&packer, out, host, 2 + 2 * TALLY_FIELDS);
 
 	if (!rc)
 		rc = pr_msgmap_pack_text(&packer, service_fields[all],
@@ -264,7 +264,7 @@
 			      const pr_load_test_tally_t *tally, bool all)
 {
 	msgpack_packer packer;
-	int rc = begin(&packer, out, host, 6);
+	int rc = pr_message_begin(&packer, out, host, 6);
 
 	if (!rc)
 		rc = pr_msgmap_pack_text(&packer, load_test_fields[all],
@@ -320,7 +320,7 @@
 		at[16] = (char)seen[i].moved;
 		at += SESSION_RECORD;
 	}
-	rc = begin(&packer, out, host, 1);
+	rc = pr_message_begin(&packer, out, host, 1);
 	if (!rc)
 		rc = pr_msgmap_pack_text(
 			&packer, "sessions",
@@ -457,7 +457,7 @@
 		rc = append_suspect(&records, &suspects[packed++]);
 	}
 	if (!rc)
-		rc = begin(&packer, out, host, 1);
+		rc = pr_message_begin(&packer, out, host, 1);
 	if (!rc)
 		rc = pr_msgmap_pack_text(&packer, "suspects",
 					 pr_str_slice(&records));
@@ -550,7 +550,7 @@
 			.per_s = (float)rates[packed].statement.per_s,
 			.tag = rates[packed].tag,
 		};
-	rc = begin(&packer, out, host, 1);
+	rc = pr_message_begin(&packer, out, host, 1);
 	if (!rc)
 		rc = pr_msgmap_pack_text(&packer, "rates",
 					 pr_slice((const char *)records,
@@ -588,134 +588,3 @@
 	}
 	return count;
 }
-
-/* Bytes of a row beside its key and value (field names and numbers), and of the
- * map's other fields. */
-#define ROW_OVERHEAD 40
-#define HEADER_SIZE  200
-
-static void row_field(char name[16], const char *field, size_t index)
-{
-	snprintf(name, 16, "%s%zu", field, index);
-}
-
-/* A map has 15 fields at most; the era takes the place of a row. */
-static size_t rows_max(uint64_t era)
-{
-	return era ? PR_ROWS_IN_DATAGRAM - 1 : PR_ROWS_IN_DATAGRAM;
-}
-
-static size_t rows_that_fit(const pr_store_row_t *rows, size_t count,
-			    uint64_t era)
-{
-	size_t size = HEADER_SIZE;
-	size_t fit = 0;
-
-	while (fit < count && fit < rows_max(era)) {
-		size += ROW_OVERHEAD + strlen(rows[fit].key) +
-			rows[fit].value.len;
-		if (size > PR_DATAGRAM_MAX)
-			break;
-		fit++;
-	}
-	return fit;
-}
-
-static int pack_row(msgpack_packer *packer, const pr_store_row_t *row,
-		    size_t index)
-{
-	char name[16];
-	int rc;
-
-	row_field(name, "key", index);
-	rc = pr_msgmap_pack_text(packer, name, pr_slice_of(row->key));
-	row_field(name, "version", index);
-	if (!rc)
-		rc = pr_msgmap_pack_number(packer, name, row->version.number);
-	row_field(name, "value", index);
-	if (!rc && !row->removed)
-		rc = pr_msgmap_pack_text(packer, name,
-					 pr_str_slice(&row->value));
-	return rc;
-}
-
-size_t pr_message_pack_rows(pr_str_t *out, const char *host,
-			    pr_store_table_t table, pr_revision_t after,
-			    const pr_store_row_t *rows, size_t count)
-{
-	size_t fit = rows_that_fit(rows, count, after.era);
-	size_t fields = 2 + !!after.era;
-	msgpack_packer packer;
-	int rc;
-
-	for (size_t i = 0; i < fit; i++)
-		fields += rows[i].removed ? 2 : 3;
-	rc = begin(&packer, out, host, fields);
-	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "table", table);
-	if (!rc)
-		rc = pr_msgmap_pack_number(&packer, "after", after.number);
-	if (!rc)
-		rc = pack_era(&packer, after.era);
-	for (size_t i = 0; i < fit && !rc; i++)
-		rc = pack_row(&packer, &rows[i], i);
-	return rc ? 0 : fit;
-}
-
-void pr_message_rows_finish(pr_message_rows_t *rows)
-{
-	for (size_t i = 0; i < rows->count; i++) {
-		free(rows->rows[i].key);
-		pr_str_finish(&rows->rows[i].value);
-	}
-	rows->count = 0;
-}
-
-/* @return 0, PR_ENOTFOUND when the map has no row of this index, PR_EPARSE or
- *	   PR_ENOMEM */
-static int read_row(const pr_msgmap_t *map, uint64_t era, pr_store_row_t *row,
-		    size_t index)
-{
-	pr_slice_t key, value;
-	char name[16];
-
-	row_field(name, "key", index);
-	if (pr_msgmap_text(map, &key, name))
-		return PR_ENOTFOUND;
-	row_field(name, "version", index);
-	if (pr_msgmap_number(map, &row->version.number, name))
-		return PR_EPARSE;
-	row->version.era = era;
-	row->key = strndup(key.ptr, key.len);
-	if (!row->key)
-		return PR_ENOMEM;
-	row_field(name, "value", index);
-	row->removed = pr_msgmap_text(map, &value, name);
-	if (row->removed || !pr_str_append(&row->value, value.ptr, value.len))
-		return 0;
-	free(row->key);
-	return PR_ENOMEM;
-}
-
-int pr_message_read_rows(const pr_msgmap_t *map, pr_message_rows_t *out)
-{
-	uint64_t era = read_era(map);
-	uint64_t table;
-	int rc = 0;
-
-	memset(out, 0, sizeof(*out));
-	if (pr_msgmap_number(map, &table, "table") ||
-	    pr_msgmap_number(map, &out->after.number, "after") ||
-	    table >= PR_TABLES_COUNT)
-		return PR_EPARSE;
-	out->table = (pr_store_table_t)table;
-	out->after.era = era;
-	while (out->count < PR_ROWS_IN_DATAGRAM && !rc) {
-		rc = read_row(map, era, &out->rows[out->count], out->count);
-		out->count += !rc;
-	}
-	if (!rc || rc == PR_ENOTFOUND)
-		return 0;
-	pr_message_rows_finish(out);
-	return rc;
-}
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -1,5 +1,4 @@
-/* Tests of src/place: which upstream is chosen for a request under various
- * loads and failures. */
+/* Tests of src/place: choice of an upstream under various loads and faults. */
 #include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
