Follow the store when it returns from an older copy

Cause: the store gives versions out again after such a return. Hosts compared versions from before it with those after it: the readers of the regions read the tables anew (410), but hosts behind a relay, the registry, caches and digests held the old, higher versions and took new rows for known ones until the counter passed them. Change: rows and answers bear the era that the store states, and every comparison orders by it first. An answer that states a later era ends the calls under way; the hosts that read the store read each table as a whole, and a relay keeps that table for the others, which get it from the relay at once when a digest has a later era. A digest of another era confirms nothing. Conditional writes wait until the table was read in the era of the store. A path with the era asks a relay for rows; the path of earlier releases is answered only while the store states none.

--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -80,22 +80,38 @@
 	return pr_slice_number(number, out);
 }
 
-/* Send the rows of a table that changed after a version. The path is
- * /TABLE/VERSION. */
-static void reply_rows(admin_t *admin, pr_slice_t path)
+/* Encode the rows of a table for another host. The path is /TABLE/ERA/NUMBER,
+ * or /TABLE/NUMBER from hosts of earlier releases, which know no eras.
+ * @return HTTP status */
+static int pack_rows(const pr_edge_t *edge, pr_slice_t path, pr_str_t *out)
 {
-	pr_row_cache_t *caches = admin->edge->peering.row_caches;
-	pr_str_t rows = PR_STR_INIT;
+	const pr_row_cache_t *cache;
 	pr_revision_t after = { 0, 0 };
 	uint64_t table;
+	bool has_era;
+
+	if (!next_number(&path, &table) || table >= PR_TABLES_COUNT ||
+	    !next_number(&path, &after.number))
+		return 400;
+	cache = &edge->peering.row_caches[table];
+	has_era = path.len;
+	after.era = has_era ? after.number : 0;
+	if (has_era && (!next_number(&path, &after.number) || path.len))
+		return 400;
+	if (has_era)
+		return pr_row_answer_pack(cache, after, out) ? 404 : 200;
+	if (cache->newest.era)
+		return 404;
+	return pr_row_cache_pack(cache, after, out) ? 404 : 200;
+}
 
-	if (!next_number(&path, &table) || !next_number(&path, &after.number) ||
-	    path.len || table >= PR_TABLES_COUNT)
-		reply(admin, 400, pr_slice("", 0));
-	else if (pr_row_cache_pack(&caches[table], after, &rows))
-		reply(admin, 404, pr_slice("", 0));
-	else
-		reply(admin, 200, pr_str_slice(&rows));
+static void reply_rows(admin_t *admin, pr_slice_t path)
+{
+	pr_str_t rows = PR_STR_INIT;
+	int status = pack_rows(admin->edge, path, &rows);
+
+	reply(admin, status,
+	      status == 200 ? pr_str_slice(&rows) : pr_slice("", 0));
 	pr_str_finish(&rows);
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -276,6 +276,8 @@
 		{ &counters->held_tokens, "edge_held_tokens_total" },
 		{ &counters->prompt_tokens, "edge_prompt_tokens_total" },
 		{ &counters->off_first_rank, "edge_off_first_rank_total" },
+		{ &counters->store_era, "edge_store_era" },
+		{ &counters->rows_reread, "edge_store_rows_reread_total" },
 	};
 
 	pr_metrics_init(&edge->metrics, SERIES_MAX);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -73,12 +73,14 @@
 	/** How long other hosts have had rows that this host lacks. */
 	pr_lag_t lag;
 	/** A full read succeeded, and the feed has not lost its history since
-	 *  then. Without it the table is read as a whole. */
+	 *  then. Without it the table is read as a whole; so it is when the
+	 *  extent is of an earlier era than the store. */
 	bool synced;
 	/** A full read has succeeded since the start. */
 	bool was_synced;
 	/** What this host knew before the current full read, and the changes
-	 *  since then that the read has shown, to forward them. */
+	 *  since then that the read has shown, to forward them: the whole table
+	 *  when it is read in a new era. */
 	pr_revision_t known_before;
 	pr_store_rows_t missed;
 	/** Keys of the rows that the current full read has returned. */
@@ -97,10 +99,10 @@
 		*repeats, *escalations, *resumes, *not_found, *unauthorized,
 		*malformed, *datagrams, *datagram_bytes, *quarantined,
 		*memory_waits, *memory_shed, *connections_shed, *held_tokens,
-		*prompt_tokens, *off_first_rank;
+		*prompt_tokens, *off_first_rank, *rows_reread;
 	/** Gauges, set when the metrics are read. */
 	pr_metric_t *memory_limit, *memory_peak,
-		*memory_held[PR_MEMORY_USES_COUNT], *callers_open;
+		*memory_held[PR_MEMORY_USES_COUNT], *callers_open, *store_era;
 	pr_histogram_t *first_byte, *total;
 } pr_edge_metrics_t;
 
@@ -230,10 +232,19 @@
 /** Start reading all tables. @return 0 */
 int pr_watches_start(pr_edge_t *edge);
 void pr_watches_finish(pr_edge_t *edge);
-/** Note the era that the answer of a call to the store states. @param status 0
- * when there was no answer */
+/**
+ * Note the era that the answer of a call to the store states. When it rises,
+ * the calls under way are ended, and the tables are read as a whole.
+ *
+ * @param status 0 when there was no answer
+ */
 void pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status);
-/** @return true when every table was read completely */
+/** Note that another host has read rows of this era, likewise. */
+void pr_edge_raise_era(pr_edge_t *edge, uint64_t era);
+/** @return true when the table was read completely in the era of the store, and
+ *	   the feed has not lost its history since then */
+bool pr_watch_is_synced(const pr_watch_t *watch);
+/** @return true when that holds for every table */
 bool pr_watches_synced(const pr_edge_t *edge);
 /** @return rest of the grace period after an outage, milliseconds */
 uint32_t pr_watches_outage_grace_ms(pr_edge_t *edge);
--- a/src/edge/peering.h
+++ b/src/edge/peering.h
@@ -61,6 +61,14 @@
 bool pr_peering_is_listed(const struct pr_edge_t *edge);
 /** Note that the store just confirmed that this host has all orders. */
 void pr_peering_confirm(struct pr_edge_t *edge);
+/**
+ * Keep a table that was read as a whole in a new era of the store, if this host
+ * is a relay, for the hosts that get their rows from it.
+ *
+ * @param version of the read
+ */
+void pr_peering_keep_table(struct pr_edge_t *edge, pr_store_table_t table,
+			   pr_revision_t version, const pr_store_rows_t *rows);
 /**
  * Forward rows, if this host is the relay that has to, to the hosts that get
  * their rows from it.
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -310,17 +310,20 @@
 	return state;
 }
 
-/* Whether a relay has newer rows than this host. If not, its digest confirms
- * that this host is current. */
-static bool is_ahead(const pr_edge_t *edge, const pr_feed_state_t *state)
+/* Whether a relay knows of no newer rows than this host, in the same era of the
+ * store: its digest then confirms that this host is current. */
+static bool is_confirming(const pr_edge_t *edge, const pr_feed_state_t *state)
 {
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		if (pr_revision_is_after(
-			    state->tables[i].newest,
-			    pr_extent_complete(&edge->watches[i].extent)))
-			return true;
+		const pr_announced_t *table = &state->tables[i];
+		pr_revision_t have =
+			pr_extent_complete(&edge->watches[i].extent);
+
+		if (table->version.era != have.era || !table->version.number ||
+		    pr_revision_is_after(table->newest, have))
+			return false;
 	}
-	return false;
+	return true;
 }
 
 void pr_peers_receive_feed_state(pr_edge_t *edge, pr_host_t *relay,
@@ -339,7 +342,7 @@
 				      near ? relay : NULL, &state->tables[i]);
 	/* Each region has its own reader, and rows are not forwarded to other
 	 * regions. */
-	if (!is_ahead(edge, state) && near)
+	if (near && is_confirming(edge, state))
 		pr_reader_confirm(&edge->peering.reader, confirmed_at);
 	if (!pr_peers_in_zone(edge, relay) || !state->current ||
 	    pr_peering_reads_store(edge))
@@ -380,6 +383,18 @@
 		pr_peers_send_relays(edge, PR_DISTANCE_REGION, bytes);
 }
 
+void pr_peering_keep_table(pr_edge_t *edge, pr_store_table_t table,
+			   pr_revision_t version, const pr_store_rows_t *rows)
+{
+	pr_peering_t *peering = &edge->peering;
+
+	if (peering->is_relay &&
+	    pr_row_cache_replace(&peering->row_caches[table], version,
+				 rows->rows, rows->count))
+		pr_event("rows_not_cached", "table=%d error=\"out of memory\"",
+			 table);
+}
+
 void pr_peering_forward_rows(pr_edge_t *edge, pr_store_table_t table,
 			     pr_revision_t after, const pr_store_row_t *rows,
 			     size_t count)
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -450,9 +450,12 @@
 	       write_delay_ms(edge, edge->transitions[index]);
 }
 
+/* Writes are conditional, so the table must have been read in the era of the
+ * store before. */
 static bool can_write(pr_edge_t *edge)
 {
-	return !edge->writer.busy && pr_edge_now(edge) >= edge->next_write_at;
+	return !edge->writer.busy && pr_edge_now(edge) >= edge->next_write_at &&
+	       pr_watch_is_synced(&edge->watches[PR_TABLE_SHARED]);
 }
 
 void pr_edge_update_shared_rows(pr_edge_t *edge)
@@ -461,11 +464,9 @@
 
 	if (!edge->store_clock.is_known)
 		return;
-	if (!edge->registered && edge->watches[PR_TABLE_SHARED].synced &&
-	    can_write(edge))
+	if (!edge->registered && can_write(edge))
 		register_host(edge);
-	if (pr_quarantine_row_is_due(edge) && can_write(edge) &&
-	    edge->watches[PR_TABLE_SHARED].synced) {
+	if (pr_quarantine_row_is_due(edge) && can_write(edge)) {
 		if (pr_quarantine_row_write(edge))
 			pr_event_state("quarantine_not_written", "error=\"%s\"",
 				       pr_error_last());
@@ -480,10 +481,7 @@
 			pr_transition_conclude(transition, now, 0, usable);
 		pr_transition_row_t row = row_of(transition, conclusion, now);
 
-		/* The write is conditional, so the table must have been read
-		 * before. */
-		if (!is_write_due(edge, i, conclusion, now) ||
-		    !can_write(edge) || !edge->watches[PR_TABLE_SHARED].synced)
+		if (!is_write_due(edge, i, conclusion, now) || !can_write(edge))
 			continue;
 		if (conclusion != PR_CONCLUDE_NOTHING)
 			write_transition(edge, transition, &row);
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -66,7 +66,7 @@
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
 		pr_watch_t *watch = &probe->edge->watches[i];
 
-		if (watch != probe && watch->synced)
+		if (watch != probe && pr_watch_is_synced(watch))
 			pr_call_abort(&watch->call);
 	}
 }
@@ -82,8 +82,10 @@
 	if (!watch->failures) {
 		watch->failed_since = now;
 		pr_event_state(
-			"store_lost", "table=%d status=%d version=%llu",
+			"store_lost",
+			"table=%d status=%d era=%llu version=%llu",
 			watch->table, status,
+			(unsigned long long)watch->extent.version.era,
 			(unsigned long long)watch->extent.version.number);
 	}
 	watch->failures++;
@@ -92,6 +94,17 @@
 		abort_other_feeds(watch);
 }
 
+/* Entries that their owners could not renew meanwhile are back at the end of
+ * the grace period. */
+static void start_outage_grace(pr_edge_t *edge)
+{
+	for (int i = 0; i < PR_TABLES_COUNT; i++)
+		edge->watches[i].outage_grace_until =
+			pr_edge_now(edge) +
+			(pr_usec_t)(edge->settings->bounds.lapse_s *
+				    PR_USEC_PER_SEC);
+}
+
 static void handle_recovery(pr_watch_t *watch)
 {
 	pr_edge_t *edge = watch->edge;
@@ -103,13 +116,34 @@
 		"store_regained", "table=%d failures=%u ms=%lld", watch->table,
 		watch->failures,
 		(long long)((now - watch->failed_since) / PR_USEC_PER_MSEC));
-	for (int i = 0; i < PR_TABLES_COUNT; i++)
-		edge->watches[i].outage_grace_until =
-			now + (pr_usec_t)(edge->settings->bounds.lapse_s *
-					  PR_USEC_PER_SEC);
+	start_outage_grace(edge);
 	watch->failures = 0;
 }
 
+/* The answers to calls under way may be of the era before. */
+static void enter_era(pr_edge_t *edge, const pr_call_t *answered)
+{
+	start_outage_grace(edge);
+	for (int i = 0; i < PR_TABLES_COUNT; i++) {
+		pr_watch_t *watch = &edge->watches[i];
+
+		if (&watch->call == answered || !watch->call.busy)
+			continue;
+		watch->restarting = true;
+		pr_call_abort(&watch->call);
+		watch->restarting = false;
+	}
+}
+
+static bool has_read(const pr_edge_t *edge)
+{
+	bool read = false;
+
+	for (int i = 0; i < PR_TABLES_COUNT; i++)
+		read |= edge->watches[i].was_synced;
+	return read;
+}
+
 void pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status)
 {
 	pr_slice_t text = pr_call_field(call);
@@ -129,6 +163,22 @@
 			       text.ptr ? text.ptr : "");
 	/* Only the first of a series of odd statements is logged. */
 	edge->era_verdict = pr_era_is_believed(verdict) ? PR_ERA_SAME : verdict;
+	edge->counters.store_era->value = (double)edge->store_era.current;
+	if (verdict == PR_ERA_RISEN ||
+	    (verdict == PR_ERA_FIRST && has_read(edge)))
+		enter_era(edge, call);
+}
+
+void pr_edge_raise_era(pr_edge_t *edge, uint64_t era)
+{
+	uint64_t before = edge->store_era.current;
+
+	if (!pr_era_raise(&edge->store_era, era))
+		return;
+	pr_event_state("store_era", "verdict=reported era=%llu before=%llu",
+		       (unsigned long long)era, (unsigned long long)before);
+	edge->counters.store_era->value = (double)era;
+	enter_era(edge, NULL);
 }
 
 /* A version of the store below one that this host knows. */
@@ -176,7 +226,8 @@
 bool pr_watch_accept(pr_watch_t *watch, int status, pr_slice_t body,
 		     pr_store_rows_t *rows)
 {
-	if (status != 200 || pr_adapter_store_rows(rows, 0, body)) {
+	if (status != 200 ||
+	    pr_adapter_store_rows(rows, watch->edge->store_era.current, body)) {
 		handle_failure(watch, status);
 		return false;
 	}
@@ -203,7 +254,7 @@
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
 		pr_watch_t *watch = &probe->edge->watches[i];
 
-		if (watch == probe || !watch->synced)
+		if (watch == probe || !pr_watch_is_synced(watch))
 			continue;
 		if (watch->call.busy && !watch->restarting &&
 		    watch->called_at < watch->expected_at &&
@@ -230,6 +281,14 @@
 	pr_revision_t after = pr_extent_last(&watch->extent);
 
 	pr_edge_note_era(watch->edge, call, status);
+	if (status && !pr_watch_is_synced(watch)) {
+		/* The store has returned from an older copy since the call: its
+		 * answer does not continue what this host knows. */
+		handle_recovery(watch);
+		watch->restarting = false;
+		pr_watch_schedule(watch, 0);
+		return;
+	}
 	if (status == 410 && watch->reading_gap) {
 		/* The relay that lacks the changes cannot read them either. */
 		pr_event_state("gap_left", "table=%d version=%llu",
@@ -312,11 +371,11 @@
 		return;
 	/* Rows may have been missing only because of the batch delay. */
 	watch->lag.since = 0;
-	watch->reading_gap = watch->gap_wanted && watch->synced;
+	watch->reading_gap = watch->gap_wanted && pr_watch_is_synced(watch);
 	watch->gap_wanted = false;
 	if (at_once)
 		timeout = PROBE_TIMEOUT;
-	if (watch->synced)
+	if (pr_watch_is_synced(watch))
 		rc = pr_adapter_store_feed(&request, watch->table,
 					   watch->reading_gap
 						   ? watch->gap.version
@@ -332,7 +391,7 @@
 		return;
 	}
 	watch->called_at = pr_edge_now(watch->edge);
-	if (watch->synced)
+	if (pr_watch_is_synced(watch))
 		pr_call_start(&watch->call, pr_str_slice(&request), timeout,
 			      on_feed);
 	else
@@ -354,10 +413,16 @@
 		start_call(watch);
 }
 
+bool pr_watch_is_synced(const pr_watch_t *watch)
+{
+	return watch->synced &&
+	       watch->extent.version.era == watch->edge->store_era.current;
+}
+
 bool pr_watches_synced(const pr_edge_t *edge)
 {
 	for (int i = 0; i < PR_TABLES_COUNT; i++) {
-		if (!edge->watches[i].synced)
+		if (!pr_watch_is_synced(&edge->watches[i]))
 			return false;
 	}
 	return true;
--- a/src/edge/watch_parts.h
+++ b/src/edge/watch_parts.h
@@ -23,6 +23,12 @@
 /* table_read.c */
 /** Handle the answer with a page of a full read. */
 void pr_table_read_on_answer(pr_call_t *call, int status, pr_slice_t body);
+/**
+ * Take over a whole table that a relay has read.
+ *
+ * @param rows the rows and the version of the read; rows may be moved out
+ */
+void pr_table_read_apply_whole(pr_watch_t *watch, pr_store_rows_t *rows);
 /** Free the state of a full read; the next page is the first one. */
 void pr_table_read_clear(pr_watch_t *watch);
 
--- a/src/edge/watch_relayed.c
+++ b/src/edge/watch_relayed.c
@@ -34,45 +34,65 @@
 	pr_peering_forward_rows(watch->edge, watch->table, after, rows, count);
 }
 
+/* Rows of a relay's answer that this host can use: they continue what it has,
+ * or are the whole table of a later era. */
+static bool is_useful(const pr_watch_t *watch, const pr_row_answer_t *answer)
+{
+	pr_revision_t have = pr_extent_complete(&watch->extent);
+	pr_revision_t version = answer->rows.version;
+
+	if (answer->whole)
+		return version.era > have.era;
+	return version.era == have.era && pr_revision_is_after(version, have);
+}
+
 static void on_relay_rows(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_watch_t *watch = call->owner;
-	pr_revision_t have = pr_extent_complete(&watch->extent);
-	pr_store_rows_t rows = { 0 };
+	pr_row_answer_t answer = { 0 };
 
-	if (status != 200 || pr_row_cache_read(&rows, 0, body) ||
-	    !pr_revision_is_after(rows.version, have)) {
+	if (status != 200 || pr_row_answer_read(&answer, body) ||
+	    !is_useful(watch, &answer)) {
 		pr_event_state("relay_lacks_rows", "table=%d status=%d",
 			       watch->table, status);
-		if (pr_revision_is_after(watch->lag.newest, have))
+		if (pr_revision_is_after(watch->lag.newest,
+					 pr_extent_complete(&watch->extent)))
 			pr_watch_request_from_store(watch);
+		pr_row_answer_finish(&answer);
+		return;
+	}
+	pr_event_state("rows_from_relay",
+		       "table=%d rows=%zu whole=%d bytes=%zu era=%llu "
+		       "version=%llu",
+		       watch->table, answer.rows.count, answer.whole, body.len,
+		       (unsigned long long)answer.rows.version.era,
+		       (unsigned long long)answer.rows.version.number);
+	if (answer.whole) {
+		pr_edge_raise_era(watch->edge, answer.rows.version.era);
+		pr_table_read_apply_whole(watch, &answer.rows);
 	} else {
-		pr_event_state("rows_from_relay",
-			       "table=%d rows=%zu bytes=%zu version=%llu",
-			       watch->table, rows.count, body.len,
-			       (unsigned long long)rows.version.number);
 		apply_relayed_rows(watch, pr_extent_last(&watch->extent),
-				   rows.rows, rows.count);
+				   answer.rows.rows, answer.rows.count);
 	}
-	pr_store_rows_finish(&rows);
+	pr_row_answer_finish(&answer);
 }
 
 /* Request the rows that this host lacks from a relay, or from the store when
  * the relay is NULL or does not have them. */
 static void request_missing_rows(pr_watch_t *watch, const pr_host_t *relay)
 {
+	pr_revision_t have = pr_extent_complete(&watch->extent);
 	pr_str_t request = PR_STR_INIT;
 
 	watch->lag.since = 0;
 	if (watch->relay_call.busy)
 		return;
 	if (!relay ||
-	    pr_str_appendf(
-		    &request, "GET /rows/%d/%llu HTTP/1.1\r\nHost: %s\r\n\r\n",
-		    watch->table,
-		    (unsigned long long)pr_extent_complete(&watch->extent)
-			    .number,
-		    relay->name)) {
+	    pr_str_appendf(&request,
+			   "GET /rows/%d/%llu/%llu HTTP/1.1\r\n"
+			   "Host: %s\r\n\r\n",
+			   watch->table, (unsigned long long)have.era,
+			   (unsigned long long)have.number, relay->name)) {
 		pr_watch_request_from_store(watch);
 	} else {
 		pr_call_set_address(&watch->relay_call, &relay->address);
@@ -86,9 +106,10 @@
  * nobody else reads the store for it: read the changes that it lacks. */
 static void close_gap(pr_watch_t *watch, const pr_announced_t *relay)
 {
-	if (!watch->synced || watch->paused || watch->gap_wanted ||
+	if (!pr_watch_is_synced(watch) || watch->paused || watch->gap_wanted ||
 	    watch->reading_gap || watch->failures ||
 	    !pr_peering_reads_store(watch->edge) ||
+	    relay->version.era != watch->extent.version.era ||
 	    !pr_extent_has_gap(&watch->extent, relay) ||
 	    !pr_revision_is_after(relay->version, watch->gap_refused))
 		return;
@@ -110,11 +131,20 @@
 	pr_revision_t have;
 	pr_usec_t lag;
 
+	/* The relay has not read the table since its start, or since the store
+	 * returned from an older copy. */
+	if (!announced->version.number)
+		return;
 	pr_extent_adopt(&watch->extent, announced, watch->paused);
 	if (relay)
 		close_gap(watch, announced);
 	have = pr_extent_complete(&watch->extent);
 	lag = pr_lag_update(&watch->lag, announced->newest, have, now);
+	/* A whole table of a later era is worth a call at once. */
+	if (watch->paused && relay && announced->version.era > have.era) {
+		request_missing_rows(watch, relay);
+		return;
+	}
 	if (lag < (watch->paused ? LAG_MAX_PAUSED : LAG_MAX) || watch->failures)
 		return;
 	pr_event_state("feed_behind", "table=%d newest=%llu peer=%llu", table,
--- a/src/relay/extent.c
+++ b/src/relay/extent.c
@@ -28,6 +28,14 @@
 		extent->base = version;
 }
 
+void pr_extent_enter_era(pr_extent_t *extent, pr_revision_t newest,
+			 pr_revision_t version)
+{
+	extent->version = version;
+	extent->newest = pr_revision_earlier(newest, version);
+	extent->base = (pr_revision_t){ .era = version.era };
+}
+
 pr_announced_t pr_extent_announce(const pr_extent_t *extent, bool reads_store)
 {
 	pr_announced_t announced = { extent->newest, extent->version };
--- a/src/relay/extent.h
+++ b/src/relay/extent.h
@@ -52,6 +52,15 @@
  * @param first the host did not know the table before
  */
 void pr_extent_read(pr_extent_t *extent, pr_revision_t version, bool first);
+/**
+ * Note that the table was read as a whole in a new era. The keys that it lacks
+ * are known as removed, so no change of the era before the read is unknown.
+ *
+ * @param newest version of the newest row of the read
+ * @param version of the read
+ */
+void pr_extent_enter_era(pr_extent_t *extent, pr_revision_t newest,
+			 pr_revision_t version);
 /**
  * State of the table for other hosts.
  *
--- a/src/relay/row_cache.c
+++ b/src/relay/row_cache.c
@@ -68,7 +68,9 @@
 
 static void remove_oldest(pr_row_cache_t *cache)
 {
-	cache->complete_after = cache->rows[0].row.version;
+	cache->complete_after = pr_revision_later(cache->complete_after,
+						  cache->rows[0].row.version);
+	cache->whole = false;
 	remove_row(cache, 0);
 }
 
@@ -114,6 +116,41 @@
 	return rc;
 }
 
+static int compare_versions(const void *a, const void *b)
+{
+	pr_revision_t x = ((const pr_cached_row_t *)a)->row.version;
+	pr_revision_t y = ((const pr_cached_row_t *)b)->row.version;
+
+	return pr_revision_is_after(x, y) - pr_revision_is_after(y, x);
+}
+
+int pr_row_cache_replace(pr_row_cache_t *cache, pr_revision_t version,
+			 const pr_store_row_t *rows, size_t count)
+{
+	int rc = 0;
+
+	pr_row_cache_finish(cache);
+	cache->complete_after = cache->newest = version;
+	cache->whole = count <= PR_ROW_CACHE_MAX;
+	if (!count || !cache->whole)
+		return 0;
+	cache->rows = calloc(count, sizeof(cache->rows[0]));
+	if (!cache->rows) {
+		cache->whole = false;
+		return PR_ENOMEM;
+	}
+	cache->capacity = count;
+	for (; cache->count < count && !rc; cache->count += !rc)
+		rc = cached_row_init(&cache->rows[cache->count],
+				     &rows[cache->count]);
+	if (rc)
+		pr_row_cache_finish(cache);
+	else
+		qsort(cache->rows, count, sizeof(cache->rows[0]),
+		      compare_versions);
+	return rc;
+}
+
 static int pack_row(msgpack_packer *packer, const pr_cached_row_t *cached)
 {
 	const pr_store_row_t *row = &cached->row;
@@ -134,24 +171,51 @@
 	return rc;
 }
 
-/* Append the length of a row's map in LENGTH_SIZE bytes, most significant byte
- * first, then the map. */
-static int append_row(pr_str_t *out, const pr_cached_row_t *cached)
+/* Append the length of a map in LENGTH_SIZE bytes, most significant byte first,
+ * then the map. */
+static int append_map(pr_str_t *out, const pr_str_t *map)
 {
 	unsigned char length[LENGTH_SIZE];
+	int rc;
+
+	for (int i = 0; i < LENGTH_SIZE; i++)
+		length[i] = (unsigned char)(map->len >>
+					    (8 * (LENGTH_SIZE - 1 - i)));
+	rc = pr_str_append(out, length, LENGTH_SIZE);
+	return rc ? rc : pr_str_append(out, map->ptr, map->len);
+}
+
+static int append_row(pr_str_t *out, const pr_cached_row_t *cached)
+{
 	msgpack_packer packer;
 	pr_str_t map = PR_STR_INIT;
 	int rc;
 
 	pr_msgmap_packer(&packer, &map);
 	rc = pack_row(&packer, cached);
-	for (int i = 0; i < LENGTH_SIZE; i++)
-		length[i] =
-			(unsigned char)(map.len >> (8 * (LENGTH_SIZE - 1 - i)));
 	if (!rc)
-		rc = pr_str_append(out, length, LENGTH_SIZE);
+		rc = append_map(out, &map);
+	pr_str_finish(&map);
+	return rc ? PR_ENOMEM : 0;
+}
+
+/* The map before the rows of an answer. */
+static int append_header(pr_str_t *out, pr_revision_t version, bool whole)
+{
+	msgpack_packer packer;
+	pr_str_t map = PR_STR_INIT;
+	int rc;
+
+	pr_msgmap_packer(&packer, &map);
+	rc = msgpack_pack_map(&packer, 3);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "era", version.era);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "to", version.number);
+	if (!rc)
+		rc = pr_msgmap_pack_number(&packer, "whole", whole);
 	if (!rc)
-		rc = pr_str_append(out, map.ptr, map.len);
+		rc = append_map(out, &map);
 	pr_str_finish(&map);
 	return rc ? PR_ENOMEM : 0;
 }
@@ -173,6 +237,22 @@
 	return rc;
 }
 
+int pr_row_answer_pack(const pr_row_cache_t *cache, pr_revision_t after,
+		       pr_str_t *out)
+{
+	bool whole = cache->whole && after.era < cache->newest.era;
+	int rc;
+
+	if (!whole && after.era != cache->newest.era)
+		return PR_ENOTFOUND;
+	rc = append_header(out, cache->newest, whole);
+	if (!rc && !whole)
+		return pr_row_cache_pack(cache, after, out);
+	for (size_t i = 0; i < cache->count && !rc; i++)
+		rc = append_row(out, &cache->rows[i]);
+	return rc;
+}
+
 static int read_value(pr_store_row_t *row, const pr_msgmap_t *map)
 {
 	pr_slice_t value;
@@ -269,3 +349,44 @@
 		pr_store_rows_finish(out);
 	return rc;
 }
+
+static int read_header(pr_row_answer_t *out, pr_slice_t bytes)
+{
+	pr_msgmap_t map;
+	uint64_t whole;
+	int rc = pr_msgmap_init(&map, bytes);
+
+	if (rc)
+		return rc;
+	rc = pr_msgmap_number(&map, &out->rows.version.era, "era");
+	if (!rc)
+		rc = pr_msgmap_number(&map, &out->rows.version.number, "to");
+	if (!rc)
+		rc = pr_msgmap_number(&map, &whole, "whole");
+	pr_msgmap_finish(&map);
+	out->whole = !rc && whole;
+	return rc;
+}
+
+int pr_row_answer_read(pr_row_answer_t *out, pr_slice_t bytes)
+{
+	pr_revision_t version;
+	pr_slice_t header;
+	int rc;
+
+	memset(out, 0, sizeof(*out));
+	if (!next_map(&bytes, &header) || read_header(out, header))
+		return pr_error_set(PR_EPARSE, "no header in a relay's answer");
+	/* A table may be empty. */
+	if (out->whole && !bytes.len)
+		return 0;
+	version = out->rows.version;
+	rc = pr_row_cache_read(&out->rows, version.era, bytes);
+	out->rows.version = version;
+	return rc;
+}
+
+void pr_row_answer_finish(pr_row_answer_t *answer)
+{
+	pr_store_rows_finish(&answer->rows);
+}
--- a/src/relay/row_cache.h
+++ b/src/relay/row_cache.h
@@ -6,6 +6,10 @@
  *
  * The cache holds the latest row of each key. Long values are kept and sent
  * compressed.
+ *
+ * After a return of the store from an older copy (see store/era.h) it holds the
+ * whole table as it was read in the new era, for the hosts that still have the
+ * rows of the era before.
  */
 #ifndef PR_RELAY_ROW_CACHE_H
 #define PR_RELAY_ROW_CACHE_H
@@ -14,7 +18,7 @@
 
 /** Most rows in a cache; the oldest ones are dropped. Removed rows count too,
  * so a table in which keys come and go would fill the memory otherwise. */
-#define PR_ROW_CACHE_MAX 1024
+#define PR_ROW_CACHE_MAX 4096
 
 typedef struct pr_cached_row_t {
 	/** The value may be compressed. */
@@ -33,6 +37,8 @@
 	pr_revision_t complete_after;
 	/** Version of the newest row that was added. */
 	pr_revision_t newest;
+	/** It has every row of the table, from a full read. */
+	bool whole;
 } pr_row_cache_t;
 
 void pr_row_cache_finish(pr_row_cache_t *cache);
@@ -47,6 +53,42 @@
 int pr_row_cache_add(pr_row_cache_t *cache, pr_revision_t after,
 		     const pr_store_row_t *rows, size_t count);
 
+/**
+ * Replace the content by a whole table. More than PR_ROW_CACHE_MAX rows are not
+ * kept.
+ *
+ * @param version of the read; some of the rows may be newer
+ * @return 0 or PR_ENOMEM; the cache is empty then
+ */
+int pr_row_cache_replace(pr_row_cache_t *cache, pr_revision_t version,
+			 const pr_store_row_t *rows, size_t count);
+
+/** A relay's answer to a host that asks for rows. Zeroed before first use. */
+typedef struct pr_row_answer_t {
+	/** rows.version is the version up to which the table is known with
+	 *  them. Owned. */
+	pr_store_rows_t rows;
+	/** They are the whole table: keys that are not among them do not
+	 *  exist. */
+	bool whole;
+} pr_row_answer_t;
+
+void pr_row_answer_finish(pr_row_answer_t *answer);
+/**
+ * Encode an answer: the rows that changed after a version, or the whole table
+ * when the version is of an earlier era than the cache.
+ *
+ * @return as pr_row_cache_pack()
+ */
+int pr_row_answer_pack(const pr_row_cache_t *cache, pr_revision_t after,
+		       pr_str_t *out);
+/**
+ * Decode an answer.
+ *
+ * @return 0, PR_EPARSE or PR_ENOMEM; on 0 pr_row_answer_finish() must follow
+ */
+int pr_row_answer_read(pr_row_answer_t *out, pr_slice_t bytes);
+
 /**
  * Encode the rows that changed after a version.
  *
--- a/src/store/era.c
+++ b/src/store/era.c
@@ -19,6 +19,15 @@
 	return PR_ERA_FIRST;
 }
 
+bool pr_era_raise(pr_era_t *era, uint64_t stated)
+{
+	if (stated <= era->current)
+		return false;
+	era->current = stated;
+	era->is_stated = true;
+	return true;
+}
+
 bool pr_era_is_believed(pr_era_verdict_t verdict)
 {
 	return verdict <= PR_ERA_RISEN;
--- a/src/store/era.h
+++ b/src/store/era.h
@@ -42,6 +42,9 @@
  * @param text statement of the answer; ptr NULL when it has none
  */
 pr_era_verdict_t pr_era_note(pr_era_t *era, pr_slice_t text);
+/** Note the era of rows that another host has read. @return true when it is
+ * above the known one */
+bool pr_era_raise(pr_era_t *era, uint64_t stated);
 /** @return false for a statement that is no era of the store */
 bool pr_era_is_believed(pr_era_verdict_t verdict);
 /** @return a name for the log */
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -320,6 +320,69 @@
 		pr_str_finish(&rows[i].value);
 }
 
+/* The era takes the place of a row, since a map has a limit of fields. Hosts of
+ * earlier releases read the numbers. */
+static void test_rows_of_an_era(void **state)
+{
+	pr_store_row_t rows[4] = { 0 };
+	pr_str_t bytes = PR_STR_INIT;
+	pr_message_rows_t read;
+	uint64_t number;
+	pr_msgmap_t map;
+
+	for (size_t i = 0; i < 4; i++)
+		rows[i] = (pr_store_row_t){ .key = "an-upstream",
+					    .version = { 6, 11 + i },
+					    .removed = true };
+	assert_int_equal(
+		pr_message_pack_rows(&bytes, "host", PR_TABLE_UPSTREAMS,
+				     (pr_revision_t){ 6, 10 }, rows, 4),
+		3);
+	read_map(&map, &bytes);
+	assert_int_equal(pr_message_read_rows(&map, &read), 0);
+	assert_int_equal(read.after.era, 6);
+	assert_int_equal(read.count, 3);
+	assert_true(pr_revision_equal(read.rows[2].version, rows[2].version));
+	assert_int_equal(pr_msgmap_number(&map, &number, "version2"), 0);
+	assert_int_equal(number, 13);
+	pr_message_rows_finish(&read);
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
+/* A relay that has read one table since the store returned knows the others
+ * from the era before only: their numbers would be misread. */
+static void test_digest_between_two_eras(void **state)
+{
+	pr_feed_state_t feeds = {
+		.tables = { { { 6, 20 }, { 6, 21 } },
+			    { { 5, 90 }, { 5, 91 } },
+			    { { 5, 92 }, { 5, 93 } } },
+	};
+	pr_upstream_counts_t counts = { .count = 0 };
+	pr_str_t bytes = PR_STR_INIT;
+	pr_count_kind_t kind;
+	pr_msgmap_t map;
+	bool has_feeds;
+
+	assert_int_equal(pr_message_pack_counts(&bytes, "a", PR_COUNT_LOAD,
+						&counts, &feeds),
+			 0);
+	read_map(&map, &bytes);
+	assert_int_equal(pr_message_read_counts(&map, &kind, &counts, &feeds,
+						&has_feeds),
+			 0);
+	assert_true(has_feeds);
+	assert_int_equal(feeds.tables[0].newest.number, 20);
+	assert_int_equal(feeds.tables[0].version.era, 6);
+	for (int i = 1; i < PR_TABLES_COUNT; i++) {
+		assert_int_equal(feeds.tables[i].newest.number, 0);
+		assert_int_equal(feeds.tables[i].version.number, 0);
+	}
+	pr_msgmap_finish(&map);
+	pr_str_finish(&bytes);
+}
+
 /* A row that is too long for a datagram is left out: the message only tells the
  * receiver that there is a newer row to read. */
 static void test_row_too_long_for_a_datagram(void **state)
@@ -413,6 +476,8 @@
 		cmocka_unit_test(test_load_test_counts),
 		cmocka_unit_test(test_sessions),
 		cmocka_unit_test(test_rows_in_several_datagrams),
+		cmocka_unit_test(test_rows_of_an_era),
+		cmocka_unit_test(test_digest_between_two_eras),
 		cmocka_unit_test(test_row_too_long_for_a_datagram),
 		cmocka_unit_test(test_suspects),
 	};
