Tell the rows of a transaction apart

Cause: rows of one transaction share a version. A host behind a relay, and a relay's cache, raised the version that they know with the first row and took the others for known; a transaction that was spread over two datagrams was known after the first. Change: what was known before a series of rows decides for all of them, and a datagram has whole transactions; one that does not fit is read from the relay.

--- a/src/edge/watch_relayed.c
+++ b/src/edge/watch_relayed.c
@@ -26,8 +26,11 @@
 static void apply_relayed_rows(pr_watch_t *watch, pr_revision_t after,
 			       const pr_store_row_t *rows, size_t count)
 {
+	/* Rows of one transaction share a version. */
+	pr_revision_t known = watch->extent.newest;
+
 	for (size_t i = 0; i < count; i++) {
-		if (pr_revision_is_after(rows[i].version, watch->extent.newest))
+		if (pr_revision_is_after(rows[i].version, known))
 			pr_watch_apply_row(watch, &rows[i]);
 	}
 	pr_extent_advance(&watch->extent, watch->extent.newest);
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -119,14 +119,15 @@
 size_t pr_message_read_rates(const pr_msgmap_t *map, pr_upstream_rate_t *out,
 			     size_t max);
 
-/** Consecutive rows of a table, without a gap after a known version. */
+/** Consecutive rows of a table, without a gap after a known version, and with
+ * all rows of each transaction. */
 typedef struct pr_message_rows_t {
 	pr_store_table_t table;
 	/** Newest row that the receiver must have. */
 	pr_revision_t after;
 	pr_store_row_t rows[PR_ROWS_IN_DATAGRAM];
-	/** 0 when the next row is too long for a datagram; the receiver reads
-	 * it from the sender. */
+	/** 0 when the next transaction is too long for a datagram; the receiver
+	 * reads it from the sender. */
 	size_t count;
 } pr_message_rows_t;
 
--- a/src/relay/message_rows.c
+++ b/src/relay/message_rows.c
@@ -10,9 +10,9 @@
 #define ROW_OVERHEAD 40
 #define HEADER_SIZE  200
 
-static void row_field(char name[16], const char *field, size_t index)
+static void row_field(char name[32], const char *field, size_t index)
 {
-	snprintf(name, 16, "%s%zu", field, index);
+	snprintf(name, 32, "%s%zu", field, index);
 }
 
 /* A map has 15 fields at most; the era takes the place of a row. */
@@ -34,13 +34,18 @@
 			break;
 		fit++;
 	}
+	/* Rows of one transaction share a version. A receiver that has one of
+	 * them counts the version as known, so it gets all of them at once. */
+	while (fit && fit < count &&
+	       pr_revision_equal(rows[fit - 1].version, rows[fit].version))
+		fit--;
 	return fit;
 }
 
 static int pack_row(msgpack_packer *packer, const pr_store_row_t *row,
 		    size_t index)
 {
-	char name[16];
+	char name[32];
 	int rc;
 
 	row_field(name, "key", index);
@@ -93,7 +98,7 @@
 		    size_t index)
 {
 	pr_slice_t key, value;
-	char name[16];
+	char name[32];
 
 	row_field(name, "key", index);
 	if (pr_msgmap_text(map, &key, name))
--- a/src/relay/row_cache.c
+++ b/src/relay/row_cache.c
@@ -101,14 +101,17 @@
 int pr_row_cache_add(pr_row_cache_t *cache, pr_revision_t after,
 		     const pr_store_row_t *rows, size_t count)
 {
+	pr_revision_t known;
 	int rc = 0;
 
 	if (pr_revision_is_after(after, cache->newest)) {
 		pr_row_cache_finish(cache);
 		cache->complete_after = cache->newest = after;
 	}
+	/* Rows of one transaction share a version. */
+	known = cache->newest;
 	for (size_t i = 0; i < count && !rc; i++) {
-		if (pr_revision_is_after(rows[i].version, cache->newest))
+		if (pr_revision_is_after(rows[i].version, known))
 			rc = add_row(cache, &rows[i]);
 	}
 	if (rc)
--- a/src/relay/row_cache.h
+++ b/src/relay/row_cache.h
@@ -44,8 +44,8 @@
 void pr_row_cache_finish(pr_row_cache_t *cache);
 
 /**
- * Add consecutive rows. Rows between the newest of the cache and the first of
- * them make the cache start anew.
+ * Add consecutive rows, with all rows of each transaction. Rows between the
+ * newest of the cache and the first of them make the cache start anew.
  *
  * @param after version of the row before the first one
  * @return 0 or PR_ENOMEM; the cache is empty then
--- a/tests/edge/feeds.py
+++ b/tests/edge/feeds.py
@@ -93,6 +93,29 @@
     await asyncio.sleep(2)
 
 
+async def check_shared_versions(fleet):
+    """The rows of a transaction share a version. Hosts behind a relay took the second
+    one for a known row, whatever the order of the two, and lost the rest when a
+    transaction was spread over two datagrams."""
+    for name, zone in (("last", "east"), ("first", "west")):
+        orders = [("op", "evacuate/" + zone, {"zone": zone}),
+                  ("op", "config", fleet.document(extra_routes=(name,)))]
+        await fleet.store.put_all(orders[::-1] if name == "first" else orders)
+        await asyncio.sleep(DRAIN_S)
+        added = await fleet.statuses(f"/{name}/x")
+        check(f"every host serves a route that came {name}", set(added) == {200}, added)
+        gone = [router.name for router in fleet.routers
+                if not fleet.logged(router, f"zone_evacuated zone={zone}")]
+        check(f"every host knows of an evacuation beside a route that came {name}", not gone, gone)
+        await fleet.store.put("op", "evacuate/" + zone, None)
+        await asyncio.sleep(1)
+    rows = [("op", f"evacuate/zone-{n}", {"zone": f"zone-{n}"}) for n in range(7)]
+    await fleet.store.put_all(rows + [("op", "config", fleet.document(extra_routes=("many",)))])
+    await asyncio.sleep(DRAIN_S)
+    added = await fleet.statuses("/many/x")
+    check("every host serves a route behind seven other orders", set(added) == {200}, added)
+
+
 async def check_calls(fleet):
     """Changes of other tables must not make the hosts call the store without end."""
     calls, changes = fleet.store.calls, 8
@@ -115,6 +138,7 @@
         await check_reader_restart(fleet)
         await check_lost_feed_calls(fleet)
         await check_lost_history(fleet)
+        await check_shared_versions(fleet)
         await check_calls(fleet)
     finally:
         await fleet.stop()
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -200,6 +200,27 @@
             edit(document)
         return await self.store.put("op", "config", document)
 
+    def document(self, **changes):
+        """The next version of the routing document."""
+        self.version += 1
+        return routing(self.version, **changes)
+
+    def logged(self, router, text):
+        """Whether a line of the router's log has the text."""
+        with open(f"{self.folder}/{router.name}.log", encoding="ascii", errors="replace") as log:
+            return any(text in line for line in log)
+
+    async def statuses(self, path, key="key-1"):
+        """Status of the same request at each host."""
+        async def ask(router):
+            caller = Caller(router.address)
+            answer = await caller.request(f"ask-{router.name}-{time.monotonic()}", path, key=key,
+                                          budget_ms=1000)
+            caller.close()
+            return answer.status
+
+        return await asyncio.gather(*(ask(router) for router in self.routers))
+
     async def stop(self):
         for router in self.routers:
             router.signal(signal.SIGCONT)
--- a/tests/edge/returns.py
+++ b/tests/edge/returns.py
@@ -10,7 +10,7 @@
 import time
 
 from checks import FAILURES, check
-from fleet import DRAIN_S, Caller, Fleet, Traffic
+from fleet import DRAIN_S, Fleet, Traffic
 
 # Time in which a change of the operator is in force, seconds.
 APPLY_S = 3.0
@@ -18,18 +18,6 @@
 CONTACT_S = 4.0
 
 
-async def statuses(fleet, path, key="key-1"):
-    """Status of the same request at each host."""
-    async def ask(router):
-        caller = Caller(router.address)
-        answer = await caller.request(f"ask-{router.name}-{time.monotonic()}", path, key=key,
-                                      budget_ms=1000)
-        caller.close()
-        return answer.status
-
-    return await asyncio.gather(*(ask(router) for router in fleet.routers))
-
-
 async def lose_writes(fleet, writes):
     """Let the store return from a copy that lacks some writes of the upstreams, which
     write their entries again."""
@@ -52,8 +40,8 @@
     removed = await fleet.store.put("servers", ledgers[3].name, None)
     await fleet.apply(extra_routes=(name,), keys=("key-1",))
     await asyncio.sleep(APPLY_S)
-    added = await statuses(fleet, f"/{name}/x")
-    taken = await statuses(fleet, "/safe/x", key="key-2")
+    added = await fleet.statuses(f"/{name}/x")
+    taken = await fleet.statuses("/safe/x", key="key-2")
     await asyncio.sleep(DRAIN_S + 1 - APPLY_S)
     await traffic.stop()
     check(f"{name}: every host serves a new route", set(added) == {200}, added)
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -129,17 +129,22 @@
 
     async def put(self, table, key, value):
         """Write as the operator or an upstream does; None removes the row."""
+        return await self.put_all([(table, key, value)])
+
+    async def put_all(self, rows):
+        """Write rows in one transaction: they share its version."""
         async with self.changed:
             self.version += 1
-            row = {"table": table, "part": "", "key": key, "ver": self.version}
-            if value is None:
-                self.rows.pop((table, key), None)
-                row["tombstone"] = True
-            else:
-                data = value if isinstance(value, bytes) else json.dumps(value).encode()
-                row["value"] = base64.b64encode(data).decode()
-                self.rows[(table, key)] = row
-            self.history.append(row)
+            for table, key, value in rows:
+                row = {"table": table, "part": "", "key": key, "ver": self.version}
+                if value is None:
+                    self.rows.pop((table, key), None)
+                    row["tombstone"] = True
+                else:
+                    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+                    row["value"] = base64.b64encode(data).decode()
+                    self.rows[(table, key)] = row
+                self.history.append(row)
             self.changed.notify_all()
         return time.monotonic()
 
@@ -250,8 +255,8 @@
         for row in call["puts"]:
             if row["table"] in ("op", "servers"):
                 return 403, {}
-        for row in call["puts"]:
-            await self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        await self.put_all([(row["table"], row["key"], base64.b64decode(row["value"]))
+                            for row in call["puts"]])
         return 200, {}
 
     def answer(self, writer, status, document):
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -383,6 +383,34 @@
 	pr_str_finish(&bytes);
 }
 
+/* CONFIG: a host that got a part of a transaction took its version for known,
+ * and never learned of the rest. */
+static void test_transaction_is_not_split(void **state)
+{
+	static const uint64_t versions[] = { 11, 12, 12, 13, 13, 13,
+					     14, 14, 14, 14, 14, 15 };
+	/* What each datagram has; the fifth row of transaction 14 is too much.
+	 */
+	static const size_t packed[] = { 3, 3, 0 };
+	pr_store_row_t rows[12] = { 0 };
+	size_t at = 0;
+
+	for (size_t i = 0; i < 12; i++)
+		rows[i] = (pr_store_row_t){ .key = "order",
+					    .version = rev(versions[i]),
+					    .removed = true };
+	for (size_t i = 0; i < 3; i++) {
+		pr_str_t bytes = PR_STR_INIT;
+
+		assert_int_equal(pr_message_pack_rows(&bytes, "host",
+						      PR_TABLE_ORDERS, rev(10),
+						      &rows[at], 12 - at),
+				 packed[i]);
+		at += packed[i];
+		pr_str_finish(&bytes);
+	}
+}
+
 /* A row that is too long for a datagram is left out: the message only tells the
  * receiver that there is a newer row to read. */
 static void test_row_too_long_for_a_datagram(void **state)
@@ -477,6 +505,7 @@
 		cmocka_unit_test(test_sessions),
 		cmocka_unit_test(test_rows_in_several_datagrams),
 		cmocka_unit_test(test_rows_of_an_era),
+		cmocka_unit_test(test_transaction_is_not_split),
 		cmocka_unit_test(test_digest_between_two_eras),
 		cmocka_unit_test(test_row_too_long_for_a_datagram),
 		cmocka_unit_test(test_suspects),
--- a/tests/test_row_cache.c
+++ b/tests/test_row_cache.c
@@ -85,6 +85,30 @@
 	pr_row_cache_finish(&cache);
 }
 
+/* CONFIG: the second row of a transaction was taken for a known one. */
+static void test_rows_of_a_transaction(void **state)
+{
+	pr_row_cache_t cache = { 0 };
+	pr_store_row_t rows[3];
+	pr_store_rows_t read;
+
+	set_row(&rows[0], "a", "one", 11);
+	set_row(&rows[1], "b", "two", 11);
+	set_row(&rows[2], "c", "three", 12);
+	assert_int_equal(pr_row_cache_add(&cache, rev(10), rows, 3), 0);
+	/* The same rows from another relay. */
+	assert_int_equal(pr_row_cache_add(&cache, rev(10), rows, 3), 0);
+	read_rows(&cache, 10, &read);
+	assert_int_equal(read.count, 3);
+	pr_store_rows_finish(&read);
+	read_rows(&cache, 11, &read);
+	assert_int_equal(read.count, 1);
+	pr_store_rows_finish(&read);
+	for (size_t i = 0; i < 3; i++)
+		pr_str_finish(&rows[i].value);
+	pr_row_cache_finish(&cache);
+}
+
 /* A cache that missed rows does not answer hosts that lack them. */
 static void test_gap(void **state)
 {
@@ -252,6 +276,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_latest_rows),
+		cmocka_unit_test(test_rows_of_a_transaction),
 		cmocka_unit_test(test_gap),
 		cmocka_unit_test(test_overlap),
 		cmocka_unit_test(test_size_is_bounded),
