--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -122,13 +122,16 @@
         self.folder = tempfile.mkdtemp(prefix="pr-edge-")
         self.store = Store(random)
         self.store_proxies = []
-        self.upstreams = []
+        # Those that have left for good are in `gone`.
+        self.upstreams, self.gone = [], []
         self.runs = {}
         # Shared by the upstreams.
         self.harmed, self.deadly = set(), set()
         # (time, upstream) of crashes by a part of a prompt, and the restarts.
         self.crashes, self.restarts = [], set()
         self.routers = []
+        # State of the store before the hosts have started.
+        self.first_copy = None
         self.hosts, self.per_zone = hosts, per_zone
         self.version = 1
         # Further settings of the hosts, and a change of the first document.
@@ -149,6 +152,7 @@
         if self.edit:
             self.edit(document)
         await self.store.put("op", "config", document)
+        self.first_copy = self.store.copy()
         zones = list(ZONES)
         for index in range(self.hosts):
             router = Router(self, index, zones[index % len(zones)])
@@ -159,7 +163,7 @@
                 raise RuntimeError(f"{router.name} is not ready; see {self.folder}")
 
     async def add_upstream(self, service, zone, version="v1"):
-        name = f"u-{len(self.upstreams)}"
+        name = f"u-{len(self.upstreams) + len(self.gone)}"
         upstream = Upstream(name, service, zone, self.random, self.runs, version)
         upstream.harmed, upstream.deadly = self.harmed, self.deadly
         upstream.on_crash = self.crash
@@ -207,7 +211,7 @@
             if router.process:
                 await router.process.wait()
             router.log.close()
-        for server in [self.store, *self.store_proxies, *self.upstreams]:
+        for server in [self.store, *self.store_proxies, *self.upstreams, *self.gone]:
             await server.stop()
 
 
--- a/tests/edge/returns.py
+++ b/tests/edge/returns.py
@@ -1,7 +1,7 @@
 """The store returns from a copy that is some seconds old, with real processes: every
-host must follow it again within the bounds that hold in calm.
+host must follow the changes after it within the bounds that hold in calm.
 
-usage: returns.py BINARY NET
+usage: returns.py BINARY NET [HOSTS]
 """
 
 import asyncio
@@ -9,73 +9,110 @@
 import sys
 import time
 
+from changes import CONTACT_S, Rounds, Touch
 from checks import FAILURES, check
-from fleet import DRAIN_S, Caller, Fleet, Traffic
+from fleet import Fleet
 
-# Time in which a change of the operator is in force, seconds.
-APPLY_S = 3.0
-# Time after a disturbance of the store from which the bounds hold again.
-CONTACT_S = 4.0
+# Time in which hosts write their own rows again, seconds.
+OWN_ROWS_S = 10.0
+# Feeds that a reader follows, and the time of one call for the orders.
+TABLES, PROBE_S = 3, 0.6
 
 
-async def statuses(fleet, path, key="key-1"):
-    """Status of the same request at each host."""
-    async def ask(router):
-        caller = Caller(router.address)
-        answer = await caller.request(f"ask-{router.name}-{time.monotonic()}", path, key=key,
-                                      budget_ms=1000)
-        caller.close()
-        return answer.status
-
-    return await asyncio.gather(*(ask(router) for router in fleet.routers))
-
-
-async def lose_writes(fleet, writes):
+async def lose_writes(fleet, writes, away=0.8, drop=True):
     """Let the store return from a copy that lacks some writes of the upstreams, which
-    write their entries again."""
+    write their entries again; returns the time of the return."""
     copy = fleet.store.copy()
     for number in range(writes):
         upstream = fleet.upstreams[number % len(fleet.upstreams)]
         await fleet.store.put("servers", upstream.name, upstream.entry())
     # All hosts have heard of them.
     await asyncio.sleep(2)
-    lost = await fleet.store.go_back(copy)
+    lost = await fleet.store.go_back(copy, away, drop)
+    returned = time.monotonic()
     await fleet.store.write_again(lost)
+    return returned
+
+
+async def check_changes_at_once(fleet, rounds):
+    """Hosts compared versions from before a return with those from after it and took new
+    rows for known ones. Changes just after the return."""
+    changes = await rounds.next()
+    begin = time.monotonic()
+    returned = await lose_writes(fleet, 30)
+    await asyncio.sleep(0.3)
+    await changes.make()
+    name = "just after a return"
+    await changes.check_followed(name, Touch(returned))
+    await changes.finish(name)
+    rounds.load.check_plain(name, begin)
+
+
+async def check_changes_later(fleet, rounds):
+    """The same for changes in calm, some seconds after the return."""
+    changes = await rounds.next()
+    begin = time.monotonic()
+    returned = await lose_writes(fleet, 30)
     await asyncio.sleep(CONTACT_S)
+    await changes.make()
+    name = "some seconds after a return"
+    await changes.check_followed(name, Touch(returned))
+    await changes.finish(name)
+    rounds.load.check_plain(name, begin)
+
 
+def count_calls(fleet, path, since, until, table=None):
+    return sum(since < at < until and path in (None, called) and table in (None, read)
+               for at, called, read, _ in fleet.store.log)
 
-async def check_changes(fleet, name):
-    """Changes after the return are in force on every host in time."""
-    ledgers = [u for u in fleet.upstreams if u.service == "ledger"]
-    traffic = Traffic(fleet, name)
-    leaving = await fleet.store.put("servers", ledgers[0].name, ledgers[0].entry("draining"))
-    removed = await fleet.store.put("servers", ledgers[3].name, None)
-    await fleet.apply(extra_routes=(name,), keys=("key-1",))
-    await asyncio.sleep(APPLY_S)
-    added = await statuses(fleet, f"/{name}/x")
-    taken = await statuses(fleet, "/safe/x", key="key-2")
-    await asyncio.sleep(DRAIN_S + 1 - APPLY_S)
-    await traffic.stop()
-    check(f"{name}: every host serves a new route", set(added) == {200}, added)
-    check(f"{name}: no host takes a key that was taken away", set(taken) == {401}, taken)
-    for text, upstream, time_gone in (("is leaving", ledgers[0], leaving),
-                                      ("was removed", ledgers[3], removed)):
-        late = traffic.late(upstream, time_gone)
-        check(f"{name}: nothing reaches an upstream that {text}", not late and traffic.sent, late[:5])
-    for upstream in (ledgers[0], ledgers[3]):
+
+async def check_own_rows(fleet, rounds):
+    """Rows that the hosts wrote in the lost seconds were not written again, so that a
+    host that starts later does not find them. Only the reader of each region reads the
+    tables after a return."""
+    begin = time.monotonic()
+    await fleet.store.go_back(fleet.first_copy)
+    returned = time.monotonic()
+    lost = [u for u in fleet.upstreams if not fleet.store.document("servers", u.name)]
+    for upstream in lost:
         await fleet.store.put("servers", upstream.name, upstream.entry())
-    await fleet.apply()
-    await asyncio.sleep(APPLY_S)
+    await fleet.apply(extra_routes=(f"r{rounds.number}",), keys=("key-1", f"k{rounds.number}"))
+    await asyncio.sleep(5)
+    calls = count_calls(fleet, None, returned, returned + 5)
+    reads = count_calls(fleet, "/rows-get", returned, returned + 5)
+    hosts, regions = len(fleet.routers), 2
+    # Each table once for a region, and once more where the reader changes meanwhile.
+    check("own rows: only readers read the tables", reads <= 2 * regions * TABLES < hosts * TABLES,
+          (reads, 2 * regions * TABLES))
+    # Of each reader, the calls for the orders; and for each table the call that is
+    # refused, the read, and the calls that bring what is written again and confirm it.
+    # Of each host, the write of its row, and one call that finds the store back.
+    most = regions * (5 / PROBE_S + 5 * TABLES) + 2 * hosts
+    check("own rows: a return costs few calls", calls <= most, (calls, most))
+    missing = [r.name for r in fleet.routers]
+    while missing and time.monotonic() < returned + OWN_ROWS_S:
+        await asyncio.sleep(0.1)
+        missing = [name for name in missing
+                   if not fleet.store.document("status", f"host/{name}")]
+    check("own rows: every host's row is back", not missing, missing)
+    await asyncio.sleep(2)
+    writes = count_calls(fleet, "/rows-tx", returned, time.monotonic(), "status")
+    check("own rows: each is written about once", writes <= hosts + 2, writes)
+    rounds.load.check_plain("own rows", begin)
 
 
 async def main():
-    fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(5), hosts=8, per_zone=2)
+    hosts = int(sys.argv[3]) if len(sys.argv) > 3 else 8
+    fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(5), hosts=hosts, per_zone=2)
     try:
         await fleet.start()
         # The readers of the regions have been chosen.
         await asyncio.sleep(4)
-        await lose_writes(fleet, 30)
-        await check_changes(fleet, "return")
+        rounds = Rounds(fleet, "load")
+        await check_changes_at_once(fleet, rounds)
+        await check_changes_later(fleet, rounds)
+        await check_own_rows(fleet, rounds)
+        await rounds.load.stop()
     finally:
         await fleet.stop()
     if FAILURES:
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -122,7 +122,9 @@
         self.era = 1
         self.odd_eras = []
         self.changed = asyncio.Condition()
-        self.calls = 0
+        # Calls that were read: their number, and (time, path, table, port of the
+        # caller) of each.
+        self.calls, self.log = 0, []
 
     def now_ms(self):
         return int(time.monotonic() * 1000)
@@ -152,12 +154,15 @@
         """The state from which the store may return later."""
         return dict(self.rows), self.version, list(self.history), self.forgotten
 
-    async def go_back(self, copy, away=0.8):
+    async def go_back(self, copy, away=0.8, drop=True):
         """Be away for some seconds and return from a copy. What was written since
         then is lost, and its versions are given out again; returns what the
-        operator and the upstreams have to write again, as (table, key, value)."""
-        mode, self.mode = self.mode, "reset"
-        self.drop_connections()
+        operator and the upstreams have to write again, as (table, key, value).
+        Without `drop`, connections stay open and no call fails."""
+        mode = self.mode
+        if drop:
+            self.mode = "reset"
+            self.drop_connections()
         await asyncio.sleep(away)
         lost = {}
         for row in self.history:
@@ -183,7 +188,7 @@
         while True:
             line, fields = await read_head(reader)
             body = await read_body(reader, fields)
-            self.calls += 1
+            self.note_call(writer, line, body)
             if self.mode == "reset":
                 reset(writer)
                 return
@@ -195,6 +200,15 @@
             await asyncio.sleep(0.002 + self.slow)
             await self.call(writer, line, body)
 
+    def note_call(self, writer, line, body):
+        self.calls += 1
+        url = urlsplit(line.split(" ")[1])
+        table = parse_qs(url.query).get("table", [""])[0]
+        if url.path == "/rows-tx":
+            table = ",".join(sorted({r["table"] for r in json.loads(body)["puts"]}))
+        port = writer.get_extra_info("peername")[1]
+        self.log.append((time.monotonic(), url.path, table, port))
+
     async def call(self, writer, line, body):
         method, target, _ = line.split(" ")
         url = urlsplit(target)
@@ -641,6 +655,8 @@
         self.delay = 0.0
         self.silent_up = self.silent_down = False
         self.refuse = False
+        # Ports from which it has called its target.
+        self.ports = set()
 
     async def serve(self, reader, writer):
         if self.refuse:
@@ -648,6 +664,7 @@
             return
         up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target)
         self.writers.add(up_writer)
+        self.ports.add(up_writer.get_extra_info("sockname")[1])
         try:
             await asyncio.gather(
                 self.pump(reader, up_writer, lambda: self.silent_up),
