--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import tempfile
 import time
@@ -95,6 +96,15 @@
         except (OSError, Closed, asyncio.TimeoutError):
             return 0
 
+    def reads_store(self):
+        """Whether the log says that the host reads the store for its region."""
+        reads = False
+        with open(self.log.name, encoding="ascii", errors="replace") as log:
+            for line in log:
+                found = re.search(r"event=reading_(began|ended)", line)
+                reads = found[1] == "began" if found else reads
+        return reads
+
     async def wait_ready(self, seconds=8.0):
         end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
