Test odd statements of the store's era

Cause: no test had a store without the header, or with odd texts in it. The stand-in states the next odd text only to a caller that is still there.

--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -121,6 +121,8 @@
         # next answers state the texts in odd_eras instead, None for no header.
         self.era = 1
         self.odd_eras = []
+        # What each connection is read from.
+        self.readers = {}
         self.changed = asyncio.Condition()
         # Calls that were read: their number, and (time, path, table, port of the
         # caller) of each.
@@ -185,6 +187,13 @@
         return base64.b64decode(row["value"]) if row else None
 
     async def serve(self, reader, writer):
+        self.readers[writer] = reader
+        try:
+            await self.serve_calls(reader, writer)
+        finally:
+            del self.readers[writer]
+
+    async def serve_calls(self, reader, writer):
         while True:
             line, fields = await read_head(reader)
             body = await read_body(reader, fields)
@@ -271,7 +280,9 @@
     def answer(self, writer, status, document):
         body = json.dumps({**document, "ver": self.version, "now-ms": self.now_ms()}).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-        era = self.odd_eras.pop(0) if self.odd_eras else self.era
+        reader = self.readers[writer]
+        heard = not (writer.is_closing() or reader.at_eof() or reader.exception())
+        era = self.odd_eras.pop(0) if heard and self.odd_eras else self.era
         if era is not None:
             head += f"Store-Era: {era}\r\n"
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
