--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import tempfile
 import time
@@ -95,6 +96,15 @@
         except (OSError, Closed, asyncio.TimeoutError):
             return 0
 
+    def reads_store(self):
+        """Whether the log says that the host reads the store for its region."""
+        reads = False
+        with open(self.log.name, encoding="ascii", errors="replace") as log:
+            for line in log:
+                found = re.search(r"event=reading_(began|ended)", line)
+                reads = found[1] == "began" if found else reads
+        return reads
+
     async def wait_ready(self, seconds=8.0):
         end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
@@ -122,13 +132,16 @@
         self.folder = tempfile.mkdtemp(prefix="pr-edge-")
         self.store = Store(random)
         self.store_proxies = []
-        self.upstreams = []
+        # Those that have left for good are in `gone`.
+        self.upstreams, self.gone = [], []
         self.runs = {}
         # Shared by the upstreams.
         self.harmed, self.deadly = set(), set()
         # (time, upstream) of crashes by a part of a prompt, and the restarts.
         self.crashes, self.restarts = [], set()
         self.routers = []
+        # State of the store before the hosts have started.
+        self.first_copy = None
         self.hosts, self.per_zone = hosts, per_zone
         self.version = 1
         # Further settings of the hosts, and a change of the first document.
@@ -149,6 +162,7 @@
         if self.edit:
             self.edit(document)
         await self.store.put("op", "config", document)
+        self.first_copy = self.store.copy()
         zones = list(ZONES)
         for index in range(self.hosts):
             router = Router(self, index, zones[index % len(zones)])
@@ -159,7 +173,7 @@
                 raise RuntimeError(f"{router.name} is not ready; see {self.folder}")
 
     async def add_upstream(self, service, zone, version="v1"):
-        name = f"u-{len(self.upstreams)}"
+        name = f"u-{len(self.upstreams) + len(self.gone)}"
         upstream = Upstream(name, service, zone, self.random, self.runs, version)
         upstream.harmed, upstream.deadly = self.harmed, self.deadly
         upstream.on_crash = self.crash
@@ -228,7 +242,7 @@
             if router.process:
                 await router.process.wait()
             router.log.close()
-        for server in [self.store, *self.store_proxies, *self.upstreams]:
+        for server in [self.store, *self.store_proxies, *self.upstreams, *self.gone]:
             await server.stop()
 
 
