Write a host's own row again when a return of the store lost it

A host that started after the return did not find the others: their rows were written in the lost seconds, or before the hosts had started (a copy of that time). Cause: a host writes its row once, when it starts. Change: a host that has read the shared table as a whole in a new era, and does not find its row, writes it again. The hosts wait for different parts of 10 ms for each host of the fleet, so that 300 of them make at most 100 writes a second. Evidence: edge_returns, "every host's row is back", failed before.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -201,8 +201,10 @@
 	pr_usec_t started_at;
 	bool stopping;
 	pr_usec_t stop_began;
-	/** The shared table has the current row of this host. */
+	/** The shared table has the current row of this host, and the time from
+	 *  which it may be written again. */
 	bool registered;
+	pr_usec_t register_at;
 };
 
 /** @return monotonic time, microseconds; it also advances the timers' clock */
@@ -275,6 +277,14 @@
  */
 void pr_edge_apply_row(pr_edge_t *edge, pr_store_table_t table,
 		       const pr_store_row_t *row, pr_usec_t lapse_at);
+/**
+ * Note that a table was read as a whole in a new era of the store: what the
+ * host knows and the table lacks has to be written again, or was taken back.
+ *
+ * @param keys keys of the table
+ */
+void pr_edge_settle_table(pr_edge_t *edge, pr_store_table_t table,
+			  const pr_names_t *keys, uint64_t era);
 /** Register this host and write the conclusions about transitions. */
 void pr_edge_update_shared_rows(pr_edge_t *edge);
 
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -15,6 +15,10 @@
  * that table too, under keys of the adapter. */
 #define HOST_KEY_PREFIX       "host/"
 #define TRANSITION_KEY_PREFIX "transition/"
+/* Time between the rows of two hosts that write theirs again. The store takes
+ * 200 transactions a second or more for each part of a table; half of them are
+ * left to others. */
+#define REGISTER_STEP (10 * PR_USEC_PER_MSEC)
 /* Time-out of a write to the store. */
 #define WRITE_TIMEOUT (2 * PR_USEC_PER_SEC)
 /* Hosts write the same conclusion with different delays, in milliseconds, so
@@ -288,6 +292,42 @@
 	}
 }
 
+static bool has_key(const pr_names_t *keys, const char *key)
+{
+	for (size_t i = 0; i < keys->count; i++) {
+		if (!strcmp(keys->items[i], key))
+			return true;
+	}
+	return false;
+}
+
+/* Whether this host's own row has to be written again. After a return of the
+ * store many hosts may have to: each waits for a part of the time that all of
+ * them may take. */
+static void settle_registration(pr_edge_t *edge, const pr_names_t *keys)
+{
+	pr_str_t key = PR_STR_INIT;
+	double jitter = (double)(edge->host_hash >> 32) / UINT32_MAX;
+
+	if (!pr_str_appendf(&key, HOST_KEY_PREFIX "%s", edge->settings->host) &&
+	    edge->registered && !has_key(keys, pr_str_cstr(&key))) {
+		edge->registered = false;
+		edge->register_at =
+			pr_edge_now(edge) +
+			(pr_usec_t)(jitter * pr_edge_hosts_count(edge)) *
+				REGISTER_STEP;
+	}
+	pr_str_finish(&key);
+}
+
+void pr_edge_settle_table(pr_edge_t *edge, pr_store_table_t table,
+			  const pr_names_t *keys, uint64_t era)
+{
+	if (table != PR_TABLE_SHARED)
+		return;
+	settle_registration(edge, keys);
+}
+
 static void on_registered(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_edge_t *edge = call->owner;
@@ -464,7 +504,8 @@
 
 	if (!edge->store_clock.is_known)
 		return;
-	if (!edge->registered && can_write(edge))
+	if (!edge->registered && pr_edge_now(edge) >= edge->register_at &&
+	    can_write(edge))
 		register_host(edge);
 	if (pr_quarantine_row_is_due(edge) && can_write(edge)) {
 		if (pr_quarantine_row_write(edge))
--- a/src/edge/table_read.c
+++ b/src/edge/table_read.c
@@ -123,6 +123,8 @@
 
 	for (size_t i = 0; i < rows->count; i++)
 		newest = pr_revision_later(newest, rows->rows[i].version);
+	pr_edge_settle_table(watch->edge, watch->table, &watch->seen_keys,
+			     watch->read_version.era);
 	pr_extent_enter_era(&watch->extent, newest, watch->read_version);
 	watch->lag = (pr_lag_t){ 0 };
 	pr_metric_add(watch->edge->counters.rows_reread, (double)rows->count);
