Write the list of quarantined parts again when a return lost it

A fleet that starts as a whole after the return would learn the parts again from crashes of upstreams. Cause: hosts kept the version of the row, and what it had, from before the return: they counted the parts as saved. Change: a host that has read the shared table in a new era without the row forgets what was saved; the row is written again with the delays of a new one. Evidence: edge_returns_quarantine, "the list is written again", failed before.

--- a/src/edge/quarantine_row.c
+++ b/src/edge/quarantine_row.c
@@ -42,6 +42,14 @@
 	return true;
 }
 
+void pr_quarantine_row_settle(pr_edge_t *edge, uint64_t era)
+{
+	if (edge->quarantine_row.era == era)
+		return;
+	edge->quarantine_row = (pr_revision_t){ .era = era };
+	pr_quarantine_load(&edge->quarantine, NULL, 0);
+}
+
 static void on_written(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_edge_note_era(call->owner, call, status);
--- a/src/edge/quarantine_row.h
+++ b/src/edge/quarantine_row.h
@@ -8,6 +8,9 @@
 
 /** @return true when the row is the one with the quarantined parts */
 bool pr_quarantine_row_apply(pr_edge_t *edge, const pr_store_row_t *row);
+/** Note that the table was read as a whole in an era, with or without the row.
+ */
+void pr_quarantine_row_settle(pr_edge_t *edge, uint64_t era);
 /** @return true when this host has to write the row now */
 bool pr_quarantine_row_is_due(pr_edge_t *edge);
 /** Start the write. @return 0 or PR_ENOMEM */
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -326,6 +326,7 @@
 	if (table != PR_TABLE_SHARED)
 		return;
 	settle_registration(edge, keys);
+	pr_quarantine_row_settle(edge, era);
 }
 
 static void on_registered(pr_call_t *call, int status, pr_slice_t body)
