--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -39,6 +39,11 @@
 	uint32_t cold_ms;
 	/** Start time of the instance, Unix milliseconds; 0 when not stated. */
 	int64_t born;
+	/** Number of the report of the instance that the entry holds; it counts
+	 *  from the start of the instance, and numbers of written entries have
+	 *  gaps, since a report that changes nothing else is not written. 0
+	 * when not stated. */
+	uint64_t sequence;
 } pr_upstream_entry_t;
 
 /** A listed upstream, reference counted. */
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -50,6 +50,42 @@
 	assert_int_equal(entry.memory_tokens, 0);
 }
 
+/* DRAIN: without the number of the report, an entry from a copy of the store
+ * can't be told from a newer one of the same instance. */
+static void test_upstream_sequence(void **state)
+{
+	pr_upstream_entry_t entry;
+
+	assert_int_equal(read_upstream(&entry, "ready", "0", ""), 0);
+	assert_int_equal(entry.sequence, 4);
+	/* The last field of a name counts. */
+	assert_int_equal(read_upstream(&entry, "ready", "0",
+				       ",\"sequence\":9007199254740993"),
+			 0);
+	assert_true(entry.sequence == 9007199254740993);
+	assert_int_equal(
+		read_upstream(&entry, "ready", "0", ",\"sequence\":-3"), 0);
+	assert_int_equal(entry.sequence, 0);
+	/* Entries of other writers name no upstream to use. */
+	assert_int_not_equal(
+		read_upstream(&entry, "ready", "0", ",\"sequence\":\"4\""), 0);
+	assert_int_not_equal(
+		read_upstream(&entry, "ready", "0", ",\"sequence\":null"), 0);
+	assert_int_not_equal(
+		read_upstream(&entry, "ready", "0", ",\"sequence\":4.5"), 0);
+	assert_int_not_equal(
+		read_upstream(&entry, "ready", "0", ",\"sequence\":1e30"), 0);
+	assert_int_not_equal(
+		pr_adapter_upstream(
+			&entry, PR_SLICE("i"),
+			PR_SLICE("{\"service\":\"m\",\"zone\":\"z\","
+				 "\"address\":\"10.0.0.9:80\","
+				 "\"version\":\"v1\",\"slots\":64,"
+				 "\"state\":\"ready\","
+				 "\"cold-remaining-ms\":0}")),
+		0);
+}
+
 /* Entries of other writers name no upstream to use. */
 static void test_unreadable_upstreams(void **state)
 {
@@ -368,6 +404,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_upstream),
+		cmocka_unit_test(test_upstream_sequence),
 		cmocka_unit_test(test_unreadable_upstreams),
 		cmocka_unit_test(test_routing_document),
 		cmocka_unit_test(test_numbers_out_of_range),
