Compare upstreams by content when the store's era rises

Cause: after a return of the store every row of the copy comes again with a revision of a newer era, and pr_registry_apply() took each for a newer one. An upstream that had said draining was ready again, an instance that was replaced came back, and a cold time that had passed counted again. Change: the first row of an era counts if it states a later start, or the same start and a higher report number; where neither is stated, if it differs and does not end draining. Otherwise only the row version of the upstream changes. Within an era the revision alone decides, as before.

--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -129,6 +129,34 @@
 	return upstream;
 }
 
+static bool is_same_content(const pr_upstream_entry_t *a,
+			    const pr_upstream_entry_t *b)
+{
+	return !strcmp(a->service, b->service) && !strcmp(a->zone, b->zone) &&
+	       !strcmp(a->version, b->version) &&
+	       a->address.sin_addr.s_addr == b->address.sin_addr.s_addr &&
+	       a->address.sin_port == b->address.sin_port &&
+	       a->slots == b->slots && a->memory_tokens == b->memory_tokens &&
+	       a->draining == b->draining && a->cold_ms == b->cold_ms;
+}
+
+/*
+ * Whether the entry holds a later report than the known one, by what the
+ * upstream states. Entries that state nothing to compare are taken as later
+ * when they differ, but no instance takes requests again after it was draining.
+ */
+static bool is_newer(const pr_upstream_entry_t *entry,
+		     const pr_upstream_entry_t *known)
+{
+	if (entry->born != known->born)
+		return entry->born > known->born;
+	if (entry->sequence != known->sequence)
+		return entry->sequence > known->sequence;
+	if (entry->sequence || (known->draining && !entry->draining))
+		return false;
+	return !is_same_content(entry, known);
+}
+
 pr_upstream_t *pr_registry_apply(pr_registry_t *registry,
 				 const pr_upstream_entry_t *entry,
 				 pr_revision_t row, uint32_t cold_default_ms,
@@ -141,6 +169,11 @@
 
 	if (upstream && !pr_revision_is_after(row, upstream->row))
 		return NULL;
+	if (upstream && row.era > upstream->row.era &&
+	    !is_newer(entry, &upstream->entry)) {
+		upstream->row = row;
+		return NULL;
+	}
 	if (upstream && upstream->entry.born != entry->born) {
 		/* A restarted instance keeps no state of the one before, but it
 		 * may have asked for a pause before its entry came. */
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -51,7 +51,8 @@
 	pr_list_t node;
 	uint32_t refs;
 	pr_upstream_entry_t entry;
-	/** Row version of the entry. */
+	/** Row version of the entry; that of an older entry after the store
+	 *  returned from a copy which holds no newer one. */
 	pr_revision_t row;
 	/** It is in the registry. */
 	bool listed;
@@ -137,10 +138,15 @@
  * treated as cold for the time that its entry states, or else for
  * cold_default_ms.
  *
+ * After the store returned from an older copy, its rows come again with
+ * revisions of a newer era. The first row of an era counts only if its content
+ * is newer than what is known: a later start, or the same start and a later
+ * report. If not, it changes nothing but the row version of the upstream.
+ *
  * @param row row version of the entry
  * @param cold_default_ms duration of a cold start of the service, milliseconds
  * @return the upstream, or NULL when out of memory or when the row is not newer
- *	   than the one applied last
+ *	   than what is known
  */
 pr_upstream_t *pr_registry_apply(pr_registry_t *registry,
 				 const pr_upstream_entry_t *entry,
