Withhold requests from removed upstreams that a copy lists

Cause: an upstream that was removed in the seconds that the store loses is in the copy that the store returns from. It was listed again, with nothing known of its draining, and cold from the start. Change: a row of a newer era that is not newer in content than a removed upstream lists it, with what is known of its instance, but withheld for PR_UPSTREAM_RENEWAL_TIME or until a newer row comes (pr_upstream_is_withheld()). The same holds for a listed upstream from the time of its pending removal: that removal does not hold once the row is back, and a live upstream with nothing new to write would have been lost. Removals are kept with their revision, so that rows and removals of older eras, and rows of an era that were written before a removal of it, are ignored, and an entry that the copy lacks is taken at once when it is written again. An instance that is known from an earlier era is not treated as just started.

--- a/src/upstream/upstream.c
+++ b/src/upstream/upstream.c
@@ -86,18 +86,120 @@
 	return NULL;
 }
 
-/* Take the instance of the entry back from the removed ones, without what other
- * hosts reported about it. An entry without a start time names no instance. */
+static bool is_same_content(const pr_upstream_entry_t *a,
+			    const pr_upstream_entry_t *b)
+{
+	return !strcmp(a->service, b->service) && !strcmp(a->zone, b->zone) &&
+	       !strcmp(a->version, b->version) &&
+	       a->address.sin_addr.s_addr == b->address.sin_addr.s_addr &&
+	       a->address.sin_port == b->address.sin_port &&
+	       a->slots == b->slots && a->memory_tokens == b->memory_tokens &&
+	       a->draining == b->draining && a->cold_ms == b->cold_ms;
+}
+
+/*
+ * Whether the entry holds a later report than the known one, by what the
+ * upstream states. Entries that state nothing to compare are taken as later
+ * when they differ, but no instance takes requests again after it was draining.
+ */
+static bool is_newer(const pr_upstream_entry_t *entry,
+		     const pr_upstream_entry_t *known)
+{
+	if (entry->born != known->born)
+		return entry->born > known->born;
+	if (entry->sequence != known->sequence)
+		return entry->sequence > known->sequence;
+	if (entry->sequence || (known->draining && !entry->draining))
+		return false;
+	return !is_same_content(entry, known);
+}
+
+/* What the registry knows of an id. */
+typedef struct known_t {
+	pr_upstream_t *listed;
+	/* One that was removed. */
+	pr_upstream_t *removed;
+	/* Latest revisions of its rows and of its removals. */
+	pr_revision_t row, removal;
+} known_t;
+
+static void note_revisions(known_t *known, const pr_upstream_t *upstream)
+{
+	known->row = pr_revision_later(known->row, upstream->row);
+	known->removal = pr_revision_later(known->removal, upstream->removal);
+}
+
+static known_t find_known(const pr_registry_t *registry, const char *id)
+{
+	known_t known = { .listed = pr_registry_find(registry, id) };
+
+	if (known.listed)
+		note_revisions(&known, known.listed);
+	for (size_t i = 0; i < PR_REGISTRY_REMOVED_MAX; i++) {
+		pr_upstream_t *upstream = registry->removed[i];
+
+		if (!upstream || strcmp(upstream->entry.id, id) != 0)
+			continue;
+		known.removed = upstream;
+		note_revisions(&known, upstream);
+	}
+	return known;
+}
+
+typedef enum row_kind_t {
+	/* Not later than what is known. */
+	ROW_OUTDATED,
+	ROW_IN_ERA,
+	/* The first of a newer era than any that is known for the id. */
+	ROW_OF_NEW_ERA,
+} row_kind_t;
+
+static row_kind_t kind_of_row(const known_t *known, pr_revision_t row)
+{
+	pr_revision_t last = pr_revision_later(known->row, known->removal);
+
+	if (row.era != last.era)
+		return row.era > last.era ? ROW_OF_NEW_ERA : ROW_OUTDATED;
+	if (row.era > known->row.era &&
+	    !pr_revision_is_after(row, known->removal))
+		return ROW_OUTDATED;
+	if (known->listed && !pr_revision_is_after(row, known->listed->row))
+		return ROW_OUTDATED;
+	return ROW_IN_ERA;
+}
+
+static bool is_newer_than_removed(const pr_registry_t *registry,
+				  const pr_upstream_entry_t *entry)
+{
+	for (size_t i = 0; i < PR_REGISTRY_REMOVED_MAX; i++) {
+		const pr_upstream_t *upstream = registry->removed[i];
+
+		if (upstream && !strcmp(upstream->entry.id, entry->id) &&
+		    !is_newer(entry, &upstream->entry))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Take the instance of the entry back from the removed ones, without what other
+ * hosts reported about it. An entry without a start time names no instance; it
+ * is taken for that of a removed one only if it comes with a copy of the store
+ * and is not newer.
+ */
 static pr_upstream_t *take_removed(pr_registry_t *registry,
-				   const pr_upstream_entry_t *entry)
+				   const pr_upstream_entry_t *entry,
+				   bool is_from_copy)
 {
 	for (size_t i = 0; i < PR_REGISTRY_REMOVED_MAX; i++) {
 		pr_upstream_t *upstream = registry->removed[i];
 
-		if (!upstream || !entry->born ||
-		    upstream->entry.born != entry->born ||
+		if (!upstream || upstream->entry.born != entry->born ||
 		    strcmp(upstream->entry.id, entry->id) != 0)
 			continue;
+		if (!entry->born &&
+		    (!is_from_copy || is_newer(entry, &upstream->entry)))
+			continue;
 		registry->removed[i] = NULL;
 		upstream->listed = true;
 		upstream->peers_in_flight = 0;
@@ -113,11 +215,8 @@
 static pr_upstream_t *add(pr_registry_t *registry,
 			  const pr_upstream_entry_t *entry)
 {
-	pr_upstream_t *upstream = take_removed(registry, entry);
+	pr_upstream_t *upstream = calloc(1, sizeof(*upstream));
 
-	if (upstream)
-		return upstream;
-	upstream = calloc(1, sizeof(*upstream));
 	if (!upstream)
 		return NULL;
 	upstream->refs = 1;
@@ -129,32 +228,35 @@
 	return upstream;
 }
 
-static bool is_same_content(const pr_upstream_entry_t *a,
-			    const pr_upstream_entry_t *b)
+/*
+ * A row of a newer era shows the listed upstream without anything new. The row
+ * is in the store again, so a removal that is due later doesn't hold, but the
+ * upstream gets no requests from then on for as long as it may have to write
+ * its entry again.
+ */
+static void keep_listed(pr_upstream_t *upstream, pr_revision_t row,
+			pr_usec_t now)
 {
-	return !strcmp(a->service, b->service) && !strcmp(a->zone, b->zone) &&
-	       !strcmp(a->version, b->version) &&
-	       a->address.sin_addr.s_addr == b->address.sin_addr.s_addr &&
-	       a->address.sin_port == b->address.sin_port &&
-	       a->slots == b->slots && a->memory_tokens == b->memory_tokens &&
-	       a->draining == b->draining && a->cold_ms == b->cold_ms;
+	upstream->row = row;
+	if (upstream->remove_at)
+		upstream->withheld_from = upstream->remove_at;
+	if (upstream->remove_at || upstream->withheld_until > now)
+		upstream->withheld_until = now + PR_UPSTREAM_RENEWAL_TIME;
+	upstream->remove_at = 0;
 }
 
-/*
- * Whether the entry holds a later report than the known one, by what the
- * upstream states. Entries that state nothing to compare are taken as later
- * when they differ, but no instance takes requests again after it was draining.
- */
-static bool is_newer(const pr_upstream_entry_t *entry,
-		     const pr_upstream_entry_t *known)
+/* Start of a cold time after the entry was applied. */
+static void update_cold(const pr_registry_t *registry, pr_upstream_t *upstream,
+			bool is_start, uint32_t cold_default_ms, pr_usec_t now)
 {
-	if (entry->born != known->born)
-		return entry->born > known->born;
-	if (entry->sequence != known->sequence)
-		return entry->sequence > known->sequence;
-	if (entry->sequence || (known->draining && !entry->draining))
-		return false;
-	return !is_same_content(entry, known);
+	pr_usec_t stated =
+		(pr_usec_t)upstream->entry.cold_ms * PR_USEC_PER_MSEC;
+
+	if (stated)
+		upstream->cold_until = now + stated + COLD_MARGIN;
+	else if (is_start && registry->initial_read_done)
+		upstream->cold_until =
+			now + cold_default_ms * PR_USEC_PER_MSEC + COLD_MARGIN;
 }
 
 pr_upstream_t *pr_registry_apply(pr_registry_t *registry,
@@ -162,16 +264,17 @@
 				 pr_revision_t row, uint32_t cold_default_ms,
 				 pr_usec_t now)
 {
-	pr_upstream_t *upstream = pr_registry_find(registry, entry->id);
-	bool is_new = !upstream;
-	pr_usec_t cold = (pr_usec_t)entry->cold_ms * PR_USEC_PER_MSEC;
+	known_t known = find_known(registry, entry->id);
+	row_kind_t kind = kind_of_row(&known, row);
+	bool is_from_copy = kind == ROW_OF_NEW_ERA;
+	bool is_start = false, is_withheld = false, has_news = true;
+	pr_upstream_t *upstream = known.listed;
 	pr_usec_t paused_until = 0;
 
-	if (upstream && !pr_revision_is_after(row, upstream->row))
+	if (kind == ROW_OUTDATED)
 		return NULL;
-	if (upstream && row.era > upstream->row.era &&
-	    !is_newer(entry, &upstream->entry)) {
-		upstream->row = row;
+	if (upstream && is_from_copy && !is_newer(entry, &upstream->entry)) {
+		keep_listed(upstream, row, now);
 		return NULL;
 	}
 	if (upstream && upstream->entry.born != entry->born) {
@@ -179,32 +282,52 @@
 		 * may have asked for a pause before its entry came. */
 		paused_until = upstream->paused_until;
 		unlist(registry, upstream);
-		is_new = true;
+		upstream = NULL;
+	}
+	if (!upstream) {
+		is_withheld =
+			is_from_copy && !is_newer_than_removed(registry, entry);
+		upstream = take_removed(registry, entry, is_from_copy);
+		/* What is known from an earlier era has not just started. */
+		is_start = !upstream || upstream->row.era == row.era;
+		has_news = !upstream || !is_from_copy ||
+			   is_newer(entry, &upstream->entry);
+		if (!upstream)
+			upstream = add(registry, entry);
 	}
-	if (is_new)
-		upstream = add(registry, entry);
 	if (!upstream)
 		return NULL;
-	upstream->entry = *entry;
 	upstream->row = row;
 	upstream->remove_at = 0;
+	upstream->withheld_from = is_withheld ? now : 0;
+	upstream->withheld_until =
+		is_withheld ? now + PR_UPSTREAM_RENEWAL_TIME : 0;
 	if (paused_until > upstream->paused_until)
 		upstream->paused_until = paused_until;
-	if (cold)
-		upstream->cold_until = now + cold + COLD_MARGIN;
-	else if (is_new && registry->initial_read_done)
-		upstream->cold_until =
-			now + cold_default_ms * PR_USEC_PER_MSEC + COLD_MARGIN;
+	if (has_news) {
+		upstream->entry = *entry;
+		update_cold(registry, upstream, is_start, cold_default_ms, now);
+	}
 	return upstream;
 }
 
 void pr_registry_remove(pr_registry_t *registry, const char *id,
 			pr_revision_t row, pr_usec_t remove_at, pr_usec_t now)
 {
-	pr_upstream_t *upstream = pr_registry_find(registry, id);
+	known_t known = find_known(registry, id);
+	pr_upstream_t *upstream = known.listed;
 
-	if (!upstream || pr_revision_is_after(upstream->row, row))
+	if (row.era < pr_revision_later(known.row, known.removal).era ||
+	    (upstream && pr_revision_is_after(upstream->row, row)))
 		return;
+	if (!upstream) {
+		/* Rows that were written before are outdated. */
+		if (known.removed)
+			known.removed->removal =
+				pr_revision_later(known.removed->removal, row);
+		return;
+	}
+	upstream->removal = pr_revision_later(upstream->removal, row);
 	if (remove_at <= now)
 		unlist(registry, upstream);
 	else if (!upstream->remove_at)
@@ -264,6 +387,11 @@
 	return upstream->entry.draining || upstream->leaving;
 }
 
+bool pr_upstream_is_withheld(const pr_upstream_t *upstream, pr_usec_t now)
+{
+	return now >= upstream->withheld_from && now < upstream->withheld_until;
+}
+
 bool pr_upstream_pause(pr_upstream_t *upstream, pr_usec_t duration,
 		       pr_usec_t now)
 {
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -20,6 +20,11 @@
  *  states nonsense is used again after it. */
 #define PR_UPSTREAM_PAUSE_MAX (300 * PR_USEC_PER_SEC)
 
+/** Time in which an upstream that was removed, and that a copy of the store
+ *  lists again, gets no requests unless it writes its entry again. Upstreams do
+ *  so within 2 s of the return, and changes reach all hosts within 3 s. */
+#define PR_UPSTREAM_RENEWAL_TIME (5 * PR_USEC_PER_SEC)
+
 /** Decoded discovery entry of an upstream. */
 typedef struct pr_upstream_entry_t {
 	char id[PR_UPSTREAM_NAME_SIZE];
@@ -54,6 +59,8 @@
 	/** Row version of the entry; that of an older entry after the store
 	 *  returned from a copy which holds no newer one. */
 	pr_revision_t row;
+	/** Revision of its last removal, due or not. */
+	pr_revision_t removal;
 	/** It is in the registry. */
 	bool listed;
 	/** It stated in a response that it is shutting down. This holds for as
@@ -62,6 +69,9 @@
 	/** Time at which it is removed, because its entry expired while the
 	 * store was unreachable; 0 for never. */
 	pr_usec_t remove_at;
+	/** It gets no requests from the first time to the second, since only a
+	 *  copy of the store lists it; see pr_registry_apply(). */
+	pr_usec_t withheld_from, withheld_until;
 	/** End of its cold start, when it can take full load. */
 	pr_usec_t cold_until;
 	/** Earliest time of this host's next request to it while it is cold. */
@@ -142,6 +152,10 @@
  * revisions of a newer era. The first row of an era counts only if its content
  * is newer than what is known: a later start, or the same start and a later
  * report. If not, it changes nothing but the row version of the upstream.
+ * Where the upstream was removed, it is listed again, but gets no requests
+ * before a newer row comes, or PR_UPSTREAM_RENEWAL_TIME has passed: then it is
+ * alive, and its entry did not have to be written again. The same holds from
+ * the time of a removal that is still to come.
  *
  * @param row row version of the entry
  * @param cold_default_ms duration of a cold start of the service, milliseconds
@@ -155,7 +169,8 @@
 /**
  * Remove an upstream after its discovery entry was removed.
  *
- * @param row row version of the removal; ignored when older than the entry
+ * @param row row version of the removal; ignored when older than the entry, or
+ *	  of an older era than what is known of the id
  * @param remove_at time of the removal: now, or later when the entry may have
  *	  expired only because the store was unreachable
  */
@@ -187,6 +202,9 @@
 bool pr_upstream_mark_leaving(pr_upstream_t *upstream);
 /** @return true when it is shutting down by its entry or its responses */
 bool pr_upstream_is_leaving(const pr_upstream_t *upstream);
+/** @return true while only a copy of the store lists it, after it was removed
+ */
+bool pr_upstream_is_withheld(const pr_upstream_t *upstream, pr_usec_t now);
 /**
  * Send the upstream no requests for the time that it asked for, at most
  * PR_UPSTREAM_PAUSE_MAX. A pause that ends later stays as it is.
