Do not choose upstreams that are withheld

Cause: an upstream that was removed and that only a copy of the store lists was chosen like any other, and its slots counted for load tests and conclusions of a rollout. Change: pr_place_is_permitted() excludes it, which the choice, the ranks of cached prefixes, load tests, pr_place_next_return() and pr_place_count_usable() share.

--- a/src/place/place.c
+++ b/src/place/place.c
@@ -114,7 +114,9 @@
 	const pr_zone_t *zone = pr_zone_find(map, upstream->entry.zone);
 
 	if (strcmp(upstream->entry.service, query->service) != 0 ||
-	    pr_upstream_is_leaving(upstream) || !zone || zone->evacuated)
+	    pr_upstream_is_leaving(upstream) ||
+	    pr_upstream_is_withheld(upstream, query->now) || !zone ||
+	    zone->evacuated)
 		return false;
 	if (query->route_regions &&
 	    !pr_names_allow(query->route_regions, zone->region))
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -141,7 +141,7 @@
 				       const pr_zone_map_t *map,
 				       const pr_place_query_t *query);
 /** @return number of upstreams of the service and version that are neither
- *	   leaving, ejected, paused nor in an evacuated zone */
+ *	   leaving, withheld, ejected, paused nor in an evacuated zone */
 uint32_t pr_place_count_usable(const pr_registry_t *registry,
 			       const pr_zone_map_t *map, const char *service,
 			       const char *version, pr_usec_t now);
