Believe a leap of the store's era when a second answer confirms it

Cause: any number above the known era was believed at once. After one answer that states 1000000 in place of 9, all true statements counted as fallen, and hosts did not follow the next return of the store (CONFIG, DRAIN). Change: a statement of more than one above the known era is believed when the next one is the same; the answer in between is not used, and the call is made again.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -239,8 +239,9 @@
  * the calls under way are ended, and the tables are read as a whole.
  *
  * @param status 0 when there was no answer
+ * @return false when it is not known to which era the answer belongs
  */
-void pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status);
+bool pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status);
 /** Note that another host has read rows of this era, likewise. */
 void pr_edge_raise_era(pr_edge_t *edge, uint64_t era);
 /** @return true when the table was read completely in the era of the store, and
--- a/src/edge/table_read.c
+++ b/src/edge/table_read.c
@@ -187,7 +187,11 @@
 	pr_store_rows_t rows;
 	bool first = !watch->page_key;
 
-	pr_edge_note_era(watch->edge, call, status);
+	if (!pr_edge_note_era(watch->edge, call, status)) {
+		pr_table_read_clear(watch);
+		pr_watch_call_again(watch);
+		return;
+	}
 	if (watch->restarting && !status) {
 		pr_table_read_clear(watch);
 		pr_watch_schedule(watch, 0);
--- a/src/edge/watch.c
+++ b/src/edge/watch.c
@@ -59,6 +59,12 @@
 			    on_due);
 }
 
+void pr_watch_call_again(pr_watch_t *watch)
+{
+	watch->restarting = true;
+	pr_watch_schedule(watch, RETRY_BASE);
+}
+
 /* When the probe's feed call got no response, the connections of the other
  * feeds may be dead too. */
 static void abort_other_feeds(pr_watch_t *probe)
@@ -144,14 +150,14 @@
 	return read;
 }
 
-void pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status)
+bool pr_edge_note_era(pr_edge_t *edge, const pr_call_t *call, int status)
 {
 	pr_slice_t text = pr_call_field(call);
 	uint64_t before = edge->store_era.current;
 	pr_era_verdict_t verdict;
 
 	if (!status)
-		return;
+		return true;
 	verdict = pr_era_note(&edge->store_era, text);
 	if (verdict != edge->era_verdict)
 		pr_event_state("store_era",
@@ -167,6 +173,7 @@
 	if (verdict == PR_ERA_RISEN ||
 	    (verdict == PR_ERA_FIRST && has_read(edge)))
 		enter_era(edge, call);
+	return verdict != PR_ERA_UNCONFIRMED;
 }
 
 void pr_edge_raise_era(pr_edge_t *edge, uint64_t era)
@@ -273,6 +280,22 @@
 	}
 }
 
+/* Whether an answer continues what this host knows. When the store has returned
+ * from an older copy since the call it does not. */
+static bool continues_feed(pr_watch_t *watch, const pr_call_t *call, int status)
+{
+	if (!pr_edge_note_era(watch->edge, call, status)) {
+		pr_watch_call_again(watch);
+		return false;
+	}
+	if (!status || pr_watch_is_synced(watch))
+		return true;
+	handle_recovery(watch);
+	watch->restarting = false;
+	pr_watch_schedule(watch, 0);
+	return false;
+}
+
 static void on_feed(pr_call_t *call, int status, pr_slice_t body)
 {
 	pr_watch_t *watch = call->owner;
@@ -280,15 +303,8 @@
 	pr_usec_t pause = 0;
 	pr_revision_t after = pr_extent_last(&watch->extent);
 
-	pr_edge_note_era(watch->edge, call, status);
-	if (status && !pr_watch_is_synced(watch)) {
-		/* The store has returned from an older copy since the call: its
-		 * answer does not continue what this host knows. */
-		handle_recovery(watch);
-		watch->restarting = false;
-		pr_watch_schedule(watch, 0);
+	if (!continues_feed(watch, call, status))
 		return;
-	}
 	if (status == 410 && watch->reading_gap) {
 		/* The relay that lacks the changes cannot read them either. */
 		pr_event_state("gap_left", "table=%d version=%llu",
--- a/src/edge/watch_parts.h
+++ b/src/edge/watch_parts.h
@@ -7,6 +7,9 @@
 /* watch.c */
 /** Make the next call of a table after a delay. */
 void pr_watch_schedule(pr_watch_t *watch, pr_usec_t delay);
+/** Make a call again soon whose answer is of no use, and ask the store not to
+ * wait with its response. */
+void pr_watch_call_again(pr_watch_t *watch);
 /** Request immediately from the store the rows that this host lacks. */
 void pr_watch_request_from_store(pr_watch_t *watch);
 /**
--- a/src/store/era.h
+++ b/src/store/era.h
@@ -26,6 +26,10 @@
 	PR_ERA_MISSING,
 	PR_ERA_FALLEN,
 	PR_ERA_UNREADABLE,
+	/** More than one above the known era: believed when the next statement
+	 *  is the same. Until then it is not known what the answer belongs to.
+	 */
+	PR_ERA_UNCONFIRMED,
 } pr_era_verdict_t;
 
 /** Zeroed before first use. */
@@ -34,10 +38,15 @@
 	uint64_t current;
 	/** An era was stated. */
 	bool is_stated;
+	/** Unconfirmed era that the last answer stated; 0 when it stated none.
+	 */
+	uint64_t unconfirmed;
 } pr_era_t;
 
 /**
- * Note the era that an answer states.
+ * Note the era that an answer states. A single wrong statement far above the
+ * known era would make all right ones count as fallen, and hide the next
+ * return.
  *
  * @param text statement of the answer; ptr NULL when it has none
  */
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -21,10 +21,29 @@
 	assert_int_equal(pr_era_note(&era, PR_SLICE("4")), PR_ERA_RISEN);
 	assert_int_equal(pr_era_note(&era, PR_SLICE("4")), PR_ERA_SAME);
 	/* This host saw nothing of two returns in between. */
+	assert_int_equal(pr_era_note(&era, PR_SLICE("7")), PR_ERA_UNCONFIRMED);
+	assert_int_equal(era.current, 4);
 	assert_int_equal(pr_era_note(&era, PR_SLICE("7")), PR_ERA_RISEN);
 	assert_int_equal(era.current, 7);
 }
 
+/* CONFIG: after one wrong answer the next return was no rise. */
+static void test_one_answer_far_ahead(void **state)
+{
+	pr_era_t era = { 0 };
+
+	pr_era_note(&era, PR_SLICE("9"));
+	assert_int_equal(pr_era_note(&era, PR_SLICE("1000000")),
+			 PR_ERA_UNCONFIRMED);
+	assert_int_equal(pr_era_note(&era, PR_SLICE("9")), PR_ERA_SAME);
+	assert_int_equal(pr_era_note(&era, PR_SLICE("1000000")),
+			 PR_ERA_UNCONFIRMED);
+	assert_int_equal(pr_era_note(&era, PR_SLICE("2000000")),
+			 PR_ERA_UNCONFIRMED);
+	assert_int_equal(pr_era_note(&era, PR_SLICE("10")), PR_ERA_RISEN);
+	assert_int_equal(era.current, 10);
+}
+
 /* A store of an earlier release states no era. */
 static void test_never_stated(void **state)
 {
@@ -79,6 +98,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_rises),
+		cmocka_unit_test(test_one_answer_far_ahead),
 		cmocka_unit_test(test_never_stated),
 		cmocka_unit_test(test_starts_at_zero),
 		cmocka_unit_test(test_odd_statements_change_nothing),
