Let the store return from an older copy in the soak

Cause: no soak had the store return from a copy, and none had a roll-out. Change: the kind "return" goes back by some writes, is away for 0 to 1.5 s, and the operator and the upstreams write theirs again within 2 s. A host that served a configuration goes on with it; from 4 s after the return hosts in touch have the newest; in half of the runs a good or bad version of a service is brought in.

--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -23,6 +23,7 @@
 import traceback
 
 from fleet import ZONES, Caller, Fleet
+from soak_returns import Returns
 from standins import P, event_of, events_of, whole_answer
 
 # Time within which a change is in force on a host that reaches the store,
@@ -55,7 +56,8 @@
 CALLERS_MIN = 9
 # Requests per second of all callers together when all answers come at once.
 RATE = 300
-KINDS = ("silence", "crash", "again", "later", "leaving", "unframed", "limit", "status")
+KINDS = ("silence", "crash", "again", "later", "leaving", "unframed", "limit", "status",
+         "return")
 STREAMS = ("stream", "prompt")
 FIRST_PARTS, SECOND_PARTS = ("a1", "a2", "a3"), ("b1", "b2", "b3")
 DEADLY = "dead"
@@ -86,7 +88,7 @@
                 f"{answer.ended - self.began:.2f} s")
 
 
-class Soak:
+class Soak(Returns):
     def __init__(self, options):
         self.random = random.Random(options.seed)
         self.fleet = Fleet(options.binary, options.net, self.random, hosts=options.hosts,
@@ -109,6 +111,7 @@
         self.moved = 0
         self.running = True
         self.started = time.monotonic()
+        self.init_returns()
 
     def note(self, text):
         print(f"{time.monotonic() - self.started:7.2f} {text}", flush=True)
@@ -513,12 +516,13 @@
     async def fault_store(self):
         mode = self.random.choice(("busy", "many", "reset", "silent"))
         seconds = self.random.uniform(0.5, 4)
-        self.disturb_store(seconds)
-        self.note(f"store {mode} for {seconds:.1f} s")
-        self.fleet.store.mode = mode
-        await asyncio.sleep(seconds)
-        self.fleet.store.mode = "ok"
-        self.fleet.store.drop_connections()
+        async with self.outage:
+            self.disturb_store(seconds)
+            self.note(f"store {mode} for {seconds:.1f} s")
+            self.fleet.store.mode = mode
+            await asyncio.sleep(seconds)
+            self.fleet.store.mode = "ok"
+            self.fleet.store.drop_connections()
 
     async def fault_store_slow(self):
         self.disturb_store(2)
@@ -583,7 +587,8 @@
         for more in range(self.random.choice((0, 0, 1, 3)), -1, -1):
             name = f"extra{self.fleet.version}"
             self.note(f"configuration {self.fleet.version + 1} adds /{name}/")
-            await self.fleet.apply(extra_routes=[name])
+            acked = await self.fleet.apply(extra_routes=[name])
+            self.config = (name, acked)
             if more:
                 await asyncio.sleep(self.random.uniform(0, 0.6))
         if await self.hold(APPLY_S):
@@ -593,11 +598,7 @@
             if not self.calm(router.name, quiet_since, time.monotonic(),
                              ("kill", "freeze", "stop", "cut")):
                 continue
-            caller = Caller(router.address)
-            answer = await caller.request(f"probe{self.number}", f"/{name}/x")
-            self.number += 1
-            caller.close()
-            if answer.status == 404 and not self.store_unstable():
+            if await self.probe(router, name) == 404 and not self.store_unstable():
                 self.break_promise(f"configuration: {router.name} does not know /{name}/")
 
     def store_unstable(self):
@@ -713,6 +714,8 @@
     async def run(self):
         try:
             await self.fleet.start()
+            if "return" in self.kinds:
+                self.fleet.store.copies = collections.deque(maxlen=40)
             callers = [asyncio.create_task(self.call(i)) for i in range(self.callers)]
             callers.append(asyncio.create_task(self.watch()))
             await self.run_faults()
@@ -732,6 +735,7 @@
             if served < len(self.answers) / 4:
                 self.break_promise("service: less than a quarter was served")
         finally:
+            self.running = False
             await self.fleet.stop()
 
 
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -117,6 +117,9 @@
         self.silent_feeds = set()
         # Refuse the hosts' writes, as when there are too many.
         self.refuse_writes = False
+        # When each row was written last, by (table, key); and states of the store
+        # with their times, each before a write, if somebody asks for them.
+        self.written, self.copies = {}, None
         # Rises by one with each return from a copy; None sends no header. The
         # next answers state the texts in odd_eras instead, None for no header.
         self.era = 1
@@ -138,8 +141,11 @@
     async def put_all(self, rows):
         """Write rows in one transaction: they share its version."""
         async with self.changed:
+            if self.copies is not None:
+                self.copies.append((time.monotonic(), self.copy()))
             self.version += 1
             for table, key, value in rows:
+                self.written[table, key] = time.monotonic()
                 row = {"table": table, "part": "", "key": key, "ver": self.version}
                 if value is None:
                     self.rows.pop((table, key), None)
