Use an upstream that is written again with requests at the same time

Cause: returns_lost.py wanted each host of a zone to send to each of two sound upstreams, with one request after the other. Change: each host gets bursts of 8 requests at the same time before the check, which stays as strict for each host.

--- a/tests/edge/changes.py
+++ b/tests/edge/changes.py
@@ -51,6 +51,18 @@
                 await asyncio.sleep(self.pause)
         caller.close()
 
+    async def burst(self, router, count=8, times=3):
+        """Requests at the same time, which a host spreads over its upstreams."""
+        async def one():
+            ident = f"{self.name}-{router.name}-burst-{len(self.sent)}"
+            self.sent[ident] = (time.monotonic(), router.name, "burst")
+            caller = Caller(router.address)
+            await caller.request(ident, "/safe/x", budget_ms=2000)
+            caller.close()
+
+        for _ in range(times):
+            await asyncio.gather(*(one() for _ in range(count)))
+
     async def stop(self):
         self.running = False
         await asyncio.gather(*self.tasks)
--- a/tests/edge/returns_lost.py
+++ b/tests/edge/returns_lost.py
@@ -71,9 +71,13 @@
             at(operator_after, self.write_orders_again))
         return written
 
-    def check_living_used(self, name, touch, written):
-        """Upstreams that are written again are used."""
+    async def check_living_used(self, name, touch, written):
+        """Upstreams that are written again are used. A host that gets one request after
+        the other may send all of them to one of its upstreams."""
         due = touch.due(written, APPLY_S)
+        zones = {self.lapsed.zone, self.fresh.zone}
+        await asyncio.gather(*(self.changes.load.burst(r) for r in self.fleet.routers
+                               if r.zone in zones))
         idle = []
         for upstream in (self.lapsed, self.fresh):
             users = {host for _, host in self.changes.load.arrivals(upstream, due)}
@@ -111,7 +115,7 @@
     changes.check_upstreams(name, lambda host: acked["draining"] + DRAIN_S,
                             lambda host: acked["removed"] + DRAIN_S,
                             lambda host: acked["evacuated"] + EVACUATE_S)
-    lost.check_living_used(name, touch, written)
+    await lost.check_living_used(name, touch, written)
     await lost.finish(name)
     rounds.load.check_plain(name, begin)
 
@@ -141,7 +145,7 @@
             elif got == changes.OLD[kind] and host in known:
                 back.append((at, host, got))
         check(f"{name}: no host goes back ({kind})", not back, seen(back))
-    lost.check_living_used(name, touch, written)
+    await lost.check_living_used(name, touch, written)
     await lost.finish(name)
     rounds.load.check_plain(name, begin)
 
