Lose writes also when the store forgot its history

Cause: the stand-in told from its history what a return had lost, so that an order wasn't written again when the history was dropped before; and the copy of returns_rollouts.py always had the hosts' row of the order. Change: the stand-in keeps the last write of each row; the copy is taken right after the order.

--- a/tests/edge/returns_rollouts.py
+++ b/tests/edge/returns_rollouts.py
@@ -121,14 +121,14 @@
 
 
 async def check_over_in_copy(fleet, load):
-    """The copy has both orders, still running. The version that was found bad got requests
-    again, or the one that was done was begun anew."""
+    """The copy has both orders, still running, and the row of the hosts of one of them. The
+    version that was found bad got requests again, the one that was done was begun anew,
+    or the state was written on the condition of a row that the store no longer has."""
     name = "over, running in the copy"
     good, bad = await begin(fleet, load, "v2", 10)
     await good.order()
     await asyncio.sleep(5)
     await bad.order()
-    await asyncio.sleep(0.3)
     copy = fleet.store.copy()
     done, back = await wait_over(name, good, bad)
     lost = await fleet.store.go_back(copy)
--- a/tests/edge/soak_returns.py
+++ b/tests/edge/soak_returns.py
@@ -76,7 +76,7 @@
     async def write_again(self, returned, table, key, value):
         """Unless it was written since the return."""
         await asyncio.sleep(self.random.uniform(0, AGAIN_S))
-        if self.fleet.store.written.get((table, key), 0) > returned:
+        if self.fleet.store.written[table, key][0] > returned:
             return
         acked = await self.fleet.store.put(table, key, value)
         if self.config and (table, key) == ("op", "config"):
--- a/tests/edge/standins.py
+++ b/tests/edge/standins.py
@@ -117,8 +117,9 @@
         self.silent_feeds = set()
         # Refuse the hosts' writes, as when there are too many.
         self.refuse_writes = False
-        # When each row was written last, by (table, key); and states of the store
-        # with their times, each before a write, if somebody asks for them.
+        # (time, version, value) of the last write of each row, by (table, key), also
+        # of lost ones; and states of the store with their times, each before a write,
+        # if somebody asks for them.
         self.written, self.copies = {}, None
         # Rises by one with each return from a copy; None sends no header. The
         # next answers state the texts in odd_eras instead, None for no header.
@@ -145,7 +146,7 @@
                 self.copies.append((time.monotonic(), self.copy()))
             self.version += 1
             for table, key, value in rows:
-                self.written[table, key] = time.monotonic()
+                self.written[table, key] = time.monotonic(), self.version, value
                 row = {"table": table, "part": "", "key": key, "ver": self.version}
                 if value is None:
                     self.rows.pop((table, key), None)
@@ -177,17 +178,14 @@
             self.mode = "reset"
             self.drop_connections()
         await asyncio.sleep(away)
-        lost = {}
-        for row in self.history:
-            if row["ver"] > copy[1] and row["table"] in ("op", "servers"):
-                value = row.get("value")
-                lost[row["table"], row["key"]] = value and base64.b64decode(value)
+        lost = [(table, key, value) for (table, key), (_, version, value) in self.written.items()
+                if version > copy[1] and table in ("op", "servers")]
         async with self.changed:
             self.rows, self.version = dict(copy[0]), copy[1]
             self.history, self.forgotten = list(copy[2]), copy[3]
             self.era += 1
             self.mode = mode
-        return [(table, key, value) for (table, key), value in lost.items()]
+        return lost
 
     async def write_again(self, lost):
         for table, key, value in lost:
