End an evacuation whose removal was in a lost history

Zones stayed evacuated until a restart of the host. Cause: a full read returns the rows that exist. After a lost history it showed which upstreams were gone, but not which evacuations. Change: a full read removes the evacuations that it does not return, and forwards their removal like that of an upstream. Evidence: edge_feeds, "the end of an evacuation in a history that was lost", failed before: 6 of 6 hosts.

--- a/src/edge/table_read.c
+++ b/src/edge/table_read.c
@@ -8,6 +8,7 @@
 #include "edge/edge.h"
 #include "edge/watch_parts.h"
 #include "pistachiorack/error.h"
+#include "platform/adapter.h"
 
 /* Whether the rows are of a later era than those that this host has. */
 static bool is_new_era(const pr_watch_t *watch, pr_revision_t version)
@@ -63,31 +64,48 @@
 	return false;
 }
 
-/* Remove the upstreams that a full read did not return. */
-static void remove_unseen(pr_watch_t *watch)
+/* Remove what a key stands for unless a full read returned it. */
+static void remove_unless_seen(pr_watch_t *watch, char *key)
+{
+	pr_store_row_t row = { .key = key,
+			       .version = watch->read_version,
+			       .removed = true };
+
+	if (was_seen(watch, key))
+		return;
+	/* Hosts that take over the whole table find out by themselves. */
+	if (!is_new_era(watch, watch->read_version) &&
+	    pr_missed_add_removed(&watch->missed, key))
+		pr_event("missed_row_dropped", "table=%d error=\"%s\"",
+			 watch->table, pr_error_last());
+	pr_edge_apply_row(watch->edge, watch->table, &row,
+			  watch->outage_grace_until);
+}
+
+static void remove_unseen_upstreams(pr_watch_t *watch)
 {
 	pr_registry_t *registry = &watch->edge->registry;
 	pr_list_t *at = registry->upstreams.next;
-	bool new_era = is_new_era(watch, watch->read_version);
 
-	if (watch->table != PR_TABLE_UPSTREAMS)
-		return;
 	while (at != &registry->upstreams) {
 		pr_upstream_t *upstream = PR_OWNER(at, pr_upstream_t, node);
-		pr_store_row_t row = { .key = upstream->entry.id,
-				       .version = watch->read_version,
-				       .removed = true };
 
 		at = at->next;
-		if (was_seen(watch, upstream->entry.id))
-			continue;
-		/* Hosts that take over the whole table find out by themselves.
-		 */
-		if (!new_era && pr_missed_add_removed(&watch->missed, row.key))
-			pr_event("missed_row_dropped", "table=%d error=\"%s\"",
-				 watch->table, pr_error_last());
-		pr_edge_apply_row(watch->edge, watch->table, &row,
-				  watch->outage_grace_until);
+		remove_unless_seen(watch, upstream->entry.id);
+	}
+}
+
+static void remove_unseen_evacuations(pr_watch_t *watch)
+{
+	const pr_zone_map_t *map = &watch->edge->map;
+
+	for (size_t i = 0; i < map->count; i++) {
+		pr_str_t key = PR_STR_INIT;
+
+		if (map->zones[i].evacuated &&
+		    !pr_adapter_evacuation_key(&key, map->zones[i].name))
+			remove_unless_seen(watch, key.ptr);
+		pr_str_finish(&key);
 	}
 }
 
@@ -134,7 +152,11 @@
 
 static void finish_read(pr_watch_t *watch)
 {
-	remove_unseen(watch);
+	if (watch->table == PR_TABLE_UPSTREAMS)
+		remove_unseen_upstreams(watch);
+	else if (watch->table == PR_TABLE_ORDERS &&
+		 !is_new_era(watch, watch->read_version))
+		remove_unseen_evacuations(watch);
 	if (is_new_era(watch, watch->read_version)) {
 		finish_in_new_era(watch);
 	} else {
--- a/tests/edge/feeds.py
+++ b/tests/edge/feeds.py
@@ -15,6 +15,10 @@
 from fleet import DRAIN_S, ZONES, Fleet, Traffic
 
 
+# Time in which an evacuation, or its end, is in force, seconds.
+EVACUATE_S = 5.0
+
+
 def reads_store(fleet, router):
     """Whether the log says that a host reads the store for its region."""
     reads = False
@@ -93,6 +97,22 @@
     await asyncio.sleep(2)
 
 
+async def check_lost_end_of_evacuation(fleet):
+    """A zone that was taken back in a history that was lost stayed evacuated."""
+    await fleet.store.put("op", "evacuate/far", {"zone": "far"})
+    await asyncio.sleep(DRAIN_S)
+    fleet.store.mode = "busy"
+    await asyncio.sleep(1.5)
+    await fleet.store.put("op", "evacuate/far", None)
+    await fleet.store.put("op", "evacuate/elsewhere", {"zone": "elsewhere"})
+    fleet.store.forget()
+    fleet.store.mode = "ok"
+    await asyncio.sleep(EVACUATE_S)
+    kept = [router.name for router in fleet.routers
+            if not fleet.logged(router, "zone_returned zone=far")]
+    check("no host misses the end of an evacuation in a history that was lost", not kept, kept)
+
+
 async def check_shared_versions(fleet):
     """The rows of a transaction share a version. Hosts behind a relay took the second
     one for a known row, whatever the order of the two, and lost the rest when a
@@ -138,6 +158,7 @@
         await check_reader_restart(fleet)
         await check_lost_feed_calls(fleet)
         await check_lost_history(fleet)
+        await check_lost_end_of_evacuation(fleet)
         await check_shared_versions(fleet)
         await check_calls(fleet)
     finally:
