Keep an evacuation that a return of the store lost for ten seconds

Cause: an evacuation acknowledged in the lost seconds is not in the copy. Hosts kept it without an end: where the operator takes it back instead of writing it again, no row ever says so. Change: a host that has read the orders in a new era keeps such an evacuation for 10 s, in which the operator writes it again, and then follows the store. Measured: edge_returns passes.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -144,6 +144,7 @@
 	pr_edge_t *edge = timer->data;
 
 	pr_registry_expire(&edge->registry, now);
+	pr_edge_end_lost_evacuations(edge);
 	for (pr_list_t *at = edge->registry.upstreams.next;
 	     at != &edge->registry.upstreams; at = at->next)
 		pr_outbound_close_idle(PR_OWNER(at, pr_upstream_t, node), now,
@@ -229,7 +230,9 @@
 	const pr_edge_settings_t *settings = edge->settings;
 
 	edge->map.zones = calloc(settings->zones_count, sizeof(pr_zone_t));
-	if (!edge->map.zones)
+	edge->evacuation_ends =
+		calloc(settings->zones_count, sizeof(pr_usec_t));
+	if (!edge->map.zones || !edge->evacuation_ends)
 		return pr_error_set(PR_ENOMEM,
 				    "out of memory for the list of zones");
 	edge->map.count = settings->zones_count;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -124,6 +124,9 @@
 	/** Newest valid routing document; NULL before the first. */
 	pr_routing_t *routing;
 	pr_zone_map_t map;
+	/** For each zone, the time at which its evacuation ends because the
+	 *  store returned from a copy without it; 0 for never. */
+	pr_usec_t *evacuation_ends;
 	pr_registry_t registry;
 	pr_outbound_pool_t pool;
 	/** Prefill time of upstreams, learned by model. */
@@ -286,6 +289,9 @@
  */
 void pr_edge_settle_table(pr_edge_t *edge, pr_store_table_t table,
 			  const pr_names_t *keys, uint64_t era);
+/** End the evacuations that were not written again after a return of the store.
+ */
+void pr_edge_end_lost_evacuations(pr_edge_t *edge);
 /** Register this host and write the conclusions about transitions. */
 void pr_edge_update_shared_rows(pr_edge_t *edge);
 
--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -15,6 +15,10 @@
  * that table too, under keys of the adapter. */
 #define HOST_KEY_PREFIX       "host/"
 #define TRANSITION_KEY_PREFIX "transition/"
+/* Time for which an evacuation goes on that a return of the store has lost. The
+ * operator writes it again within about 2 s, and a host reads it within 3 s;
+ * what is beyond that gives a slow operator time. */
+#define EVACUATION_RENEWAL (10 * PR_USEC_PER_SEC)
 /* Time between the rows of two hosts that write theirs again. The store takes
  * 200 transactions a second or more for each part of a table; half of them are
  * left to others. */
@@ -92,8 +96,10 @@
 	for (size_t i = 0; i < edge->map.count; i++) {
 		pr_zone_t *zone = &edge->map.zones[i];
 
-		if (!pr_slice_equal(name, pr_slice_of(zone->name)) ||
-		    zone->evacuated == !row->removed)
+		if (!pr_slice_equal(name, pr_slice_of(zone->name)))
+			continue;
+		edge->evacuation_ends[i] = 0;
+		if (zone->evacuated == !row->removed)
 			continue;
 		zone->evacuated = !row->removed;
 		if (row->removed)
@@ -301,6 +307,35 @@
 	return false;
 }
 
+/* Evacuations that the table lacks go on for a while: the operator writes them
+ * again, or has taken them back. */
+static void settle_evacuations(pr_edge_t *edge, const pr_names_t *keys)
+{
+	for (size_t i = 0; i < edge->map.count; i++) {
+		pr_zone_t *zone = &edge->map.zones[i];
+		pr_str_t key = PR_STR_INIT;
+
+		if (zone->evacuated &&
+		    !pr_adapter_evacuation_key(&key, zone->name) &&
+		    !has_key(keys, key.ptr))
+			edge->evacuation_ends[i] =
+				pr_edge_now(edge) + EVACUATION_RENEWAL;
+		pr_str_finish(&key);
+	}
+}
+
+void pr_edge_end_lost_evacuations(pr_edge_t *edge)
+{
+	for (size_t i = 0; i < edge->map.count; i++) {
+		pr_zone_t *zone = &edge->map.zones[i];
+		pr_store_row_t row = { .removed = true };
+
+		if (edge->evacuation_ends[i] &&
+		    edge->evacuation_ends[i] <= pr_edge_now(edge))
+			apply_evacuation(edge, pr_slice_of(zone->name), &row);
+	}
+}
+
 /* Whether this host's own row has to be written again. After a return of the
  * store many hosts may have to: each waits for a part of the time that all of
  * them may take. */
@@ -323,6 +358,8 @@
 void pr_edge_settle_table(pr_edge_t *edge, pr_store_table_t table,
 			  const pr_names_t *keys, uint64_t era)
 {
+	if (table == PR_TABLE_ORDERS)
+		settle_evacuations(edge, keys);
 	if (table != PR_TABLE_SHARED)
 		return;
 	settle_registration(edge, keys);
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -224,6 +224,12 @@
         with open(f"{self.folder}/{router.name}.log", encoding="ascii", errors="replace") as log:
             return any(text in line for line in log)
 
+    def evacuates(self, router, zone):
+        """Whether a router evacuates a zone by its log."""
+        with open(f"{self.folder}/{router.name}.log", encoding="ascii", errors="replace") as log:
+            lines = [line for line in log if "event=zone_" in line and f"zone={zone} " in line]
+        return bool(lines) and "event=zone_evacuated" in lines[-1]
+
     async def statuses(self, path, key="key-1"):
         """Status of the same request at each host."""
         async def ask(router):
--- a/tests/edge/returns.py
+++ b/tests/edge/returns.py
@@ -13,6 +13,9 @@
 from checks import FAILURES, check
 from fleet import Fleet
 
+# Time in which the operator writes its rows again and hosts read them, and in which
+# an evacuation that was not written again ends, seconds.
+RENEWAL_S, LOST_EVACUATION_S = 2 + 3, 20
 # Time in which hosts write their own rows again, seconds.
 OWN_ROWS_S = 10.0
 # Feeds that a reader follows, and the time of one call for the orders.
@@ -101,6 +104,24 @@
     rounds.load.check_plain("own rows", begin)
 
 
+async def check_lost_evacuation(fleet):
+    """An evacuation that the copy lacks, and that is not written again, had no end."""
+    copy = fleet.store.copy()
+    await fleet.store.put("op", "evacuate/far", {"zone": "far"})
+    await asyncio.sleep(2)
+    def evacuating():
+        return [r.name for r in fleet.routers if fleet.evacuates(r, "far")]
+
+    every = [r.name for r in fleet.routers]
+    check("lost evacuation: every host knows of it", evacuating() == every, evacuating())
+    await fleet.store.go_back(copy)
+    await asyncio.sleep(RENEWAL_S)
+    check("lost evacuation: no host ends it before it can be written again",
+          evacuating() == every, evacuating())
+    await asyncio.sleep(LOST_EVACUATION_S - RENEWAL_S)
+    check("lost evacuation: it ends when it is not written again", not evacuating(), evacuating())
+
+
 async def main():
     hosts = int(sys.argv[3]) if len(sys.argv) > 3 else 8
     fleet = Fleet(sys.argv[1], int(sys.argv[2]), random.Random(5), hosts=hosts, per_zone=2)
@@ -112,6 +133,7 @@
         await check_changes_at_once(fleet, rounds)
         await check_changes_later(fleet, rounds)
         await check_own_rows(fleet, rounds)
+        await check_lost_evacuation(fleet)
         await rounds.load.stop()
     finally:
         await fleet.stop()
