Recognize a known order after the store has returned

Cause: an order is identified by its row's revision. After a return of the store every row comes again with a revision of the new era, so an order that was done is begun anew; an order that the copy had before it is begun as well. Only time in which the host follows the store's orders counts. Nothing calls it yet: src/edge still replaces the order itself.

--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -110,33 +110,6 @@
 	{ ALL_MOVED_FROM, 0.6 },
 };
 
-void pr_transition_init(pr_transition_t *transition,
-			const pr_rollout_order_t *order,
-			pr_revision_t order_row)
-{
-	memset(transition, 0, sizeof(*transition));
-	transition->order = *order;
-	transition->order_row = order_row;
-}
-
-void pr_transition_replace(pr_transition_t *transition,
-			   const pr_rollout_order_t *order,
-			   pr_revision_t order_row)
-{
-	char withdrawn[PR_TRANSITION_NAME_SIZE];
-
-	memcpy(withdrawn,
-	       transition->state == PR_ROLLOUT_WITHDRAWN ||
-			       transition->judged_bad
-		       ? transition->order.version
-		       : transition->withdrawn,
-	       sizeof(withdrawn));
-	pr_transition_init(transition, order, order_row);
-	/* An order that names the withdrawn version permits it again. */
-	if (strcmp(withdrawn, order->version) != 0)
-		memcpy(transition->withdrawn, withdrawn, sizeof(withdrawn));
-}
-
 void pr_transition_apply(pr_transition_t *transition,
 			 const pr_transition_row_t *row,
 			 pr_revision_t row_version)
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "pistachiorack/str.h"
+#include "pistachiorack/timer.h"
 #include "store/revision.h"
 #include "transition/load_test.h"
 #include "transition/sessions.h"
@@ -77,10 +78,27 @@
 	double total, bad, timed, slow;
 } pr_recent_counts_t;
 
+/** What is remembered of the order's rows after a return of the store. */
+typedef struct pr_order_return_t {
+	/** Order of the store's row that may be older than the known order, and
+	 *  its revision; number 0 for none. */
+	pr_rollout_order_t held;
+	pr_revision_t held_row;
+	/** Time at which the held order is taken as a new one. */
+	pr_usec_t held_until;
+	/** Until then a later row with the same content is the known order,
+	 *  which the operator writes again. */
+	pr_usec_t rewrites_until;
+	/** Last time at which this host followed the store's orders, or could
+	 *  not. */
+	pr_usec_t checked_at;
+} pr_order_return_t;
+
 typedef struct pr_transition_t {
 	pr_rollout_order_t order;
 	/** Row version of the order, which identifies it. */
 	pr_revision_t order_row;
+	pr_order_return_t order_return;
 	/** Row version of the shared row; number 0 before one exists. */
 	pr_revision_t state_row;
 	pr_rollout_state_t state;
@@ -121,6 +139,55 @@
 			   const pr_rollout_order_t *order,
 			   pr_revision_t order_row);
 
+/**
+ * Time for which an order that may be older than the known one is held back
+ * after a return of the store, and for which the operator may write a known
+ * order again. The operator does so within about two seconds, and a host reads
+ * it within three.
+ */
+#define PR_TRANSITION_HOLD (10 * PR_USEC_PER_SEC)
+
+/** What a row with an order of the operator means. */
+typedef enum pr_order_verdict_t {
+	/** The row is not later than those that came before. */
+	PR_ORDER_ROW_OLD,
+	/** The order that is known. */
+	PR_ORDER_ROW_KNOWN,
+	PR_ORDER_ROW_NEW,
+	/** The order may be what the store had before the known one. */
+	PR_ORDER_ROW_HELD,
+} pr_order_verdict_t;
+
+/** Decide what a row with an order means. A zeroed transition has no order. */
+pr_order_verdict_t pr_transition_judge_order(const pr_transition_t *transition,
+					     const pr_rollout_order_t *order,
+					     pr_revision_t row, pr_usec_t now);
+/**
+ * Apply a row with an order: a new order replaces the known one; the known one
+ * gets the row's revision and keeps its state; one that is held back changes
+ * nothing yet. The caller then applies the last shared row of the service, or
+ * its absence, again.
+ */
+pr_order_verdict_t pr_transition_receive_order(pr_transition_t *transition,
+					       const pr_rollout_order_t *order,
+					       pr_revision_t row,
+					       pr_usec_t now);
+/**
+ * Note that time has passed; called at least once a second. Only time in which
+ * this host follows the store's orders counts for PR_TRANSITION_HOLD.
+ *
+ * @param follows the orders of the store's present era have been read and are
+ *	  current
+ * @return true when the held order was taken as a new one
+ */
+bool pr_transition_check_held(pr_transition_t *transition, pr_usec_t now,
+			      bool follows);
+/** The store has no row of the order (any more).
+ *
+ * @return true when an order was held back and is forgotten; the known one goes
+ *	   on */
+bool pr_transition_drop_held(pr_transition_t *transition);
+
 /** Row with the state that the hosts share. The state is ignored when the row
  *  belongs to another order. */
 typedef struct pr_transition_row_t {
@@ -271,5 +338,4 @@
 pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
 				       int64_t now_ms, int64_t stagger_ms,
 				       uint32_t usable);
-
 #endif
