Merge the shared row of a transition after a return

Cause: the copy's row, or the row of a host that has just started, overwrites what the hosts know; a row that is gone is not written again; a row that names the order's old number resets the state. While the store's row lacks what a host knows, the transition is `unsaved`: rows are merged (commutative, associative, idempotent), and PR_CONCLUDE_RESTORE has the host write what it knows. A row of another era or order changes state_row only; one of an earlier order in the same era makes the state unsaved. A final state is not taken back within an order. Nothing is concluded while state_row is of another era than the order. pr_transition_conclusion_row() is what to write; row_of() in src/edge does not know the new conclusion and has to be replaced by it.

--- a/src/transition/order.c
+++ b/src/transition/order.c
@@ -39,6 +39,8 @@
 	if (strcmp(withdrawn, order->version) != 0)
 		memcpy(transition->withdrawn, withdrawn,
 		       sizeof(transition->withdrawn));
+	/* It belongs to the store's row, whichever order is in force. */
+	transition->state_row = known.state_row;
 }
 
 static bool is_same(const pr_rollout_order_t *a, const pr_rollout_order_t *b)
@@ -107,6 +109,8 @@
 		pr_transition_replace(transition, order, row);
 	} else {
 		transition->order_row = row;
+		/* The shared row may name the number that the order had. */
+		transition->unsaved = pr_transition_has_state(transition);
 	}
 	if (returned && verdict != PR_ORDER_ROW_HELD) {
 		order_return->rewrites_until = now + PR_TRANSITION_HOLD;
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -110,31 +110,6 @@
 	{ ALL_MOVED_FROM, 0.6 },
 };
 
-void pr_transition_apply(pr_transition_t *transition,
-			 const pr_transition_row_t *row,
-			 pr_revision_t row_version)
-{
-	if (!pr_revision_is_after(row_version, transition->state_row))
-		return;
-	/* The next conditional write needs this version, even when the row
-	 * belongs to another order. */
-	transition->state_row = row_version;
-	if (row->order != transition->order_row.number) {
-		transition->began_ms = 0;
-		transition->verified_ms = 0;
-		transition->load_verified_ms = 0;
-		transition->state = PR_ROLLOUT_RUNNING;
-		return;
-	}
-	transition->state = row->state;
-	transition->began_ms = row->began_ms;
-	transition->verified_ms = row->verified_ms;
-	transition->load_verified_ms = row->load_verified_ms;
-	if (row->withdrawn[0])
-		memcpy(transition->withdrawn, row->withdrawn,
-		       sizeof(transition->withdrawn));
-}
-
 /* Elapsed fraction of the order's duration; above 1 after its end. */
 static double elapsed(const pr_transition_t *transition, int64_t now_ms)
 {
@@ -640,9 +615,8 @@
 		transition->stopped_load_test = sum_load_test(transition);
 }
 
-pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
-				       int64_t now_ms, int64_t stagger_ms,
-				       uint32_t usable)
+static pr_conclusion_t evaluate(pr_transition_t *transition, int64_t now_ms,
+				int64_t stagger_ms, uint32_t usable)
 {
 	double at;
 
@@ -669,3 +643,20 @@
 		return PR_CONCLUDE_DONE;
 	return PR_CONCLUDE_NOTHING;
 }
+
+pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
+				       int64_t now_ms, int64_t stagger_ms,
+				       uint32_t usable)
+{
+	pr_conclusion_t conclusion =
+		evaluate(transition, now_ms, stagger_ms, usable);
+
+	if (conclusion == PR_CONCLUDE_NOTHING && transition->unsaved)
+		conclusion = PR_CONCLUDE_RESTORE;
+	/* A condition with a number of another era has no meaning, nor has a
+	 * row with the number of an order of another era. */
+	if (transition->state_row.era != transition->order_row.era &&
+	    !pr_revision_equal(transition->state_row, (pr_revision_t){ 0 }))
+		return PR_CONCLUDE_NOTHING;
+	return conclusion;
+}
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -101,6 +101,9 @@
 	pr_order_return_t order_return;
 	/** Row version of the shared row; number 0 before one exists. */
 	pr_revision_t state_row;
+	/** The store's row lacks something that this host knows: the store has
+	 *  returned from an older copy. */
+	bool unsaved;
 	pr_rollout_state_t state;
 	/** Start by the store's clock, milliseconds; 0 before the start. */
 	int64_t began_ms;
@@ -205,10 +208,42 @@
 int pr_transition_row_pack(pr_str_t *out, const pr_transition_row_t *row);
 /** @return 0 or PR_EPARSE */
 int pr_transition_row_unpack(pr_transition_row_t *out, pr_slice_t bytes);
-/** Apply the shared row; one that is not newer than the last is ignored. */
-void pr_transition_apply(pr_transition_t *transition,
-			 const pr_transition_row_t *row,
-			 pr_revision_t row_version);
+/**
+ * Merge what is known of the same order into a row. The result does not depend
+ * on the order in which rows are merged: a final state wins over a running
+ * transition, a withdrawal over all, and the earliest times are kept.
+ */
+void pr_transition_row_merge(pr_transition_row_t *row,
+			     const pr_transition_row_t *other);
+
+/** What the shared row has changed. */
+typedef enum pr_state_verdict_t {
+	/** An earlier row than the last one; nothing was changed. */
+	PR_STATE_ROW_OLD,
+	/** A row of another era or order than those of the order's row; only
+	 *  state_row was changed. */
+	PR_STATE_ROW_OTHER,
+	/** The state was taken over. */
+	PR_STATE_ROW_TAKEN,
+	/** The row was merged with what is known; `unsaved` tells whether it
+	 *  lacks something. */
+	PR_STATE_ROW_MERGED,
+} pr_state_verdict_t;
+
+/** Apply the shared row; one that is older than the last is ignored, and the
+ *  last one may be applied again. */
+pr_state_verdict_t pr_transition_apply(pr_transition_t *transition,
+				       const pr_transition_row_t *row,
+				       pr_revision_t row_version);
+/** @return true when there is something that the shared row has to keep */
+bool pr_transition_has_state(const pr_transition_t *transition);
+/**
+ * The shared table of an era was read as a whole and has no row of the
+ * transition. Ignored when a row of that era or of a later one is known.
+ *
+ * @return true when state_row was changed
+ */
+bool pr_transition_apply_missing(pr_transition_t *transition, uint64_t era);
 
 /** @return share of the sessions that use the new version, 0 to 1 */
 double pr_transition_share(const pr_transition_t *transition, int64_t now_ms);
@@ -325,6 +360,8 @@
 	PR_CONCLUDE_LOAD_VERIFIED,
 	PR_CONCLUDE_DONE,
 	PR_CONCLUDE_WITHDRAW,
+	/** The store's row lacks what this host knows: write that. */
+	PR_CONCLUDE_RESTORE,
 } pr_conclusion_t;
 
 /**
@@ -338,4 +375,10 @@
 pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
 				       int64_t now_ms, int64_t stagger_ms,
 				       uint32_t usable);
+/** @return the shared row with a conclusion and all that this host knows; it is
+ *	   to be written on condition of state_row */
+pr_transition_row_t pr_transition_conclusion_row(
+	const pr_transition_t *transition, pr_conclusion_t conclusion,
+	int64_t now_ms);
+
 #endif
