Let no transition be concluded by time right after a return

Cause: a host that has just started, or was frozen or cut off, sees the copy's row of a transition, finds it unverified at its end, and withdraws a version that is done; the withdrawal wins when rows are merged. Likewise it may conclude that a withdrawn version is done. Change: for 6 s (RETURN_SETTLE_MS) after its first evaluation in an era, or after a break of 3 s, a host concludes neither "done" nor a withdrawal without bad responses. A store that states no era is not concerned. The first order of a service is not done before 6 s, however short it is. Measured: test_time_concludes_nothing_right_after_a_return fails before.

--- a/src/transition/order.c
+++ b/src/transition/order.c
@@ -39,8 +39,11 @@
 	if (strcmp(withdrawn, order->version) != 0)
 		memcpy(transition->withdrawn, withdrawn,
 		       sizeof(transition->withdrawn));
-	/* It belongs to the store's row, whichever order is in force. */
+	/* These belong to the store's rows, whichever order is in force. */
 	transition->state_row = known.state_row;
+	transition->evaluated_era = known.evaluated_era;
+	transition->evaluated_ms = known.evaluated_ms;
+	transition->evaluated_from_ms = known.evaluated_from_ms;
 }
 
 static bool is_same(const pr_rollout_order_t *a, const pr_rollout_order_t *b)
--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -67,6 +67,16 @@
 #define BAD_MIN_ONE_UPSTREAM 7.5
 /* Time constant of the decay of the recent counts, milliseconds. */
 #define RECENT_MS 3000.0
+/*
+ * Time for which a host that has just started, read the order of a new era or
+ * was frozen concludes nothing by the time alone, milliseconds. Meanwhile hosts
+ * that know more than the store's copy read the new era (within 3 s), write
+ * their row (within 1.5 s) and have it read.
+ */
+#define RETURN_SETTLE_MS 6000
+/* Time between two evaluations from which on this host was frozen,
+ * milliseconds. */
+#define EVALUATION_GAP_MS 3000
 /* Rate of bad responses that a good version may have. */
 #define NORMAL_BAD_RATE 0.02
 /* A version counts as bad, given BAD_MIN and the floor NORMAL_BAD_RATE, when
@@ -644,13 +654,33 @@
 	return PR_CONCLUDE_NOTHING;
 }
 
+/* Whether other hosts may know that the state of the store's row is outdated. A
+ * store that states no era does not return from copies. */
+static bool is_settling(pr_transition_t *transition, int64_t now_ms)
+{
+	uint64_t era = transition->order_row.era;
+
+	if (transition->evaluated_era != era ||
+	    now_ms - transition->evaluated_ms > EVALUATION_GAP_MS) {
+		transition->evaluated_era = era;
+		transition->evaluated_from_ms = now_ms;
+	}
+	transition->evaluated_ms = now_ms;
+	return era && now_ms - transition->evaluated_from_ms < RETURN_SETTLE_MS;
+}
+
 pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
 				       int64_t now_ms, int64_t stagger_ms,
 				       uint32_t usable)
 {
 	pr_conclusion_t conclusion =
 		evaluate(transition, now_ms, stagger_ms, usable);
+	bool is_by_time =
+		conclusion == PR_CONCLUDE_DONE ||
+		(conclusion == PR_CONCLUDE_WITHDRAW && !transition->judged_bad);
 
+	if (is_settling(transition, now_ms) && is_by_time)
+		conclusion = PR_CONCLUDE_NOTHING;
 	if (conclusion == PR_CONCLUDE_NOTHING && transition->unsaved)
 		conclusion = PR_CONCLUDE_RESTORE;
 	/* A condition with a number of another era has no meaning, nor has a
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -104,6 +104,11 @@
 	/** The store's row lacks something that this host knows: the store has
 	 *  returned from an older copy. */
 	bool unsaved;
+	/** Era of the order's row and time of the last evaluation, and the time
+	 *  since which this host has evaluated in that era without a break, by
+	 *  the store's clock. */
+	uint64_t evaluated_era;
+	int64_t evaluated_ms, evaluated_from_ms;
 	pr_rollout_state_t state;
 	/** Start by the store's clock, milliseconds; 0 before the start. */
 	int64_t began_ms;
--- a/tests/test_transition_return.c
+++ b/tests/test_transition_return.c
@@ -289,6 +289,69 @@
 			 PR_ROLLOUT_WITHDRAWN);
 }
 
+/* Evaluate as often as hosts do.
+ *
+ * @return time until there is a conclusion, milliseconds */
+static int64_t time_to_conclude(pr_transition_t *transition, int64_t from,
+				pr_conclusion_t expected)
+{
+	for (int64_t now = from; now < from + 60000; now += 100) {
+		pr_conclusion_t conclusion =
+			pr_transition_conclude(transition, now, 0, 1);
+
+		if (conclusion == PR_CONCLUDE_NOTHING)
+			continue;
+		assert_int_equal(conclusion, expected);
+		return now - from;
+	}
+	fail();
+	return 0;
+}
+
+/* Guards against a host that has just started, returned or thawed and concludes
+ * by the time of the copy's row alone, while others know that the order is
+ * done. */
+static void test_time_concludes_nothing_right_after_a_return(void **state)
+{
+	pr_transition_row_t verified = row_of(100, PR_ROLLOUT_RUNNING);
+	int64_t now = BEGAN_MS + 2 * DURATION_MS;
+	pr_transition_t transition = { 0 };
+
+	pr_transition_receive_order(&transition, &ordered, in_era(2, 100), 1);
+	pr_transition_apply(&transition, &verified, in_era(2, 105));
+	assert_int_equal(
+		time_to_conclude(&transition, now, PR_CONCLUDE_WITHDRAW), 6000);
+	now += 6000;
+	assert_int_equal(
+		time_to_conclude(&transition, now, PR_CONCLUDE_WITHDRAW), 0);
+	now += 4000;
+	assert_int_equal(
+		time_to_conclude(&transition, now, PR_CONCLUDE_WITHDRAW), 6000);
+	now += 6000;
+	verified.verified_ms = verified.load_verified_ms = BEGAN_MS + 10000;
+	pr_transition_apply(&transition, &verified, in_era(2, 106));
+	assert_int_equal(time_to_conclude(&transition, now, PR_CONCLUDE_DONE),
+			 0);
+	pr_transition_receive_order(&transition, &ordered, in_era(3, 100), 1);
+	pr_transition_apply(&transition, &verified, in_era(3, 106));
+	assert_int_equal(time_to_conclude(&transition, now, PR_CONCLUDE_DONE),
+			 6000);
+}
+
+/* Guards against a withdrawal that waits although responses are bad. */
+static void test_bad_responses_conclude_at_once(void **state)
+{
+	pr_transition_row_t row = row_of(100, PR_ROLLOUT_RUNNING);
+	pr_transition_t transition = { 0 };
+
+	pr_transition_receive_order(&transition, &ordered, in_era(2, 100), 1);
+	pr_transition_apply(&transition, &row, in_era(2, 105));
+	transition.judged_bad = true;
+	assert_int_equal(time_to_conclude(&transition, BEGAN_MS + 5000,
+					  PR_CONCLUDE_WITHDRAW),
+			 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -305,6 +368,9 @@
 		cmocka_unit_test(test_order_without_state_begins),
 		cmocka_unit_test(
 			test_nothing_is_written_before_the_row_is_read),
+		cmocka_unit_test(
+			test_time_concludes_nothing_right_after_a_return),
+		cmocka_unit_test(test_bad_responses_conclude_at_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
