Begin the delay of a shared write anew with the row or the store

Cause: hosts stagger their writes by a delay from the time of their conclusion. The time goes on while the store is away or the row changes, so all hosts are past their delays and write in the moment in which they could. Change: pr_transition_is_write_due() begins the delay anew when the conclusion or state_row changes, and while the store is out of reach. It is to take the place of is_write_due() in src/edge, which is unchanged.

--- a/src/transition/merge.c
+++ b/src/transition/merge.c
@@ -136,3 +136,18 @@
 		row.load_verified_ms = now_ms;
 	return row;
 }
+
+bool pr_transition_is_write_due(pr_conclusion_wait_t *wait,
+				const pr_transition_t *transition,
+				pr_conclusion_t conclusion, bool reaches,
+				int64_t now_ms, int64_t delay_ms)
+{
+	if (!reaches || wait->conclusion != conclusion ||
+	    !pr_revision_equal(wait->row, transition->state_row)) {
+		wait->conclusion = conclusion;
+		wait->row = transition->state_row;
+		wait->since_ms = now_ms;
+	}
+	return reaches && conclusion != PR_CONCLUDE_NOTHING &&
+	       now_ms - wait->since_ms >= delay_ms;
+}
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -386,4 +386,28 @@
 	const pr_transition_t *transition, pr_conclusion_t conclusion,
 	int64_t now_ms);
 
+/** Time for which a host has had something to write; zeroed before first use.
+ */
+typedef struct pr_conclusion_wait_t {
+	pr_conclusion_t conclusion;
+	/** state_row of that time. */
+	pr_revision_t row;
+	int64_t since_ms;
+} pr_conclusion_wait_t;
+
+/**
+ * Whether a conclusion has been the same, on the same shared row, for the time
+ * by which hosts differ, so that the row of the first host makes the writes of
+ * the others unnecessary.
+ *
+ * @param reaches the store is in reach and the shared table of its present era
+ *	  has been read; the time begins anew without that, or all hosts would
+ *	  write in the moment in which the store is back
+ * @param delay_ms delay of this host
+ */
+bool pr_transition_is_write_due(pr_conclusion_wait_t *wait,
+				const pr_transition_t *transition,
+				pr_conclusion_t conclusion, bool reaches,
+				int64_t now_ms, int64_t delay_ms);
+
 #endif
--- a/tests/test_transition_return.c
+++ b/tests/test_transition_return.c
@@ -352,6 +352,34 @@
 			 0);
 }
 
+/* Guards against all hosts writing at once: their conclusions are older than
+ * their delays when the store is back, or when the row changes. */
+static void test_write_waits_anew(void **state)
+{
+	pr_conclusion_wait_t wait = { 0 };
+	pr_transition_t transition;
+	int64_t now = BEGAN_MS;
+
+	begin(&transition, PR_ROLLOUT_DONE);
+	assert_false(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_NOTHING, true, now, 0));
+	assert_false(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_DONE, true, now, 500));
+	assert_true(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_DONE, true, now + 500, 500));
+	assert_false(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_DONE, false, now + 600, 500));
+	assert_false(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_DONE, true, now + 1000, 500));
+	assert_true(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_DONE, true, now + 1100, 500));
+	transition.state_row.number++;
+	assert_false(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_DONE, true, now + 1200, 500));
+	assert_true(pr_transition_is_write_due(
+		&wait, &transition, PR_CONCLUDE_DONE, true, now + 1700, 500));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -371,6 +399,7 @@
 		cmocka_unit_test(
 			test_time_concludes_nothing_right_after_a_return),
 		cmocka_unit_test(test_bad_responses_conclude_at_once),
+		cmocka_unit_test(test_write_waits_anew),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
