--- a/src/transition/transition.c
+++ b/src/transition/transition.c
@@ -67,6 +67,16 @@
 #define BAD_MIN_ONE_UPSTREAM 7.5
 /* Time constant of the decay of the recent counts, milliseconds. */
 #define RECENT_MS 3000.0
+/*
+ * Time for which a host that has just started, read the order of a new era or
+ * was frozen concludes nothing by the time alone, milliseconds. Meanwhile hosts
+ * that know more than the store's copy read the new era (within 3 s), write
+ * their row (within 1.5 s) and have it read.
+ */
+#define RETURN_SETTLE_MS 6000
+/* Time between two evaluations from which on this host was frozen,
+ * milliseconds. */
+#define EVALUATION_GAP_MS 3000
 /* Rate of bad responses that a good version may have. */
 #define NORMAL_BAD_RATE 0.02
 /* A version counts as bad, given BAD_MIN and the floor NORMAL_BAD_RATE, when
@@ -110,58 +120,6 @@
 	{ ALL_MOVED_FROM, 0.6 },
 };
 
-void pr_transition_init(pr_transition_t *transition,
-			const pr_rollout_order_t *order,
-			pr_revision_t order_row)
-{
-	memset(transition, 0, sizeof(*transition));
-	transition->order = *order;
-	transition->order_row = order_row;
-}
-
-void pr_transition_replace(pr_transition_t *transition,
-			   const pr_rollout_order_t *order,
-			   pr_revision_t order_row)
-{
-	char withdrawn[PR_TRANSITION_NAME_SIZE];
-
-	memcpy(withdrawn,
-	       transition->state == PR_ROLLOUT_WITHDRAWN ||
-			       transition->judged_bad
-		       ? transition->order.version
-		       : transition->withdrawn,
-	       sizeof(withdrawn));
-	pr_transition_init(transition, order, order_row);
-	/* An order that names the withdrawn version permits it again. */
-	if (strcmp(withdrawn, order->version) != 0)
-		memcpy(transition->withdrawn, withdrawn, sizeof(withdrawn));
-}
-
-void pr_transition_apply(pr_transition_t *transition,
-			 const pr_transition_row_t *row,
-			 pr_revision_t row_version)
-{
-	if (!pr_revision_is_after(row_version, transition->state_row))
-		return;
-	/* The next conditional write needs this version, even when the row
-	 * belongs to another order. */
-	transition->state_row = row_version;
-	if (row->order != transition->order_row.number) {
-		transition->began_ms = 0;
-		transition->verified_ms = 0;
-		transition->load_verified_ms = 0;
-		transition->state = PR_ROLLOUT_RUNNING;
-		return;
-	}
-	transition->state = row->state;
-	transition->began_ms = row->began_ms;
-	transition->verified_ms = row->verified_ms;
-	transition->load_verified_ms = row->load_verified_ms;
-	if (row->withdrawn[0])
-		memcpy(transition->withdrawn, row->withdrawn,
-		       sizeof(transition->withdrawn));
-}
-
 /* Elapsed fraction of the order's duration; above 1 after its end. */
 static double elapsed(const pr_transition_t *transition, int64_t now_ms)
 {
@@ -667,9 +625,8 @@
 		transition->stopped_load_test = sum_load_test(transition);
 }
 
-pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
-				       int64_t now_ms, int64_t stagger_ms,
-				       uint32_t usable)
+static pr_conclusion_t evaluate(pr_transition_t *transition, int64_t now_ms,
+				int64_t stagger_ms, uint32_t usable)
 {
 	double at;
 
@@ -696,3 +653,40 @@
 		return PR_CONCLUDE_DONE;
 	return PR_CONCLUDE_NOTHING;
 }
+
+/* Whether other hosts may know that the state of the store's row is outdated. A
+ * store that states no era does not return from copies. */
+static bool is_settling(pr_transition_t *transition, int64_t now_ms)
+{
+	uint64_t era = transition->order_row.era;
+
+	if (transition->evaluated_era != era ||
+	    now_ms - transition->evaluated_ms > EVALUATION_GAP_MS) {
+		transition->evaluated_era = era;
+		transition->evaluated_from_ms = now_ms;
+	}
+	transition->evaluated_ms = now_ms;
+	return era && now_ms - transition->evaluated_from_ms < RETURN_SETTLE_MS;
+}
+
+pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
+				       int64_t now_ms, int64_t stagger_ms,
+				       uint32_t usable)
+{
+	pr_conclusion_t conclusion =
+		evaluate(transition, now_ms, stagger_ms, usable);
+	bool is_by_time =
+		conclusion == PR_CONCLUDE_DONE ||
+		(conclusion == PR_CONCLUDE_WITHDRAW && !transition->judged_bad);
+
+	if (is_settling(transition, now_ms) && is_by_time)
+		conclusion = PR_CONCLUDE_NOTHING;
+	if (conclusion == PR_CONCLUDE_NOTHING && transition->unsaved)
+		conclusion = PR_CONCLUDE_RESTORE;
+	/* A condition with a number of another era has no meaning, nor has a
+	 * row with the number of an order of another era. */
+	if (transition->state_row.era != transition->order_row.era &&
+	    !pr_revision_equal(transition->state_row, (pr_revision_t){ 0 }))
+		return PR_CONCLUDE_NOTHING;
+	return conclusion;
+}
--- a/src/transition/transition.h
+++ b/src/transition/transition.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "pistachiorack/str.h"
+#include "pistachiorack/timer.h"
 #include "store/revision.h"
 #include "transition/load_test.h"
 #include "transition/sessions.h"
@@ -77,12 +78,37 @@
 	double total, bad, timed, slow;
 } pr_recent_counts_t;
 
+/** What is remembered of the order's rows after a return of the store. */
+typedef struct pr_order_return_t {
+	/** Order of the store's row that may be older than the known order, and
+	 *  its revision; number 0 for none. */
+	pr_rollout_order_t held;
+	pr_revision_t held_row;
+	/** Time at which the held order is taken as a new one. */
+	pr_usec_t held_until;
+	/** Until then a later row with the same content is the known order,
+	 *  which the operator writes again. */
+	pr_usec_t rewrites_until;
+	/** Last time at which this host followed the store's orders, or could
+	 *  not. */
+	pr_usec_t checked_at;
+} pr_order_return_t;
+
 typedef struct pr_transition_t {
 	pr_rollout_order_t order;
 	/** Row version of the order, which identifies it. */
 	pr_revision_t order_row;
+	pr_order_return_t order_return;
 	/** Row version of the shared row; number 0 before one exists. */
 	pr_revision_t state_row;
+	/** The store's row lacks something that this host knows: the store has
+	 *  returned from an older copy. */
+	bool unsaved;
+	/** Era of the order's row and time of the last evaluation, and the time
+	 *  since which this host has evaluated in that era without a break, by
+	 *  the store's clock. */
+	uint64_t evaluated_era;
+	int64_t evaluated_ms, evaluated_from_ms;
 	pr_rollout_state_t state;
 	/** Start by the store's clock, milliseconds; 0 before the start. */
 	int64_t began_ms;
@@ -121,6 +147,55 @@
 			   const pr_rollout_order_t *order,
 			   pr_revision_t order_row);
 
+/**
+ * Time for which an order that may be older than the known one is held back
+ * after a return of the store, and for which the operator may write a known
+ * order again. The operator does so within about two seconds, and a host reads
+ * it within three.
+ */
+#define PR_TRANSITION_HOLD (10 * PR_USEC_PER_SEC)
+
+/** What a row with an order of the operator means. */
+typedef enum pr_order_verdict_t {
+	/** The row is not later than those that came before. */
+	PR_ORDER_ROW_OLD,
+	/** The order that is known. */
+	PR_ORDER_ROW_KNOWN,
+	PR_ORDER_ROW_NEW,
+	/** The order may be what the store had before the known one. */
+	PR_ORDER_ROW_HELD,
+} pr_order_verdict_t;
+
+/** Decide what a row with an order means. A zeroed transition has no order. */
+pr_order_verdict_t pr_transition_judge_order(const pr_transition_t *transition,
+					     const pr_rollout_order_t *order,
+					     pr_revision_t row, pr_usec_t now);
+/**
+ * Apply a row with an order: a new order replaces the known one; the known one
+ * gets the row's revision and keeps its state; one that is held back changes
+ * nothing yet. The caller then applies the last shared row of the service, or
+ * its absence, again.
+ */
+pr_order_verdict_t pr_transition_receive_order(pr_transition_t *transition,
+					       const pr_rollout_order_t *order,
+					       pr_revision_t row,
+					       pr_usec_t now);
+/**
+ * Note that time has passed; called at least once a second. Only time in which
+ * this host follows the store's orders counts for PR_TRANSITION_HOLD.
+ *
+ * @param follows the orders of the store's present era have been read and are
+ *	  current
+ * @return true when the held order was taken as a new one
+ */
+bool pr_transition_check_held(pr_transition_t *transition, pr_usec_t now,
+			      bool follows);
+/** The store has no row of the order (any more).
+ *
+ * @return true when an order was held back and is forgotten; the known one goes
+ *	   on */
+bool pr_transition_drop_held(pr_transition_t *transition);
+
 /** Row with the state that the hosts share. The state is ignored when the row
  *  belongs to another order. */
 typedef struct pr_transition_row_t {
@@ -138,10 +213,42 @@
 int pr_transition_row_pack(pr_str_t *out, const pr_transition_row_t *row);
 /** @return 0 or PR_EPARSE */
 int pr_transition_row_unpack(pr_transition_row_t *out, pr_slice_t bytes);
-/** Apply the shared row; one that is not newer than the last is ignored. */
-void pr_transition_apply(pr_transition_t *transition,
-			 const pr_transition_row_t *row,
-			 pr_revision_t row_version);
+/**
+ * Merge what is known of the same order into a row. The result does not depend
+ * on the order in which rows are merged: a final state wins over a running
+ * transition, a withdrawal over all, and the earliest times are kept.
+ */
+void pr_transition_row_merge(pr_transition_row_t *row,
+			     const pr_transition_row_t *other);
+
+/** What the shared row has changed. */
+typedef enum pr_state_verdict_t {
+	/** An earlier row than the last one; nothing was changed. */
+	PR_STATE_ROW_OLD,
+	/** A row of another era or order than those of the order's row; only
+	 *  state_row was changed. */
+	PR_STATE_ROW_OTHER,
+	/** The state was taken over. */
+	PR_STATE_ROW_TAKEN,
+	/** The row was merged with what is known; `unsaved` tells whether it
+	 *  lacks something. */
+	PR_STATE_ROW_MERGED,
+} pr_state_verdict_t;
+
+/** Apply the shared row; one that is older than the last is ignored, and the
+ *  last one may be applied again. */
+pr_state_verdict_t pr_transition_apply(pr_transition_t *transition,
+				       const pr_transition_row_t *row,
+				       pr_revision_t row_version);
+/** @return true when there is something that the shared row has to keep */
+bool pr_transition_has_state(const pr_transition_t *transition);
+/**
+ * The shared table of an era was read as a whole and has no row of the
+ * transition. Ignored when a row of that era or of a later one is known.
+ *
+ * @return true when state_row was changed
+ */
+bool pr_transition_apply_missing(pr_transition_t *transition, uint64_t era);
 
 /** @return share of the sessions that use the new version, 0 to 1 */
 double pr_transition_share(const pr_transition_t *transition, int64_t now_ms);
@@ -258,6 +365,8 @@
 	PR_CONCLUDE_LOAD_VERIFIED,
 	PR_CONCLUDE_DONE,
 	PR_CONCLUDE_WITHDRAW,
+	/** The store's row lacks what this host knows: write that. */
+	PR_CONCLUDE_RESTORE,
 } pr_conclusion_t;
 
 /**
@@ -271,5 +380,34 @@
 pr_conclusion_t pr_transition_conclude(pr_transition_t *transition,
 				       int64_t now_ms, int64_t stagger_ms,
 				       uint32_t usable);
+/** @return the shared row with a conclusion and all that this host knows; it is
+ *	   to be written on condition of state_row */
+pr_transition_row_t pr_transition_conclusion_row(
+	const pr_transition_t *transition, pr_conclusion_t conclusion,
+	int64_t now_ms);
+
+/** Time for which a host has had something to write; zeroed before first use.
+ */
+typedef struct pr_conclusion_wait_t {
+	pr_conclusion_t conclusion;
+	/** state_row of that time. */
+	pr_revision_t row;
+	int64_t since_ms;
+} pr_conclusion_wait_t;
+
+/**
+ * Whether a conclusion has been the same, on the same shared row, for the time
+ * by which hosts differ, so that the row of the first host makes the writes of
+ * the others unnecessary.
+ *
+ * @param reaches the store is in reach and the shared table of its present era
+ *	  has been read; the time begins anew without that, or all hosts would
+ *	  write in the moment in which the store is back
+ * @param delay_ms delay of this host
+ */
+bool pr_transition_is_write_due(pr_conclusion_wait_t *wait,
+				const pr_transition_t *transition,
+				pr_conclusion_t conclusion, bool reaches,
+				int64_t now_ms, int64_t delay_ms);
 
 #endif
