--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -38,6 +38,12 @@
 /** Most services that have a repeat budget; further ones have no limit. */
 #define PR_SERVICES_MAX 64
 
+/** Time-out of a write to the store. */
+#define PR_STORE_WRITE_TIMEOUT (2 * PR_USEC_PER_SEC)
+/** Time between two writes, in which the feed returns the result of the first.
+ */
+#define PR_STORE_WRITE_PAUSE (700 * PR_USEC_PER_MSEC)
+
 typedef struct pr_edge_t pr_edge_t;
 
 /** State of reading one table of the store; see watch.c. */
@@ -146,12 +152,9 @@
 	int64_t quarantine_unsaved_ms;
 	pr_transition_t *transitions[PR_TRANSITIONS_MAX];
 	size_t transitions_count;
-	/** Conclusion of this host about each transition, and the time since
-	 *  which it has been the same, in milliseconds of the store's clock. */
-	struct {
-		pr_conclusion_t conclusion;
-		int64_t since_ms;
-	} conclusions[PR_TRANSITIONS_MAX];
+	/** Conclusion of this host about each transition, and how long it has
+	 *  been the same. */
+	pr_conclusion_wait_t conclusions[PR_TRANSITIONS_MAX];
 	/** Recently active sessions of this host and of others, with the
 	 *  version that they use. */
 	pr_sessions_t sessions;
@@ -292,6 +295,9 @@
 /** End the evacuations that were not written again after a return of the store.
  */
 void pr_edge_end_lost_evacuations(pr_edge_t *edge);
+/** @return true when this host may write to the shared table now: one write at
+ *a time, and only once the table was read in the present era */
+bool pr_edge_can_write(pr_edge_t *edge);
 /** Register this host and write the conclusions about transitions. */
 void pr_edge_update_shared_rows(pr_edge_t *edge);
 
--- a/src/edge/quarantine_row.c
+++ b/src/edge/quarantine_row.c
@@ -13,8 +13,6 @@
 #define ROW_PARTS_MAX 8
 /* Most crashes of a part in the row. */
 #define ROW_CRASHES_MAX 4
-/* Time-out of a write to the store. */
-#define WRITE_TIMEOUT (2 * PR_USEC_PER_SEC)
 /* Each host waits this much longer than the one before it, milliseconds, so
  * that the row of the first host makes the writes of the others unnecessary. */
 #define WRITE_DELAY_STEP_MS 1000
@@ -88,7 +86,7 @@
 		rc = pr_adapter_store_write(&request, &write, 1);
 	if (!rc)
 		pr_call_start(&edge->writer, pr_str_slice(&request),
-			      WRITE_TIMEOUT, on_written);
+			      PR_STORE_WRITE_TIMEOUT, on_written);
 	pr_str_finish(&value);
 	pr_str_finish(&request);
 	return rc;
