Send requests at the same time before a round of changes

Cause: the check that a round's upstreams are used before it failed once on (u-6, just started again, ready on all hosts): with one request after the other a host may send all to one of its upstreams. Change: bursts of requests at each host before the check.

--- a/tests/edge/changes.py
+++ b/tests/edge/changes.py
@@ -229,5 +229,7 @@
         round_ = Round(self.fleet, self.load, self.number)
         begin = time.monotonic()
         await asyncio.sleep(settle)
+        # A host that gets one request after the other may use one upstream alone.
+        await asyncio.gather(*(self.load.burst(router) for router in self.fleet.routers))
         round_.check_used(f"round {self.number}", begin)
         return round_
