--- a/src/edge/store_rows.c
+++ b/src/edge/store_rows.c
@@ -140,7 +140,11 @@
 		upstream =
 			pr_registry_apply(&edge->registry, &entry, row->version,
 					  cold_ms_of(edge, entry.service), now);
-		if (upstream)
+		if (upstream && pr_upstream_is_withheld(upstream, now))
+			pr_event_state("upstream_withheld", "id=%s row=%llu",
+				       entry.id,
+				       (unsigned long long)row->version.number);
+		else if (upstream)
 			pr_event_state(
 				"upstream",
 				"id=%s service=%s zone=%s version=%s state=%s "
