Rely on no relay that knows an earlier era of the store

Cause: a digest with an earlier era confirmed nothing, but its sender still counted as the reader that is ranked before this host, and as a current relay of its zone. Beside such a relay, of an earlier release during a restart in turn, or one that has not noticed a return, a relay stopped reading the store and stood still (CONFIG). Change: a relay in an earlier era counts as not current, and as one that does not read.

--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -334,9 +334,15 @@
 		now - (pr_usec_t)state->age_ms * PR_USEC_PER_MSEC;
 	int64_t clock_lead_ms = state->clock_ms - pr_edge_store_now(edge);
 	bool near = pr_peers_in_region(edge, relay->zone);
-
-	pr_roster_note_digest(relay, state->current,
-			      state->reads_store ? confirmed_at : 0, now);
+	bool is_behind;
+
+	/* Numbers of an earlier era confirm nothing. The relay has not seen
+	 * that the store returned from an older copy, or knows no eras. */
+	is_behind = state->tables[PR_TABLE_ORDERS].version.era <
+		    edge->store_era.current;
+	pr_roster_note_digest(
+		relay, state->current && !is_behind,
+		state->reads_store && !is_behind ? confirmed_at : 0, now);
 	for (int i = 0; i < PR_TABLES_COUNT; i++)
 		pr_watch_compare_peer(edge, (pr_store_table_t)i,
 				      near ? relay : NULL, &state->tables[i]);
@@ -344,7 +350,7 @@
 	 * regions. */
 	if (near && is_confirming(edge, state))
 		pr_reader_confirm(&edge->peering.reader, confirmed_at);
-	if (!pr_peers_in_zone(edge, relay) || !state->current ||
+	if (!pr_peers_in_zone(edge, relay) || !state->current || is_behind ||
 	    pr_peering_reads_store(edge))
 		return;
 	pr_watches_extend_outage_grace(edge, state->unsettled_ms);
