Take the time into account for which the soak itself was held up

The soak was held up for 10 and 7 s: the log of the stopped host has its end 2.6 s after the SIGTERM, and no host got a request or an answer of the store meanwhile. What held it up is not known. Change: a process that ends is noticed after the time for which the soak was held up; a longer such time counts as a disturbance of the store, which is in the same program, and is printed; the end of a roll-out is waited for so much longer.

--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -164,6 +164,10 @@
             await asyncio.sleep(0.02)
             if time.monotonic() > due + 0.05:
                 self.stalls.append((due, time.monotonic()))
+                if time.monotonic() > due + 1:
+                    # So was the store.
+                    self.disturb_store(0)
+                    self.note(f"this program was held up for {time.monotonic() - due:.1f} s")
             for router in self.fleet.routers:
                 if router.name not in self.held and router.process.returncode is not None:
                     self.break_promise(f"ended: {router.name}: {router.process.returncode}")
@@ -438,9 +442,17 @@
         self.held.discard(router.name)
 
     async def wait_end(self, router, seconds):
+        began, held_up = time.monotonic(), 0.0
         try:
-            await asyncio.wait_for(router.process.wait(), seconds)
+            try:
+                await asyncio.wait_for(router.process.wait(), seconds)
+            except asyncio.TimeoutError:
+                # A process that ended while this program was held up is noticed later.
+                await asyncio.sleep(0.1)
+                held_up = self.stalled(began, time.monotonic())
+                await asyncio.wait_for(router.process.wait(), held_up)
         except asyncio.TimeoutError:
+            seconds += held_up
             self.break_promise(f"stop: {router.name} is still there after {seconds:.1f} s")
             with self.trouble(router, "kill"):
                 router.signal(signal.SIGKILL)
