--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -594,13 +594,19 @@
                     self.break_promise(f"evacuated: {upstream.name} got {late[0][1]}")
         await self.fleet.store.put("op", f"evacuate/{zone}", None)
 
+    async def change_config(self):
+        name = f"extra{self.fleet.version}"
+        self.note(f"configuration {self.fleet.version + 1} adds /{name}/")
+        acked = await self.fleet.apply(extra_routes=[name])
+        # The newest one may have been acknowledged meanwhile.
+        if not self.config or acked > self.config[1]:
+            self.config = (name, acked)
+        return name
+
     async def fault_change(self):
         """One configuration, or some in quick succession; the last one counts."""
         for more in range(self.random.choice((0, 0, 1, 3)), -1, -1):
-            name = f"extra{self.fleet.version}"
-            self.note(f"configuration {self.fleet.version + 1} adds /{name}/")
-            acked = await self.fleet.apply(extra_routes=[name])
-            self.config = (name, acked)
+            name = await self.change_config()
             if more:
                 await asyncio.sleep(self.random.uniform(0, 0.6))
         if await self.hold(APPLY_S):
@@ -727,7 +733,7 @@
         try:
             await self.fleet.start()
             if "return" in self.kinds:
-                self.fleet.store.copies = collections.deque(maxlen=40)
+                self.fleet.store.copies = collections.deque(maxlen=100)
             callers = [asyncio.create_task(self.call(i)) for i in range(self.callers)]
             callers.append(asyncio.create_task(self.watch()))
             await self.run_faults()
--- a/tests/edge/soak_returns.py
+++ b/tests/edge/soak_returns.py
@@ -13,6 +13,10 @@
 # Time after which the other hosts know the end of a roll-out.
 KNOWN_S = 1.0
 ORDER_S = 8
+# Numbers of writes before the return that nobody writes again.
+NOTES = (0, 10, 40)
+# Time after the return in which its checks begin, seconds.
+CHECKED_S = 10.0
 NOT_IN_TOUCH = ("kill", "freeze", "stop", "start", "cut")
 
 
@@ -57,6 +61,8 @@
         if config:
             statuses = await self.probe_all(config[0])
             serving = {r: r.began for r, status in statuses.items() if status == 200}
+        for _ in range(self.random.choice(NOTES)):
+            await store.put("status", "note", {})
         async with self.outage:
             away = self.random.choice((0, self.random.uniform(0, AWAY_S)))
             drop = bool(away) or self.random.random() < 0.5
@@ -72,6 +78,8 @@
         self.returned = returned = time.monotonic()
         again = [asyncio.create_task(self.write_again(returned, *row)) for row in lost]
         await self.check_not_back(config, serving, returned)
+        if self.random.random() < 0.7:
+            await self.change_config()
         await asyncio.gather(*again)
         await self.check_returned(returned)
 
@@ -98,16 +106,19 @@
 
     async def check_returned(self, returned):
         """Hosts in touch have the newest configuration."""
-        config = self.config
-        if not config:
-            return
-        due = max(returned + CONTACT_S, config[1] + APPLY_S) + 0.1
-        await asyncio.sleep(max(0.0, due - time.monotonic()))
-        statuses = await self.probe_all(config[0])
-        now = time.monotonic()
-        # Disturbed again, or another configuration on its way.
-        if self.store_disturbed + CONTACT_S > due or self.config != config:
-            return
+        while self.config and time.monotonic() < returned + CHECKED_S:
+            config = self.config
+            due = max(returned + CONTACT_S, config[1] + APPLY_S) + 0.1
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            statuses = await self.probe_all(config[0])
+            now = time.monotonic()
+            if self.store_disturbed + CONTACT_S > due:
+                return
+            if self.config == config:
+                self.check_known(config, statuses, due, now)
+                return
+
+    def check_known(self, config, statuses, due, now):
         for router, status in statuses.items():
             if status == 404 and self.calm(router.name, due - CONTACT_S, now, NOT_IN_TOUCH):
                 self.break_promise(f"return: {router.name} does not know /{config[0]}/")
