--- a/review/stand-3/world.py
+++ b/review/stand-3/world.py
@@ -264,6 +264,8 @@
             self.template = template.read()
 
     def note(self, *words):
+        if self.record.closed:
+            return
         self.record.write(f"{time.monotonic() - self.began:8.3f} s  "
                           + " ".join(str(w) for w in words) + "\n")
         self.record.flush()
