--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # standard library (3.11 or later), so this compiles them in memory and finds errors early.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 - review/stand-3/world.py review/1[1-5]/case.py tests/edge/standins.py <<'PY'
+python3 - review/stand-3/world.py review/1[1-5]/*.py tests/edge/standins.py <<'PY'
 import os
 import sys
 
