--- a/review/stand-3/world.py
+++ b/review/stand-3/world.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -30,6 +31,7 @@
 # How often an engine writes its entry, and the silence after which the entry goes.
 HEARTBEAT_S = 1.2
 LAPSE_S = 3 * HEARTBEAT_S
+FILES = 4100
 
 
 def document(version=1):
@@ -355,6 +357,13 @@
 
 def run(case, folder):
     """Exit as the review's page says: 1 broken, 0 held, 2 could not run."""
+    # The descriptors of a machine of the sheet, and those of the clients.
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < FILES:
+        print(f"the case needs {FILES} descriptors", file=sys.stderr)
+        return 2
+    if soft != resource.RLIM_INFINITY and soft < FILES:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (FILES, hard))
     world = World(folder)
 
     async def whole():
